Add the design page, the workspace and the common package

Cause: the project starts empty; every later part needs the shared errors, receipts, settings, telemetry and a virtual-time loop for its tests.

--- /dev/null
+++ b/packages/common/src/kingcuplug_common/__init__.py
@@ -0,0 +1,55 @@
+"""Errors, digests, settings, telemetry and receipts shared by all packages."""
+
+from kingcuplug_common._digest import canonical, digest, identifier
+from kingcuplug_common._errors import (
+    KingcuplugError,
+    Refusal,
+    RefusalKind,
+    RefusalReason,
+)
+from kingcuplug_common._receipts import (
+    Receipt,
+    ReceiptInvalid,
+    Signer,
+    Verifier,
+    key_id,
+)
+from kingcuplug_common._settings import (
+    HostSettings,
+    SettingsInvalid,
+    TlsSettings,
+    load_settings,
+)
+from kingcuplug_common._telemetry import (
+    Metrics,
+    TraceFile,
+    log_to,
+    propagator,
+    state_change,
+    tracer,
+)
+
+__all__ = [
+    "HostSettings",
+    "KingcuplugError",
+    "Metrics",
+    "Receipt",
+    "ReceiptInvalid",
+    "Refusal",
+    "RefusalKind",
+    "RefusalReason",
+    "SettingsInvalid",
+    "Signer",
+    "TlsSettings",
+    "TraceFile",
+    "Verifier",
+    "canonical",
+    "digest",
+    "identifier",
+    "key_id",
+    "load_settings",
+    "log_to",
+    "propagator",
+    "state_change",
+    "tracer",
+]
--- /dev/null
+++ b/packages/common/src/kingcuplug_common/_digest.py
@@ -0,0 +1,26 @@
+"""Digests and identifiers."""
+
+import hashlib
+import secrets
+from typing import Any
+
+import orjson
+
+__all__ = ["canonical", "digest", "identifier"]
+
+_IDENTIFIER_BYTES = 12
+
+
+def canonical(value: Any) -> bytes:
+    """Return `value` as JSON with sorted keys and no spaces."""
+    return orjson.dumps(value, option=orjson.OPT_SORT_KEYS)
+
+
+def digest(value: Any) -> str:
+    """Return the SHA-256 of the canonical JSON of `value` as hex text."""
+    return hashlib.sha256(canonical(value)).hexdigest()
+
+
+def identifier() -> str:
+    """Return a random identifier that is unique for all practical purposes."""
+    return secrets.token_hex(_IDENTIFIER_BYTES)
--- /dev/null
+++ b/packages/common/src/kingcuplug_common/_telemetry.py
@@ -0,0 +1,131 @@
+"""Counters, state-change logs and trace spans.
+
+Counters come first; log lines are written only for changes of state; spans go to
+a JSON-lines file, one span per hop.
+"""
+
+import json
+from collections import Counter
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import eliot
+import statsd
+from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
+from opentelemetry.sdk.trace.export import (
+    BatchSpanProcessor,
+    SpanExporter,
+    SpanExportResult,
+)
+from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
+from opentelemetry.trace import Tracer
+from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
+
+__all__ = ["Metrics", "TraceFile", "log_to", "propagator", "state_change", "tracer"]
+
+_PREFIX = "kingcuplug"
+_NANOSECONDS_PER_MICROSECOND = 1_000
+
+propagator = TraceContextTextMapPropagator()
+
+
+class Metrics:
+    """Counters and timers, kept in memory and sent to statsd if configured.
+
+    Parameters
+    ----------
+    address : str, optional
+        ``ip:port`` of the statsd server; without it nothing is sent.
+    """
+
+    def __init__(self, address: str | None = None) -> None:
+        self.counts: Counter[str] = Counter()
+        self._client = None
+        if address is not None:
+            host, _, port = address.rpartition(":")
+            self._client = statsd.StatsClient(host, int(port), prefix=_PREFIX)
+
+    def count(self, name: str, value: int = 1) -> None:
+        """Add `value` to a counter."""
+        self.counts[name] += value
+        if self._client is not None:
+            self._client.incr(name, value)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        if self._client is not None:
+            self._client.gauge(name, value)
+
+    def time(self, name: str, duration_ms: float) -> None:
+        """Record a duration in milliseconds."""
+        if self._client is not None:
+            self._client.timing(name, duration_ms)
+
+
+def log_to(path: Path) -> None:
+    """Append eliot's log messages to a file, one JSON object per line."""
+    eliot.to_file(path.open("a"))
+
+
+def state_change(subject: str, state: str, **fields: Any) -> None:
+    """Log that a subject (a replica, a session, a listener) changed its state."""
+    eliot.log_message(f"{_PREFIX}:{subject}", state=state, **fields)
+
+
+class TraceFile(SpanExporter):
+    """Writes spans to a file as JSON lines."""
+
+    def __init__(self, path: Path) -> None:
+        self._file = path.open("a")
+
+    def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
+        """Append `spans` and flush."""
+        for span in spans:
+            self._file.write(json.dumps(_span_fields(span)) + "\n")
+        self._file.flush()
+        return SpanExportResult.SUCCESS
+
+    def shutdown(self) -> None:
+        """Close the file."""
+        self._file.close()
+
+
+def _span_fields(span: ReadableSpan) -> dict[str, Any]:
+    context = span.get_span_context()
+    start = span.start_time or 0
+    end = span.end_time or start
+    return {
+        "trace": f"{context.trace_id:032x}" if context else None,
+        "span": f"{context.span_id:016x}" if context else None,
+        "parent": f"{span.parent.span_id:016x}" if span.parent else None,
+        "name": span.name,
+        "start_us": start // _NANOSECONDS_PER_MICROSECOND,
+        "duration_us": (end - start) // _NANOSECONDS_PER_MICROSECOND,
+        "fields": dict(span.attributes or {}),
+    }
+
+
+@contextmanager
+def tracer(path: Path | None, share: float) -> Iterator[Tracer]:
+    """Yield a tracer that writes to `path`, or one that records nothing.
+
+    Parameters
+    ----------
+    path : Path or None
+        JSON-lines file for spans.
+    share : float
+        Share of traces that are recorded, 0 to 1; a caller's own decision in the
+        ``traceparent`` header goes first.
+    """
+    sampled_share = share if path is not None else 0.0
+    provider = TracerProvider(
+        sampler=ParentBased(TraceIdRatioBased(sampled_share)), shutdown_on_exit=False
+    )
+    if path is not None:
+        provider.add_span_processor(BatchSpanProcessor(TraceFile(path)))
+    try:
+        yield provider.get_tracer(_PREFIX)
+    finally:
+        provider.shutdown()
--- /dev/null
+++ b/packages/membership/src/kingcuplug_membership/__init__.py
@@ -0,0 +1,3 @@
+"""Announcements, leases, directory and sessions."""
+
+__all__: list[str] = []
