--- a/Makefile
+++ b/Makefile
@@ -5,12 +5,13 @@
 
 .PHONY: demo check format lint types test models venv
 
-$(VENV)/.installed: requirements-dev.txt constraints.txt packages/*/pyproject.toml
+# Only the default environment is installed; a shared one is used as it is.
+.venv/.installed: requirements-dev.txt constraints.txt packages/*/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --requirement requirements-dev.txt
 	touch $@
 
-venv: $(VENV)/.installed
+venv: $(if $(filter .venv,$(VENV)),.venv/.installed)
 
 demo: venv
 	$(BIN)/kingcuplug demo
--- /dev/null
+++ b/packages/cli/src/kingcuplug_cli/_standin.py
@@ -0,0 +1,417 @@
+"""Stand-in backend servers for the demo, the load tool and tests.
+
+They speak the documented backend server interface and misbehave on request, with
+the limits that the users state: slots, connections and a cost per connection.
+"""
+
+import asyncio
+import dataclasses
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import aiohttp
+import orjson
+from kingcuplug_common import digest
+from kingcuplug_daemon import Listener
+
+__all__ = ["Behaviour", "Journal", "StandIn", "StandInService", "expected_value"]
+
+_MILLISECONDS = 1_000
+_RENEW_INTERVAL_S = 0.5
+_ANNOUNCE_RETRY_S = 0.2
+_REQUEST_TIMEOUT_S = 1.0
+CRASH_MARKER = "crash-the-server"
+
+
+@dataclasses.dataclass(slots=True)
+class Behaviour:
+    """How a stand-in serves; may be changed while it runs.
+
+    Attributes
+    ----------
+    service_time_ms : float
+        Median time of one sub-request.
+    spread : float
+        Sigma of the lognormal distribution of service times.
+    straggle_share : float
+        Share of sub-requests that take `straggle_factor` times as long.
+    cold_ms : float
+        After a start, service times fall from `cold_factor` to 1 in this time.
+    reported_load : float or None
+        What ``/load`` says in place of the truth.
+    """
+
+    service_time_ms: float = 2.0
+    spread: float = 0.2
+    straggle_share: float = 0.0
+    straggle_factor: float = 10.0
+    slow_factor: float = 1.0
+    cold_ms: float = 0.0
+    cold_factor: float = 5.0
+    queue_limit: int = 8
+    reported_load: float | None = None
+    reply_corruption: Callable[[dict[str, Any]], Any] | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Journal:
+    """Ground truth of what stand-ins really did.
+
+    Attributes
+    ----------
+    orders : Counter
+        Runs per idempotency key; more than one is a doubled order.
+    received : Counter
+        Sub-requests received per request id.
+    executed : Counter
+        Sub-requests executed to the end per request id.
+    """
+
+    orders: Counter[str] = dataclasses.field(default_factory=Counter)
+    received: Counter[str] = dataclasses.field(default_factory=Counter)
+    executed: Counter[str] = dataclasses.field(default_factory=Counter)
+    totals: Counter[str] = dataclasses.field(default_factory=Counter)
+    crashed_by: Counter[str] = dataclasses.field(default_factory=Counter)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StandInService:
+    """Sizes of a service's servers, as the users state them."""
+
+    name: str
+    slots: int
+    connections: int
+    connection_cost_ms: float
+
+
+def expected_value(service: str, snapshot: int, shard: int, body: Any) -> str:
+    """Return the only right value of one shard of one snapshot."""
+    return digest([service, snapshot, shard, body])[:16]
+
+
+class StandIn:
+    """One backend server.
+
+    Parameters
+    ----------
+    name : str
+        Its name, unique over all services.
+    service : StandInService
+        What it serves and its limits.
+    availability_zone : str
+        Where it is.
+    holdings : dict
+        Shards per snapshot: snapshot → (shard count, shards).
+    journal : Journal
+        Ground truth.
+    balancer : callable
+        Returns the base URL of some entry host.
+    seed : int
+        Seed of its service times.
+    announce_token : str, optional
+        Bearer token for announcements.
+    latency_ms : float
+        One-way network latency that is added to every reply and request.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        service: StandInService,
+        availability_zone: str,
+        holdings: dict[int, tuple[int, tuple[int, ...]]],
+        journal: Journal,
+        balancer: Callable[[], str],
+        seed: int,
+        announce_token: str | None = None,
+        latency_ms: float = 0.0,
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.availability_zone = availability_zone
+        self.holdings = holdings
+        self.behaviour = Behaviour()
+        self.latency_ms = latency_ms
+        self.last_new_work = 0.0
+        self._journal = journal
+        self._balancer = balancer
+        self._random = random.Random(seed)
+        self._token = announce_token
+        self._incarnation = 0
+        self._sequence = 0
+        self._state = "serving"
+        self._slots = asyncio.Semaphore(service.slots)
+        self._in_service = 0
+        self._waiting = 0
+        self._known_connections: set[tuple[str, int]] = set()
+        self._attempts: dict[str, asyncio.Task[Any]] = {}
+        self._listener: Listener | None = None
+        self._announcer: asyncio.Task[None] | None = None
+        self._started = 0.0
+        self._announce_now = asyncio.Event()
+        self._address = "127.0.0.1:0"
+
+    @property
+    def running(self) -> bool:
+        """Whether the server accepts connections."""
+        return self._listener is not None
+
+    async def start(self) -> None:
+        """Serve and announce, with a new incarnation."""
+        self._incarnation += 1
+        self._sequence = 0
+        self._state = "serving"
+        self._slots = asyncio.Semaphore(self.service.slots)
+        self._in_service = self._waiting = 0
+        self._known_connections.clear()
+        self._started = asyncio.get_running_loop().time()
+        self._listener = Listener(self._application, self._address)
+        self._address = self._listener.address
+        await self._listener.start()
+        self._announcer = asyncio.create_task(self._announce())
+
+    async def stop(self) -> None:
+        """Withdraw, finish the work in flight and stop."""
+        await self.withdraw()
+        await self._end_announcer()
+        if self._listener is not None:
+            listener, self._listener = self._listener, None
+            await listener.stop()
+
+    async def crash(self) -> None:
+        """End as a killed process does: all connections break, nothing is said."""
+        if self._listener is None:
+            return
+        listener, self._listener = self._listener, None
+        listener.abort()
+        for task in list(self._attempts.values()):
+            task.cancel()
+        await self._end_announcer()
+
+    def drain(self) -> None:
+        """Ask for no new work; what is in flight goes on."""
+        self._state = "draining"
+        self._announce_now.set()
+
+    async def withdraw(self) -> None:
+        """Say goodbye."""
+        self._state = "withdrawn"
+        self._announce_now.set()
+        await asyncio.sleep(0)
+
+    def hold(self, holdings: dict[int, tuple[int, tuple[int, ...]]]) -> None:
+        """Change the held snapshots."""
+        self.holdings = holdings
+        self._announce_now.set()
+
+    async def _end_announcer(self) -> None:
+        if self._announcer is None:
+            return
+        if self._state == "withdrawn":
+            await asyncio.wait({self._announcer}, timeout=_REQUEST_TIMEOUT_S)
+        self._announcer.cancel()
+        await asyncio.gather(self._announcer, return_exceptions=True)
+        self._announcer = None
+
+    def _announcement(self) -> dict[str, Any]:
+        self._sequence += 1
+        return {
+            "server": self.name,
+            "service": self.service.name,
+            "address": self._address,
+            "availability_zone": self.availability_zone,
+            "incarnation": self._incarnation,
+            "sequence": self._sequence,
+            "slots": self.service.slots,
+            "connections": self.service.connections,
+            "state": self._state,
+            "holdings": [
+                {"snapshot": snapshot, "shard_count": count, "shards": list(shards)}
+                for snapshot, (count, shards) in sorted(self.holdings.items())
+            ],
+        }
+
+    async def _announce(self) -> None:
+        headers = {"Authorization": f"Bearer {self._token}"} if self._token else {}
+        timeout = aiohttp.ClientTimeout(total=_REQUEST_TIMEOUT_S)
+        async with aiohttp.ClientSession(headers=headers, timeout=timeout) as session:
+            while True:
+                self._announce_now.clear()
+                state = self._state
+                renew_at = await self._try_announce(session)
+                if renew_at is None:
+                    await asyncio.sleep(_ANNOUNCE_RETRY_S)
+                    continue
+                if state == "withdrawn":
+                    return
+                await self._renew(session, renew_at)
+
+    async def _try_announce(self, session: aiohttp.ClientSession) -> str | None:
+        url = f"{self._balancer()}/v1/servers/announce"
+        try:
+            async with session.post(url, json=self._announcement()) as response:
+                if response.status != 200:
+                    return None
+                reply = await response.json()
+                return str(reply["renew_address"])
+        except (aiohttp.ClientError, TimeoutError, KeyError):
+            return None
+
+    async def _renew(self, session: aiohttp.ClientSession, renew_at: str) -> None:
+        """Renew until the lease is lost or something changed."""
+        url = f"http://{renew_at}/v1/servers/renew"
+        fields = {
+            "server": self.name,
+            "incarnation": self._incarnation,
+            "sequence": self._sequence,
+        }
+        while True:
+            try:
+                async with asyncio.timeout(_RENEW_INTERVAL_S):
+                    await self._announce_now.wait()
+                return
+            except TimeoutError:
+                pass
+            try:
+                async with session.post(url, json=fields) as response:
+                    if response.status != 200:
+                        return
+            except (aiohttp.ClientError, TimeoutError):
+                return
+
+    async def _application(self, scope: Any, receive: Any, send: Any) -> None:
+        if scope["type"] != "http":
+            return
+        body = await _read_body(receive)
+        path = scope["path"]
+        if path == "/sub-request":
+            await self._pay_connection(scope["client"])
+            reply = await self._sub_request(orjson.loads(body))
+        elif path == "/cancel":
+            reply = self._cancel(orjson.loads(body))
+        elif path == "/load":
+            reply = {"load": self._load()}
+        else:
+            reply = {"state": self._state}
+        if self._listener is not None:
+            await _reply(send, reply)
+
+    async def _pay_connection(self, client: tuple[str, int]) -> None:
+        if client in self._known_connections:
+            return
+        self._known_connections.add(client)
+        self._journal.totals["connections"] += 1
+        await asyncio.sleep(self.service.connection_cost_ms / _MILLISECONDS)
+
+    def _load(self) -> float:
+        if self.behaviour.reported_load is not None:
+            return self.behaviour.reported_load
+        return self._in_service / self.service.slots
+
+    def _cancel(self, fields: dict[str, Any]) -> dict[str, Any]:
+        task = self._attempts.get(fields.get("attempt_id", ""))
+        if task is not None:
+            task.cancel()
+        return {"cancelled": task is not None}
+
+    async def _sub_request(self, fields: dict[str, Any]) -> Any:
+        self._journal.received[fields["request_id"]] += 1
+        self._journal.totals["received"] += 1
+        self.last_new_work = asyncio.get_running_loop().time()
+        await asyncio.sleep(self.latency_ms / _MILLISECONDS)
+        echo = {
+            name: fields[name]
+            for name in ("attempt_id", "snapshot", "shard", "shard_count")
+        }
+        held = self.holdings.get(fields["snapshot"])
+        if held is None or held[0] != fields["shard_count"]:
+            return echo | {"status": "snapshot_gone"}
+        if fields["shard"] not in held[1]:
+            return echo | {"status": "snapshot_gone"}
+        if self._state == "withdrawn" or self._waiting >= self.behaviour.queue_limit:
+            self._journal.totals["shed"] += 1
+            return echo | {"status": "shed"}
+        task = asyncio.ensure_future(self._execute(fields))
+        self._attempts[fields["attempt_id"]] = task
+        try:
+            reply = echo | await task
+        except asyncio.CancelledError:
+            self._journal.totals["cancelled"] += 1
+            reply = echo | {"status": "failed"}
+        finally:
+            del self._attempts[fields["attempt_id"]]
+        await asyncio.sleep(self.latency_ms / _MILLISECONDS)
+        if self.behaviour.reply_corruption is not None:
+            return self.behaviour.reply_corruption(reply)
+        return reply
+
+    async def _execute(self, fields: dict[str, Any]) -> dict[str, Any]:
+        self._waiting += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self._waiting -= 1
+        self._in_service += 1
+        try:
+            return await self._serve(fields)
+        finally:
+            self._in_service -= 1
+            self._slots.release()
+
+    async def _serve(self, fields: dict[str, Any]) -> dict[str, Any]:
+        body = fields["body"]
+        if isinstance(body, dict) and body.get(CRASH_MARKER):
+            self._journal.crashed_by[digest(body)] += 1
+            asyncio.get_running_loop().create_task(self.crash())
+            await asyncio.sleep(_REQUEST_TIMEOUT_S)
+        if fields["kind"] == "order":
+            self._journal.orders[fields["idempotency_key"]] += 1
+        await asyncio.sleep(self._service_time_ms() / _MILLISECONDS)
+        self._journal.executed[fields["request_id"]] += 1
+        self._journal.totals["executed"] += 1
+        value = expected_value(
+            fields["service"], fields["snapshot"], fields["shard"], body
+        )
+        return {"status": "ok", "coverage": 1.0, "value": value}
+
+    def _service_time_ms(self) -> float:
+        behaviour = self.behaviour
+        time_ms = behaviour.service_time_ms * self._random.lognormvariate(
+            0.0, behaviour.spread
+        )
+        if self._random.random() < behaviour.straggle_share:
+            time_ms *= behaviour.straggle_factor
+        return time_ms * behaviour.slow_factor * self._cold_factor()
+
+    def _cold_factor(self) -> float:
+        if self.behaviour.cold_ms <= 0:
+            return 1.0
+        age_ms = (asyncio.get_running_loop().time() - self._started) * _MILLISECONDS
+        left = max(1.0 - age_ms / self.behaviour.cold_ms, 0.0)
+        return 1.0 + (self.behaviour.cold_factor - 1.0) * left
+
+
+async def _read_body(receive: Any) -> bytes:
+    parts = []
+    while True:
+        message = await receive()
+        parts.append(message.get("body", b""))
+        if not message.get("more_body"):
+            return b"".join(parts)
+
+
+async def _reply(send: Any, value: Any) -> None:
+    body = value if isinstance(value, bytes) else orjson.dumps(value)
+    await send(
+        {
+            "type": "http.response.start",
+            "status": 200,
+            "headers": [
+                (b"content-type", b"application/json"),
+                (b"content-length", str(len(body)).encode()),
+            ],
+        }
+    )
+    await send({"type": "http.response.body", "body": body})
--- /dev/null
+++ b/packages/daemon/src/kingcuplug_daemon/_key_registry.py
@@ -0,0 +1,98 @@
+"""Public keys that check receipts, kept in the replicated log.
+
+A receipt must stay checkable for as long as orders are kept, so a key outlives the
+host that signed with it.
+"""
+
+import dataclasses
+from collections.abc import Mapping
+from typing import Any
+
+from kingcuplug_common import KingcuplugError, key_id
+
+__all__ = ["KeyRegistry", "PublishKey", "PublishedKey"]
+
+_KEY_LIMIT = 100_000
+_RAW_KEY_BYTES = 32
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PublishKey:
+    """Command that publishes a host's public key."""
+
+    host: str
+    public_key: str
+    time_ms: int
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the command as JSON value."""
+        return {"type": "publish_key", **dataclasses.asdict(self)}
+
+    @classmethod
+    def from_json(cls, value: Mapping[str, Any]) -> "PublishKey":
+        """Read a command.
+
+        Raises
+        ------
+        KingcuplugError
+            If the key is not 32 bytes in hex.
+        """
+        raw = bytes.fromhex(value["public_key"])
+        if len(raw) != _RAW_KEY_BYTES:
+            raise KingcuplugError(
+                f"public key has {len(raw)} bytes", "publish a raw Ed25519 key"
+            )
+        return cls(value["host"], value["public_key"], value["time_ms"])
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PublishedKey:
+    """A public key and since when it is known."""
+
+    key_id: str
+    host: str
+    public_key: str
+    time_ms: int
+
+
+class KeyRegistry:
+    """All public keys by key identifier; publishing again changes nothing."""
+
+    def __init__(self) -> None:
+        self._keys: dict[str, PublishedKey] = {}
+
+    def apply(self, command: PublishKey) -> PublishedKey:
+        """Add a key and return what is recorded of it."""
+        identifier = key_id(bytes.fromhex(command.public_key))
+        known = self._keys.get(identifier)
+        if known is None:
+            known = PublishedKey(
+                identifier, command.host, command.public_key, command.time_ms
+            )
+            self._keys[identifier] = known
+            self._forget_oldest()
+        return known
+
+    def keys(self) -> list[PublishedKey]:
+        """Return all keys, the oldest first."""
+        return list(self._keys.values())
+
+    def raw(self) -> dict[str, bytes]:
+        """Return the raw public keys by key identifier."""
+        return {
+            identifier: bytes.fromhex(key.public_key)
+            for identifier, key in self._keys.items()
+        }
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state as JSON value."""
+        return {"keys": [dataclasses.asdict(key) for key in self._keys.values()]}
+
+    def load(self, state: Mapping[str, Any]) -> None:
+        """Replace the state by a dump."""
+        keys = [PublishedKey(**fields) for fields in state["keys"]]
+        self._keys = {key.key_id: key for key in keys}
+
+    def _forget_oldest(self) -> None:
+        while len(self._keys) > _KEY_LIMIT:
+            del self._keys[next(iter(self._keys))]
--- /dev/null
+++ b/packages/daemon/src/kingcuplug_daemon/_listener.py
@@ -0,0 +1,127 @@
+"""One HTTP listener: a uvicorn server inside the running event loop.
+
+uvicorn would install signal handlers and decide about shutdown itself; here the
+host decides, because it must first finish the requests in flight.
+"""
+
+import asyncio
+import contextlib
+import socket
+import ssl
+from collections.abc import Iterator
+from pathlib import Path
+
+import uvicorn
+from kingcuplug_common import TlsSettings
+from uvicorn._types import ASGIApplication
+
+__all__ = ["Listener"]
+
+_BACKLOG = 1024
+_KEEPALIVE_S = 75
+
+
+class _Server(uvicorn.Server):
+    """A uvicorn server that leaves signals to the host."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Install no signal handler."""
+        yield
+
+
+class Listener:
+    """Serves one application on one address.
+
+    Parameters
+    ----------
+    application : ASGIApplication
+        The application.
+    address : str
+        ``ip:port``; port 0 takes a free one.
+    tls : TlsSettings, optional
+        Serves TLS with this identity.
+    client_certificates : bool
+        Whether clients must present a certificate of ``tls.authority``.
+    """
+
+    def __init__(
+        self,
+        application: ASGIApplication,
+        address: str,
+        tls: TlsSettings | None = None,
+        client_certificates: bool = False,
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self._socket = socket.socket(family, socket.SOCK_STREAM)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.bind((host.strip("[]"), int(port)))
+        bound_host, bound_port = self._socket.getsockname()[:2]
+        self.address = f"{bound_host}:{bound_port}"
+        self._config = uvicorn.Config(
+            application,
+            loop="none",
+            http="httptools",
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            date_header=False,
+            backlog=_BACKLOG,
+            timeout_keep_alive=_KEEPALIVE_S,
+            **_tls_options(tls, client_certificates),
+        )
+        self._server = _Server(self._config)
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Accept connections."""
+        work = self._server.serve(sockets=[self._socket])
+        self._task = asyncio.get_running_loop().create_task(work)
+        while not self._server.started:
+            if self._task.done():
+                await self._task
+            await asyncio.sleep(0)
+
+    async def stop(self) -> None:
+        """Close the listening socket and finish the requests in flight."""
+        self._server.should_exit = True
+        if self._task is not None:
+            await self._task
+
+    def abort(self) -> None:
+        """Drop the listening socket and every connection at once."""
+        self._server.should_exit = True
+        self._server.force_exit = True
+        for server in getattr(self._server, "servers", ()):
+            server.close()
+        self._socket.close()
+        for connection in list(self._server.server_state.connections):
+            transport = getattr(connection, "transport", None)
+            if transport is not None:
+                transport.abort()
+
+    def reload(self) -> None:
+        """Read the certificate and key files again, for new connections."""
+        context = self._config.ssl
+        if context is not None and self._config.ssl_certfile is not None:
+            context.load_cert_chain(
+                self._config.ssl_certfile, self._config.ssl_keyfile
+            )
+
+
+def _tls_options(
+    tls: TlsSettings | None, client_certificates: bool
+) -> dict[str, str | int | Path]:
+    if tls is None:
+        return {}
+    options: dict[str, str | int | Path] = {
+        "ssl_certfile": str(tls.certificate),
+        "ssl_keyfile": str(tls.private_key),
+        "ssl_ca_certs": str(tls.authority),
+    }
+    if client_certificates:
+        options["ssl_cert_reqs"] = int(ssl.CERT_REQUIRED)
+    return options
--- /dev/null
+++ b/packages/query/src/kingcuplug_query/_backend.py
@@ -0,0 +1,200 @@
+"""The border to backend servers.
+
+`Send` is the interface that tests replace; `HttpBackend` is the real one. The
+difference between "nothing was sent" and "something may have been sent" is made
+here and nowhere else, because only the transport can know it.
+"""
+
+import asyncio
+import ssl
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import aiohttp
+import orjson
+from kingcuplug_common import KingcuplugError
+from kingcuplug_routing import ServerView
+
+from kingcuplug_query._messages import ReplyInvalid, SubReply, SubRequest, parse_reply
+
+__all__ = ["Cancel", "ConnectFailed", "HttpBackend", "ReplyLost", "Send"]
+
+_REPLY_LIMIT_BYTES = 16 * 1024 * 1024
+_CONNECT_TIMEOUT_S = 1.0
+_PROBE_TIMEOUT_S = 0.5
+_CANCEL_TIMEOUT_S = 1.0
+_KEEPALIVE_S = 60.0
+_JSON_HEADERS = {"Content-Type": "application/json"}
+
+Send = Callable[[ServerView, SubRequest, float], Awaitable[SubReply]]
+Cancel = Callable[[ServerView, str], Awaitable[None]]
+
+
+class ConnectFailed(KingcuplugError):
+    """No connection could be made, so no byte of the sub-request was sent."""
+
+
+class ReplyLost(KingcuplugError):
+    """The connection broke after the sub-request may have been received.
+
+    Parameters
+    ----------
+    server_gone : bool
+        Whether the server also refused a new connection, which suggests that its
+        process ended.
+    """
+
+    def __init__(self, message: str, remedy: str, server_gone: bool) -> None:
+        super().__init__(message, remedy)
+        self.server_gone = server_gone
+
+
+class HttpBackend:
+    """Sends sub-requests over pooled HTTP connections.
+
+    Parameters
+    ----------
+    tls : ssl.SSLContext, optional
+        Context for TLS towards backend servers.
+    """
+
+    def __init__(self, tls: ssl.SSLContext | None = None) -> None:
+        self._scheme = "https" if tls is not None else "http"
+        self._tls = tls
+        self._sessions: dict[str, aiohttp.ClientSession] = {}
+        self._connection_limits: dict[str, int] = {}
+
+    def limit(self, address: str, connections: int) -> None:
+        """Set how many connections this host may open to one server."""
+        self._connection_limits[address] = connections
+        session = self._sessions.get(address)
+        if session is not None and session.connector is not None:
+            session.connector._limit = connections  # type: ignore[attr-defined]
+
+    def forget(self, address: str) -> None:
+        """Close the pool of a server that has left."""
+        self._connection_limits.pop(address, None)
+        session = self._sessions.pop(address, None)
+        if session is not None:
+            asyncio.get_running_loop().create_task(session.close())
+
+    async def close(self) -> None:
+        """Close all pools."""
+        for session in self._sessions.values():
+            await session.close()
+        self._sessions.clear()
+
+    async def send(
+        self, server: ServerView, request: SubRequest, timeout_s: float
+    ) -> SubReply:
+        """Send one sub-request and return its checked reply.
+
+        Raises
+        ------
+        ConnectFailed
+            If no byte of the sub-request was sent.
+        ReplyLost
+            If the connection broke afterwards.
+        ReplyInvalid
+            If the reply is not one to this attempt; the connection is closed.
+        TimeoutError
+            If no reply came in `timeout_s` seconds.
+        """
+        url = f"{self._scheme}://{server.address}/sub-request"
+        body = orjson.dumps(request.to_json())
+        try:
+            async with (
+                asyncio.timeout(timeout_s),
+                self._session(server.address).post(
+                    url, data=body, headers=_JSON_HEADERS
+                ) as response,
+            ):
+                return await self._read(response, request)
+        except aiohttp.ClientConnectorError as error:
+            raise ConnectFailed(
+                f"backend server {server.server} at {server.address} "
+                f"accepts no connection: {error.os_error}",
+                "check that the server runs and that its announced address is right",
+            ) from error
+        except (aiohttp.ClientError, ConnectionError) as error:
+            raise await self._lost(server, error) from error
+
+    async def cancel(self, server: ServerView, attempt_id: str) -> None:
+        """Ask a server to stop an attempt whose reply is no longer wanted."""
+        url = f"{self._scheme}://{server.address}/cancel"
+        try:
+            async with (
+                asyncio.timeout(_CANCEL_TIMEOUT_S),
+                self._session(server.address).post(
+                    url, json={"attempt_id": attempt_id}
+                ) as response,
+            ):
+                await response.read()
+        except (aiohttp.ClientError, ConnectionError, TimeoutError):
+            return  # Cancellation only saves work; the attempt ends by its deadline.
+
+    def _session(self, address: str) -> aiohttp.ClientSession:
+        session = self._sessions.get(address)
+        if session is None:
+            # One pool per server, so that the connection limit is per server and a
+            # slow server cannot take the connections of another.
+            connector = aiohttp.TCPConnector(
+                limit=self._connection_limits.get(address, 0),
+                keepalive_timeout=_KEEPALIVE_S,
+                ssl=self._tls if self._tls is not None else True,
+            )
+            session = aiohttp.ClientSession(
+                connector=connector,
+                timeout=aiohttp.ClientTimeout(
+                    total=None, sock_connect=_CONNECT_TIMEOUT_S
+                ),
+                auto_decompress=False,
+                cookie_jar=aiohttp.DummyCookieJar(),
+            )
+            self._sessions[address] = session
+        return session
+
+    async def _read(
+        self, response: aiohttp.ClientResponse, request: SubRequest
+    ) -> SubReply:
+        try:
+            length = response.content_length
+            if length is None or length > _REPLY_LIMIT_BYTES:
+                raise _unreadable(request, f"its length is {length} bytes")
+            return parse_reply(request, _decode(request, await response.read()))
+        except ReplyInvalid:
+            # What follows on this connection cannot be trusted to be in step.
+            response.close()
+            raise
+
+    async def _lost(self, server: ServerView, error: Exception) -> ReplyLost:
+        gone = not await self._accepts(server.address)
+        return ReplyLost(
+            f"connection to backend server {server.server} broke: {error!r}",
+            "look at the log of the backend server",
+            server_gone=gone,
+        )
+
+    async def _accepts(self, address: str) -> bool:
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(_PROBE_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return True
+
+
+def _decode(request: SubRequest, body: bytes) -> Any:
+    try:
+        return orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise _unreadable(request, f"it is not JSON: {error}") from error
+
+
+def _unreadable(request: SubRequest, fault: str) -> ReplyInvalid:
+    return ReplyInvalid(
+        f"reply to attempt {request.attempt_id} cannot be read: {fault}",
+        f"send JSON with Content-Length up to {_REPLY_LIMIT_BYTES} bytes",
+    )
--- /dev/null
+++ b/packages/query/src/kingcuplug_query/_query.py
@@ -0,0 +1,404 @@
+"""Execution of one query under one configuration revision.
+
+The order of the steps matters: dependencies are evaluated before the service's
+own admission, so that nobody holds capacity while waiting for another layer.
+"""
+
+import asyncio
+import dataclasses
+from collections.abc import Mapping
+from typing import Any
+
+from kingcuplug_common import (
+    Metrics,
+    Refusal,
+    RefusalKind,
+    RefusalReason,
+    digest,
+)
+from kingcuplug_configuration import Service
+from kingcuplug_routing import Admission, CrashGuard, Router, SnapshotView
+
+from kingcuplug_query._backend import Cancel, Send
+from kingcuplug_query._background import Background
+from kingcuplug_query._gather import Allowance, Gather, Network
+from kingcuplug_query._merge import merge
+from kingcuplug_query._messages import Answer, QueryRequest, ReplyStatus, SubReply
+from kingcuplug_query._snapshots import choose_snapshot, wanted_shards
+
+__all__ = ["QueryExecutor", "RevisionView", "ServiceRuntime", "fingerprint_of"]
+
+_RETRIES_PER_REQUEST = 8
+_TAIL_FACTOR = 3.0
+_MILLISECONDS = 1_000
+_NEWER_SNAPSHOT_WAIT_S = 0.25
+_NEWER_SNAPSHOT_POLL_S = 0.01
+_RESTART_RESERVE = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceRuntime:
+    """A configured service with the state that routes its requests."""
+
+    service: Service
+    router: Router
+    admission: Admission
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RevisionView:
+    """The services of one configuration revision."""
+
+    number: int
+    services: Mapping[str, ServiceRuntime]
+
+    def find(self, name: str) -> ServiceRuntime:
+        """Return a service.
+
+        Raises
+        ------
+        Refusal
+            If the revision has no such service.
+        """
+        runtime = self.services.get(name)
+        if runtime is None:
+            raise Refusal(
+                RefusalKind.NOT_RUN,
+                RefusalReason.UNKNOWN_SERVICE,
+                f"service {name!r} is not in configuration revision {self.number}",
+                "check the name with `kingcuplug config show`",
+            )
+        return runtime
+
+
+def fingerprint_of(service: str, kind: str, body: Any) -> str:
+    """Return what identifies equal requests, whatever their ids and keys."""
+    return digest([service, kind, body])
+
+
+class QueryExecutor:
+    """Runs queries.
+
+    Parameters
+    ----------
+    send, cancel : Send, Cancel
+        The border to the backend servers.
+    guard : CrashGuard
+        Shared by all services of this entry host.
+    metrics : Metrics
+        Counters.
+    background : Background
+        Owner of the attempts, which may outlive their query.
+    """
+
+    def __init__(
+        self,
+        send: Send,
+        cancel: Cancel,
+        guard: CrashGuard,
+        metrics: Metrics,
+        background: Background,
+    ) -> None:
+        self._guard = guard
+        self._metrics = metrics
+        self._network = Network(send, cancel, metrics, background.start)
+
+    async def run(self, request: QueryRequest, revision: RevisionView) -> Answer:
+        """Return the answer to `request`, whole or marked as partial.
+
+        Raises
+        ------
+        Refusal
+            If there is no answer; its kind says whether the query can have run.
+        """
+        return await self._run(request, revision, Allowance(_RETRIES_PER_REQUEST))
+
+    async def _run(
+        self, request: QueryRequest, revision: RevisionView, allowance: Allowance
+    ) -> Answer:
+        runtime = revision.find(request.service)
+        fingerprint = fingerprint_of(request.service, "query", request.body)
+        self._guard.check(fingerprint)
+        _require_time(request)
+        dependency_answers = await self._call_dependencies(
+            request, runtime, revision, allowance
+        )
+        async with runtime.admission.admit(request.priority, request.deadline):
+            return await self._execute(
+                request, runtime, revision, fingerprint, allowance, dependency_answers
+            )
+
+    async def _call_dependencies(
+        self,
+        request: QueryRequest,
+        runtime: ServiceRuntime,
+        revision: RevisionView,
+        allowance: Allowance,
+    ) -> dict[str, Any] | None:
+        declared = runtime.service.depends_on
+        for name in request.dependency_requests:
+            if name not in declared:
+                raise Refusal(
+                    RefusalKind.NOT_RUN,
+                    RefusalReason.INVALID_REQUEST,
+                    f"service {request.service!r} does not depend on {name!r}",
+                    "declare the dependency or drop it from dependency_requests",
+                )
+        for name in declared:
+            _require_servable(revision.find(name), request.service)
+        if not request.dependency_requests:
+            return None
+        calls = {
+            name: self._call_dependency(name, body, request, revision, allowance)
+            for name, body in request.dependency_requests.items()
+        }
+        return await _all_or_first_refusal(calls)
+
+    async def _call_dependency(
+        self,
+        name: str,
+        body: Any,
+        request: QueryRequest,
+        revision: RevisionView,
+        allowance: Allowance,
+    ) -> Any:
+        policy = revision.find(name).service.policy
+        call = QueryRequest(
+            request_id=request.request_id,
+            service=name,
+            body=body,
+            priority=request.priority,
+            deadline=request.deadline,
+            minimum_coverage=policy.minimum_coverage,
+        )
+        try:
+            answer = await self._run(call, revision, allowance)
+        except Refusal as refusal:
+            raise Refusal(
+                refusal.kind,
+                RefusalReason.DEPENDENCY_UNAVAILABLE,
+                f"dependency {name!r} of {request.service!r} refused: {refusal}",
+                refusal.remedy,
+                refusal.retry_after_ms,
+            ) from refusal
+        return {
+            "value": answer.value,
+            "snapshot": answer.snapshot,
+            "coverage": answer.coverage,
+        }
+
+    async def _execute(
+        self,
+        request: QueryRequest,
+        runtime: ServiceRuntime,
+        revision: RevisionView,
+        fingerprint: str,
+        allowance: Allowance,
+        dependency_answers: dict[str, Any] | None,
+    ) -> Answer:
+        view = choose_snapshot(runtime.router.snapshots(), request.partition_key)
+        if view is None:
+            raise _snapshot_unknown(request.service)
+        restarted = False
+        ran_before = False
+        while True:
+            _require_servable_share(request, view, ran_before)
+            gather = Gather(
+                request,
+                view,
+                runtime.router,
+                self._guard,
+                fingerprint,
+                allowance,
+                self._network,
+                dependency_answers,
+            )
+            try:
+                await self._collect(request, runtime, gather, fingerprint)
+            finally:
+                gather.close()
+            if not gather.snapshot_gone or restarted:
+                break
+            newer = await _newer_snapshot(request, runtime.router, view)
+            if newer is None:
+                break
+            self._metrics.count("query.restarted")
+            view = newer
+            restarted = True
+            ran_before = ran_before or gather.may_have_run
+        return self._conclude(request, runtime, revision, gather, ran_before)
+
+    async def _collect(
+        self,
+        request: QueryRequest,
+        runtime: ServiceRuntime,
+        gather: Gather,
+        fingerprint: str,
+    ) -> None:
+        wanted = wanted_shards(gather.view, request.partition_key)
+        rest = list(wanted)
+        if runtime.service.policy.canary == "always" and not self._guard.is_known_good(
+            fingerprint
+        ):
+            # A request that crashes servers then meets one server at a time.
+            served = [s for s in wanted if s in gather.view.served_shards]
+            first = served[0] if served else wanted[0]
+            rest.remove(first)
+            await gather.run([first], request.deadline, hedged=False)
+            if gather.refusal is not None or gather.snapshot_gone:
+                return
+        patience = self._patience(request, runtime)
+        await gather.run(rest, patience)
+        if self._coverage(wanted, gather.replies) < request.minimum_coverage:
+            await gather.run((), request.deadline)
+
+    def _patience(self, request: QueryRequest, runtime: ServiceRuntime) -> float:
+        """Return until when stragglers are waited for once enough is there."""
+        weight = runtime.service.policy.coverage_weight
+        hedge_delay_ms = runtime.router.hedge_delay_ms()
+        if hedge_delay_ms is None or weight >= 1:
+            return request.deadline
+        now = asyncio.get_running_loop().time()
+        remaining = request.deadline - now
+        tail = min(_TAIL_FACTOR * hedge_delay_ms / _MILLISECONDS, remaining)
+        return now + (1 - weight) * tail + weight * remaining
+
+    def _conclude(
+        self,
+        request: QueryRequest,
+        runtime: ServiceRuntime,
+        revision: RevisionView,
+        gather: Gather,
+        ran_before: bool,
+    ) -> Answer:
+        ran = ran_before or gather.may_have_run
+        if gather.refusal is not None:
+            raise _with_kind(gather.refusal, ran)
+        wanted = wanted_shards(gather.view, request.partition_key)
+        coverage = self._coverage(wanted, gather.replies)
+        if not gather.replies or coverage < request.minimum_coverage:
+            raise _coverage_too_low(request, gather, coverage, ran)
+        return Answer(
+            value=merge(runtime.service.policy.merge, gather.replies),
+            snapshot=gather.view.snapshot,
+            shard_count=gather.view.shard_count,
+            coverage=coverage,
+            revision=revision.number,
+            missing_shards=tuple(s for s in wanted if s not in gather.replies),
+            partial_shards={
+                shard: reply.coverage
+                for shard, reply in sorted(gather.replies.items())
+                if reply.status is ReplyStatus.PARTIAL
+            },
+        )
+
+    @staticmethod
+    def _coverage(wanted: tuple[int, ...], replies: Mapping[int, SubReply]) -> float:
+        return sum(reply.coverage for reply in replies.values()) / len(wanted)
+
+
+async def _all_or_first_refusal(calls: Mapping[str, Any]) -> dict[str, Any]:
+    tasks = {name: asyncio.ensure_future(call) for name, call in calls.items()}
+    try:
+        await asyncio.gather(*tasks.values())
+    except BaseException:
+        for task in tasks.values():
+            task.cancel()
+        await asyncio.gather(*tasks.values(), return_exceptions=True)
+        raise
+    return {name: task.result() for name, task in tasks.items()}
+
+
+async def _newer_snapshot(
+    request: QueryRequest, router: Router, view: SnapshotView
+) -> SnapshotView | None:
+    """Return a newer snapshot with every wanted shard, waiting shortly for one."""
+    loop = asyncio.get_running_loop()
+    remaining = request.deadline - loop.time()
+    wait = min(_NEWER_SNAPSHOT_WAIT_S, remaining * _RESTART_RESERVE)
+    give_up = loop.time() + wait
+    while True:
+        newer = choose_snapshot(
+            router.snapshots(), request.partition_key, newer_than=view.snapshot
+        )
+        if newer is not None and _serves(newer, request):
+            return newer
+        if loop.time() >= give_up:
+            return None
+        await asyncio.sleep(_NEWER_SNAPSHOT_POLL_S)
+
+
+def _serves(view: SnapshotView, request: QueryRequest) -> bool:
+    wanted = wanted_shards(view, request.partition_key)
+    return all(shard in view.served_shards for shard in wanted)
+
+
+def _require_time(request: QueryRequest) -> None:
+    if request.deadline <= asyncio.get_running_loop().time():
+        raise Refusal(
+            RefusalKind.NOT_RUN,
+            RefusalReason.DEADLINE_EXCEEDED,
+            "the deadline passed before the query was sent to any backend server",
+            "send the query again with a longer deadline_ms",
+        )
+
+
+def _require_servable(dependency: ServiceRuntime, dependent: str) -> None:
+    if any(view.served_shards for view in dependency.router.snapshots()):
+        return
+    name = dependency.service.name
+    raise Refusal(
+        RefusalKind.NOT_RUN,
+        RefusalReason.DEPENDENCY_UNAVAILABLE,
+        f"service {dependent!r} needs {name!r}, which no backend server serves",
+        f"start backend servers of {name!r}",
+        retry_after_ms=_MILLISECONDS,
+    )
+
+
+def _require_servable_share(
+    request: QueryRequest, view: SnapshotView, ran_before: bool
+) -> None:
+    wanted = wanted_shards(view, request.partition_key)
+    served = sum(1 for shard in wanted if shard in view.served_shards)
+    if served and served / len(wanted) >= request.minimum_coverage:
+        return
+    raise Refusal(
+        RefusalKind.OUTCOME_UNKNOWN if ran_before else RefusalKind.NOT_RUN,
+        RefusalReason.COVERAGE_TOO_LOW,
+        f"backend servers serve {served} of {len(wanted)} wanted shards of "
+        f"snapshot {view.snapshot}",
+        "lower minimum_coverage or start the missing backend servers",
+        retry_after_ms=_MILLISECONDS,
+    )
+
+
+def _snapshot_unknown(service: str) -> Refusal:
+    return Refusal(
+        RefusalKind.NOT_RUN,
+        RefusalReason.SNAPSHOT_UNKNOWN,
+        f"no backend server of {service!r} has announced a snapshot",
+        "start backend servers of the service and try again",
+        retry_after_ms=_MILLISECONDS,
+    )
+
+
+def _with_kind(refusal: Refusal, ran: bool) -> Refusal:
+    kind = RefusalKind.OUTCOME_UNKNOWN if ran else RefusalKind.NOT_RUN
+    return Refusal(
+        kind, refusal.reason, refusal.message, refusal.remedy, refusal.retry_after_ms
+    )
+
+
+def _coverage_too_low(
+    request: QueryRequest, gather: Gather, coverage: float, ran: bool
+) -> Refusal:
+    faults = sorted(set(gather.faults.values()))
+    return Refusal(
+        RefusalKind.OUTCOME_UNKNOWN if ran else RefusalKind.NOT_RUN,
+        RefusalReason.COVERAGE_TOO_LOW,
+        f"coverage {coverage:.4f} is below {request.minimum_coverage} "
+        f"({'; '.join(faults) or 'no shard answered'})",
+        "send the query again, with a longer deadline_ms or less minimum_coverage",
+        retry_after_ms=_MILLISECONDS,
+    )
--- /dev/null
+++ b/packages/query/src/kingcuplug_query/_snapshots.py
@@ -0,0 +1,54 @@
+"""Choice of the one snapshot that a query is answered from."""
+
+from collections.abc import Iterable
+
+from kingcuplug_common import digest
+from kingcuplug_routing import SnapshotView
+
+__all__ = ["choose_snapshot", "shard_of", "wanted_shards"]
+
+_HASH_DIGITS = 8
+
+
+def shard_of(partition_key: str, shard_count: int) -> int:
+    """Return the shard that holds `partition_key`."""
+    return int(digest(partition_key)[:_HASH_DIGITS], 16) % shard_count
+
+
+def wanted_shards(view: SnapshotView, partition_key: str | None) -> tuple[int, ...]:
+    """Return the shards a query needs, from the snapshot's own shard map."""
+    if partition_key is None:
+        return tuple(range(view.shard_count))
+    return (shard_of(partition_key, view.shard_count),)
+
+
+def choose_snapshot(
+    views: Iterable[SnapshotView],
+    partition_key: str | None,
+    newer_than: int | None = None,
+) -> SnapshotView | None:
+    """Return the newest snapshot on which every wanted shard is served.
+
+    Where there is none, return the one with the greatest served share, the newest
+    of equals; ``None`` if no snapshot is known at all.
+
+    Parameters
+    ----------
+    views : iterable of SnapshotView
+        The known snapshots, newest first.
+    newer_than : int, optional
+        Consider only snapshots with a greater number.
+    """
+    best: SnapshotView | None = None
+    best_share = -1.0
+    for view in views:
+        if newer_than is not None and view.snapshot <= newer_than:
+            continue
+        wanted = wanted_shards(view, partition_key)
+        served = sum(1 for shard in wanted if shard in view.served_shards)
+        share = served / len(wanted)
+        if share == 1:
+            return view
+        if share > best_share:
+            best, best_share = view, share
+    return best
