Add the configuration text, its deltas and its history

Cause: operators need one text whose faults all show at once, and hosts need deltas and a history that decides between racing changes. Change: parse with typed faults for units, limits, names, duplicates and cycles; render with every field written out; delta with digests of both ends; a history with compare-and-set on the base revision and resends by change id (100,000 ids are remembered, 10 days at the target rate; safety does not rest on them, since the base revision of an accepted change stays behind). A command may carry a delta in place of the text (ConfigurationHistory.condense).

--- /dev/null
+++ b/packages/configuration/src/kingcuplug_configuration/_commands.py
@@ -0,0 +1,190 @@
+"""The command that changes the configuration, and its results, with their JSON."""
+
+import dataclasses
+from collections.abc import Mapping
+from typing import Any
+
+from kingcuplug_common import KingcuplugError
+
+from kingcuplug_configuration._delta import Delta
+from kingcuplug_configuration._faults import ConfigurationFault
+
+__all__ = [
+    "Accepted",
+    "ApplyConfiguration",
+    "CommandInvalid",
+    "Conflict",
+    "Rejected",
+    "Result",
+    "result_from_json",
+]
+
+IDENTIFIER_LIMIT_CHARACTERS = 128
+
+
+class CommandInvalid(KingcuplugError):
+    """A command or a result that is malformed."""
+
+
+@dataclasses.dataclass(frozen=True)
+class ApplyConfiguration:
+    """Replace the configuration if it is still at the base revision.
+
+    Attributes
+    ----------
+    change_id : str
+        Names the change; a resend carries the same one.
+    base_revision : int
+        Revision that the author has seen.
+    text : str
+        The whole new text; empty if `delta` is given.
+    author : str
+        Who makes the change.
+    time_ms : int
+        Wall clock, milliseconds since the epoch.
+    delta : Delta or None
+        The change against the base revision, in place of the whole text. It
+        keeps the log small; see `ConfigurationHistory.condense`.
+    """
+
+    change_id: str
+    base_revision: int
+    text: str
+    author: str
+    time_ms: int
+    delta: Delta | None = None
+
+    def __post_init__(self) -> None:
+        for name in ("change_id", "author"):
+            value = getattr(self, name)
+            if not isinstance(value, str) or not (
+                0 < len(value) <= IDENTIFIER_LIMIT_CHARACTERS
+            ):
+                raise CommandInvalid(
+                    f"{name} {value!r:.40} is not usable", "use 1 to 128 characters"
+                )
+        for name in ("base_revision", "time_ms"):
+            value = getattr(self, name)
+            if type(value) is not int or value < 0:
+                raise CommandInvalid(
+                    f"{name} {value!r:.40} is not usable", "use a number from 0"
+                )
+        if bool(self.text) == (self.delta is not None):
+            raise CommandInvalid(
+                "a change needs either text or delta", "give exactly one of them"
+            )
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the command as a JSON object."""
+        return {
+            "type": "apply_configuration",
+            "change_id": self.change_id,
+            "base_revision": self.base_revision,
+            "text": self.text,
+            "author": self.author,
+            "time_ms": self.time_ms,
+            "delta": _optional(self.delta),
+        }
+
+    @classmethod
+    def from_json(cls, value: Mapping[str, Any]) -> "ApplyConfiguration":
+        """Read a command; raise `CommandInvalid` if it is malformed."""
+        try:
+            fields = {field.name: value[field.name] for field in _FIELDS}
+            fields["delta"] = _delta(value["delta"])
+        except (KeyError, TypeError, AttributeError, ExceptionGroup) as error:
+            raise CommandInvalid(
+                f"the command is malformed: {error!r:.200}",
+                "send the fields of ApplyConfiguration.to_json",
+            ) from error
+        return cls(**fields)
+
+
+_FIELDS = dataclasses.fields(ApplyConfiguration)
+
+
+@dataclasses.dataclass(frozen=True)
+class Accepted:
+    """The change is in the history as this revision."""
+
+    revision: int
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the result as a JSON object."""
+        return {"type": "accepted", "revision": self.revision}
+
+
+@dataclasses.dataclass(frozen=True)
+class Conflict:
+    """Another change was accepted first.
+
+    Attributes
+    ----------
+    current_revision, winner_author, winner_time_ms
+        The revision in force, who made it and when.
+    difference : Delta or None
+        What differs between the base revision of the losing change and the
+        revision in force; None if the base is too old or does not exist.
+    """
+
+    current_revision: int
+    winner_author: str
+    winner_time_ms: int
+    difference: Delta | None
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the result as a JSON object."""
+        return {
+            "type": "conflict",
+            "current_revision": self.current_revision,
+            "winner_author": self.winner_author,
+            "winner_time_ms": self.winner_time_ms,
+            "difference": _optional(self.difference),
+        }
+
+    def __str__(self) -> str:
+        return (
+            f"revision {self.current_revision} by {self.winner_author or 'nobody'} is"
+            " in force; compare it with your text and send a new change on top of it"
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class Rejected:
+    """The change can never be accepted; every fault is listed."""
+
+    faults: tuple[ConfigurationFault, ...]
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the result as a JSON object."""
+        faults = [fault.to_json() for fault in self.faults]
+        return {"type": "rejected", "faults": faults}
+
+
+Result = Accepted | Conflict | Rejected
+
+
+def result_from_json(value: Mapping[str, Any]) -> Result:
+    """Read what `to_json` of a result returned."""
+    match value["type"]:
+        case "accepted":
+            return Accepted(value["revision"])
+        case "conflict":
+            return Conflict(
+                value["current_revision"],
+                value["winner_author"],
+                value["winner_time_ms"],
+                _delta(value["difference"]),
+            )
+        case "rejected":
+            return Rejected(tuple(ConfigurationFault(**f) for f in value["faults"]))
+        case other:
+            raise CommandInvalid(f"unknown result {other!r:.40}", "update this program")
+
+
+def _optional(delta: Delta | None) -> dict[str, Any] | None:
+    return None if delta is None else delta.to_json()
+
+
+def _delta(value: Mapping[str, Any] | None) -> Delta | None:
+    return None if value is None else Delta.from_json(value)
--- /dev/null
+++ b/packages/configuration/src/kingcuplug_configuration/_delta.py
@@ -0,0 +1,219 @@
+"""Differences between two configurations, for machines and for people."""
+
+import dataclasses
+from collections.abc import Iterator, Mapping, Sequence
+from typing import Any
+
+from kingcuplug_common import KingcuplugError
+
+from kingcuplug_configuration._models import (
+    ConfigurationText,
+    Service,
+    render,
+    text_digest,
+)
+from kingcuplug_configuration._parse import services_from_json
+
+__all__ = [
+    "Delta",
+    "DigestMismatch",
+    "describe",
+    "difference",
+    "difference_between",
+    "merge",
+    "patch",
+    "replay",
+]
+
+
+class DigestMismatch(KingcuplugError):
+    """A delta that does not fit the configuration it is applied to."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Delta:
+    """What turns one configuration into the next.
+
+    Attributes
+    ----------
+    changed : Mapping
+        Services that are new or differ, by name.
+    removed : tuple of str
+        Names of services that are gone.
+    retention_days : int or None
+        New value, or None if it stays.
+    base_digest, digest : str
+        Digests of the rendered text before and after.
+    revision : int
+        Revision that the delta leads to; 0 outside of a history.
+    """
+
+    changed: Mapping[str, Service]
+    removed: tuple[str, ...]
+    retention_days: int | None
+    base_digest: str
+    digest: str
+    revision: int = 0
+
+    def __len__(self) -> int:
+        """Return the number of services that the delta touches."""
+        return len(self.changed) + len(self.removed)
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the delta as a JSON object."""
+        return {
+            "changed": {name: item.to_json() for name, item in self.changed.items()},
+            "removed": list(self.removed),
+            "retention_days": self.retention_days,
+            "base_digest": self.base_digest,
+            "digest": self.digest,
+            "revision": self.revision,
+        }
+
+    @classmethod
+    def from_json(cls, value: Mapping[str, Any]) -> "Delta":
+        """Read a delta; raise an ExceptionGroup if one of its services is wrong."""
+        return cls(
+            services_from_json(value["changed"]),
+            tuple(value["removed"]),
+            value["retention_days"],
+            value["base_digest"],
+            value["digest"],
+            value["revision"],
+        )
+
+
+def difference(old: ConfigurationText, new: ConfigurationText) -> Delta:
+    """Return what turns `old` into `new`."""
+    digests = text_digest(render(old)), text_digest(render(new))
+    return difference_between(old, new, *digests)
+
+
+def difference_between(
+    old: ConfigurationText,
+    new: ConfigurationText,
+    base_digest: str,
+    digest: str,
+    revision: int = 0,
+) -> Delta:
+    """Return the difference where both digests are known already."""
+    changed = {
+        name: service
+        for name, service in new.services.items()
+        if old.services.get(name) != service
+    }
+    removed = tuple(name for name in old.services if name not in new.services)
+    same = new.retention_days == old.retention_days
+    retention_days = None if same else new.retention_days
+    return Delta(changed, removed, retention_days, base_digest, digest, revision)
+
+
+def patch(old: ConfigurationText, delta: Delta) -> ConfigurationText:
+    """Apply a delta and verify both digests.
+
+    Raises
+    ------
+    DigestMismatch
+        If `old` is not the delta's base or the result has another digest.
+    """
+    return replay(old, [delta])
+
+
+def replay(old: ConfigurationText, deltas: Sequence[Delta]) -> ConfigurationText:
+    """Apply successive deltas and verify the first and the last digest.
+
+    Digests in between are compared with one another only: hashing the whole text
+    for each of the hundreds of changes that a restarted host has missed would
+    take longer than the 4 s in which a change must be in force.
+
+    Raises
+    ------
+    DigestMismatch
+        If the deltas do not follow one another or do not fit `old`.
+    """
+    if not deltas:
+        return old
+    known = text_digest(render(old))
+    services, retention_days = dict(old.services), old.retention_days
+    for delta in deltas:
+        if delta.base_digest != known:
+            raise _mismatch(delta, known)
+        for name in delta.removed:
+            services.pop(name, None)
+        services.update(delta.changed)
+        retention_days = delta.retention_days or retention_days
+        known = delta.digest
+    new = ConfigurationText(services, retention_days)
+    found = text_digest(render(new))
+    if found != known:
+        raise _mismatch(deltas[-1], found)
+    return new
+
+
+def merge(deltas: Sequence[Delta]) -> Delta:
+    """Return one delta that does what the successive `deltas` do."""
+    changed: dict[str, Service] = {}
+    removed: dict[str, None] = {}
+    retention_days = None
+    for delta in deltas:
+        for name in delta.removed:
+            changed.pop(name, None)
+            removed[name] = None
+        for name, service in delta.changed.items():
+            removed.pop(name, None)
+            changed[name] = service
+        retention_days = delta.retention_days or retention_days
+    first, last = deltas[0], deltas[-1]
+    return Delta(
+        changed,
+        tuple(removed),
+        retention_days,
+        first.base_digest,
+        last.digest,
+        last.revision,
+    )
+
+
+def _mismatch(delta: Delta, found: str) -> DigestMismatch:
+    return DigestMismatch(
+        f"the delta from {delta.base_digest[:12]} to {delta.digest[:12]}"
+        f" (revision {delta.revision}) meets a text with digest {found[:12]}",
+        "fetch the whole text",
+    )
+
+
+def describe(old: ConfigurationText, new: ConfigurationText) -> str:
+    """Return the difference for a person, one line per change.
+
+    An empty text means that there is no difference.
+    """
+    return "\n".join(_lines(old, new))
+
+
+def _lines(old: ConfigurationText, new: ConfigurationText) -> Iterator[str]:
+    if old.retention_days != new.retention_days:
+        yield f"retention_days: {old.retention_days} -> {new.retention_days}"
+    for name in sorted({*old.services, *new.services}):
+        before, after = old.services.get(name), new.services.get(name)
+        if before is None and after is not None:
+            yield f"+ service {name}"
+            yield from _fields(Service(name), after)
+        elif after is None:
+            yield f"- service {name}"
+        elif before is not None and before != after:
+            yield f"~ service {name}"
+            yield from _fields(before, after)
+
+
+def _fields(before: Service, after: Service) -> Iterator[str]:
+    for name in sorted({*before.depends_on} - {*after.depends_on}):
+        yield f"    depends_on: - {name}"
+    for name in sorted({*after.depends_on} - {*before.depends_on}):
+        yield f"    depends_on: + {name}"
+    moved = before.depends_on != after.depends_on
+    if moved and sorted(before.depends_on) == sorted(after.depends_on):
+        yield f"    depends_on: order is now {', '.join(after.depends_on)}"
+    values = before.policy.to_json()
+    for field, value in after.policy.to_json().items():
+        if value != values[field]:
+            yield f"    policy.{field}: {values[field]} -> {value}"
--- /dev/null
+++ b/packages/configuration/src/kingcuplug_configuration/_faults.py
@@ -0,0 +1,158 @@
+"""Faults of a configuration text, worded for the operator who wrote it."""
+
+import re
+from collections.abc import Mapping
+from typing import Any
+
+from kingcuplug_common import KingcuplugError
+
+__all__ = ["ConfigurationFault", "join", "label", "shown", "translate"]
+
+_SHOWN_CHARACTERS = 60
+_PLAIN_SEGMENT = re.compile(r"[A-Za-z0-9_-]{1,63}")
+_UNITS = {"deadline_ms": "milliseconds", "retention_days": "days"}
+_STEMS = {name.rpartition("_")[0]: name for name in _UNITS}
+_SHARES = {
+    "coverage_weight",
+    "minimum_coverage",
+    "hedge_budget",
+    "retry_budget",
+    "urgent_reserve",
+}
+_SHARE_UNIT = re.compile(r"(\w+?)_(percent|pct|share|ratio|ms|count)")
+_REMEDIES = {
+    "model_type": "write a JSON object",
+    "dict_type": "write a JSON object",
+    "list_type": "write a JSON list",
+    "string_type": "write a JSON string",
+}
+
+
+class ConfigurationFault(KingcuplugError):
+    """One fault of a text.
+
+    Parameters
+    ----------
+    path : str
+        Where, for example ``services.counter.policy.deadline_ms``.
+    message : str
+        What is wrong, with the offending value.
+    remedy : str
+        What to write instead.
+    """
+
+    def __init__(self, path: str, message: str, remedy: str) -> None:
+        super().__init__(message, remedy)
+        self.path = path
+
+    def __str__(self) -> str:
+        return f"{self.path}: {self.message}; {self.remedy}"
+
+    def to_json(self) -> dict[str, str]:
+        """Return path, message and remedy."""
+        return {"path": self.path, "message": self.message, "remedy": self.remedy}
+
+
+def join(segments: tuple[Any, ...]) -> str:
+    """Return the path of a field; unusual keys are quoted."""
+    path = ""
+    for segment in segments:
+        if isinstance(segment, int):
+            path += f"[{segment}]"
+            continue
+        path += ("." if path else "") + label(segment)
+    return path or "text"
+
+
+def label(name: str) -> str:
+    """Return a name as it is if it is plain, else quoted."""
+    return name if _PLAIN_SEGMENT.fullmatch(name) else shown(name)
+
+
+def shown(value: Any) -> str:
+    """Return `value` for a message: ASCII only, and cut when it is long."""
+    if isinstance(value, dict | list):
+        return "an object" if isinstance(value, dict) else "a list"
+    if isinstance(value, int) and abs(value) >= 10**_SHOWN_CHARACTERS:
+        return "a number of more than 60 digits"
+    text = ascii(value)
+    if len(text) > _SHOWN_CHARACTERS:
+        return f"{text[:_SHOWN_CHARACTERS]}..."
+    return text
+
+
+def translate(
+    error: Mapping[str, Any], fields: Mapping[str, tuple[str, ...]]
+) -> ConfigurationFault:
+    """Turn one error of pydantic into a fault.
+
+    Parameters
+    ----------
+    error : Mapping
+        Item of ``ValidationError.errors()``.
+    fields : Mapping
+        Known field names by the level ``text``, ``service`` or ``policy``.
+    """
+    segments: tuple[Any, ...] = error["loc"]
+    path = join(segments)
+    name = str(segments[-1]) if segments else "text"
+    if error["type"] == "extra_forbidden":
+        return _unknown_field(path, name, fields[_level(segments)])
+    if error["type"] == "missing":
+        return ConfigurationFault(path, "the field is missing", "add it")
+    return _wrong_value(path, name, error)
+
+
+def _level(segments: tuple[Any, ...]) -> str:
+    return {1: "text", 3: "service", 4: "policy"}[len(segments)]
+
+
+def _unknown_field(path: str, name: str, known: tuple[str, ...]) -> ConfigurationFault:
+    stem = name if name in _STEMS else name.rpartition("_")[0]
+    field = _STEMS.get(stem)
+    if field in known and field is not None:
+        return ConfigurationFault(
+            path,
+            f"wrong unit in the field name {shown(name)}",
+            f"give whole {_UNITS[field]} as {field}",
+        )
+    share = _SHARE_UNIT.fullmatch(name)
+    if share and share[1] in known and share[1] in _SHARES:
+        return ConfigurationFault(
+            path,
+            f"wrong unit in the field name {shown(name)}",
+            f"give a share between 0 and 1 as {share[1]}",
+        )
+    return ConfigurationFault(
+        path,
+        f"unknown field {shown(name)}",
+        f"remove it; the fields here are {', '.join(known)}",
+    )
+
+
+def _wrong_value(path: str, name: str, error: Mapping[str, Any]) -> ConfigurationFault:
+    value = error["input"]
+    if name in _UNITS and not _is_whole(value):
+        return ConfigurationFault(
+            path,
+            f"wrong unit or type: {shown(value)}",
+            f"give a whole number of {_UNITS[name]}, without a unit",
+        )
+    if name in _SHARES:
+        return ConfigurationFault(
+            path,
+            f"{shown(value)} is not a possible share: {error['msg']}",
+            "give a number between 0 and 1, for example 0.05 for 5%",
+        )
+    if name in _UNITS:
+        return ConfigurationFault(
+            path,
+            f"impossible limit {shown(value)}",
+            f"{error['msg']}, in {_UNITS[name]}",
+        )
+    remedy = _REMEDIES.get(error["type"], error["msg"])
+    return ConfigurationFault(path, f"wrong value {shown(value)}", remedy)
+
+
+def _is_whole(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
--- /dev/null
+++ b/packages/configuration/src/kingcuplug_configuration/_history.py
@@ -0,0 +1,264 @@
+"""The history of accepted configurations, a state machine that the log applies.
+
+A change replaces the configuration only if its base revision is still in force.
+So a change that was accepted once can never be accepted again, whatever this
+history has forgotten: its base revision stays behind. The memory of change ids
+serves only to give a resend the same answer as the first one.
+"""
+
+from collections import deque
+from collections.abc import Mapping
+from itertools import islice
+from sys import intern
+from typing import Any, NamedTuple
+
+from kingcuplug_common import KingcuplugError
+
+from kingcuplug_configuration._commands import (
+    Accepted,
+    ApplyConfiguration,
+    Conflict,
+    Rejected,
+    Result,
+)
+from kingcuplug_configuration._delta import (
+    Delta,
+    DigestMismatch,
+    difference_between,
+    merge,
+    replay,
+)
+from kingcuplug_configuration._faults import ConfigurationFault
+from kingcuplug_configuration._models import ConfigurationText, render, text_digest
+from kingcuplug_configuration._parse import check, parse
+
+__all__ = ["Change", "ConfigurationHistory", "DumpInvalid", "Revision"]
+
+# 10 days at the target of 10,000 changes a day; a resend that is older gets a
+# conflict in place of its acceptance.
+CHANGES_LIMIT = 100_000
+# 10 hours at the target rate. A host that missed more gets the whole text.
+DELTAS_LIMIT = 4_096
+# Four whole texts of the target size, so that wide changes cannot fill the memory.
+DELTA_SERVICES_LIMIT = 65_536
+# 64 bits tell an accidental reuse of a change id from a resend.
+_SHORT_DIGEST_CHARACTERS = 16
+_FORMAT = 1
+
+
+class DumpInvalid(KingcuplugError):
+    """A dump that cannot be loaded."""
+
+
+class Revision(NamedTuple):
+    """One accepted configuration; number 0 is the empty text before any change."""
+
+    number: int
+    text: str
+    digest: str
+    change_id: str
+    author: str
+    time_ms: int
+
+
+class Change(NamedTuple):
+    """What is remembered of an accepted change."""
+
+    revision: int
+    short_digest: str
+    author: str
+    time_ms: int
+
+
+class ConfigurationHistory:
+    """All that voters agree on about the configuration."""
+
+    def __init__(self) -> None:
+        self.configuration = ConfigurationText()
+        text = render(self.configuration)
+        self.current = Revision(0, text, text_digest(text), "", "", 0)
+        self._changes: dict[str, Change] = {}
+        self._deltas: deque[Delta] = deque()
+        self._delta_services = 0
+
+    def apply(self, command: ApplyConfiguration | Mapping[str, Any]) -> Result:
+        """Apply a command from the log.
+
+        Raises
+        ------
+        CommandInvalid
+            If a JSON object is no such command; nothing has changed then.
+        """
+        if not isinstance(command, ApplyConfiguration):
+            command = ApplyConfiguration.from_json(command)
+        known = self._changes.get(command.change_id)
+        if known is not None:
+            return _repeated(known, command)
+        if command.base_revision != self.current.number:
+            return self._conflict(command.base_revision)
+        try:
+            proposed = self._proposed(command)
+        except ExceptionGroup as group:
+            return Rejected(_faults(group))
+        self._accept(command, proposed)
+        return Accepted(self.current.number)
+
+    def condense(self, command: ApplyConfiguration) -> ApplyConfiguration:
+        """Validate a change and return it with a delta in place of its text.
+
+        Hosts that propose a change call this before they do so. A change whose
+        base revision is not in force here is returned as it is: it may be a
+        resend, and `apply` finds the answer.
+
+        Raises
+        ------
+        ExceptionGroup
+            Of `ConfigurationFault`, if the text has faults.
+        """
+        if command.delta is not None:
+            return command
+        proposed = parse(command.text)
+        if command.base_revision != self.current.number:
+            return command
+        digest = text_digest(render(proposed))
+        delta = difference_between(
+            self.configuration, proposed, self.current.digest, digest
+        )
+        return ApplyConfiguration(
+            command.change_id,
+            command.base_revision,
+            "",
+            command.author,
+            command.time_ms,
+            delta,
+        )
+
+    def since(self, number: int) -> list[Delta] | None:
+        """Return the deltas after revision `number`.
+
+        None means that they are not kept any more, or that the revision does not
+        exist; the whole text is needed then.
+        """
+        missing = self.current.number - number
+        if missing < 0 or missing > len(self._deltas):
+            return None
+        return list(islice(self._deltas, len(self._deltas) - missing, None))
+
+    def lookup(self, change_id: str) -> Change | None:
+        """Return what is remembered of an accepted change."""
+        return self._changes.get(change_id)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state as JSON values."""
+        return {
+            "format": _FORMAT,
+            "current": list(self.current),
+            "changes": [[name, *change] for name, change in self._changes.items()],
+            "deltas": [delta.to_json() for delta in self._deltas],
+        }
+
+    def load(self, state: Mapping[str, Any]) -> None:
+        """Replace the state by a dump; on an error nothing is changed.
+
+        Raises
+        ------
+        DumpInvalid
+            If the dump has another format or its digest is wrong.
+        """
+        try:
+            current, configuration = _load_current(state)
+            changes = {name: Change(*rest) for name, *rest in state["changes"]}
+            deltas = deque(Delta.from_json(item) for item in state["deltas"])
+        except (KeyError, TypeError, ValueError, ExceptionGroup) as error:
+            raise DumpInvalid(
+                f"the dump of the configuration is malformed: {error!r:.200}",
+                "load a dump of the same format, or replace this voter",
+            ) from error
+        self.current, self.configuration = current, configuration
+        self._changes, self._deltas = changes, deltas
+        self._delta_services = sum(len(delta) for delta in deltas)
+
+    def _conflict(self, base_revision: int) -> Conflict:
+        missed = self.since(base_revision)
+        return Conflict(
+            self.current.number,
+            self.current.author,
+            self.current.time_ms,
+            merge(missed) if missed else None,
+        )
+
+    def _proposed(self, command: ApplyConfiguration) -> ConfigurationText:
+        if command.delta is None:
+            return parse(command.text)
+        try:
+            proposed = replay(self.configuration, [command.delta])
+        except DigestMismatch as error:
+            fault = ConfigurationFault("delta", error.message, "send the whole text")
+            raise ExceptionGroup("the delta does not fit", [fault]) from error
+        check(proposed)
+        return proposed
+
+    def _accept(self, command: ApplyConfiguration, new: ConfigurationText) -> None:
+        text = render(new)
+        digest = text_digest(text)
+        number = self.current.number + 1
+        author = intern(command.author)
+        delta = difference_between(
+            self.configuration, new, self.current.digest, digest, number
+        )
+        self.current = Revision(
+            number, text, digest, command.change_id, author, command.time_ms
+        )
+        self.configuration = new
+        self._changes[command.change_id] = Change(
+            number, digest[:_SHORT_DIGEST_CHARACTERS], author, command.time_ms
+        )
+        self._deltas.append(delta)
+        self._delta_services += len(delta)
+        self._forget()
+
+    def _forget(self) -> None:
+        while len(self._changes) > CHANGES_LIMIT:
+            del self._changes[next(iter(self._changes))]
+        while (
+            len(self._deltas) > DELTAS_LIMIT
+            or self._delta_services > DELTA_SERVICES_LIMIT
+        ):
+            self._delta_services -= len(self._deltas.popleft())
+
+
+def _repeated(known: Change, command: ApplyConfiguration) -> Result:
+    """Answer a resend, or tell that the change id is used for two changes."""
+    if _short_digest(command) == known.short_digest:
+        return Accepted(known.revision)
+    fault = ConfigurationFault(
+        "change_id",
+        f"{command.change_id!r} names another change, revision {known.revision}"
+        f" by {known.author}",
+        "use a new change id for each change",
+    )
+    return Rejected((fault,))
+
+
+def _short_digest(command: ApplyConfiguration) -> str:
+    if command.delta is not None:
+        return command.delta.digest[:_SHORT_DIGEST_CHARACTERS]
+    try:
+        text = render(parse(command.text))
+    except ExceptionGroup:
+        return ""
+    return text_digest(text)[:_SHORT_DIGEST_CHARACTERS]
+
+
+def _faults(group: ExceptionGroup[Any]) -> tuple[ConfigurationFault, ...]:
+    return tuple(f for f in group.exceptions if isinstance(f, ConfigurationFault))
+
+
+def _load_current(state: Mapping[str, Any]) -> tuple[Revision, ConfigurationText]:
+    if state["format"] != _FORMAT:
+        raise ValueError(f"format {state['format']!r} is not {_FORMAT}")
+    current = Revision(*state["current"])
+    configuration = parse(current.text)
+    if text_digest(render(configuration)) != current.digest:
+        raise ValueError(f"the text does not have the digest {current.digest}")
+    return current, configuration
--- /dev/null
+++ b/packages/configuration/src/kingcuplug_configuration/_parse.py
@@ -0,0 +1,231 @@
+"""Reads a configuration text and reports every fault at once."""
+
+import json
+import re
+from collections import Counter
+from collections.abc import Iterator, Mapping
+from typing import Annotated, Any, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from kingcuplug_configuration._faults import ConfigurationFault, join, shown, translate
+from kingcuplug_configuration._graph import check_dependencies
+from kingcuplug_configuration._models import (
+    DEFAULT_RETENTION_DAYS,
+    ConfigurationText,
+    Policy,
+    Service,
+)
+
+__all__ = ["check", "parse", "services_from_json"]
+
+# A text of 16,000 services, the target size, has about 4 MB.
+TEXT_LIMIT_CHARACTERS = 16_777_216
+# Two crossings of an availability zone boundary and the backend server's work do
+# not fit into less; smaller values are most often seconds.
+_DEADLINE_MINIMUM_MS = 5
+_DEADLINE_MAXIMUM_MS = 600_000
+_RETENTION_MAXIMUM_DAYS = 730
+_NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
+
+_Share = Annotated[float, Field(ge=0, le=1, allow_inf_nan=False)]
+_STRICT = ConfigDict(extra="forbid", strict=True)
+
+
+class _PolicyModel(BaseModel):
+    model_config = _STRICT
+
+    coverage_weight: _Share = Policy().coverage_weight
+    minimum_coverage: _Share = Policy().minimum_coverage
+    deadline_ms: int = Field(
+        default=Policy().deadline_ms, ge=_DEADLINE_MINIMUM_MS, le=_DEADLINE_MAXIMUM_MS
+    )
+    hedge_budget: _Share = Policy().hedge_budget
+    retry_budget: _Share = Policy().retry_budget
+    merge: Literal["collect", "concat"] = Policy().merge
+    canary: Literal["always", "off"] = Policy().canary
+    urgent_reserve: float = Field(
+        default=Policy().urgent_reserve, ge=0, lt=1, allow_inf_nan=False
+    )
+
+
+class _ServiceModel(BaseModel):
+    model_config = _STRICT
+
+    depends_on: list[str] = []
+    policy: _PolicyModel = _PolicyModel()
+
+
+class _TextModel(BaseModel):
+    model_config = _STRICT
+
+    services: dict[str, _ServiceModel]
+    retention_days: int = Field(
+        default=DEFAULT_RETENTION_DAYS, ge=1, le=_RETENTION_MAXIMUM_DAYS
+    )
+
+
+_FIELDS = {
+    "text": tuple(_TextModel.model_fields),
+    "service": tuple(_ServiceModel.model_fields),
+    "policy": tuple(_PolicyModel.model_fields),
+}
+
+
+class _Object(dict[str, Any]):
+    """JSON object that remembers which of its keys occur more than once."""
+
+    def __init__(self, pairs: list[tuple[str, Any]]) -> None:
+        super().__init__(pairs)
+        self.repeated: list[str] = []
+        if len(self) < len(pairs):
+            counts = Counter(name for name, _ in pairs)
+            self.repeated = [name for name, count in counts.items() if count > 1]
+
+
+def parse(text: str) -> ConfigurationText:
+    """Read and validate a text.
+
+    Raises
+    ------
+    ExceptionGroup
+        Of `ConfigurationFault`, with every fault of the text.
+    """
+    raw = _read(text)
+    faults = list(_duplicates(raw, ()))
+    model = _validate(raw, faults)
+    faults += _check_raw(raw)
+    if model is not None:
+        faults += _check_limits(model.services)
+    _raise_any(faults)
+    assert model is not None
+    return ConfigurationText(_services(model.services), model.retention_days)
+
+
+def check(configuration: ConfigurationText) -> None:
+    """Raise an ExceptionGroup of the faults of names and dependencies.
+
+    Limits within one service need no check here: a service that comes from
+    `services_from_json` or `parse` keeps them.
+    """
+    graph = {n: service.depends_on for n, service in configuration.services.items()}
+    _raise_any([*_check_service_names(graph), *check_dependencies(graph)])
+
+
+def services_from_json(value: Any) -> dict[str, Service]:
+    """Read services by name, as in the text's field ``services``.
+
+    Raises
+    ------
+    ExceptionGroup
+        Of `ConfigurationFault`.
+    """
+    faults: list[ConfigurationFault] = []
+    model = _validate({"services": value}, faults)
+    if model is not None:
+        faults += _check_limits(model.services)
+        faults += _check_service_names(model.services)
+    _raise_any(faults)
+    assert model is not None
+    return _services(model.services)
+
+
+def _raise_any(faults: list[ConfigurationFault]) -> None:
+    if faults:
+        raise ExceptionGroup(f"the configuration has {len(faults)} faults", faults)
+
+
+def _read(text: str) -> Any:
+    if len(text) > TEXT_LIMIT_CHARACTERS:
+        _reject(f"the text has {len(text)} characters", "use at most 16777216")
+    try:
+        return json.loads(text, object_pairs_hook=_Object, parse_constant=_constant)
+    except RecursionError:
+        _reject("the text is nested too deeply", "use the four levels of the format")
+    except ValueError as error:
+        _reject(f"the text is not JSON: {error}", "correct the JSON")
+
+
+def _reject(message: str, remedy: str) -> None:
+    _raise_any([ConfigurationFault("text", message, remedy)])
+
+
+def _constant(name: str) -> None:
+    raise ValueError(f"{name} is not a JSON number")
+
+
+def _duplicates(value: Any, path: tuple[Any, ...]) -> Iterator[ConfigurationFault]:
+    if isinstance(value, _Object):
+        for name in value.repeated:
+            yield ConfigurationFault(
+                join((*path, name)), f"duplicate name {shown(name)}", "keep one of them"
+            )
+        items: Any = value.items()
+    elif isinstance(value, list):
+        items = enumerate(value)
+    else:
+        return
+    for key, item in items:
+        if isinstance(item, dict | list):
+            yield from _duplicates(item, (*path, key))
+
+
+def _validate(raw: Any, faults: list[ConfigurationFault]) -> _TextModel | None:
+    try:
+        return _TextModel.model_validate(raw)
+    except ValidationError as error:
+        faults += [translate(item, _FIELDS) for item in error.errors(include_url=False)]
+        return None
+
+
+def _check_raw(raw: Any) -> list[ConfigurationFault]:
+    """Check names and dependencies also where other fields have faults."""
+    services = raw.get("services") if isinstance(raw, dict) else None
+    if not isinstance(services, dict):
+        return []
+    graph = {name: _dependencies(service) for name, service in services.items()}
+    return [*_check_service_names(graph), *check_dependencies(graph)]
+
+
+def _dependencies(service: Any) -> list[str]:
+    needed = service.get("depends_on", []) if isinstance(service, dict) else []
+    if not isinstance(needed, list):
+        return []
+    return [name for name in needed if isinstance(name, str)]
+
+
+def _check_service_names(names: Mapping[str, Any]) -> list[ConfigurationFault]:
+    return [
+        ConfigurationFault(
+            join(("services", name)),
+            f"wrong service name {shown(name)}",
+            "use 1 to 63 lower-case letters, digits and hyphens, no hyphen first",
+        )
+        for name in names
+        if not _NAME.fullmatch(name)
+    ]
+
+
+def _check_limits(services: Mapping[str, _ServiceModel]) -> list[ConfigurationFault]:
+    """Find limits that are possible alone but not together."""
+    return [
+        ConfigurationFault(
+            join(("services", name, "policy", "minimum_coverage")),
+            "impossible limit: coverage_weight 0 cuts the tail, but"
+            " minimum_coverage 1 refuses every answer that was cut",
+            "raise coverage_weight or lower minimum_coverage",
+        )
+        for name, service in services.items()
+        if service.policy.coverage_weight == 0 and service.policy.minimum_coverage == 1
+    ]
+
+
+def _services(models: Mapping[str, _ServiceModel]) -> dict[str, Service]:
+    # Most services share a few policies; one object for equal ones saves memory.
+    shared: dict[Policy, Policy] = {}
+    services = {}
+    for name, model in models.items():
+        policy = Policy(**model.policy.__dict__)
+        policy = shared.setdefault(policy, policy)
+        services[name] = Service(name, tuple(model.depends_on), policy)
+    return services
