--- a/packages/routing/src/kingcuplug_routing/__init__.py
+++ b/packages/routing/src/kingcuplug_routing/__init__.py
@@ -1,3 +1,46 @@
 """Replica choice, limits, hedging, retry budgets and the crash guard."""
 
-__all__: list[str] = []
+from kingcuplug_routing._admission import Admission, Admitted
+from kingcuplug_routing._blames import Blame, CrashGuardSettings
+from kingcuplug_routing._crash_guard import CrashGuard
+from kingcuplug_routing._policy import RoutingPolicy, baseline_policy
+from kingcuplug_routing._router import Router
+from kingcuplug_routing._selection import (
+    least_expected_time,
+    least_in_flight,
+    random_replica,
+    two_choices,
+)
+from kingcuplug_routing._ticket import Ticket
+from kingcuplug_routing._types import (
+    Attempt,
+    AttemptOutcome,
+    Holding,
+    HoldingView,
+    Priority,
+    ServerView,
+    SnapshotView,
+)
+
+__all__ = [
+    "Admission",
+    "Admitted",
+    "Attempt",
+    "AttemptOutcome",
+    "Blame",
+    "CrashGuard",
+    "CrashGuardSettings",
+    "Holding",
+    "HoldingView",
+    "Priority",
+    "Router",
+    "RoutingPolicy",
+    "ServerView",
+    "SnapshotView",
+    "Ticket",
+    "baseline_policy",
+    "least_expected_time",
+    "least_in_flight",
+    "random_replica",
+    "two_choices",
+]
--- /dev/null
+++ b/packages/routing/src/kingcuplug_routing/_admission.py
@@ -0,0 +1,220 @@
+"""Admission of whole queries, decided before any sub-request is sent.
+
+A query goes to every shard, so one sub-request that finds no place wastes the work
+of all the others. Backend servers have 2 or 3 slots for 10 entry hosts, so an entry
+host's fair share is often below one query in flight, and entry hosts do not see
+each other. The budget is therefore slot time: each entry host may use its even
+share of the service's slots, times `utilisation`. Time spent waiting at a server
+counts like time spent running there, so the total in flight is bounded whatever
+the service time is.
+"""
+
+import asyncio
+from math import inf
+from types import TracebackType
+
+from kingcuplug_routing._refusals import overloaded, too_late
+from kingcuplug_routing._router import Router
+from kingcuplug_routing._types import Priority
+from kingcuplug_routing._waiting import Waiter, WaitingQueue
+
+__all__ = ["Admission", "Admitted"]
+
+_FEWEST_QUERIES = 2.0  # burst in queries if a query costs more than the burst time
+_DEEPEST_DEBT = 4.0  # bursts; bounds how long one stall can block admission
+_DURATION_WEIGHT = 0.05
+_LIKELY_SHARE = 0.7  # of the mean duration; about the median
+_DOUBT = 0.98
+_SOONEST_S = 0.0005
+
+
+class Admission:
+    """Admission control for one service at one entry host.
+
+    Parameters
+    ----------
+    router : Router
+        Router of the same service; its attempts are charged to the budget.
+    """
+
+    def __init__(self, router: Router) -> None:
+        self._router = router
+        self._policy = router.policy
+        self._waiting = WaitingQueue(router.policy.turn_after)
+        self._level_s = inf
+        self._refilled = 0.0
+        self._charged_ms = 0.0
+        self._duration_s = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+
+    def admit(
+        self, priority: Priority, deadline: float = inf, sub_requests: int = 1
+    ) -> "Admitted":
+        """Return a context manager that admits one query or order.
+
+        Entering it waits in the order of priority and raises `Refusal` with
+        ``NOT_RUN`` as soon as the wait is expected to be too long.
+
+        Parameters
+        ----------
+        deadline : float
+            Time of the loop by which the whole answer is needed.
+        sub_requests : int
+            Sub-requests that the query will send.
+        """
+        return Admitted(self, Priority(priority), deadline, sub_requests)
+
+    async def enter(
+        self, priority: Priority, deadline: float, sub_requests: int
+    ) -> float:
+        """Admit a query and return the slot time that it was charged."""
+        if self._policy.utilisation == inf:
+            return 0.0
+        cost = sub_requests * self._router.statistics.busy_ms / 1_000
+        now = _now()
+        self._refill(now)
+        self._check_time(deadline, now)
+        if not self._waiting.ahead(priority) and self._may_pass(priority, cost):
+            self._level_s -= cost
+            return cost
+        await self._wait(priority, deadline, cost, now)
+        return cost
+
+    def leave(self, cost: float, duration_s: float) -> None:
+        """Replace the estimated slot time of a query by the observed one."""
+        self._duration_s += _DURATION_WEIGHT * (duration_s - self._duration_s)
+        occupied_ms = self._router.statistics.occupied_ms
+        observed_s = (occupied_ms - self._charged_ms) / 1_000
+        self._charged_ms = occupied_ms
+        self._level_s += cost - observed_s
+        if self._waiting.entries:
+            self._pump()
+
+    def _check_time(self, deadline: float, now: float) -> None:
+        likely_s = _LIKELY_SHARE * self._duration_s
+        if now + likely_s >= deadline:
+            # Lowered, so that a long duration once seen does not refuse for ever.
+            self._duration_s *= _DOUBT
+            raise too_late(
+                self._router.service, (deadline - now) * 1_000, likely_s * 1_000
+            )
+
+    async def _wait(
+        self, priority: Priority, deadline: float, cost: float, now: float
+    ) -> None:
+        expected_s = self._expected_wait_s(priority, cost)
+        longest_s = min(
+            self._longest_wait_s(priority),
+            deadline - now - _LIKELY_SHARE * self._duration_s,
+        )
+        if expected_s > longest_s:
+            raise overloaded(self._router.service, expected_s * 1_000)
+        loop = asyncio.get_running_loop()
+        future: asyncio.Future[bool] = loop.create_future()
+        self._waiting.push(Waiter(future, priority, cost))
+        timer = None
+        if longest_s < inf:
+            timer = loop.call_at(now + longest_s, _give_up, future)
+        self._pump()
+        try:
+            if not await future:
+                raise overloaded(self._router.service, longest_s * 1_000)
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled() and future.result():
+                self._level_s += cost
+            raise
+        finally:
+            future.cancel()
+            if timer is not None:
+                timer.cancel()
+
+    def _pump(self) -> None:
+        """Admit waiting queries that the budget allows and plan the next look."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._refill(_now())
+        while (head := self._waiting.peek()) is not None:
+            if not self._may_pass(head.priority, head.cost):
+                self._plan(head)
+                return
+            self._waiting.pop()
+            self._level_s -= head.cost
+            head.future.set_result(True)
+
+    def _plan(self, head: Waiter) -> None:
+        missing = self._threshold(head.priority, head.cost) - self._level_s
+        delay = max(_SOONEST_S, missing / self._rate())
+        self._timer = asyncio.get_running_loop().call_later(delay, self._pump)
+
+    def _refill(self, now: float) -> None:
+        rate = self._rate()
+        depth = self._depth(rate)
+        level = self._level_s + rate * (now - self._refilled)
+        self._level_s = max(-_DEEPEST_DEBT * depth, min(depth, level))
+        self._refilled = now
+
+    def _rate(self) -> float:
+        """Return this entry host's slot time per second."""
+        return max(1e-6, self._policy.utilisation * self._router.slots())
+
+    def _depth(self, rate: float) -> float:
+        return self._policy.burst_s * rate
+
+    def _threshold(self, priority: Priority, cost: float) -> float:
+        """Return the level at which a query is admitted."""
+        depth = self._depth(self._rate())
+        if priority is Priority.URGENT:
+            return -max(depth, _FEWEST_QUERIES * cost)
+        return self._policy.urgent_reserve * depth
+
+    def _may_pass(self, priority: Priority, cost: float) -> bool:
+        return self._level_s >= self._threshold(priority, cost)
+
+    def _expected_wait_s(self, priority: Priority, cost: float) -> float:
+        missing = self._threshold(priority, cost) - self._level_s
+        return max(0.0, missing + self._waiting.ahead(priority)) / self._rate()
+
+    def _longest_wait_s(self, priority: Priority) -> float:
+        if priority is Priority.URGENT:
+            return inf
+        if priority is Priority.BULK:
+            return self._policy.longest_wait_s * self._policy.bulk_wait_factor
+        return self._policy.longest_wait_s
+
+
+class Admitted:
+    """Context manager of one admitted query."""
+
+    __slots__ = ("_admission", "_arguments", "_cost", "_entered")
+
+    def __init__(
+        self,
+        admission: Admission,
+        priority: Priority,
+        deadline: float,
+        sub_requests: int,
+    ) -> None:
+        self._admission = admission
+        self._arguments = (priority, deadline, sub_requests)
+
+    async def __aenter__(self) -> None:
+        self._cost = await self._admission.enter(*self._arguments)
+        self._entered = _now()
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._admission.leave(self._cost, _now() - self._entered)
+
+
+def _give_up(future: asyncio.Future[bool]) -> None:
+    if not future.done():
+        future.set_result(False)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/routing/src/kingcuplug_routing/_budget.py
@@ -0,0 +1,46 @@
+"""Token bucket for extra sub-requests.
+
+Every first sub-request earns a share of a token and every extra one spends a whole
+token, so extra load stays within the share whatever the delays are.
+"""
+
+__all__ = ["Budget"]
+
+
+class Budget:
+    """Extra sub-requests as a share of the first ones.
+
+    Parameters
+    ----------
+    share : float
+        Tokens earned per first sub-request.
+    burst : float
+        Most tokens kept.
+    """
+
+    __slots__ = ("_burst", "_share", "tokens")
+
+    def __init__(self, share: float, burst: float) -> None:
+        self._share = share
+        self._burst = burst
+        self.tokens = min(1.0, share * burst) if share < 1 else burst
+
+    def earn(self) -> None:
+        """Add the share for one first sub-request."""
+        tokens = self.tokens + self._share
+        self.tokens = tokens if tokens < self._burst else self._burst
+
+    def available(self) -> bool:
+        """Return whether a whole token is there."""
+        return self.tokens >= 1.0
+
+    def spend(self) -> bool:
+        """Take a token; return whether there was one."""
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+    def refund(self) -> None:
+        """Give back a token that was not used."""
+        self.tokens = min(self._burst, self.tokens + 1.0)
--- /dev/null
+++ b/packages/routing/src/kingcuplug_routing/_policy.py
@@ -0,0 +1,92 @@
+"""Settings of the routing policy; the defaults are the chosen policy.
+
+The figures that chose each default are in ``docs/decisions/routing.md``.
+"""
+
+from dataclasses import dataclass
+from math import inf
+
+from kingcuplug_routing._selection import Select, random_replica, two_choices
+
+__all__ = ["RoutingPolicy", "baseline_policy"]
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingPolicy:
+    """Settings of one service's router and admission at one entry host.
+
+    Parameters
+    ----------
+    select : callable
+        Picks one of at least two candidate servers.
+    limited : bool
+        Whether the requests in flight per server are limited.
+    hedge_budget, retry_budget : float
+        Hedges and retries as a share of the first sub-requests.
+    budget_burst : float
+        Tokens that an idle budget keeps.
+    hedge_quantile : float
+        Quantile of the observed latency after which a hedge is sent.
+    latency_weight : float
+        Weight of one observation in a server's recent latency.
+    forget_s : float
+        Time after which an unused server's bad latency has lost 63% of its
+        distance to the service's mean.
+    slow_start_s : float
+        Time over which a new incarnation is brought to its full share.
+    ejection_failures : int
+        Failures in a row after which a server is ejected.
+    ejection_s, ejection_longest_s : float
+        First and longest duration of an ejection; it doubles each time.
+    back_off_longest_s : float
+        Longest back-off after a shed or failed attempt.
+    zone_factor : float
+        Factor on the expected time of servers in the own availability zone.
+    turn_after : int
+        A waiting lower class gets a turn after it was passed over so often.
+    utilisation : float
+        Share of the service's slots that all entry hosts together plan to use;
+        infinite for no admission control.
+    urgent_reserve : float
+        Share of the admission burst that only urgent requests may use.
+    burst_s : float
+        Time over which unused slot time is kept.
+    longest_wait_s : float
+        Longest wait for admission of a normal request; bulk waits up to
+        `bulk_wait_factor` times longer.
+    """
+
+    select: Select = two_choices
+    limited: bool = True
+    hedge_budget: float = 0.05
+    retry_budget: float = 0.1
+    budget_burst: float = 10.0
+    hedge_quantile: float = 0.95
+    latency_weight: float = 0.2
+    forget_s: float = 10.0
+    slow_start_s: float = 5.0
+    ejection_failures: int = 3
+    ejection_s: float = 1.0
+    ejection_longest_s: float = 30.0
+    back_off_longest_s: float = 1.0
+    zone_factor: float = 0.9
+    turn_after: int = 15
+    utilisation: float = 0.85
+    urgent_reserve: float = 0.2
+    burst_s: float = 0.25
+    longest_wait_s: float = 0.2
+    bulk_wait_factor: float = 10.0
+
+
+def baseline_policy() -> RoutingPolicy:
+    """Return the policy to compare with: random replica, nothing limited."""
+    return RoutingPolicy(
+        select=random_replica,
+        limited=False,
+        hedge_budget=0.0,
+        retry_budget=inf,
+        slow_start_s=0.0,
+        ejection_failures=1_000_000_000,
+        back_off_longest_s=0.0,
+        utilisation=inf,
+    )
--- /dev/null
+++ b/packages/routing/src/kingcuplug_routing/_refusals.py
@@ -0,0 +1,77 @@
+"""Refusals of the routing package; nothing was sent, so each says ``not_run``."""
+
+from kingcuplug_common import Refusal, RefusalKind, RefusalReason
+
+__all__ = [
+    "budget_spent",
+    "condemned",
+    "no_replica",
+    "overloaded",
+    "replicas_excluded",
+    "too_late",
+]
+
+
+def no_replica(service: str, snapshot: int, shard: int) -> Refusal:
+    """Refuse because no server announced the shard."""
+    return _not_run(
+        RefusalReason.SNAPSHOT_UNKNOWN,
+        f"no server of {service} serves shard {shard} of snapshot {snapshot}",
+        "use a newer snapshot or check the service's servers",
+    )
+
+
+def replicas_excluded(service: str, shard: int, exclude: frozenset[str]) -> Refusal:
+    """Refuse because all replicas were tried already."""
+    return _not_run(
+        RefusalReason.BACKEND_SERVER_FAILED,
+        f"all replicas of shard {shard} of {service} were tried: {sorted(exclude)}",
+        "check these servers",
+    )
+
+
+def budget_spent(service: str) -> Refusal:
+    """Refuse a retry that would exceed the budget."""
+    return _not_run(
+        RefusalReason.OVERLOADED,
+        f"the retry budget of {service} is spent",
+        "check the service's servers or raise retry_budget",
+    )
+
+
+def too_late(service: str, remaining_ms: float, needed_ms: float) -> Refusal:
+    """Refuse work that can no longer finish in time."""
+    return _not_run(
+        RefusalReason.DEADLINE_EXCEEDED,
+        f"{service} needs about {needed_ms:.0f} ms, {remaining_ms:.0f} ms remain",
+        "allow a longer deadline or send less load",
+    )
+
+
+def overloaded(service: str, wait_ms: float) -> Refusal:
+    """Refuse because the expected wait is too long."""
+    return _not_run(
+        RefusalReason.OVERLOADED,
+        f"{service} is overloaded, the expected wait is {wait_ms:.0f} ms",
+        "send the request again later or add servers",
+        max(1, int(wait_ms)),
+    )
+
+
+def condemned(fingerprint: str, remaining_ms: float) -> Refusal:
+    """Refuse a request that crashed backend servers."""
+    return _not_run(
+        RefusalReason.CRASHING_REQUEST,
+        f"requests with fingerprint {fingerprint} crashed backend servers",
+        "change the request; it is accepted again after the stated time",
+        max(1, int(remaining_ms)),
+    )
+
+
+def _not_run(
+    reason: RefusalReason,
+    message: str,
+    remedy: str,
+    retry_after_ms: int | None = None,
+) -> Refusal:
+    return Refusal(RefusalKind.NOT_RUN, reason, message, remedy, retry_after_ms)
--- /dev/null
+++ b/packages/routing/src/kingcuplug_routing/_router.py
@@ -0,0 +1,328 @@
+"""Choice of a replica for each sub-request of one service at one entry host."""
+
+import asyncio
+from collections.abc import Iterable, Set
+from math import inf
+from random import Random
+
+from kingcuplug_routing._budget import Budget
+from kingcuplug_routing._fleet import Fleet
+from kingcuplug_routing._policy import RoutingPolicy
+from kingcuplug_routing._refusals import (
+    budget_spent,
+    no_replica,
+    replicas_excluded,
+    too_late,
+)
+from kingcuplug_routing._server import Server
+from kingcuplug_routing._statistics import ServiceStatistics
+from kingcuplug_routing._ticket import Ticket
+from kingcuplug_routing._types import (
+    Attempt,
+    AttemptOutcome,
+    Priority,
+    ServerView,
+    SnapshotView,
+)
+from kingcuplug_routing._waiting import Waiter
+
+__all__ = ["Router"]
+
+_NOBODY: frozenset[str] = frozenset()
+
+
+class Router:
+    """Replica choice, limits, budgets and ejection for one service.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service, for messages.
+    policy : RoutingPolicy
+        Settings; `baseline_policy()` gives the baseline.
+    random : Random
+        Source of all random decisions.
+    """
+
+    def __init__(self, service: str, policy: RoutingPolicy, random: Random) -> None:
+        self.service = service
+        self.policy = policy
+        self.statistics = ServiceStatistics(policy)
+        self._random = random
+        self._fleet = Fleet(policy)
+        self._hedges = Budget(policy.hedge_budget, policy.budget_burst)
+        self._retries = Budget(policy.retry_budget, policy.budget_burst)
+
+    # Directory
+
+    def update(self, servers: Iterable[ServerView], live_entry_hosts: int) -> None:
+        """Replace the known servers.
+
+        Parameters
+        ----------
+        servers : iterable of ServerView
+            All servers of the service; only those that are ``serving`` get work.
+        live_entry_hosts : int
+            Entry hosts that share the servers' connections and slots.
+        """
+        mean_ms = self.statistics.mean_ms
+        _wake_all(self._fleet.update(servers, live_entry_hosts, mean_ms, _now()))
+
+    def snapshots(self) -> list[SnapshotView]:
+        """Return the snapshots that are served, newest first."""
+        return self._fleet.table.snapshots()
+
+    def slots(self) -> float:
+        """Return this entry host's even share of the service's slots."""
+        return self._fleet.slots()
+
+    # Choice
+
+    def choose(
+        self,
+        snapshot: int,
+        shard: int,
+        exclude: Set[str] = _NOBODY,
+        zone: str = "",
+        attempt: Attempt = Attempt.FIRST,
+    ) -> Ticket | None:
+        """Reserve capacity at a replica, or return None if there is none now.
+
+        A hedge or a retry also needs a token of its budget.
+
+        Parameters
+        ----------
+        exclude : set of str
+            Servers that must not be chosen, such as the one that is hedged.
+        zone : str
+            The entry host's availability zone.
+        """
+        if attempt is Attempt.FIRST:
+            ticket = self._take(snapshot, shard, exclude, zone)
+            if ticket is not None:
+                self._earn()
+            return ticket
+        budget = self._budget(attempt)
+        if not budget.available():
+            return None
+        ticket = self._take(snapshot, shard, exclude, zone)
+        if ticket is not None:
+            budget.spend()
+        return ticket
+
+    async def acquire(
+        self,
+        snapshot: int,
+        shard: int,
+        exclude: Set[str] = _NOBODY,
+        priority: Priority = Priority.NORMAL,
+        deadline: float = inf,
+        zone: str = "",
+        attempt: Attempt = Attempt.FIRST,
+    ) -> Ticket:
+        """Reserve capacity at a replica and wait for it in the order of priority.
+
+        Parameters
+        ----------
+        deadline : float
+            Time of the loop by which the answer is needed.
+
+        Raises
+        ------
+        Refusal
+            Always ``NOT_RUN``: no replica, no budget, or the attempt can no longer
+            finish before the deadline.
+        """
+        budget = None if attempt is Attempt.FIRST else self._budget(attempt)
+        if budget is not None and not budget.spend():
+            raise budget_spent(self.service)
+        ticket = None
+        try:
+            while ticket is None:
+                self._check(snapshot, shard, exclude, priority, deadline)
+                ticket = self._take(snapshot, shard, exclude, zone)
+                if ticket is None:
+                    ticket = await self._wait(
+                        snapshot, shard, exclude, priority, deadline
+                    )
+        finally:
+            if ticket is None and budget is not None:
+                budget.refund()
+        if budget is None:
+            self._earn()
+        return ticket
+
+    def hedge_delay_ms(self, shard: int) -> float | None:
+        """Return after which time to hedge, or None while it is unknown."""
+        if self.policy.hedge_budget <= 0:
+            return None
+        return self.statistics.hedge_delay_ms(shard)
+
+    def may_hedge(self) -> bool:
+        """Return whether the hedge budget has a token; `choose` spends it."""
+        return self._hedges.available()
+
+    def may_retry(self) -> bool:
+        """Return whether the retry budget has a token; `choose` spends it."""
+        return self._retries.available()
+
+    # Internals: choice
+
+    def _take(
+        self, snapshot: int, shard: int, exclude: Set[str], zone: str
+    ) -> Ticket | None:
+        now = _now()
+        if now >= self._fleet.upkeep_at:
+            self._upkeep(now)
+        candidates = [
+            each
+            for each in self._fleet.replicas(snapshot, shard, exclude)
+            if each.in_flight + 1 <= each.limit and each.back_off_until <= now
+        ]
+        if not candidates:
+            return None
+        if now < self._fleet.ramping_until:
+            candidates = self._ramped(candidates, now)
+        place = 0
+        if len(candidates) > 1:
+            place = self.policy.select(candidates, zone, self._random)
+        return self._reserve(candidates[place], snapshot, shard, now)
+
+    def _ramped(self, candidates: list[Server], now: float) -> list[Server]:
+        duration = self.policy.slow_start_s
+        ready = [
+            each
+            for each in candidates
+            if self._random.random() * duration >= each.ramp_end - now
+        ]
+        return ready or candidates
+
+    def _upkeep(self, now: float) -> None:
+        if self._fleet.upkeep(self.statistics.mean_ms, now):
+            _wake_all(self._fleet.servers())
+
+    def _reserve(self, server: Server, snapshot: int, shard: int, now: float) -> Ticket:
+        server.in_flight += 1
+        return Ticket(server, snapshot, shard, now, self._finished)
+
+    def _budget(self, attempt: Attempt) -> Budget:
+        return self._hedges if attempt is Attempt.HEDGE else self._retries
+
+    def _earn(self) -> None:
+        self._hedges.earn()
+        self._retries.earn()
+
+    # Internals: feedback
+
+    def _finished(
+        self, ticket: Ticket, server: Server, outcome: AttemptOutcome, latency_ms: float
+    ) -> None:
+        now = _now()
+        server.in_flight -= 1
+        server.observe(outcome, latency_ms, now, self._random)
+        self.statistics.record(ticket.shard, outcome, latency_ms)
+        if outcome is AttemptOutcome.SNAPSHOT_GONE:
+            self._fleet.lose_holding(server, ticket.snapshot, now)
+            _wake_all(self._fleet.servers())
+        elif server.failures and self._fleet.eject(server, now):
+            _wake_all(self._fleet.servers())
+        if server.waiting.entries:
+            self._serve(server)
+
+    # Internals: waiting
+
+    def _check(
+        self,
+        snapshot: int,
+        shard: int,
+        exclude: Set[str],
+        priority: Priority,
+        deadline: float,
+    ) -> None:
+        replicas = self._fleet.replicas(snapshot, shard, exclude)
+        if not replicas:
+            if exclude and self._fleet.replicas(snapshot, shard, _NOBODY):
+                raise replicas_excluded(self.service, shard, frozenset(exclude))
+            raise no_replica(self.service, snapshot, shard)
+        if deadline == inf:
+            return
+        remaining_ms = (deadline - _now()) * 1_000
+        needed_ms = self.statistics.median_ms(shard)
+        needed_ms += min(each.expected_wait_ms(priority) for each in replicas)
+        if needed_ms >= remaining_ms:
+            self.statistics.doubt(shard)
+            raise too_late(self.service, remaining_ms, needed_ms)
+
+    async def _wait(
+        self,
+        snapshot: int,
+        shard: int,
+        exclude: Set[str],
+        priority: Priority,
+        deadline: float,
+    ) -> Ticket | None:
+        """Return the granted ticket, or None if the caller has to look again."""
+        loop = asyncio.get_running_loop()
+        future: asyncio.Future[Ticket | None] = loop.create_future()
+        waiter = Waiter(future, Priority(priority), snapshot=snapshot, shard=shard)
+        for server in self._fleet.replicas(snapshot, shard, exclude):
+            server.waiting.push(waiter)
+            if server.back_off_until > loop.time():
+                self._arm(server, loop)
+        timer = None
+        if deadline < inf:
+            latest = deadline - self.statistics.median_ms(shard) / 1_000
+            timer = loop.call_at(latest, _wake, future)
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self._give_back(future)
+            raise
+        finally:
+            future.cancel()
+            if timer is not None:
+                timer.cancel()
+
+    def _give_back(self, future: asyncio.Future[Ticket | None]) -> None:
+        """Release a ticket that was granted to a task cancelled at that moment."""
+        if future.done() and not future.cancelled():
+            ticket = future.result()
+            if ticket is not None:
+                ticket.finish(AttemptOutcome.CANCELLED, 0.0)
+
+    def _serve(self, server: Server) -> None:
+        """Grant free capacity of a server to the requests that wait for it."""
+        now = _now()
+        if server.back_off_until > now:
+            self._arm(server, asyncio.get_running_loop())
+            return
+        while server.in_flight + 1 <= server.limit:
+            waiter = server.waiting.pop()
+            if waiter is None:
+                return
+            ticket = self._reserve(server, waiter.snapshot, waiter.shard, now)
+            waiter.future.set_result(ticket)
+
+    def _arm(self, server: Server, loop: asyncio.AbstractEventLoop) -> None:
+        if server.timer is None:
+            server.timer = loop.call_at(server.back_off_until, self._retry, server)
+
+    def _retry(self, server: Server) -> None:
+        server.timer = None
+        self._serve(server)
+
+
+def _wake_all(servers: Iterable[Server]) -> None:
+    """Let every waiting request look at the new replica lists."""
+    for server in servers:
+        for waiter in server.waiting:
+            waiter.future.set_result(None)
+
+
+def _wake(future: asyncio.Future[Ticket | None]) -> None:
+    if not future.done():
+        future.set_result(None)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/routing/src/kingcuplug_routing/_selection.py
@@ -0,0 +1,76 @@
+"""Ways to pick one of several replicas.
+
+Each is a plain function that returns the position of the chosen candidate.
+"""
+
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import Protocol
+
+__all__ = [
+    "Candidate",
+    "Select",
+    "least_expected_time",
+    "least_in_flight",
+    "random_replica",
+    "two_choices",
+]
+
+
+class Candidate(Protocol):
+    """What a choice may look at."""
+
+    in_flight: int
+    latency_ms: float
+    zone: str
+    zone_factor: float
+    reported_load: float
+
+
+Select = Callable[[Sequence[Candidate], str, Random], int]
+
+
+def two_choices(candidates: Sequence[Candidate], zone: str, random: Random) -> int:
+    """Return the one of two random candidates with the smaller expected time."""
+    count = len(candidates)
+    first = int(random.random() * count)
+    second = int(random.random() * (count - 1))
+    if second >= first:
+        second += 1
+    return _quicker(candidates, first, second, zone)
+
+
+def least_expected_time(
+    candidates: Sequence[Candidate], zone: str, random: Random
+) -> int:
+    """Return the candidate with the smallest expected time."""
+    best = int(random.random() * len(candidates))
+    for other in range(len(candidates)):
+        if other != best:
+            best = _quicker(candidates, best, other, zone)
+    return best
+
+
+def least_in_flight(candidates: Sequence[Candidate], zone: str, random: Random) -> int:
+    """Return a random one of the candidates with the fewest requests in flight."""
+    fewest = min(candidate.in_flight for candidate in candidates)
+    best = [i for i, each in enumerate(candidates) if each.in_flight == fewest]
+    return best[int(random.random() * len(best))]
+
+
+def random_replica(candidates: Sequence[Candidate], zone: str, random: Random) -> int:
+    """Return any candidate."""
+    return int(random.random() * len(candidates))
+
+
+def _quicker(candidates: Sequence[Candidate], one: int, two: int, zone: str) -> int:
+    first, second = candidates[one], candidates[two]
+    first_ms = (first.in_flight + 1) * first.latency_ms
+    second_ms = (second.in_flight + 1) * second.latency_ms
+    if first.zone == zone:
+        first_ms *= first.zone_factor
+    if second.zone == zone:
+        second_ms *= second.zone_factor
+    if first_ms == second_ms:
+        return one if first.reported_load <= second.reported_load else two
+    return one if first_ms < second_ms else two
--- /dev/null
+++ b/packages/routing/src/kingcuplug_routing/_statistics.py
@@ -0,0 +1,92 @@
+"""Latency statistics of a service that all of its servers share."""
+
+from kingcuplug_routing._distribution import LatencyDistribution
+from kingcuplug_routing._policy import RoutingPolicy
+from kingcuplug_routing._types import AttemptOutcome
+
+__all__ = ["ServiceStatistics"]
+
+_MEAN_WEIGHT = 0.05
+_BUSY_WEIGHT = 0.02
+_MEDIAN_SHARE = 0.7  # median of an exponential distribution, as a share of its mean
+_DOUBT = 0.98
+
+
+class ServiceStatistics:
+    """Mean latency per shard, and the distribution of the ratio to that mean.
+
+    Shards differ in cost, so one distribution of plain latencies would always hedge
+    the expensive shards.
+
+    Attributes
+    ----------
+    busy_ms : float
+        Mean time for which an attempt occupies its server, whatever its outcome; 0
+        before the first attempt.
+    occupied_ms : float
+        Total of these times.
+    """
+
+    __slots__ = (
+        "_ratios",
+        "_shard_ms",
+        "busy_ms",
+        "finished",
+        "mean_ms",
+        "occupied_ms",
+        "shed",
+    )
+
+    def __init__(self, policy: RoutingPolicy) -> None:
+        self._ratios = LatencyDistribution(policy.hedge_quantile)
+        self._shard_ms: dict[int, float] = {}
+        self.busy_ms = 0.0
+        self.occupied_ms = 0.0
+        self.mean_ms = 1.0
+        self.finished = 0
+        self.shed = 0
+
+    def record(self, shard: int, outcome: AttemptOutcome, latency_ms: float) -> None:
+        """Add one attempt."""
+        if not self.finished:
+            self.busy_ms = self.mean_ms = latency_ms
+        self.finished += 1
+        self.occupied_ms += latency_ms
+        self.busy_ms += _BUSY_WEIGHT * (latency_ms - self.busy_ms)
+        if outcome is AttemptOutcome.OK:
+            self._answer(shard, latency_ms)
+        elif outcome is AttemptOutcome.SHED:
+            self.shed += 1
+        elif outcome is AttemptOutcome.CANCELLED:
+            mean_ms = self._shard_ms.get(shard)
+            if mean_ms and latency_ms > mean_ms:
+                # A cancelled loser is known to be at least this slow.
+                self._ratios.record(latency_ms / mean_ms)
+
+    def hedge_delay_ms(self, shard: int) -> float | None:
+        """Return the wanted quantile of a shard's latency."""
+        ratio = self._ratios.value
+        mean_ms = self._shard_ms.get(shard)
+        return None if ratio is None or mean_ms is None else ratio * mean_ms
+
+    def median_ms(self, shard: int) -> float:
+        """Return about the median latency of a shard, 0 if it is unknown."""
+        return _MEDIAN_SHARE * self._shard_ms.get(shard, 0.0)
+
+    def doubt(self, shard: int) -> None:
+        """Lower a mean that led to a refusal.
+
+        Without this, a mean that once exceeded all deadlines would refuse every
+        request and never be corrected by an answer.
+        """
+        if shard in self._shard_ms:
+            self._shard_ms[shard] *= _DOUBT
+
+    def _answer(self, shard: int, latency_ms: float) -> None:
+        mean_ms = self._shard_ms.get(shard)
+        if mean_ms is None or mean_ms <= 0:
+            mean_ms = latency_ms
+        self._shard_ms[shard] = mean_ms + _MEAN_WEIGHT * (latency_ms - mean_ms)
+        self.mean_ms += _BUSY_WEIGHT * (latency_ms - self.mean_ms)
+        if mean_ms > 0:
+            self._ratios.record(latency_ms / mean_ms)
--- /dev/null
+++ b/packages/routing/src/kingcuplug_routing/_table.py
@@ -0,0 +1,71 @@
+"""Replica lists per snapshot and shard.
+
+They are built when the directory, an ejection or a holding changes, so that a
+choice only indexes a list.
+"""
+
+from collections.abc import Iterable, Mapping
+
+from kingcuplug_routing._server import Server
+from kingcuplug_routing._types import HoldingView, SnapshotView
+
+__all__ = ["ReplicaTable", "most_ejected"]
+
+Replicas = list[tuple[Server, ...]]
+
+
+def most_ejected(replicas: int) -> int:
+    """Return how many of a shard's replicas may be ejected at once."""
+    return min(max(1, replicas // 3), replicas - 1)
+
+
+class ReplicaTable:
+    """Replicas by snapshot and shard.
+
+    Parameters
+    ----------
+    holdings : mapping
+        Servers and what each of them holds.
+    now : float
+        Time of the loop, against which ejections are compared.
+    """
+
+    def __init__(
+        self, holdings: Mapping[Server, Iterable[HoldingView]], now: float
+    ) -> None:
+        lists: dict[int, list[list[Server]]] = {}
+        for server, views in holdings.items():
+            for view in views:
+                shards = lists.setdefault(view.snapshot, [])
+                while len(shards) < view.shard_count:
+                    shards.append([])
+                for shard in view.shards:
+                    shards[shard].append(server)
+        self.every: dict[int, Replicas] = {
+            snapshot: [tuple(replicas) for replicas in shards]
+            for snapshot, shards in lists.items()
+        }
+        self.usable: dict[int, Replicas] = {
+            snapshot: [_without_ejected(replicas, now) for replicas in shards]
+            for snapshot, shards in self.every.items()
+        }
+
+    def snapshots(self) -> list[SnapshotView]:
+        """Return the served snapshots, newest first."""
+        return [
+            SnapshotView(
+                snapshot,
+                len(shards),
+                frozenset(shard for shard, replicas in enumerate(shards) if replicas),
+            )
+            for snapshot, shards in sorted(self.every.items(), reverse=True)
+        ]
+
+
+def _without_ejected(replicas: tuple[Server, ...], now: float) -> tuple[Server, ...]:
+    ejected = [each for each in replicas if each.ejected_until > now]
+    if not ejected:
+        return replicas
+    ejected.sort(key=lambda each: each.ejected_until, reverse=True)
+    removed = ejected[: most_ejected(len(replicas))]
+    return tuple(each for each in replicas if each not in removed)
--- /dev/null
+++ b/packages/routing/src/kingcuplug_routing/_upkeep.py
@@ -0,0 +1,33 @@
+"""Regular corrections of server statistics, kept off the path of each choice."""
+
+from collections.abc import Collection
+from math import exp
+
+from kingcuplug_routing._server import Server
+
+__all__ = ["forget", "prefer_zones"]
+
+
+def forget(servers: Collection[Server], mean_ms: float, elapsed_s: float) -> None:
+    """Move the latency of unused slow servers towards the service's mean.
+
+    A server that is avoided for its latency gives no new observation, so without
+    this it would be avoided for ever.
+    """
+    for server in servers:
+        if server.latency_ms > mean_ms and not server.in_flight:
+            kept = exp(-elapsed_s / server.policy.forget_s)
+            server.latency_ms = mean_ms + (server.latency_ms - mean_ms) * kept
+
+
+def prefer_zones(servers: Collection[Server]) -> None:
+    """Set each server's zone factor: below 1 unless its zone is the more loaded one."""
+    loads: dict[str, list[float]] = {}
+    for server in servers:
+        load = (server.in_flight / server.slots + 1) * server.latency_ms
+        loads.setdefault(server.zone, []).append(load)
+    means = {zone: sum(each) / len(each) for zone, each in loads.items()}
+    for server in servers:
+        others = [mean for zone, mean in means.items() if zone != server.zone]
+        more_loaded = bool(others) and means[server.zone] > sum(others) / len(others)
+        server.zone_factor = 1.0 if more_loaded else server.policy.zone_factor
--- /dev/null
+++ b/packages/routing/src/kingcuplug_routing/_waiting.py
@@ -0,0 +1,121 @@
+"""Priority queue of waiting requests in which no class starves.
+
+Classes are served in strict order, but a class that was passed over `turn_after`
+times while it waited gets the next turn. A fixed number of turns, unlike aging,
+keeps a flood of bulk requests from delaying urgent ones by more than a known share.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Iterator
+from typing import Any
+
+from kingcuplug_routing._types import Priority
+
+__all__ = ["Waiter", "WaitingQueue"]
+
+_SLACK = 16  # dead entries tolerated before a queue is compacted
+
+
+class Waiter:
+    """One waiting request; it is dead once its future is done.
+
+    Parameters
+    ----------
+    future : asyncio.Future
+        Gets what the owner of the queue grants.
+    cost : float
+        Work that the request brings, in the unit of the owner.
+    snapshot, shard : int
+        What is wanted, for requests that wait for a server.
+    """
+
+    __slots__ = ("cost", "future", "priority", "shard", "snapshot")
+
+    def __init__(
+        self,
+        future: asyncio.Future[Any],
+        priority: Priority,
+        cost: float = 1.0,
+        snapshot: int = 0,
+        shard: int = 0,
+    ) -> None:
+        self.future = future
+        self.priority = priority
+        self.cost = cost
+        self.snapshot = snapshot
+        self.shard = shard
+
+
+class WaitingQueue:
+    """Waiting requests in the order in which they are to be served."""
+
+    __slots__ = ("_classes", "_passed", "_turn_after", "entries")
+
+    def __init__(self, turn_after: int) -> None:
+        self.entries = 0  # including dead ones, so 0 means that nothing waits
+        self._turn_after = turn_after
+        self._classes = {priority: deque[Waiter]() for priority in Priority}
+        self._passed = dict.fromkeys(Priority, 0)
+
+    def push(self, waiter: Waiter) -> None:
+        """Append a request to its class."""
+        queue = self._classes[waiter.priority]
+        if len(queue) >= _SLACK and queue[len(queue) // 2].future.done():
+            self._compact(waiter.priority)
+            queue = self._classes[waiter.priority]
+        queue.append(waiter)
+        self.entries += 1
+
+    def peek(self) -> Waiter | None:
+        """Return the request that is served next."""
+        priority = self._next_class()
+        return None if priority is None else self._classes[priority][0]
+
+    def pop(self) -> Waiter | None:
+        """Remove and return the request that is served next."""
+        chosen = self._next_class()
+        if chosen is None:
+            return None
+        lower = False
+        for priority, queue in self._classes.items():
+            if lower and queue:
+                self._passed[priority] += 1
+            lower = lower or priority is chosen
+        self._passed[chosen] = 0
+        self.entries -= 1
+        return self._classes[chosen].popleft()
+
+    def ahead(self, priority: Priority) -> float:
+        """Return the cost of the requests served before a new one of `priority`."""
+        cost = 0.0
+        for other, queue in self._classes.items():
+            cost += sum(each.cost for each in queue if not each.future.done())
+            if other == priority:
+                break
+        return cost
+
+    def __iter__(self) -> Iterator[Waiter]:
+        """Yield the waiting requests by class."""
+        for queue in self._classes.values():
+            yield from (each for each in queue if not each.future.done())
+
+    def _next_class(self) -> Priority | None:
+        first = None
+        for priority, queue in self._classes.items():
+            while queue and queue[0].future.done():
+                queue.popleft()
+                self.entries -= 1
+            if not queue:
+                self._passed[priority] = 0
+            elif first is None:
+                first = priority
+            elif self._passed[priority] >= self._turn_after:
+                return priority
+        return first
+
+    def _compact(self, priority: Priority) -> None:
+        queue = self._classes[priority]
+        live = deque(each for each in queue if not each.future.done())
+        self.entries -= len(queue) - len(live)
+        self._classes[priority] = live
--- /dev/null
+++ b/tools/_routing_model.py
@@ -0,0 +1,250 @@
+"""Model of backend servers and of a query executor, for `measure_routing`.
+
+It is a fake at the interface of the routing package: servers have slots, a short
+queue and a service time; entry hosts see only the outcomes of their own attempts.
+"""
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass, field
+from random import Random
+
+from kingcuplug_common import Refusal
+from kingcuplug_routing import (
+    Admission,
+    Attempt,
+    AttemptOutcome,
+    Holding,
+    Priority,
+    Router,
+    RoutingPolicy,
+    ServerView,
+    Ticket,
+)
+
+NETWORK_S = 0.0005  # one way
+BASE_S = 0.002
+SPREAD_S = 0.008
+MEAN_SERVICE_S = BASE_S + SPREAD_S
+SNAPSHOT = 1
+ENTRY_HOSTS = 10
+ZONES = 3
+
+
+@dataclass
+class Layout:
+    """Sizes of one service."""
+
+    servers: int = 15
+    slots: int = 2
+    connections: int = 120
+    shards: int = 15
+    replicas: int = 3
+    queue: int = 2  # waiting places of a server; beyond them it sheds
+
+    def capacity(self) -> float:
+        """Return the queries per second that keep every slot busy."""
+        return self.servers * self.slots / (self.shards * MEAN_SERVICE_S)
+
+
+@dataclass
+class BackendServer:
+    """Slots with a first-come-first-served queue."""
+
+    name: str
+    zone: str
+    layout: Layout
+    random: Random
+    shards: tuple[int, ...]
+    slowdown: float = 1.0
+    lost: bool = False
+    reported_load: float = 0.0
+    running: dict[asyncio.Future, asyncio.TimerHandle] = field(default_factory=dict)
+    queue: deque = field(default_factory=deque)
+    executed: int = 0
+
+    def view(self) -> ServerView:
+        """Return the directory's entry."""
+        layout = self.layout
+        return ServerView(
+            self.name,
+            f"{self.name}:1",
+            self.zone,
+            layout.slots,
+            layout.connections,
+            "serving",
+            (Holding(SNAPSHOT, layout.shards, self.shards),),
+            0,
+            self.reported_load,
+        )
+
+    def submit(self, reply: asyncio.Future) -> None:
+        """Run a sub-request; `reply` gets its outcome."""
+        if self.lost:
+            reply.set_result(AttemptOutcome.CONNECTION_LOST)
+        elif len(self.running) < self.layout.slots:
+            self._run(reply)
+        elif len(self.queue) < self.layout.queue:
+            self.queue.append(reply)
+        else:
+            reply.set_result(AttemptOutcome.SHED)
+
+    def cancel(self, reply: asyncio.Future) -> None:
+        """Stop a sub-request and free its slot."""
+        timer = self.running.pop(reply, None)
+        if timer is not None:
+            timer.cancel()
+            self._next()
+        elif reply in self.queue:
+            self.queue.remove(reply)
+
+    def lose(self) -> None:
+        """Break all connections and accept none."""
+        self.lost = True
+        for reply in [*self.running, *self.queue]:
+            if not reply.done():
+                reply.set_result(AttemptOutcome.CONNECTION_LOST)
+        self.running.clear()
+        self.queue.clear()
+
+    def _run(self, reply: asyncio.Future) -> None:
+        self.executed += 1
+        duration = BASE_S + self.random.expovariate(1 / SPREAD_S)
+        loop = asyncio.get_running_loop()
+        self.running[reply] = loop.call_later(
+            duration * self.slowdown, self._done, reply
+        )
+
+    def _done(self, reply: asyncio.Future) -> None:
+        if self.running.pop(reply, None) is not None:
+            if not reply.done():
+                reply.set_result(AttemptOutcome.OK)
+            self._next()
+
+    def _next(self) -> None:
+        while self.queue and len(self.running) < self.layout.slots:
+            self._run(self.queue.popleft())
+
+
+@dataclass
+class Result:
+    """What one query came to."""
+
+    arrived: float
+    priority: Priority
+    duration_s: float
+    whole: bool
+    coverage: float
+    refused: bool
+
+
+class EntryHost:
+    """Router, admission and a minimal query executor."""
+
+    def __init__(
+        self,
+        zone: str,
+        layout: Layout,
+        servers: dict[str, BackendServer],
+        policy: RoutingPolicy,
+        random: Random,
+    ) -> None:
+        self.zone = zone
+        self.layout = layout
+        self.servers = servers
+        self.router = Router("modelled", policy, random)
+        self.admission = Admission(self.router)
+        self.sent = 0
+        self.wanted = 0
+        self.hedged = 0
+        self.retried = 0
+        self.results: list[Result] = []
+
+    async def query(self, priority: Priority, deadline_s: float) -> None:
+        """Run one query and keep its result."""
+        loop = asyncio.get_running_loop()
+        arrived = loop.time()
+        deadline = arrived + deadline_s
+        shards = self.layout.shards
+        covered = 0
+        refused = False
+        try:
+            async with self.admission.admit(priority, deadline, shards):
+                self.wanted += shards
+                covered = sum(
+                    await asyncio.gather(
+                        *(self._shard(i, priority, deadline) for i in range(shards))
+                    )
+                )
+        except Refusal:
+            refused = True
+        took = loop.time() - arrived
+        whole = covered == shards and took <= deadline_s
+        self.results.append(
+            Result(arrived, priority, took, whole, covered / shards, refused)
+        )
+
+    async def _shard(self, shard: int, priority: Priority, deadline: float) -> bool:
+        loop = asyncio.get_running_loop()
+        tried: set[str] = set()
+        attempt = Attempt.FIRST
+        while loop.time() < deadline:
+            try:
+                ticket = await self.router.acquire(
+                    SNAPSHOT, shard, tried, priority, deadline, self.zone, attempt
+                )
+            except Refusal:
+                return False
+            self.retried += attempt is Attempt.RETRY
+            outcome = await self._hedged(ticket, shard, deadline, tried)
+            if outcome is AttemptOutcome.OK:
+                return True
+            tried.add(ticket.server)
+            if len(tried) >= self.layout.replicas:
+                tried.clear()
+            attempt = Attempt.RETRY
+        return False
+
+    async def _hedged(
+        self, ticket: Ticket, shard: int, deadline: float, tried: set[str]
+    ) -> AttemptOutcome:
+        loop = asyncio.get_running_loop()
+        calls = {self._send(ticket): ticket}
+        delay_ms = self.router.hedge_delay_ms(shard)
+        outcome = AttemptOutcome.TIMEOUT
+        while calls:
+            left = deadline - loop.time()
+            hedging = delay_ms is not None and len(calls) == 1
+            wait = min(left, delay_ms / 1_000) if hedging else left
+            done, _ = await asyncio.wait(
+                calls, timeout=wait, return_when=asyncio.FIRST_COMPLETED
+            )
+            for reply in done:
+                finished = calls.pop(reply)
+                outcome = reply.result()
+                finished.finish(outcome, (loop.time() - finished.started) * 1_000)
+            if outcome is AttemptOutcome.OK or loop.time() >= deadline:
+                break
+            if not done and hedging:
+                delay_ms = None
+                exclude = tried | {ticket.server}
+                hedge = self.router.choose(
+                    SNAPSHOT, shard, exclude, self.zone, Attempt.HEDGE
+                )
+                if hedge is not None:
+                    self.hedged += 1
+                    calls[self._send(hedge)] = hedge
+        for reply, loser in calls.items():
+            self.servers[loser.server].cancel(reply)
+            late = outcome is not AttemptOutcome.OK
+            ended = AttemptOutcome.TIMEOUT if late else AttemptOutcome.CANCELLED
+            loser.finish(ended, (loop.time() - loser.started) * 1_000)
+        return outcome
+
+    def _send(self, ticket: Ticket) -> asyncio.Future:
+        self.sent += 1
+        loop = asyncio.get_running_loop()
+        reply = loop.create_future()
+        server = self.servers[ticket.server]
+        loop.call_later(2 * NETWORK_S, server.submit, reply)
+        return reply
--- /dev/null
+++ b/tools/measure_routing.py
@@ -0,0 +1,283 @@
+"""Measure routing policies against modelled backend servers, in virtual time.
+
+Usage: ``measure_routing.py [--seconds 30] [--seed 1] [--layout cutting]
+[--scenario NAME ...] [--policy NAME ...]``. It prints one line per scenario and
+policy. ``measure_routing.py --cpu`` prints the cost of the hot path instead.
+"""
+
+import argparse
+import asyncio
+import sys
+import timeit
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, replace
+from pathlib import Path
+from random import Random
+
+for _source in (Path(__file__).resolve().parents[1] / "packages").glob("*/src"):
+    sys.path.insert(0, str(_source))
+sys.path.insert(0, str(Path(__file__).resolve().parent))
+
+import _routing_model as model  # noqa: E402
+from kingcuplug_routing import (  # noqa: E402
+    AttemptOutcome,
+    Priority,
+    Router,
+    RoutingPolicy,
+    baseline_policy,
+    least_expected_time,
+    least_in_flight,
+)
+from kingcuplug_testkit import run_virtual  # noqa: E402
+
+WARM_S = 5.0
+LEASE_S = 2.0
+DEADLINE_S = 0.5
+BULK_DEADLINE_S = 3.0
+
+LAYOUTS = {
+    "cutting": model.Layout(),
+    "counter": model.Layout(3, 3, 30, 3, 3, 3),
+    "unqueued": model.Layout(queue=0),
+    "endless": model.Layout(queue=1_000),
+}
+
+CHOSEN = RoutingPolicy()
+POLICIES: dict[str, RoutingPolicy] = {
+    "baseline": baseline_policy(),
+    "chosen": CHOSEN,
+    "least in flight": replace(CHOSEN, select=least_in_flight),
+    "least expected": replace(CHOSEN, select=least_expected_time),
+    "no hedge": replace(CHOSEN, hedge_budget=0.0),
+    "no admission": replace(CHOSEN, utilisation=float("inf")),
+}
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """Offered load, as a share of the capacity, and what fails."""
+
+    load: float
+    straggler: float = 1.0
+    lost: int = 0
+    zone_lost: bool = False
+    lying: bool = False
+    uneven: bool = False
+
+
+SCENARIOS = {
+    "50%": Scenario(0.5),
+    "80%": Scenario(0.8),
+    "100%": Scenario(1.0),
+    "120%": Scenario(1.2),
+    "straggler 50%": Scenario(0.5, straggler=10.0),
+    "lost 50%": Scenario(0.5, lost=1),
+    "zone lost 50%": Scenario(0.5, zone_lost=True),
+    "lying 80%": Scenario(0.8, lying=True),
+    "uneven 80%": Scenario(0.8, uneven=True),
+}
+
+
+async def simulate(
+    layout: model.Layout,
+    scenario: Scenario,
+    policy: RoutingPolicy,
+    seconds: float,
+    seed: int,
+) -> list[model.EntryHost]:
+    """Run one scenario and return the entry hosts with their results."""
+    random = Random(seed)
+    servers = _servers(layout, random)
+    hosts = [
+        model.EntryHost(f"zone-{i % model.ZONES}", layout, servers, policy, random)
+        for i in range(model.ENTRY_HOSTS)
+    ]
+    _update(hosts, servers)
+    background = [asyncio.create_task(_fail(scenario, hosts, servers))]
+    if scenario.lying:
+        background.append(asyncio.create_task(_lie(hosts, servers, random)))
+    await _offer(layout, scenario, hosts, seconds, random)
+    for task in background:
+        task.cancel()
+    return hosts
+
+
+def _servers(layout: model.Layout, random: Random) -> dict[str, model.BackendServer]:
+    held: list[list[int]] = [[] for _ in range(layout.servers)]
+    for shard in range(layout.shards):
+        for replica in range(layout.replicas):
+            held[(shard + replica) % layout.servers].append(shard)
+    return {
+        f"server-{i}": model.BackendServer(
+            f"server-{i}", f"zone-{i % model.ZONES}", layout, random, tuple(shards)
+        )
+        for i, shards in enumerate(held)
+    }
+
+
+def _update(
+    hosts: list[model.EntryHost], servers: dict[str, model.BackendServer]
+) -> None:
+    for host in hosts:
+        views = [each.view() for each in servers.values() if not each.lost]
+        host.router.update(views, model.ENTRY_HOSTS)
+
+
+async def _fail(
+    scenario: Scenario,
+    hosts: list[model.EntryHost],
+    servers: dict[str, model.BackendServer],
+) -> None:
+    await asyncio.sleep(WARM_S)
+    servers["server-0"].slowdown = scenario.straggler
+    lost = [
+        each
+        for i, each in enumerate(servers.values())
+        if i < scenario.lost or (scenario.zone_lost and each.zone == "zone-0")
+    ]
+    for server in lost:
+        server.lose()
+    if lost:
+        await asyncio.sleep(LEASE_S)
+        _update(hosts, servers)
+
+
+async def _lie(
+    hosts: list[model.EntryHost],
+    servers: dict[str, model.BackendServer],
+    random: Random,
+) -> None:
+    while True:
+        for server in servers.values():
+            server.reported_load = random.random()
+        servers["server-0"].reported_load = 0.0
+        _update(hosts, servers)
+        await asyncio.sleep(0.5)
+
+
+async def _offer(
+    layout: model.Layout,
+    scenario: Scenario,
+    hosts: list[model.EntryHost],
+    seconds: float,
+    random: Random,
+) -> None:
+    rate = layout.capacity() * scenario.load
+    weights = [1.0] * len(hosts)
+    if scenario.uneven:
+        weights[0] = len(hosts) - 1.0  # half of all queries
+    loop = asyncio.get_running_loop()
+    tasks = set()
+    while loop.time() < WARM_S + seconds:
+        await asyncio.sleep(random.expovariate(rate))
+        host = random.choices(hosts, weights)[0]
+        priority = random.choices(list(Priority), [0.1, 0.8, 0.1])[0]
+        deadline = BULK_DEADLINE_S if priority is Priority.BULK else DEADLINE_S
+        task = asyncio.create_task(host.query(priority, deadline))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+    await asyncio.gather(*tasks)
+
+
+def _quantile(values: list[float], share: float) -> float:
+    if not values:
+        return float("nan")
+    return sorted(values)[min(len(values) - 1, int(share * len(values)))]
+
+
+def summary(hosts: list[model.EntryHost], seconds: float) -> dict[str, float]:
+    """Return the figures of one run; times in ms."""
+    results = [r for host in hosts for r in host.results if r.arrived >= WARM_S]
+    whole = [r.duration_s * 1_000 for r in results if r.whole]
+    urgent = [r for r in results if r.priority is Priority.URGENT]
+    bulk = [r for r in results if r.priority is Priority.BULK]
+    admitted = [r for r in results if not r.refused]
+    refused = [r.duration_s * 1_000 for r in results if r.refused]
+    wanted = sum(host.wanted for host in hosts)
+    return {
+        "p50": _quantile(whole, 0.5),
+        "p99": _quantile(whole, 0.99),
+        "p99.9": _quantile(whole, 0.999),
+        "urgent99": _quantile([r.duration_s * 1_000 for r in urgent if r.whole], 0.99),
+        "urgent%": 100 * sum(r.whole for r in urgent) / max(1, len(urgent)),
+        "bulk%": 100 * sum(r.whole for r in bulk) / max(1, len(bulk)),
+        "goodput": len(whole) / seconds,
+        "cover%": 100 * sum(r.coverage for r in admitted) / max(1, len(admitted)),
+        "refused%": 100 * len(refused) / max(1, len(results)),
+        "refused99": _quantile(refused, 0.99),
+        "extra%": 100 * (sum(host.sent for host in hosts) / max(1, wanted) - 1),
+        "hedge%": 100 * sum(host.hedged for host in hosts) / max(1, wanted),
+        "retry%": 100 * sum(host.retried for host in hosts) / max(1, wanted),
+    }
+
+
+def _run(arguments: tuple[str, str, str, float, int]) -> dict[str, float]:
+    layout, scenario, policy, seconds, seed = arguments
+    hosts = run_virtual(
+        simulate(LAYOUTS[layout], SCENARIOS[scenario], POLICIES[policy], seconds, seed)
+    )
+    return summary(hosts, seconds)
+
+
+def cpu_cost(repeat: Callable[[Callable[[], object]], float]) -> dict[str, float]:
+    """Return the microseconds of one choose with finish, for 3 replicas."""
+
+    async def measure() -> dict[str, float]:
+        layout = model.Layout(3, 3, 30, 3, 3, 3)
+        servers = _servers(layout, Random(1))
+        costs = {}
+        for name in ("baseline", "chosen"):
+            host = model.EntryHost("zone-0", layout, servers, POLICIES[name], Random(1))
+            _update([host], servers)
+            costs[f"{name}: choose and finish"] = repeat(_one_choice(host.router))
+        return costs
+
+    return run_virtual(measure())
+
+
+def _one_choice(router: Router) -> Callable[[], object]:
+    def one() -> None:
+        ticket = router.choose(model.SNAPSHOT, 1, zone="zone-0")
+        assert ticket is not None
+        ticket.finish(AttemptOutcome.OK, 10.0)
+
+    return one
+
+
+def _repeat(call: Callable[[], object]) -> float:
+    count = 100_000
+    return min(timeit.repeat(call, number=count, repeat=5)) / count * 1e6
+
+
+def main() -> None:
+    """Parse the command line, run and print."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=30.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--layout", choices=LAYOUTS, default="cutting")
+    parser.add_argument("--scenario", action="append", choices=SCENARIOS)
+    parser.add_argument("--policy", action="append", choices=POLICIES)
+    parser.add_argument("--jobs", type=int, default=3)
+    parser.add_argument("--cpu", action="store_true")
+    options = parser.parse_args()
+    if options.cpu:
+        for name, cost in cpu_cost(_repeat).items():
+            print(f"{name}: {cost:.2f} us")
+        return
+    runs = [
+        (options.layout, scenario, policy, options.seconds, options.seed)
+        for scenario in options.scenario or SCENARIOS
+        for policy in options.policy or ["baseline", "chosen"]
+    ]
+    with ProcessPoolExecutor(options.jobs) as pool:
+        header = False
+        for run, figures in zip(runs, pool.map(_run, runs), strict=True):
+            if not header:
+                header = True
+                print(f"{options.layout:32}", *(f"{name:>9}" for name in figures))
+            print(f"{run[1]:15} {run[2]:16}", *(f"{f:9.1f}" for f in figures.values()))
+
+
+if __name__ == "__main__":
+    main()
