--- a/packages/daemon/src/kingcuplug_daemon/_http.py
+++ b/packages/daemon/src/kingcuplug_daemon/_http.py
@@ -112,9 +112,7 @@
         ) from error
 
 
-async def read_model(
-    request: Request, model: type[_Model], limit_bytes: int
-) -> _Model:
+async def read_model(request: Request, model: type[_Model], limit_bytes: int) -> _Model:
     """Read and validate the body of a request; all faults are reported at once."""
     value = await read_json(request, limit_bytes)
     try:
--- a/packages/daemon/src/kingcuplug_daemon/_listener.py
+++ b/packages/daemon/src/kingcuplug_daemon/_listener.py
@@ -107,9 +107,7 @@
         """Read the certificate and key files again, for new connections."""
         context = self._config.ssl
         if context is not None and self._config.ssl_certfile is not None:
-            context.load_cert_chain(
-                self._config.ssl_certfile, self._config.ssl_keyfile
-            )
+            context.load_cert_chain(self._config.ssl_certfile, self._config.ssl_keyfile)
 
 
 def _tls_options(
--- a/packages/daemon/src/kingcuplug_daemon/_requests.py
+++ b/packages/daemon/src/kingcuplug_daemon/_requests.py
@@ -48,7 +48,11 @@
     idempotency_key : str
         ``<issue time in ms since the epoch>-<random text>``; the same for every
         resend of the same order.
+    resend : bool
+        Whether the caller may have sent this order before. A refusal then says
+        ``outcome_unknown`` unless the ledger knows better.
     """
 
     idempotency_key: _Identifier
     partition_key: _Key
+    resend: bool = False
--- a/packages/query/src/kingcuplug_query/__init__.py
+++ b/packages/query/src/kingcuplug_query/__init__.py
@@ -1,3 +1,54 @@
 """Execution of queries and orders over many shards."""
 
-__all__: list[str] = []
+from kingcuplug_query._backend import (
+    Cancel,
+    ConnectFailed,
+    HttpBackend,
+    ReplyLost,
+    Send,
+)
+from kingcuplug_query._background import Background
+from kingcuplug_query._messages import (
+    Answer,
+    OrderRequest,
+    QueryRequest,
+    ReplyInvalid,
+    ReplyStatus,
+    SubReply,
+    SubRequest,
+    parse_reply,
+)
+from kingcuplug_query._orders import OrderExecutor, unsettled
+from kingcuplug_query._query import (
+    QueryExecutor,
+    RevisionView,
+    ServiceRuntime,
+    fingerprint_of,
+)
+from kingcuplug_query._snapshots import choose_snapshot, shard_of, wanted_shards
+
+__all__ = [
+    "Answer",
+    "Background",
+    "Cancel",
+    "ConnectFailed",
+    "HttpBackend",
+    "OrderExecutor",
+    "OrderRequest",
+    "QueryExecutor",
+    "QueryRequest",
+    "ReplyInvalid",
+    "ReplyLost",
+    "ReplyStatus",
+    "RevisionView",
+    "Send",
+    "ServiceRuntime",
+    "SubReply",
+    "SubRequest",
+    "choose_snapshot",
+    "fingerprint_of",
+    "parse_reply",
+    "shard_of",
+    "unsettled",
+    "wanted_shards",
+]
--- a/packages/query/src/kingcuplug_query/_backend.py
+++ b/packages/query/src/kingcuplug_query/_backend.py
@@ -13,7 +13,7 @@
 import aiohttp
 import orjson
 from kingcuplug_common import KingcuplugError
-from kingcuplug_routing import ServerView
+from kingcuplug_routing import Ticket
 
 from kingcuplug_query._messages import ReplyInvalid, SubReply, SubRequest, parse_reply
 
@@ -26,8 +26,8 @@
 _KEEPALIVE_S = 60.0
 _JSON_HEADERS = {"Content-Type": "application/json"}
 
-Send = Callable[[ServerView, SubRequest, float], Awaitable[SubReply]]
-Cancel = Callable[[ServerView, str], Awaitable[None]]
+Send = Callable[[Ticket, SubRequest, float], Awaitable[SubReply]]
+Cancel = Callable[[Ticket, str], Awaitable[None]]
 
 
 class ConnectFailed(KingcuplugError):
@@ -85,7 +85,7 @@
         self._sessions.clear()
 
     async def send(
-        self, server: ServerView, request: SubRequest, timeout_s: float
+        self, ticket: Ticket, request: SubRequest, timeout_s: float
     ) -> SubReply:
         """Send one sub-request and return its checked reply.
 
@@ -100,32 +100,32 @@
         TimeoutError
             If no reply came in `timeout_s` seconds.
         """
-        url = f"{self._scheme}://{server.address}/sub-request"
+        url = f"{self._scheme}://{ticket.address}/sub-request"
         body = orjson.dumps(request.to_json())
         try:
             async with (
                 asyncio.timeout(timeout_s),
-                self._session(server.address).post(
+                self._session(ticket.address).post(
                     url, data=body, headers=_JSON_HEADERS
                 ) as response,
             ):
                 return await self._read(response, request)
         except aiohttp.ClientConnectorError as error:
             raise ConnectFailed(
-                f"backend server {server.server} at {server.address} "
+                f"backend server {ticket.server} at {ticket.address} "
                 f"accepts no connection: {error.os_error}",
                 "check that the server runs and that its announced address is right",
             ) from error
         except (aiohttp.ClientError, ConnectionError) as error:
-            raise await self._lost(server, error) from error
+            raise await self._lost(ticket, error) from error
 
-    async def cancel(self, server: ServerView, attempt_id: str) -> None:
+    async def cancel(self, ticket: Ticket, attempt_id: str) -> None:
         """Ask a server to stop an attempt whose reply is no longer wanted."""
-        url = f"{self._scheme}://{server.address}/cancel"
+        url = f"{self._scheme}://{ticket.address}/cancel"
         try:
             async with (
                 asyncio.timeout(_CANCEL_TIMEOUT_S),
-                self._session(server.address).post(
+                self._session(ticket.address).post(
                     url, json={"attempt_id": attempt_id}
                 ) as response,
             ):
@@ -167,10 +167,10 @@
             response.close()
             raise
 
-    async def _lost(self, server: ServerView, error: Exception) -> ReplyLost:
-        gone = not await self._accepts(server.address)
+    async def _lost(self, ticket: Ticket, error: Exception) -> ReplyLost:
+        gone = not await self._accepts(ticket.address)
         return ReplyLost(
-            f"connection to backend server {server.server} broke: {error!r}",
+            f"connection to backend server {ticket.server} broke: {error!r}",
             "look at the log of the backend server",
             server_gone=gone,
         )
--- a/packages/query/src/kingcuplug_query/_gather.py
+++ b/packages/query/src/kingcuplug_query/_gather.py
@@ -8,10 +8,12 @@
 import dataclasses
 import itertools
 from collections.abc import Callable, Iterable
+from enum import Enum, auto
 from typing import Any
 
 from kingcuplug_common import Metrics, Refusal, RefusalReason, identifier
 from kingcuplug_routing import (
+    Attempt,
     AttemptOutcome,
     CrashGuard,
     Router,
@@ -28,12 +30,12 @@
     SubRequest,
 )
 
-__all__ = ["Allowance", "Gather", "Network"]
+__all__ = ["OUTCOME_OF_STATUS", "Allowance", "Gather", "Network"]
 
 _LATE_REPLY_GRACE_S = 0.25
 _MILLISECONDS = 1_000
 
-_OUTCOME_OF_STATUS = {
+OUTCOME_OF_STATUS = {
     ReplyStatus.OK: AttemptOutcome.OK,
     ReplyStatus.PARTIAL: AttemptOutcome.OK,
     ReplyStatus.SHED: AttemptOutcome.SHED,
@@ -54,16 +56,33 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Network:
-    """What a gather needs of the world outside."""
+    """What a gather needs of the world outside.
 
+    Attributes
+    ----------
+    zone : str
+        The entry host's availability zone.
+    background : callable
+        Runs a coroutine as a task that may outlive the query.
+    """
+
+    zone: str
     send: Send
     cancel: Cancel
     metrics: Metrics
     background: Callable[[Any], None]
 
 
+class _Next(Enum):
+    """What follows an attempt."""
+
+    DONE = auto()
+    RETRY = auto()
+    MOVED = auto()
+
+
 @dataclasses.dataclass(slots=True)
-class _Attempt:
+class _SubAttempt:
     """One sub-request on its way."""
 
     ticket: Ticket
@@ -94,6 +113,19 @@
         Sends and cancels sub-requests.
     dependency_answers : dict or None
         Passed on with every sub-request.
+
+    Attributes
+    ----------
+    replies : dict of int to SubReply
+        The accepted reply of each shard.
+    faults : dict of int to str
+        The last fault of each shard.
+    refusal : Refusal or None
+        Why the whole query must stop.
+    may_have_run : bool
+        Whether a backend server can have acted on any sub-request.
+    snapshot_gone : bool
+        Whether no replica of some shard holds the snapshot any more.
     """
 
     def __init__(
@@ -121,8 +153,9 @@
         self._network = network
         self._dependency_answers = dependency_answers
         self._open: set[int] = set()
-        self._attempts: dict[int, list[_Attempt]] = {}
+        self._attempts: dict[int, list[_SubAttempt]] = {}
         self._tried: dict[int, set[str]] = {}
+        self._hedged: set[int] = set()
         self._changed = asyncio.Event()
         self._numbers = itertools.count()
         self._attempt_prefix = identifier()
@@ -140,28 +173,28 @@
         hedged : bool
             Whether slow attempts may be hedged.
         """
-        self._changed.clear()
         for shard in shards:
             self._open.add(shard)
-            self._spawn(self._serve(shard))
-        hedge_delay_ms = self._router.hedge_delay_ms() if hedged else None
-        if hedge_delay_ms is not None:
-            hedge_at = min(self._loop.time() + hedge_delay_ms / _MILLISECONDS, until)
-            await self._wait(hedge_at)
-            self._hedge()
-        await self._wait(until)
+            self._network.background(self._serve(shard))
+        while self._running and self._loop.time() < until:
+            hedge_at = self._hedge_due() if hedged else until
+            await self._wait(min(hedge_at, until))
 
     def close(self) -> None:
         """Stop waiting; attempts still on their way are cancelled at the servers."""
         if any(self._attempts.get(shard) for shard in self._open):
             self.may_have_run = True
-        for shard in list(self._open):
+        for shard in self._open:
             self.faults.setdefault(shard, "no reply in time")
             self._abandon(shard)
         self._open.clear()
 
+    @property
+    def _running(self) -> bool:
+        return bool(self._open) and not self.snapshot_gone and self.refusal is None
+
     async def _wait(self, until: float) -> None:
-        while self._open and not self.snapshot_gone and self.refusal is None:
+        while self._running:
             self._changed.clear()
             try:
                 async with asyncio.timeout_at(until):
@@ -169,25 +202,24 @@
             except TimeoutError:
                 return
 
-    def _spawn(self, work: Any) -> None:
-        self._network.background(work)
-
     async def _serve(self, shard: int, hedge: Ticket | None = None) -> None:
         """Try replicas of one shard until one answers or none is left."""
-        retry = False
+        following = _Next.MOVED
         if hedge is not None:
-            retry = await self._attempt(shard, hedge, hedge=True)
-        while shard in self._open and (retry or hedge is None):
+            following = await self._attempt(shard, hedge, hedge=True)
+        while shard in self._open and following is not _Next.DONE:
+            retry = following is _Next.RETRY
             ticket = await self._ticket(shard, retry)
             if ticket is None:
                 return
-            retry = await self._attempt(shard, ticket, hedge=False)
-            if not retry:
-                return
+            following = await self._attempt(shard, ticket, hedge=False)
 
     async def _ticket(self, shard: int, retry: bool) -> Ticket | None:
         """Return capacity at an untried replica, or end the shard."""
         tried = self._tried.setdefault(shard, set())
+        if retry and self._allowance.retries <= 0:
+            self._end(shard, "the request's retries are used up")
+            return None
         try:
             self._guard.check(self._fingerprint)
             ticket = await self._router.acquire(
@@ -196,72 +228,86 @@
                 tried,
                 self._request.priority,
                 self._request.deadline,
+                self._network.zone,
+                Attempt.RETRY if retry else Attempt.FIRST,
             )
         except Refusal as refusal:
-            self._fail(shard, refusal)
+            self._refused(shard, refusal)
             return None
         if shard not in self._open:
             ticket.finish(AttemptOutcome.CANCELLED, 0.0)
             return None
-        if retry and not self._spend_retry():
-            ticket.finish(AttemptOutcome.CANCELLED, 0.0)
-            self._end(shard, "retry budget is used up")
-            return None
-        tried.add(ticket.server.server)
+        if retry:
+            self._allowance.retries -= 1
+            self._network.metrics.count("query.retry")
+        tried.add(ticket.server)
         return ticket
 
-    def _spend_retry(self) -> bool:
-        if self._allowance.retries <= 0 or not self._router.may_retry():
-            self._network.metrics.count("query.retry_refused")
-            return False
-        self._allowance.retries -= 1
-        self._network.metrics.count("query.retry")
-        return True
-
-    def _hedge(self) -> None:
-        for shard in sorted(self._open):
-            if not self._attempts.get(shard):
-                continue
-            tried = self._tried[shard]
-            ticket = self._router.choose(self.view.snapshot, shard, tried)
-            if ticket is None:
+    def _hedge_due(self) -> float:
+        """Hedge the attempts that are due; return when the next one will be."""
+        now = self._loop.time()
+        following = self._request.deadline
+        for shard in sorted(self._open - self._hedged):
+            attempts = self._attempts.get(shard)
+            delay_ms = self._router.hedge_delay_ms(shard)
+            if delay_ms is None:
                 continue
-            if not self._router.may_hedge():
-                ticket.finish(AttemptOutcome.CANCELLED, 0.0)
-                return
-            tried.add(ticket.server.server)
-            self._network.metrics.count("query.hedge")
-            self._spawn(self._serve(shard, hedge=ticket))
-
-    async def _attempt(self, shard: int, ticket: Ticket, hedge: bool) -> bool:
-        """Send one sub-request; return whether another replica should be tried."""
+            # An attempt that still waits for capacity has not started its delay.
+            started = attempts[0].started if attempts else now
+            due = started + delay_ms / _MILLISECONDS
+            if due > now:
+                following = min(following, due)
+            elif attempts:
+                self._hedge(shard)
+        return following
+
+    def _hedge(self, shard: int) -> None:
+        self._hedged.add(shard)
+        tried = self._tried[shard]
+        ticket = self._router.choose(
+            self.view.snapshot, shard, tried, self._network.zone, Attempt.HEDGE
+        )
+        if ticket is None:
+            return
+        tried.add(ticket.server)
+        self._network.metrics.count("query.hedge")
+        self._network.background(self._serve(shard, hedge=ticket))
+
+    async def _attempt(self, shard: int, ticket: Ticket, hedge: bool) -> _Next:
+        """Send one sub-request and return what follows."""
         sub_request = self._sub_request(shard)
         started = self._loop.time()
-        attempt = _Attempt(ticket, sub_request, started, hedge)
+        attempt = _SubAttempt(ticket, sub_request, started, hedge)
         self._attempts.setdefault(shard, []).append(attempt)
-        # A server that announces a new incarnation while this attempt is in flight
-        # counts as crashed, so the guard must know the attempt beforehand.
-        self._guard.started(self._fingerprint, ticket.server.server)
+        self._guard.started(
+            sub_request.attempt_id,
+            self._fingerprint,
+            ticket.server,
+            ticket.incarnation,
+        )
         outcome = AttemptOutcome.CANCELLED
-        completed = False
         try:
             reply = await self._network.send(
-                ticket.server,
+                ticket,
                 sub_request,
                 self._request.deadline - started + _LATE_REPLY_GRACE_S,
             )
-            outcome = _OUTCOME_OF_STATUS[reply.status]
-            completed = reply.status not in _DID_NOT_RUN
+            outcome = OUTCOME_OF_STATUS[reply.status]
             return self._receive(shard, attempt, reply)
         except ConnectFailed:
             outcome = AttemptOutcome.CONNECTION_LOST
-            return self._retryable(shard, "no connection to a replica")
+            return self._retryable(shard, "a replica accepts no connection")
         except ReplyLost as error:
             outcome = AttemptOutcome.CONNECTION_LOST
             self.may_have_run = True
             if error.server_gone:
-                self._guard.server_crashed(ticket.server.server)
-            return self._retryable(shard, "connection to a replica broke")
+                self._guard.server_crashed(
+                    ticket.server,
+                    ticket.incarnation,
+                    self._request.service,
+                    ticket.availability_zone,
+                )
+            return self._retryable(shard, "the connection to a replica broke")
         except ReplyInvalid:
             outcome = AttemptOutcome.FAILED
             self.may_have_run = True
@@ -271,12 +317,12 @@
             outcome = AttemptOutcome.TIMEOUT
             self.may_have_run = True
             self._end(shard, "no reply in time")
-            return False
+            return _Next.DONE
         finally:
             if attempt.abandoned:
                 outcome = AttemptOutcome.CANCELLED
             ticket.finish(outcome, (self._loop.time() - started) * _MILLISECONDS)
-            self._guard.ended(self._fingerprint, ticket.server.server, completed)
+            self._guard.ended(sub_request.attempt_id, outcome)
             self._attempts[shard].remove(attempt)
 
     def _sub_request(self, shard: int) -> SubRequest:
@@ -295,62 +341,53 @@
             dependency_answers=self._dependency_answers,
         )
 
-    def _receive(self, shard: int, attempt: _Attempt, reply: SubReply) -> bool:
+    def _receive(self, shard: int, attempt: _SubAttempt, reply: SubReply) -> _Next:
         if reply.status not in _DID_NOT_RUN:
             self.may_have_run = True
         if shard not in self._open:
             self._network.metrics.count("query.late_reply")
-            return False
+            return _Next.DONE
         if reply.status in _ANSWERED:
             self.replies[shard] = reply
             if attempt.hedge:
                 self._network.metrics.count("query.hedge_won")
             self._end(shard, None)
             self._abandon(shard, except_for=attempt)
-            return False
+            return _Next.DONE
         if reply.status is ReplyStatus.SNAPSHOT_GONE:
-            return self._try_next_holder(shard)
+            return _Next.MOVED
         return self._retryable(shard, f"a replica replied {reply.status.value}")
 
-    def _try_next_holder(self, shard: int) -> bool:
-        """Return whether another replica may still hold the snapshot."""
-        if self._router.holds(self.view.snapshot, shard, self._tried[shard]):
-            self._allowance.retries += 1  # A moved replica cost no work.
-            return True
-        self._end(shard, "no replica holds the snapshot any more")
-        self.snapshot_gone = True
-        return False
-
-    def _retryable(self, shard: int, fault: str) -> bool:
+    def _retryable(self, shard: int, fault: str) -> _Next:
         if shard not in self._open:
-            return False
+            return _Next.DONE
         self.faults[shard] = fault
-        others = [a for a in self._attempts.get(shard, ()) if not a.abandoned]
-        # While a hedge of this shard is on its way it serves as the retry.
-        return len(others) <= 1
+        # While another attempt of this shard is on its way it serves as the retry.
+        return _Next.DONE if len(self._attempts[shard]) > 1 else _Next.RETRY
 
-    def _fail(self, shard: int, refusal: Refusal) -> None:
+    def _refused(self, shard: int, refusal: Refusal) -> None:
         if refusal.reason is RefusalReason.CRASHING_REQUEST:
             self.refusal = refusal
-        others = [a for a in self._attempts.get(shard, ()) if not a.abandoned]
-        if not others:
-            self._end(shard, self.faults.get(shard) or refusal.message)
+            self._changed.set()
+        if self._attempts.get(shard) or shard not in self._open:
+            return
+        if refusal.reason is RefusalReason.SNAPSHOT_UNKNOWN:
+            self.snapshot_gone = True
+        self._end(shard, self.faults.get(shard, refusal.message))
 
     def _end(self, shard: int, fault: str | None) -> None:
         self._open.discard(shard)
         if fault is not None:
             self.faults[shard] = fault
-        if not self._open or self.refusal is not None or fault is not None:
+        if not self._running:
             self._changed.set()
 
-    def _abandon(self, shard: int, except_for: _Attempt | None = None) -> None:
+    def _abandon(self, shard: int, except_for: _SubAttempt | None = None) -> None:
         for attempt in self._attempts.get(shard, ()):
             if attempt is except_for or attempt.abandoned:
                 continue
             attempt.abandoned = True
             self._network.metrics.count("query.abandoned")
-            self._spawn(
-                self._network.cancel(attempt.ticket.server, attempt.request.attempt_id)
+            self._network.background(
+                self._network.cancel(attempt.ticket, attempt.request.attempt_id)
             )
-
-
--- a/packages/query/src/kingcuplug_query/_messages.py
+++ b/packages/query/src/kingcuplug_query/_messages.py
@@ -75,6 +75,8 @@
         Idempotency key, ``<issue time in ms>-<random text>``.
     deadline : float
         Time on the event loop's clock, in seconds.
+    resend : bool
+        Whether the caller may have sent this order before.
     """
 
     request_id: str
@@ -84,6 +86,7 @@
     deadline: float
     key: str
     partition_key: str
+    resend: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/query/src/kingcuplug_query/_orders.py
@@ -0,0 +1,509 @@
+"""Execution of orders, which run at most once.
+
+Each step is recorded on a quorum before the step that it guards: the claim before
+any capacity is taken, the dispatch before the first byte, the outcome before the
+answer. After the dispatch there is no retry and no hedge.
+"""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+from typing import Any
+
+from kingcuplug_common import (
+    KingcuplugError,
+    Metrics,
+    Refusal,
+    RefusalKind,
+    RefusalReason,
+    digest,
+    identifier,
+)
+from kingcuplug_ledger import (
+    Attached,
+    Claimed,
+    KeyExpired,
+    KeyFromFuture,
+    KeyInvalid,
+    LedgerClient,
+    MustNotSend,
+    OrderRecord,
+    OutcomeKind,
+    ReleaseRefused,
+    StoredOutcome,
+    SubmissionUnknown,
+)
+from kingcuplug_routing import AttemptOutcome, CrashGuard, Ticket
+
+from kingcuplug_query._backend import ConnectFailed, ReplyLost, Send
+from kingcuplug_query._background import Background
+from kingcuplug_query._gather import OUTCOME_OF_STATUS
+from kingcuplug_query._messages import (
+    Answer,
+    OrderRequest,
+    ReplyInvalid,
+    ReplyStatus,
+    SubReply,
+    SubRequest,
+)
+from kingcuplug_query._query import RevisionView, ServiceRuntime, fingerprint_of
+from kingcuplug_query._snapshots import choose_snapshot, shard_of
+
+__all__ = ["OrderExecutor"]
+
+_MILLISECONDS = 1_000
+# The reply to an order is awaited beyond the caller's deadline, so that a resend
+# finds its outcome.
+_LATE_REPLY_S = 30.0
+_RECORD_S = 30.0
+_MILLISECONDS_PER_DAY = 86_400_000
+
+HolderLost = Callable[[str, int], bool]
+
+_UNKNOWN_REMEDY = (
+    "send the order again with the same key to get its outcome, or look it up with "
+    "`kingcuplug orders show`"
+)
+_NEW_KEY_REMEDY = "send the order again with a new idempotency key"
+_SAME_KEY_REMEDY = "send the order again with the same idempotency key"
+
+_KIND_OF_STATUS: dict[ReplyStatus, OutcomeKind] = {
+    ReplyStatus.OK: "done",
+    ReplyStatus.PARTIAL: "done",
+    ReplyStatus.SHED: "not_run",
+    ReplyStatus.NOT_RUN: "not_run",
+    ReplyStatus.SNAPSHOT_GONE: "not_run",
+    ReplyStatus.FAILED: "unknown",
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Ending:
+    """How the only attempt ended."""
+
+    kind: OutcomeKind
+    status: str
+    body: Any
+
+
+class OrderExecutor:
+    """Runs orders.
+
+    Parameters
+    ----------
+    ledger : LedgerClient
+        Access to the order ledger.
+    send : Send
+        The border to the backend servers.
+    guard : CrashGuard
+        Shared by all services of this entry host.
+    metrics : Metrics
+        Counters.
+    background : Background
+        Owner of attempts and records, which may outlive their request.
+    zone : str
+        The entry host's availability zone.
+    holder_lost : callable
+        Whether a run of an entry host, by name and incarnation, is known to have
+        ended.
+    """
+
+    def __init__(
+        self,
+        ledger: LedgerClient,
+        send: Send,
+        guard: CrashGuard,
+        metrics: Metrics,
+        background: Background,
+        zone: str,
+        holder_lost: HolderLost,
+    ) -> None:
+        self._ledger = ledger
+        self._send = send
+        self._guard = guard
+        self._metrics = metrics
+        self._background = background
+        self._zone = zone
+        self._holder_lost = holder_lost
+
+    async def run(
+        self, request: OrderRequest, revision: RevisionView, retention_days: int
+    ) -> Answer:
+        """Run the order, attach to its run, or return its recorded outcome.
+
+        Raises
+        ------
+        Refusal
+            If there is no outcome to return; its kind says whether the order can
+            have run.
+        """
+        try:
+            runtime = revision.find(request.service)
+            self._guard.check(_fingerprint(request))
+            _require_time(request)
+            retention_ms = retention_days * _MILLISECONDS_PER_DAY
+            token = await self._claim(request, revision.number, retention_ms)
+        except Refusal as refusal:
+            raise unsettled(refusal, request.resend) from refusal
+        if isinstance(token, OrderRecord):
+            return _recorded(token, request)
+        return await self._run_claimed(request, runtime, revision.number, token)
+
+    async def _claim(
+        self, request: OrderRequest, revision: int, retention_ms: int
+    ) -> str | OrderRecord:
+        """Return the token of the own claim, or the record of another's."""
+        takeover = False
+        while True:
+            try:
+                result = await self._ledger.claim(
+                    request.key,
+                    digest([request.service, request.partition_key, request.body]),
+                    request.service,
+                    revision=revision,
+                    retention_ms=retention_ms,
+                    deadline=request.deadline,
+                    takeover=takeover,
+                )
+            except KeyInvalid as error:
+                raise _not_run(
+                    RefusalReason.INVALID_REQUEST, error.message, error.remedy
+                ) from error
+            except KingcuplugError as error:
+                raise _no_quorum(error) from error
+            if isinstance(result, Claimed):
+                return result.token
+            if not isinstance(result, Attached):
+                raise _key_refused(request.key, result)
+            record = await self._attach(request)
+            if record.state in ("dispatched", "finished"):
+                return record
+            takeover = self._holder_lost(record.host, record.host_incarnation)
+            if record.state == "claimed" and not takeover:
+                raise _still_claimed(request, record)
+
+    async def _attach(self, request: OrderRequest) -> OrderRecord:
+        self._metrics.count("order.attached")
+        try:
+            record = await self._ledger.attach(
+                request.key, deadline=request.deadline, holder_lost=self._holder_lost
+            )
+        except SubmissionUnknown as error:
+            raise _unknown(error.message) from error
+        if record is None:
+            raise _unknown(f"the record of order {request.key} was purged")
+        return record
+
+    async def _run_claimed(
+        self,
+        request: OrderRequest,
+        runtime: ServiceRuntime,
+        revision: int,
+        token: str,
+    ) -> Answer:
+        try:
+            async with runtime.admission.admit(request.priority, request.deadline):
+                ticket, sub_request = await self._acquire(request, runtime)
+                try:
+                    await self._dispatch(request, token, ticket, sub_request)
+                except BaseException:
+                    ticket.finish(AttemptOutcome.CANCELLED, 0.0)
+                    raise
+                return await self._send_once(
+                    request, token, ticket, sub_request, revision
+                )
+        except Refusal as refusal:
+            if refusal.reason in _BEFORE_DISPATCH:
+                self._background.start(self._give_back(request.key, token))
+            raise
+
+    async def _acquire(
+        self, request: OrderRequest, runtime: ServiceRuntime
+    ) -> tuple[Ticket, SubRequest]:
+        view = choose_snapshot(runtime.router.snapshots(), request.partition_key)
+        if view is None:
+            raise _not_run(
+                RefusalReason.SNAPSHOT_UNKNOWN,
+                f"no backend server of {request.service!r} has announced a snapshot",
+                _SAME_KEY_REMEDY,
+                retry_after_ms=_MILLISECONDS,
+            )
+        shard = shard_of(request.partition_key, view.shard_count)
+        ticket = await runtime.router.acquire(
+            view.snapshot,
+            shard,
+            frozenset(),
+            request.priority,
+            request.deadline,
+            self._zone,
+        )
+        remaining_s = request.deadline - asyncio.get_running_loop().time()
+        return ticket, SubRequest(
+            request_id=request.request_id,
+            attempt_id=identifier(),
+            service=request.service,
+            kind="order",
+            snapshot=view.snapshot,
+            shard=shard,
+            shard_count=view.shard_count,
+            deadline_ms=max(int(remaining_s * _MILLISECONDS), 0),
+            priority=request.priority.value,
+            body=request.body,
+            idempotency_key=request.key,
+        )
+
+    async def _dispatch(
+        self, request: OrderRequest, token: str, ticket: Ticket, sub_request: SubRequest
+    ) -> None:
+        try:
+            await self._ledger.dispatch(
+                request.key,
+                token,
+                ticket.server,
+                sub_request.attempt_id,
+                deadline=request.deadline,
+            )
+        except MustNotSend as error:
+            # Nobody but this task could send under this token, and it does not.
+            raise _not_run(
+                RefusalReason.NO_QUORUM, error.message, _SAME_KEY_REMEDY
+            ) from error
+        except KingcuplugError as error:
+            raise _no_quorum(error) from error
+
+    async def _give_back(self, key: str, token: str) -> None:
+        """Spend the token of an order that was not sent."""
+        deadline = asyncio.get_running_loop().time() + _RECORD_S
+        try:
+            result = await self._ledger.release(key, token, deadline=deadline)
+            if (
+                isinstance(result, ReleaseRefused)
+                and result.reason == "already_dispatched"
+            ):
+                await self._ledger.outcome(
+                    key, token, "not_run", "not_sent", None, deadline=deadline
+                )
+        except KingcuplugError:
+            self._metrics.count("order.release_failed")
+
+    async def _send_once(
+        self,
+        request: OrderRequest,
+        token: str,
+        ticket: Ticket,
+        sub_request: SubRequest,
+        revision: int,
+    ) -> Answer:
+        ended: asyncio.Future[_Ending] = asyncio.get_running_loop().create_future()
+        # A caller that leaves must not cancel an order that was dispatched.
+        self._background.start(
+            self._attempt(request, token, ticket, sub_request, ended)
+        )
+        try:
+            async with asyncio.timeout_at(request.deadline):
+                ending = await asyncio.shield(ended)
+        except TimeoutError:
+            raise _unknown("the outcome was not known before the deadline") from None
+        return _answer(ending, request, revision)
+
+    async def _attempt(
+        self,
+        request: OrderRequest,
+        token: str,
+        ticket: Ticket,
+        sub_request: SubRequest,
+        ended: "asyncio.Future[_Ending]",
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        self._guard.started(
+            sub_request.attempt_id,
+            _fingerprint(request),
+            ticket.server,
+            ticket.incarnation,
+        )
+        outcome = AttemptOutcome.CANCELLED
+        try:
+            timeout_s = request.deadline - started + _LATE_REPLY_S
+            outcome, ending = await self._exchange(ticket, sub_request, timeout_s)
+        finally:
+            ticket.finish(outcome, (loop.time() - started) * _MILLISECONDS)
+            self._guard.ended(sub_request.attempt_id, outcome)
+        await self._record(request.key, token, ending)
+        if not ended.done():
+            ended.set_result(ending)
+
+    async def _exchange(
+        self, ticket: Ticket, sub_request: SubRequest, timeout_s: float
+    ) -> tuple[AttemptOutcome, _Ending]:
+        try:
+            reply = await self._send(ticket, sub_request, timeout_s)
+        except ConnectFailed as error:
+            ending = _Ending("not_run", "connect_failed", error.message)
+            return AttemptOutcome.CONNECTION_LOST, ending
+        except ReplyLost as error:
+            if error.server_gone:
+                self._guard.server_crashed(
+                    ticket.server,
+                    ticket.incarnation,
+                    sub_request.service,
+                    ticket.availability_zone,
+                )
+            ending = _Ending("unknown", "reply_lost", error.message)
+            return AttemptOutcome.CONNECTION_LOST, ending
+        except ReplyInvalid as error:
+            ending = _Ending("unknown", "reply_invalid", error.message)
+            return AttemptOutcome.FAILED, ending
+        except TimeoutError:
+            ending = _Ending("unknown", "no_reply", "the backend server did not reply")
+            return AttemptOutcome.TIMEOUT, ending
+        return OUTCOME_OF_STATUS[reply.status], _ending(reply, sub_request)
+
+    async def _record(self, key: str, token: str, ending: _Ending) -> None:
+        deadline = asyncio.get_running_loop().time() + _RECORD_S
+        try:
+            await self._ledger.outcome(
+                key, token, ending.kind, ending.status, ending.body, deadline=deadline
+            )
+        except KingcuplugError:
+            # The answer is still true; a resend will get `outcome_unknown`.
+            self._metrics.count("order.outcome_not_recorded")
+
+
+_BEFORE_DISPATCH = frozenset(RefusalReason) - {
+    RefusalReason.ORDER_NOT_RUN,
+    RefusalReason.ORDER_UNKNOWN,
+}
+
+
+def unsettled(refusal: Refusal, resend: bool) -> Refusal:
+    """Return the refusal of an order whose ledger record is not known.
+
+    An earlier copy of a resent order may have run, so ``not_run`` would be a claim
+    that nobody here can make.
+    """
+    if not resend or refusal.kind is RefusalKind.OUTCOME_UNKNOWN:
+        return refusal
+    return Refusal(
+        RefusalKind.OUTCOME_UNKNOWN,
+        refusal.reason,
+        f"this copy was not run, an earlier one may have been: {refusal.message}",
+        _UNKNOWN_REMEDY,
+        refusal.retry_after_ms,
+    )
+
+
+def _fingerprint(request: OrderRequest) -> str:
+    return fingerprint_of(request.service, "order", request.body)
+
+
+def _require_time(request: OrderRequest) -> None:
+    if request.deadline <= asyncio.get_running_loop().time():
+        raise _not_run(
+            RefusalReason.DEADLINE_EXCEEDED,
+            "the deadline passed before the order was claimed",
+            "send the order again with the same key and a longer deadline_ms",
+        )
+
+
+def _ending(reply: SubReply, sub_request: SubRequest) -> _Ending:
+    body = {
+        "value": reply.value,
+        "coverage": reply.coverage,
+        "snapshot": sub_request.snapshot,
+        "shard": sub_request.shard,
+        "shard_count": sub_request.shard_count,
+    }
+    return _Ending(_KIND_OF_STATUS[reply.status], reply.status.value, body)
+
+
+def _recorded(record: OrderRecord, request: OrderRequest) -> Answer:
+    outcome = record.outcome
+    if outcome is None:
+        raise _unknown(
+            f"order {record.key} was dispatched to {record.server} by {record.host} "
+            "and has no recorded outcome"
+        )
+    return _answer(_stored(outcome), request, record.revision)
+
+
+def _stored(outcome: StoredOutcome) -> _Ending:
+    if outcome.kind == "done" and outcome.body is None:
+        note = {"value_digest": outcome.body_digest}
+        return _Ending("done", outcome.status, {"value": note})
+    return _Ending(outcome.kind, outcome.status, outcome.body)
+
+
+def _answer(ending: _Ending, request: OrderRequest, revision: int) -> Answer:
+    if ending.kind == "unknown":
+        raise _unknown(f"the attempt ended with {ending.status}")
+    if ending.kind == "not_run":
+        raise _not_run(
+            RefusalReason.ORDER_NOT_RUN,
+            f"order {request.key} ended without a run: {ending.status}",
+            _NEW_KEY_REMEDY,
+        )
+    body = ending.body
+    shard = body.get("shard", 0)
+    coverage = body.get("coverage", 1.0)
+    return Answer(
+        value=body["value"],
+        snapshot=body.get("snapshot", 0),
+        shard_count=body.get("shard_count", 0),
+        coverage=coverage,
+        revision=revision,
+        partial_shards={} if coverage == 1 else {shard: coverage},
+    )
+
+
+def _not_run(
+    reason: RefusalReason,
+    message: str,
+    remedy: str,
+    retry_after_ms: int | None = None,
+) -> Refusal:
+    return Refusal(RefusalKind.NOT_RUN, reason, message, remedy, retry_after_ms)
+
+
+def _unknown(message: str) -> Refusal:
+    return Refusal(
+        RefusalKind.OUTCOME_UNKNOWN,
+        RefusalReason.ORDER_UNKNOWN,
+        message,
+        _UNKNOWN_REMEDY,
+    )
+
+
+def _no_quorum(error: KingcuplugError) -> Refusal:
+    return _not_run(
+        RefusalReason.NO_QUORUM,
+        f"the order ledger cannot be written: {error.message}",
+        _SAME_KEY_REMEDY,
+        retry_after_ms=_MILLISECONDS,
+    )
+
+
+def _still_claimed(request: OrderRequest, record: OrderRecord) -> Refusal:
+    return _unknown(f"order {request.key} is being run by {record.host}")
+
+
+def _key_refused(key: str, result: Any) -> Refusal:
+    if isinstance(result, KeyExpired):
+        # The record may be purged, so whether an earlier copy ran is not known.
+        return Refusal(
+            RefusalKind.OUTCOME_UNKNOWN,
+            RefusalReason.KEY_EXPIRED,
+            f"key {key} is older than the retention, so this copy was not run",
+            "check whether the order was run before; else use a new key",
+        )
+    if isinstance(result, KeyFromFuture):
+        return _not_run(
+            RefusalReason.KEY_FROM_FUTURE,
+            f"the issue time of key {key} is {result.ahead_ms} ms ahead",
+            "correct the caller's clock and use a new key",
+        )
+    return _not_run(
+        RefusalReason.KEY_REUSED,
+        f"key {key} belongs to an order with another body or service",
+        _NEW_KEY_REMEDY,
+    )
--- a/packages/query/src/kingcuplug_query/_query.py
+++ b/packages/query/src/kingcuplug_query/_query.py
@@ -89,6 +89,8 @@
         Counters.
     background : Background
         Owner of the attempts, which may outlive their query.
+    zone : str
+        The entry host's availability zone.
     """
 
     def __init__(
@@ -98,10 +100,11 @@
         guard: CrashGuard,
         metrics: Metrics,
         background: Background,
+        zone: str,
     ) -> None:
         self._guard = guard
         self._metrics = metrics
-        self._network = Network(send, cancel, metrics, background.start)
+        self._network = Network(zone, send, cancel, metrics, background.start)
 
     async def run(self, request: QueryRequest, revision: RevisionView) -> Answer:
         """Return the answer to `request`, whole or marked as partial.
@@ -123,7 +126,13 @@
         dependency_answers = await self._call_dependencies(
             request, runtime, revision, allowance
         )
-        async with runtime.admission.admit(request.priority, request.deadline):
+        view = choose_snapshot(runtime.router.snapshots(), request.partition_key)
+        if view is None:
+            raise _snapshot_unknown(request.service)
+        sub_requests = len(wanted_shards(view, request.partition_key))
+        async with runtime.admission.admit(
+            request.priority, request.deadline, sub_requests
+        ):
             return await self._execute(
                 request, runtime, revision, fingerprint, allowance, dependency_answers
             )
@@ -237,25 +246,25 @@
     ) -> None:
         wanted = wanted_shards(gather.view, request.partition_key)
         rest = list(wanted)
-        if runtime.service.policy.canary == "always" and not self._guard.is_known_good(
-            fingerprint
-        ):
+        if runtime.service.policy.canary == "always":
             # A request that crashes servers then meets one server at a time.
-            served = [s for s in wanted if s in gather.view.served_shards]
-            first = served[0] if served else wanted[0]
-            rest.remove(first)
-            await gather.run([first], request.deadline, hedged=False)
-            if gather.refusal is not None or gather.snapshot_gone:
-                return
-        patience = self._patience(request, runtime)
-        await gather.run(rest, patience)
+            async with self._guard.canary(fingerprint) as alone:
+                if alone:
+                    first = _first_served(gather.view, wanted)
+                    rest.remove(first)
+                    await gather.run([first], request.deadline, hedged=False)
+        if gather.refusal is not None or gather.snapshot_gone:
+            return
+        await gather.run(rest, self._patience(request, runtime, wanted[0]))
         if self._coverage(wanted, gather.replies) < request.minimum_coverage:
             await gather.run((), request.deadline)
 
-    def _patience(self, request: QueryRequest, runtime: ServiceRuntime) -> float:
+    def _patience(
+        self, request: QueryRequest, runtime: ServiceRuntime, shard: int
+    ) -> float:
         """Return until when stragglers are waited for once enough is there."""
         weight = runtime.service.policy.coverage_weight
-        hedge_delay_ms = runtime.router.hedge_delay_ms()
+        hedge_delay_ms = runtime.router.hedge_delay_ms(shard)
         if hedge_delay_ms is None or weight >= 1:
             return request.deadline
         now = asyncio.get_running_loop().time()
@@ -297,6 +306,10 @@
         return sum(reply.coverage for reply in replies.values()) / len(wanted)
 
 
+def _first_served(view: SnapshotView, wanted: tuple[int, ...]) -> int:
+    return next((shard for shard in wanted if shard in view.served_shards), wanted[0])
+
+
 async def _all_or_first_refusal(calls: Mapping[str, Any]) -> dict[str, Any]:
     tasks = {name: asyncio.ensure_future(call) for name, call in calls.items()}
     try:
