Add the order ledger and its client

Cause: an order must run at most once although hosts crash, answers are lost and commands arrive twice or late. Change: claim, dispatch, outcome and release with tokens; monotone ledger time; bounded purge; look-up for operators; a client that resends one command until an answer arrives and forbids sending after an unknown dispatch.

--- a/packages/ledger/src/kingcuplug_ledger/__init__.py
+++ b/packages/ledger/src/kingcuplug_ledger/__init__.py
@@ -1,3 +1,96 @@
 """The order ledger: claims, dispatches, outcomes and retention."""
 
-__all__: list[str] = []
+from kingcuplug_ledger._client import (
+    CommandRefused,
+    LedgerClient,
+    MustNotSend,
+    SubmissionUnknown,
+    Submit,
+)
+from kingcuplug_ledger._codec import MessageInvalid
+from kingcuplug_ledger._commands import (
+    Claim,
+    Command,
+    Dispatch,
+    Lookup,
+    Outcome,
+    OutcomeKind,
+    Release,
+    command_from_json,
+    command_to_json,
+    stamp,
+)
+from kingcuplug_ledger._keys import IdempotencyKey, KeyInvalid, parse_key
+from kingcuplug_ledger._ledger import DumpInvalid, OrderLedger
+from kingcuplug_ledger._records import (
+    OrderRecord,
+    OrderState,
+    PastClaim,
+    StoredOutcome,
+)
+from kingcuplug_ledger._refusals import refusal
+from kingcuplug_ledger._results import (
+    Attached,
+    Claimed,
+    Dispatched,
+    DispatchRefused,
+    Found,
+    KeyExpired,
+    KeyFromFuture,
+    KeyReused,
+    Malformed,
+    OutcomeRefused,
+    Recorded,
+    RefusedReason,
+    Released,
+    ReleaseRefused,
+    Result,
+    result_from_json,
+    result_to_json,
+)
+
+__all__ = [
+    "Attached",
+    "Claim",
+    "Claimed",
+    "Command",
+    "CommandRefused",
+    "Dispatch",
+    "DispatchRefused",
+    "Dispatched",
+    "DumpInvalid",
+    "Found",
+    "IdempotencyKey",
+    "KeyExpired",
+    "KeyFromFuture",
+    "KeyInvalid",
+    "KeyReused",
+    "LedgerClient",
+    "Lookup",
+    "Malformed",
+    "MessageInvalid",
+    "MustNotSend",
+    "OrderLedger",
+    "OrderRecord",
+    "OrderState",
+    "Outcome",
+    "OutcomeKind",
+    "OutcomeRefused",
+    "PastClaim",
+    "Recorded",
+    "RefusedReason",
+    "Release",
+    "ReleaseRefused",
+    "Released",
+    "Result",
+    "StoredOutcome",
+    "SubmissionUnknown",
+    "Submit",
+    "command_from_json",
+    "command_to_json",
+    "parse_key",
+    "refusal",
+    "result_from_json",
+    "result_to_json",
+    "stamp",
+]
--- /dev/null
+++ b/packages/ledger/src/kingcuplug_ledger/_client.py
@@ -0,0 +1,304 @@
+"""Sends commands to the ledger over a connection that may lose answers.
+
+Resending the same command is safe, because the ledger recognises it by its token.
+A submission whose outcome is unknown stays unknown until an answer arrives: a
+later refusal by another host says nothing about the earlier copy.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from kingcuplug_common import KingcuplugError, canonical, digest, identifier
+
+from kingcuplug_ledger._commands import (
+    Claim,
+    Command,
+    Dispatch,
+    Lookup,
+    Outcome,
+    OutcomeKind,
+    Release,
+    command_to_json,
+)
+from kingcuplug_ledger._keys import parse_key
+from kingcuplug_ledger._records import OrderRecord
+from kingcuplug_ledger._results import (
+    Attached,
+    Claimed,
+    Dispatched,
+    DispatchRefused,
+    Found,
+    KeyExpired,
+    KeyFromFuture,
+    KeyReused,
+    Malformed,
+    OutcomeRefused,
+    Recorded,
+    Released,
+    ReleaseRefused,
+    Result,
+    result_from_json,
+)
+
+__all__ = [
+    "CommandRefused",
+    "LedgerClient",
+    "MustNotSend",
+    "SubmissionUnknown",
+    "Submit",
+]
+
+Submit = Callable[[dict[str, Any]], Awaitable[dict[str, Any]]]
+HolderLost = Callable[[str, int], bool]
+
+# A body of up to this size is kept for callers that attach to the order. All
+# records together must fit into the memory of a control host (256 MB).
+BODY_LIMIT_BYTES = 65_536
+# The first resend follows one election (300 to 600 ms) at the latest after four
+# attempts; the longest pause bounds the load of many waiting hosts.
+_FIRST_PAUSE_S = 0.02
+_LONGEST_PAUSE_S = 0.5
+
+
+class SubmissionUnknown(KingcuplugError):
+    """The command may have been applied, now or later, or not."""
+
+
+class MustNotSend(KingcuplugError):
+    """The order must not be sent to a backend server.
+
+    Attributes
+    ----------
+    refused : DispatchRefused or None
+        The ledger's refusal; None if it is unknown whether the dispatch was
+        recorded. Then the order may count as dispatched, though nobody sends it.
+    """
+
+    def __init__(
+        self, message: str, remedy: str, refused: DispatchRefused | None
+    ) -> None:
+        super().__init__(message, remedy)
+        self.refused = refused
+
+
+class CommandRefused(KingcuplugError):
+    """The ledger did not understand the command, or the answer is not one."""
+
+
+class LedgerClient:
+    """One host's access to the ledger.
+
+    Parameters
+    ----------
+    submit : callable
+        Sends the JSON of a command and returns the JSON of its result. It raises
+        TimeoutError if the command may have been applied or may yet be, and a
+        KingcuplugError if it certainly was not and will not be.
+    host, host_incarnation
+        Holder of the claims made here.
+    wall_ms : callable
+        Wall clock in milliseconds since the epoch.
+    """
+
+    def __init__(
+        self,
+        submit: Submit,
+        host: str,
+        host_incarnation: int,
+        wall_ms: Callable[[], int],
+    ) -> None:
+        self._submit = submit
+        self._host = host
+        self._host_incarnation = host_incarnation
+        self._wall_ms = wall_ms
+
+    async def claim(
+        self,
+        key: str,
+        digest: str,
+        service: str,
+        *,
+        revision: int,
+        retention_ms: int,
+        deadline: float,
+        takeover: bool = False,
+        token: str | None = None,
+    ) -> Claimed | Attached | KeyReused | KeyExpired | KeyFromFuture:
+        """Claim a key.
+
+        `deadline` is a time of the running loop's clock, in seconds. A caller
+        that gives its own `token` can release a claim whose fate is unknown.
+
+        Raises
+        ------
+        KeyInvalid
+            If `key` is not an idempotency key.
+        SubmissionUnknown
+            If no answer came before the deadline.
+        """
+        parse_key(key)
+        command = Claim(
+            key,
+            digest,
+            service,
+            self._host,
+            self._host_incarnation,
+            token or identifier(),
+            self._wall_ms(),
+            revision,
+            retention_ms,
+            takeover,
+        )
+        result = await self._send(command, deadline)
+        if isinstance(
+            result, Claimed | Attached | KeyReused | KeyExpired | KeyFromFuture
+        ):
+            return result
+        raise _unexpected(result)
+
+    async def dispatch(
+        self, key: str, token: str, server: str, attempt_id: str, *, deadline: float
+    ) -> Dispatched:
+        """Record that the order is about to be sent; only a return allows that.
+
+        `attempt_id` is new for every call. After `MustNotSend` without a refusal,
+        `release` settles whether the dispatch was recorded.
+
+        Raises
+        ------
+        MustNotSend
+            In every other case: the ledger refused, or its answer is unknown.
+        """
+        command = Dispatch(key, token, server, attempt_id, self._wall_ms())
+        try:
+            result = await self._send(command, deadline)
+        except SubmissionUnknown as error:
+            raise MustNotSend(
+                f"it is unknown whether the dispatch of {key} was recorded",
+                "do not send; release the claim to find out",
+                None,
+            ) from error
+        if isinstance(result, DispatchRefused):
+            raise MustNotSend(
+                f"the dispatch of {key} was refused: {result.reason}",
+                "attach to the order",
+                result,
+            )
+        if isinstance(result, Dispatched):
+            return result
+        raise _unexpected(result)
+
+    async def outcome(
+        self,
+        key: str,
+        token: str,
+        kind: OutcomeKind,
+        status: str,
+        body: Any,
+        *,
+        deadline: float,
+    ) -> Recorded | OutcomeRefused:
+        """Record how the order ended; a body over 64 KiB is kept as digest only.
+
+        Raises
+        ------
+        SubmissionUnknown
+            If no answer came before the deadline.
+        """
+        body_digest = ""
+        if len(canonical(body)) > BODY_LIMIT_BYTES:
+            body_digest, body = digest(body), None
+        command = Outcome(key, token, kind, status, body, self._wall_ms(), body_digest)
+        result = await self._send(command, deadline)
+        if isinstance(result, Recorded | OutcomeRefused):
+            return result
+        raise _unexpected(result)
+
+    async def release(
+        self, key: str, token: str, *, deadline: float
+    ) -> Released | ReleaseRefused:
+        """Give a claim back.
+
+        `Released` is certain: nothing was or will be dispatched with `token`.
+
+        Raises
+        ------
+        SubmissionUnknown
+            If no answer came before the deadline.
+        """
+        command = Release(key, token, self._wall_ms())
+        result = await self._send(command, deadline)
+        if isinstance(result, Released | ReleaseRefused):
+            return result
+        raise _unexpected(result)
+
+    async def lookup(self, key: str, *, deadline: float) -> OrderRecord | None:
+        """Return what is known of an order; raise `SubmissionUnknown` if late."""
+        result = await self._send(Lookup(key), deadline)
+        if isinstance(result, Found):
+            return result.record
+        raise _unexpected(result)
+
+    async def attach(
+        self,
+        key: str,
+        *,
+        deadline: float,
+        holder_lost: HolderLost = lambda host, incarnation: False,
+    ) -> OrderRecord | None:
+        """Wait for the outcome of another holder's order.
+
+        Returns the record when it is finished or released, when its holder is
+        lost, or as last seen at the deadline; None if there is no record.
+
+        Raises
+        ------
+        SubmissionUnknown
+            If the record could not be read once before the deadline.
+        """
+        loop = asyncio.get_running_loop()
+        pause_s = _FIRST_PAUSE_S
+        record = await self.lookup(key, deadline=deadline)
+        while record is not None and record.state in ("claimed", "dispatched"):
+            if holder_lost(record.host, record.host_incarnation):
+                break
+            if loop.time() + pause_s >= deadline:
+                break
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, _LONGEST_PAUSE_S)
+            try:
+                record = await self.lookup(key, deadline=deadline)
+            except SubmissionUnknown:
+                break
+        return record
+
+    async def _send(self, command: Command, deadline: float) -> Result:
+        """Submit until an answer arrives; the command stays the same."""
+        message = command_to_json(command)
+        loop = asyncio.get_running_loop()
+        pause_s = _FIRST_PAUSE_S
+        unknown = False
+        while True:
+            try:
+                async with asyncio.timeout_at(deadline):
+                    return result_from_json(await self._submit(message))
+            except TimeoutError:
+                unknown = True
+            except KingcuplugError:
+                if not unknown:
+                    raise
+            if loop.time() + pause_s >= deadline:
+                raise SubmissionUnknown(
+                    f"the ledger did not answer {message['type']} of {command.key}",
+                    "send the same key again, or look it up",
+                )
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, _LONGEST_PAUSE_S)
+
+
+def _unexpected(result: Result) -> CommandRefused:
+    if isinstance(result, Malformed):
+        return CommandRefused(result.message, result.remedy)
+    name = type(result).__name__
+    return CommandRefused(f"unexpected answer {name}", "run one version on all hosts")
--- /dev/null
+++ b/packages/ledger/src/kingcuplug_ledger/_commands.py
@@ -0,0 +1,138 @@
+"""Commands of the ledger. They travel through the replicated log as JSON.
+
+Every command carries `time_ms`. The leader replaces it by its own wall clock
+(see `stamp`) before it writes the entry, so that one entry host with a wrong clock
+cannot move the ledger's time.
+"""
+
+import dataclasses
+from collections.abc import Mapping
+from typing import Any, Literal
+
+from kingcuplug_ledger._codec import Codec
+
+__all__ = [
+    "Claim",
+    "Command",
+    "Dispatch",
+    "Lookup",
+    "Outcome",
+    "OutcomeKind",
+    "Release",
+    "command_from_json",
+    "command_to_json",
+    "stamp",
+]
+
+OutcomeKind = Literal["done", "not_run", "unknown"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claim:
+    """Reserve a key for one host before the order is dispatched.
+
+    Attributes
+    ----------
+    digest : str
+        Digest of the request; another body under the same key is refused.
+    token : str
+        Names this claim; new for every claim, the same in its resends.
+    retention_ms : int
+        How long after its issue time the key may run.
+    revision : int
+        Configuration revision under which the order runs.
+    takeover : bool
+        Whether the host knows that the holder of the present claim is lost.
+    """
+
+    key: str
+    digest: str
+    service: str
+    host: str
+    host_incarnation: int
+    token: str
+    time_ms: int
+    revision: int
+    retention_ms: int
+    takeover: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dispatch:
+    """State that the holder of `token` is about to send the order to `server`."""
+
+    key: str
+    token: str
+    server: str
+    attempt_id: str
+    time_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """State how a dispatched order ended.
+
+    Attributes
+    ----------
+    kind : str
+        ``done``, ``not_run`` (the backend server said that it did not run the
+        order) or ``unknown``.
+    status : str
+        Status of the backend server's reply.
+    body : Any
+        JSON value of the reply, or None if it is too large to be kept.
+    body_digest : str
+        Digest of a body that is not kept, else empty.
+    """
+
+    key: str
+    token: str
+    kind: OutcomeKind
+    status: str
+    body: Any
+    time_ms: int
+    body_digest: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Release:
+    """Give a claim back that was not dispatched; its token is spent then."""
+
+    key: str
+    token: str
+    time_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lookup:
+    """Read one record; changes nothing, so it needs no entry in the log."""
+
+    key: str
+
+
+Command = Claim | Dispatch | Outcome | Release | Lookup
+
+_codec: Codec[Command] = Codec(
+    {
+        "claim": Claim,
+        "dispatch": Dispatch,
+        "outcome": Outcome,
+        "release": Release,
+        "lookup": Lookup,
+    }
+)
+
+
+def command_to_json(command: Command) -> dict[str, Any]:
+    """Return a command as a JSON object."""
+    return _codec.encode(command)
+
+
+def command_from_json(value: Mapping[str, Any]) -> Command:
+    """Read a command; raise `MessageInvalid` if it is malformed."""
+    return _codec.decode(value)
+
+
+def stamp(command: Mapping[str, Any], wall_ms: int) -> dict[str, Any]:
+    """Return the JSON of a command with the leader's wall clock as its time."""
+    return {**command, "time_ms": wall_ms}
--- /dev/null
+++ b/packages/ledger/src/kingcuplug_ledger/_refusals.py
@@ -0,0 +1,76 @@
+"""Refusals to callers that follow from the ledger's results.
+
+``not_run`` is said only where the ledger shows that the order has not run and, by
+this request, will not.
+"""
+
+from kingcuplug_common import Refusal, RefusalKind, RefusalReason
+
+from kingcuplug_ledger._records import OrderRecord
+from kingcuplug_ledger._results import (
+    Attached,
+    KeyExpired,
+    KeyFromFuture,
+    KeyReused,
+)
+
+__all__ = ["refusal"]
+
+
+def refusal(
+    result: Attached | OrderRecord | KeyReused | KeyExpired | KeyFromFuture,
+) -> Refusal:
+    """Return the refusal for a caller whose order got no ``done`` outcome.
+
+    Raises
+    ------
+    ValueError
+        If the order is done: its caller gets the answer.
+    """
+    match result:
+        case KeyReused():
+            return Refusal(
+                RefusalKind.NOT_RUN,
+                RefusalReason.KEY_REUSED,
+                "the idempotency key belongs to another order",
+                "use a new key for each order",
+            )
+        case KeyFromFuture():
+            return Refusal(
+                RefusalKind.NOT_RUN,
+                RefusalReason.KEY_FROM_FUTURE,
+                f"the key's issue time is {result.ahead_ms} ms too far ahead",
+                "correct the caller's clock and issue a new key",
+                retry_after_ms=result.ahead_ms,
+            )
+        case KeyExpired():
+            # A purged order may have run under this key.
+            return Refusal(
+                RefusalKind.OUTCOME_UNKNOWN,
+                RefusalReason.KEY_EXPIRED,
+                "the key is older than the retention of orders",
+                "look for the receipt of the order before issuing a new key",
+            )
+        case Attached() | OrderRecord():
+            return _unfinished(result)
+
+
+def _unfinished(result: Attached | OrderRecord) -> Refusal:
+    outcome = result.outcome
+    if outcome and outcome.kind == "done":
+        raise ValueError(f"order finished as done: {result!r:.100}")
+    if result.state == "released" or (outcome and outcome.kind == "not_run"):
+        return Refusal(
+            RefusalKind.NOT_RUN,
+            RefusalReason.ORDER_NOT_RUN,
+            "the order has not run",
+            "issue a new key and send the order again"
+            if outcome
+            else "send the order again with the same key",
+        )
+    return Refusal(
+        RefusalKind.OUTCOME_UNKNOWN,
+        RefusalReason.ORDER_UNKNOWN,
+        f"the order is {result.state} and its outcome is not known",
+        "send the same key again later; do not issue a new one",
+    )
--- /dev/null
+++ b/tests/ledger/test_keys.py
@@ -0,0 +1,38 @@
+"""Keys decide whether an old order may run, so their form is strict."""
+
+import pytest
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+from kingcuplug_ledger import KeyInvalid, parse_key
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.text(max_size=40) | st.from_regex(r"\d+-\w+"))
+@example("1-abcdefgh\n")
+@example("01-abcdefgh")
+@example("٣-abcdefgh")
+@example("9" * 5_000 + "-abcdefgh")
+def test_accepts_one_spelling_only(key: str) -> None:
+    # Guards against two spellings of one key, and against untyped errors.
+    try:
+        parsed = parse_key(key)
+    except KeyInvalid as error:
+        assert "<issue time in ms>" in error.remedy
+    else:
+        assert str(parsed) == key
+
+
+@pytest.mark.parametrize(
+    "key", ["", "-", "1", "-abcdefgh", "1-short", "1.5-abcdefgh", "+1-abcdefgh", None]
+)
+def test_refuses(key: str) -> None:
+    # Guards against keys without an issue time or with guessable text.
+    with pytest.raises(KeyInvalid):
+        parse_key(key)
+
+
+def test_parts() -> None:
+    # Guards against a wrong split where the random text has hyphens.
+    parsed = parse_key("1700000000000-ab-cd-ef-1")
+    assert parsed.issue_ms == 1_700_000_000_000
+    assert parsed.random_text == "ab-cd-ef-1"
--- /dev/null
+++ b/tests/ledger/test_ledger.py
@@ -0,0 +1,263 @@
+"""Rules of the order ledger, one by one."""
+
+import dataclasses
+import json
+from typing import Any
+
+import pytest
+from kingcuplug_ledger import (
+    Attached,
+    Claim,
+    Claimed,
+    Dispatch,
+    Dispatched,
+    DispatchRefused,
+    DumpInvalid,
+    KeyExpired,
+    KeyFromFuture,
+    KeyReused,
+    Lookup,
+    Malformed,
+    OrderLedger,
+    Outcome,
+    OutcomeRefused,
+    Recorded,
+    Release,
+    Released,
+    ReleaseRefused,
+    command_to_json,
+    result_from_json,
+    result_to_json,
+    stamp,
+)
+
+DAY_MS = 86_400_000
+NOW_MS = 100 * DAY_MS
+SKEW_MS = 300_000
+KEY = f"{NOW_MS}-abcdefgh"
+
+
+def claim(token: str = "t1", **fields: Any) -> Claim:
+    base = Claim(KEY, "d", "laudos", "entry-1", 1, token, NOW_MS, 7, 10 * DAY_MS)
+    return dataclasses.replace(base, **fields)
+
+
+def dispatch(token: str = "t1", time_ms: int = NOW_MS, attempt: str = "a1") -> Dispatch:
+    return Dispatch(KEY, token, "server-1", attempt, time_ms)
+
+
+def outcome(kind: Any = "done", token: str = "t1", time_ms: int = NOW_MS) -> Outcome:
+    return Outcome(KEY, token, kind, "ok", {"laudo": 1}, time_ms)
+
+
+def release(token: str = "t1", time_ms: int = NOW_MS) -> Release:
+    return Release(KEY, token, time_ms)
+
+
+@pytest.fixture
+def ledger() -> OrderLedger:
+    return OrderLedger()
+
+
+def test_one_order(ledger: OrderLedger) -> None:
+    # Guards against an order that an operator cannot trace weeks later.
+    for command, result in (
+        (claim(), Claimed("t1")),
+        (dispatch(), Dispatched("a1")),
+        (outcome(), Recorded()),
+    ):
+        assert ledger.apply(command_to_json(command)) == result
+    record = ledger.lookup(KEY)
+    assert record is not None
+    assert (record.host, record.host_incarnation, record.server) == (
+        "entry-1",
+        1,
+        "server-1",
+    )
+    story = ledger.explain(KEY)
+    for part in ("entry-1 (incarnation 1)", "revision 7", "server-1", "done", "1970-"):
+        assert part in story
+
+
+def test_every_command_repeats(ledger: OrderLedger) -> None:
+    # Guards against a resend after a lost answer that gets another answer.
+    for command in (claim(), dispatch(), outcome()):
+        assert ledger.apply(command) == ledger.apply(command)
+
+
+def test_takeover_refuses_the_old_holder(ledger: OrderLedger) -> None:
+    # Guards against two hosts that both dispatch one order.
+    ledger.apply(claim())
+    assert ledger.apply(claim("t2", host="entry-2")) == Attached(
+        "claimed", None, "entry-1", 1
+    )
+    assert ledger.apply(claim("t2", host="entry-2", takeover=True)) == Claimed("t2")
+    assert ledger.apply(dispatch("t1")) == DispatchRefused("superseded")
+    assert ledger.apply(dispatch("t2")) == Dispatched("a1")
+    assert ledger.apply(claim("t3", takeover=True)) == Attached(
+        "dispatched", None, "entry-2", 1
+    )
+
+
+def test_dispatch_is_for_one_attempt(ledger: OrderLedger) -> None:
+    # Guards against a second attempt of the same holder.
+    ledger.apply(claim())
+    ledger.apply(dispatch(attempt="a1"))
+    refused = DispatchRefused("already_dispatched")
+    assert ledger.apply(dispatch(attempt="a2")) == refused
+    ledger.apply(outcome())
+    assert ledger.apply(dispatch(attempt="a1")) == refused
+
+
+def test_delayed_claim_after_release(ledger: OrderLedger) -> None:
+    # Guards against a claim that nobody will use and that a live host holds.
+    ledger.apply(claim())
+    assert ledger.apply(release()) == Released()
+    assert ledger.apply(release()) == Released()
+    assert ledger.apply(claim()) == Attached("released", None, "entry-1", 1)
+    assert ledger.apply(dispatch()) == DispatchRefused("superseded")
+    assert ledger.apply(claim("t2")) == Claimed("t2")
+
+
+def test_release_before_its_claim(ledger: OrderLedger) -> None:
+    # Guards against a delayed claim that arrives after its own release.
+    assert ledger.apply(release()) == Released()
+    assert isinstance(ledger.apply(claim()), Attached)
+    assert ledger.apply(claim("t2")) == Claimed("t2")
+
+
+def test_no_release_after_dispatch(ledger: OrderLedger) -> None:
+    # Guards against a way back from dispatched to claimed.
+    ledger.apply(claim())
+    ledger.apply(dispatch())
+    assert ledger.apply(release()) == ReleaseRefused("already_dispatched")
+    ledger.apply(outcome("not_run"))
+    assert ledger.apply(release()) == ReleaseRefused("already_dispatched")
+    assert isinstance(ledger.apply(claim("t2", takeover=True)), Attached)
+
+
+def test_outcome_is_final_unless_unknown(ledger: OrderLedger) -> None:
+    # Guards against a not_run that replaces a done, and against losing a late done.
+    ledger.apply(claim())
+    assert ledger.apply(outcome()) == OutcomeRefused("not_dispatched")
+    ledger.apply(dispatch())
+    assert ledger.apply(outcome("unknown")) == Recorded()
+    assert ledger.apply(outcome("done")) == Recorded()
+    for kind in ("not_run", "unknown"):
+        result = ledger.apply(outcome(kind))
+        assert isinstance(result, OutcomeRefused)
+        assert result.outcome is not None
+        assert result.outcome.kind == "done"
+    assert ledger.apply(outcome(token="t2")) == OutcomeRefused("superseded")
+
+
+def test_key_reused(ledger: OrderLedger) -> None:
+    # Guards against an answer that belongs to another body or service.
+    ledger.apply(claim())
+    assert ledger.apply(claim("t2", digest="other")) == KeyReused()
+    assert ledger.apply(claim("t2", service="other")) == KeyReused()
+
+
+def test_limits_of_the_issue_time(ledger: OrderLedger) -> None:
+    # Guards against keys outside of the retention, on both sides.
+    early = NOW_MS - SKEW_MS - 1
+    assert ledger.apply(claim(time_ms=early)) == KeyFromFuture(1)
+    assert ledger.apply(claim(time_ms=NOW_MS + 10 * DAY_MS + 1)) == KeyExpired()
+    # The ledger's time does not go back, so the key stays expired.
+    assert ledger.apply(claim(time_ms=NOW_MS)) == KeyExpired()
+
+
+def test_no_dispatch_after_the_retention(ledger: OrderLedger) -> None:
+    # Guards against a claim that is used when its key has expired.
+    ledger.apply(claim())
+    late = dispatch(time_ms=NOW_MS + 10 * DAY_MS + 1)
+    assert ledger.apply(late) == DispatchRefused("expired")
+
+
+def test_purged_key_never_runs_again(ledger: OrderLedger) -> None:
+    # Guards against a retention that is made longer after the record is gone, also
+    # by way of a release that leaves an entry for the key.
+    for command in (claim(), dispatch(), outcome()):
+        ledger.apply(command)
+    later = NOW_MS + 10 * DAY_MS + SKEW_MS + 1
+    ledger.apply(Release(f"{later}-trigger1", "t0", later))
+    assert ledger.lookup(KEY) is None
+    again = claim("t2", time_ms=later, retention_ms=90 * DAY_MS)
+    assert ledger.apply(again) == KeyExpired()
+    ledger.apply(release("t3", later))
+    assert ledger.apply(again) == KeyExpired()
+    assert "purged" in ledger.explain(KEY)
+
+
+def test_record_outlives_the_retention_by_the_skew(ledger: OrderLedger) -> None:
+    # Guards against an attached caller who is told that a known order expired.
+    for command in (claim(), dispatch(), outcome()):
+        ledger.apply(command)
+    late = claim("t2", time_ms=NOW_MS + 10 * DAY_MS + SKEW_MS)
+    assert isinstance(ledger.apply(late), Attached)
+
+
+def test_purge_is_bounded_and_the_same_after_a_load() -> None:
+    # Guards against one command that stalls a voter, and against replicas that
+    # purge different records because one of them has loaded a snapshot.
+    one, two = OrderLedger(), OrderLedger()
+    for number in range(200):
+        key = f"{NOW_MS + number}-abcdefgh"
+        one.apply(Release(key, "t0", NOW_MS + number))
+        one.apply(claim(key=key, time_ms=NOW_MS + number))
+    two.load(json.loads(json.dumps(one.dump())))
+    sizes = []
+    for step in range(4):
+        later = Lookup(KEY), Release(f"{NOW_MS}-{step}rigger1", "t", NOW_MS * 2 + step)
+        for command in later:
+            one.apply(command)
+            two.apply(command)
+        assert one.dump() == two.dump()
+        sizes.append(len(one))
+    assert sizes == [136, 72, 8, 0]
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        {},
+        {"type": "claim"},
+        {"type": "purge"},
+        {"type": ["claim"]},
+        stamp({**command_to_json(dispatch()), "key": "1"}, 5),
+        {**command_to_json(outcome()), "kind": "maybe"},
+    ],
+)
+def test_malformed_commands_change_nothing(
+    ledger: OrderLedger, message: dict[str, Any]
+) -> None:
+    # Guards against an entry of the log that ends every voter that applies it.
+    before = ledger.dump()
+    assert isinstance(ledger.apply(message), Malformed)
+    assert ledger.dump() == before
+
+
+def test_results_survive_json(ledger: OrderLedger) -> None:
+    # Guards against results that mean something else at the host that asked.
+    ledger.apply(claim())
+    ledger.apply(claim("t2", takeover=True))
+    ledger.apply(dispatch("t2"))
+    results = [
+        ledger.apply(command)
+        for command in (outcome(token="t2"), Lookup(KEY), claim("t3"), release("t2"))
+    ]
+    for result in results:
+        assert result_from_json(json.loads(json.dumps(result_to_json(result)))) == (
+            result
+        )
+
+
+@pytest.mark.parametrize("field", ["format", "time_ms", "entries"])
+def test_wrong_dump_changes_nothing(ledger: OrderLedger, field: str) -> None:
+    # Guards against a voter that goes on with half a snapshot.
+    ledger.apply(claim())
+    before = ledger.dump()
+    for value in ("x", [["y"]], None):
+        with pytest.raises(DumpInvalid):
+            ledger.load(before | {field: value})
+    assert ledger.dump() == before
