Answer a malformed change with a result and test the history

Cause: apply raised for a malformed entry, which would end every voter that applies it; deltas from other hosts were read without checks of their types. Change: such a change is Rejected; Delta.from_json checks every field; tests of the history's rules one by one.

--- a/packages/configuration/src/kingcuplug_configuration/_commands.py
+++ b/packages/configuration/src/kingcuplug_configuration/_commands.py
@@ -92,7 +92,7 @@
         try:
             fields = {field.name: value[field.name] for field in _FIELDS}
             fields["delta"] = _delta(value["delta"])
-        except (KeyError, TypeError, AttributeError, ExceptionGroup) as error:
+        except (KeyError, TypeError, ValueError, ExceptionGroup) as error:
             raise CommandInvalid(
                 f"the command is malformed: {error!r:.200}",
                 "send the fields of ApplyConfiguration.to_json",
--- a/packages/configuration/src/kingcuplug_configuration/_delta.py
+++ b/packages/configuration/src/kingcuplug_configuration/_delta.py
@@ -72,15 +72,24 @@
 
     @classmethod
     def from_json(cls, value: Mapping[str, Any]) -> "Delta":
-        """Read a delta; raise an ExceptionGroup if one of its services is wrong."""
-        return cls(
-            services_from_json(value["changed"]),
-            tuple(value["removed"]),
-            value["retention_days"],
-            value["base_digest"],
-            value["digest"],
-            value["revision"],
-        )
+        """Read a delta.
+
+        Raises
+        ------
+        ExceptionGroup
+            Of `ConfigurationFault`, if a service or the retention is wrong.
+        KeyError, TypeError
+            If a field is missing or has another type.
+        """
+        retention_days = value["retention_days"]
+        checked = () if retention_days is None else (retention_days,)
+        services = services_from_json(value["changed"], *checked)
+        removed = tuple(value["removed"])
+        digests = value["base_digest"], value["digest"]
+        if not all(isinstance(text, str) for text in (*removed, *digests)):
+            raise TypeError("names and digests are texts")
+        revision = int(value["revision"])
+        return cls(services, removed, retention_days, *digests, revision)
 
 
 def difference(old: ConfigurationText, new: ConfigurationText) -> Delta:
--- a/packages/configuration/src/kingcuplug_configuration/_history.py
+++ b/packages/configuration/src/kingcuplug_configuration/_history.py
@@ -17,6 +17,7 @@
 from kingcuplug_configuration._commands import (
     Accepted,
     ApplyConfiguration,
+    CommandInvalid,
     Conflict,
     Rejected,
     Result,
@@ -82,15 +83,16 @@
         self._delta_services = 0
 
     def apply(self, command: ApplyConfiguration | Mapping[str, Any]) -> Result:
-        """Apply a command from the log.
+        """Apply a command from the log; a malformed one is `Rejected`.
 
-        Raises
-        ------
-        CommandInvalid
-            If a JSON object is no such command; nothing has changed then.
+        An exception here would end every voter that applies the same entry.
         """
         if not isinstance(command, ApplyConfiguration):
-            command = ApplyConfiguration.from_json(command)
+            try:
+                command = ApplyConfiguration.from_json(command)
+            except CommandInvalid as error:
+                fault = ConfigurationFault("command", error.message, error.remedy)
+                return Rejected((fault,))
         known = self._changes.get(command.change_id)
         if known is not None:
             return _repeated(known, command)
--- a/packages/configuration/src/kingcuplug_configuration/_parse.py
+++ b/packages/configuration/src/kingcuplug_configuration/_parse.py
@@ -112,16 +112,20 @@
     _raise_any([*_check_service_names(graph), *check_dependencies(graph)])
 
 
-def services_from_json(value: Any) -> dict[str, Service]:
+def services_from_json(
+    value: Any, retention_days: Any = DEFAULT_RETENTION_DAYS
+) -> dict[str, Service]:
     """Read services by name, as in the text's field ``services``.
 
+    `retention_days` is checked along with them.
+
     Raises
     ------
     ExceptionGroup
         Of `ConfigurationFault`.
     """
     faults: list[ConfigurationFault] = []
-    model = _validate({"services": value}, faults)
+    model = _validate({"services": value, "retention_days": retention_days}, faults)
     if model is not None:
         faults += _check_limits(model.services)
         faults += _check_service_names(model.services)
--- /dev/null
+++ b/tests/configuration/test_history.py
@@ -0,0 +1,221 @@
+"""Rules of the configuration history, one by one."""
+
+import json
+from typing import Any
+
+import pytest
+from kingcuplug_configuration import (
+    Accepted,
+    ApplyConfiguration,
+    CommandInvalid,
+    ConfigurationHistory,
+    Conflict,
+    DigestMismatch,
+    DumpInvalid,
+    Rejected,
+    _history,
+    describe,
+    difference,
+    merge,
+    parse,
+    patch,
+    render,
+    replay,
+    result_from_json,
+)
+
+
+def text(*names: str, **fields: Any) -> str:
+    return json.dumps({"services": {name: {} for name in names}} | fields)
+
+
+def change(
+    name: str, base: int, body: str, author: str = "anna", time_ms: int = 5
+) -> ApplyConfiguration:
+    return ApplyConfiguration(name, base, body, author, time_ms)
+
+
+@pytest.fixture
+def history() -> ConfigurationHistory:
+    return ConfigurationHistory()
+
+
+@pytest.mark.parametrize("condensed", [False, True])
+def test_resend_gets_the_same_revision(
+    history: ConfigurationHistory, condensed: bool
+) -> None:
+    # Guards against a resend that is accepted twice, or that turns into a conflict
+    # after other changes.
+    first = change("c1", 0, text("a"))
+    sent = history.condense(first) if condensed else first
+    assert history.apply(sent.to_json()) == Accepted(1)
+    for number in range(1, 40):
+        history.apply(change(f"d{number}", number, text("a", f"b{number}")))
+    assert history.apply(first) == history.apply(sent) == Accepted(1)
+    assert history.apply(history.condense(first)) == Accepted(1)
+    assert history.current.number == 40
+
+
+def test_conflict_names_the_winner(history: ConfigurationHistory) -> None:
+    # Guards against an operator who cannot tell whose change is in force.
+    history.apply(change("c1", 0, text("a")))
+    history.apply(change("c2", 1, text("a", "b"), "berta", 9))
+    history.apply(change("c3", 2, text("a", "c", retention_days=5), "carl", 12))
+    result = history.apply(change("c4", 1, text("a", "z"), "zoe"))
+    assert isinstance(result, Conflict)
+    assert (result.current_revision, result.winner_author) == (3, "carl")
+    assert result.winner_time_ms == 12
+    unseen = result.difference
+    assert unseen is not None
+    assert (set(unseen.changed), unseen.removed) == ({"c"}, ("b",))
+    assert unseen.retention_days == 5
+    assert render(patch(parse(text("a")), unseen)) == history.current.text
+    assert result_from_json(json.loads(json.dumps(result.to_json()))) == result
+    assert "carl" in str(result)
+
+
+def test_base_that_does_not_exist(history: ConfigurationHistory) -> None:
+    # Guards against a change that was made against another cluster.
+    result = history.apply(change("c1", 7, text("a")))
+    assert result == Conflict(0, "", 0, None)
+
+
+def test_reused_change_id_is_rejected(history: ConfigurationHistory) -> None:
+    # Guards against an operator who is told that a text is in force and it is not.
+    history.apply(change("c1", 0, text("a")))
+    result = history.apply(change("c1", 1, text("b")))
+    assert isinstance(result, Rejected)
+    assert "another change, revision 1 by anna" in str(result.faults[0])
+    assert result_from_json(result.to_json()) is not None
+
+
+def test_faults_are_a_result(history: ConfigurationHistory) -> None:
+    # Guards against an exception that ends every voter at the same entry.
+    result = history.apply(change("c1", 0, '{"services": {"A": {}, "b": 1}}'))
+    assert isinstance(result, Rejected)
+    assert len(result.faults) == 2
+    assert history.current.number == 0
+
+
+def test_delta_that_breaks_a_dependency(history: ConfigurationHistory) -> None:
+    # Guards against a delta that skips the validation of the whole text.
+    both = '{"services": {"a": {}, "b": {"depends_on": ["a"]}}}'
+    history.apply(change("c1", 0, both))
+    delta = difference(history.configuration, parse(text("a")))
+    gone = parse('{"services": {"b": {}}}')
+    sent = ApplyConfiguration("c2", 1, "", "anna", 5, delta).to_json()
+    sent["delta"]["removed"] = ["a"]
+    sent["delta"]["digest"] = difference(gone, parse(both)).digest
+    assert isinstance(history.apply(sent), Rejected)
+    assert history.current.number == 1
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"change_id": ""},
+        {"change_id": 5},
+        {"author": "x" * 129},
+        {"base_revision": -1},
+        {"base_revision": True},
+        {"text": ""},
+        {"delta": 5},
+        {"delta": {}},
+        {"time_ms": None},
+    ],
+)
+def test_malformed_commands(
+    history: ConfigurationHistory, fields: dict[str, Any]
+) -> None:
+    # Guards against an entry of the log that ends every voter that applies it.
+    message = change("c1", 0, text("a")).to_json() | fields
+    with pytest.raises(CommandInvalid):
+        ApplyConfiguration.from_json(message)
+    assert isinstance(history.apply(message), Rejected)
+    assert history.current.number == 0
+
+
+def test_bounds(history: ConfigurationHistory, monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against memory without a limit, and against a forgotten change that is
+    # accepted a second time.
+    monkeypatch.setattr(_history, "CHANGES_LIMIT", 3)
+    monkeypatch.setattr(_history, "DELTAS_LIMIT", 4)
+    monkeypatch.setattr(_history, "DELTA_SERVICES_LIMIT", 6)
+    for number in range(6):
+        history.apply(change(f"c{number}", number, text(f"s{number}")))
+    assert [history.lookup(f"c{n}") is None for n in range(6)] == [True] * 3 + [
+        False
+    ] * 3
+    assert history.since(3) is not None
+    assert history.since(2) is None
+    assert history.since(7) is None
+    assert history.since(6) == []
+    assert isinstance(history.apply(change("c0", 0, text("s0"))), Conflict)
+    assert history.current.number == 6
+
+
+def test_restarted_host_replays(history: ConfigurationHistory) -> None:
+    # Guards against a host that missed hundreds of changes and ends elsewhere.
+    for number in range(300):
+        history.apply(change(f"c{number}", number, text("a", f"s{number % 7}")))
+    missed = history.since(0)
+    assert missed is not None
+    new = replay(parse(text()), missed)
+    assert render(new) == history.current.text
+    assert patch(parse(text()), merge(missed)) == new
+    with pytest.raises(DigestMismatch):
+        replay(parse(text()), [missed[0], missed[2]])
+    with pytest.raises(DigestMismatch):
+        patch(parse(text("other")), missed[0])
+
+
+def test_patch_verifies_the_result() -> None:
+    # Guards against a delta that was altered on its way.
+    old, new = parse(text("a")), parse(text("a", "b"))
+    message = difference(old, new).to_json()
+    message["changed"]["c"] = {}
+    altered = type(difference(old, new)).from_json(message)
+    with pytest.raises(DigestMismatch, match="fetch the whole text"):
+        patch(old, altered)
+
+
+def test_dump_is_checked(history: ConfigurationHistory) -> None:
+    # Guards against a voter that goes on with a damaged snapshot.
+    history.apply(change("c1", 0, text("a")))
+    before = history.dump()
+    number, _, *rest = before["current"]
+    for wrong in (
+        {"format": 2},
+        {"current": [number, text("b"), *rest]},
+        {"current": [number, "{", *rest]},
+        {"deltas": [{}]},
+        {"changes": 5},
+    ):
+        with pytest.raises(DumpInvalid):
+            history.load(before | wrong)
+        assert history.dump() == before
+
+
+def test_diff_for_people() -> None:
+    # Guards against a review that overlooks a changed field.
+    old = parse(
+        '{"services": {"a": {}, "b": {"depends_on": ["a"]}, "gone": {},'
+        ' "c": {"depends_on": ["a", "b"]}}}'
+    )
+    new = parse(
+        '{"retention_days": 30, "services": {"a": {"policy": {"deadline_ms": 50}},'
+        ' "b": {}, "c": {"depends_on": ["b", "a"]}, "new": {"depends_on": ["a"]}}}'
+    )
+    assert describe(old, new).splitlines() == [
+        "retention_days: 90 -> 30",
+        "~ service a",
+        "    policy.deadline_ms: 1000 -> 50",
+        "~ service b",
+        "    depends_on: - a",
+        "~ service c",
+        "    depends_on: order is now b, a",
+        "- service gone",
+        "+ service new",
+        "    depends_on: + a",
+    ]
+    assert describe(old, old) == ""
