--- a/packages/log/src/kingcuplug_log/__init__.py
+++ b/packages/log/src/kingcuplug_log/__init__.py
@@ -1,3 +1,50 @@
 """The replicated log: storage, elections, leases and replication."""
 
-__all__: list[str] = []
+from kingcuplug_log._errors import (
+    BootstrapRefused,
+    ChangeRefused,
+    CorruptLog,
+    LostLeadership,
+    NotLeader,
+    StorageFailed,
+    WrongIdentity,
+)
+from kingcuplug_log._files import DiskFileSystem, FileSystem
+from kingcuplug_log._replica import Replica
+from kingcuplug_log._storage import Storage
+from kingcuplug_log._types import (
+    Clock,
+    LogSettings,
+    LogStatus,
+    Machine,
+    Member,
+    MemberRole,
+    PeerStatus,
+    ReplicaRole,
+    Transport,
+    member_id,
+)
+
+__all__ = [
+    "BootstrapRefused",
+    "ChangeRefused",
+    "Clock",
+    "CorruptLog",
+    "DiskFileSystem",
+    "FileSystem",
+    "LogSettings",
+    "LogStatus",
+    "LostLeadership",
+    "Machine",
+    "Member",
+    "MemberRole",
+    "NotLeader",
+    "PeerStatus",
+    "Replica",
+    "ReplicaRole",
+    "Storage",
+    "StorageFailed",
+    "Transport",
+    "WrongIdentity",
+    "member_id",
+]
--- /dev/null
+++ b/packages/log/src/kingcuplug_log/_errors.py
@@ -0,0 +1,89 @@
+"""Errors of the replicated log."""
+
+from typing import TYPE_CHECKING
+
+from kingcuplug_common import KingcuplugError
+
+if TYPE_CHECKING:
+    from kingcuplug_log._types import Member
+
+__all__ = [
+    "BootstrapRefused",
+    "ChangeRefused",
+    "CorruptLog",
+    "LostLeadership",
+    "NotLeader",
+    "StorageFailed",
+    "WrongIdentity",
+]
+
+
+class NotLeader(KingcuplugError):
+    """The replica is not the leader, or its lease is over; nothing was done.
+
+    Parameters
+    ----------
+    hint : Member or None
+        The leader as far as this replica knows.
+    """
+
+    def __init__(self, hint: "Member | None") -> None:
+        known = hint.id if hint else "unknown"
+        super().__init__(
+            f"this replica does not hold the leader's lease; leader: {known}",
+            "send the request to the leader, or try again after an election",
+        )
+        self.hint = hint
+
+
+class LostLeadership(KingcuplugError):
+    """The leader lost its term while the entry was in flight; outcome unknown."""
+
+    def __init__(self, index: int) -> None:
+        super().__init__(
+            f"leadership ended before entry {index} was known to be committed",
+            "look the outcome up at the new leader, or repeat an idempotent command",
+        )
+        self.index = index
+
+
+class StorageFailed(KingcuplugError):
+    """A write or sync failed; the replica acknowledges nothing until restarted."""
+
+    def __init__(self, error: BaseException) -> None:
+        super().__init__(
+            f"the data folder's storage failed: {error}",
+            "free space or replace the disk, then restart the process",
+        )
+
+
+class CorruptLog(KingcuplugError):
+    """A file of the data folder holds an invalid record that no crash explains.
+
+    Parameters
+    ----------
+    file : str
+        Name of the file in the data folder.
+    offset : int
+        Byte offset of the first invalid record.
+    """
+
+    def __init__(self, file: str, offset: int, reason: str) -> None:
+        super().__init__(
+            f"file {file} is corrupt at offset {offset}: {reason}",
+            "replace the data folder by an empty one and add the host as a new member",
+        )
+        self.file = file
+        self.offset = offset
+
+
+class ChangeRefused(KingcuplugError):
+    """A change of members that is not allowed now; nothing was done."""
+
+
+class BootstrapRefused(KingcuplugError):
+    """The data folder already belongs to a cluster."""
+
+
+class WrongIdentity(KingcuplugError):
+    """The member's identifier does not match the data folder's disk identity."""
--- /dev/null
+++ b/packages/log/src/kingcuplug_log/_fail_stop.py
@@ -0,0 +1,64 @@
+"""Running file operations so that the first failure is final."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from kingcuplug_log._errors import StorageFailed
+
+__all__ = ["FailStop"]
+
+
+class FailStop:
+    """Runs operations one at a time per lock, until one raises `OSError`.
+
+    After that everything raises `StorageFailed`: a failed fsync can drop dirty
+    pages, so that trying again could report success for lost data.
+
+    Attributes
+    ----------
+    failure : OSError or None
+        The error that ended all operations.
+    """
+
+    def __init__(self) -> None:
+        self.failure: OSError | None = None
+        self._running: set[asyncio.Task[None]] = set()
+
+    def check(self) -> None:
+        """Raise `StorageFailed` if an operation has failed."""
+        if self.failure is not None:
+            raise StorageFailed(self.failure)
+
+    def fail(self, error: OSError) -> StorageFailed:
+        """Record a failure and return the error to raise."""
+        self.failure = self.failure or error
+        return StorageFailed(error)
+
+    async def run(
+        self, lock: asyncio.Lock, operation: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Run an operation to its end even if the caller is cancelled."""
+        task = asyncio.ensure_future(self._locked(lock, operation))
+        self._running.add(task)
+        task.add_done_callback(self._forget)
+        await asyncio.shield(task)
+
+    async def drain(self) -> None:
+        """Wait for running operations."""
+        if self._running:
+            await asyncio.wait(self._running)
+
+    def _forget(self, task: asyncio.Task[None]) -> None:
+        self._running.discard(task)
+        if not task.cancelled():
+            task.exception()  # Retrieved here, as the caller may be gone.
+
+    async def _locked(
+        self, lock: asyncio.Lock, operation: Callable[[], Awaitable[None]]
+    ) -> None:
+        async with lock:
+            self.check()
+            try:
+                await operation()
+            except OSError as error:
+                raise self.fail(error) from error
--- /dev/null
+++ b/packages/log/src/kingcuplug_log/_files.py
@@ -0,0 +1,122 @@
+"""Access to the files of one data folder."""
+
+import asyncio
+import os
+from pathlib import Path
+from typing import Protocol
+
+__all__ = ["DiskFileSystem", "FileSystem"]
+
+_APPEND = os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC
+
+
+class FileSystem(Protocol):
+    """Files of one data folder, by name.
+
+    Nothing is durable before `sync` (content) and `sync_folder` (names).
+    All methods raise `OSError`.
+    """
+
+    def open_append(self, name: str) -> int:
+        """Open a file for appending, create it if absent; return its handle."""
+        ...
+
+    def write(self, handle: int, data: bytes) -> None:
+        """Append all of `data`."""
+        ...
+
+    async def sync(self, handle: int) -> None:
+        """Make the content of the file durable."""
+        ...
+
+    def close(self, handle: int) -> None:
+        """Close a handle."""
+        ...
+
+    def rename(self, old: str, new: str) -> None:
+        """Rename a file and replace any file that has the new name."""
+        ...
+
+    async def sync_folder(self) -> None:
+        """Make created, renamed and removed names durable."""
+        ...
+
+    def truncate(self, handle: int, size: int) -> None:
+        """Cut a file to `size` bytes."""
+        ...
+
+    def read(self, name: str) -> bytes:
+        """Return the content of a file."""
+        ...
+
+    def list(self) -> list[str]:
+        """Return the names of all files."""
+        ...
+
+    def remove(self, name: str) -> None:
+        """Remove a file."""
+        ...
+
+
+class DiskFileSystem:
+    """A folder on a real disk; syncs run in a thread.
+
+    Parameters
+    ----------
+    folder : Path
+        Data folder; created if absent.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        folder.mkdir(parents=True, exist_ok=True)
+        self._folder = folder
+
+    def open_append(self, name: str) -> int:
+        """Open a file for appending, create it if absent; return its handle."""
+        return os.open(self._folder / name, _APPEND, 0o600)
+
+    def write(self, handle: int, data: bytes) -> None:
+        """Append all of `data`."""
+        rest = memoryview(data)
+        while rest:
+            rest = rest[os.write(handle, rest) :]
+
+    async def sync(self, handle: int) -> None:
+        """Make the content of the file durable."""
+        await asyncio.to_thread(os.fsync, handle)
+
+    def close(self, handle: int) -> None:
+        """Close a handle."""
+        os.close(handle)
+
+    def rename(self, old: str, new: str) -> None:
+        """Rename a file and replace any file that has the new name."""
+        (self._folder / old).replace(self._folder / new)
+
+    async def sync_folder(self) -> None:
+        """Make created, renamed and removed names durable."""
+        await asyncio.to_thread(_sync_folder, self._folder)
+
+    def truncate(self, handle: int, size: int) -> None:
+        """Cut a file to `size` bytes."""
+        os.ftruncate(handle, size)
+
+    def read(self, name: str) -> bytes:
+        """Return the content of a file."""
+        return (self._folder / name).read_bytes()
+
+    def list(self) -> list[str]:
+        """Return the names of all files."""
+        return sorted(path.name for path in self._folder.iterdir())
+
+    def remove(self, name: str) -> None:
+        """Remove a file."""
+        (self._folder / name).unlink()
+
+
+def _sync_folder(folder: Path) -> None:
+    handle = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+    try:
+        os.fsync(handle)
+    finally:
+        os.close(handle)
--- /dev/null
+++ b/packages/log/src/kingcuplug_log/_following.py
@@ -0,0 +1,125 @@
+"""A replica's answers to its leader."""
+
+import asyncio
+import base64
+import contextlib
+
+from kingcuplug_log._applier import Applier
+from kingcuplug_log._core import Core
+from kingcuplug_log._errors import CorruptLog
+from kingcuplug_log._messages import (
+    AppendReply,
+    AppendRequest,
+    InstallReply,
+    InstallRequest,
+)
+from kingcuplug_log._records import decode_one
+from kingcuplug_log._snapshot import Snapshot
+from kingcuplug_log._types import Entry
+
+__all__ = ["Following"]
+
+
+class Following:
+    """Takes entries and snapshots from the leader."""
+
+    def __init__(self, core: Core, applier: Applier) -> None:
+        self._core = core
+        self._storage = core.storage
+        self._applier = applier
+        self._parts_key: tuple[int, int] = (0, 0)
+        self._parts = bytearray()
+
+    async def append(self, request: AppendRequest) -> AppendReply:
+        """Take entries; the answer covers only what is synced."""
+        if not self._accept(request.header.term, request.header.sender):
+            return await self._refuse_append()
+        next_index = self._mismatch(request)
+        if next_index is None:
+            self._stage(request.entries)
+            await self._flush()
+        await self._storage.persist()
+        if request.header.term != self._storage.term:
+            return await self._refuse_append()
+        if next_index is not None:
+            return AppendReply(request.header.term, False, 0, next_index)
+        sent = request.previous_index + len(request.entries)
+        match = min(sent, self._storage.durable_index)
+        self._core.commit(min(request.commit_index, match))
+        return AppendReply(request.header.term, True, match, match + 1)
+
+    async def install(self, request: InstallRequest) -> InstallReply:
+        """Take a part of a snapshot, and install it after the last part."""
+        term = request.header.term
+        if not self._accept(term, request.header.sender):
+            await self._storage.persist()
+            return InstallReply(self._storage.term, 0, False)
+        done = request.index <= self._core.applied_index
+        if not done:
+            self._collect(request)
+            if len(self._parts) == request.total:
+                done = await self._install(bytes(self._parts))
+        await self._storage.persist()
+        return InstallReply(self._storage.term, len(self._parts), done)
+
+    def _accept(self, term: int, leader: str) -> bool:
+        if term < self._storage.term:
+            return False
+        self._core.adopt(term)
+        self._core.follow(leader)
+        return True
+
+    async def _refuse_append(self) -> AppendReply:
+        await self._storage.persist()
+        return AppendReply(self._storage.term, False, 0, 0)
+
+    def _mismatch(self, request: AppendRequest) -> int | None:
+        """Return where the leader shall go on, or ``None`` if the logs match."""
+        previous = request.previous_index
+        if previous > self._storage.last_index:
+            return self._storage.last_index + 1
+        if previous <= self._core.commit_index:
+            return None
+        term = self._storage.term_at(previous)
+        if term == request.previous_term:
+            return None
+        first = previous
+        while first > self._core.commit_index + 1:
+            if self._storage.term_at(first - 1) != term:
+                break
+            first -= 1
+        return first
+
+    def _stage(self, entries: tuple[Entry, ...]) -> None:
+        new = [e for e in entries if e.index > self._core.commit_index]
+        for position, entry in enumerate(new):
+            if self._storage.term_at(entry.index) != entry.term:
+                self._storage.stage(new[position:])
+                self._core.group.extend(new[position:])
+                return
+
+    async def _flush(self) -> None:
+        # A slow disk must not end the leader's lease, so the answer goes out
+        # after one heartbeat interval with what is durable by then.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._core.settings.heartbeat):
+                await self._storage.flush()
+
+    def _collect(self, request: InstallRequest) -> None:
+        key = (request.header.term, request.index)
+        if key != self._parts_key:
+            self._parts_key = key
+            self._parts = bytearray()
+        if request.offset == len(self._parts):
+            self._parts += base64.b64decode(request.data)
+
+    async def _install(self, data: bytes) -> bool:
+        try:
+            snapshot = Snapshot.from_json(decode_one(data, "received snapshot"))
+        except CorruptLog:
+            self._parts = bytearray()
+            return False
+        await self._storage.save_snapshot(snapshot, retained=0)
+        self._applier.install(snapshot)
+        self._parts = bytearray()
+        return True
--- /dev/null
+++ b/packages/log/src/kingcuplug_log/_group.py
@@ -0,0 +1,93 @@
+"""The members of the group, as the entries of the log change them."""
+
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+from kingcuplug_log._snapshot import Snapshot
+from kingcuplug_log._types import Entry, EntryKind, Member, MemberRole
+
+__all__ = ["Group", "majority", "members_data"]
+
+
+def majority(count: int) -> int:
+    """Return the size of a quorum of `count` voters."""
+    return count // 2 + 1
+
+
+def members_data(cluster: str, members: Iterable[Member]) -> dict[str, Any]:
+    """Return the data of an entry that sets the members."""
+    return {"cluster": cluster, "members": [member.to_json() for member in members]}
+
+
+class Group:
+    """Members by log position; the newest in the log are in force.
+
+    A members entry takes effect when it is appended, not when it is committed, so
+    replacing a suffix of the log also takes its changes back.
+
+    Attributes
+    ----------
+    cluster : str or None
+        Identifier of the cluster; ``None`` before the first entry or snapshot.
+    """
+
+    def __init__(self) -> None:
+        self.cluster: str | None = None
+        self._versions: list[tuple[int, tuple[Member, ...]]] = []
+
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """Members in force."""
+        return self._versions[-1][1] if self._versions else ()
+
+    @property
+    def index(self) -> int:
+        """Index of the entry that set the members in force."""
+        return self._versions[-1][0] if self._versions else 0
+
+    @property
+    def voters(self) -> tuple[Member, ...]:
+        """Members in force that vote."""
+        return tuple(m for m in self.members if m.role is MemberRole.VOTER)
+
+    def at(self, index: int) -> tuple[Member, ...]:
+        """Return the members after entry `index`."""
+        found: tuple[Member, ...] = ()
+        for start, members in self._versions:
+            if start <= index:
+                found = members
+        return found
+
+    def find(self, identifier: str | None) -> Member | None:
+        """Return the member with this identifier."""
+        return next((m for m in self.members if m.id == identifier), None)
+
+    def votes(self, identifier: str) -> bool:
+        """Return whether the member with this identifier is a voter."""
+        member = self.find(identifier)
+        return member is not None and member.role is MemberRole.VOTER
+
+    def rebuild(self, snapshot: Snapshot | None, entries: Sequence[Entry]) -> None:
+        """Start over from a snapshot and the entries held."""
+        if snapshot is not None:
+            self.cluster = snapshot.cluster
+            self._versions = [(snapshot.index, snapshot.members)]
+        if entries:
+            self.extend(
+                [e for e in entries if not snapshot or e.index > snapshot.index]
+            )
+
+    def extend(self, entries: Sequence[Entry]) -> None:
+        """Follow entries that replace everything from their first index on."""
+        if not entries:
+            return
+        first = entries[0].index
+        self._versions = [v for v in self._versions if v[0] < first]
+        for entry in entries:
+            if entry.kind is EntryKind.MEMBERS:
+                self._add(entry)
+
+    def _add(self, entry: Entry) -> None:
+        self.cluster = entry.data["cluster"]
+        members = tuple(map(Member.from_json, entry.data["members"]))
+        self._versions.append((entry.index, members))
--- /dev/null
+++ b/packages/log/src/kingcuplug_log/_messages.py
@@ -0,0 +1,197 @@
+"""Messages between replicas.
+
+Every request names the identity it is meant for, so that a host that came back
+with an empty disk never answers for its old identity.
+"""
+
+from dataclasses import asdict, dataclass
+from typing import Any
+
+from kingcuplug_log._types import Entry
+
+__all__ = [
+    "AppendReply",
+    "AppendRequest",
+    "Header",
+    "InstallReply",
+    "InstallRequest",
+    "PreVoteRequest",
+    "Rejected",
+    "Reply",
+    "Request",
+    "VoteReply",
+    "VoteRequest",
+    "decode_reply",
+    "decode_request",
+    "to_json",
+]
+
+
+@dataclass(frozen=True)
+class Header:
+    """Fields of every request."""
+
+    cluster: str
+    sender: str
+    to: str
+    term: int
+
+
+@dataclass(frozen=True)
+class PreVoteRequest:
+    """Asks whether a vote in `header.term` would be granted."""
+
+    header: Header
+    last_index: int
+    last_term: int
+
+
+@dataclass(frozen=True)
+class VoteRequest:
+    """Asks for a vote in `header.term`."""
+
+    header: Header
+    last_index: int
+    last_term: int
+
+
+@dataclass(frozen=True)
+class VoteReply:
+    """Answers a pre-vote or a vote."""
+
+    term: int
+    granted: bool
+
+
+@dataclass(frozen=True)
+class AppendRequest:
+    """Carries entries that follow `previous_index`, or none as a heartbeat."""
+
+    header: Header
+    previous_index: int
+    previous_term: int
+    commit_index: int
+    entries: tuple[Entry, ...]
+
+
+@dataclass(frozen=True)
+class AppendReply:
+    """Answers an append.
+
+    Attributes
+    ----------
+    match_index : int
+        Last index that equals the leader's log and is synced here.
+    next_index : int
+        Where the leader shall go on after a mismatch.
+    """
+
+    term: int
+    success: bool
+    match_index: int
+    next_index: int
+
+
+@dataclass(frozen=True)
+class InstallRequest:
+    """Carries one part of a snapshot, as base64 text."""
+
+    header: Header
+    index: int
+    snapshot_term: int
+    offset: int
+    total: int
+    data: str
+
+
+@dataclass(frozen=True)
+class InstallReply:
+    """Answers one part of a snapshot.
+
+    Attributes
+    ----------
+    offset : int
+        Bytes held so far; the next part starts here.
+    done : bool
+        Whether the snapshot is installed and synced.
+    """
+
+    term: int
+    offset: int
+    done: bool
+
+
+@dataclass(frozen=True)
+class Rejected:
+    """Answers a request that this replica must not act on."""
+
+    reason: str
+
+
+Request = PreVoteRequest | VoteRequest | AppendRequest | InstallRequest
+Reply = VoteReply | AppendReply | InstallReply | Rejected
+
+_REQUESTS: dict[str, Any] = {
+    "pre_vote": PreVoteRequest,
+    "vote": VoteRequest,
+    "append": AppendRequest,
+    "install": InstallRequest,
+}
+_REPLIES: dict[str, Any] = {
+    "vote_reply": VoteReply,
+    "append_reply": AppendReply,
+    "install_reply": InstallReply,
+    "rejected": Rejected,
+}
+_KINDS = {cls: kind for kind, cls in (_REQUESTS | _REPLIES).items()}
+
+
+def to_json(message: Request | Reply) -> dict[str, Any]:
+    """Return a message as a JSON object with its kind."""
+    if isinstance(message, AppendRequest):
+        fields = dict(vars(message)) | {"header": asdict(message.header)}
+        fields["entries"] = [entry.to_json() for entry in message.entries]
+    else:
+        fields = asdict(message)
+    return {"kind": _KINDS[type(message)]} | fields
+
+
+def decode_request(value: dict[str, Any]) -> Request:
+    """Return the request described by a JSON object.
+
+    Raises
+    ------
+    ValueError
+        If the kind is unknown or a field is missing or unknown.
+    """
+    fields = _fields(value, _REQUESTS)
+    try:
+        fields["header"] = Header(**fields["header"])
+        if "entries" in fields:
+            fields["entries"] = tuple(map(Entry.from_json, fields["entries"]))
+        request: Request = _REQUESTS[value["kind"]](**fields)
+    except (KeyError, TypeError, IndexError) as error:
+        raise ValueError(f"malformed {value['kind']} request: {error}") from error
+    return request
+
+
+def decode_reply(value: dict[str, Any]) -> Reply:
+    """Return the reply described by a JSON object.
+
+    Raises
+    ------
+    ValueError
+        If the kind is unknown or a field is missing or unknown.
+    """
+    fields = _fields(value, _REPLIES)
+    try:
+        reply: Reply = _REPLIES[value["kind"]](**fields)
+    except TypeError as error:
+        raise ValueError(f"malformed {value['kind']}: {error}") from error
+    return reply
+
+
+def _fields(value: dict[str, Any], kinds: dict[str, Any]) -> dict[str, Any]:
+    if value.get("kind") not in kinds:
+        raise ValueError(f"unknown message kind {value.get('kind')!r}")
+    return {name: field for name, field in value.items() if name != "kind"}
--- /dev/null
+++ b/packages/log/src/kingcuplug_log/_progress.py
@@ -0,0 +1,145 @@
+"""What a leader knows of one other member, and the messages to it."""
+
+import base64
+import math
+
+from kingcuplug_log._core import Core
+from kingcuplug_log._messages import (
+    AppendReply,
+    AppendRequest,
+    InstallReply,
+    InstallRequest,
+    Reply,
+)
+from kingcuplug_log._types import Member, MemberRole, PeerStatus
+
+__all__ = ["Progress"]
+
+_MS_PER_S = 1_000
+
+
+class Progress:
+    """Replication to one other member in one term.
+
+    Attributes
+    ----------
+    match_index : int
+        The member has synced everything up to here.
+    answered_at : float
+        Send time, on the leader's clock, of the newest message that was answered.
+    caught_up : bool
+        Whether the newest answer covered all that was committed when its message
+        was sent.
+    """
+
+    def __init__(self, core: Core, member: Member, term: int) -> None:
+        self._core = core
+        self._storage = core.storage
+        self._term = term
+        self._reachable = False
+        self.member = member
+        self.next_index = core.storage.last_index + 1
+        self.match_index = 0
+        self.answered_at = -math.inf
+        self.caught_up = False
+
+    @property
+    def votes(self) -> bool:
+        """Whether the member is a voter in the members in force."""
+        return self._core.group.votes(self.member.id)
+
+    @property
+    def promotable(self) -> bool:
+        """Whether the member is a learner that is ready to vote."""
+        member = self._core.group.find(self.member.id)
+        learner = member is not None and member.role is MemberRole.LEARNER
+        return learner and self.healthy
+
+    @property
+    def healthy(self) -> bool:
+        """Whether the member answered recently and holds all that is committed."""
+        age = self._core.clock() - self.answered_at
+        return self.caught_up and age < self._core.settings.election_timeout
+
+    def status(self) -> PeerStatus:
+        """Return the progress for operators."""
+        age = self._core.clock() - self.answered_at
+        return PeerStatus(
+            member=self._core.group.find(self.member.id) or self.member,
+            match_index=self.match_index,
+            caught_up=self.caught_up,
+            answered_ms_ago=age * _MS_PER_S if math.isfinite(age) else None,
+        )
+
+    async def exchange(self) -> bool:
+        """Send what the member needs next; return whether it answered."""
+        # An unreachable member gets heartbeats only, not the whole snapshot.
+        if self._reachable and self.next_index < self._storage.first_index:
+            self._reachable = await self._install()
+        else:
+            self._reachable = await self._append()
+        return self._reachable
+
+    async def _append(self) -> bool:
+        core, sent_at = self._core, self._core.clock()
+        first = max(self.next_index, self._storage.first_index)
+        previous = first - 1
+        request = AppendRequest(
+            header=core.header(self.member.id, self._term),
+            previous_index=previous,
+            previous_term=self._storage.term_at(previous) or 0,
+            commit_index=core.commit_index,
+            entries=tuple(self._storage.entries(first, core.settings.batch_entries)),
+        )
+        reply = await core.call(request)
+        if not isinstance(reply, AppendReply) or not self._answered(reply, sent_at):
+            return False
+        if reply.success:
+            self._matched(reply.match_index, request.commit_index)
+        else:
+            self.next_index = max(1, min(reply.next_index, previous))
+            self.caught_up = False
+        return True
+
+    async def _install(self) -> bool:
+        core = self._core
+        data = self._storage.read_snapshot()
+        index, term = self._storage.snapshot_index, self._storage.snapshot_term
+        offset, size = 0, core.settings.install_chunk_bytes
+        core.metrics.count("log.installs")
+        while True:
+            sent_at = core.clock()
+            request = InstallRequest(
+                header=core.header(self.member.id, self._term),
+                index=index,
+                snapshot_term=term,
+                offset=offset,
+                total=len(data),
+                data=base64.b64encode(data[offset : offset + size]).decode(),
+            )
+            reply = await core.call(request)
+            if not isinstance(reply, InstallReply):
+                return False
+            if not self._answered(reply, sent_at):
+                return False
+            if reply.done:
+                self._matched(index, index)
+                return True
+            offset = reply.offset
+
+    def _answered(self, reply: Reply, sent_at: float) -> bool:
+        """Record an answer; return ``False`` if it is not of this term."""
+        leadership = self._core.leadership
+        if leadership is None or leadership.term != self._term:
+            return False
+        if not isinstance(reply, AppendReply | InstallReply):
+            return False
+        if reply.term != self._term:
+            return False
+        self.answered_at = max(self.answered_at, sent_at)
+        return True
+
+    def _matched(self, index: int, committed: int) -> None:
+        self.match_index = max(self.match_index, index)
+        self.next_index = index + 1
+        self.caught_up = index >= committed
--- /dev/null
+++ b/packages/log/src/kingcuplug_log/_records.py
@@ -0,0 +1,86 @@
+"""Checksummed records in a file.
+
+A record is a marker, the payload's length, a CRC-32 of length and payload, and the
+payload as JSON. The marker holds bytes that never occur in UTF-8, so that after an
+invalid record the next candidate can be found without trusting the length.
+"""
+
+import struct
+import zlib
+from typing import Any
+
+import orjson
+
+from kingcuplug_log._errors import CorruptLog
+
+__all__ = ["decode_one", "encode", "scan"]
+
+_MARKER = b"\xf5KL\xfa"
+_HEADER = struct.Struct(">4sII")
+_LENGTH = struct.Struct(">I")
+
+
+def encode(value: Any) -> bytes:
+    """Return the record with this JSON value."""
+    payload = orjson.dumps(value)
+    return _HEADER.pack(_MARKER, len(payload), _checksum(payload)) + payload
+
+
+def scan(data: bytes, file: str) -> tuple[list[Any], int]:
+    """Return all values and the offset at which a torn tail begins.
+
+    Raises
+    ------
+    CorruptLog
+        If a valid record follows an invalid one. A crash cannot cause this,
+        because at most the last record of a file is ever unsynced.
+    """
+    values: list[Any] = []
+    offset = 0
+    while offset < len(data):
+        found = _record(data, offset)
+        if found is None:
+            _check_tail(data, offset, file)
+            break
+        value, offset = found
+        values.append(value)
+    return values, offset
+
+
+def decode_one(data: bytes, file: str) -> Any:
+    """Return the value of a file that holds exactly one record.
+
+    Raises
+    ------
+    CorruptLog
+        If the file holds anything else; such files are replaced by rename, so a
+        crash cannot leave a part of one.
+    """
+    found = _record(data, 0)
+    if found is None or found[1] != len(data):
+        raise CorruptLog(file, 0, "the file is not one valid record")
+    return found[0]
+
+
+def _checksum(payload: bytes) -> int:
+    return zlib.crc32(payload, zlib.crc32(_LENGTH.pack(len(payload))))
+
+
+def _record(data: bytes, offset: int) -> tuple[Any, int] | None:
+    if offset + _HEADER.size > len(data):
+        return None
+    marker, length, checksum = _HEADER.unpack_from(data, offset)
+    start = offset + _HEADER.size
+    payload = data[start : start + length]
+    if marker != _MARKER or len(payload) != length or _checksum(payload) != checksum:
+        return None
+    return orjson.loads(payload), start + length
+
+
+def _check_tail(data: bytes, invalid: int, file: str) -> None:
+    offset = data.find(_MARKER, invalid + 1)
+    while offset >= 0:
+        if _record(data, offset) is not None:
+            reason = f"an invalid record is followed by a valid one at {offset}"
+            raise CorruptLog(file, invalid, reason)
+        offset = data.find(_MARKER, offset + 1)
--- /dev/null
+++ b/packages/log/src/kingcuplug_log/_replica.py
@@ -0,0 +1,301 @@
+"""One replica of the log."""
+
+import asyncio
+import contextlib
+import random as random_module
+from typing import Any
+
+import orjson
+from kingcuplug_common import Metrics
+
+from kingcuplug_log._applier import Applier
+from kingcuplug_log._core import Core
+from kingcuplug_log._elections import Elections
+from kingcuplug_log._errors import (
+    BootstrapRefused,
+    NotLeader,
+    StorageFailed,
+    WrongIdentity,
+)
+from kingcuplug_log._following import Following
+from kingcuplug_log._group import members_data
+from kingcuplug_log._leadership import Leadership
+from kingcuplug_log._messages import (
+    AppendRequest,
+    Header,
+    InstallRequest,
+    PreVoteRequest,
+    Rejected,
+    Reply,
+    Request,
+    decode_request,
+    to_json,
+)
+from kingcuplug_log._storage import Storage
+from kingcuplug_log._types import (
+    Clock,
+    Entry,
+    EntryKind,
+    LogSettings,
+    LogStatus,
+    Machine,
+    Member,
+    Transport,
+    member_id,
+)
+
+__all__ = ["Replica"]
+
+
+class Replica:
+    """Takes part in a group that keeps one log.
+
+    Parameters
+    ----------
+    member : Member
+        This replica; its id must be ``<name>/<disk_id of the storage>``.
+    storage : Storage
+        Opened storage, used by this replica only and closed by `stop`.
+    transport : Transport
+        Sends a message to a peer id and returns the reply.
+    machine : Machine
+        State machine; loaded from the snapshot by `start`.
+    clock : callable
+        Monotonic seconds.
+    random : random.Random
+        Source of the election timeouts.
+    metrics : Metrics, optional
+        Counters ``log.*``.
+    """
+
+    def __init__(
+        self,
+        member: Member,
+        storage: Storage,
+        transport: Transport,
+        machine: Machine,
+        settings: LogSettings,
+        clock: Clock,
+        random: random_module.Random,
+        metrics: Metrics | None = None,
+    ) -> None:
+        self._core = Core(
+            member, storage, transport, settings, clock, random, metrics or Metrics()
+        )
+        self._storage = storage
+        self._machine = machine
+        self._applier = Applier(self._core, machine)
+        self._elections = Elections(self._core)
+        self._following = Following(self._core, self._applier)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Load the state and begin to take part.
+
+        Raises
+        ------
+        WrongIdentity
+            If the member's id names another disk.
+        """
+        core = self._core
+        expected = member_id(core.member.name, self._storage.disk_id)
+        if core.member.id != expected:
+            raise WrongIdentity(
+                f"member {core.member.id} does not match this disk's {expected}",
+                "build the id with member_id() from the opened storage",
+            )
+        self._recover()
+        # A promise made before a restart is forgotten; its time is waited out.
+        core.hear()
+        self._tasks = [
+            asyncio.create_task(self._take_part()),
+            asyncio.create_task(self._applier.run()),
+        ]
+
+    async def stop(self) -> None:
+        """Stop taking part; proposals in flight get an unknown outcome."""
+        self._core.step_down(None)
+        for task in self._tasks:
+            task.cancel()
+        results = await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks = []
+        await self._storage.close()
+        for result in results:
+            if isinstance(result, Exception):
+                raise result
+
+    async def bootstrap(self, cluster_id: str) -> None:
+        """Begin a cluster whose only member is this replica.
+
+        Raises
+        ------
+        BootstrapRefused
+            If the data folder already belongs to a cluster.
+        """
+        if self._storage.last_index > 0 or self._core.group.cluster is not None:
+            raise BootstrapRefused(
+                f"the data folder belongs to cluster {self._core.group.cluster}",
+                "use an empty data folder, or add this host to that cluster",
+            )
+        data = members_data(cluster_id, [self._core.member])
+        entry = Entry(1, 1, EntryKind.MEMBERS, data)
+        self._core.adopt(1)
+        self._storage.stage([entry])
+        self._core.group.extend([entry])
+        await self._storage.persist()
+        await self._storage.flush()
+
+    async def propose(self, command: Any) -> Any:
+        """Append a command and return the machine's result once it is committed.
+
+        Parameters
+        ----------
+        command : JSON value
+            Copied; the machine gets the copy.
+
+        Raises
+        ------
+        NotLeader
+            If this replica does not lead; the command does not run.
+        StorageFailed
+            If the storage has failed; the command does not run.
+        LostLeadership
+            If the leadership ends first; the outcome is unknown.
+        """
+        # All replicas must apply the same value, so the leader's is decoded too.
+        copied = orjson.loads(orjson.dumps(command))
+        leadership = self._leading()
+        index = leadership.append(EntryKind.COMMAND, copied)
+        return await self._applier.result(index, leadership.term)
+
+    async def read_barrier(self) -> int:
+        """Return the index that is applied here and holds all completed commands.
+
+        Raises
+        ------
+        NotLeader
+            If the leader's lease is over and no quorum confirms the leadership.
+        """
+        try:
+            index = await self._leading().confirm()
+        except NotLeader:
+            raise NotLeader(self._hint()) from None
+        await self.wait_applied(index)
+        return index
+
+    async def wait_applied(self, index: int) -> None:
+        """Return once entry `index` is applied here."""
+        core = self._core
+        await core.progressed.until(lambda: core.applied_index >= index)
+
+    async def change(
+        self, add: Member | None = None, remove: str | None = None
+    ) -> None:
+        """Add or remove one member and return once this is committed.
+
+        A new voter begins as a learner and is promoted without another call once
+        it is caught up and synced.
+
+        Raises
+        ------
+        ChangeRefused
+            If the change is not allowed now; nothing was done.
+        NotLeader, StorageFailed, LostLeadership
+            As for `propose`.
+        """
+        if (add is None) == (remove is None):
+            raise ValueError("give exactly one of add and remove")
+        leadership = self._leading()
+        index = leadership.changes.start(add, remove)
+        await self._applier.result(index, leadership.term)
+
+    async def handle(self, message: dict[str, Any]) -> dict[str, Any]:
+        """Answer a message from a peer."""
+        try:
+            request = decode_request(message)
+        except ValueError:
+            return to_json(Rejected("malformed"))
+        reason = self._rejection(request.header)
+        if reason is not None:
+            return to_json(Rejected(reason))
+        try:
+            return to_json(await self._answer(request))
+        except StorageFailed:
+            self._core.fail()
+            return to_json(Rejected("storage_failed"))
+
+    def status(self) -> LogStatus:
+        """Return the state of this replica for operators."""
+        core, leadership = self._core, self._core.leadership
+        return LogStatus(
+            member=core.group.find(core.member.id) or core.member,
+            term=self._storage.term,
+            role=core.role,
+            leader=self._hint(),
+            commit_index=core.commit_index,
+            applied_index=core.applied_index,
+            last_index=self._storage.last_index,
+            snapshot_index=self._storage.snapshot_index,
+            members=core.group.members,
+            peers=leadership.peers() if leadership else (),
+            lease_valid=leadership is not None and leadership.lease_valid(),
+            storage_failed=self._storage.failure is not None,
+            safe_to_lose_one=leadership is not None and leadership.safe_to_lose_one(),
+        )
+
+    def _recover(self) -> None:
+        storage, core = self._storage, self._core
+        snapshot, storage.recovered = storage.recovered, None
+        if snapshot is not None:
+            self._machine.load(snapshot.state)
+            core.commit_index = core.applied_index = snapshot.index
+        core.group.rebuild(snapshot, storage.entries(storage.first_index))
+
+    async def _take_part(self) -> None:
+        with contextlib.suppress(StorageFailed):
+            while True:
+                await self._elections.run()
+                await self._lead()
+        self._core.fail()
+
+    async def _lead(self) -> None:
+        leadership = Leadership(self._core, self._applier.abandon)
+        self._core.lead(leadership)
+        try:
+            await leadership.run()
+        except* StorageFailed as failures:
+            raise failures.exceptions[0] from None
+        finally:
+            if self._core.leadership is leadership:
+                self._core.step_down(None)
+
+    def _leading(self) -> Leadership:
+        if self._storage.failure is not None:
+            raise StorageFailed(self._storage.failure)
+        leadership = self._core.leadership
+        if leadership is None:
+            raise NotLeader(self._hint())
+        return leadership
+
+    def _hint(self) -> Member | None:
+        return self._core.group.find(self._core.leader)
+
+    def _rejection(self, header: Header) -> str | None:
+        if not self._tasks:
+            return "not_running"
+        if self._storage.failure is not None:
+            return "storage_failed"
+        if header.to != self._core.member.id:
+            return "wrong_identity"
+        if self._core.group.cluster not in (None, header.cluster):
+            return "wrong_cluster"
+        return None
+
+    async def _answer(self, request: Request) -> Reply:
+        if isinstance(request, AppendRequest):
+            return await self._following.append(request)
+        if isinstance(request, InstallRequest):
+            return await self._following.install(request)
+        if isinstance(request, PreVoteRequest):
+            return await self._elections.pre_vote(request)
+        return await self._elections.vote(request)
--- /dev/null
+++ b/packages/log/src/kingcuplug_log/_snapshot.py
@@ -0,0 +1,30 @@
+"""A snapshot of the machine and the group."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from kingcuplug_log._types import Member
+
+__all__ = ["Snapshot"]
+
+
+@dataclass(frozen=True)
+class Snapshot:
+    """State of the machine and the group after entry `index`."""
+
+    index: int
+    term: int
+    cluster: str
+    members: tuple[Member, ...]
+    state: dict[str, Any]
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the snapshot as a JSON object."""
+        members = [member.to_json() for member in self.members]
+        return dict(vars(self)) | {"members": members}
+
+    @classmethod
+    def from_json(cls, value: dict[str, Any]) -> "Snapshot":
+        """Return the snapshot described by a JSON object."""
+        members = tuple(Member.from_json(member) for member in value["members"])
+        return cls(**(value | {"members": members}))
--- /dev/null
+++ b/packages/log/src/kingcuplug_log/_types.py
@@ -0,0 +1,222 @@
+"""Types shared by the modules of the replicated log."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any, Protocol
+
+__all__ = [
+    "Clock",
+    "Entry",
+    "EntryKind",
+    "LogSettings",
+    "LogStatus",
+    "Machine",
+    "Member",
+    "MemberRole",
+    "PeerStatus",
+    "ReplicaRole",
+    "Transport",
+    "member_id",
+]
+
+_MS_PER_S = 1_000
+
+Clock = Callable[[], float]
+Transport = Callable[[str, dict[str, Any]], Awaitable[dict[str, Any]]]
+
+
+class Machine(Protocol):
+    """State machine that the log applies.
+
+    Commands, results and the dumped state are JSON values. `apply` must be
+    deterministic. If it raises, it must have left its state unchanged; the
+    exception goes to the proposer.
+    """
+
+    def apply(self, index: int, command: Any) -> Any:
+        """Apply one committed command and return its result."""
+        ...
+
+    def dump(self) -> dict[str, Any]:
+        """Return the whole state."""
+        ...
+
+    def load(self, state: dict[str, Any]) -> None:
+        """Replace the whole state."""
+        ...
+
+
+class MemberRole(StrEnum):
+    """What a member may do in the group."""
+
+    VOTER = "voter"
+    LEARNER = "learner"
+    OBSERVER = "observer"
+
+
+class ReplicaRole(StrEnum):
+    """What a replica does at the moment."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass(frozen=True)
+class Member:
+    """One member of the group.
+
+    Attributes
+    ----------
+    id : str
+        ``<host name>/<disk_id>``; a replaced disk makes a new member.
+    address : str
+        ``ip:port`` of the peer listener.
+    """
+
+    id: str
+    name: str
+    address: str
+    role: MemberRole = MemberRole.VOTER
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the fields as a JSON object."""
+        return {
+            "id": self.id,
+            "name": self.name,
+            "address": self.address,
+            "role": str(self.role),
+        }
+
+    @classmethod
+    def from_json(cls, value: dict[str, Any]) -> "Member":
+        """Return the member described by a JSON object."""
+        role = MemberRole(value["role"])
+        return cls(value["id"], value["name"], value["address"], role)
+
+
+def member_id(host: str, disk_id: str) -> str:
+    """Return the identifier of the member with this host name and disk."""
+    return f"{host}/{disk_id}"
+
+
+class EntryKind(StrEnum):
+    """What an entry of the log carries."""
+
+    COMMAND = "command"
+    MEMBERS = "members"
+    NOOP = "noop"
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One entry of the log."""
+
+    index: int
+    term: int
+    kind: EntryKind
+    data: Any = None
+
+    def to_json(self) -> list[Any]:
+        """Return the entry as a JSON array."""
+        return [self.index, self.term, self.kind.value, self.data]
+
+    @classmethod
+    def from_json(cls, value: list[Any]) -> "Entry":
+        """Return the entry described by a JSON array."""
+        return cls(value[0], value[1], EntryKind(value[2]), value[3])
+
+
+@dataclass(frozen=True)
+class LogSettings:
+    """Times and bounds of the replicated log.
+
+    Attributes
+    ----------
+    drift_bound : float
+        Greatest relative difference of the rates of two hosts' monotonic clocks.
+    snapshot_entries : int
+        Applied entries after which a new snapshot is taken.
+    retained_entries : int
+        Entries kept before the snapshot, so that a peer that is slightly behind
+        needs no snapshot.
+    install_chunk_bytes : int
+        Part of a snapshot that goes into one message.
+    """
+
+    election_timeout_ms: int = 300
+    heartbeat_ms: int = 50
+    rpc_timeout_ms: int = 150
+    drift_bound: float = 0.01
+    batch_entries: int = 512
+    snapshot_entries: int = 10_000
+    retained_entries: int = 1_000
+    install_chunk_bytes: int = 262_144
+
+    def __post_init__(self) -> None:
+        if not 0 <= self.drift_bound < 1:
+            raise ValueError(f"drift_bound {self.drift_bound} is not in [0, 1)")
+        if not 0 < 2 * self.heartbeat_ms <= self.election_timeout_ms:
+            raise ValueError(
+                f"heartbeat_ms {self.heartbeat_ms} must be positive and at most half "
+                f"of election_timeout_ms {self.election_timeout_ms}"
+            )
+
+    @property
+    def election_timeout(self) -> float:
+        """Promise of a follower to its leader, in seconds."""
+        return self.election_timeout_ms / _MS_PER_S
+
+    @property
+    def lease(self) -> float:
+        """Lease of a leader from the send time of a heartbeat, in seconds."""
+        return self.election_timeout * (1 - self.drift_bound)
+
+    @property
+    def heartbeat(self) -> float:
+        """Interval of heartbeats, in seconds."""
+        return self.heartbeat_ms / _MS_PER_S
+
+    @property
+    def rpc_timeout(self) -> float:
+        """Longest wait for a reply, in seconds."""
+        return self.rpc_timeout_ms / _MS_PER_S
+
+
+@dataclass(frozen=True)
+class PeerStatus:
+    """What the leader knows of one other member."""
+
+    member: Member
+    match_index: int
+    caught_up: bool
+    answered_ms_ago: float | None
+
+
+@dataclass(frozen=True)
+class LogStatus:
+    """State of one replica for operators.
+
+    Attributes
+    ----------
+    peers : tuple of PeerStatus
+        Known on the leader only.
+    safe_to_lose_one : bool
+        Whether any one voter can be lost for ever without losing the quorum or a
+        committed entry. Known on the leader only, ``False`` elsewhere.
+    """
+
+    member: Member
+    term: int
+    role: ReplicaRole
+    leader: Member | None
+    commit_index: int
+    applied_index: int
+    last_index: int
+    snapshot_index: int
+    members: tuple[Member, ...]
+    peers: tuple[PeerStatus, ...]
+    lease_valid: bool
+    storage_failed: bool
+    safe_to_lose_one: bool
--- a/packages/testkit/src/kingcuplug_testkit/__init__.py
+++ b/packages/testkit/src/kingcuplug_testkit/__init__.py
@@ -1,5 +1,23 @@
 """Test support: virtual-time event loop and fakes for network and disk."""
 
+from kingcuplug_testkit._disk import Crashed, FakeDisk, FakeFileSystem, Trap
+from kingcuplug_testkit._invariants import Invariants, InvariantViolated
+from kingcuplug_testkit._log_group import Host, LogGroup, RecordingMachine
+from kingcuplug_testkit._network import FakeNetwork, LinkFaults
 from kingcuplug_testkit._virtual_time import VirtualTimeLoop, run_virtual
 
-__all__ = ["VirtualTimeLoop", "run_virtual"]
+__all__ = [
+    "Crashed",
+    "FakeDisk",
+    "FakeFileSystem",
+    "FakeNetwork",
+    "Host",
+    "InvariantViolated",
+    "Invariants",
+    "LinkFaults",
+    "LogGroup",
+    "RecordingMachine",
+    "Trap",
+    "VirtualTimeLoop",
+    "run_virtual",
+]
--- /dev/null
+++ b/packages/testkit/src/kingcuplug_testkit/_log_group.py
@@ -0,0 +1,280 @@
+"""A group of log replicas on fake hosts, in virtual time."""
+
+import asyncio
+import hashlib
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from kingcuplug_log import (
+    LogSettings,
+    LostLeadership,
+    Member,
+    MemberRole,
+    NotLeader,
+    Replica,
+    ReplicaRole,
+    Storage,
+    StorageFailed,
+    member_id,
+)
+
+from kingcuplug_testkit._disk import FakeDisk
+from kingcuplug_testkit._invariants import Invariants
+from kingcuplug_testkit._network import FakeNetwork
+
+__all__ = ["Host", "LogGroup", "RecordingMachine"]
+
+_CLUSTER = "test"
+_POLL_S = 0.01
+
+
+class RecordingMachine:
+    """State machine whose state tells the whole sequence of commands.
+
+    Attributes
+    ----------
+    index : int
+        Index of the last command applied.
+    chain : str
+        Digest of the whole sequence of commands.
+    values : list of JSON values
+        All commands in order.
+    """
+
+    def __init__(self, host: str, invariants: Invariants) -> None:
+        self.index = 0
+        self.chain = ""
+        self.values: list[Any] = []
+        self._host = host
+        self._invariants = invariants
+
+    def apply(self, index: int, command: Any) -> Any:
+        """Add a command and return its index."""
+        self._invariants.applied(self._host, index, self.index, command)
+        self.index = index
+        self.chain = hashlib.sha256(
+            f"{self.chain}{index}{command}".encode()
+        ).hexdigest()
+        self.values.append(command)
+        return {"index": index}
+
+    def dump(self) -> dict[str, Any]:
+        """Return the whole state."""
+        return {"index": self.index, "chain": self.chain, "values": list(self.values)}
+
+    def load(self, state: dict[str, Any]) -> None:
+        """Replace the whole state."""
+        self.index, self.chain = state["index"], state["chain"]
+        self.values = list(state["values"])
+
+
+class Host:
+    """One host: its disk, and the process that runs at the moment, if any.
+
+    Attributes
+    ----------
+    rate : float
+        Rate of the host's monotonic clock.
+    member : Member
+        Identity of the last process; a lost disk changes it.
+    """
+
+    def __init__(self, name: str, group: "LogGroup") -> None:
+        self.name = name
+        self.rate = 1.0
+        self.disk = FakeDisk(Random(f"{group.seed}/{name}"))
+        self.disk.on_crash = self._ended
+        self.replica: Replica | None = None
+        self.member = Member("", name, name)
+        self.machine = RecordingMachine(name, group.invariants)
+        self._group = group
+        self._ends: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Start the process; does nothing if the disk crashes on the way."""
+        group = self._group
+        loop = asyncio.get_running_loop()
+        storage = Storage(self.disk.mount())
+        generation = self.disk.generation
+        try:
+            await storage.open()
+        except StorageFailed:
+            if generation == self.disk.generation:
+                raise
+            return
+        identity = member_id(self.name, storage.disk_id)
+        self.member = Member(identity, self.name, self.name, MemberRole.VOTER)
+        self.machine = RecordingMachine(self.name, group.invariants)
+        offset = group.random.uniform(0, 1_000)
+        self.replica = Replica(
+            self.member,
+            storage,
+            group.network.transport(self.name),
+            self.machine,
+            group.settings,
+            lambda: offset + loop.time() * self.rate,
+            Random(group.random.random()),
+        )
+        await self.replica.start()
+        group.network.attach(self.name, self.replica.handle)
+
+    async def stop(self) -> None:
+        """Stop the process in order."""
+        replica, self.replica = self.replica, None
+        self._group.network.detach(self.name)
+        if replica is not None:
+            await replica.stop()
+        await asyncio.gather(*self._ends)
+
+    def _ended(self) -> None:
+        replica, self.replica = self.replica, None
+        self._group.network.detach(self.name)
+        if replica is not None:
+            self._ends.append(asyncio.create_task(replica.stop()))
+
+
+class LogGroup:
+    """Hosts, network and checker of one test.
+
+    Parameters
+    ----------
+    seed : str
+        Makes every delay, fault and timeout of the run repeatable.
+    """
+
+    def __init__(self, seed: str, settings: LogSettings | None = None) -> None:
+        self.seed = seed
+        self.random = Random(seed)
+        self.settings = settings or LogSettings()
+        self.invariants = Invariants()
+        self.network = FakeNetwork(self.random)
+        self.network.observers.append(self.invariants.observe)
+        self.hosts: dict[str, Host] = {}
+
+    async def start(self, *names: str) -> None:
+        """Start hosts as voters of a new cluster; the first one begins it."""
+        first, *others = names
+        await self.add_host(first)
+        assert self.hosts[first].replica is not None
+        await self.replica(first).bootstrap(_CLUSTER)
+        await self.wait_leader()
+        for name in others:
+            await self.add_host(name)
+            await self.join(name)
+
+    async def add_host(self, name: str) -> Host:
+        """Start a host that is not a member yet."""
+        host = self.hosts[name] = Host(name, self)
+        await host.start()
+        return host
+
+    async def join(self, name: str) -> None:
+        """Add a running host as a voter and wait for its promotion."""
+        await self.change(add=self.hosts[name].member)
+        await self.until(lambda: self.is_voter(self.hosts[name].member.id))
+
+    async def change(
+        self, add: Member | None = None, remove: str | None = None
+    ) -> None:
+        """Change the members, trying again as an operator would."""
+        while not self._changed(add, remove):
+            leader = await self.wait_leader()
+            try:
+                await self.replica(leader.name).change(add=add, remove=remove)
+            except Exception:
+                await asyncio.sleep(0.02)
+
+    def replica(self, name: str) -> Replica:
+        """Return a host's running replica."""
+        replica = self.hosts[name].replica
+        if replica is None:
+            raise RuntimeError(f"host {name} is down")
+        return replica
+
+    def running(self) -> list[Host]:
+        """Return the hosts whose process runs."""
+        return [host for host in self.hosts.values() if host.replica is not None]
+
+    def leader(self) -> Host | None:
+        """Return the host that leads the greatest term."""
+        leaders = [
+            host
+            for host in self.running()
+            if self.replica(host.name).status().role is ReplicaRole.LEADER
+        ]
+        return max(
+            leaders,
+            key=lambda host: self.replica(host.name).status().term,
+            default=None,
+        )
+
+    def followers(self) -> list[Host]:
+        """Return the running hosts that do not lead the greatest term."""
+        leader = self.leader()
+        return [host for host in self.running() if host is not leader]
+
+    def is_voter(self, identifier: str) -> bool:
+        """Return whether the leader counts this member as a voter, committed."""
+        leader = self.leader()
+        if leader is None:
+            return False
+        status = self.replica(leader.name).status()
+        wanted = [m for m in status.members if m.id == identifier]
+        return bool(wanted) and wanted[0].role is MemberRole.VOTER
+
+    async def wait_leader(self, timeout: float = 10) -> Host:
+        """Wait for a leader with a valid lease."""
+
+        def leads() -> bool:
+            host = self.leader()
+            return host is not None and self.replica(host.name).status().lease_valid
+
+        await self.until(leads, timeout)
+        leader = self.leader()
+        assert leader is not None
+        return leader
+
+    async def until(self, condition: Callable[[], bool], timeout: float = 10) -> None:
+        """Wait for a condition; raises `TimeoutError`."""
+        async with asyncio.timeout(timeout):
+            while True:
+                if condition():
+                    return
+                await asyncio.sleep(_POLL_S)
+
+    async def propose(self, command: Any, timeout: float = 10) -> Any:
+        """Propose at the leader until it succeeds; for commands that may repeat."""
+        async with asyncio.timeout(timeout):
+            while True:
+                leader = await self.wait_leader(timeout)
+                try:
+                    return await self.replica(leader.name).propose(command)
+                except (NotLeader, LostLeadership, StorageFailed):
+                    await asyncio.sleep(0.02)
+
+    async def converge(self, timeout: float = 10) -> None:
+        """Wait until all running hosts have applied the same sequence."""
+
+        def same() -> bool:
+            states = {
+                (host.machine.index, host.machine.chain) for host in self.running()
+            }
+            return len(states) == 1
+
+        await self.until(same, timeout)
+
+    async def stop(self) -> None:
+        """Stop all hosts."""
+        for host in self.hosts.values():
+            await host.stop()
+        self.network.close()
+
+    def _changed(self, add: Member | None, remove: str | None) -> bool:
+        leader = self.leader()
+        if leader is None:
+            return False
+        ids = {m.id for m in self.replica(leader.name).status().members}
+        return (add is not None and add.id in ids) or (
+            remove is not None and remove not in ids
+        )
