--- /dev/null
+++ b/packages/daemon/src/kingcuplug_daemon/_entry_configuration.py
@@ -0,0 +1,116 @@
+"""The configuration in force at an entry host.
+
+A revision is put in force as one immutable view; requests keep the view with which
+they started.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from kingcuplug_common import KingcuplugError
+from kingcuplug_configuration import (
+    ConfigurationText,
+    Delta,
+    Service,
+    parse,
+    render,
+    replay,
+    text_digest,
+)
+from kingcuplug_query import RevisionView, ServiceRuntime
+from kingcuplug_routing import Admission, Router, RoutingPolicy
+
+__all__ = ["EntryConfiguration", "PolicyOf"]
+
+PolicyOf = Callable[[Service], RoutingPolicy]
+_NOTHING_IN_FORCE = -1
+
+
+class EntryConfiguration:
+    """Revisions as they come from the home control host.
+
+    Parameters
+    ----------
+    services : tuple of str or None
+        Routed services; ``None`` routes all of them.
+    policy_of : callable
+        Returns the routing policy of a service.
+    random_source : random.Random
+        Source of all random decisions of the routers.
+
+    Attributes
+    ----------
+    view : RevisionView
+        The revision in force.
+    retention_days : int
+        How long orders are kept.
+    """
+
+    def __init__(
+        self,
+        services: tuple[str, ...] | None,
+        policy_of: PolicyOf,
+        random_source: random.Random,
+    ) -> None:
+        self.view = RevisionView(_NOTHING_IN_FORCE, {})
+        self.retention_days = 0
+        self._routed = services
+        self._policy_of = policy_of
+        self._random = random_source
+        self._text = ConfigurationText()
+        self.changed: Callable[[], None] = lambda: None
+
+    def current(self) -> int:
+        """Return the number of the revision in force; -1 for none."""
+        return self.view.number
+
+    def services(self) -> tuple[str, ...]:
+        """Return the names of the routed services."""
+        if self._routed is not None:
+            return self._routed
+        return tuple(self._text.services)
+
+    def apply(
+        self, revision: int, deltas: list[Any] | None, text: str | None, digest: str
+    ) -> None:
+        """Put a revision in force.
+
+        Raises
+        ------
+        KingcuplugError
+            If the resulting text has another digest; nothing changes then.
+        """
+        if deltas is not None:
+            new = replay(self._text, [Delta.from_json(value) for value in deltas])
+        else:
+            new = parse(text or "")
+        found = text_digest(render(new))
+        if found != digest:
+            raise KingcuplugError(
+                f"revision {revision} has digest {found[:12]} here, not {digest[:12]}",
+                "the whole text is fetched",
+            )
+        self._text = new
+        self.retention_days = new.retention_days
+        self.view = RevisionView(revision, self._runtimes(new))
+        self.changed()
+
+    def _runtimes(self, text: ConfigurationText) -> dict[str, ServiceRuntime]:
+        routed = set(text.services if self._routed is None else self._routed)
+        return {
+            name: self._runtime(service)
+            for name, service in text.services.items()
+            if name in routed
+        }
+
+    def _runtime(self, service: Service) -> ServiceRuntime:
+        known = self.view.services.get(service.name)
+        if known is not None and known.service == service:
+            return known
+        if known is not None and known.service.policy == service.policy:
+            return ServiceRuntime(service, known.router, known.admission)
+        # A changed policy starts with new statistics; requests in flight end under
+        # the router that they started with.
+        router = Router(service.name, self._policy_of(service), self._random)
+        return ServiceRuntime(service, router, Admission(router))
--- /dev/null
+++ b/packages/daemon/src/kingcuplug_daemon/_keys.py
@@ -0,0 +1,125 @@
+"""The key with which this host signs receipts."""
+
+import asyncio
+import os
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+from kingcuplug_common import KingcuplugError, Receipt, Signer, state_change
+
+from kingcuplug_daemon._key_registry import PublishKey
+
+__all__ = ["ReceiptKeys"]
+
+_FILE = "receipt-key"
+_SEED_BYTES = 32
+_RETRY_S = 0.5
+
+Submit = Callable[[dict[str, Any]], Awaitable[dict[str, Any]]]
+
+
+class ReceiptKeys:
+    """Signs with a key only after its public half is in the replicated log.
+
+    A receipt whose key nobody can look up weeks later would prove nothing, so a
+    host is not ready before its key is published.
+
+    Parameters
+    ----------
+    host : str
+        Name of this host.
+    folder : Path or None
+        Keeps the key over restarts; without one every start makes a new key.
+    submit : callable
+        Commits a command.
+    wall_ms : callable
+        Wall clock in milliseconds since the epoch.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        folder: Path | None,
+        submit: Submit,
+        wall_ms: Callable[[], int],
+    ) -> None:
+        self._host = host
+        self._path = None if folder is None else folder / _FILE
+        self._submit = submit
+        self._wall_ms = wall_ms
+        self._signer: Signer | None = None
+        self._lock = asyncio.Lock()
+
+    @property
+    def published(self) -> bool:
+        """Whether receipts can be signed."""
+        return self._signer is not None
+
+    async def start(self) -> None:
+        """Load or make the key and publish it, however long that takes."""
+        signer = self._load() or self._make()
+        async with self._lock:
+            while True:
+                try:
+                    await self._publish(signer)
+                    return
+                except (KingcuplugError, TimeoutError):
+                    await asyncio.sleep(_RETRY_S)
+
+    async def rotate(self) -> str:
+        """Publish a new key, sign with it from now on and return its identifier.
+
+        Raises
+        ------
+        KingcuplugError, TimeoutError
+            If it could not be published; the present key stays in use.
+        """
+        async with self._lock:
+            signer = self._make()
+            await self._publish(signer)
+            state_change("receipt-key", "rotated", key_id=signer.key_id)
+            return signer.key_id
+
+    def sign(self, receipt: Receipt) -> dict[str, Any] | None:
+        """Return the signed receipt; ``None`` before the key is published."""
+        return None if self._signer is None else self._signer.sign(receipt)
+
+    async def _publish(self, signer: Signer) -> None:
+        command = PublishKey(self._host, signer.public_key.hex(), self._wall_ms())
+        await self._submit(command.to_json())
+        self._signer = signer
+
+    def _load(self) -> Signer | None:
+        if self._path is None or not self._path.exists():
+            return None
+        seed = self._path.read_bytes()
+        if len(seed) != _SEED_BYTES:
+            raise KingcuplugError(
+                f"{self._path} has {len(seed)} bytes, not {_SEED_BYTES}",
+                "remove the file; a new key will be made and published",
+            )
+        return Signer(seed)
+
+    def _make(self) -> Signer:
+        seed = os.urandom(_SEED_BYTES)
+        if self._path is not None:
+            _write_private(self._path, seed)
+        return Signer(seed)
+
+
+def _write_private(path: Path, content: bytes) -> None:
+    new = path.with_suffix(".new")
+    new.unlink(missing_ok=True)
+    descriptor = os.open(new, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600)
+    try:
+        os.write(descriptor, content)
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+    new.rename(path)
+    folder = os.open(path.parent, os.O_RDONLY)
+    try:
+        os.fsync(folder)
+    finally:
+        os.close(folder)
--- /dev/null
+++ b/packages/daemon/src/kingcuplug_daemon/_machine.py
@@ -0,0 +1,75 @@
+"""The state machine that the replicated log applies.
+
+It routes each command to the aggregate that owns the state; the aggregates do not
+know each other.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from kingcuplug_common import KingcuplugError
+from kingcuplug_configuration import ConfigurationHistory
+from kingcuplug_ledger import OrderLedger, result_to_json
+
+from kingcuplug_daemon._key_registry import KeyRegistry, PublishKey
+
+__all__ = ["LEDGER_COMMANDS", "SystemMachine"]
+
+LEDGER_COMMANDS = frozenset(("claim", "dispatch", "outcome", "release"))
+
+
+class SystemMachine:
+    """Configuration, order ledger and public keys, as one machine.
+
+    Attributes
+    ----------
+    on_revision : list of callable
+        Called after another configuration revision came into force.
+    """
+
+    def __init__(self) -> None:
+        self.configuration = ConfigurationHistory()
+        self.ledger = OrderLedger()
+        self.keys = KeyRegistry()
+        self.on_revision: list[Callable[[], None]] = []
+
+    def apply(self, index: int, command: Any) -> Any:
+        """Apply one committed command and return its result as JSON value."""
+        kind = command.get("type") if isinstance(command, dict) else None
+        if kind in LEDGER_COMMANDS:
+            return result_to_json(self.ledger.apply(command))
+        if kind == "apply_configuration":
+            return self._apply_configuration(command)
+        if kind == "publish_key":
+            key = self.keys.apply(PublishKey.from_json(command))
+            return {"type": "published", "key_id": key.key_id}
+        raise KingcuplugError(
+            f"command {kind!r} in entry {index} is unknown",
+            "run one version on all control hosts",
+        )
+
+    def dump(self) -> dict[str, Any]:
+        """Return the whole state."""
+        return {
+            "configuration": self.configuration.dump(),
+            "ledger": self.ledger.dump(),
+            "keys": self.keys.dump(),
+        }
+
+    def load(self, state: dict[str, Any]) -> None:
+        """Replace the whole state."""
+        self.configuration.load(state["configuration"])
+        self.ledger.load(state["ledger"])
+        self.keys.load(state["keys"])
+        self._revised()
+
+    def _apply_configuration(self, command: dict[str, Any]) -> dict[str, Any]:
+        before = self.configuration.current.number
+        result = self.configuration.apply(command).to_json()
+        if self.configuration.current.number != before:
+            self._revised()
+        return result
+
+    def _revised(self) -> None:
+        for callback in self.on_revision:
+            callback()
--- /dev/null
+++ b/packages/daemon/src/kingcuplug_daemon/_peers.py
@@ -0,0 +1,134 @@
+"""Calls between the system's own processes: HTTP with JSON."""
+
+import ssl
+from collections.abc import Mapping
+from typing import Any
+
+import aiohttp
+import orjson
+from kingcuplug_common import KingcuplugError, TlsSettings
+from kingcuplug_membership import Call
+
+__all__ = ["NotSent", "PeerClient", "PeerError", "client_context"]
+
+_CONNECT_TIMEOUT_S = 0.5
+_POOL_PER_HOST = 8
+_KEEPALIVE_S = 30.0
+_JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+class NotSent(KingcuplugError, ConnectionError):
+    """No connection could be made, so the peer has not seen the message."""
+
+
+class PeerError(KingcuplugError):
+    """The peer answered with an error.
+
+    Attributes
+    ----------
+    kind : str
+        Name of the error's class at the peer.
+    fields : Mapping[str, Any]
+        The whole answer.
+    """
+
+    def __init__(self, kind: str, fields: Mapping[str, Any]) -> None:
+        super().__init__(
+            str(fields.get("message", "no message")),
+            str(fields.get("remedy", "look at the log of the peer")),
+        )
+        self.kind = kind
+        self.fields = fields
+
+
+class PeerClient:
+    """Calls other hosts at their peer addresses.
+
+    Parameters
+    ----------
+    tls : TlsSettings, optional
+        Identity for mutual TLS.
+    """
+
+    def __init__(self, tls: TlsSettings | None = None) -> None:
+        self._scheme = "https" if tls is not None else "http"
+        self._tls = tls
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    def path(self, path: str, timeout_s: float) -> Call:
+        """Return a function that posts messages to one path of any peer.
+
+        It raises `NotSent` if the peer cannot have seen the message, `PeerError`
+        if it refused, and `OSError` or `TimeoutError` if nothing is known.
+        """
+
+        async def call(address: str, message: dict[str, Any]) -> dict[str, Any]:
+            return await self.post(address, path, message, timeout_s)
+
+        return call
+
+    async def post(
+        self, address: str, path: str, message: dict[str, Any], timeout_s: float
+    ) -> dict[str, Any]:
+        """Post one message; see `path` for the errors."""
+        try:
+            async with self._http().post(
+                f"{self._scheme}://{address}{path}",
+                data=orjson.dumps(message),
+                headers=_JSON_HEADERS,
+                timeout=aiohttp.ClientTimeout(
+                    total=timeout_s, sock_connect=_CONNECT_TIMEOUT_S
+                ),
+            ) as response:
+                body = await response.read()
+                status = response.status
+        except aiohttp.ClientConnectorError as error:
+            raise NotSent(
+                f"host at {address} accepts no connection: {error.os_error}",
+                "check that the host runs and that the address is right",
+            ) from error
+        except aiohttp.ClientError as error:
+            raise ConnectionError(f"call of {address}{path} broke: {error}") from error
+        return _read(status, body)
+
+    def _http(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            context = client_context(self._tls)
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(
+                    limit=0,
+                    limit_per_host=_POOL_PER_HOST,
+                    keepalive_timeout=_KEEPALIVE_S,
+                    ssl=context if context is not None else True,
+                ),
+                cookie_jar=aiohttp.DummyCookieJar(),
+            )
+        return self._session
+
+
+def client_context(tls: TlsSettings | None) -> ssl.SSLContext | None:
+    """Return a client context that presents and requires a certificate."""
+    if tls is None:
+        return None
+    context = ssl.create_default_context(cafile=str(tls.authority))
+    # Hosts are addressed by IP number; the private authority vouches for them.
+    context.check_hostname = False
+    context.load_cert_chain(str(tls.certificate), str(tls.private_key))
+    return context
+
+
+def _read(status: int, body: bytes) -> dict[str, Any]:
+    try:
+        value = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise ConnectionError(f"the peer sent no JSON: {error}") from error
+    if not isinstance(value, dict):
+        raise ConnectionError(f"the peer sent {type(value).__name__}, not an object")
+    if status != 200:
+        raise PeerError(str(value.get("error", status)), value)
+    return value
--- /dev/null
+++ b/packages/daemon/src/kingcuplug_daemon/_submission.py
@@ -0,0 +1,110 @@
+"""Sending of commands and reads to the leader of the replicated log."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from kingcuplug_common import KingcuplugError
+
+from kingcuplug_daemon._peers import NotSent, PeerClient, PeerError
+
+__all__ = ["NoLeader", "Submitter"]
+
+_TRY_TIMEOUT_S = 2.0
+_ROUNDS = 2
+# An election takes 300 to 600 ms; a shorter pause would only repeat the question.
+_PAUSE_S = 0.15
+
+
+class NoLeader(KingcuplugError):
+    """No control host leads; nothing was done."""
+
+
+class Submitter:
+    """Finds the leader and sends it commands and reads.
+
+    Parameters
+    ----------
+    peers : PeerClient
+        Calls other hosts.
+    seeds : callable
+        Peer addresses of the control hosts.
+    """
+
+    def __init__(self, peers: PeerClient, seeds: Callable[[], Sequence[str]]) -> None:
+        self._peers = peers
+        self._seeds = seeds
+        self._leader: str | None = None
+
+    async def submit(self, command: dict[str, Any]) -> dict[str, Any]:
+        """Commit a command and return its result.
+
+        Raises
+        ------
+        TimeoutError
+            If the command may have been applied, or may yet be.
+        NoLeader, PeerError
+            If it certainly was not and will not be.
+        """
+        return await self._send("/peer/v1/submit", command, _TRY_TIMEOUT_S)
+
+    async def read(
+        self, question: dict[str, Any], timeout_s: float = _TRY_TIMEOUT_S
+    ) -> dict[str, Any]:
+        """Return the leader's answer to a question; errors are as for `submit`."""
+        return await self._send("/peer/v1/read", question, timeout_s)
+
+    async def _send(
+        self, path: str, message: dict[str, Any], timeout_s: float
+    ) -> dict[str, Any]:
+        last = "no control host is configured"
+        for round_number in range(_ROUNDS):
+            if round_number:
+                await asyncio.sleep(_PAUSE_S)
+            asked: set[str] = set()
+            for address in self._candidates():
+                reply, last = await self._ask(address, path, message, timeout_s, asked)
+                if reply is not None:
+                    return reply
+        raise NoLeader(
+            f"no control host leads: {last}",
+            "check `kingcuplug control status`; a majority of voters must run",
+        )
+
+    def _candidates(self) -> list[str]:
+        known = [] if self._leader is None else [self._leader]
+        return known + [seed for seed in self._seeds() if seed != self._leader]
+
+    async def _ask(
+        self,
+        address: str,
+        path: str,
+        message: dict[str, Any],
+        timeout_s: float,
+        asked: set[str],
+    ) -> tuple[dict[str, Any] | None, str]:
+        """Ask one host, and the leader that it names, once each."""
+        why = f"{address} was asked already"
+        following: str | None = address
+        while following is not None and following not in asked:
+            asked.add(following)
+            try:
+                reply = await self._peers.post(following, path, message, timeout_s)
+            except NotSent as error:
+                return None, error.message
+            except PeerError as error:
+                if error.kind != "NotLeader":
+                    self._raise(error)
+                why = f"{following} does not lead"
+                following = error.fields.get("leader")
+                continue
+            except OSError as error:
+                raise TimeoutError(f"{following} did not answer: {error}") from error
+            self._leader = following
+            return reply, ""
+        return None, why
+
+    def _raise(self, error: PeerError) -> None:
+        if error.kind == "LostLeadership":
+            raise TimeoutError(error.message) from error
+        raise error
--- a/packages/log/src/kingcuplug_log/_replica.py
+++ b/packages/log/src/kingcuplug_log/_replica.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import random as random_module
 from typing import Any
 
@@ -224,6 +225,15 @@
             self._core.fail()
             return to_json(Rejected("storage_failed"))
 
+    def leading_until(self) -> float:
+        """Return when the own lease as leader ends, on the clock; -inf without one."""
+        leadership = self._core.leadership
+        if leadership is None or not leadership.lease_valid():
+            return -math.inf
+        if self._core.applied_index < leadership.first_index:
+            return -math.inf
+        return leadership.contact_at() + self._core.settings.lease
+
     def status(self) -> LogStatus:
         """Return the state of this replica for operators."""
         core, leadership = self._core, self._core.leadership
