--- /dev/null
+++ b/packages/membership/src/kingcuplug_membership/_changes.py
@@ -0,0 +1,68 @@
+"""Keys in the order of their last change, for sending what a reader lacks."""
+
+from collections.abc import Callable, Hashable, Iterator
+from typing import Generic, NamedTuple, TypeVar
+
+__all__ = ["ChangeLog", "Mark"]
+
+_Key = TypeVar("_Key", bound=Hashable)
+
+
+class Mark(NamedTuple):
+    """When a key changed last, and whether this host was the first to learn it."""
+
+    version: int
+    time: float
+    local: bool
+
+
+class ChangeLog(Generic[_Key]):
+    """Versions of keys; a key that changes again moves to the end.
+
+    Attributes
+    ----------
+    version, local_version : int
+        Version of the last change, and of the last that this host was the first
+        to learn.
+    """
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.version = 0
+        self.local_version = 0
+        self._clock = clock
+        self._marks: dict[_Key, Mark] = {}
+
+    def __getitem__(self, key: _Key) -> Mark:
+        return self._marks[key]
+
+    def touch(self, key: _Key, local: bool = False) -> None:
+        """Record a change of `key`."""
+        self.version += 1
+        if local:
+            self.local_version = self.version
+        self._marks.pop(key, None)
+        self._marks[key] = Mark(self.version, self._clock(), local)
+
+    def remove(self, key: _Key) -> None:
+        """Forget `key`."""
+        self._marks.pop(key, None)
+
+    def newest(self, version: int) -> Iterator[tuple[_Key, Mark]]:
+        """Yield keys changed after `version`, the newest first."""
+        for key, mark in reversed(self._marks.items()):
+            if mark.version <= version:
+                return
+            yield key, mark
+
+    def since(self, version: int, local: bool = False) -> list[_Key]:
+        """Return keys changed after `version`, the oldest first."""
+        found = [key for key, mark in self.newest(version) if mark.local or not local]
+        found.reverse()
+        return found
+
+    def version_at(self, time: float) -> int:
+        """Return a version that contains no change from `time` on."""
+        for mark in reversed(self._marks.values()):
+            if mark.time < time:
+                return mark.version
+        return 0
--- /dev/null
+++ b/packages/membership/src/kingcuplug_membership/_directory.py
@@ -0,0 +1,230 @@
+"""The directory of backend servers.
+
+A control host keeps all servers, an entry host those of its routed services.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from kingcuplug_common import identifier
+
+from kingcuplug_membership._changes import ChangeLog
+from kingcuplug_membership._entry import Key, ServerEntry, join
+
+__all__ = ["Directory", "DirectoryChanges"]
+
+
+@dataclass(frozen=True, slots=True)
+class DirectoryChanges:
+    """Entries after a version, the oldest first; `more` follow after `version`."""
+
+    entries: tuple[ServerEntry, ...]
+    version: int
+    more: bool
+
+
+class Directory:
+    """Backend servers by service; the greatest rank wins.
+
+    Parameters
+    ----------
+    clock : callable
+        Monotonic time in seconds.
+    tombstone_ms : int
+        Time for which an ended server is remembered, so that a stale update does
+        not bring it back.
+
+    Attributes
+    ----------
+    epoch : str
+        Identifies the sequence of versions; a new one means that a reader needs
+        everything.
+    """
+
+    def __init__(self, clock: Callable[[], float], tombstone_ms: int = 60_000) -> None:
+        self.epoch = identifier()
+        self._clock = clock
+        self._tombstone = tombstone_ms / 1_000
+        self._watchers: list[Callable[[ServerEntry], None]] = []
+        self._clear()
+
+    def _clear(self) -> None:
+        self._changes: ChangeLog[Key] = ChangeLog(self._clock)
+        self._entries: dict[Key, ServerEntry] = {}
+        self._services: dict[str, dict[str, ServerEntry]] = {}
+        self._holders: dict[str, dict[Key, None]] = {}
+        self._tombstones: dict[Key, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    @property
+    def version(self) -> int:
+        """Return the number of the last change."""
+        return self._changes.version
+
+    @property
+    def local_version(self) -> int:
+        """Return the number of the last change that this host has to tell."""
+        return self._changes.local_version
+
+    def watch(self, callback: Callable[[ServerEntry], None]) -> None:
+        """Call `callback` with every entry that changes or is dropped."""
+        self._watchers.append(callback)
+
+    def get(self, service: str, server: str) -> ServerEntry | None:
+        """Return what is known of a server, also after its end."""
+        return self._entries.get((service, server))
+
+    def servers(self, service: str) -> list[ServerEntry]:
+        """Return the live servers of a service, draining ones included."""
+        found = self._services.get(service, {}).values()
+        return [entry for entry in found if entry.live]
+
+    def services(self) -> list[str]:
+        """Return the names of all services that have a known server."""
+        return list(self._services)
+
+    def merge(self, entry: ServerEntry, local: bool = False) -> bool:
+        """Merge an update; return whether it said anything new.
+
+        Parameters
+        ----------
+        entry : ServerEntry
+            The update.
+        local : bool
+            Whether this host is the one that tells the other control hosts.
+        """
+        known = self._entries.get(entry.key)
+        merged = entry if known is None else join(known, entry)
+        if merged == known:
+            return False
+        self._store(merged, known)
+        self._changes.touch(entry.key, local)
+        self._notify(merged)
+        return True
+
+    def adopt(self, entry: ServerEntry) -> bool:
+        """Merge an update that this host must tell the others even if it is known.
+
+        A session that moved here sends what its former home may not have passed
+        on before it was lost.
+        """
+        if self.merge(entry, local=True):
+            return True
+        if not self._changes[entry.key].local:
+            self._changes.touch(entry.key, local=True)
+            self._notify(entry)
+        return False
+
+    def _store(self, entry: ServerEntry, known: ServerEntry | None) -> None:
+        key = entry.key
+        self._entries[key] = entry
+        self._services.setdefault(key[0], {})[key[1]] = entry
+        if known is not None:
+            self._release(known, set(known.held) - set(entry.held))
+        for holder in entry.held:
+            if holder in entry.ended:
+                self._release(entry, {holder})
+            else:
+                self._holders.setdefault(holder, {})[key] = None
+        self._tombstones.pop(key, None)
+        if not entry.live:
+            self._tombstones[key] = self._clock()
+
+    def _release(self, entry: ServerEntry, holders: set[str]) -> None:
+        for holder in holders:
+            held = self._holders.get(holder, {})
+            held.pop(entry.key, None)
+            if not held:
+                self._holders.pop(holder, None)
+
+    def changes_since(
+        self,
+        version: int,
+        services: Iterable[str] | None = None,
+        *,
+        local: bool = False,
+        limit: int | None = None,
+    ) -> DirectoryChanges:
+        """Return the entries changed after `version`, the oldest first."""
+        keys = self._keys_since(version, services, local)
+        chosen = keys if limit is None else keys[:limit]
+        more = len(chosen) < len(keys)
+        reached = self._changes[chosen[-1]].version if more else self.version
+        return DirectoryChanges(
+            tuple(self._entries[key] for key in chosen), reached, more
+        )
+
+    def _keys_since(
+        self, version: int, services: Iterable[str] | None, local: bool
+    ) -> list[Key]:
+        if services is None:
+            return self._changes.since(version, local)
+        wanted = frozenset(services)
+        if version > 0:
+            found = self._changes.since(version, local)
+            return [key for key in found if key[0] in wanted]
+        keys = [
+            (service, server)
+            for service in wanted
+            for server in self._services.get(service, {})
+        ]
+        return sorted(keys, key=lambda key: self._changes[key].version)
+
+    def has_news(self, version: int, services: frozenset[str]) -> bool:
+        """Return whether a server of `services` changed after `version`."""
+        return any(key[0] in services for key, _ in self._changes.newest(version))
+
+    def version_at(self, time: float) -> int:
+        """Return a version that contains no change from `time` on."""
+        return self._changes.version_at(time)
+
+    def holders(self) -> list[str]:
+        """Return the entry hosts that hold a running lease."""
+        return list(self._holders)
+
+    def end_holder(self, holder: str) -> int:
+        """End every lease that `holder` holds; return their number."""
+        held = list(self._holders.get(holder, ()))
+        for key in held:
+            known = self._entries[key]
+            self.merge(ServerEntry(known.announcement, (holder,), (holder,)), True)
+        return len(held)
+
+    def purge(self) -> int:
+        """Forget servers whose end is older than the tombstone's period."""
+        limit = self._clock() - self._tombstone
+        old = []
+        for key, time in self._tombstones.items():
+            if time > limit:
+                break
+            old.append(key)
+        for key in old:
+            self.drop(key)
+        return len(old)
+
+    def drop(self, key: Key) -> None:
+        """Forget a server without a trace."""
+        entry = self._entries.pop(key)
+        servers = self._services[key[0]]
+        del servers[key[1]]
+        if not servers:
+            del self._services[key[0]]
+        self._release(entry, set(entry.held))
+        self._tombstones.pop(key, None)
+        self._changes.remove(key)
+        self._notify(entry)
+
+    def _notify(self, entry: ServerEntry) -> None:
+        for callback in self._watchers:
+            callback(entry)
+
+    def keys(self) -> list[Key]:
+        """Return (service, server) of all known servers."""
+        return list(self._entries)
+
+    def reset(self) -> None:
+        """Forget everything and take a new epoch, as after a restart."""
+        self.epoch = identifier()
+        self._clear()
--- /dev/null
+++ b/packages/membership/src/kingcuplug_membership/_entry.py
@@ -0,0 +1,75 @@
+"""The state of one backend server as the directory keeps and sends it.
+
+An entry is the join of everything that was said about the greatest announcement:
+two entries merge to the same result in any order, however often they arrive.
+"""
+
+from dataclasses import dataclass
+
+from kingcuplug_membership._announcement import Announcement
+
+__all__ = ["Key", "ServerEntry", "holder_name", "join"]
+
+Key = tuple[str, str]
+
+
+def holder_name(host: str, incarnation: int) -> str:
+    """Return the name under which one run of an entry host holds leases."""
+    return f"{host}/{incarnation}"
+
+
+@dataclass(frozen=True, slots=True)
+class ServerEntry:
+    """One backend server: its greatest announcement and the leases on it.
+
+    Attributes
+    ----------
+    held : tuple of str
+        Entry hosts that granted a lease on this very announcement.
+    ended : tuple of str
+        Those of them whose lease has ended. An announcement that reached two
+        entry hosts is renewed at one of them only, so the end of the other lease
+        does not end the server.
+    """
+
+    announcement: Announcement
+    held: tuple[str, ...]
+    ended: tuple[str, ...] = ()
+
+    @property
+    def key(self) -> Key:
+        """Return (service, server)."""
+        return (self.announcement.service, self.announcement.server)
+
+    @property
+    def live(self) -> bool:
+        """Return whether the server has a lease and has not withdrawn."""
+        if self.announcement.state == "withdrawn":
+            return False
+        return not set(self.held) <= set(self.ended)
+
+    @property
+    def rank(self) -> tuple[int, int, int]:
+        """Return (incarnation, sequence, ended)."""
+        return (*self.announcement.order, 0 if self.live else 1)
+
+
+def join(one: ServerEntry, other: ServerEntry) -> ServerEntry:
+    """Return the least entry that contains both; the greater announcement wins."""
+    if one.announcement.order != other.announcement.order:
+        return max(one, other, key=lambda entry: entry.announcement.order)
+    return ServerEntry(
+        max(one.announcement, other.announcement, key=_content),
+        _union(one.held, other.held),
+        _union(one.ended, other.ended),
+    )
+
+
+def _content(announcement: Announcement) -> tuple[bool, str]:
+    # Equal pairs have equal content unless the server is faulty or withdraws. The
+    # text decides the rest, so that all hosts settle on the same content.
+    return (announcement.state == "withdrawn", repr(announcement))
+
+
+def _union(one: tuple[str, ...], other: tuple[str, ...]) -> tuple[str, ...]:
+    return one if one == other else tuple(sorted({*one, *other}))
--- /dev/null
+++ b/packages/membership/src/kingcuplug_membership/_intake.py
@@ -0,0 +1,70 @@
+"""How an entry host takes the directory of its routed services from its home."""
+
+from collections.abc import Callable
+
+from kingcuplug_membership._directory import Directory
+from kingcuplug_membership._entry import Key
+from kingcuplug_membership._messages import SessionReply
+
+__all__ = ["DirectoryIntake"]
+
+
+class DirectoryIntake:
+    """Merges replies, and drops servers that a new home does not know.
+
+    Dropping waits for a server lease period: a control host that restarted gets
+    the other entry hosts' leases a little later than ours.
+
+    Attributes
+    ----------
+    version : int
+        How far the home's directory is merged.
+    complete : bool
+        Whether a whole directory has ever been merged.
+    """
+
+    def __init__(
+        self, directory: Directory, clock: Callable[[], float], delay: float
+    ) -> None:
+        self.version = 0
+        self.complete = False
+        self._directory = directory
+        self._clock = clock
+        self._delay = delay
+        self._seen: set[Key] | None = None
+        self._doubted: set[Key] = set()
+        self._doubted_until = 0.0
+
+    def start(self) -> None:
+        """Expect the whole directory next."""
+        self.version = 0
+        self._seen = None
+
+    def take(self, reply: SessionReply) -> None:
+        """Merge the entries of a reply."""
+        if reply.full:
+            self._seen = set()
+        for entry in reply.entries:
+            self._doubted.discard(entry.key)
+            if self._seen is not None:
+                self._seen.add(entry.key)
+            self._directory.merge(entry)
+        self.version = reply.directory
+        self._drop_doubted()
+        if not reply.more:
+            self._finish()
+        self._directory.purge()
+
+    def _finish(self) -> None:
+        self.complete = True
+        if self._seen is not None:
+            self._doubted = set(self._directory.keys()) - self._seen
+            self._doubted_until = self._clock() + self._delay
+            self._seen = None
+
+    def _drop_doubted(self) -> None:
+        if self._clock() < self._doubted_until:
+            return
+        for key in self._doubted.intersection(self._directory.keys()):
+            self._directory.drop(key)
+        self._doubted = set()
--- /dev/null
+++ b/packages/membership/src/kingcuplug_membership/_leading.py
@@ -0,0 +1,146 @@
+"""What a control host does for the others while it is the log's leader."""
+
+from collections.abc import Callable
+from typing import Any
+
+from kingcuplug_membership._continuity import Continuity
+from kingcuplug_membership._directory import Directory
+from kingcuplug_membership._entry import ServerEntry, holder_name
+from kingcuplug_membership._hosts import HostTable
+from kingcuplug_membership._messages import (
+    BarrierReply,
+    BarrierRequest,
+    decode,
+    encode,
+)
+from kingcuplug_membership._sessions import SessionTable
+from kingcuplug_membership._settings import MembershipSettings
+from kingcuplug_membership._sources import LeaderSource
+
+__all__ = ["Leading"]
+
+# A new leader merged a change at most this much later than its predecessor.
+_RELAY_MARGIN_S = 5.0
+
+
+class Leading:
+    """The leader's table of hosts, its relay and its decision on lost hosts."""
+
+    def __init__(
+        self,
+        name: str,
+        directory: Directory,
+        sessions: SessionTable,
+        continuity: Continuity,
+        leader: LeaderSource,
+        revision: Callable[[], int],
+        clock: Callable[[], float],
+        settings: MembershipSettings,
+    ) -> None:
+        self._name = name
+        self._directory = directory
+        self._sessions = sessions
+        self._continuity = continuity
+        self._leader = leader
+        self._revision = revision
+        self._clock = clock
+        self._settings = settings
+        self._table = HostTable(clock, settings)
+        self._term = -1
+        self._lost: dict[str, float] = {}
+
+    def active(self) -> bool:
+        """Return whether this host leads under a valid lease."""
+        return self._clock() < self._leader.leading_until()
+
+    def table(self) -> HostTable:
+        """Return the host table of this term, with our own sessions up to date."""
+        if self._term != self._leader.term():
+            self._table = HostTable(self._clock, self._settings)
+            self._term = self._leader.term()
+            self._lost = {}
+        self._report_to_self()
+        return self._table
+
+    def _report_to_self(self) -> None:
+        rows, _ = self._sessions.changes_since(0)
+        self._table.record(
+            BarrierRequest(
+                sender=self._name,
+                epoch=self._directory.epoch,
+                table=self._table.epoch,
+                since=0,
+                version=self._sessions.version,
+                revision=self._revision(),
+                rows=rows,
+            )
+        )
+
+    def step(self) -> dict[str, int] | None:
+        """End the leases of lost hosts; return the live hosts if all are known."""
+        table = self.table()
+        live = table.refresh()
+        if not table.complete:
+            return None
+        self._end_lost(live)
+        return live
+
+    def _end_lost(self, live: dict[str, int]) -> None:
+        """End the leases of entry hosts that are gone for a server lease period."""
+        now = self._clock()
+        live_holders = {holder_name(*item) for item in live.items()}
+        lost = [name for name in self._directory.holders() if name not in live_holders]
+        self._lost = {holder: self._lost.get(holder, now) for holder in lost}
+        for holder, since in self._lost.items():
+            if now - since >= self._settings.server_lease_ms / 1_000:
+                self._directory.end_holder(holder)
+
+    def handle(self, message: dict[str, Any]) -> dict[str, Any]:
+        """Answer the barrier request of another control host."""
+        request = decode(BarrierRequest, message)
+        if not self.active():
+            return encode(BarrierReply())
+        table = self.table()
+        if not table.record(request):
+            return encode(BarrierReply())
+        live, live_version, live_full = self._live_news(table, request)
+        relay_epoch, relay_version, entries, more = self._relay(request)
+        return encode(
+            BarrierReply(
+                confirmed=True,
+                commit_index=self._leader.commit_index(),
+                table=table.epoch,
+                relay_epoch=relay_epoch,
+                relay_version=relay_version,
+                entries=entries,
+                more=more,
+                live=live,
+                live_full=live_full,
+                live_version=live_version,
+                entry_hosts=len(table.statuses()),
+            )
+        )
+
+    def _live_news(
+        self, table: HostTable, request: BarrierRequest
+    ) -> tuple[dict[str, int | None] | None, int, bool]:
+        if not table.complete:
+            return None, 0, False
+        full = request.table != table.epoch or request.live_version == 0
+        news, version = table.live_since(0 if full else request.live_version)
+        return (news if news or full else None), version, full
+
+    def _relay(
+        self, request: BarrierRequest
+    ) -> tuple[str, int, tuple[ServerEntry, ...], bool]:
+        directory = self._directory
+        if not self._continuity.settled():
+            return "", 0, (), False
+        since = 0
+        if request.relay_epoch == directory.epoch:
+            since = request.relay_version
+        elif request.relay_age_ms >= 0:
+            gap = request.relay_age_ms / 1_000 + _RELAY_MARGIN_S
+            since = directory.version_at(self._clock() - gap)
+        changes = directory.changes_since(since, limit=self._settings.batch_limit)
+        return directory.epoch, changes.version, changes.entries, changes.more
--- /dev/null
+++ b/packages/membership/src/kingcuplug_membership/_leases.py
@@ -0,0 +1,269 @@
+"""Leases of the backend servers that announced at this entry host."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from kingcuplug_membership._announcement import Announcement
+from kingcuplug_membership._changes import ChangeLog
+from kingcuplug_membership._entry import ServerEntry
+from kingcuplug_membership._errors import (
+    AnnouncementInvalid,
+    AnnouncementStale,
+    HostUnconfirmed,
+    LeaseUnknown,
+)
+from kingcuplug_membership._settings import MembershipSettings
+
+__all__ = ["LeaseGranted", "LeaseTable"]
+
+_EXPIRE_PERIOD_S = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseGranted:
+    """Answer to an announcement or a renewal.
+
+    Attributes
+    ----------
+    lease_ms : int
+        Time after which the server counts as gone unless it renews.
+    renew_address : str
+        Where to renew; the entry host itself, not the load balancer.
+    renew_ms : int
+        Period of renewal.
+    """
+
+    lease_ms: int
+    renew_address: str
+    renew_ms: int
+
+
+@dataclass(slots=True)
+class _Lease:
+    announcement: Announcement
+    expires: float
+    ended: bool = False
+
+
+class LeaseTable:
+    """Leases granted by one run of an entry host.
+
+    Parameters
+    ----------
+    holder : str
+        Name of this run, from `holder_name`.
+    renew_address : str
+        ``ip:port`` at which servers renew.
+    clock : callable
+        Monotonic time in seconds.
+    confirmed : callable
+        Whether the host's session lease runs. Without it the host can tell nobody
+        of a server, so it grants nothing and servers go elsewhere, and it expires
+        nothing since it may be the one that is cut off.
+    known : callable
+        Returns what the directory knows of (service, server).
+    """
+
+    def __init__(
+        self,
+        holder: str,
+        renew_address: str,
+        clock: Callable[[], float],
+        confirmed: Callable[[], bool] = lambda: True,
+        known: Callable[[str, str], ServerEntry | None] = lambda service, server: None,
+        settings: MembershipSettings | None = None,
+    ) -> None:
+        self.holder = holder
+        self.changed: Callable[[], None] = lambda: None
+        self._settings = settings or MembershipSettings()
+        self._renew_address = renew_address
+        self._clock = clock
+        self._confirmed = confirmed
+        self._known = known
+        self._leases: dict[str, _Lease] = {}
+        self._moved: dict[tuple[str, str], _Lease] = {}
+        self._changes: ChangeLog[tuple[str, str]] = ChangeLog(clock)
+        self._resumed = clock()
+
+    @property
+    def version(self) -> int:
+        """Return the number of the last change."""
+        return self._changes.version
+
+    def announce(self, announcement: Announcement) -> LeaseGranted:
+        """Grant a lease, or record a withdrawal.
+
+        Raises
+        ------
+        AnnouncementStale
+            If something newer is known of the server.
+        AnnouncementInvalid
+            If the content changed under the same sequence.
+        HostUnconfirmed
+            If this host has no session lease.
+        """
+        self._require_confirmed()
+        lease = self._leases.get(announcement.server)
+        if lease is not None and lease.announcement == announcement:
+            return self._repeat(lease)
+        if lease is not None:
+            _check_successor(lease, announcement)
+        self._check_known(announcement)
+        if lease is not None and lease.announcement.service != announcement.service:
+            self._leave_service(lease)
+        ended = announcement.state == "withdrawn"
+        self._moved.pop((announcement.service, announcement.server), None)
+        self._leases[announcement.server] = _Lease(announcement, self._end(), ended)
+        self._touch(announcement)
+        return self._granted()
+
+    def renew(self, server: str, incarnation: int, sequence: int) -> LeaseGranted:
+        """Extend a lease.
+
+        Raises
+        ------
+        LeaseUnknown
+            If no such lease runs here.
+        HostUnconfirmed
+            If this host has no session lease.
+        """
+        self._require_confirmed()
+        lease = self._leases.get(server)
+        order = (incarnation, sequence)
+        if lease is None or lease.ended or lease.announcement.order != order:
+            raise LeaseUnknown(
+                f"no lease of server {server} with incarnation {incarnation} and "
+                f"sequence {sequence} runs at this entry host",
+                "announce again through the load balancer with a greater sequence",
+            )
+        lease.expires = self._end()
+        return self._granted()
+
+    def expire(self) -> int:
+        """End the leases that were not renewed in time; return their number."""
+        now = self._clock()
+        if not self._confirmed():
+            # Servers could not renew here, so they get a whole lease afterwards.
+            self._resumed = now + self._settings.server_lease_ms / 1_000
+            return 0
+        over = [
+            lease
+            for lease in self._leases.values()
+            if not lease.ended and max(lease.expires, self._resumed) <= now
+        ]
+        for lease in over:
+            self._finish(lease, now)
+        self._forget(now - self._settings.tombstone_ms / 1_000)
+        return len(over)
+
+    async def run(self) -> None:
+        """Expire leases until cancelled."""
+        while True:
+            self.expire()
+            await asyncio.sleep(_EXPIRE_PERIOD_S)
+
+    def supersede(self, entry: ServerEntry) -> None:
+        """Give up a lease that the directory no longer accepts.
+
+        The server's next renewal fails, so it announces with a greater sequence.
+        """
+        lease = self._leases.get(entry.announcement.server)
+        if lease is None or lease.announcement.order != entry.announcement.order:
+            return
+        if not lease.ended:
+            lease.ended = True
+            lease.expires = self._clock()
+
+    def changes_since(self, version: int) -> tuple[list[ServerEntry], int]:
+        """Return the entries changed after `version`, and the version reached.
+
+        Version 0 gives all running leases, and the ends of the tombstones' period.
+        """
+        found = [self._entry(key) for key in self._changes.since(version)]
+        return found, self.version
+
+    def _require_confirmed(self) -> None:
+        if not self._confirmed():
+            raise HostUnconfirmed(
+                "this entry host has no running session lease",
+                "announce again through the load balancer with a greater sequence",
+            )
+
+    def _repeat(self, lease: _Lease) -> LeaseGranted:
+        if lease.ended and lease.announcement.state != "withdrawn":
+            raise _stale(lease.announcement, "its lease has ended")
+        lease.expires = self._end()
+        return self._granted()
+
+    def _check_known(self, announcement: Announcement) -> None:
+        known = self._known(announcement.service, announcement.server)
+        if known is None or known.announcement.order < announcement.order:
+            return
+        if known.announcement.order > announcement.order:
+            raise _stale(known.announcement, "it has announced since")
+        if not known.live and announcement.state != "withdrawn":
+            raise _stale(known.announcement, "its lease has ended")
+
+    def _leave_service(self, lease: _Lease) -> None:
+        self._moved[lease.announcement.service, lease.announcement.server] = lease
+        self._finish(lease, self._clock())
+
+    def _finish(self, lease: _Lease, now: float) -> None:
+        lease.ended = True
+        lease.expires = now
+        self._touch(lease.announcement)
+
+    def _forget(self, limit: float) -> None:
+        for server, lease in list(self._leases.items()):
+            if lease.ended and lease.expires < limit:
+                del self._leases[server]
+                self._changes.remove((lease.announcement.service, server))
+        for key, lease in list(self._moved.items()):
+            if lease.expires < limit:
+                del self._moved[key]
+                self._changes.remove(key)
+
+    def _touch(self, announcement: Announcement) -> None:
+        self._changes.touch((announcement.service, announcement.server))
+        self.changed()
+
+    def _entry(self, key: tuple[str, str]) -> ServerEntry:
+        lease = self._leases.get(key[1])
+        if lease is None or lease.announcement.service != key[0]:
+            lease = self._moved[key]
+        held = (self.holder,)
+        return ServerEntry(lease.announcement, held, held if lease.ended else ())
+
+    def _end(self) -> float:
+        return self._clock() + self._settings.server_lease_ms / 1_000
+
+    def _granted(self) -> LeaseGranted:
+        settings = self._settings
+        return LeaseGranted(
+            settings.server_lease_ms, self._renew_address, settings.renew_ms
+        )
+
+
+def _check_successor(lease: _Lease, announcement: Announcement) -> None:
+    known = lease.announcement
+    if announcement.order < known.order:
+        raise _stale(known, "it has announced since")
+    if announcement.order > known.order:
+        return
+    if known.state == "withdrawn" or lease.ended:
+        raise _stale(known, "its lease has ended")
+    if announcement.state != "withdrawn":
+        raise AnnouncementInvalid(
+            f"server {known.server} announces other content under the same "
+            f"incarnation {known.incarnation} and sequence {known.sequence}",
+            "announce changed content with a greater sequence",
+        )
+
+
+def _stale(known: Announcement, why: str) -> AnnouncementStale:
+    return AnnouncementStale(
+        f"server {known.server} of service {known.service} is known with "
+        f"incarnation {known.incarnation} and sequence {known.sequence}, and {why}",
+        "announce with a greater sequence, or a greater incarnation after a restart",
+    )
--- /dev/null
+++ b/packages/membership/src/kingcuplug_membership/_mesh.py
@@ -0,0 +1,169 @@
+"""Control hosts tell one another what they were the first to learn."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from kingcuplug_common import KingcuplugError
+
+from kingcuplug_membership._continuity import Continuity
+from kingcuplug_membership._directory import Directory
+from kingcuplug_membership._messages import MeshReply, MeshRequest, decode, encode
+from kingcuplug_membership._settings import MembershipSettings
+from kingcuplug_membership._sources import Call
+from kingcuplug_membership._verdicts import VerdictBoard
+
+__all__ = ["Mesh"]
+
+_PEERS_PERIOD_S = 1.0
+
+
+@dataclass(slots=True)
+class _Cursor:
+    """How far one peer's news are merged, and into which epoch of our directory."""
+
+    into: str
+    epoch: str = ""
+    version: int = 0
+    verdict_version: int = 0
+
+
+class Mesh:
+    """One task per peer polls it for news; a reply comes when there are any.
+
+    Parameters
+    ----------
+    name : str
+        Peer address of this control host.
+    peers : callable
+        Peer addresses of the other control hosts; they can change.
+    call : callable
+        Sends a mesh message to a peer.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        directory: Directory,
+        verdicts: VerdictBoard,
+        continuity: Continuity,
+        peers: Callable[[], Iterable[str]],
+        call: Call,
+        clock: Callable[[], float],
+        settings: MembershipSettings | None = None,
+    ) -> None:
+        self._name = name
+        self._directory = directory
+        self._verdicts = verdicts
+        self._continuity = continuity
+        self._peers = peers
+        self._call = call
+        self._clock = clock
+        self._settings = settings or MembershipSettings()
+        self._news = asyncio.Event()
+        self._told = (directory.local_version, verdicts.local_version)
+        self._answered: dict[str, float] = {}
+        directory.watch(lambda entry: self._notice())
+        verdicts.watch(lambda verdict: self._notice())
+
+    def _notice(self) -> None:
+        told = (self._directory.local_version, self._verdicts.local_version)
+        if told != self._told:
+            self._told = told
+            news, self._news = self._news, asyncio.Event()
+            news.set()
+
+    async def run(self) -> None:
+        """Follow every peer until cancelled."""
+        following: dict[str, asyncio.Task[None]] = {}
+        async with asyncio.TaskGroup() as tasks:
+            while True:
+                wanted = set(self._peers()) - {self._name}
+                for peer in wanted - following.keys():
+                    following[peer] = tasks.create_task(self._follow(peer))
+                for peer in following.keys() - wanted:
+                    following.pop(peer).cancel()
+                await asyncio.sleep(_PEERS_PERIOD_S)
+
+    async def _follow(self, peer: str) -> None:
+        cursor = _Cursor(self._directory.epoch)
+        while True:
+            try:
+                await self._pull(peer, cursor)
+            except (OSError, TimeoutError, KingcuplugError):
+                await asyncio.sleep(self._settings.spacing_ms / 1_000)
+
+    async def _pull(self, peer: str, cursor: _Cursor) -> None:
+        if cursor.into != self._directory.epoch:
+            cursor.into, cursor.epoch = self._directory.epoch, ""
+        request = MeshRequest(
+            self._name, cursor.epoch, cursor.version, cursor.verdict_version
+        )
+        wait_ms = self._settings.mesh_poll_ms + self._settings.grace_ms
+        async with asyncio.timeout(wait_ms / 1_000):
+            answer = await self._call(peer, encode(request))
+        reply = decode(MeshReply, answer)
+        if cursor.into != self._directory.epoch:
+            return
+        for entry in reply.entries:
+            self._directory.merge(entry)
+        for verdict in reply.verdicts:
+            self._verdicts.add(verdict)
+        cursor.epoch = reply.epoch
+        cursor.version = reply.version
+        cursor.verdict_version = reply.verdict_version
+        if not reply.more:
+            self._continuity.note_mesh(peer)
+
+    async def handle(self, message: dict[str, Any]) -> dict[str, Any]:
+        """Answer a peer's poll, after a wait if there is no news for it.
+
+        Raises
+        ------
+        MessageInvalid
+            If the request cannot be read.
+        """
+        request = decode(MeshRequest, message)
+        if request.epoch == self._directory.epoch:
+            await self._hold(request)
+        self._answered[request.sender] = self._clock()
+        return encode(self._reply(request))
+
+    def _reply(self, request: MeshRequest) -> MeshReply:
+        fresh = request.epoch != self._directory.epoch
+        changes = self._directory.changes_since(
+            0 if fresh else request.version,
+            local=True,
+            limit=self._settings.batch_limit,
+        )
+        verdicts = self._verdicts.since(
+            0 if fresh else request.verdict_version, local=True
+        )
+        return MeshReply(
+            self._directory.epoch,
+            changes.version,
+            changes.entries,
+            changes.more,
+            verdicts,
+            self._verdicts.version,
+        )
+
+    async def _hold(self, request: MeshRequest) -> None:
+        """Wait for news, for at most the poll's time."""
+        end = self._clock() + self._settings.mesh_poll_ms / 1_000
+        while not self._has_news(request):
+            try:
+                async with asyncio.timeout(end - self._clock()):
+                    await self._news.wait()
+            except TimeoutError:
+                return
+        since = self._clock() - self._answered.get(request.sender, float("-inf"))
+        await asyncio.sleep(max(0.0, self._settings.spacing_ms / 1_000 - since))
+
+    def _has_news(self, request: MeshRequest) -> bool:
+        return (
+            request.epoch != self._directory.epoch
+            or self._directory.local_version > request.version
+            or self._verdicts.local_version > request.verdict_version
+        )
--- /dev/null
+++ b/packages/membership/src/kingcuplug_membership/_messages.py
@@ -0,0 +1,248 @@
+"""Messages between hosts, with their JSON form.
+
+Fields at their default are left out of the JSON: an idle session exchanges one
+message per second, so its size decides the traffic of a node.
+"""
+
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+from pydantic import TypeAdapter, ValidationError
+
+from kingcuplug_membership._entry import ServerEntry
+from kingcuplug_membership._errors import MessageInvalid
+from kingcuplug_membership._verdicts import Verdict
+
+__all__ = [
+    "BarrierReply",
+    "BarrierRequest",
+    "HostRow",
+    "MeshReply",
+    "MeshRequest",
+    "SessionReply",
+    "SessionRequest",
+    "decode",
+    "encode",
+]
+
+_Message = TypeVar("_Message")
+
+
+@dataclass(frozen=True, slots=True)
+class SessionRequest:
+    """From an entry host to its home control host.
+
+    Attributes
+    ----------
+    number : int
+        Greater with every request of one run of the host; the control host drops
+        overtaken requests.
+    epoch : str
+        Epoch of the control host's directory; empty to start a session.
+    confirmed : int
+        Revision of the configuration that is in force here; -1 for none.
+    whole_text : bool
+        Whether deltas do not help, because the text's digest differed.
+    directory, verdict_version : int
+        Versions up to which the host has the control host's news.
+    services : tuple of str or None
+        Routed services; None if they are unchanged.
+    updates : tuple of ServerEntry
+        Lease changes; all leases at the start of a session.
+    asked : tuple of str
+        Hosts whose live incarnation is wanted.
+    """
+
+    host: str
+    incarnation: int
+    availability_zone: str
+    number: int
+    epoch: str = ""
+    confirmed: int = -1
+    whole_text: bool = False
+    directory: int = 0
+    verdict_version: int = 0
+    services: tuple[str, ...] | None = None
+    updates: tuple[ServerEntry, ...] = ()
+    verdicts: tuple[Verdict, ...] = ()
+    asked: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class SessionReply:
+    """From a control host to an entry host.
+
+    Attributes
+    ----------
+    lease_ms : int
+        Lease counted from the sending of the request; 0 grants nothing.
+    reason : str
+        Why nothing was granted.
+    restart : bool
+        Whether the host must start the session again and send everything.
+    revision, digest, deltas, text : int, str, tuple or None, str or None
+        Current revision and how to get there.
+    full : bool
+        Whether `entries` begin the whole directory of the routed services.
+    more : bool
+        Whether further entries follow with the next request.
+    refused : tuple of ServerEntry
+        What the directory holds instead of updates that it did not accept.
+    live : dict
+        Live incarnation of the hosts asked for; None if none is live.
+    """
+
+    epoch: str = ""
+    lease_ms: int = 0
+    reason: str = ""
+    restart: bool = False
+    revision: int = -1
+    digest: str = ""
+    deltas: tuple[Any, ...] | None = None
+    text: str | None = None
+    full: bool = False
+    entries: tuple[ServerEntry, ...] = ()
+    directory: int = 0
+    more: bool = False
+    refused: tuple[ServerEntry, ...] = ()
+    verdicts: tuple[Verdict, ...] = ()
+    verdict_version: int = 0
+    live_entry_hosts: int = 0
+    live: dict[str, int | None] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class HostRow:
+    """An entry host with a running session lease."""
+
+    host: str
+    incarnation: int
+    availability_zone: str
+    confirmed: int
+
+
+@dataclass(frozen=True, slots=True)
+class BarrierRequest:
+    """From a control host to the log's leader.
+
+    Attributes
+    ----------
+    table : str
+        Epoch of the leader's host table as far as known; empty at first.
+    since, version : int
+        `rows` and `left` are the changes of the sender's sessions from version
+        `since` to `version`.
+    revision : int
+        Configuration revision under which the sender grants.
+    relay_epoch, relay_version : str, int
+        How far the sender has the leader's directory.
+    relay_age_ms : int
+        Time since the sender last had a leader's directory; -1 for never.
+    live_version : int
+        How far the sender has the leader's list of live hosts.
+    """
+
+    sender: str
+    epoch: str
+    table: str
+    since: int
+    version: int
+    revision: int
+    rows: tuple[HostRow, ...] = ()
+    left: tuple[str, ...] = ()
+    relay_epoch: str = ""
+    relay_version: int = 0
+    relay_age_ms: int = -1
+    live_version: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class BarrierReply:
+    """From the log's leader to a control host.
+
+    Attributes
+    ----------
+    confirmed : bool
+        Whether `commit_index` was read under the leader's valid lease and the
+        leader knows all sessions of the sender.
+    entries : tuple of ServerEntry
+        Directory changes from all control hosts, so that two that cannot reach
+        each other still learn them.
+    live : dict or None
+        Live incarnation by host, or None for hosts that left.
+    entry_hosts : int
+        Number of entry hosts known so far; used until `live` is known.
+    """
+
+    confirmed: bool = False
+    commit_index: int = 0
+    table: str = ""
+    relay_epoch: str = ""
+    relay_version: int = 0
+    entries: tuple[ServerEntry, ...] = ()
+    more: bool = False
+    live: dict[str, int | None] | None = None
+    live_full: bool = False
+    live_version: int = 0
+    entry_hosts: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class MeshRequest:
+    """Ask a control host for what it was the first to learn."""
+
+    sender: str
+    epoch: str = ""
+    version: int = 0
+    verdict_version: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class MeshReply:
+    """What a control host was the first to learn."""
+
+    epoch: str
+    version: int = 0
+    entries: tuple[ServerEntry, ...] = ()
+    more: bool = False
+    verdicts: tuple[Verdict, ...] = ()
+    verdict_version: int = 0
+
+
+_adapters: dict[type, TypeAdapter[Any]] = {}
+
+
+def _adapter(kind: type) -> TypeAdapter[Any]:
+    adapter = _adapters.get(kind)
+    if adapter is None:
+        adapter = _adapters[kind] = TypeAdapter(kind)
+    return adapter
+
+
+def decode(kind: type[_Message], value: Any) -> _Message:
+    """Read a message from decoded JSON.
+
+    Raises
+    ------
+    MessageInvalid
+        If a field is missing or of the wrong type.
+    """
+    try:
+        message: _Message = _adapter(kind).validate_python(value)
+    except ValidationError as error:
+        fault = error.errors(include_url=False)[0]
+        place = ".".join(str(part) for part in fault["loc"]) or "message"
+        raise MessageInvalid(
+            f"{kind.__name__} has {error.error_count()} faults, the first in {place}: "
+            f"{fault['msg']}",
+            "run the same version of kingcuplugd on both hosts",
+        ) from error
+    return message
+
+
+def encode(message: object) -> dict[str, Any]:
+    """Return the JSON form of a message."""
+    value: dict[str, Any] = _adapter(type(message)).dump_python(
+        message, mode="json", exclude_defaults=True
+    )
+    return value
--- /dev/null
+++ b/packages/membership/src/kingcuplug_membership/_session_server.py
@@ -0,0 +1,291 @@
+"""Sessions of entry hosts at their home control host."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from kingcuplug_membership._barrier import Barrier
+from kingcuplug_membership._continuity import Continuity
+from kingcuplug_membership._directory import Directory
+from kingcuplug_membership._entry import ServerEntry
+from kingcuplug_membership._hosts import HostStatus
+from kingcuplug_membership._messages import (
+    SessionReply,
+    SessionRequest,
+    decode,
+    encode,
+)
+from kingcuplug_membership._sessions import Session, SessionTable
+from kingcuplug_membership._settings import MembershipSettings
+from kingcuplug_membership._sources import Call, ConfigurationSource, LeaderSource
+from kingcuplug_membership._verdicts import Verdict, VerdictBoard
+
+__all__ = ["SessionServer"]
+
+_TIDY_PERIOD_S = 1.0
+
+
+class SessionServer:
+    """A control host's side of all its sessions.
+
+    Parameters
+    ----------
+    name : str
+        Peer address of this control host.
+    peers : callable
+        Peer addresses of the other control hosts.
+    configuration : ConfigurationSource
+        The configuration applied here.
+    leader : LeaderSource
+        What this host's replica knows of the leader.
+    call_barrier : callable
+        Sends a barrier message to a peer.
+    clock : callable
+        Monotonic time in seconds, the loop's.
+
+    Attributes
+    ----------
+    directory : Directory
+        All backend servers.
+    verdicts : VerdictBoard
+        Blames and condemnations of all entry hosts.
+    barrier : Barrier
+        The exchange with the leader.
+    continuity : Continuity
+        Shared with the mesh.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        peers: Callable[[], Iterable[str]],
+        configuration: ConfigurationSource,
+        leader: LeaderSource,
+        call_barrier: Call,
+        clock: Callable[[], float],
+        settings: MembershipSettings | None = None,
+    ) -> None:
+        self._settings = settings or MembershipSettings()
+        self._clock = clock
+        self._configuration = configuration
+        self._sessions = SessionTable(clock)
+        self.directory = Directory(clock, self._settings.tombstone_ms)
+        self.verdicts = VerdictBoard(clock, self._settings)
+        self.continuity = Continuity(clock, peers, self._settings)
+        self.barrier = Barrier(
+            name,
+            self.directory,
+            self._sessions,
+            self.continuity,
+            leader,
+            configuration.revision,
+            call_barrier,
+            clock,
+            self._settings,
+        )
+        self.directory.watch(lambda entry: self._sessions.wake(entry.key[0]))
+        self.verdicts.watch(lambda verdict: self._sessions.wake())
+
+    async def run(self) -> None:
+        """Exchange with the leader and forget what is old, until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.barrier.run())
+            tasks.create_task(self._tidy())
+
+    def wake(self) -> None:
+        """Complete all polls; call it when a revision has been applied."""
+        self._sessions.wake()
+
+    def hosts(self) -> list[HostStatus]:
+        """Return the entry hosts known here; all of them on the leader."""
+        return self.barrier.hosts()
+
+    async def wait_in_force(self, revision: int) -> None:
+        """Wait until no host can serve an older revision; see `Barrier`."""
+        await self.barrier.wait_in_force(revision)
+
+    async def _tidy(self) -> None:
+        while True:
+            await asyncio.sleep(_TIDY_PERIOD_S)
+            self.directory.purge()
+
+    async def handle(self, message: dict[str, Any]) -> dict[str, Any]:
+        """Answer a session request, after a wait if there is no news.
+
+        Raises
+        ------
+        MessageInvalid
+            If the request cannot be read.
+        """
+        request = decode(SessionRequest, message)
+        received = self._clock()
+        session = self._find(request)
+        if isinstance(session, SessionReply):
+            return encode(session)
+        full = request.epoch == "" or self._route(session, request)
+        self._sessions.confirm(session, request.confirmed)
+        refused = self._merge(request)
+        if not (full or refused or session.behind or self._is_urgent(request)):
+            await self._hold(session, request)
+        if not self._is_current(session, request):
+            return encode(_overtaken())
+        session.answered_at = self._clock()
+        return encode(self._reply(session, request, received, full, refused))
+
+    def _find(self, request: SessionRequest) -> Session | SessionReply:
+        known = self._sessions.get(request.host)
+        order = (request.incarnation, request.number)
+        if known is not None and order <= (known.incarnation, known.number):
+            return _overtaken()
+        if request.epoch == "":
+            return self._sessions.open(request)
+        same_run = known is not None and known.incarnation == request.incarnation
+        if known is None or not same_run or request.epoch != self.directory.epoch:
+            return SessionReply(restart=True, reason="the session is not known here")
+        known.number = request.number
+        known.wake.set()
+        return known
+
+    def _route(self, session: Session, request: SessionRequest) -> bool:
+        """Take over changed services; return whether they changed."""
+        if request.services is None:
+            return False
+        services = frozenset(request.services)
+        changed = services != session.services
+        session.services = services
+        return changed
+
+    def _merge(self, request: SessionRequest) -> tuple[ServerEntry, ...]:
+        """Merge what the host sent; return what is known instead of refused updates."""
+        starts = request.epoch == ""
+        refused = []
+        for update in request.updates:
+            if starts:
+                self.directory.adopt(update)
+            else:
+                self.directory.merge(update, local=True)
+            known = self.directory.get(*update.key)
+            if known is not None and update.live and _overrules(known, update):
+                refused.append(known)
+        for verdict in request.verdicts:
+            self.verdicts.add(verdict, local=True)
+        return tuple(refused)
+
+    def _is_urgent(self, request: SessionRequest) -> bool:
+        asks = request.asked and self.barrier.live() is not None
+        return bool(request.updates or request.verdicts or asks or request.whole_text)
+
+    def _is_current(self, session: Session, request: SessionRequest) -> bool:
+        known = self._sessions.get(session.host)
+        return known is session and session.number == request.number
+
+    async def _hold(self, session: Session, request: SessionRequest) -> None:
+        """Wait for news, for at most the poll's time."""
+        end = self._clock() + self._settings.poll_ms / 1_000
+        while self._is_current(session, request):
+            session.wake.clear()
+            if self._has_news(session, request):
+                await self._space(session)
+                return
+            try:
+                async with asyncio.timeout(end - self._clock()):
+                    await session.wake.wait()
+            except TimeoutError:
+                return
+
+    async def _space(self, session: Session) -> None:
+        """Delay an answer under constant change, which then brings more at once."""
+        since = self._clock() - session.answered_at
+        await asyncio.sleep(max(0.0, self._settings.spacing_ms / 1_000 - since))
+
+    def _has_news(self, session: Session, request: SessionRequest) -> bool:
+        return (
+            self._refusal(request) != ""
+            or request.confirmed != self._configuration.revision()
+            or self.verdicts.version > request.verdict_version
+            or self.directory.has_news(request.directory, session.services)
+        )
+
+    def _refusal(self, request: SessionRequest) -> str:
+        """Return why this host grants nothing now; empty if it does."""
+        if not self.continuity.settled():
+            return "the directory is not complete yet"
+        if self.barrier.failing():
+            return "the leader does not confirm this control host"
+        if request.confirmed > self._configuration.revision():
+            return "this control host is behind"
+        return ""
+
+    def _reply(
+        self,
+        session: Session,
+        request: SessionRequest,
+        received: float,
+        full: bool,
+        refused: tuple[ServerEntry, ...],
+    ) -> SessionReply:
+        reason = self._refusal(request)
+        if reason:
+            return SessionReply(reason=reason, refused=refused)
+        until = min(received + self._settings.lease, self.barrier.grant_until())
+        self._sessions.grant(session, until)
+        revision, digest, deltas, text = self._configuration_news(request)
+        changes = self.directory.changes_since(
+            0 if full else request.directory,
+            session.services,
+            limit=self._settings.batch_limit,
+        )
+        session.behind = changes.more
+        return SessionReply(
+            epoch=self.directory.epoch,
+            lease_ms=max(0, int((until - received) * 1_000)),
+            revision=revision,
+            digest=digest,
+            deltas=deltas,
+            text=text,
+            full=full,
+            entries=changes.entries,
+            directory=changes.version,
+            more=changes.more,
+            refused=refused,
+            verdicts=self._verdict_news(request),
+            verdict_version=self.verdicts.version,
+            live_entry_hosts=self.barrier.count_hosts(),
+            live=self._live_news(request),
+        )
+
+    def _configuration_news(
+        self, request: SessionRequest
+    ) -> tuple[int, str, tuple[Any, ...] | None, str | None]:
+        source = self._configuration
+        revision = source.revision()
+        if request.confirmed == revision and not request.whole_text:
+            return revision, "", None, None
+        deltas = None
+        if request.confirmed >= 0 and not request.whole_text:
+            deltas = source.deltas_since(request.confirmed)
+        if deltas is None:
+            return revision, source.digest(), None, source.text()
+        return revision, source.digest(), tuple(deltas), None
+
+    def _verdict_news(self, request: SessionRequest) -> tuple[Verdict, ...]:
+        sent = {verdict.key for verdict in request.verdicts}
+        news = self.verdicts.since(request.verdict_version)
+        return tuple(verdict for verdict in news if verdict.key not in sent)
+
+    def _live_news(self, request: SessionRequest) -> dict[str, int | None] | None:
+        live = self.barrier.live()
+        if not request.asked or live is None:
+            return None
+        return {host: live.get(host) for host in request.asked}
+
+
+def _overrules(known: ServerEntry, update: ServerEntry) -> bool:
+    if known.announcement.order != update.announcement.order:
+        return True
+    withdrawn = known.announcement.state == "withdrawn"
+    return withdrawn or set(update.held) <= set(known.ended)
+
+
+def _overtaken() -> SessionReply:
+    return SessionReply(reason="a later request of this host has overtaken this one")
--- /dev/null
+++ b/packages/membership/src/kingcuplug_membership/_sources.py
@@ -0,0 +1,79 @@
+"""What membership needs from the log and the configuration, as closures.
+
+Membership imports neither: the daemon connects them.
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+__all__ = ["Call", "ConfigurationSink", "ConfigurationSource", "LeaderSource"]
+
+Call = Callable[[str, dict[str, Any]], Awaitable[dict[str, Any]]]
+"""Peer address and message to reply; raises OSError or TimeoutError."""
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationSource:
+    """The configuration that a control host has applied from the log.
+
+    Attributes
+    ----------
+    revision : callable
+        Number of the current revision.
+    deltas_since : callable
+        JSON values that lead from a revision to the current one, or None if that
+        is too far behind.
+    text, digest : callable
+        Current text and its digest.
+    """
+
+    revision: Callable[[], int]
+    deltas_since: Callable[[int], list[Any] | None]
+    text: Callable[[], str]
+    digest: Callable[[], str]
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationSink:
+    """The configuration in force at an entry host.
+
+    Attributes
+    ----------
+    current : callable
+        Number of the revision in force; -1 for none.
+    apply : callable
+        ``apply(revision, deltas, text, digest)`` puts a revision in force, from
+        the deltas or, if they are None, from the text. It raises, and changes
+        nothing, if the digest of the result differs.
+    services : callable
+        Names of the routed services.
+    """
+
+    current: Callable[[], int]
+    apply: Callable[[int, list[Any] | None, str | None, str], None]
+    services: Callable[[], tuple[str, ...]]
+
+
+@dataclass(frozen=True, slots=True)
+class LeaderSource:
+    """What a control host's replica of the log knows of the leader.
+
+    Attributes
+    ----------
+    leading_until : callable
+        End of this host's own lease as leader on the loop's clock; in the past if
+        it does not lead, or has not applied an entry of its own term.
+    leader : callable
+        Peer address of the leader; None if unknown.
+    term : callable
+        Current term.
+    commit_index, applied_index : callable
+        Positions in the log.
+    """
+
+    leading_until: Callable[[], float]
+    leader: Callable[[], str | None]
+    term: Callable[[], int]
+    commit_index: Callable[[], int]
+    applied_index: Callable[[], int]
--- /dev/null
+++ b/packages/membership/src/kingcuplug_membership/_verdicts.py
@@ -0,0 +1,105 @@
+"""Blames and condemnations of request fingerprints, shared by all entry hosts."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from kingcuplug_membership._changes import ChangeLog
+from kingcuplug_membership._settings import MembershipSettings
+
+__all__ = ["Verdict", "VerdictBoard"]
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """A fingerprint that is blamed for the crash of a server, or condemned.
+
+    Attributes
+    ----------
+    fingerprint : str
+        Digest of service, kind and body of the request.
+    server, incarnation : str, int
+        The run of the server that crashed; empty for a condemnation.
+    remaining_ms : int
+        Time for which the verdict is kept on.
+    """
+
+    fingerprint: str
+    server: str = ""
+    incarnation: int = 0
+    remaining_ms: int = 600_000
+
+    @property
+    def condemned(self) -> bool:
+        """Return whether the fingerprint is condemned, not only blamed."""
+        return not self.server
+
+    @property
+    def key(self) -> tuple[str, str, int]:
+        """Return what makes two verdicts the same."""
+        return (self.fingerprint, self.server, self.incarnation)
+
+
+class VerdictBoard:
+    """Verdicts of the last minutes, bounded in number; the oldest go first."""
+
+    def __init__(
+        self, clock: Callable[[], float], settings: MembershipSettings | None = None
+    ) -> None:
+        self._clock = clock
+        self._settings = settings or MembershipSettings()
+        self._expires: dict[tuple[str, str, int], float] = {}
+        self._changes: ChangeLog[tuple[str, str, int]] = ChangeLog(clock)
+        self._watchers: list[Callable[[Verdict], None]] = []
+
+    def __len__(self) -> int:
+        return len(self._expires)
+
+    @property
+    def version(self) -> int:
+        """Return the number of the last change."""
+        return self._changes.version
+
+    @property
+    def local_version(self) -> int:
+        """Return the number of the last change that this host has to tell."""
+        return self._changes.local_version
+
+    def watch(self, callback: Callable[[Verdict], None]) -> None:
+        """Call `callback` with every new verdict."""
+        self._watchers.append(callback)
+
+    def add(self, verdict: Verdict, local: bool = False) -> bool:
+        """Keep a verdict; return whether it is new."""
+        self._purge()
+        if verdict.key in self._expires:
+            return False
+        remaining_ms = min(verdict.remaining_ms, self._settings.verdict_ms)
+        self._expires[verdict.key] = self._clock() + remaining_ms / 1_000
+        self._changes.touch(verdict.key, local)
+        if len(self._expires) > self._settings.verdict_limit:
+            self._remove(next(iter(self._expires)))
+        for callback in self._watchers:
+            callback(verdict)
+        return True
+
+    def since(self, version: int, local: bool = False) -> tuple[Verdict, ...]:
+        """Return the verdicts added after `version` that still run."""
+        now = self._clock()
+        found = []
+        for key in self._changes.since(version, local):
+            remaining_ms = int((self._expires[key] - now) * 1_000)
+            if remaining_ms > 0:
+                found.append(Verdict(*key, remaining_ms=remaining_ms))
+        return tuple(found)
+
+    def _purge(self) -> None:
+        now = self._clock()
+        while self._expires:
+            key = next(iter(self._expires))
+            if self._expires[key] > now:
+                return
+            self._remove(key)
+
+    def _remove(self, key: tuple[str, str, int]) -> None:
+        del self._expires[key]
+        self._changes.remove(key)
--- /dev/null
+++ b/tests/membership/conftest.py
@@ -0,0 +1,392 @@
+"""A small system of hosts on a fake network, in virtual time."""
+
+import asyncio
+import json
+import random
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+import pytest
+from kingcuplug_common import digest
+from kingcuplug_membership import (
+    Announcement,
+    ConfigurationSink,
+    ConfigurationSource,
+    Holding,
+    LeaderSource,
+    Mesh,
+    SessionClient,
+    SessionServer,
+)
+from kingcuplug_testkit import run_virtual
+
+SERVICES = ("counter", "cutting")
+LEADER_LEASE_S = 0.3
+
+
+def now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def make_announcement(server: str = "s1", **fields: Any) -> Announcement:
+    values: dict[str, Any] = {
+        "server": server,
+        "service": "counter",
+        "address": "127.0.0.1:9000",
+        "availability_zone": "z1",
+        "incarnation": 1,
+        "sequence": 1,
+        "slots": 3,
+        "connections": 30,
+        "holdings": (Holding(7, 4, (0, 1)),),
+    }
+    return Announcement(**(values | fields))
+
+
+class FakeNetwork:
+    """Delivers JSON between addresses, with faults.
+
+    A cut or dropped message hangs, as with a silent partition; a stopped process
+    refuses the connection.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.handlers: dict[tuple[str, str], Callable[[Any], Awaitable[Any]]] = {}
+        self.isolated: set[str] = set()
+        self.cuts: set[frozenset[str]] = set()
+        self.delay = (0.001, 0.002)
+        self.drop_share = 0.0
+        self.duplicate_share = 0.0
+        self.filters: list[Callable[[str, str, str, str], bool]] = []
+        self.duplicates: set[asyncio.Task[Any]] = set()
+
+    def reachable(self, one: str, other: str) -> bool:
+        """Return whether messages pass between two addresses."""
+        if one == other:
+            return True
+        if {one, other} & self.isolated:
+            return False
+        return frozenset((one, other)) not in self.cuts
+
+    def caller(self, kind: str, source: str) -> Callable[[str, Any], Awaitable[Any]]:
+        """Return the closure by which `source` sends messages of `kind`."""
+
+        async def call(peer: str, message: Any) -> Any:
+            await self._travel(kind, source, peer, "request")
+            handler = self.handlers.get((kind, peer))
+            if handler is None:
+                raise ConnectionRefusedError(peer)
+            text = json.dumps(message)
+            if self.random.random() < self.duplicate_share:
+                copy = asyncio.ensure_future(self._late(handler, text))
+                self.duplicates.add(copy)
+            reply = json.dumps(await handler(json.loads(text)))
+            await self._travel(kind, source, peer, "reply")
+            return json.loads(reply)
+
+        return call
+
+    async def _late(self, handler: Callable[[Any], Awaitable[Any]], text: str) -> None:
+        await asyncio.sleep(self.random.uniform(0, 2))
+        await handler(json.loads(text))
+
+    async def _travel(self, kind: str, source: str, peer: str, step: str) -> None:
+        await asyncio.sleep(self.random.uniform(*self.delay))
+        lost = self.random.random() < self.drop_share
+        lost = lost or not self.reachable(source, peer)
+        lost = lost or any(loses(kind, source, peer, step) for loses in self.filters)
+        if lost:
+            await asyncio.get_running_loop().create_future()
+
+
+class FakeLog:
+    """Revisions of the configuration, and who leads; no agreement of its own."""
+
+    def __init__(self) -> None:
+        self.texts = ['{"n":0}']
+        self.accepted_at = [0.0]
+        self.leader: str | None = "c0"
+        self.term = 1
+        self.lease_end: dict[str, float] = {}
+
+    def accept(self) -> int:
+        """Accept a new revision and return its number."""
+        self.texts.append(json.dumps({"n": len(self.texts)}))
+        self.accepted_at.append(now())
+        return len(self.texts) - 1
+
+    def elect(self, name: str | None) -> None:
+        """Change the leader; the former one's lease must have ended."""
+        self.leader = name
+        self.term += 1
+
+    def leading_until(self, name: str) -> float:
+        """Return the end of a control host's lease as leader."""
+        return now() + LEADER_LEASE_S if self.leader == name else 0.0
+
+
+class Control:
+    """One control host's process."""
+
+    def __init__(self, system: "System", name: str) -> None:
+        self.system = system
+        self.name = name
+        self.applied = 0
+        self.start()
+
+    def start(self) -> None:
+        """Start the process."""
+        network, log, clock = self.system.network, self.system.log, now
+        self.server = SessionServer(
+            self.name,
+            lambda: [name for name in self.system.controls if name != self.name],
+            ConfigurationSource(
+                lambda: self.applied,
+                lambda revision: (
+                    [{"n": n} for n in range(revision + 1, self.applied)]
+                    + [{"n": self.applied}]
+                ),
+                lambda: log.texts[self.applied],
+                lambda: digest(log.texts[self.applied]),
+            ),
+            LeaderSource(
+                lambda: log.leading_until(self.name),
+                lambda: log.leader,
+                lambda: log.term,
+                lambda: len(log.texts) - 1,
+                lambda: self.applied,
+            ),
+            network.caller("barrier", self.name),
+            clock,
+        )
+        self.mesh = Mesh(
+            self.name,
+            self.server.directory,
+            self.server.verdicts,
+            self.server.continuity,
+            lambda: list(self.system.controls),
+            network.caller("mesh", self.name),
+            clock,
+        )
+        network.handlers["session", self.name] = self.server.handle
+        network.handlers["mesh", self.name] = self.mesh.handle
+        network.handlers["barrier", self.name] = self._barrier
+        self.tasks = [
+            asyncio.ensure_future(self.server.run()),
+            asyncio.ensure_future(self.mesh.run()),
+            asyncio.ensure_future(self._replicate()),
+        ]
+
+    async def _barrier(self, message: Any) -> Any:
+        return self.server.barrier.handle(message)
+
+    async def _replicate(self) -> None:
+        log = self.system.log
+        while True:
+            await asyncio.sleep(0.02)
+            reachable = log.leader and self.system.network.reachable(
+                self.name, log.leader
+            )
+            if reachable and self.applied < len(log.texts) - 1:
+                self.applied = len(log.texts) - 1
+                self.server.wake()
+
+    def stop(self) -> None:
+        """End the process without a farewell."""
+        for kind in ("session", "mesh", "barrier"):
+            self.system.network.handlers.pop((kind, self.name), None)
+        for task in self.tasks:
+            task.cancel()
+
+    def restart(self) -> None:
+        """Replace the process by a new one without its memory."""
+        self.stop()
+        self.start()
+
+
+class Entry:
+    """One entry host's process, with the configuration in force there."""
+
+    def __init__(self, system: "System", name: str) -> None:
+        self.system = system
+        self.name = name
+        self.incarnation = 0
+        self.failures_to_apply = 0
+        self.served: list[tuple[float, int]] = []
+        self.start()
+
+    def start(self) -> None:
+        """Start the process."""
+        self.incarnation += 1
+        self.revision = -1
+        self.text = ""
+        self.client = SessionClient(
+            self.name,
+            self.incarnation,
+            "z1",
+            self.name,
+            lambda: list(self.system.controls),
+            ConfigurationSink(lambda: self.revision, self._apply, lambda: SERVICES),
+            self.system.network.caller("session", self.name),
+            now,
+        )
+        self.leases = self.client.leases
+        self.tasks = [asyncio.ensure_future(self.client.run())]
+
+    def _apply(
+        self, revision: int, deltas: list[Any] | None, text: str | None, wanted: str
+    ) -> None:
+        result = text if deltas is None else json.dumps(deltas[-1])
+        if self.failures_to_apply:
+            self.failures_to_apply -= 1
+            result = "other"
+        if result is None or digest(result) != wanted:
+            raise ValueError(f"digest of revision {revision} differs")
+        self.revision, self.text = revision, result
+
+    def stop(self) -> None:
+        """End the process without a farewell."""
+        for task in self.tasks:
+            task.cancel()
+
+    def restart(self) -> None:
+        """Replace the process by a new one without its memory."""
+        self.stop()
+        self.start()
+
+    def live(self, service: str = "counter") -> list[str]:
+        """Return the live servers that the router here would get."""
+        entries = self.client.directory.servers(service)
+        return sorted(entry.announcement.server for entry in entries)
+
+    def state(self, server: str, service: str = "counter") -> str | None:
+        """Return the state of a live server as known here."""
+        entry = self.client.directory.get(service, server)
+        return entry.announcement.state if entry and entry.live else None
+
+
+class Server:
+    """A backend server that renews, and announces elsewhere when that fails."""
+
+    def __init__(self, system: "System", name: str, via: int = 0, **fields: Any):
+        self.system = system
+        self.via = via
+        self.announcement = make_announcement(name, **fields)
+        self.task = asyncio.ensure_future(self._run())
+
+    async def _run(self) -> None:
+        self.home: Entry | None = None
+        while True:
+            if self.home is None or not self._renew(self.home):
+                self.announce()
+            await asyncio.sleep(0.5)
+
+    def _renew(self, home: Entry) -> bool:
+        return self._try(
+            home, lambda: home.leases.renew(self.announcement.server, *self.order)
+        )
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return the rank of the current announcement."""
+        return self.announcement.order
+
+    def announce(self, **fields: Any) -> None:
+        """Announce through the first entry host that accepts."""
+        entries = list(self.system.entries.values())
+        for offset in range(len(entries)):
+            entry = entries[(self.via + offset) % len(entries)]
+            self.announcement = make_announcement(
+                **(
+                    {name: getattr(self.announcement, name) for name in _FIELDS}
+                    | {"sequence": self.announcement.sequence + 1}
+                    | fields
+                )
+            )
+            if self._try(entry, lambda e=entry: e.leases.announce(self.announcement)):
+                self.home, self.via = entry, (self.via + offset) % len(entries)
+                return
+        self.home = None
+
+    def _try(self, entry: Entry, action: Callable[[], object]) -> bool:
+        network = self.system.network
+        if not network.reachable(self.announcement.server, entry.name):
+            return False
+        try:
+            action()
+        except Exception:
+            return False
+        return True
+
+    def stop(self) -> None:
+        """End the process without a farewell."""
+        self.task.cancel()
+
+
+_FIELDS = tuple(Announcement.__dataclass_fields__)
+
+
+class System:
+    """Control hosts c0.., entry hosts e0.. on one fake network."""
+
+    def __init__(self, controls: int, entries: int, seed: int = 1) -> None:
+        self.network = FakeNetwork(seed)
+        self.log = FakeLog()
+        self.controls: dict[str, Control] = dict.fromkeys(
+            f"c{number}" for number in range(controls)
+        )
+        for name in self.controls:
+            self.controls[name] = Control(self, name)
+        self.entries = {
+            f"e{number}": Entry(self, f"e{number}") for number in range(entries)
+        }
+
+    @property
+    def leader(self) -> SessionServer:
+        """Return the leader's session server."""
+        return self.controls[self.log.leader or "c0"].server
+
+    def home(self, entry: str) -> str:
+        """Return the control host that serves an entry host now."""
+        for name, control in self.controls.items():
+            rows, _ = control.server._sessions.changes_since(0)
+            if any(row.host == entry for row in rows):
+                return name
+        raise LookupError(entry)
+
+    async def ready(self) -> None:
+        """Wait until every entry host serves."""
+        await until(
+            lambda: all(entry.client.is_confirmed() for entry in self.entries.values())
+        )
+
+
+async def until(condition: Callable[[], bool], limit: float = 20.0) -> float:
+    """Wait until `condition` holds and return the time that took."""
+    started = now()
+    while not condition():
+        if now() - started > limit:
+            raise AssertionError("the condition did not become true")
+        await asyncio.sleep(0.01)
+    return now() - started
+
+
+Scenario = Callable[[System], Coroutine[Any, Any, None]]
+
+
+@pytest.fixture
+def play() -> Callable[..., None]:
+    """Return a function that runs a scenario on a ready system."""
+
+    def run(
+        scenario: Scenario, controls: int = 3, entries: int = 3, seed: int = 1
+    ) -> None:
+        async def main() -> None:
+            system = System(controls, entries, seed)
+            await system.ready()
+            await scenario(system)
+
+        run_virtual(main())
+
+    return run
--- /dev/null
+++ b/tests/membership/test_announcement.py
@@ -0,0 +1,56 @@
+"""Announcements come from foreign processes and must be checked at the border."""
+
+from dataclasses import asdict
+from typing import Any
+
+import pytest
+from kingcuplug_membership import AnnouncementInvalid, parse_announcement
+
+from .conftest import make_announcement
+
+VALID: dict[str, Any] = asdict(make_announcement())
+
+
+def test_valid_announcement_is_read() -> None:
+    # Guards against a border that loses fields.
+    assert parse_announcement(VALID) == make_announcement()
+
+
+@pytest.mark.parametrize(
+    ("fault", "place"),
+    [
+        ({"server": ""}, "server"),
+        ({"service": "a/b"}, "service"),
+        ({"address": "example.org:80"}, "address"),
+        ({"address": "127.0.0.1:0"}, "port"),
+        ({"incarnation": -1}, "incarnation"),
+        ({"sequence": "4"}, "sequence"),
+        ({"slots": 0}, "slots"),
+        ({"connections": True}, "connections"),
+        ({"state": "asleep"}, "state"),
+        ({"colour": "black"}, "colour"),
+        ({"holdings": [{"snapshot": 1, "shard_count": 2, "shards": [2]}]}, "shard 2"),
+        ({"holdings": [{"snapshot": 1, "shard_count": 2, "shards": [1, 1]}]}, "twice"),
+        ({"holdings": [{"snapshot": 1, "shard_count": 2, "shards": []}] * 2}, "twice"),
+    ],
+)
+def test_nonsense_is_refused_with_remedy(fault: dict[str, Any], place: str) -> None:
+    # Guards against nonsense that reaches the directory, and against an error
+    # that does not say what to correct.
+    with pytest.raises(AnnouncementInvalid) as caught:
+        parse_announcement(VALID | fault)
+    assert place in caught.value.message
+    assert "announce again" in caught.value.remedy
+
+
+@pytest.mark.parametrize("value", [None, [], "text", 3, {}])
+def test_other_json_is_refused(value: Any) -> None:
+    # Guards against an untyped error on a body that is no object.
+    with pytest.raises(AnnouncementInvalid):
+        parse_announcement(value)
+
+
+def test_all_faults_are_named_at_once() -> None:
+    # Guards against an operator who corrects one field per attempt.
+    with pytest.raises(AnnouncementInvalid, match=r"2 faults.*slots.*connections"):
+        parse_announcement(VALID | {"slots": 0, "connections": 0})
--- /dev/null
+++ b/tests/membership/test_directory.py
@@ -0,0 +1,185 @@
+"""Directories must agree whatever the order in which updates arrive."""
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+from kingcuplug_membership import Directory, ServerEntry
+
+from .conftest import make_announcement
+
+LIVE = ServerEntry(make_announcement(), ("e0/1",))
+
+
+@pytest.fixture
+def clock() -> list[float]:
+    return [0.0]
+
+
+@pytest.fixture
+def directory(clock: list[float]) -> Directory:
+    return Directory(lambda: clock[0])
+
+
+def with_order(incarnation: int, sequence: int) -> ServerEntry:
+    announcement = make_announcement(incarnation=incarnation, sequence=sequence)
+    return ServerEntry(announcement, ("e0/1",))
+
+
+def test_greater_pair_wins(directory: Directory) -> None:
+    # Guards against a stale update after a newer one.
+    assert directory.merge(with_order(2, 1))
+    assert not directory.merge(with_order(1, 9))
+    assert not directory.merge(with_order(2, 1))
+    assert directory.merge(with_order(2, 2))
+    assert directory.servers("counter") == [with_order(2, 2)]
+
+
+def test_end_wins_over_its_announcement_only(directory: Directory) -> None:
+    # Guards against an end that arrives late and ends the successor.
+    directory.merge(with_order(1, 2))
+    directory.merge(replace(with_order(1, 1), ended=("e0/1",)))
+    assert directory.servers("counter")
+    directory.merge(replace(with_order(1, 2), ended=("e0/1",)))
+    assert not directory.servers("counter")
+    assert not directory.merge(with_order(1, 2))
+
+
+def test_lease_at_other_host_keeps_server(directory: Directory) -> None:
+    # Guards against a duplicate announcement through two entry hosts, of which the
+    # one without renewals ends its lease.
+    directory.merge(LIVE)
+    directory.merge(replace(LIVE, held=("e1/1",)))
+    directory.merge(replace(LIVE, held=("e1/1",), ended=("e1/1",)))
+    assert directory.servers("counter")
+    assert directory.end_holder("e0/1") == 1
+    assert not directory.servers("counter")
+
+
+def test_withdrawal_ends_all_leases(directory: Directory) -> None:
+    # Guards against a withdrawn server that a second lease keeps alive.
+    directory.merge(replace(LIVE, held=("e1/1",)))
+    gone = replace(LIVE.announcement, state="withdrawn")
+    directory.merge(ServerEntry(gone, ("e0/1",), ("e0/1",)))
+    assert not directory.servers("counter")
+
+
+def test_tombstone_outlives_stale_updates(
+    directory: Directory, clock: list[float]
+) -> None:
+    # Guards against a stale update that revives a server, and against tombstones
+    # that are kept for ever.
+    directory.merge(replace(LIVE, ended=("e0/1",)))
+    clock[0] = 59
+    assert directory.purge() == 0
+    assert not directory.merge(LIVE)
+    clock[0] = 61
+    assert directory.purge() == 1
+    assert len(directory) == 0
+    assert directory.changes_since(0).entries == ()
+
+
+def test_changes_are_limited_and_resumed(directory: Directory) -> None:
+    # Guards against entries that are lost between two parts of a long answer.
+    entries = [ServerEntry(make_announcement(f"s{n}"), ("e0/1",)) for n in range(7)]
+    for entry in entries:
+        directory.merge(entry)
+    found: list[ServerEntry] = []
+    version, more = 0, True
+    while more:
+        changes = directory.changes_since(version, ("counter",), limit=3)
+        found += changes.entries
+        version, more = changes.version, changes.more
+    assert found == entries
+    assert version == directory.version
+
+
+def test_changes_of_other_services_are_left_out(directory: Directory) -> None:
+    # Guards against entry hosts that get the whole system's directory.
+    directory.merge(LIVE)
+    cutting = replace(LIVE.announcement, service="cutting")
+    directory.merge(ServerEntry(cutting, ("e0/1",)))
+    for version in (0, 1):
+        found = directory.changes_since(version, ("cutting",)).entries
+        assert [entry.key[0] for entry in found] == ["cutting"]
+    assert directory.changes_since(1, ("counter",)).entries == ()
+
+
+def test_adopted_entry_is_told_again(directory: Directory) -> None:
+    # Guards against a server that only the lost former home would have passed on.
+    directory.merge(LIVE)
+    assert directory.changes_since(0, local=True).entries == ()
+    assert not directory.adopt(LIVE)
+    assert directory.changes_since(0, local=True).entries == (LIVE,)
+
+
+_HOLDERS = ("e0/1", "e1/1")
+_UPDATES = st.builds(
+    lambda order, state, holder, ended: ServerEntry(
+        make_announcement(incarnation=order[0], sequence=order[1], state=state),
+        (holder,),
+        (holder,) if ended else (),
+    ),
+    st.tuples(st.integers(0, 2), st.integers(0, 2)),
+    st.sampled_from(["serving", "serving", "draining", "withdrawn"]),
+    st.sampled_from(_HOLDERS),
+    st.booleans(),
+)
+
+
+class Convergence(RuleBasedStateMachine):
+    """Updates reach three directories in any order, any number of times."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.updates: list[ServerEntry] = []
+        self.directories = [Directory(lambda: 0.0) for _ in range(3)]
+
+    @rule(update=_UPDATES, number=st.integers(0, 2))
+    def learn(self, update: ServerEntry, number: int) -> None:
+        """Let one directory learn something new."""
+        self.updates.append(update)
+        self.directories[number].merge(update)
+
+    @rule(choice=st.integers(0, 100), number=st.integers(0, 2))
+    def deliver_again(self, choice: int, number: int) -> None:
+        """Deliver an update late, or twice."""
+        if self.updates:
+            update = self.updates[choice % len(self.updates)]
+            self.directories[number].merge(update)
+
+    @rule(source=st.integers(0, 2), number=st.integers(0, 2))
+    def exchange(self, source: int, number: int) -> None:
+        """Let one directory learn all that another knows."""
+        for entry in self.directories[source].changes_since(0).entries:
+            self.directories[number].merge(entry)
+
+    def teardown(self) -> None:
+        """Deliver everything everywhere, in three orders, and compare."""
+        # Guards against hosts that disagree for good after the same updates.
+        if not self.updates:
+            return
+        orders = (self.updates, self.updates[::-1], sorted(self.updates, key=repr))
+        final = []
+        for directory, updates in zip(self.directories, orders, strict=True):
+            for update in updates:
+                directory.merge(update)
+            final.append(directory.get("counter", "s1"))
+        assert final[0] == final[1] == final[2]
+        assert final[0] is not None
+        assert final[0].rank == self._greatest_rank()
+
+    def _greatest_rank(self) -> tuple[int, int, int]:
+        order = max(update.announcement.order for update in self.updates)
+        last = [one for one in self.updates if one.announcement.order == order]
+        withdrawn = any(one.announcement.state == "withdrawn" for one in last)
+        running = {one.held for one in last} - {one.held for one in last if one.ended}
+        return (*order, 0 if running and not withdrawn else 1)
+
+
+TestConvergence = Convergence.TestCase
+TestConvergence.settings = settings(
+    derandomize=True, max_examples=60, stateful_step_count=20, deadline=None
+)
--- /dev/null
+++ b/tests/membership/test_leases.py
@@ -0,0 +1,180 @@
+"""The lease table must end what is gone and keep what is only unreachable."""
+
+from dataclasses import replace
+
+import pytest
+from kingcuplug_membership import (
+    Announcement,
+    AnnouncementInvalid,
+    AnnouncementStale,
+    HostUnconfirmed,
+    LeaseTable,
+    LeaseUnknown,
+    ServerEntry,
+)
+
+from .conftest import make_announcement
+
+
+class Table(LeaseTable):
+    """A lease table with a clock, a session and a directory set by hand."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        self.running = True
+        self.entry: ServerEntry | None = None
+        super().__init__(
+            "e0/1",
+            "127.0.0.1:1",
+            lambda: self.now,
+            lambda: self.running,
+            lambda service, server: self.entry,
+        )
+
+    def news(self) -> list[tuple[int, bool]]:
+        """Return sequence and liveness of what a new session would send."""
+        return [
+            (entry.announcement.sequence, entry.live)
+            for entry in self.changes_since(0)[0]
+        ]
+
+
+@pytest.fixture
+def table() -> Table:
+    return Table()
+
+
+@pytest.fixture
+def announcement() -> Announcement:
+    return make_announcement()
+
+
+def test_lease_ends_without_renewal(table: Table, announcement: Announcement) -> None:
+    # Guards against a lost server that stays in the directory.
+    granted = table.announce(announcement)
+    table.now += granted.lease_ms / 1_000 - 0.01
+    assert table.expire() == 0
+    table.now += 0.02
+    assert table.expire() == 1
+    assert table.news() == [(1, False)]
+
+
+def test_renewal_keeps_lease(table: Table, announcement: Announcement) -> None:
+    # Guards against a live server that is dropped.
+    granted = table.announce(announcement)
+    for _ in range(10):
+        table.now += granted.renew_ms / 1_000
+        table.renew("s1", 1, 1)
+        assert table.expire() == 0
+    assert table.news() == [(1, True)]
+
+
+@pytest.mark.parametrize("order", [("s2", 1, 1), ("s1", 2, 1), ("s1", 1, 2)])
+def test_unknown_renewal_is_refused(
+    table: Table, announcement: Announcement, order: tuple[str, int, int]
+) -> None:
+    # Guards against a server that believes it has a lease where it has none.
+    table.announce(announcement)
+    with pytest.raises(LeaseUnknown, match="greater sequence"):
+        table.renew(*order)
+
+
+def test_ended_lease_needs_greater_sequence(
+    table: Table, announcement: Announcement
+) -> None:
+    # Guards against a delayed copy of an announcement that revives a lost server.
+    table.announce(announcement)
+    table.now += 3
+    table.expire()
+    with pytest.raises(AnnouncementStale):
+        table.announce(announcement)
+    with pytest.raises(LeaseUnknown):
+        table.renew("s1", 1, 1)
+    table.announce(replace(announcement, sequence=2))
+    assert table.news() == [(2, True)]
+
+
+def test_end_known_to_directory_needs_greater_sequence(
+    table: Table, announcement: Announcement
+) -> None:
+    # Guards against a delayed copy that arrives at another entry host.
+    table.entry = ServerEntry(announcement, ("e1/1",), ("e1/1",))
+    with pytest.raises(AnnouncementStale):
+        table.announce(announcement)
+
+
+def test_older_announcement_is_refused(
+    table: Table, announcement: Announcement
+) -> None:
+    # Guards against a stale update after a newer one.
+    table.announce(replace(announcement, incarnation=2))
+    with pytest.raises(AnnouncementStale, match="incarnation 2"):
+        table.announce(replace(announcement, sequence=9))
+
+
+def test_changed_content_needs_greater_sequence(
+    table: Table, announcement: Announcement
+) -> None:
+    # Guards against hosts that keep different content under one rank.
+    table.announce(announcement)
+    with pytest.raises(AnnouncementInvalid, match="greater sequence"):
+        table.announce(replace(announcement, slots=4))
+
+
+def test_withdrawal_is_final(table: Table, announcement: Announcement) -> None:
+    # Guards against a server that leaves and is offered again.
+    table.announce(announcement)
+    table.announce(replace(announcement, state="withdrawn"))
+    table.announce(replace(announcement, state="withdrawn"))
+    assert table.news() == [(1, False)]
+    with pytest.raises(AnnouncementStale):
+        table.announce(announcement)
+
+
+def test_unconfirmed_host_sends_servers_elsewhere(
+    table: Table, announcement: Announcement
+) -> None:
+    # Guards against servers that stay with an entry host that is cut off.
+    table.announce(announcement)
+    table.running = False
+    with pytest.raises(HostUnconfirmed):
+        table.renew("s1", 1, 1)
+    with pytest.raises(HostUnconfirmed):
+        table.announce(replace(announcement, sequence=2))
+
+
+def test_unconfirmed_host_ends_nothing(
+    table: Table, announcement: Announcement
+) -> None:
+    # Guards against an observer that is cut off and declares its servers gone.
+    table.announce(announcement)
+    table.running = False
+    table.now += 60
+    assert table.expire() == 0
+    table.running = True
+    assert table.expire() == 0
+    table.now += 2.1
+    assert table.expire() == 1
+
+
+def test_change_of_service_ends_former_entry(
+    table: Table, announcement: Announcement
+) -> None:
+    # Guards against a server that stays in the service that it left.
+    table.announce(announcement)
+    table.announce(replace(announcement, service="cutting", sequence=2))
+    found = {entry.key[0]: entry.live for entry in table.changes_since(0)[0]}
+    assert found == {"counter": False, "cutting": True}
+    table.announce(replace(announcement, sequence=3))
+    found = {entry.key[0]: entry.live for entry in table.changes_since(0)[0]}
+    assert found == {"counter": True, "cutting": False}
+
+
+def test_ended_leases_are_forgotten(table: Table, announcement: Announcement) -> None:
+    # Guards against a table that grows with every server that ever announced.
+    table.announce(announcement)
+    table.now += 3
+    table.expire()
+    table.now += 61
+    table.expire()
+    assert table.news() == []
