Serve requests end to end: control, entry hosts, stand-in backend servers

Cause: the thin whole path of the project was missing. Change: daemon with control and entry roles, operators' and callers' listeners, graceful shutdown, receipts with published keys; local deployment and demo.

--- a/packages/cli/src/kingcuplug_cli/__init__.py
+++ b/packages/cli/src/kingcuplug_cli/__init__.py
@@ -1,3 +1,5 @@
 """The kingcuplug command: operators' commands, load tool and stand-ins."""
 
-__all__: list[str] = []
+from kingcuplug_cli._main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/packages/cli/src/kingcuplug_cli/_local.py
@@ -0,0 +1,326 @@
+"""A whole deployment inside one process on loopback.
+
+Used by the demo, the load tool and tests: real hosts and stand-in backend servers,
+real HTTP, free ports.
+"""
+
+import asyncio
+import dataclasses
+import json
+import tempfile
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+from kingcuplug_common import HostSettings, identifier
+from kingcuplug_daemon import Host, policy_of
+from kingcuplug_log import LogSettings
+from kingcuplug_membership import MembershipSettings
+
+from kingcuplug_cli._standin import Journal, StandIn, StandInService
+
+__all__ = ["LocalDeployment", "Sizes", "load_sizes"]
+
+_READY_TIMEOUT_S = 30.0
+_POLL_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Group:
+    """Services of equal size."""
+
+    services: tuple[str, ...]
+    servers: int
+    slots: int
+    connections: int
+    connection_cost_ms: float
+    shard_count: int
+    replicas: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sizes:
+    """Availability zones and backend servers of one deployment."""
+
+    availability_zones: tuple[str, ...]
+    zone_latency_ms: float
+    caller_latency_ms: float
+    groups: tuple[Group, ...]
+
+
+def load_sizes(path: Path, only: Sequence[str] | None = None) -> Sizes:
+    """Read a ``servers.json`` of the examples.
+
+    Parameters
+    ----------
+    only : sequence of str, optional
+        Keep only these services.
+    """
+    fields = json.loads(path.read_text())
+    groups = []
+    for group in fields["groups"]:
+        services = tuple(
+            name for name in group["services"] if only is None or name in only
+        )
+        if services:
+            groups.append(Group(**(group | {"services": services})))
+    return Sizes(
+        tuple(fields["availability_zones"]),
+        fields["zone_latency_ms"],
+        fields["caller_latency_ms"],
+        tuple(groups),
+    )
+
+
+class LocalDeployment:
+    """Hosts and stand-ins of one deployment.
+
+    Parameters
+    ----------
+    sizes : Sizes
+        Zones and backend servers.
+    entry_hosts, control_hosts : int
+        Numbers of hosts; the first ones have both roles.
+    seed : int
+        Seed of the stand-ins' service times.
+    folder : Path, optional
+        Parent of the data folders; by default a temporary one.
+
+    Attributes
+    ----------
+    hosts : list of Host
+        Running hosts.
+    servers : list of StandIn
+        Running stand-ins.
+    journal : Journal
+        What the stand-ins really did.
+    """
+
+    def __init__(
+        self,
+        sizes: Sizes,
+        entry_hosts: int = 3,
+        control_hosts: int = 3,
+        seed: int = 1,
+        folder: Path | None = None,
+        routing_policy: Any = policy_of,
+        operator_token: str | None = None,
+        log_settings: LogSettings | None = None,
+        membership_settings: MembershipSettings | None = None,
+        host_fields: dict[str, Any] | None = None,
+    ) -> None:
+        self.sizes = sizes
+        self.hosts: list[Host] = []
+        self.servers: list[StandIn] = []
+        self.journal = Journal()
+        self._temporary = None if folder else tempfile.TemporaryDirectory()
+        self._folder = folder or Path(str(self._temporary and self._temporary.name))
+        self._entry_hosts = entry_hosts
+        self._control_hosts = control_hosts
+        self._seed = seed
+        self._routing_policy = routing_policy
+        self._token = operator_token
+        self._log_settings = log_settings
+        self._membership_settings = membership_settings
+        self._host_fields = host_fields or {}
+        self._turn = 0
+        self._seeds: tuple[str, ...] = ()
+        self._http: aiohttp.ClientSession | None = None
+
+    # Life
+
+    async def start(self, text: str) -> int:
+        """Start everything, apply the text and return its revision."""
+        await self.start_control()
+        revision = await self.apply(text, 0)
+        await self.start_entries()
+        await self.start_servers()
+        await self.wait_ready()
+        return revision
+
+    async def start_control(self) -> None:
+        """Start the control hosts and bootstrap the log."""
+        self.hosts += [self.make_host(n) for n in range(self._control_hosts)]
+        self._seeds = tuple(host.peer_address for host in self.hosts)
+        for host in self.hosts:
+            host.settings = host.settings.model_copy(
+                update={"control_seeds": self._seeds}
+            )
+            await host.start()
+        first = self.hosts[0]
+        await self.operate(first, "control/bootstrap", {})
+        await self._until(self._has_leader)
+        for host in self.hosts[1:]:
+            await self.operate(first, "control/add", {"address": host.peer_address})
+
+    async def start_entries(self) -> None:
+        """Start the hosts that have the entry role only."""
+        for number in range(self._control_hosts, self._entry_hosts):
+            host = self.make_host(number)
+            self.hosts.append(host)
+            await host.start()
+
+    async def start_servers(self, snapshot: int = 1) -> None:
+        """Start all stand-ins, holding one snapshot."""
+        for group in self.sizes.groups:
+            for name in group.services:
+                self.servers += self._make_servers(group, name, snapshot)
+        await asyncio.gather(*(server.start() for server in self.servers))
+
+    async def stop(self) -> None:
+        """Stop everything gracefully."""
+        await asyncio.gather(*(s.crash() for s in self.servers if s.running))
+        await asyncio.gather(*(host.stop(grace_ms=0) for host in self.hosts))
+        if self._http is not None:
+            await self._http.close()
+        if self._temporary is not None:
+            self._temporary.cleanup()
+
+    def make_host(self, number: int) -> Host:
+        """Return a host that is not started; the same number, the same disk."""
+        roles = []
+        if number < self._control_hosts:
+            roles.append("control")
+        if number < self._entry_hosts:
+            roles.append("entry")
+        zones = self.sizes.availability_zones
+        name = f"host-{number + 1:02}"
+        known = self.hosts[number] if number < len(self.hosts) else None
+        fields = {
+            "host": name,
+            "availability_zone": zones[number % len(zones)],
+            "roles": roles,
+            "caller_address": known.caller_address if known else "127.0.0.1:0",
+            "peer_address": known.peer_address if known else "127.0.0.1:0",
+            "data_folder": self._folder / name if "control" in roles else None,
+            "control_seeds": self._seeds,
+            "operator_token": self._token,
+        }
+        return Host(
+            HostSettings.model_validate(fields | self._host_fields),
+            self._routing_policy,
+            self._log_settings,
+            self._membership_settings,
+        )
+
+    def _make_servers(self, group: Group, name: str, snapshot: int) -> list[StandIn]:
+        service = StandInService(
+            name, group.slots, group.connections, group.connection_cost_ms
+        )
+        zones = self.sizes.availability_zones
+        return [
+            StandIn(
+                f"{name}-s{number}",
+                service,
+                zones[number % len(zones)],
+                {snapshot: (group.shard_count, shards_of(group, number))},
+                self.journal,
+                self.balancer,
+                seed=self._seed * 1_000_003 + len(self.servers) + number,
+            )
+            for number in range(group.servers)
+        ]
+
+    # Callers and operators
+
+    def balancer(self) -> str:
+        """Return the base URL of the next ready entry host."""
+        entries = [
+            host for host in self.hosts if host.entry and not host.lifecycle.draining
+        ]
+        self._turn += 1
+        return f"http://{entries[self._turn % len(entries)].caller_address}"
+
+    @property
+    def http(self) -> aiohttp.ClientSession:
+        """The callers' HTTP client."""
+        if self._http is None:
+            self._http = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0),
+                cookie_jar=aiohttp.DummyCookieJar(),
+            )
+        return self._http
+
+    async def call(
+        self, service: str, kind: str, fields: dict[str, Any], base: str | None = None
+    ) -> tuple[int, dict[str, Any]]:
+        """Send a request as a caller; return HTTP status and answer."""
+        url = f"{base or self.balancer()}/v1/services/{service}/{kind}"
+        async with self.http.post(url, json=fields) as response:
+            return response.status, await response.json()
+
+    async def operate(
+        self, host: Host, path: str, fields: dict[str, Any]
+    ) -> dict[str, Any]:
+        """Call an operator's endpoint and return its answer."""
+        headers = {"Authorization": f"Bearer {self._token}"} if self._token else {}
+        url = f"http://{host.caller_address}/v1/operator/{path}"
+        async with self.http.post(url, json=fields, headers=headers) as response:
+            answer = await response.json()
+            if response.status != 200:
+                raise RuntimeError(f"{path} failed with {response.status}: {answer}")
+            return dict(answer)
+
+    async def apply(self, text: str, base_revision: int) -> int:
+        """Apply a configuration text and return its revision."""
+        answer = await self.operate(
+            self.hosts[0],
+            "configuration",
+            {
+                "change_id": identifier(),
+                "base_revision": base_revision,
+                "text": text,
+                "author": "local",
+            },
+        )
+        if answer.get("type") != "accepted":
+            raise RuntimeError(f"configuration was not accepted: {answer}")
+        return int(answer["revision"])
+
+    async def wait_ready(self) -> None:
+        """Wait until every entry host is ready and knows all stand-ins."""
+        await self._until(self._all_ready)
+
+    async def _has_leader(self) -> bool:
+        control = self.hosts[0].control
+        return control is not None and control.replica.status().lease_valid
+
+    async def _all_ready(self) -> bool:
+        for host in self.hosts:
+            if host.entry is None:
+                continue
+            url = f"http://{host.caller_address}/readyz"
+            async with self.http.get(url) as response:
+                if response.status != 200:
+                    return False
+            if not self._knows_all(host):
+                return False
+        return True
+
+    def _knows_all(self, host: Host) -> bool:
+        assert host.entry is not None
+        directory = host.entry.session.directory
+        known = {
+            entry.announcement.server
+            for service in directory.services()
+            for entry in directory.servers(service)
+            if entry.live
+        }
+        return all(server.name in known for server in self.servers if server.running)
+
+    @staticmethod
+    async def _until(condition: Callable[[], Any]) -> None:
+        async with asyncio.timeout(_READY_TIMEOUT_S):
+            # Readiness is asked over HTTP, so there is no event to wait for.
+            while not await condition():  # noqa: ASYNC110
+                await asyncio.sleep(_POLL_S)
+
+
+def shards_of(group: Group, number: int) -> tuple[int, ...]:
+    """Return the shards of one server: each is on `replicas` successive servers."""
+    return tuple(
+        shard
+        for shard in range(group.shard_count)
+        if (number - shard) % group.servers < group.replicas
+    )
--- a/packages/configuration/src/kingcuplug_configuration/_history.py
+++ b/packages/configuration/src/kingcuplug_configuration/_history.py
@@ -146,6 +146,10 @@
             return None
         return list(islice(self._deltas, len(self._deltas) - missing, None))
 
+    def recent(self, limit: int) -> list[Change]:
+        """Return what is remembered of the last changes, the newest first."""
+        return list(islice(reversed(self._changes.values()), limit))
+
     def lookup(self, change_id: str) -> Change | None:
         """Return what is remembered of an accepted change."""
         return self._changes.get(change_id)
--- a/packages/daemon/src/kingcuplug_daemon/__init__.py
+++ b/packages/daemon/src/kingcuplug_daemon/__init__.py
@@ -1,3 +1,9 @@
 """The kingcuplugd process: composition, HTTP applications and shutdown."""
 
-__all__: list[str] = []
+from kingcuplug_daemon._entry import policy_of
+from kingcuplug_daemon._host import Host
+from kingcuplug_daemon._listener import Listener
+from kingcuplug_daemon._main import main
+from kingcuplug_daemon._peers import client_context
+
+__all__ = ["Host", "Listener", "client_context", "main", "policy_of"]
--- /dev/null
+++ b/packages/daemon/src/kingcuplug_daemon/_control.py
@@ -0,0 +1,398 @@
+"""The control role of a host: replica of the log, sessions and mesh."""
+
+import asyncio
+import random
+import time
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from kingcuplug_common import HostSettings, KingcuplugError, Metrics, identifier
+from kingcuplug_configuration import ApplyConfiguration
+from kingcuplug_ledger import command_from_json, result_to_json, stamp
+from kingcuplug_log import (
+    DiskFileSystem,
+    LogSettings,
+    Member,
+    MemberRole,
+    NotLeader,
+    Replica,
+    Storage,
+    member_id,
+)
+from kingcuplug_membership import (
+    ConfigurationSource,
+    LeaderSource,
+    MembershipSettings,
+    Mesh,
+    SessionServer,
+)
+
+from kingcuplug_daemon._machine import LEDGER_COMMANDS, SystemMachine
+from kingcuplug_daemon._peers import PeerClient, PeerError
+
+__all__ = ["BootstrapUnsafe", "ControlNode", "leader_of"]
+
+_RPC_TIMEOUT_S = 0.15
+_POLL_TIMEOUT_S = 5.0
+_IDENTITY_TIMEOUT_S = 1.0
+_MILLISECONDS = 1_000
+_LONGEST_WAIT_S = 60.0
+_LOG_FOLDER = "log"
+_HISTORY_LIMIT = 1_000
+
+
+class BootstrapUnsafe(KingcuplugError):
+    """A cluster may exist already, so this host must not begin another."""
+
+
+class ControlNode:
+    """A control host's state and its answers to other hosts.
+
+    Parameters
+    ----------
+    settings : HostSettings
+        Settings of this host.
+    peer_address : str
+        Address at which other hosts reach it.
+    peers : PeerClient
+        Calls other hosts.
+    metrics : Metrics
+        Counters.
+    log_settings, membership_settings : optional
+        Times and bounds.
+    """
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        peer_address: str,
+        peers: PeerClient,
+        metrics: Metrics,
+        log_settings: LogSettings | None = None,
+        membership_settings: MembershipSettings | None = None,
+    ) -> None:
+        if settings.data_folder is None:
+            raise ValueError(f"control host {settings.host} has no data_folder")
+        self._settings = settings
+        self._address = peer_address
+        self._peers = peers
+        self._metrics = metrics
+        self._log_settings = log_settings or LogSettings()
+        self._membership_settings = membership_settings or MembershipSettings()
+        self._folder = settings.data_folder / _LOG_FOLDER
+        self._tasks: asyncio.Task[None] | None = None
+        self.machine = SystemMachine()
+        self.replica: Replica
+        self.sessions: SessionServer
+        self.mesh: Mesh
+
+    async def start(self) -> None:
+        """Open the data folder and take part in the log.
+
+        Raises
+        ------
+        CorruptLog, StorageFailed
+            If the data folder cannot be used.
+        """
+        self._folder.mkdir(parents=True, exist_ok=True)
+        storage = Storage(DiskFileSystem(self._folder))
+        await storage.open()
+        loop = asyncio.get_running_loop()
+        identity = member_id(self._settings.host, storage.disk_id)
+        self.replica = Replica(
+            Member(identity, self._settings.host, self._address),
+            storage,
+            self._send_log,
+            self.machine,
+            self._log_settings,
+            loop.time,
+            random.Random(),
+            self._metrics,
+        )
+        self.sessions = SessionServer(
+            self._address,
+            self._other_addresses,
+            self._configuration_source(),
+            self._leader_source(),
+            self._peers.path("/peer/v1/barrier", _RPC_TIMEOUT_S * 2),
+            loop.time,
+            self._membership_settings,
+        )
+        self.mesh = Mesh(
+            self._address,
+            self.sessions.directory,
+            self.sessions.verdicts,
+            self.sessions.continuity,
+            self._other_addresses,
+            self._peers.path("/peer/v1/mesh", _POLL_TIMEOUT_S),
+            loop.time,
+            self._membership_settings,
+        )
+        self.machine.on_revision.append(self.sessions.wake)
+        await self.replica.start()
+        self._tasks = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop taking part."""
+        if self._tasks is not None:
+            self._tasks.cancel()
+            await asyncio.gather(self._tasks, return_exceptions=True)
+        await self.replica.stop()
+
+    async def _run(self) -> None:
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.sessions.run())
+            tasks.create_task(self.mesh.run())
+
+    # Answers to other hosts
+
+    async def submit(self, command: dict[str, Any]) -> dict[str, Any]:
+        """Commit a command of any host and return its result."""
+        kind = command.get("type")
+        if kind == "lookup":
+            return await self._lookup(command)
+        if kind in LEDGER_COMMANDS:
+            command = stamp(command, _wall_ms())
+        elif kind == "apply_configuration":
+            command = self._condensed(command)
+        result = await self.replica.propose(command)
+        return dict(result)
+
+    async def read(self, question: dict[str, Any]) -> dict[str, Any]:
+        """Answer a question from state that is confirmed by the quorum."""
+        await self.replica.read_barrier()
+        kind = question.get("type")
+        answers = {
+            "configuration": self._read_configuration,
+            "history": self._read_history,
+            "order": lambda: self._read_order(str(question.get("key"))),
+            "keys": self._read_keys,
+            "hosts": self._read_hosts,
+            "servers": self._read_servers,
+            "control_status": self.status,
+        }
+        if kind == "in_force":
+            return await self._wait_in_force(question)
+        if kind not in answers:
+            raise KingcuplugError(
+                f"question {kind!r} is unknown", "run one version on all hosts"
+            )
+        return answers[kind]()
+
+    async def bootstrap(self) -> dict[str, Any]:
+        """Begin a cluster on this host, unless one may exist.
+
+        Raises
+        ------
+        BootstrapUnsafe
+            If any configured control host cannot be asked or belongs to a cluster.
+        BootstrapRefused
+            If this host belongs to a cluster.
+        """
+        for address in self._settings.control_seeds:
+            if address != self._address:
+                await self._require_blank(address)
+        cluster = identifier()
+        await self.replica.bootstrap(cluster)
+        return {"cluster": cluster, "member": self.replica.status().member.id}
+
+    async def change(self, change: dict[str, Any]) -> dict[str, Any]:
+        """Add the control host at an address, or remove a member by its id."""
+        if "remove" in change:
+            await self.replica.change(remove=str(change["remove"]))
+            return {"removed": change["remove"]}
+        address = str(change["add"])
+        identity = await self._identity_of(address)
+        role = MemberRole(str(change.get("role", MemberRole.VOTER.value)))
+        member = Member(identity["member"], identity["host"], address, role)
+        await self.replica.change(add=member)
+        return {"added": member.id, "role": role.value}
+
+    def identity(self) -> dict[str, Any]:
+        """Return who this host is, for the checks of bootstrap and add."""
+        status = self.replica.status()
+        return {
+            "host": self._settings.host,
+            "member": status.member.id,
+            "blank": not status.members,
+        }
+
+    def status(self) -> dict[str, Any]:
+        """Return the replica's state for operators."""
+        status = self.replica.status()
+        return {
+            "member": status.member.id,
+            "role": status.role.value,
+            "term": status.term,
+            "leader": None if status.leader is None else status.leader.id,
+            "commit_index": status.commit_index,
+            "applied_index": status.applied_index,
+            "snapshot_index": status.snapshot_index,
+            "lease_valid": status.lease_valid,
+            "storage_failed": status.storage_failed,
+            "safe_to_lose_one": status.safe_to_lose_one,
+            "members": [member.to_json() for member in status.members],
+            "peers": [
+                {
+                    "member": peer.member.id,
+                    "match_index": peer.match_index,
+                    "caught_up": peer.caught_up,
+                    "answered_ms_ago": peer.answered_ms_ago,
+                }
+                for peer in status.peers
+            ],
+        }
+
+    # Internals
+
+    async def _lookup(self, command: dict[str, Any]) -> dict[str, Any]:
+        await self.replica.read_barrier()
+        return result_to_json(self.machine.ledger.apply(command_from_json(command)))
+
+    def _condensed(self, command: dict[str, Any]) -> dict[str, Any]:
+        apply = ApplyConfiguration.from_json(command | {"time_ms": _wall_ms()})
+        return self.machine.configuration.condense(apply).to_json()
+
+    def _read_configuration(self) -> dict[str, Any]:
+        return self.machine.configuration.current._asdict()
+
+    def _read_history(self) -> dict[str, Any]:
+        changes = self.machine.configuration.recent(_HISTORY_LIMIT)
+        return {"revisions": [change._asdict() for change in changes]}
+
+    def _read_order(self, key: str) -> dict[str, Any]:
+        record = self.machine.ledger.lookup(key)
+        return {
+            "key": key,
+            "explanation": self.machine.ledger.explain(key),
+            "state": None if record is None else record.state,
+        }
+
+    def _read_keys(self) -> dict[str, Any]:
+        return self.machine.keys.dump()
+
+    def _read_hosts(self) -> dict[str, Any]:
+        return {
+            "hosts": [
+                {
+                    "host": status.host,
+                    "incarnation": status.incarnation,
+                    "availability_zone": status.availability_zone,
+                    "confirmed_revision": status.confirmed,
+                    "control_host": status.control_host,
+                }
+                for status in self.sessions.hosts()
+            ]
+        }
+
+    def _read_servers(self) -> dict[str, Any]:
+        directory = self.sessions.directory
+        return {
+            "servers": [
+                _server_fields(entry)
+                for service in directory.services()
+                for entry in directory.servers(service)
+            ]
+        }
+
+    async def _wait_in_force(self, question: dict[str, Any]) -> dict[str, Any]:
+        revision = int(question["revision"])
+        wait_s = min(float(question["wait_ms"]) / _MILLISECONDS, _LONGEST_WAIT_S)
+        try:
+            async with asyncio.timeout(wait_s):
+                await self.sessions.wait_in_force(revision)
+            waiting: list[str] = []
+        except TimeoutError:
+            waiting = self.sessions.barrier.lagging(revision)
+        return {
+            "revision": revision,
+            "in_force": not waiting,
+            "waiting_for": waiting,
+            **self._read_hosts(),
+        }
+
+    async def _identity_of(self, address: str) -> dict[str, Any]:
+        return await self._peers.post(
+            address, "/peer/v1/identity", {}, _IDENTITY_TIMEOUT_S
+        )
+
+    async def _require_blank(self, address: str) -> None:
+        try:
+            identity = await self._identity_of(address)
+        except (OSError, TimeoutError, PeerError) as error:
+            raise BootstrapUnsafe(
+                f"control host at {address} cannot be asked whether a cluster exists:"
+                f" {error}",
+                "start all configured control hosts, then bootstrap one of them",
+            ) from error
+        if not identity["blank"]:
+            raise BootstrapUnsafe(
+                f"control host {identity['host']} belongs to a cluster",
+                "add this host to it with `kingcuplug control add`",
+            )
+
+    def _other_addresses(self) -> Sequence[str]:
+        members = self.replica.status().members
+        return [m.address for m in members if m.address != self._address]
+
+    async def _send_log(self, peer: str, message: dict[str, Any]) -> dict[str, Any]:
+        for member in self.replica.status().members:
+            if member.id == peer:
+                return await self._peers.post(
+                    member.address,
+                    "/peer/v1/log",
+                    message,
+                    self._log_settings.rpc_timeout,
+                )
+        raise ConnectionError(f"member {peer} is not in the group")
+
+    def _configuration_source(self) -> ConfigurationSource:
+        history = self.machine.configuration
+        return ConfigurationSource(
+            revision=lambda: history.current.number,
+            deltas_since=lambda number: _deltas_json(history.since(number)),
+            text=lambda: history.current.text,
+            digest=lambda: history.current.digest,
+        )
+
+    def _leader_source(self) -> LeaderSource:
+        status = self.replica.status
+        return LeaderSource(
+            leading_until=self.replica.leading_until,
+            leader=self._leader_address,
+            term=lambda: status().term,
+            commit_index=lambda: status().commit_index,
+            applied_index=lambda: status().applied_index,
+        )
+
+    def _leader_address(self) -> str | None:
+        leader = self.replica.status().leader
+        return None if leader is None else leader.address
+
+
+def leader_of(error: NotLeader) -> str | None:
+    """Return the address of the leader that an error names."""
+    return None if error.hint is None else error.hint.address
+
+
+def _deltas_json(deltas: Sequence[Any] | None) -> list[Any] | None:
+    return None if deltas is None else [delta.to_json() for delta in deltas]
+
+
+def _server_fields(entry: Any) -> Mapping[str, Any]:
+    announcement = entry.announcement
+    return {
+        "server": announcement.server,
+        "service": announcement.service,
+        "address": announcement.address,
+        "availability_zone": announcement.availability_zone,
+        "incarnation": announcement.incarnation,
+        "sequence": announcement.sequence,
+        "state": announcement.state if entry.live else "gone",
+        "snapshots": [holding.snapshot for holding in announcement.holdings],
+        "held_by": list(entry.held),
+    }
+
+
+def _wall_ms() -> int:
+    return time.time_ns() // 1_000_000
--- /dev/null
+++ b/packages/daemon/src/kingcuplug_daemon/_entry.py
@@ -0,0 +1,150 @@
+"""The entry role of a host: session, routing and execution of requests."""
+
+import asyncio
+import random
+import time
+from collections.abc import Sequence
+
+from kingcuplug_common import HostSettings, Metrics
+from kingcuplug_configuration import Service
+from kingcuplug_ledger import LedgerClient
+from kingcuplug_membership import ConfigurationSink, MembershipSettings, SessionClient
+from kingcuplug_query import (
+    Background,
+    HttpBackend,
+    OrderExecutor,
+    QueryExecutor,
+)
+from kingcuplug_routing import CrashGuard, RoutingPolicy
+
+from kingcuplug_daemon._entry_configuration import EntryConfiguration, PolicyOf
+from kingcuplug_daemon._holders import HolderWatch
+from kingcuplug_daemon._peers import PeerClient, client_context
+from kingcuplug_daemon._routing_state import RoutingState
+from kingcuplug_daemon._submission import Submitter
+from kingcuplug_daemon._verdicts import VerdictExchange
+
+__all__ = ["EntryNode", "policy_of"]
+
+_SESSION_TIMEOUT_S = 2.0
+_DRAIN_S = 30.0
+
+
+def policy_of(service: Service) -> RoutingPolicy:
+    """Return the routing policy that a configured service asks for."""
+    return RoutingPolicy(
+        hedge_budget=service.policy.hedge_budget,
+        retry_budget=service.policy.retry_budget,
+        urgent_reserve=service.policy.urgent_reserve,
+    )
+
+
+class EntryNode:
+    """An entry host's state.
+
+    Parameters
+    ----------
+    settings : HostSettings
+        Settings of this host.
+    caller_address : str
+        Address at which backend servers renew their leases.
+    incarnation : int
+        Greater after each restart of this host.
+    peers : PeerClient
+        Calls control hosts.
+    submitter : Submitter
+        Sends commands to the leader of the log.
+    metrics : Metrics
+        Counters.
+    routing_policy : callable
+        Returns the routing policy of a service.
+    """
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        caller_address: str,
+        incarnation: int,
+        peers: PeerClient,
+        submitter: Submitter,
+        seeds: Sequence[str],
+        metrics: Metrics,
+        routing_policy: PolicyOf = policy_of,
+        membership_settings: MembershipSettings | None = None,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        zone = settings.availability_zone
+        self.background = Background()
+        self.guard = CrashGuard()
+        self.backend = HttpBackend(client_context(settings.backend_tls))
+        self.configuration = EntryConfiguration(
+            settings.services, routing_policy, random.Random()
+        )
+        self.session = SessionClient(
+            settings.host,
+            incarnation,
+            zone,
+            caller_address,
+            lambda: seeds,
+            ConfigurationSink(
+                self.configuration.current,
+                self.configuration.apply,
+                self.configuration.services,
+            ),
+            peers.path("/peer/v1/session", _SESSION_TIMEOUT_S),
+            loop.time,
+            membership_settings,
+        )
+        self._routing = RoutingState(
+            self.session, lambda: self.configuration.view, self.backend, self.guard
+        )
+        self.configuration.changed = self._routing.refresh
+        self._verdicts = VerdictExchange(self.session, self.guard)
+        self.queries = QueryExecutor(
+            self.backend.send,
+            self.backend.cancel,
+            self.guard,
+            metrics,
+            self.background,
+            zone,
+        )
+        self.orders = OrderExecutor(
+            LedgerClient(submitter.submit, settings.host, incarnation, _wall_ms),
+            self.backend.send,
+            self.guard,
+            metrics,
+            self.background,
+            zone,
+            HolderWatch(self.session, self.background).lost,
+        )
+        self._tasks: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin the session."""
+        self._tasks = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Finish attempts in flight, then end the session."""
+        await self.background.drain(_DRAIN_S)
+        if self._tasks is not None:
+            self._tasks.cancel()
+            await asyncio.gather(self._tasks, return_exceptions=True)
+        await self.backend.close()
+
+    async def abort(self) -> None:
+        """End at once, as a crashed process does."""
+        if self._tasks is not None:
+            self._tasks.cancel()
+            await asyncio.gather(self._tasks, return_exceptions=True)
+        await self.background.drain(0)
+        await self.backend.close()
+
+    async def _run(self) -> None:
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.session.run())
+            tasks.create_task(self._routing.run())
+            tasks.create_task(self._verdicts.run())
+
+
+def _wall_ms() -> int:
+    return time.time_ns() // 1_000_000
--- /dev/null
+++ b/packages/daemon/src/kingcuplug_daemon/_host.py
@@ -0,0 +1,210 @@
+"""One host: its roles, listeners, and the way it starts and stops."""
+
+import asyncio
+import contextlib
+import time
+
+from kingcuplug_common import HostSettings, Metrics, log_to, state_change, tracer
+from kingcuplug_log import LogSettings
+from kingcuplug_membership import MembershipSettings
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.types import Receive, Scope, Send
+
+from kingcuplug_daemon._caller_app import CallerApp
+from kingcuplug_daemon._control import ControlNode
+from kingcuplug_daemon._entry import EntryNode, policy_of
+from kingcuplug_daemon._entry_configuration import PolicyOf
+from kingcuplug_daemon._http import json_response
+from kingcuplug_daemon._keys import ReceiptKeys
+from kingcuplug_daemon._lifecycle import Lifecycle
+from kingcuplug_daemon._listener import Listener
+from kingcuplug_daemon._operator_app import OperatorApp
+from kingcuplug_daemon._peer_app import peer_application
+from kingcuplug_daemon._peers import PeerClient
+from kingcuplug_daemon._submission import Submitter
+
+__all__ = ["Host"]
+
+_MILLISECONDS = 1_000
+_SOON_S = 0.05
+
+
+class Host:
+    """A running host.
+
+    Parameters
+    ----------
+    settings : HostSettings
+        Settings of this host.
+    routing_policy : callable, optional
+        Returns the routing policy of a service; for experiments.
+    log_settings, membership_settings : optional
+        Times and bounds of the control plane.
+
+    Attributes
+    ----------
+    caller_address, peer_address : str
+        Bound addresses of the listeners.
+    """
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        routing_policy: PolicyOf = policy_of,
+        log_settings: LogSettings | None = None,
+        membership_settings: MembershipSettings | None = None,
+    ) -> None:
+        self.settings = settings
+        self.metrics = Metrics(settings.statsd_address)
+        self.lifecycle = Lifecycle()
+        self._routing_policy = routing_policy
+        self._log_settings = log_settings
+        self._membership_settings = membership_settings
+        self._peers = PeerClient(settings.peer_tls)
+        self._resources = contextlib.ExitStack()
+        self._drain_requested = asyncio.Event()
+        # The listeners bind first, so that a port of 0 has its number before the
+        # rest is built; they accept connections only at the end of `start`.
+        self._caller_listener = Listener(
+            self._caller_entry, settings.caller_address, settings.caller_tls
+        )
+        self._peer_listener = Listener(
+            self._peer_entry,
+            settings.peer_address,
+            settings.peer_tls,
+            client_certificates=True,
+        )
+        self.caller_address = self._caller_listener.address
+        self.peer_address = self._peer_listener.address
+        self._caller_application: Starlette | None = None
+        self._peer_application: Starlette | None = None
+        self.control: ControlNode | None = None
+        self.entry: EntryNode | None = None
+        self.keys: ReceiptKeys
+
+    async def start(self) -> None:
+        """Start all roles and accept connections.
+
+        Raises
+        ------
+        KingcuplugError
+            If the data folder cannot be used.
+        """
+        settings = self.settings
+        if settings.log_file is not None:
+            log_to(settings.log_file)
+        spans = self._resources.enter_context(
+            tracer(settings.trace_file, settings.trace_share)
+        )
+        seeds = settings.control_seeds or (self.peer_address,)
+        submitter = Submitter(self._peers, lambda: seeds)
+        self.keys = ReceiptKeys(
+            settings.host, settings.data_folder, submitter.submit, _wall_ms
+        )
+        if "control" in settings.roles:
+            self.control = ControlNode(
+                settings,
+                self.peer_address,
+                self._peers,
+                self.metrics,
+                self._log_settings,
+                self._membership_settings,
+            )
+            await self.control.start()
+        if "entry" in settings.roles:
+            self.entry = EntryNode(
+                settings,
+                self.caller_address,
+                _wall_ms(),
+                self._peers,
+                submitter,
+                seeds,
+                self.metrics,
+                self._routing_policy,
+                self._membership_settings,
+            )
+        operators = OperatorApp(
+            settings,
+            submitter,
+            self.control,
+            self.entry,
+            self.keys,
+            self.lifecycle,
+            self.metrics,
+            self._drain_requested.set,
+        )
+        routes = operators.routes()
+        if self.entry is not None:
+            routes += CallerApp(
+                settings, self.entry, self.keys, self.lifecycle, self.metrics, spans
+            ).routes()
+        self._caller_application = Starlette(routes=routes)
+        self._peer_application = peer_application(self.control, self.metrics)
+        await self._peer_listener.start()
+        if self.entry is not None:
+            await self.entry.start()
+        self._key_task = asyncio.create_task(self.keys.start())
+        await self._caller_listener.start()
+        state_change("host", "started", host=settings.host)
+
+    async def drained(self) -> None:
+        """Wait until an operator asks for a graceful shutdown."""
+        await self._drain_requested.wait()
+
+    async def stop(self, grace_ms: int | None = None) -> None:
+        """Shut down gracefully: no request in flight is cut.
+
+        Parameters
+        ----------
+        grace_ms : int, optional
+            Time for the load balancer to notice; by default the settings'.
+        """
+        if grace_ms is None:
+            grace_ms = self.settings.shutdown_grace_ms
+        await self.lifecycle.drain(grace_ms / _MILLISECONDS)
+        # Answers of the last requests are still being written.
+        await asyncio.sleep(_SOON_S)
+        await self._caller_listener.stop()
+        self._key_task.cancel()
+        if self.entry is not None:
+            await self.entry.stop()
+        if self.control is not None:
+            await self.control.stop()
+        await self._peer_listener.stop()
+        await self._peers.close()
+        self._resources.close()
+        state_change("host", "stopped", host=self.settings.host)
+
+    async def kill(self) -> None:
+        """End as a crashed process does; for tests."""
+        self._caller_listener.abort()
+        self._peer_listener.abort()
+        self._key_task.cancel()
+        if self.entry is not None:
+            await self.entry.abort()
+        if self.control is not None:
+            await self.control.stop()
+        await self._peers.close()
+        self._resources.close()
+
+    def reload(self) -> None:
+        """Read certificates again, for new connections."""
+        self._caller_listener.reload()
+        self._peer_listener.reload()
+
+    async def _caller_entry(self, scope: Scope, receive: Receive, send: Send) -> None:
+        await (self._caller_application or _starting)(scope, receive, send)
+
+    async def _peer_entry(self, scope: Scope, receive: Receive, send: Send) -> None:
+        await (self._peer_application or _starting)(scope, receive, send)
+
+
+async def _starting(scope: Scope, receive: Receive, send: Send) -> None:
+    response: Response = json_response({"error": "Starting"}, 503)
+    await response(scope, Request(scope, receive).receive, send)
+
+
+def _wall_ms() -> int:
+    return time.time_ns() // 1_000_000
--- /dev/null
+++ b/packages/daemon/src/kingcuplug_daemon/_lifecycle.py
@@ -0,0 +1,54 @@
+"""Whether a host takes new work, and how much it still has in flight."""
+
+import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from kingcuplug_common import state_change
+
+__all__ = ["Lifecycle"]
+
+
+class Lifecycle:
+    """The host's way from ready over draining to closed.
+
+    Attributes
+    ----------
+    draining : bool
+        The load balancer is told to send nothing more; requests are still served.
+    closed : bool
+        New requests are refused; those in flight finish.
+    """
+
+    def __init__(self) -> None:
+        self.draining = False
+        self.closed = False
+        self._in_flight = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests that are being served."""
+        return self._in_flight
+
+    @contextmanager
+    def request(self) -> Iterator[None]:
+        """Count one request as in flight."""
+        self._in_flight += 1
+        self._idle.clear()
+        try:
+            yield
+        finally:
+            self._in_flight -= 1
+            if not self._in_flight:
+                self._idle.set()
+
+    async def drain(self, grace_s: float) -> None:
+        """Leave the load balancer, refuse new work after a grace, finish the rest."""
+        self.draining = True
+        state_change("host", "draining", in_flight=self._in_flight)
+        await asyncio.sleep(grace_s)
+        self.closed = True
+        state_change("host", "closed", in_flight=self._in_flight)
+        await self._idle.wait()
--- a/packages/daemon/src/kingcuplug_daemon/_listener.py
+++ b/packages/daemon/src/kingcuplug_daemon/_listener.py
@@ -9,11 +9,11 @@
 import socket
 import ssl
 from collections.abc import Iterator
-from pathlib import Path
+from typing import Any, cast
 
 import uvicorn
 from kingcuplug_common import TlsSettings
-from uvicorn._types import ASGIApplication
+from starlette.types import ASGIApp
 
 __all__ = ["Listener"]
 
@@ -35,7 +35,7 @@
 
     Parameters
     ----------
-    application : ASGIApplication
+    application : ASGIApp
         The application.
     address : str
         ``ip:port``; port 0 takes a free one.
@@ -47,7 +47,7 @@
 
     def __init__(
         self,
-        application: ASGIApplication,
+        application: ASGIApp,
         address: str,
         tls: TlsSettings | None = None,
         client_certificates: bool = False,
@@ -60,18 +60,23 @@
         bound_host, bound_port = self._socket.getsockname()[:2]
         self.address = f"{bound_host}:{bound_port}"
         self._config = uvicorn.Config(
-            application,
+            cast(Any, application),
             loop="none",
             http="httptools",
             ws="none",
             lifespan="off",
+            interface="asgi3",
+            proxy_headers=False,
             log_config=None,
             access_log=False,
             server_header=False,
             date_header=False,
             backlog=_BACKLOG,
             timeout_keep_alive=_KEEPALIVE_S,
-            **_tls_options(tls, client_certificates),
+            ssl_certfile=tls.certificate if tls else None,
+            ssl_keyfile=tls.private_key if tls else None,
+            ssl_ca_certs=str(tls.authority) if tls else None,
+            ssl_cert_reqs=ssl.CERT_REQUIRED if client_certificates else ssl.CERT_NONE,
         )
         self._server = _Server(self._config)
         self._task: asyncio.Task[None] | None = None
@@ -108,18 +113,3 @@
         context = self._config.ssl
         if context is not None and self._config.ssl_certfile is not None:
             context.load_cert_chain(self._config.ssl_certfile, self._config.ssl_keyfile)
-
-
-def _tls_options(
-    tls: TlsSettings | None, client_certificates: bool
-) -> dict[str, str | int | Path]:
-    if tls is None:
-        return {}
-    options: dict[str, str | int | Path] = {
-        "ssl_certfile": str(tls.certificate),
-        "ssl_keyfile": str(tls.private_key),
-        "ssl_ca_certs": str(tls.authority),
-    }
-    if client_certificates:
-        options["ssl_cert_reqs"] = int(ssl.CERT_REQUIRED)
-    return options
--- /dev/null
+++ b/packages/daemon/src/kingcuplug_daemon/_main.py
@@ -0,0 +1,61 @@
+"""The `kingcuplugd` program: one process per host."""
+
+import asyncio
+import signal
+import sys
+from collections.abc import Callable
+from pathlib import Path
+
+import fire
+from kingcuplug_common import KingcuplugError, load_settings
+
+from kingcuplug_daemon._host import Host
+
+__all__ = ["main", "serve"]
+
+_EXIT_SETTINGS = 2
+_EXIT_STATE = 3
+
+
+def main() -> None:
+    """Run the program."""
+    fire.Fire(_run, name="kingcuplugd")
+
+
+def _run(settings: str) -> None:
+    """Run one host.
+
+    Parameters
+    ----------
+    settings : str
+        Path of the host's settings file.
+    """
+    try:
+        host_settings = load_settings(Path(settings))
+    except KingcuplugError as error:
+        print(f"kingcuplugd: {error}", file=sys.stderr)
+        sys.exit(_EXIT_SETTINGS)
+    try:
+        asyncio.run(serve(lambda: Host(host_settings)))
+    except (KingcuplugError, OSError) as error:
+        print(f"kingcuplugd: {error}", file=sys.stderr)
+        sys.exit(_EXIT_STATE)
+
+
+async def serve(make_host: Callable[[], Host]) -> None:
+    """Run a host until SIGTERM, SIGINT or an operator's drain; SIGHUP reloads."""
+    host = make_host()
+    loop = asyncio.get_running_loop()
+    stopping = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stopping.set)
+    loop.add_signal_handler(signal.SIGINT, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, host.reload)
+    await host.start()
+    waits = [
+        asyncio.create_task(stopping.wait()),
+        asyncio.create_task(host.drained()),
+    ]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
+    await host.stop()
--- a/packages/daemon/src/kingcuplug_daemon/_submission.py
+++ b/packages/daemon/src/kingcuplug_daemon/_submission.py
@@ -11,6 +11,7 @@
 __all__ = ["NoLeader", "Submitter"]
 
 _TRY_TIMEOUT_S = 2.0
+_CHANGE_TIMEOUT_S = 10.0
 _ROUNDS = 2
 # An election takes 300 to 600 ms; a shorter pause would only repeat the question.
 _PAUSE_S = 0.15
@@ -54,6 +55,10 @@
         """Return the leader's answer to a question; errors are as for `submit`."""
         return await self._send("/peer/v1/read", question, timeout_s)
 
+    async def change(self, change: dict[str, Any]) -> dict[str, Any]:
+        """Change the members of the log's group; errors are as for `submit`."""
+        return await self._send("/peer/v1/change", change, _CHANGE_TIMEOUT_S)
+
     async def _send(
         self, path: str, message: dict[str, Any], timeout_s: float
     ) -> dict[str, Any]:
--- a/packages/membership/src/kingcuplug_membership/_session_client.py
+++ b/packages/membership/src/kingcuplug_membership/_session_client.py
@@ -123,6 +123,11 @@
         """Return the number of the revision in force here; -1 for none."""
         return self._configuration.current()
 
+    @property
+    def verdict_ms(self) -> int:
+        """Return for how long verdicts are kept."""
+        return self._settings.verdict_ms
+
     def report(self, verdict: Verdict) -> None:
         """Tell all entry hosts of a blame or a condemnation."""
         if self.verdicts.add(verdict, local=True):
--- a/packages/membership/src/kingcuplug_membership/_verdicts.py
+++ b/packages/membership/src/kingcuplug_membership/_verdicts.py
@@ -1,5 +1,6 @@
 """Blames and condemnations of request fingerprints, shared by all entry hosts."""
 
+import dataclasses
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -21,12 +22,19 @@
         The run of the server that crashed; empty for a condemnation.
     remaining_ms : int
         Time for which the verdict is kept on.
+    service, availability_zone : str
+        Those of the crashed server, so that others can tell a failing zone.
+    proven : bool
+        Whether the fingerprint had completed somewhere before.
     """
 
     fingerprint: str
     server: str = ""
     incarnation: int = 0
     remaining_ms: int = 600_000
+    service: str = ""
+    availability_zone: str = ""
+    proven: bool = False
 
     @property
     def condemned(self) -> bool:
@@ -48,6 +56,7 @@
         self._clock = clock
         self._settings = settings or MembershipSettings()
         self._expires: dict[tuple[str, str, int], float] = {}
+        self._verdicts: dict[tuple[str, str, int], Verdict] = {}
         self._changes: ChangeLog[tuple[str, str, int]] = ChangeLog(clock)
         self._watchers: list[Callable[[Verdict], None]] = []
 
@@ -75,6 +84,7 @@
             return False
         remaining_ms = min(verdict.remaining_ms, self._settings.verdict_ms)
         self._expires[verdict.key] = self._clock() + remaining_ms / 1_000
+        self._verdicts[verdict.key] = verdict
         self._changes.touch(verdict.key, local)
         if len(self._expires) > self._settings.verdict_limit:
             self._remove(next(iter(self._expires)))
@@ -89,7 +99,8 @@
         for key in self._changes.since(version, local):
             remaining_ms = int((self._expires[key] - now) * 1_000)
             if remaining_ms > 0:
-                found.append(Verdict(*key, remaining_ms=remaining_ms))
+                verdict = self._verdicts[key]
+                found.append(dataclasses.replace(verdict, remaining_ms=remaining_ms))
         return tuple(found)
 
     def _purge(self) -> None:
@@ -102,4 +113,5 @@
 
     def _remove(self, key: tuple[str, str, int]) -> None:
         del self._expires[key]
+        del self._verdicts[key]
         self._changes.remove(key)
--- a/packages/query/src/kingcuplug_query/_backend.py
+++ b/packages/query/src/kingcuplug_query/_backend.py
@@ -69,7 +69,7 @@
         self._connection_limits[address] = connections
         session = self._sessions.get(address)
         if session is not None and session.connector is not None:
-            session.connector._limit = connections  # type: ignore[attr-defined]
+            session.connector._limit = connections
 
     def forget(self, address: str) -> None:
         """Close the pool of a server that has left."""
--- a/packages/query/src/kingcuplug_query/_messages.py
+++ b/packages/query/src/kingcuplug_query/_messages.py
@@ -186,7 +186,7 @@
     ):
         raise _invalid(request, _echo_fault(request, reply))
     try:
-        status = ReplyStatus(reply.get("status"))
+        status = ReplyStatus(reply.get("status", ""))
     except ValueError:
         raise _invalid(
             request, f"status is {reply.get('status')!r}, which is unknown"
--- a/packages/query/src/kingcuplug_query/_orders.py
+++ b/packages/query/src/kingcuplug_query/_orders.py
@@ -384,6 +384,8 @@
     """
     if not resend or refusal.kind is RefusalKind.OUTCOME_UNKNOWN:
         return refusal
+    if refusal.reason is RefusalReason.INVALID_REQUEST:
+        return refusal  # No copy of it can have been claimed either.
     return Refusal(
         RefusalKind.OUTCOME_UNKNOWN,
         refusal.reason,
