Set TCP_NODELAY on accepted connections

Cause: asyncio sets TCP_NODELAY only if a socket's protocol is stated; ours had protocol 0, so each reply written in two parts waited 40 ms for a delayed acknowledgement. Ruled out: fsync (queries have none) and connection set-up (later queries on warm connections took as long). Change: create the listening socket with IPPROTO_TCP.

--- a/packages/daemon/src/kingcuplug_daemon/_listener.py
+++ b/packages/daemon/src/kingcuplug_daemon/_listener.py
@@ -54,7 +54,9 @@
     ) -> None:
         host, _, port = address.rpartition(":")
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        self._socket = socket.socket(family, socket.SOCK_STREAM)
+        # asyncio sets TCP_NODELAY only on sockets whose protocol is stated; without
+        # it, replies in two writes wait 40 ms for a delayed acknowledgement.
+        self._socket = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._socket.bind((host.strip("[]"), int(port)))
         bound_host, bound_port = self._socket.getsockname()[:2]
