Give back most of a retry token for a shed attempt

Sheds are collisions between entry hosts and ran nothing, yet they used up the retry budget and cost whole answers. Also allows for timers that fire early by the clock's resolution: re-arming them for ever hung a run.

--- a/packages/routing/src/kingcuplug_routing/_budget.py
+++ b/packages/routing/src/kingcuplug_routing/_budget.py
@@ -41,6 +41,6 @@
         self.tokens -= 1.0
         return True
 
-    def refund(self) -> None:
-        """Give back a token that was not used."""
-        self.tokens = min(self._burst, self.tokens + 1.0)
+    def credit(self, tokens: float = 1.0) -> None:
+        """Give back tokens, one for an attempt that was not sent after all."""
+        self.tokens = min(self._burst, self.tokens + tokens)
--- a/packages/routing/src/kingcuplug_routing/_router.py
+++ b/packages/routing/src/kingcuplug_routing/_router.py
@@ -28,6 +28,12 @@
 
 __all__ = ["Router"]
 
+# Part of a retry's token given back for a shed attempt, which ran nothing: without
+# it, sheds between entry hosts that do not see each other use up the budget.
+_SHED_CREDIT = 0.8
+# A loop fires timers up to its clock's resolution early; comparing without this
+# allowance would set the same timer again and again.
+_TIMER_EARLY_S = 1e-6
 _NOBODY: frozenset[str] = frozenset()
 
 
@@ -147,7 +153,7 @@
                     )
         finally:
             if ticket is None and budget is not None:
-                budget.refund()
+                budget.credit()
         if budget is None:
             self._earn()
         return ticket
@@ -221,6 +227,8 @@
         server.in_flight -= 1
         server.observe(outcome, latency_ms, now, self._random)
         self.statistics.record(ticket.shard, outcome, latency_ms)
+        if outcome is AttemptOutcome.SHED:
+            self._retries.credit(_SHED_CREDIT)
         if outcome is AttemptOutcome.SNAPSHOT_GONE:
             self._fleet.lose_holding(server, ticket.snapshot, now)
             _wake_all(self._fleet.servers())
@@ -249,7 +257,7 @@
         remaining_ms = (deadline - _now()) * 1_000
         needed_ms = self.statistics.median_ms(shard)
         needed_ms += min(each.expected_wait_ms(priority) for each in replicas)
-        if needed_ms >= remaining_ms:
+        if needed_ms + _TIMER_EARLY_S * 1_000 >= remaining_ms:
             self.statistics.doubt(shard)
             raise too_late(self.service, remaining_ms, needed_ms)
 
@@ -293,7 +301,7 @@
     def _serve(self, server: Server) -> None:
         """Grant free capacity of a server to the requests that wait for it."""
         now = _now()
-        if server.back_off_until > now:
+        if server.back_off_until > now + _TIMER_EARLY_S:
             self._arm(server, asyncio.get_running_loop())
             return
         while server.in_flight + 1 <= server.limit:
--- a/tools/_routing_model.py
+++ b/tools/_routing_model.py
@@ -22,6 +22,7 @@
     Ticket,
 )
 
+TIMER_EARLY_S = 1e-6  # timers fire up to the clock's resolution early
 NETWORK_S = 0.0005  # one way
 BASE_S = 0.002
 SPREAD_S = 0.008
@@ -188,7 +189,7 @@
         loop = asyncio.get_running_loop()
         tried: set[str] = set()
         attempt = Attempt.FIRST
-        while loop.time() < deadline:
+        while loop.time() < deadline - TIMER_EARLY_S:
             try:
                 ticket = await self.router.acquire(
                     SNAPSHOT, shard, tried, priority, deadline, self.zone, attempt
@@ -223,7 +224,9 @@
                 finished = calls.pop(reply)
                 outcome = reply.result()
                 finished.finish(outcome, (loop.time() - finished.started) * 1_000)
-            if outcome is AttemptOutcome.OK or loop.time() >= deadline:
+            if outcome is AttemptOutcome.OK or (
+                loop.time() >= deadline - TIMER_EARLY_S
+            ):
                 break
             if not done and hedging:
                 delay_ms = None
--- a/tools/measure_routing.py
+++ b/tools/measure_routing.py
@@ -194,19 +194,24 @@
     bulk = [r for r in results if r.priority is Priority.BULK]
     admitted = [r for r in results if not r.refused]
     refused = [r.duration_s * 1_000 for r in results if r.refused]
+    normal = [r for r in results if r.priority is Priority.NORMAL]
     wanted = sum(host.wanted for host in hosts)
+    executed = sum(server.executed for server in hosts[0].servers.values())
     return {
         "p50": _quantile(whole, 0.5),
         "p99": _quantile(whole, 0.99),
         "p99.9": _quantile(whole, 0.999),
+        "normal99": _quantile([r.duration_s * 1_000 for r in normal if r.whole], 0.99),
         "urgent99": _quantile([r.duration_s * 1_000 for r in urgent if r.whole], 0.99),
         "urgent%": 100 * sum(r.whole for r in urgent) / max(1, len(urgent)),
         "bulk%": 100 * sum(r.whole for r in bulk) / max(1, len(bulk)),
         "goodput": len(whole) / seconds,
         "cover%": 100 * sum(r.coverage for r in admitted) / max(1, len(admitted)),
         "refused%": 100 * len(refused) / max(1, len(results)),
+        "refused50": _quantile(refused, 0.5),
         "refused99": _quantile(refused, 0.99),
-        "extra%": 100 * (sum(host.sent for host in hosts) / max(1, wanted) - 1),
+        "extra%": 100 * (executed / max(1, wanted) - 1),
+        "sent%": 100 * (sum(host.sent for host in hosts) / max(1, wanted) - 1),
         "hedge%": 100 * sum(host.hedged for host in hosts) / max(1, wanted),
         "retry%": 100 * sum(host.retried for host in hosts) / max(1, wanted),
     }
