--- a/packages/routing/src/kingcuplug_routing/_policy.py
+++ b/packages/routing/src/kingcuplug_routing/_policy.py
@@ -71,11 +71,11 @@
     back_off_longest_s: float = 1.0
     zone_factor: float = 0.9
     turn_after: int = 15
-    utilisation: float = 0.85
+    utilisation: float = 1.1
     urgent_reserve: float = 0.2
-    burst_s: float = 0.25
+    burst_s: float = 1.0
     longest_wait_s: float = 0.2
-    bulk_wait_factor: float = 10.0
+    bulk_wait_factor: float = 5.0
 
 
 def baseline_policy() -> RoutingPolicy:
