Test the query path and mend what the tests found

Cause: the query path had no tests. Change: unheld shards are marked missing at once; the gather goes on after an interruption; the retry budget starts full and has a floor of 10 a second; a cancelled order gives its claim back.

--- a/packages/query/src/kingcuplug_query/_gather.py
+++ b/packages/query/src/kingcuplug_query/_gather.py
@@ -156,6 +156,7 @@
         self._attempts: dict[int, list[_SubAttempt]] = {}
         self._tried: dict[int, set[str]] = {}
         self._hedged: set[int] = set()
+        self._interrupted = False
         self._changed = asyncio.Event()
         self._numbers = itertools.count()
         self._attempt_prefix = identifier()
@@ -166,6 +167,9 @@
     ) -> None:
         """Ask for `shards` and return when all ended or at the time `until`.
 
+        It also returns when the snapshot turns out to be gone for a shard; called
+        again, it goes on waiting for the others.
+
         Parameters
         ----------
         until : float
@@ -173,7 +177,11 @@
         hedged : bool
             Whether slow attempts may be hedged.
         """
+        self._interrupted = False
         for shard in shards:
+            if shard not in self.view.served_shards:
+                self.faults[shard] = "no backend server holds the shard"
+                continue
             self._open.add(shard)
             self._network.background(self._serve(shard))
         while self._running and self._loop.time() < until:
@@ -191,7 +199,7 @@
 
     @property
     def _running(self) -> bool:
-        return bool(self._open) and not self.snapshot_gone and self.refusal is None
+        return bool(self._open) and not self._interrupted and self.refusal is None
 
     async def _wait(self, until: float) -> None:
         while self._running:
@@ -372,7 +380,7 @@
         if self._attempts.get(shard) or shard not in self._open:
             return
         if refusal.reason is RefusalReason.SNAPSHOT_UNKNOWN:
-            self.snapshot_gone = True
+            self.snapshot_gone = self._interrupted = True
         self._end(shard, self.faults.get(shard, refusal.message))
 
     def _end(self, shard: int, fault: str | None) -> None:
--- a/packages/query/src/kingcuplug_query/_orders.py
+++ b/packages/query/src/kingcuplug_query/_orders.py
@@ -201,6 +201,7 @@
         revision: int,
         token: str,
     ) -> Answer:
+        sent = False
         try:
             async with runtime.admission.admit(request.priority, request.deadline):
                 ticket, sub_request = await self._acquire(request, runtime)
@@ -209,11 +210,12 @@
                 except BaseException:
                     ticket.finish(AttemptOutcome.CANCELLED, 0.0)
                     raise
+                sent = True
                 return await self._send_once(
                     request, token, ticket, sub_request, revision
                 )
-        except Refusal as refusal:
-            if refusal.reason in _BEFORE_DISPATCH:
+        except (Refusal, asyncio.CancelledError):
+            if not sent:
                 self._background.start(self._give_back(request.key, token))
             raise
 
@@ -301,7 +303,7 @@
         )
         try:
             async with asyncio.timeout_at(request.deadline):
-                ending = await asyncio.shield(ended)
+                ending = await ended
         except TimeoutError:
             raise _unknown("the outcome was not known before the deadline") from None
         return _answer(ending, request, revision)
@@ -370,12 +372,6 @@
             self._metrics.count("order.outcome_not_recorded")
 
 
-_BEFORE_DISPATCH = frozenset(RefusalReason) - {
-    RefusalReason.ORDER_NOT_RUN,
-    RefusalReason.ORDER_UNKNOWN,
-}
-
-
 def unsettled(refusal: Refusal, resend: bool) -> Refusal:
     """Return the refusal of an order whose ledger record is not known.
 
--- a/packages/query/src/kingcuplug_query/_query.py
+++ b/packages/query/src/kingcuplug_query/_query.py
@@ -222,13 +222,15 @@
                 self._network,
                 dependency_answers,
             )
+            newer = None
             try:
                 await self._collect(request, runtime, gather, fingerprint)
+                if gather.snapshot_gone and not restarted:
+                    newer = await _newer_snapshot(request, runtime.router, view)
+                if newer is None:
+                    await self._await_rest(request, runtime, gather)
             finally:
                 gather.close()
-            if not gather.snapshot_gone or restarted:
-                break
-            newer = await _newer_snapshot(request, runtime.router, view)
             if newer is None:
                 break
             self._metrics.count("query.restarted")
@@ -256,6 +258,14 @@
         if gather.refusal is not None or gather.snapshot_gone:
             return
         await gather.run(rest, self._patience(request, runtime, wanted[0]))
+
+    async def _await_rest(
+        self, request: QueryRequest, runtime: ServiceRuntime, gather: Gather
+    ) -> None:
+        """Wait for what is still on its way: long, if too little is there."""
+        wanted = wanted_shards(gather.view, request.partition_key)
+        if gather.snapshot_gone:
+            await gather.run((), self._patience(request, runtime, wanted[0]))
         if self._coverage(wanted, gather.replies) < request.minimum_coverage:
             await gather.run((), request.deadline)
 
--- a/packages/routing/src/kingcuplug_routing/_budget.py
+++ b/packages/routing/src/kingcuplug_routing/_budget.py
@@ -2,8 +2,13 @@
 
 Every first sub-request earns a share of a token and every extra one spends a whole
 token, so extra load stays within the share whatever the delays are.
+
+A floor keeps some tokens coming where traffic is so low that the share earns next to
+none.
 """
 
+import asyncio
+
 __all__ = ["Budget"]
 
 
@@ -16,14 +21,20 @@
         Tokens earned per first sub-request.
     burst : float
         Most tokens kept.
+    floor_per_s : float
+        Tokens earned per second without any traffic; a budget with a floor starts
+        full.
     """
 
-    __slots__ = ("_burst", "_share", "tokens")
+    __slots__ = ("_burst", "_filled_at", "_floor_per_s", "_share", "tokens")
 
-    def __init__(self, share: float, burst: float) -> None:
+    def __init__(self, share: float, burst: float, floor_per_s: float = 0.0) -> None:
         self._share = share
         self._burst = burst
-        self.tokens = min(1.0, share * burst) if share < 1 else burst
+        self._floor_per_s = floor_per_s
+        self._filled_at: float | None = None
+        full = share >= 1 or floor_per_s > 0
+        self.tokens = burst if full else min(1.0, share * burst)
 
     def earn(self) -> None:
         """Add the share for one first sub-request."""
@@ -32,11 +43,13 @@
 
     def available(self) -> bool:
         """Return whether a whole token is there."""
+        if self._floor_per_s > 0:
+            self._fill()
         return self.tokens >= 1.0
 
     def spend(self) -> bool:
         """Take a token; return whether there was one."""
-        if self.tokens < 1.0:
+        if not self.available():
             return False
         self.tokens -= 1.0
         return True
@@ -44,3 +57,9 @@
     def credit(self, tokens: float = 1.0) -> None:
         """Give back tokens, one for an attempt that was not sent after all."""
         self.tokens = min(self._burst, self.tokens + tokens)
+
+    def _fill(self) -> None:
+        now = asyncio.get_running_loop().time()
+        if self._filled_at is not None:
+            self.credit((now - self._filled_at) * self._floor_per_s)
+        self._filled_at = now
--- a/packages/routing/src/kingcuplug_routing/_policy.py
+++ b/packages/routing/src/kingcuplug_routing/_policy.py
@@ -25,6 +25,9 @@
         Hedges and retries as a share of the first sub-requests.
     budget_burst : float
         Tokens that an idle budget keeps.
+    retry_floor_per_s : float
+        Retries per second that are allowed at any traffic. At a few queries a
+        minute the share alone would refuse the retry after a lost replica.
     hedge_quantile : float
         Quantile of the observed latency after which a hedge is sent.
     latency_weight : float
@@ -61,6 +64,7 @@
     hedge_budget: float = 0.05
     retry_budget: float = 0.1
     budget_burst: float = 10.0
+    retry_floor_per_s: float = 10.0
     hedge_quantile: float = 0.95
     latency_weight: float = 0.2
     forget_s: float = 10.0
--- a/packages/routing/src/kingcuplug_routing/_router.py
+++ b/packages/routing/src/kingcuplug_routing/_router.py
@@ -57,7 +57,9 @@
         self._random = random
         self._fleet = Fleet(policy)
         self._hedges = Budget(policy.hedge_budget, policy.budget_burst)
-        self._retries = Budget(policy.retry_budget, policy.budget_burst)
+        self._retries = Budget(
+            policy.retry_budget, policy.budget_burst, policy.retry_floor_per_s
+        )
 
     # Directory
 
--- /dev/null
+++ b/packages/testkit/src/kingcuplug_testkit/_query_world.py
@@ -0,0 +1,213 @@
+"""Fakes at the borders of the query package: backend servers and the ledger."""
+
+import asyncio
+import dataclasses
+import random
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from kingcuplug_common import Metrics
+from kingcuplug_configuration import Policy, Service
+from kingcuplug_ledger import LedgerClient, OrderLedger, result_to_json
+from kingcuplug_query import (
+    Background,
+    OrderExecutor,
+    OrderRequest,
+    QueryExecutor,
+    QueryRequest,
+    RevisionView,
+    ServiceRuntime,
+    SubReply,
+    SubRequest,
+    parse_reply,
+)
+from kingcuplug_routing import (
+    Admission,
+    CrashGuard,
+    Holding,
+    Priority,
+    Router,
+    RoutingPolicy,
+    ServerView,
+    Ticket,
+)
+
+__all__ = ["KEY", "NOW_MS", "World", "echo", "order", "query"]
+
+Handler = Callable[[SubRequest], Awaitable[Any]]
+NOW_MS = 1_700_000_000_000
+KEY = f"{NOW_MS}-abcdefgh"
+
+
+def echo(request: SubRequest, status: str = "ok", **fields: Any) -> dict[str, Any]:
+    """Return a reply that belongs to `request`."""
+    return {
+        "attempt_id": request.attempt_id,
+        "snapshot": request.snapshot,
+        "shard": request.shard,
+        "shard_count": request.shard_count,
+        "status": status,
+        "value": [request.snapshot, request.shard],
+    } | fields
+
+
+def _no_fault(command: dict[str, Any]) -> Exception | None:
+    return None
+
+
+def _answer_arrives(command: dict[str, Any]) -> bool:
+    return False
+
+
+def _holder_lives(host: str, incarnation: int) -> bool:
+    return False
+
+
+@dataclasses.dataclass
+class World:
+    """One entry host's query path over fake backend servers."""
+
+    services: dict[str, ServiceRuntime] = dataclasses.field(default_factory=dict)
+    servers: dict[str, list[ServerView]] = dataclasses.field(default_factory=dict)
+    handlers: dict[str, Handler] = dataclasses.field(default_factory=dict)
+    sent: list[tuple[str, SubRequest]] = dataclasses.field(default_factory=list)
+    cancelled: list[str] = dataclasses.field(default_factory=list)
+    metrics: Metrics = dataclasses.field(default_factory=Metrics)
+    background: Background = dataclasses.field(default_factory=Background)
+    guard: CrashGuard = dataclasses.field(default_factory=CrashGuard)
+    ledger: OrderLedger = dataclasses.field(default_factory=OrderLedger)
+    commands: Counter[str] = dataclasses.field(default_factory=Counter)
+    ledger_fault: Callable[[dict[str, Any]], Exception | None] = dataclasses.field(
+        default=_no_fault
+    )
+    ledger_lost: Callable[[dict[str, Any]], bool] = dataclasses.field(
+        default=_answer_arrives
+    )
+    holder_lost: Callable[[str, int], bool] = dataclasses.field(default=_holder_lives)
+
+    def add(
+        self,
+        name: str,
+        servers: int = 3,
+        shard_count: int = 4,
+        snapshots: tuple[int, ...] = (1,),
+        depends_on: tuple[str, ...] = (),
+        **policy: Any,
+    ) -> None:
+        """Add a service whose servers all hold every shard."""
+        service = Service(name, depends_on, Policy(**({"canary": "off"} | policy)))
+        router = Router(name, RoutingPolicy(), random.Random(7))
+        self.services[name] = ServiceRuntime(service, router, Admission(router))
+        shards = tuple(range(shard_count))
+        self.hold(
+            name,
+            {
+                f"{name}-{number}": [
+                    Holding(snapshot, shard_count, shards) for snapshot in snapshots
+                ]
+                for number in range(servers)
+            },
+        )
+
+    def hold(self, name: str, holdings: dict[str, list[Holding]]) -> None:
+        """Replace a service's servers and what they hold."""
+        self.servers[name] = [
+            ServerView(
+                server=server,
+                address=f"{server}:1",
+                availability_zone=f"zone-{number}",
+                slots=50,
+                connections=50,
+                state="serving",
+                holdings=tuple(held),
+                incarnation=1,
+            )
+            for number, (server, held) in enumerate(holdings.items())
+        ]
+        self.services[name].router.update(self.servers[name], 1)
+
+    def view(self) -> RevisionView:
+        """Return the services as configuration revision 3."""
+        return RevisionView(3, self.services)
+
+    async def send(
+        self, ticket: Ticket, request: SubRequest, timeout_s: float
+    ) -> SubReply:
+        """Pass a sub-request to the server's handler, as `Send`."""
+        self.sent.append((ticket.server, request))
+        async with asyncio.timeout(timeout_s):
+            handler: Handler = self.handlers.get(ticket.server, _answer)
+            return parse_reply(request, await handler(request))
+
+    async def cancel(self, ticket: Ticket, attempt_id: str) -> None:
+        """Note a cancellation, as `Cancel`."""
+        self.cancelled.append(attempt_id)
+
+    async def submit(self, command: dict[str, Any]) -> dict[str, Any]:
+        """Apply a command to the ledger, with the scripted faults."""
+        self.commands[command["type"]] += 1
+        await asyncio.sleep(0.001)
+        fault = self.ledger_fault(command)
+        if fault is not None:
+            raise fault
+        result = result_to_json(self.ledger.apply(command))
+        if self.ledger_lost(command):
+            raise TimeoutError("the answer was lost")
+        return result
+
+    def queries(self) -> QueryExecutor:
+        """Return a query executor over the fakes."""
+        return QueryExecutor(
+            self.send, self.cancel, self.guard, self.metrics, self.background, "zone-0"
+        )
+
+    def orders(self, host: str = "entry-1") -> OrderExecutor:
+        """Return the order executor of one entry host; all share the ledger."""
+        return OrderExecutor(
+            LedgerClient(self.submit, host, 1, lambda: NOW_MS),
+            self.send,
+            self.guard,
+            self.metrics,
+            self.background,
+            "zone-0",
+            lambda name, incarnation: self.holder_lost(name, incarnation),
+        )
+
+
+async def _answer(request: SubRequest) -> dict[str, Any]:
+    await asyncio.sleep(0.005)
+    return echo(request)
+
+
+def query(service: str = "stock", **fields: Any) -> QueryRequest:
+    """Return a query with a deadline of 1 s from now."""
+    deadline = asyncio.get_running_loop().time() + fields.pop("deadline_s", 1.0)
+    return QueryRequest(
+        **{
+            "request_id": "r1",
+            "service": service,
+            "body": {"colour": "black"},
+            "priority": Priority.NORMAL,
+            "deadline": deadline,
+            "minimum_coverage": 0.0,
+        }
+        | fields
+    )
+
+
+def order(service: str = "stock", **fields: Any) -> OrderRequest:
+    """Return an order with a deadline of 1 s from now."""
+    deadline = asyncio.get_running_loop().time() + fields.pop("deadline_s", 1.0)
+    return OrderRequest(
+        **{
+            "request_id": "r1",
+            "service": service,
+            "body": {"embroider": "Maria"},
+            "priority": Priority.NORMAL,
+            "deadline": deadline,
+            "key": KEY,
+            "partition_key": "4711",
+        }
+        | fields
+    )
--- /dev/null
+++ b/tests/query/test_coverage.py
@@ -0,0 +1,125 @@
+"""The coverage stated with an answer must be true."""
+
+import asyncio
+from typing import Any
+
+import pytest
+from kingcuplug_common import Refusal, RefusalKind, RefusalReason
+from kingcuplug_query import ConnectFailed, SubRequest
+from kingcuplug_routing import Holding
+from kingcuplug_testkit import World, echo, query, run_virtual
+
+
+async def _refuse_connection(request: SubRequest) -> Any:
+    raise ConnectFailed("no", "start it")
+
+
+def test_denominator_is_the_snapshots_map(world: World) -> None:
+    # Guards against counting only shards that some known server holds.
+    async def main() -> None:
+        world.add("stock")
+        held = [Holding(1, 8, (0, 1, 2))]
+        world.hold("stock", {"stock-0": held, "stock-1": held})
+        answer = await world.queries().run(query(), world.view())
+        assert answer.coverage == 3 / 8
+        assert answer.missing_shards == (3, 4, 5, 6, 7)
+        assert answer.partial
+
+    run_virtual(main())
+
+
+def test_partial_reply_stays_partial(world: World) -> None:
+    # Guards against hiding that a backend server covered only part of its shard.
+    async def main() -> None:
+        world.add("stock", servers=1, shard_count=2)
+
+        async def half(request: SubRequest) -> Any:
+            share = 0.5 if request.shard == 1 else 1.0
+            return echo(request, "partial" if share < 1 else "ok", coverage=share)
+
+        world.handlers["stock-0"] = half
+        answer = await world.queries().run(query(), world.view())
+        assert answer.coverage == 0.75
+        assert answer.partial_shards == {1: 0.5}
+        assert answer.partial
+
+    run_virtual(main())
+
+
+def test_shard_counts_once_when_hedged(world: World) -> None:
+    # Guards against counting a shard twice when both attempts answer.
+    async def main() -> None:
+        world.add("stock", shard_count=1)
+        for _ in range(300):
+            await world.queries().run(query(), world.view())
+        fast = world.handlers.copy()
+
+        async def slow(request: SubRequest) -> Any:
+            await asyncio.sleep(0.2)
+            return echo(request)
+
+        world.handlers = {f"stock-{n}": slow for n in range(3)}
+        answer = await world.queries().run(query(), world.view())
+        world.handlers = fast
+        assert world.metrics.counts["query.hedge"] == 1
+        assert answer.coverage == 1.0
+        assert len(answer.value) == 1
+        await asyncio.sleep(1)
+        assert world.metrics.counts["query.late_reply"] == 1
+        assert len(world.cancelled) == 1
+
+    run_virtual(main())
+
+
+def test_below_minimum_coverage_is_refused(world: World) -> None:
+    # Guards against passing off too little as an answer.
+    async def main() -> None:
+        world.add("stock")
+        world.handlers["stock-0"] = _refuse_connection
+        held = [Holding(1, 2, (0,))]
+        world.hold("stock", {"stock-0": held, "stock-1": [Holding(1, 2, (1,))]})
+        with pytest.raises(Refusal) as caught:
+            await world.queries().run(query(minimum_coverage=1.0), world.view())
+        assert caught.value.reason is RefusalReason.COVERAGE_TOO_LOW
+        # The other shard's server answered, so it did run.
+        assert caught.value.kind is RefusalKind.OUTCOME_UNKNOWN
+
+    run_virtual(main())
+
+
+def test_unknown_map_is_refused(world: World) -> None:
+    # Guards against an empty answer with coverage 1 when no shard map is known.
+    async def main() -> None:
+        world.add("stock")
+        world.hold("stock", {})
+        with pytest.raises(Refusal) as caught:
+            await world.queries().run(query(), world.view())
+        assert caught.value.reason is RefusalReason.SNAPSHOT_UNKNOWN
+        assert caught.value.kind is RefusalKind.NOT_RUN
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize(("weight", "whole"), [(1.0, True), (0.0, False)])
+def test_coverage_weight_decides_about_stragglers(
+    world: World, weight: float, whole: bool
+) -> None:
+    # Guards against treating users who weigh coverage and latency alike.
+    async def main() -> None:
+        world.add("stock", servers=2, coverage_weight=weight)
+        for _ in range(100):
+            await world.queries().run(query(), world.view())
+
+        async def straggle(request: SubRequest) -> Any:
+            await asyncio.sleep(0.5 if request.shard == 2 else 0.005)
+            return echo(request)
+
+        world.handlers = {"stock-0": straggle, "stock-1": straggle}
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        answer = await world.queries().run(query(), world.view())
+        assert answer.partial is not whole
+        assert (loop.time() - started > 0.4) is whole
+        assert answer.missing_shards == (() if whole else (2,))
+
+    run_virtual(main())
--- /dev/null
+++ b/tests/query/test_dependencies.py
@@ -0,0 +1,121 @@
+"""Declared dependencies take part in the request path."""
+
+import asyncio
+from typing import Any
+
+import pytest
+from kingcuplug_common import Refusal, RefusalKind, RefusalReason
+from kingcuplug_query import SubRequest
+from kingcuplug_routing import Priority
+from kingcuplug_testkit import World, echo, query, run_virtual
+
+
+def test_call_inherits_and_passes_answers_on(world: World) -> None:
+    # Guards against dependency calls that outlive their caller or jump the queue.
+    async def main() -> None:
+        world.add("bands", shard_count=2)
+        world.add("stock", shard_count=2, depends_on=("bands",))
+        request = query(
+            priority=Priority.URGENT,
+            deadline_s=0.4,
+            dependency_requests={"bands": {"colour": "red"}},
+        )
+        await world.queries().run(request, world.view())
+        called = [r for _, r in world.sent if r.service == "bands"]
+        own = [r for _, r in world.sent if r.service == "stock"]
+        assert {r.request_id for _, r in world.sent} == {"r1"}
+        assert {r.priority for _, r in world.sent} == {"urgent"}
+        assert all(r.deadline_ms <= 400 for r in called)
+        assert all(r.deadline_ms < 400 for r in own)
+        assert own[0].dependency_answers["bands"]["coverage"] == 1.0
+
+    run_virtual(main())
+
+
+def test_unservable_dependency_refuses_early(world: World) -> None:
+    # Guards against using capacity for a request that cannot succeed.
+    async def main() -> None:
+        world.add("bands")
+        world.hold("bands", {})
+        world.add("stock", depends_on=("bands",))
+        with pytest.raises(Refusal, match="bands") as caught:
+            await world.queries().run(query(), world.view())
+        assert caught.value.reason is RefusalReason.DEPENDENCY_UNAVAILABLE
+        assert caught.value.kind is RefusalKind.NOT_RUN
+        assert not world.sent
+
+    run_virtual(main())
+
+
+def test_undeclared_dependency_is_invalid(world: World) -> None:
+    # Guards against calls around the declared dependencies.
+    async def main() -> None:
+        world.add("bands")
+        world.add("stock")
+        request = query(dependency_requests={"bands": {}})
+        with pytest.raises(Refusal) as caught:
+            await world.queries().run(request, world.view())
+        assert caught.value.reason is RefusalReason.INVALID_REQUEST
+
+    run_virtual(main())
+
+
+def test_retries_do_not_multiply(world: World) -> None:
+    # Guards against retries of retries when every layer of a chain fails.
+    async def main() -> None:
+        async def failing(request: SubRequest) -> Any:
+            return echo(request, "failed")
+
+        names = ["a", "b", "c"]
+        for number, name in enumerate(names):
+            deeper = tuple(names[number + 1 : number + 2])
+            world.add(name, servers=5, shard_count=4, depends_on=deeper)
+            for server in range(5):
+                world.handlers[f"{name}-{server}"] = failing
+        with pytest.raises(Refusal):
+            await world.queries().run(
+                query("a", dependency_requests={"b": {}}), world.view()
+            )
+        # 4 first attempts and at most 8 retries for the whole request.
+        assert len(world.sent) <= 4 + 8
+
+    run_virtual(main())
+
+
+def test_no_capacity_is_held_while_a_dependency_is_called(world: World) -> None:
+    # Guards against two layers that wait for each other's slots.
+    async def main() -> None:
+        world.add("bands")
+        world.add("stock", depends_on=("bands",))
+        admitted: list[str] = []
+        for name in ("bands", "stock"):
+            _note_admission(world, name, admitted)
+        waiting = asyncio.Event()
+
+        async def slow(request: SubRequest) -> Any:
+            waiting.set()
+            await asyncio.sleep(0.05)
+            return echo(request)
+
+        for number in range(3):
+            world.handlers[f"bands-{number}"] = slow
+        running = asyncio.create_task(
+            world.queries().run(query(dependency_requests={"bands": {}}), world.view())
+        )
+        await waiting.wait()
+        assert admitted == ["bands"]
+        await running
+        assert admitted == ["bands", "stock"]
+
+    run_virtual(main())
+
+
+def _note_admission(world: World, name: str, admitted: list[str]) -> None:
+    admission = world.services[name].admission
+    admit = admission.admit
+
+    def noted(*arguments: Any) -> Any:
+        admitted.append(name)
+        return admit(*arguments)
+
+    admission.admit = noted  # type: ignore[method-assign]
--- /dev/null
+++ b/tests/query/test_orders.py
@@ -0,0 +1,313 @@
+"""An order must run at most once, and what is said about it must be true."""
+
+import asyncio
+from collections import Counter
+from typing import Any
+
+import pytest
+from kingcuplug_common import KingcuplugError, Refusal, RefusalKind, RefusalReason
+from kingcuplug_query import Answer, ConnectFailed, ReplyLost, SubRequest
+from kingcuplug_testkit import KEY, NOW_MS, World, echo, order, run_virtual
+
+_RETENTION_DAYS = 30
+_DAY_MS = 86_400_000
+
+
+class Runs(Counter[str]):
+    """How often the backend servers ran each key."""
+
+
+async def _run(world: World, host: str = "entry-1", **fields: Any) -> Answer | Refusal:
+    try:
+        return await world.orders(host).run(
+            order(**fields), world.view(), _RETENTION_DAYS
+        )
+    except Refusal as refusal:
+        return refusal
+
+
+def _counting(world: World, behaviour: Any = None) -> Runs:
+    """Let every server count its runs, then behave as told."""
+    runs = Runs()
+
+    async def handle(request: SubRequest) -> Any:
+        await asyncio.sleep(0.005)
+        runs[str(request.idempotency_key)] += 1
+        return await behaviour(request) if behaviour else echo(request)
+
+    for view in world.servers["stock"]:
+        world.handlers[view.server] = handle
+    return runs
+
+
+@pytest.fixture
+def stock(world: World) -> World:
+    """Return a world to which `run_virtual` adds the service ``stock``."""
+    return world
+
+
+async def _lost(request: SubRequest) -> Any:
+    raise ReplyLost("broke", "look", server_gone=False)
+
+
+async def _silent(request: SubRequest) -> Any:
+    await asyncio.sleep(120)
+
+
+async def _failed(request: SubRequest) -> Any:
+    return echo(request, "failed")
+
+
+async def _garbled(request: SubRequest) -> Any:
+    return echo(request) | {"shard": 99}
+
+
+@pytest.mark.parametrize("behaviour", [None, _lost, _silent, _failed, _garbled])
+def test_runs_once_however_often_it_is_sent(stock: World, behaviour: Any) -> None:
+    # Guards against a retry, a hedge or a resend that runs an order again.
+    async def main() -> None:
+        stock.add("stock")
+        runs = _counting(stock, behaviour)
+        for number in range(6):
+            await _run(stock, f"entry-{number % 3}", resend=number > 0)
+        await asyncio.sleep(60)
+        await _run(stock, resend=True)
+        assert runs == {KEY: 1}
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("behaviour", [_lost, _silent, _failed, _garbled])
+def test_doubtful_end_is_outcome_unknown(stock: World, behaviour: Any) -> None:
+    # Guards against saying "not run" of an order that may have run.
+    async def main() -> None:
+        stock.add("stock")
+        _counting(stock, behaviour)
+        for host in ("entry-1", "entry-2"):
+            refusal = await _run(stock, host)
+            assert isinstance(refusal, Refusal)
+            assert refusal.kind is RefusalKind.OUTCOME_UNKNOWN
+
+    run_virtual(main())
+
+
+def test_resend_gets_the_recorded_outcome(stock: World) -> None:
+    # Guards against a second answer that contradicts the first one.
+    async def main() -> None:
+        stock.add("stock")
+        _counting(stock)
+        first = await _run(stock)
+        second = await _run(stock, "entry-2", request_id="r2", resend=True)
+        assert isinstance(first, Answer)
+        assert second == first
+
+    run_virtual(main())
+
+
+def test_resend_attaches_to_the_running_order(stock: World) -> None:
+    # Guards against a resend that is refused, or runs, beside the first copy.
+    async def main() -> None:
+        stock.add("stock")
+
+        async def slow(request: SubRequest) -> Any:
+            await asyncio.sleep(0.3)
+            return echo(request)
+
+        runs = _counting(stock, slow)
+        first, second = await asyncio.gather(
+            _run(stock), _run(stock, "entry-2", resend=True)
+        )
+        assert isinstance(first, Answer)
+        assert second == first
+        assert runs == {KEY: 1}
+
+    run_virtual(main())
+
+
+def test_late_outcome_is_recorded(stock: World) -> None:
+    # Guards against forgetting an outcome that came after the caller's deadline.
+    async def main() -> None:
+        stock.add("stock")
+
+        async def late(request: SubRequest) -> Any:
+            await asyncio.sleep(3)
+            return echo(request)
+
+        _counting(stock, late)
+        refusal = await _run(stock)
+        assert isinstance(refusal, Refusal)
+        assert refusal.kind is RefusalKind.OUTCOME_UNKNOWN
+        await asyncio.sleep(5)
+        assert isinstance(await _run(stock, "entry-2", resend=True), Answer)
+
+    run_virtual(main())
+
+
+def test_caller_who_leaves_does_not_cancel_the_order(stock: World) -> None:
+    # Guards against losing the outcome when the caller's connection breaks.
+    async def main() -> None:
+        stock.add("stock")
+        runs = _counting(stock)
+        leaving = asyncio.create_task(_run(stock))
+        await asyncio.sleep(0.004)
+        leaving.cancel()
+        await asyncio.sleep(1)
+        assert runs == {KEY: 1}
+        assert isinstance(await _run(stock, "entry-2", resend=True), Answer)
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("status", ["shed", "not_run", "snapshot_gone"])
+def test_server_that_did_not_run_it(stock: World, status: str) -> None:
+    # Guards against a second dispatch, and against doubt where there is none.
+    async def main() -> None:
+        stock.add("stock")
+
+        async def decline(request: SubRequest) -> Any:
+            return echo(request, status)
+
+        _counting(stock, decline)
+        for host in ("entry-1", "entry-2"):
+            refusal = await _run(stock, host, resend=host == "entry-2")
+            assert isinstance(refusal, Refusal)
+            assert refusal.kind is RefusalKind.NOT_RUN
+            assert refusal.reason is RefusalReason.ORDER_NOT_RUN
+        assert len(stock.sent) == 1
+
+    run_virtual(main())
+
+
+def test_failed_connection_is_not_run(stock: World) -> None:
+    # Guards against doubt about an order of which no byte was sent.
+    async def main() -> None:
+        stock.add("stock")
+
+        async def no_connection(request: SubRequest) -> Any:
+            raise ConnectFailed("no", "start it")
+
+        for view in stock.servers["stock"]:
+            stock.handlers[view.server] = no_connection
+        refusal = await _run(stock)
+        assert isinstance(refusal, Refusal)
+        assert refusal.kind is RefusalKind.NOT_RUN
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("step", ["claim", "dispatch"])
+@pytest.mark.parametrize("applied", [True, False])
+def test_nothing_is_sent_without_a_recorded_dispatch(
+    stock: World, step: str, applied: bool
+) -> None:
+    # Guards against a first byte before the quorum has the dispatch.
+    async def main() -> None:
+        stock.add("stock")
+        runs = _counting(stock)
+        if applied:
+            stock.ledger_lost = lambda command: command["type"] == step
+        else:
+            stock.ledger_fault = lambda command: (
+                KingcuplugError("no quorum", "wait")
+                if command["type"] == step
+                else None
+            )
+        refusal = await _run(stock)
+        assert isinstance(refusal, Refusal)
+        assert refusal.reason is RefusalReason.NO_QUORUM
+        assert refusal.kind is RefusalKind.NOT_RUN
+        assert not runs
+        stock.ledger_lost = lambda command: False
+        stock.ledger_fault = lambda command: None
+        await asyncio.sleep(60)
+        await _run(stock, "entry-2", resend=True)
+        assert runs[KEY] <= 1
+
+    run_virtual(main())
+
+
+def test_answers_survive_an_unrecorded_outcome(stock: World) -> None:
+    # Guards against an answer that is lost because the quorum went away after it.
+    async def main() -> None:
+        stock.add("stock")
+        _counting(stock)
+        stock.ledger_fault = lambda command: (
+            KingcuplugError("no quorum", "wait")
+            if command["type"] == "outcome"
+            else None
+        )
+        assert isinstance(await _run(stock), Answer)
+        refusal = await _run(stock, "entry-2", resend=True)
+        assert isinstance(refusal, Refusal)
+        assert refusal.kind is RefusalKind.OUTCOME_UNKNOWN
+        assert len(stock.sent) == 1
+
+    run_virtual(main())
+
+
+def test_no_quorum_leaves_a_resend_in_doubt(stock: World) -> None:
+    # Guards against "not run" for a resend whose first copy may have run.
+    async def main() -> None:
+        stock.add("stock")
+        stock.ledger_fault = lambda command: KingcuplugError("no quorum", "wait")
+        first = await _run(stock)
+        resend = await _run(stock, resend=True)
+        assert isinstance(first, Refusal)
+        assert isinstance(resend, Refusal)
+        assert first.kind is RefusalKind.NOT_RUN
+        assert resend.kind is RefusalKind.OUTCOME_UNKNOWN
+
+    run_virtual(main())
+
+
+def test_key_with_another_body_is_refused(stock: World) -> None:
+    # Guards against answering one order with the outcome of another.
+    async def main() -> None:
+        stock.add("stock")
+        runs = _counting(stock)
+        await _run(stock)
+        refusal = await _run(stock, body={"embroider": "Ana"})
+        assert isinstance(refusal, Refusal)
+        assert refusal.reason is RefusalReason.KEY_REUSED
+        assert runs == {KEY: 1}
+
+    run_virtual(main())
+
+
+def test_key_older_than_the_retention_is_never_run(stock: World) -> None:
+    # Guards against running an order again after its record was purged.
+    async def main() -> None:
+        stock.add("stock")
+        runs = _counting(stock)
+        old = f"{NOW_MS - (_RETENTION_DAYS + 1) * _DAY_MS}-abcdefgh"
+        refusal = await _run(stock, key=old)
+        assert isinstance(refusal, Refusal)
+        assert refusal.reason is RefusalReason.KEY_EXPIRED
+        assert not runs
+
+    run_virtual(main())
+
+
+def test_claim_of_a_lost_host_is_taken_over(stock: World) -> None:
+    # Guards against an order that nobody can run because its holder crashed.
+    async def main() -> None:
+        stock.add("stock")
+        runs = _counting(stock)
+        stuck = asyncio.Event()
+
+        def stop_at_dispatch(command: dict[str, Any]) -> Exception | None:
+            if command["type"] == "dispatch" and not stuck.is_set():
+                stuck.set()
+                return TimeoutError("the host stops here")
+            return None
+
+        stock.ledger_fault = stop_at_dispatch
+        crashing = asyncio.create_task(_run(stock, "entry-1"))
+        await stuck.wait()
+        crashing.cancel()
+        stock.holder_lost = lambda host, incarnation: host == "entry-1"
+        answer = await _run(stock, "entry-2", resend=True)
+        assert isinstance(answer, Answer)
+        assert runs == {KEY: 1}
+
+    run_virtual(main())
--- /dev/null
+++ b/tests/query/test_refusals.py
@@ -0,0 +1,132 @@
+"""A refusal that says ``not_run`` must be true."""
+
+import asyncio
+from typing import Any
+
+import pytest
+from kingcuplug_common import Refusal, RefusalKind, RefusalReason
+from kingcuplug_query import (
+    ConnectFailed,
+    ReplyInvalid,
+    ReplyLost,
+    SubRequest,
+    parse_reply,
+)
+from kingcuplug_testkit import World, echo, query, run_virtual
+
+
+async def _shed(request: SubRequest) -> Any:
+    return echo(request, "shed")
+
+
+async def _connect_failed(request: SubRequest) -> Any:
+    raise ConnectFailed("no connection", "start it")
+
+
+async def _lost(request: SubRequest) -> Any:
+    raise ReplyLost("broke", "look", server_gone=False)
+
+
+async def _silent(request: SubRequest) -> Any:
+    await asyncio.sleep(10)
+
+
+async def _failed(request: SubRequest) -> Any:
+    return echo(request, "failed")
+
+
+async def _crossed(request: SubRequest) -> Any:
+    return echo(request) | {"attempt_id": "another"}
+
+
+@pytest.mark.parametrize(
+    ("behaviour", "kind"),
+    [
+        (_shed, RefusalKind.NOT_RUN),
+        (_connect_failed, RefusalKind.NOT_RUN),
+        (_lost, RefusalKind.OUTCOME_UNKNOWN),
+        (_silent, RefusalKind.OUTCOME_UNKNOWN),
+        (_failed, RefusalKind.OUTCOME_UNKNOWN),
+        (_crossed, RefusalKind.OUTCOME_UNKNOWN),
+    ],
+)
+def test_kind_follows_what_servers_can_have_done(
+    world: World, behaviour: Any, kind: RefusalKind
+) -> None:
+    # Guards against saying "not run" of work that a backend server may have done.
+    async def main() -> None:
+        world.add("stock")
+        world.handlers = {f"stock-{n}": behaviour for n in range(3)}
+        with pytest.raises(Refusal) as caught:
+            await world.queries().run(query(), world.view())
+        assert caught.value.kind is kind
+
+    run_virtual(main())
+
+
+def test_past_deadline_is_not_sent(world: World) -> None:
+    # Guards against work for a caller who has already left.
+    async def main() -> None:
+        world.add("stock")
+        with pytest.raises(Refusal) as caught:
+            await world.queries().run(query(deadline_s=0.0), world.view())
+        assert caught.value.reason is RefusalReason.DEADLINE_EXCEEDED
+        assert caught.value.kind is RefusalKind.NOT_RUN
+        assert not world.sent
+
+    run_virtual(main())
+
+
+def test_deadline_and_priority_travel(world: World) -> None:
+    # Guards against backend servers that work on after the caller's deadline.
+    async def main() -> None:
+        world.add("stock")
+        await world.queries().run(query(deadline_s=0.3), world.view())
+        assert all(200 < request.deadline_ms <= 300 for _, request in world.sent)
+        assert {request.priority for _, request in world.sent} == {"normal"}
+
+    run_virtual(main())
+
+
+def test_crossed_reply_is_dropped_and_retried(world: World) -> None:
+    # Guards against giving a caller the answer to another caller's request.
+    async def main() -> None:
+        world.add("stock")
+        world.handlers["stock-0"] = _crossed
+        answer = await world.queries().run(query(), world.view())
+        assert not answer.partial
+        assert world.metrics.counts["query.reply_invalid"] >= 1
+
+    run_virtual(main())
+
+
+_REQUEST = SubRequest("r", "a-1", "stock", "query", 7, 3, 8, 100, "normal", {})
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"attempt_id": "a-2"},
+        {"attempt_id": None},
+        {"snapshot": 8},
+        {"shard": 2},
+        {"shard_count": 16},
+        {"status": "fine"},
+        {"status": None},
+        {"coverage": 1.5},
+        {"coverage": "all"},
+        {"coverage": True},
+    ],
+)
+def test_reply_must_belong_to_its_attempt(change: dict[str, Any]) -> None:
+    # Guards against accepting a reply to another attempt, snapshot or shard.
+    assert parse_reply(_REQUEST, echo(_REQUEST)).coverage == 1.0
+    with pytest.raises(ReplyInvalid):
+        parse_reply(_REQUEST, echo(_REQUEST) | change)
+
+
+@pytest.mark.parametrize("reply", [None, [], "ok", 7, {}])
+def test_reply_must_be_an_object(reply: Any) -> None:
+    # Guards against a traceback for a reply that is no JSON object.
+    with pytest.raises(ReplyInvalid):
+        parse_reply(_REQUEST, reply)
--- /dev/null
+++ b/tests/query/test_snapshots.py
@@ -0,0 +1,111 @@
+"""An answer must come from one snapshot, whatever moves while the query runs."""
+
+import asyncio
+from typing import Any
+
+from kingcuplug_query import SubRequest
+from kingcuplug_routing import Holding
+from kingcuplug_testkit import World, echo, query, run_virtual
+
+
+def _snapshots(world: World) -> set[tuple[int, int]]:
+    return {(request.snapshot, request.shard_count) for _, request in world.sent}
+
+
+def test_pins_newest_complete_snapshot(world: World) -> None:
+    # Guards against choosing a snapshot that is only half loaded.
+    async def main() -> None:
+        world.add("stock", shard_count=2)
+        old, new = Holding(1, 2, (0, 1)), Holding(2, 2, (0,))
+        world.hold("stock", {"stock-0": [old, new], "stock-1": [old]})
+        answer = await world.queries().run(query(), world.view())
+        assert (answer.snapshot, answer.coverage) == (1, 1.0)
+        assert _snapshots(world) == {(1, 2)}
+
+    run_virtual(main())
+
+
+def test_tries_another_holder(world: World) -> None:
+    # Guards against giving up a shard that another replica still holds.
+    async def main() -> None:
+        world.add("stock", snapshots=(1,))
+
+        async def moved(request: SubRequest) -> Any:
+            return echo(request, "snapshot_gone")
+
+        world.handlers["stock-0"] = moved
+        answer = await world.queries().run(query(), world.view())
+        assert not answer.partial
+        assert _snapshots(world) == {(1, 4)}
+
+    run_virtual(main())
+
+
+def test_restarts_whole_query_on_newer_snapshot(world: World) -> None:
+    # Guards against mixing shards of two snapshots, with another shard count.
+    async def main() -> None:
+        world.add("stock", snapshots=(1,), shard_count=4)
+
+        async def repartitioned(request: SubRequest) -> Any:
+            await asyncio.sleep(0.005)
+            if request.snapshot == 1 and request.shard == 3:
+                return echo(request, "snapshot_gone")
+            return echo(request)
+
+        for server in ("stock-0", "stock-1", "stock-2"):
+            world.handlers[server] = repartitioned
+
+        async def announce() -> None:
+            await asyncio.sleep(0.006)
+            held = [Holding(2, 8, tuple(range(8)))]
+            world.hold("stock", {f"stock-{n}": held for n in range(3)})
+
+        announcing = asyncio.create_task(announce())
+        answer = await world.queries().run(query(), world.view())
+        await announcing
+        assert (answer.snapshot, answer.shard_count) == (2, 8)
+        assert [part["value"][0] for part in answer.value] == [2] * 8
+        assert world.metrics.counts["query.restarted"] == 1
+
+    run_virtual(main())
+
+
+def test_restarts_only_once(world: World) -> None:
+    # Guards against endless restarts while an index is changed all the time.
+    async def main() -> None:
+        world.add("stock", servers=8, snapshots=(1,))
+
+        async def gone(request: SubRequest) -> Any:
+            await asyncio.sleep(0.001 if request.shard == 0 else 0.005)
+            if request.shard == 0:
+                newer = [Holding(request.snapshot + 1, 4, (0, 1, 2, 3))]
+                world.hold("stock", {f"stock-{n}": newer for n in range(8)})
+                return echo(request, "snapshot_gone")
+            return echo(request)
+
+        for number in range(8):
+            world.handlers[f"stock-{number}"] = gone
+        answer = await world.queries().run(query(), world.view())
+        assert answer.partial
+        assert answer.missing_shards == (0,)
+        assert {part["value"][0] for part in answer.value} == {answer.snapshot}
+        assert world.metrics.counts["query.restarted"] == 1
+
+    run_virtual(main())
+
+
+def test_partition_key_follows_the_snapshots_map(world: World) -> None:
+    # Guards against looking up a key in the shard map of another snapshot.
+    async def main() -> None:
+        shards = []
+        for shard_count in (8, 16):
+            world.add("stock", shard_count=shard_count)
+            for key in ("4711", "4712", "4713", "4714", "4715"):
+                request = query(partition_key=key)
+                await world.queries().run(request, world.view())
+            shards.append([request.shard for _, request in world.sent[-5:]])
+        of_8, of_16 = shards
+        assert max(of_16) >= 8
+        assert [shard % 8 for shard in of_16] == of_8
+
+    run_virtual(main())
