Keep work away from a straggler when the other replicas are busy

A straggler got work whenever the others were at their limit or backed off, and the limit never rose above 1 because the growth test counted the finished attempt twice. An attempt now waits for a busy replica that is expected to be 1.5 times quicker, and a cancelled loser counts as twice its time, since it would have taken longer. The modelled executor excludes only servers that failed and repeats a hedge that found no place.

--- a/packages/routing/src/kingcuplug_routing/_router.py
+++ b/packages/routing/src/kingcuplug_routing/_router.py
@@ -1,7 +1,7 @@
 """Choice of a replica for each sub-request of one service at one entry host."""
 
 import asyncio
-from collections.abc import Iterable, Set
+from collections.abc import Iterable, Sequence, Set
 from math import inf
 from random import Random
 
@@ -31,6 +31,7 @@
 # Part of a retry's token given back for a shed attempt, which ran nothing: without
 # it, sheds between entry hosts that do not see each other use up the budget.
 _SHED_CREDIT = 0.8
+_MUCH_SLOWER = 1.5  # a straggler must not get work only because the others are busy
 # A loop fires timers up to its clock's resolution early; comparing without this
 # allowance would set the same timer again and again.
 _TIMER_EARLY_S = 1e-6
@@ -180,9 +181,10 @@
         now = _now()
         if now >= self._fleet.upkeep_at:
             self._upkeep(now)
+        replicas = self._fleet.replicas(snapshot, shard, exclude)
         candidates = [
             each
-            for each in self._fleet.replicas(snapshot, shard, exclude)
+            for each in replicas
             if each.in_flight + 1 <= each.limit and each.back_off_until <= now
         ]
         if not candidates:
@@ -192,7 +194,10 @@
         place = 0
         if len(candidates) > 1:
             place = self.policy.select(candidates, zone, self._random)
-        return self._reserve(candidates[place], snapshot, shard, now)
+        chosen = candidates[place]
+        if len(candidates) < len(replicas) and _outpaced(chosen, replicas, now):
+            return None
+        return self._reserve(chosen, snapshot, shard, now)
 
     def _ramped(self, candidates: list[Server], now: float) -> list[Server]:
         duration = self.policy.slow_start_s
@@ -272,8 +277,15 @@
         """Return the granted ticket, or None if the caller has to look again."""
         loop = asyncio.get_running_loop()
         future: asyncio.Future[Ticket | None] = loop.create_future()
-        waiter = Waiter(future, Priority(priority), snapshot=snapshot, shard=shard)
-        for server in self._fleet.replicas(snapshot, shard, exclude):
+        replicas = self._fleet.replicas(snapshot, shard, exclude)
+        waiter = Waiter(
+            future,
+            Priority(priority),
+            snapshot=snapshot,
+            shard=shard,
+            replicas=replicas,
+        )
+        for server in replicas:
             server.waiting.push(waiter)
             if server.back_off_until > loop.time():
                 self._arm(server, loop)
@@ -305,9 +317,10 @@
             self._arm(server, asyncio.get_running_loop())
             return
         while server.in_flight + 1 <= server.limit:
-            waiter = server.waiting.pop()
-            if waiter is None:
+            waiter = server.waiting.peek()
+            if waiter is None or _outpaced(server, waiter.replicas, now):
                 return
+            server.waiting.pop()
             ticket = self._reserve(server, waiter.snapshot, waiter.shard, now)
             waiter.future.set_result(ticket)
 
@@ -320,6 +333,24 @@
         self._serve(server)
 
 
+def _outpaced(server: Server, replicas: Sequence[Server], now: float) -> bool:
+    """Return whether waiting for a busy replica is expected to be quicker.
+
+    A replica at its limit has a request in flight here, whose end serves the
+    waiting ones; the end of a back-off does the same.
+    """
+    bound_ms = server.latency_ms / _MUCH_SLOWER
+    for each in replicas:
+        expected_ms = (each.in_flight + 1) * each.latency_ms
+        if each.back_off_until > now:
+            expected_ms += (each.back_off_until - now) * 1_000
+        elif each.in_flight + 1 <= each.limit:
+            continue
+        if expected_ms < bound_ms:
+            return True
+    return False
+
+
 def _wake_all(servers: Iterable[Server]) -> None:
     """Let every waiting request look at the new replica lists."""
     for server in servers:
--- a/packages/routing/src/kingcuplug_routing/_server.py
+++ b/packages/routing/src/kingcuplug_routing/_server.py
@@ -20,6 +20,7 @@
 _DECREASE = 0.7
 _LOST_BACK_OFF_S = 0.1  # a refused connection costs a round trip; leases end in 2 s
 _MOST_DOUBLINGS = 6
+CENSORED = 2.0
 _FAULTS = frozenset(
     {AttemptOutcome.FAILED, AttemptOutcome.TIMEOUT, AttemptOutcome.CONNECTION_LOST}
 )
@@ -95,7 +96,7 @@
     def observe(
         self, outcome: AttemptOutcome, latency_ms: float, now: float, random: Random
     ) -> None:
-        """Learn from one finished attempt, which is still counted in flight."""
+        """Learn from one finished attempt, no longer counted in flight."""
         if outcome is AttemptOutcome.OK:
             self._succeed(latency_ms)
         elif outcome is AttemptOutcome.SHED:
@@ -103,14 +104,14 @@
         elif outcome in _FAULTS:
             self._fail(outcome, latency_ms, now, random)
         elif outcome is AttemptOutcome.CANCELLED and latency_ms > self.latency_ms:
-            # The true latency is at least the time until the cancellation.
-            self._sample(latency_ms)
+            # The true latency is greater than the time until the cancellation.
+            self._sample(latency_ms * CENSORED)
 
     def _succeed(self, latency_ms: float) -> None:
         self._sample(latency_ms)
         self.failures = 0
         self.sheds = 0
-        if self.in_flight + 1 > self.limit and self.limit < self.cap:
+        if self.in_flight + 2 > self.limit and self.limit < self.cap:
             self.limit = min(self.cap, self.limit + _INCREASE)
 
     def _shed(self, now: float, random: Random) -> None:
--- a/packages/routing/src/kingcuplug_routing/_waiting.py
+++ b/packages/routing/src/kingcuplug_routing/_waiting.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from typing import Any
 
 from kingcuplug_routing._types import Priority
@@ -28,9 +28,11 @@
         Work that the request brings, in the unit of the owner.
     snapshot, shard : int
         What is wanted, for requests that wait for a server.
+    replicas : sequence of Server
+        Servers that may serve it.
     """
 
-    __slots__ = ("cost", "future", "priority", "shard", "snapshot")
+    __slots__ = ("cost", "future", "priority", "replicas", "shard", "snapshot")
 
     def __init__(
         self,
@@ -39,12 +41,14 @@
         cost: float = 1.0,
         snapshot: int = 0,
         shard: int = 0,
+        replicas: Sequence[Any] = (),
     ) -> None:
         self.future = future
         self.priority = priority
         self.cost = cost
         self.snapshot = snapshot
         self.shard = shard
+        self.replicas = replicas
 
 
 class WaitingQueue:
--- a/tools/_routing_model.py
+++ b/tools/_routing_model.py
@@ -200,7 +200,9 @@
             outcome = await self._hedged(ticket, shard, deadline, tried)
             if outcome is AttemptOutcome.OK:
                 return True
-            tried.add(ticket.server)
+            if outcome is not AttemptOutcome.SHED:
+                # A server that shed is only full; its back-off is the router's.
+                tried.add(ticket.server)
             if len(tried) >= self.layout.replicas:
                 tried.clear()
             attempt = Attempt.RETRY
@@ -229,12 +231,12 @@
             ):
                 break
             if not done and hedging:
-                delay_ms = None
                 exclude = tried | {ticket.server}
                 hedge = self.router.choose(
                     SNAPSHOT, shard, exclude, self.zone, Attempt.HEDGE
                 )
                 if hedge is not None:
+                    delay_ms = None
                     self.hedged += 1
                     calls[self._send(hedge)] = hedge
         for reply, loser in calls.items():
