Test random faults at every attempt of a query

Cause: single faults were tested, mixes were not. Change: a property test with 13 behaviours of backend servers, repartition, both coverage policies and canaries; and a test that a restart does not forget work.

--- /dev/null
+++ b/tests/query/test_random_faults.py
@@ -0,0 +1,144 @@
+"""Random faults at every attempt must not make an answer or a refusal untrue."""
+
+import asyncio
+from collections import defaultdict
+from typing import Any
+
+from hypothesis import HealthCheck, given, seed, settings
+from hypothesis import strategies as st
+from kingcuplug_common import Refusal, RefusalKind
+from kingcuplug_query import Answer, ConnectFailed, ReplyLost, SubRequest
+from kingcuplug_routing import Holding
+from kingcuplug_testkit import World, echo, query, run_virtual
+
+_SERVERS = 4
+_BEHAVIOURS = (
+    "ok",
+    "ok",
+    "ok",
+    "slow",
+    "partial",
+    "shed",
+    "gone",
+    "failed",
+    "crossed",
+    "late",
+    "no connection",
+    "lost",
+    "crashed",
+)
+# What a server that behaves so has certainly not executed.
+_NOT_EXECUTED = {"shed", "gone", "no connection"}
+
+
+class _Scripted:
+    """Servers that follow a script, and the truth about what they did."""
+
+    def __init__(self, world: World, script: list[str], repartition: bool) -> None:
+        self.executed = 0
+        self.truth: dict[tuple[int, int], set[float]] = defaultdict(set)
+        self._world = world
+        self._script = script
+        self._next = 0
+        self._repartition = repartition
+        for number in range(_SERVERS):
+            world.handlers[f"stock-{number}"] = self._handle
+
+    async def _handle(self, request: SubRequest) -> Any:
+        behaviour = self._script[self._next % len(self._script)]
+        self._next += 1
+        self._move()
+        if behaviour not in _NOT_EXECUTED:
+            self.executed += 1
+        await asyncio.sleep(0.3 if behaviour == "slow" else 0.004)
+        match behaviour:
+            case "partial":
+                return self._answer(request, 0.5)
+            case "shed":
+                return echo(request, "shed")
+            case "gone":
+                return echo(request, "snapshot_gone")
+            case "failed":
+                return echo(request, "failed")
+            case "crossed":
+                return echo(request) | {"shard": request.shard + 1}
+            case "late":
+                await asyncio.sleep(5)
+                return echo(request)
+            case "no connection":
+                raise ConnectFailed("refused", "start it")
+            case "lost":
+                raise ReplyLost("broke", "look", server_gone=False)
+            case "crashed":
+                raise ReplyLost("broke", "look", server_gone=True)
+        return self._answer(request, 1.0)
+
+    def _answer(self, request: SubRequest, coverage: float) -> Any:
+        self.truth[request.snapshot, request.shard].add(coverage)
+        status = "ok" if coverage == 1 else "partial"
+        return echo(request, status, coverage=coverage)
+
+    def _move(self) -> None:
+        """Announce a repartitioned snapshot while the query runs."""
+        if self._repartition and self._next == 3:
+            held = [Holding(1, 4, (0, 1, 2, 3)), Holding(2, 6, tuple(range(6)))]
+            self._world.hold("stock", {f"stock-{n}": held for n in range(_SERVERS)})
+
+
+def _check_answer(answer: Answer, scripted: _Scripted) -> None:
+    shards = {4: 1, 6: 2}
+    assert shards[answer.shard_count] == answer.snapshot
+    assert {part["value"][0] for part in answer.value} == {answer.snapshot}
+    answered = [part["shard"] for part in answer.value]
+    assert len(set(answered)) == len(answered)
+    for part in answer.value:
+        assert part["value"][1] == part["shard"]
+        share = answer.partial_shards.get(part["shard"], 1.0)
+        assert share in scripted.truth[answer.snapshot, part["shard"]]
+    covered = sum(answer.partial_shards.get(shard, 1.0) for shard in answered)
+    assert answer.coverage == covered / answer.shard_count
+    missing = set(range(answer.shard_count)) - set(answered)
+    assert set(answer.missing_shards) == missing
+    assert answer.partial is (answer.coverage < 1)
+
+
+@seed(20261204)
+@settings(
+    max_examples=250,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
+@given(
+    script=st.lists(st.sampled_from(_BEHAVIOURS), min_size=1, max_size=14),
+    repartition=st.booleans(),
+    minimum=st.sampled_from([0.0, 0.5, 1.0]),
+    weight=st.sampled_from([0.0, 0.5, 1.0]),
+    canary=st.sampled_from(["always", "off"]),
+)
+def test_answers_and_refusals_are_true(
+    script: list[str], repartition: bool, minimum: float, weight: float, canary: str
+) -> None:
+    # Guards against any mix of faults that leads to a mixed snapshot, an untrue
+    # coverage, a shard counted twice, or "not run" of work that was executed.
+    async def main() -> None:
+        world = World()
+        world.add("stock", _SERVERS, 4, coverage_weight=weight, canary=canary)
+        scripted = _Scripted(world, script, repartition)
+        loop = asyncio.get_running_loop()
+        for _ in range(3):
+            executed, started = scripted.executed, loop.time()
+            try:
+                answer = await world.queries().run(
+                    query(minimum_coverage=minimum), world.view()
+                )
+            except Refusal as refusal:
+                if refusal.kind is RefusalKind.NOT_RUN:
+                    assert scripted.executed == executed
+            else:
+                _check_answer(answer, scripted)
+                assert answer.coverage >= minimum
+            assert loop.time() <= started + 1.0 + 1e-6
+            await world.background.drain(30)
+
+    run_virtual(main())
--- a/tests/query/test_refusals.py
+++ b/tests/query/test_refusals.py
@@ -12,6 +12,7 @@
     SubRequest,
     parse_reply,
 )
+from kingcuplug_routing import Holding
 from kingcuplug_testkit import World, echo, query, run_virtual
 
 
@@ -64,6 +65,30 @@
     run_virtual(main())
 
 
+def test_work_before_a_restart_is_not_forgotten(world: World) -> None:
+    # Guards against "not run" of a query that ran on the snapshot before.
+    async def main() -> None:
+        world.add("stock", servers=4, shard_count=2)
+
+        async def repartitioned(request: SubRequest) -> Any:
+            if request.snapshot == 2:
+                return await _connect_failed(request)
+            if request.shard == 0:
+                return echo(request, "failed")
+            await asyncio.sleep(0.01)
+            newer = [Holding(2, 2, (0, 1))]
+            world.hold("stock", {f"stock-{n}": newer for n in range(4)})
+            return echo(request, "snapshot_gone")
+
+        world.handlers = {f"stock-{n}": repartitioned for n in range(4)}
+        with pytest.raises(Refusal) as caught:
+            await world.queries().run(query(), world.view())
+        assert world.metrics.counts["query.restarted"] == 1
+        assert caught.value.kind is RefusalKind.OUTCOME_UNKNOWN
+
+    run_virtual(main())
+
+
 def test_past_deadline_is_not_sent(world: World) -> None:
     # Guards against work for a caller who has already left.
     async def main() -> None:
