--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,12 @@
 # VENV can name an existing virtual environment to be shared by several work trees.
 VENV ?= .venv
 BIN := $(VENV)/bin
+# The sources come before any installed copy, so that a work tree runs itself.
+empty :=
+SOURCES := $(subst $(empty) $(empty),:,$(wildcard packages/*/src))
 PYTHON ?= python3.11
 
-.PHONY: demo check format lint types test models system venv
+.PHONY: demo check format lint types test system matrix models venv
 
 # Only the default environment is installed; a shared one is used as it is.
 .venv/.installed: requirements-dev.txt constraints.txt packages/*/pyproject.toml
@@ -34,3 +37,6 @@
 	$(BIN)/pytest -m system
 
 check: lint types test system
+
+matrix: venv
+	PYTHONPATH=$(SOURCES) $(BIN)/python tools/matrix.py
