--- a/packages/configuration/src/kingcuplug_configuration/_delta.py
+++ b/packages/configuration/src/kingcuplug_configuration/_delta.py
@@ -6,12 +6,7 @@
 
 from kingcuplug_common import KingcuplugError
 
-from kingcuplug_configuration._models import (
-    ConfigurationText,
-    Service,
-    render,
-    text_digest,
-)
+from kingcuplug_configuration._models import ConfigurationText, Service
 from kingcuplug_configuration._parse import services_from_json
 
 __all__ = [
@@ -19,7 +14,6 @@
     "DigestMismatch",
     "describe",
     "difference",
-    "difference_between",
     "merge",
     "patch",
     "replay",
@@ -92,29 +86,19 @@
         return cls(services, removed, retention_days, *digests, revision)
 
 
-def difference(old: ConfigurationText, new: ConfigurationText) -> Delta:
-    """Return what turns `old` into `new`."""
-    digests = text_digest(render(old)), text_digest(render(new))
-    return difference_between(old, new, *digests)
-
-
-def difference_between(
-    old: ConfigurationText,
-    new: ConfigurationText,
-    base_digest: str,
-    digest: str,
-    revision: int = 0,
+def difference(
+    old: ConfigurationText, new: ConfigurationText, revision: int = 0
 ) -> Delta:
-    """Return the difference where both digests are known already."""
+    """Return what turns `old` into `new`."""
     changed = {
         name: service
         for name, service in new.services.items()
-        if old.services.get(name) != service
+        if (before := old.services.get(name)) is not service and before != service
     }
     removed = tuple(name for name in old.services if name not in new.services)
     same = new.retention_days == old.retention_days
     retention_days = None if same else new.retention_days
-    return Delta(changed, removed, retention_days, base_digest, digest, revision)
+    return Delta(changed, removed, retention_days, old.digest, new.digest, revision)
 
 
 def patch(old: ConfigurationText, delta: Delta) -> ConfigurationText:
@@ -154,7 +138,7 @@
         retention_days = delta.retention_days or retention_days
         known = delta.digest
     new = ConfigurationText(services, retention_days)
-    found = text_digest(render(new))
+    found = new.digest
     if found != known:
         raise _mismatch(deltas[-1], found)
     return new
--- a/packages/configuration/src/kingcuplug_configuration/_graph.py
+++ b/packages/configuration/src/kingcuplug_configuration/_graph.py
@@ -41,14 +41,16 @@
 ) -> Iterator[ConfigurationFault]:
     seen: set[str] = set()
     for position, other in enumerate(needed):
-        path = join(("services", name, "depends_on", position))
+        path = ("services", name, "depends_on", position)
         if other in seen:
             yield ConfigurationFault(
-                path, f"duplicate name {shown(other)}", "name each dependency once"
+                join(path),
+                f"duplicate name {shown(other)}",
+                "name each dependency once",
             )
         elif other not in graph:
             yield ConfigurationFault(
-                path, f"unknown service {shown(other)}", suggest(other)
+                join(path), f"unknown service {shown(other)}", suggest(other)
             )
         seen.add(other)
 
--- a/packages/configuration/src/kingcuplug_configuration/_history.py
+++ b/packages/configuration/src/kingcuplug_configuration/_history.py
@@ -6,6 +6,7 @@
 serves only to give a resend the same answer as the first one.
 """
 
+import dataclasses
 from collections import deque
 from collections.abc import Mapping
 from itertools import islice
@@ -25,13 +26,14 @@
 from kingcuplug_configuration._delta import (
     Delta,
     DigestMismatch,
-    difference_between,
+    difference,
     merge,
     replay,
 )
 from kingcuplug_configuration._faults import ConfigurationFault
-from kingcuplug_configuration._models import ConfigurationText, render, text_digest
-from kingcuplug_configuration._parse import check, parse
+from kingcuplug_configuration._graph import check_dependencies
+from kingcuplug_configuration._models import ConfigurationText
+from kingcuplug_configuration._parse import parse
 
 __all__ = ["Change", "ConfigurationHistory", "DumpInvalid", "Revision"]
 
@@ -76,8 +78,8 @@
 
     def __init__(self) -> None:
         self.configuration = ConfigurationText()
-        text = render(self.configuration)
-        self.current = Revision(0, text, text_digest(text), "", "", 0)
+        empty = self.configuration
+        self.current = Revision(0, empty.text, empty.digest, "", "", 0)
         self._changes: dict[str, Change] = {}
         self._deltas: deque[Delta] = deque()
         self._delta_services = 0
@@ -122,10 +124,7 @@
         proposed = parse(command.text)
         if command.base_revision != self.current.number:
             return command
-        digest = text_digest(render(proposed))
-        delta = difference_between(
-            self.configuration, proposed, self.current.digest, digest
-        )
+        delta = difference(self.configuration, proposed)
         return ApplyConfiguration(
             command.change_id,
             command.base_revision,
@@ -197,19 +196,16 @@
         except DigestMismatch as error:
             fault = ConfigurationFault("delta", error.message, "send the whole text")
             raise ExceptionGroup("the delta does not fit", [fault]) from error
-        check(proposed)
+        _check_graph(self.configuration, proposed, command.delta)
         return proposed
 
     def _accept(self, command: ApplyConfiguration, new: ConfigurationText) -> None:
-        text = render(new)
-        digest = text_digest(text)
+        digest = new.digest
         number = self.current.number + 1
         author = intern(command.author)
-        delta = difference_between(
-            self.configuration, new, self.current.digest, digest, number
-        )
+        delta = self._delta(command, new, number)
         self.current = Revision(
-            number, text, digest, command.change_id, author, command.time_ms
+            number, new.text, digest, command.change_id, author, command.time_ms
         )
         self.configuration = new
         self._changes[command.change_id] = Change(
@@ -219,6 +215,16 @@
         self._delta_services += len(delta)
         self._forget()
 
+    def _delta(
+        self, command: ApplyConfiguration, new: ConfigurationText, number: int
+    ) -> Delta:
+        if command.delta is None:
+            return difference(self.configuration, new, number)
+        base_digest = self.current.digest
+        return dataclasses.replace(
+            command.delta, base_digest=base_digest, revision=number
+        )
+
     def _forget(self) -> None:
         while len(self._changes) > CHANGES_LIMIT:
             del self._changes[next(iter(self._changes))]
@@ -229,6 +235,25 @@
             self._delta_services -= len(self._deltas.popleft())
 
 
+def _check_graph(old: ConfigurationText, new: ConfigurationText, delta: Delta) -> None:
+    """Raise an ExceptionGroup of the faults in the dependencies after a delta.
+
+    Names and limits within one service need no check here, because a delta's
+    services come from `parse` or `Delta.from_json`. The graph is searched only if
+    the delta changes it, which most changes do not.
+    """
+    same = not delta.removed and all(
+        name in old.services and old.services[name].depends_on == service.depends_on
+        for name, service in delta.changed.items()
+    )
+    if same:
+        return
+    graph = {name: service.depends_on for name, service in new.services.items()}
+    faults = list(check_dependencies(graph))
+    if faults:
+        raise ExceptionGroup("the delta breaks dependencies", faults)
+
+
 def _repeated(known: Change, command: ApplyConfiguration) -> Result:
     """Answer a resend, or tell that the change id is used for two changes."""
     if _short_digest(command) == known.short_digest:
@@ -246,10 +271,10 @@
     if command.delta is not None:
         return command.delta.digest[:_SHORT_DIGEST_CHARACTERS]
     try:
-        text = render(parse(command.text))
+        proposed = parse(command.text)
     except ExceptionGroup:
         return ""
-    return text_digest(text)[:_SHORT_DIGEST_CHARACTERS]
+    return proposed.digest[:_SHORT_DIGEST_CHARACTERS]
 
 
 def _faults(group: ExceptionGroup[Any]) -> tuple[ConfigurationFault, ...]:
@@ -261,6 +286,6 @@
         raise ValueError(f"format {state['format']!r} is not {_FORMAT}")
     current = Revision(*state["current"])
     configuration = parse(current.text)
-    if text_digest(render(configuration)) != current.digest:
+    if configuration.digest != current.digest:
         raise ValueError(f"the text does not have the digest {current.digest}")
     return current, configuration
--- a/packages/configuration/src/kingcuplug_configuration/_models.py
+++ b/packages/configuration/src/kingcuplug_configuration/_models.py
@@ -59,7 +59,10 @@
 
     def to_json(self) -> dict[str, Any]:
         """Return the fields as a JSON object."""
-        return dataclasses.asdict(self)
+        return {name: getattr(self, name) for name in _POLICY_FIELDS}
+
+
+_POLICY_FIELDS = tuple(field.name for field in dataclasses.fields(Policy))
 
 
 @dataclasses.dataclass(frozen=True)
@@ -91,13 +94,21 @@
         ordered = dict(sorted(self.services.items()))
         object.__setattr__(self, "services", MappingProxyType(ordered))
 
+    @cached_property
+    def text(self) -> str:
+        """Canonical JSON; kept, as rendering takes most of the time of a patch."""
+        members = ",".join(service.fragment for service in self.services.values())
+        return f'{{"retention_days":{self.retention_days},"services":{{{members}}}}}'
+
+    @cached_property
+    def digest(self) -> str:
+        """SHA-256 of the canonical JSON, as hex."""
+        return text_digest(self.text)
+
 
 def render(configuration: ConfigurationText) -> str:
     """Return the canonical JSON: sorted keys, no spaces, every field."""
-    members = ",".join(service.fragment for service in configuration.services.values())
-    return (
-        f'{{"retention_days":{configuration.retention_days},"services":{{{members}}}}}'
-    )
+    return configuration.text
 
 
 def text_digest(text: str) -> str:
--- a/packages/configuration/src/kingcuplug_configuration/_parse.py
+++ b/packages/configuration/src/kingcuplug_configuration/_parse.py
@@ -17,7 +17,7 @@
     Service,
 )
 
-__all__ = ["check", "parse", "services_from_json"]
+__all__ = ["parse", "services_from_json"]
 
 # A text of 16,000 services, the target size, has about 4 MB.
 TEXT_LIMIT_CHARACTERS = 16_777_216
@@ -47,11 +47,15 @@
     urgent_reserve: float = Field(default=Policy().urgent_reserve, ge=0, lt=1)
 
 
+_DEFAULT_POLICY = _PolicyModel()
+
+
 class _ServiceModel(BaseModel):
     model_config = _STRICT
 
-    depends_on: list[str] = []
-    policy: _PolicyModel = _PolicyModel()
+    # A factory, because pydantic copies a mutable default for each service.
+    depends_on: list[str] = Field(default_factory=list)
+    policy: _PolicyModel = Field(default_factory=lambda: _DEFAULT_POLICY)
 
 
 class _TextModel(BaseModel):
@@ -100,16 +104,6 @@
     return ConfigurationText(_services(model.services), model.retention_days)
 
 
-def check(configuration: ConfigurationText) -> None:
-    """Raise an ExceptionGroup of the faults of names and dependencies.
-
-    Limits within one service need no check here: a service that comes from
-    `services_from_json` or `parse` keeps them.
-    """
-    graph = {n: service.depends_on for n, service in configuration.services.items()}
-    _raise_any([*_check_service_names(graph), *check_dependencies(graph)])
-
-
 def services_from_json(
     value: Any, retention_days: Any = DEFAULT_RETENTION_DAYS
 ) -> dict[str, Service]:
@@ -220,10 +214,13 @@
 
 def _services(models: Mapping[str, _ServiceModel]) -> dict[str, Service]:
     # Most services share a few policies; one object for equal ones saves memory.
-    shared: dict[Policy, Policy] = {}
+    default = Policy()
+    shared = {default: default}
     services = {}
     for name, model in models.items():
-        policy = Policy(**model.policy.__dict__)
-        policy = shared.setdefault(policy, policy)
+        policy = default
+        if model.policy is not _DEFAULT_POLICY:
+            policy = Policy(**model.policy.__dict__)
+            policy = shared.setdefault(policy, policy)
         services[name] = Service(name, tuple(model.depends_on), policy)
     return services
