Model check elections, replication and commit with Spin

The core protocol is to be verified from a small specification.

Four terms are needed for the commit of an older term's entry by counting.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PYTHON ?= python3.11
 
-.PHONY: demo check format lint types test models venv
+.PHONY: demo check format lint types test models models-large spin venv
 
 $(VENV)/.installed: requirements-dev.txt constraints.txt packages/*/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -29,4 +29,13 @@
 test: venv
 	$(BIN)/pytest
 
-check: lint types test
+spin:
+	command -v spin > /dev/null || apt-get install -y spin
+
+models: spin
+	$(PYTHON) models/run.py
+
+models-large: spin
+	$(PYTHON) models/run.py --size large
+
+check: lint types test models
