Model voters, leases, sessions and orders

Change of voters with disk loss, the leader lease with drifting clocks, the configuration leases of entry hosts and the way of an order each get a model small enough for a complete search. The runner numbers the assertions and names the violated one, because the verifier's line numbers are wrong inside inlines with conditional lines.

--- a/models/run.py
+++ b/models/run.py
@@ -20,12 +20,13 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).parent
-MEMORY_LIMIT_MB = 1200  # Per verifier; three at once stay under 4 GB.
+MEMORY_LIMIT_MB = 1300  # Per verifier; three at once stay under 4 GB.
 LARGE_MEMORY_LIMIT_MB = 10_000
 DEPTH_LIMIT = 1_000_000  # Steps of the longest path; a longer one is reported.
 HASH_BITS = 22  # Initial size of the state table; affects speed only.
 LARGE_HASH_BITS = 26
 JOBS = 3
+FIRST_ASSERTION = 7700  # Numbers that occur nowhere else in the models.
 
 
 @dataclass(frozen=True)
@@ -80,8 +81,19 @@
     return Case(model, macro, name, (macro, *defines))
 
 
+def finding(model: str, macro: str, violated: str, *defines: str) -> Case:
+    """Return a case with a reading of the design that violates the property."""
+    return Case(model, f"finding {macro}", violated, (macro, *defines))
+
+
 FOUR_TERMS = ("MAX_TERM=4", "MAX_LOG=1")
 TWO_ENTRIES = ("MAX_TERM=3", "MAX_LOG=2")
+FOUR_VOTERS = ("INITIAL_VOTERS=15", "MAX_LOSSES=0")
+THREE_ENTRIES = ("MAX_TERM=2", "MAX_LOG=3")
+CLOCKS = ("ELECTION_TIMEOUT=12",)
+ONE_CHANGE = ("MAX_REVISION=1",)
+THREE_ATTEMPTS = ("MAX_ATTEMPTS=3", "MAX_TOKENS=4", "SLOTS=3")
+OLDER_BARRIER = ("OLDER_BARRIER", "RESTART_MAY_REVERT", *ONE_CHANGE)
 
 CASES = [
     holds("replication", "3 terms, 2 entries", *TWO_ENTRIES),
@@ -96,6 +108,93 @@
     reachable("replication", "REACH_LATER_LEADER", "leader-after-accepted-entry"),
     reachable("replication", "REACH_COMMIT", "entry-committed"),
     reachable("replication", "REACH_COMMIT_BY_TWO_LEADERS", "committed-by-two-leaders"),
+    holds("voters", "3 terms, 2 entries", "MAX_LOSSES=0", *TWO_ENTRIES),
+    holds("voters", "4 voters, 2 terms, 2 entries", *FOUR_VOTERS, "MAX_TERM=2"),
+    holds("voters", "2 terms, 3 entries, lost disk", *THREE_ENTRIES),
+    mutant("voters", "EMPTY_DISK_VOTES", "one-leader-per-term", "MAX_TERM=2"),
+    mutant("voters", "TWO_CHANGES_AT_ONCE", "accepted-entry-kept", *THREE_ENTRIES),
+    mutant("voters", "REPLACE_IN_ONE_STEP", "one-leader-per-term", *THREE_ENTRIES),
+    mutant("voters", "COUNT_LEARNERS", "accepted-entry-kept"),
+    mutant(
+        "voters",
+        "CHANGE_BEFORE_OWN_COMMIT",
+        "one-leader-per-term",
+        *FOUR_VOTERS,
+        "MAX_LOG=1",
+    ),
+    reachable("voters", "REACH_LEARNER_VOTES", "learner-became-voter"),
+    reachable("voters", "REACH_LEARNER_LEADS", "new-identity-leads"),
+    reachable("voters", "REACH_REPAIR", "voter-replaced", *THREE_ENTRIES),
+    holds("lease", "timeout of 6 units"),
+    finding("lease", "DRIFT_PER_CLOCK", "no-superseded-read", *CLOCKS),
+    mutant("lease", "LEASE_IGNORES_DRIFT", "no-superseded-read"),
+    mutant("lease", "LEASE_FROM_RECEIPT", "no-superseded-read"),
+    mutant("lease", "VOTE_AFTER_RESTART", "no-superseded-read"),
+    mutant("lease", "NO_STICKINESS", "no-superseded-read"),
+    mutant("lease", "STANDS_DESPITE_PROMISE", "no-superseded-read"),
+    finding("lease", "READ_BEFORE_OWN_COMMIT", "no-superseded-read"),
+    reachable("lease", "REACH_READ_BY_LATER_LEADER", "read-by-later-leader"),
+    reachable("lease", "REACH_READ_BESIDE_LATER_LEADER", "read-beside-later-term"),
+    holds("sessions", "1 relay, 1 change", *ONE_CHANGE),
+    holds("sessions", "OLDER_BARRIER, no revert check", *OLDER_BARRIER),
+    finding("sessions", "OLDER_BARRIER", "never-reverts", *ONE_CHANGE),
+    finding("sessions", "REPORTED_SESSIONS_ONLY", "in-force-everywhere", *ONE_CHANGE),
+    finding("sessions", "RELAY_FORGETS_SESSIONS", "in-force-everywhere", *ONE_CHANGE),
+    mutant("sessions", "ENTRY_IGNORES_DRIFT", "in-force-everywhere", *ONE_CHANGE),
+    mutant("sessions", "RELAY_IGNORES_DRIFT", "in-force-everywhere", *OLDER_BARRIER),
+    mutant(
+        "sessions", "RELAY_GRANTS_FULL_LEASE", "in-force-everywhere", *OLDER_BARRIER
+    ),
+    mutant("sessions", "LEASE_FROM_RECEIPT", "in-force-everywhere", *ONE_CHANGE),
+    mutant("sessions", "NEW_LEADER_DOES_NOT_WAIT", "in-force-everywhere", *ONE_CHANGE),
+    mutant("sessions", "CONFIRMED_BY_SENDING", "in-force-everywhere", *ONE_CHANGE),
+    reachable("sessions", "REACH_IN_FORCE", "in-force", *ONE_CHANGE),
+    reachable("sessions", "REACH_IN_FORCE_BY_RELAY", "in-force-by-relay", *ONE_CHANGE),
+    reachable("sessions", "REACH_LEASE_BY_RELAY", "lease-by-relay", *ONE_CHANGE),
+    holds("orders", "3 attempts", *THREE_ATTEMPTS),
+    mutant("orders", "DISPATCH_WITHOUT_TOKEN", "one-dispatch", *THREE_ATTEMPTS),
+    mutant("orders", "TAKEOVER_AFTER_DISPATCH", "one-dispatch", *THREE_ATTEMPTS),
+    mutant("orders", "SEND_BEFORE_DISPATCH", "one-dispatch", *THREE_ATTEMPTS),
+    mutant("orders", "SEND_WITHOUT_ANSWER", "one-dispatch", *THREE_ATTEMPTS),
+    mutant("orders", "NOT_DURABLE=CLAIM", "claim-kept", *THREE_ATTEMPTS),
+    mutant("orders", "NOT_DURABLE=DISPATCH", "one-dispatch", *THREE_ATTEMPTS),
+    mutant("orders", "NOT_DURABLE=RELEASE", "not-run-is-true", *THREE_ATTEMPTS),
+    mutant("orders", "NOT_RUN_AFTER_LOST_ANSWER", "not-run-is-true", *THREE_ATTEMPTS),
+    finding("orders", "RELEASE_FREES", "not-run-is-true", *THREE_ATTEMPTS),
+    finding("orders", "EARLY_NOT_RUN", "not-run-is-true", *THREE_ATTEMPTS),
+    reachable("orders", "REACH_DONE", "done", *THREE_ATTEMPTS),
+    reachable("orders", "REACH_DONE_BY_RESEND", "done-by-resend", *THREE_ATTEMPTS),
+    reachable(
+        "orders", "REACH_DONE_AFTER_TAKEOVER", "done-after-takeover", *THREE_ATTEMPTS
+    ),
+    reachable("orders", "REACH_NOT_RUN", "not-run", *THREE_ATTEMPTS),
+    holds(
+        "orders",
+        "4 attempts",
+        "MAX_ATTEMPTS=4",
+        "MAX_TOKENS=5",
+        "SLOTS=3",
+        large=True,
+    ),
+    holds("voters", "3 terms, 2 entries, lost disk", *TWO_ENTRIES, large=True),
+    holds("lease", "timeout of 12 units", *CLOCKS, large=True),
+    holds(
+        "lease",
+        "LEASE_FOR_BOTH_CLOCKS",
+        "DRIFT_PER_CLOCK",
+        "LEASE_FOR_BOTH_CLOCKS",
+        *CLOCKS,
+        large=True,
+    ),
+    holds(
+        "voters",
+        "4 voters, 3 terms, 2 entries",
+        *FOUR_VOTERS,
+        *TWO_ENTRIES,
+        large=True,
+    ),
+    holds("sessions", "1 relay, 2 changes", "MAX_REVISION=2", large=True),
+    holds("sessions", "2 relays, 1 change", "RELAYS=2", *ONE_CHANGE, large=True),
     holds("replication", "4 terms, 2 entries", "MAX_TERM=4", "MAX_LOG=2", large=True),
 ]
 
@@ -105,7 +204,7 @@
     started = time.monotonic()
     with tempfile.TemporaryDirectory(prefix="kingcuplug-models-") as name:
         folder = Path(name)
-        source = (FOLDER / f"{case.model}.pml").read_text()
+        source, names = _number_assertions((FOLDER / f"{case.model}.pml").read_text())
         (folder / "model.pml").write_text(source)
         macros = [f"-D{macro}" for macro in case.defines]
         _command(folder, "spin", *macros, "-a", "model.pml")
@@ -120,10 +219,10 @@
         report = _command(
             folder, "./verifier", f"-m{DEPTH_LIMIT}", f"-w{bits}", "-n", check=False
         )
-        found = _verdict(report)
-        if found == "violated":
-            trail = _command(folder, "spin", *macros, "-t", "model.pml", check=False)
-            found = _violated_name(trail, source)
+    violated = re.search(
+        rf"assertion violated \D*({FIRST_ASSERTION // 100}\d\d)", report
+    )
+    found = names[int(violated[1])] if violated else _verdict(report)
     return Result(
         found,
         int(_number(r"(\d+) states, stored", report)),
@@ -149,10 +248,27 @@
     return done.stdout
 
 
+def _number_assertions(source: str) -> tuple[str, dict[int, str]]:
+    """Return the source with numbered assertions and the name of each number.
+
+    The verifier prints the text of a violated assertion, but its line numbers are
+    wrong after conditional lines in an inline, so the number is made part of the
+    text. The name comes from the comment above the assertion.
+    """
+    names: dict[int, str] = {}
+    parts = re.split(r"(\bassert\()", source)
+    for position in range(1, len(parts), 2):
+        above = re.findall(
+            r"/\* (?:Property|Reachable) ([a-z0-9-]+)", parts[position - 1]
+        )
+        number = FIRST_ASSERTION + len(names)
+        names[number] = above[-1] if above else "assertion without a name"
+        parts[position] = f"assert(!{number} || "
+    return "".join(parts), names
+
+
 def _verdict(report: str) -> str:
-    """Return ``holds``, ``violated`` or the reason why there is no verdict."""
-    if "assertion violated" in report:
-        return "violated"
+    """Return ``holds`` or the reason why the search gives no verdict."""
     if "pan:1:" in report:
         return "error: " + report.split("pan:1:")[1].splitlines()[0].strip()
     if "max search depth too small" in report:
@@ -164,16 +280,6 @@
     return "holds"
 
 
-def _violated_name(trail: str, source: str) -> str:
-    """Return the name in the comment above the assertion that a trail violates."""
-    position = re.search(r"model\.pml:(\d+), Error: assertion violated", trail)
-    if position is None:
-        return "error: trail names no assertion"
-    above = "\n".join(source.splitlines()[: int(position[1])])
-    names = re.findall(r"/\* (?:Property|Reachable) ([a-z0-9-]+)", above)
-    return names[-1] if names else "error: assertion without a name"
-
-
 def _number(pattern: str, report: str) -> float:
     """Return the number that a pattern finds in the report, or 0."""
     match = re.search(pattern, report)
