--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SOURCES := $(subst $(empty) $(empty),:,$(wildcard packages/*/src))
 PYTHON ?= python3.11
 
-.PHONY: demo check format lint types test system matrix models venv
+.PHONY: demo check format lint types test system matrix models models-large spin venv
 
 # Only the default environment is installed; a shared one is used as it is.
 .venv/.installed: requirements-dev.txt constraints.txt packages/*/pyproject.toml
@@ -36,7 +36,17 @@
 system: venv
 	$(BIN)/pytest -m system
 
-check: lint types test system
+check: lint types test models system
 
 matrix: venv
 	PYTHONPATH=$(SOURCES) $(BIN)/python tools/matrix.py
+
+spin:
+	command -v spin > /dev/null || apt-get install -y spin
+
+models: spin
+	$(PYTHON) models/run.py
+
+models-large: spin
+	$(PYTHON) models/run.py --size large
+
--- /dev/null
+++ b/models/run.py
@@ -0,0 +1,336 @@
+"""Run Spin on the Promela models and compare each result with the expected one.
+
+Every model is verified exhaustively without a mutant, and once for each seeded
+mutant and for each reachability check. A mutant must violate the property that
+is named here, and a reachability check must be found reachable, so a check that
+cannot fail is noticed. An incomplete search counts as a failure.
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import re
+import subprocess
+import sys
+import tempfile
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+FOLDER = Path(__file__).parent
+MEMORY_LIMIT_MB = 1300  # Per verifier; three at once stay under 4 GB.
+LARGE_MEMORY_LIMIT_MB = 10_000
+DEPTH_LIMIT = 1_000_000  # Steps of the longest path; a longer one is reported.
+HASH_BITS = 22  # Initial size of the state table; affects speed only.
+LARGE_HASH_BITS = 26
+JOBS = 3
+FIRST_ASSERTION = 7700  # Numbers that occur nowhere else in the models.
+
+
+@dataclass(frozen=True)
+class Case:
+    """One run of the verifier.
+
+    Attributes
+    ----------
+    model
+        Name of the Promela file without its suffix.
+    variant
+        What the run shows.
+    expected
+        ``holds``, or the name of the property or reachability check whose
+        assertion must be violated.
+    defines
+        Preprocessor macros, ``NAME`` or ``NAME=value``.
+    large
+        Whether the case belongs to the large size.
+    """
+
+    model: str
+    variant: str
+    expected: str
+    defines: tuple[str, ...] = ()
+    large: bool = False
+
+
+@dataclass(frozen=True)
+class Result:
+    """What the verifier reported for a case."""
+
+    found: str
+    states: int
+    depth: int
+    memory_mb: float
+    seconds: float
+
+
+def holds(model: str, variant: str, *defines: str, large: bool = False) -> Case:
+    """Return a case in which every property holds in the whole state space."""
+    return Case(model, variant, "holds", defines, large)
+
+
+def mutant(model: str, macro: str, violated: str, *defines: str) -> Case:
+    """Return a case with a seeded fault that must violate the named property."""
+    return Case(model, macro, violated, (macro, *defines))
+
+
+def reachable(model: str, macro: str, name: str, *defines: str) -> Case:
+    """Return a case in which a wanted situation must be found."""
+    return Case(model, macro, name, (macro, *defines))
+
+
+def finding(model: str, macro: str, violated: str, *defines: str) -> Case:
+    """Return a case with a reading of the design that violates the property."""
+    return Case(model, f"finding {macro}", violated, (macro, *defines))
+
+
+FOUR_TERMS = ("MAX_TERM=4", "MAX_LOG=1")
+TWO_ENTRIES = ("MAX_TERM=3", "MAX_LOG=2")
+FOUR_VOTERS = ("INITIAL_VOTERS=15", "MAX_LOSSES=0")
+THREE_ENTRIES = ("MAX_TERM=2", "MAX_LOG=3")
+CLOCKS = ("ELECTION_TIMEOUT=12",)
+ONE_CHANGE = ("MAX_REVISION=1",)
+THREE_ATTEMPTS = ("MAX_ATTEMPTS=3", "MAX_TOKENS=4", "SLOTS=3")
+OLDER_BARRIER = ("OLDER_BARRIER", "RESTART_MAY_REVERT", *ONE_CHANGE)
+
+CASES = [
+    holds("replication", "3 terms, 2 entries", *TWO_ENTRIES),
+    holds("replication", "4 terms, 1 entry", *FOUR_TERMS),
+    mutant("replication", "VOTE_NOT_DURABLE", "one-leader-per-term"),
+    mutant("replication", "EMPTY_DISK_VOTES", "one-leader-per-term"),
+    mutant("replication", "ACK_BEFORE_FSYNC", "accepted-entry-kept"),
+    mutant("replication", "LEADER_COUNTS_UNSYNCED", "accepted-entry-kept"),
+    mutant("replication", "VOTE_IGNORES_LOG", "accepted-entry-kept"),
+    mutant("replication", "COMMIT_OLDER_TERM", "accepted-entry-kept", *FOUR_TERMS),
+    reachable("replication", "REACH_LEADER", "leader-elected"),
+    reachable("replication", "REACH_LATER_LEADER", "leader-after-accepted-entry"),
+    reachable("replication", "REACH_COMMIT", "entry-committed"),
+    reachable("replication", "REACH_COMMIT_BY_TWO_LEADERS", "committed-by-two-leaders"),
+    holds("voters", "3 terms, 2 entries", "MAX_LOSSES=0", *TWO_ENTRIES),
+    holds("voters", "4 voters, 2 terms, 2 entries", *FOUR_VOTERS, "MAX_TERM=2"),
+    holds("voters", "2 terms, 3 entries, lost disk", *THREE_ENTRIES),
+    mutant("voters", "EMPTY_DISK_VOTES", "one-leader-per-term", "MAX_TERM=2"),
+    mutant("voters", "TWO_CHANGES_AT_ONCE", "accepted-entry-kept", *THREE_ENTRIES),
+    mutant("voters", "REPLACE_IN_ONE_STEP", "one-leader-per-term", *THREE_ENTRIES),
+    mutant("voters", "COUNT_LEARNERS", "accepted-entry-kept"),
+    mutant(
+        "voters",
+        "CHANGE_BEFORE_OWN_COMMIT",
+        "one-leader-per-term",
+        *FOUR_VOTERS,
+        "MAX_LOG=1",
+    ),
+    reachable("voters", "REACH_LEARNER_VOTES", "learner-became-voter"),
+    reachable("voters", "REACH_LEARNER_LEADS", "new-identity-leads"),
+    reachable("voters", "REACH_REPAIR", "voter-replaced", *THREE_ENTRIES),
+    holds("lease", "timeout of 6 units"),
+    finding("lease", "DRIFT_PER_CLOCK", "no-superseded-read", *CLOCKS),
+    mutant("lease", "LEASE_IGNORES_DRIFT", "no-superseded-read"),
+    mutant("lease", "LEASE_FROM_RECEIPT", "no-superseded-read"),
+    mutant("lease", "VOTE_AFTER_RESTART", "no-superseded-read"),
+    mutant("lease", "NO_STICKINESS", "no-superseded-read"),
+    mutant("lease", "STANDS_DESPITE_PROMISE", "no-superseded-read"),
+    finding("lease", "READ_BEFORE_OWN_COMMIT", "no-superseded-read"),
+    reachable("lease", "REACH_READ_BY_LATER_LEADER", "read-by-later-leader"),
+    reachable("lease", "REACH_READ_BESIDE_LATER_LEADER", "read-beside-later-term"),
+    holds("sessions", "1 relay, 1 change", *ONE_CHANGE),
+    holds("sessions", "OLDER_BARRIER, no revert check", *OLDER_BARRIER),
+    finding("sessions", "OLDER_BARRIER", "never-reverts", *ONE_CHANGE),
+    finding("sessions", "REPORTED_SESSIONS_ONLY", "in-force-everywhere", *ONE_CHANGE),
+    finding("sessions", "RELAY_FORGETS_SESSIONS", "in-force-everywhere", *ONE_CHANGE),
+    mutant("sessions", "ENTRY_IGNORES_DRIFT", "in-force-everywhere", *ONE_CHANGE),
+    mutant("sessions", "RELAY_IGNORES_DRIFT", "in-force-everywhere", *OLDER_BARRIER),
+    mutant(
+        "sessions", "RELAY_GRANTS_FULL_LEASE", "in-force-everywhere", *OLDER_BARRIER
+    ),
+    mutant("sessions", "LEASE_FROM_RECEIPT", "in-force-everywhere", *ONE_CHANGE),
+    mutant("sessions", "NEW_LEADER_DOES_NOT_WAIT", "in-force-everywhere", *ONE_CHANGE),
+    mutant("sessions", "CONFIRMED_BY_SENDING", "in-force-everywhere", *ONE_CHANGE),
+    reachable("sessions", "REACH_IN_FORCE", "in-force", *ONE_CHANGE),
+    reachable("sessions", "REACH_IN_FORCE_BY_RELAY", "in-force-by-relay", *ONE_CHANGE),
+    reachable("sessions", "REACH_LEASE_BY_RELAY", "lease-by-relay", *ONE_CHANGE),
+    holds("orders", "3 attempts", *THREE_ATTEMPTS),
+    mutant("orders", "DISPATCH_WITHOUT_TOKEN", "one-dispatch", *THREE_ATTEMPTS),
+    mutant("orders", "TAKEOVER_AFTER_DISPATCH", "one-dispatch", *THREE_ATTEMPTS),
+    mutant("orders", "SEND_BEFORE_DISPATCH", "one-dispatch", *THREE_ATTEMPTS),
+    mutant("orders", "SEND_WITHOUT_ANSWER", "one-dispatch", *THREE_ATTEMPTS),
+    mutant("orders", "NOT_DURABLE=CLAIM", "claim-kept", *THREE_ATTEMPTS),
+    mutant("orders", "NOT_DURABLE=DISPATCH", "one-dispatch", *THREE_ATTEMPTS),
+    mutant("orders", "NOT_DURABLE=RELEASE", "not-run-is-true", *THREE_ATTEMPTS),
+    mutant("orders", "NOT_RUN_AFTER_LOST_ANSWER", "not-run-is-true", *THREE_ATTEMPTS),
+    finding("orders", "RELEASE_FREES", "not-run-is-true", *THREE_ATTEMPTS),
+    finding("orders", "EARLY_NOT_RUN", "not-run-is-true", *THREE_ATTEMPTS),
+    reachable("orders", "REACH_DONE", "done", *THREE_ATTEMPTS),
+    reachable("orders", "REACH_DONE_BY_RESEND", "done-by-resend", *THREE_ATTEMPTS),
+    reachable(
+        "orders", "REACH_DONE_AFTER_TAKEOVER", "done-after-takeover", *THREE_ATTEMPTS
+    ),
+    reachable("orders", "REACH_NOT_RUN", "not-run", *THREE_ATTEMPTS),
+    holds(
+        "orders",
+        "4 attempts",
+        "MAX_ATTEMPTS=4",
+        "MAX_TOKENS=5",
+        "SLOTS=3",
+        large=True,
+    ),
+    holds("voters", "3 terms, 2 entries, lost disk", *TWO_ENTRIES, large=True),
+    holds("lease", "timeout of 12 units", *CLOCKS, large=True),
+    holds(
+        "lease",
+        "LEASE_FOR_BOTH_CLOCKS",
+        "DRIFT_PER_CLOCK",
+        "LEASE_FOR_BOTH_CLOCKS",
+        *CLOCKS,
+        large=True,
+    ),
+    holds(
+        "voters",
+        "4 voters, 3 terms, 2 entries",
+        *FOUR_VOTERS,
+        *TWO_ENTRIES,
+        large=True,
+    ),
+    holds("sessions", "1 relay, 2 changes", "MAX_REVISION=2", large=True),
+    holds("sessions", "2 relays, 1 change", "RELAYS=2", *ONE_CHANGE, large=True),
+    holds("replication", "4 terms, 2 entries", "MAX_TERM=4", "MAX_LOG=2", large=True),
+]
+
+
+def verify(case: Case) -> Result:
+    """Generate, compile and run the verifier of a case in a temporary folder."""
+    started = time.monotonic()
+    with tempfile.TemporaryDirectory(prefix="kingcuplug-models-") as name:
+        folder = Path(name)
+        source, names = _number_assertions((FOLDER / f"{case.model}.pml").read_text())
+        (folder / "model.pml").write_text(source)
+        macros = [f"-D{macro}" for macro in case.defines]
+        _command(folder, "spin", *macros, "-a", "model.pml")
+        memory_mb = LARGE_MEMORY_LIMIT_MB if case.large else MEMORY_LIMIT_MB
+        # Mutants and reachability checks end early, so compile time dominates.
+        optimise = "-O2" if case.expected == "holds" else "-O1"
+        options = [optimise, "-w", "-DSAFETY", f"-DMEMLIM={memory_mb}"]
+        if case.large:
+            options.append("-DCOLLAPSE")  # Less memory, about half the speed.
+        _command(folder, "gcc", *options, "-o", "verifier", "pan.c")
+        bits = LARGE_HASH_BITS if case.large else HASH_BITS
+        report = _command(
+            folder, "./verifier", f"-m{DEPTH_LIMIT}", f"-w{bits}", "-n", check=False
+        )
+    violated = re.search(
+        rf"assertion violated \D*({FIRST_ASSERTION // 100}\d\d)", report
+    )
+    found = names[int(violated[1])] if violated else _verdict(report)
+    return Result(
+        found,
+        int(_number(r"(\d+) states, stored", report)),
+        int(_number(r"depth reached (\d+)", report)),
+        _number(r"([\d.]+)\s+total actual memory usage", report),
+        time.monotonic() - started,
+    )
+
+
+def _command(folder: Path, *command: str, check: bool = True) -> str:
+    """Return the output of a command; a failure raises with that output."""
+    done = subprocess.run(
+        command,
+        cwd=folder,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        check=False,
+    )
+    if check and done.returncode != 0:
+        message = f"{' '.join(command)} exited with {done.returncode}: {done.stdout}"
+        raise RuntimeError(message)
+    return done.stdout
+
+
+def _number_assertions(source: str) -> tuple[str, dict[int, str]]:
+    """Return the source with numbered assertions and the name of each number.
+
+    The verifier prints the text of a violated assertion, but its line numbers are
+    wrong after conditional lines in an inline, so the number is made part of the
+    text. The name comes from the comment above the assertion.
+    """
+    names: dict[int, str] = {}
+    parts = re.split(r"(\bassert\()", source)
+    for position in range(1, len(parts), 2):
+        above = re.findall(
+            r"/\* (?:Property|Reachable) ([a-z0-9-]+)", parts[position - 1]
+        )
+        number = FIRST_ASSERTION + len(names)
+        names[number] = above[-1] if above else "assertion without a name"
+        parts[position] = f"assert(!{number} || "
+    return "".join(parts), names
+
+
+def _verdict(report: str) -> str:
+    """Return ``holds`` or the reason why the search gives no verdict."""
+    if "pan:1:" in report:
+        return "error: " + report.split("pan:1:")[1].splitlines()[0].strip()
+    if "max search depth too small" in report:
+        return "incomplete: depth limit"
+    if "out of memory" in report or "reached -DMEMLIM" in report:
+        return "incomplete: memory limit"
+    if "Search not completed" in report or "errors: 0" not in report:
+        return "incomplete"
+    return "holds"
+
+
+def _number(pattern: str, report: str) -> float:
+    """Return the number that a pattern finds in the report, or 0."""
+    match = re.search(pattern, report)
+    return float(match[1]) if match else 0
+
+
+def main() -> int:
+    """Run the cases of the chosen size and print the table."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--size", choices=["ci", "large"], default="ci")
+    parser.add_argument("--model", help="run this model only")
+    parser.add_argument("--jobs", type=int, default=min(JOBS, os.cpu_count() or 1))
+    arguments = parser.parse_args()
+    large = arguments.size == "large"
+    cases = [
+        case
+        for case in CASES
+        if case.large == large and arguments.model in (None, case.model)
+    ]
+    row = "{:<14} {:<34} {:<32} {:<32} {:>10} {:>6} {:>7} {:>8}"
+    header = [
+        "model",
+        "variant",
+        "expected",
+        "found",
+        "states",
+        "depth",
+        "MB",
+        "seconds",
+    ]
+    print(row.format(*header))
+    failed = 0
+    with ThreadPoolExecutor(arguments.jobs) as pool:
+        for case, result in zip(cases, pool.map(verify, cases), strict=True):
+            print(
+                row.format(
+                    case.model,
+                    case.variant,
+                    case.expected,
+                    result.found,
+                    result.states,
+                    result.depth,
+                    f"{result.memory_mb:.0f}",
+                    f"{result.seconds:.1f}",
+                ),
+                flush=True,
+            )
+            failed += result.found != case.expected
+    print(f"{len(cases) - failed} passed, {failed} failed")
+    return 1 if failed or not cases else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
