Test the routing package in virtual time

Faults found by writing them and fixed here: a first observed latency counted only a fifth; retries after a lost zone were refused because the budget kept 10 tokens for more attempts than that; an attempt started in the same clock tick as a crash did not acquit its fingerprint; servers lost without requests pushed blames out of the bounded memory.

--- a/packages/routing/src/kingcuplug_routing/_blames.py
+++ b/packages/routing/src/kingcuplug_routing/_blames.py
@@ -1,6 +1,6 @@
 """Crashes, the fingerprints blamed for them, and who is condemned by that."""
 
-from collections import OrderedDict, deque
+from collections import Counter, OrderedDict, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -70,6 +70,7 @@
     incarnation: int
     zone: str
     time: float
+    order: int
     blamed: dict[str, bool] = field(default_factory=dict)
     other_services: bool = False
     one_zone: bool = False
@@ -82,6 +83,9 @@
         self._settings = settings
         self._crashes: OrderedDict[tuple[str, int], Crash] = OrderedDict()
         self._recent: deque[Crash] = deque()
+        self._services: Counter[str] = Counter()
+        self._zones: Counter[str] = Counter()
+        self._order = 0
         self._of: OrderedDict[str, list[Crash]] = OrderedDict()
 
     def record(
@@ -97,12 +101,16 @@
         self._expire(now)
         crash = self._crashes.get((server, incarnation))
         if crash is None:
-            crash = Crash(service, server, incarnation, zone, time)
+            crash = Crash(service, server, incarnation, zone, time, self.next_order())
             self._crashes[server, incarnation] = crash
-            self._recent.append(crash)
-            self._judge()
+            self._judge(crash)
         return crash
 
+    def next_order(self) -> int:
+        """Return a number greater than all before, to order starts and crashes."""
+        self._order += 1
+        return self._order
+
     def blame(self, crash: Crash, fingerprint: str, proven: bool) -> None:
         """Blame a fingerprint for a crash."""
         crash.blamed[fingerprint] = proven
@@ -112,12 +120,12 @@
         if len(self._of) > self._settings.most_entries:
             self._of.popitem(last=False)
 
-    def completed(self, fingerprint: str, started: float, now: float) -> None:
+    def completed(self, fingerprint: str, started: int, now: float) -> None:
         """Withdraw the blames that an attempt started later has disproved."""
         crashes = self._of.get(fingerprint)
         if crashes is None or self.condemned_until(fingerprint, now) is not None:
             return
-        left = [crash for crash in crashes if crash.time >= started]
+        left = [crash for crash in crashes if crash.order > started]
         if left:
             self._of[fingerprint] = left
         else:
@@ -152,20 +160,34 @@
             return False
         return not (crash.one_zone and crash.blamed[fingerprint])
 
-    def _judge(self) -> None:
+    def _judge(self, newest: Crash) -> None:
         """Mark crashes that coincide with the loss of a zone or a rack."""
         window = self._settings.loss_window_s
-        newest = max(crash.time for crash in self._recent)
-        while newest - self._recent[0].time > window:
-            self._recent.popleft()
+        if self._recent and newest.time < self._recent[-1].time - window:
+            return
+        self._recent.append(newest)
+        self._services[newest.service] += 1
+        self._zones[newest.zone] += 1
+        while newest.time - self._recent[0].time > window:
+            self._leave(self._recent.popleft())
         most = self._settings.most_other_losses
-        zones = {crash.zone for crash in self._recent}
-        one_zone = len(self._recent) > most and len(zones) == 1
+        one_zone = len(self._recent) > most and len(self._zones) == 1
         for crash in self._recent:
-            others = {c.server for c in self._recent if c.service != crash.service}
-            crash.other_services = crash.other_services or len(others) > most
+            others = len(self._recent) - self._services[crash.service]
+            crash.other_services = crash.other_services or others > most
             crash.one_zone = one_zone
 
+    def _leave(self, crash: Crash) -> None:
+        self._services[crash.service] -= 1
+        self._zones[crash.zone] -= 1
+        if not self._zones[crash.zone]:
+            del self._zones[crash.zone]
+        if not self._services[crash.service]:
+            del self._services[crash.service]
+        if not crash.blamed:
+            # It only served as evidence of a zone loss.
+            self._crashes.pop((crash.server, crash.incarnation), None)
+
     def _expire(self, now: float) -> None:
         # A condemnation lasts from the last crash, so earlier ones must outlive it.
         oldest = now - 2 * self._settings.condemned_s
--- a/packages/routing/src/kingcuplug_routing/_budget.py
+++ b/packages/routing/src/kingcuplug_routing/_budget.py
@@ -16,14 +16,22 @@
         Tokens earned per first sub-request.
     burst : float
         Most tokens kept.
+    start : float
+        Tokens at the start.
     """
 
     __slots__ = ("_burst", "_share", "tokens")
 
-    def __init__(self, share: float, burst: float) -> None:
+    def __init__(self, share: float, burst: float, start: float) -> None:
         self._share = share
         self._burst = burst
-        self.tokens = min(1.0, share * burst) if share < 1 else burst
+        self.tokens = start if share > 0 else 0.0
+
+    def widen(self, burst: float) -> None:
+        """Raise the burst and fill the tokens that it adds."""
+        if burst > self._burst:
+            self.tokens += burst - self._burst
+            self._burst = burst
 
     def earn(self) -> None:
         """Add the share for one first sub-request."""
--- a/packages/routing/src/kingcuplug_routing/_crash_guard.py
+++ b/packages/routing/src/kingcuplug_routing/_crash_guard.py
@@ -24,7 +24,7 @@
     server: str
     incarnation: int
     proven: bool
-    started: float
+    started: int
     broken: float | None = None
 
 
@@ -93,9 +93,9 @@
         self, attempt_id: str, fingerprint: str, server: str, incarnation: int
     ) -> None:
         """Note that an attempt is about to be sent to a server."""
-        attempt = _Attempt(
-            fingerprint, server, incarnation, self.proven(fingerprint), _now()
-        )
+        started = self._book.next_order()
+        proven = self.proven(fingerprint)
+        attempt = _Attempt(fingerprint, server, incarnation, proven, started)
         self._attempts[attempt_id] = attempt
         self._at.setdefault(server, {})[attempt_id] = attempt
 
--- a/packages/routing/src/kingcuplug_routing/_policy.py
+++ b/packages/routing/src/kingcuplug_routing/_policy.py
@@ -63,7 +63,7 @@
     budget_burst: float = 10.0
     hedge_quantile: float = 0.95
     latency_weight: float = 0.2
-    forget_s: float = 10.0
+    forget_s: float = 30.0
     slow_start_s: float = 5.0
     ejection_failures: int = 3
     ejection_s: float = 1.0
--- a/packages/routing/src/kingcuplug_routing/_router.py
+++ b/packages/routing/src/kingcuplug_routing/_router.py
@@ -57,8 +57,10 @@
         self.statistics = ServiceStatistics(policy)
         self._random = random
         self._fleet = Fleet(policy)
-        self._hedges = Budget(policy.hedge_budget, policy.budget_burst)
-        self._retries = Budget(policy.retry_budget, policy.budget_burst)
+        self._hedges = Budget(policy.hedge_budget, policy.budget_burst, 1.0)
+        self._retries = Budget(
+            policy.retry_budget, policy.budget_burst, policy.budget_burst
+        )
 
     # Directory
 
@@ -74,6 +76,8 @@
         """
         mean_ms = self.statistics.mean_ms
         _wake_all(self._fleet.update(servers, live_entry_hosts, mean_ms, _now()))
+        # A lost zone breaks all its attempts at once, and each has a live replica.
+        self._retries.widen(sum(each.cap for each in self._fleet.servers()))
 
     def snapshots(self) -> list[SnapshotView]:
         """Return the snapshots that are served, newest first."""
--- a/packages/routing/src/kingcuplug_routing/_server.py
+++ b/packages/routing/src/kingcuplug_routing/_server.py
@@ -20,7 +20,7 @@
 _DECREASE = 0.7
 _LOST_BACK_OFF_S = 0.1  # a refused connection costs a round trip; leases end in 2 s
 _MOST_DOUBLINGS = 6
-CENSORED = 2.0
+CENSORED = 2.0  # the rest of an exponential latency is as long as what passed
 _FAULTS = frozenset(
     {AttemptOutcome.FAILED, AttemptOutcome.TIMEOUT, AttemptOutcome.CONNECTION_LOST}
 )
@@ -53,6 +53,7 @@
         "policy",
         "ramp_end",
         "reported_load",
+        "samples",
         "server",
         "sheds",
         "slots",
@@ -70,6 +71,7 @@
         self.incarnation = view.incarnation
         self.in_flight = 0
         self.latency_ms = latency_ms
+        self.samples = 0
         self.failures = 0
         self.sheds = 0
         self.back_off_until = 0.0
@@ -138,7 +140,10 @@
         self.back_off_until = now + min(longest_s, duration_s)
 
     def _sample(self, latency_ms: float) -> None:
-        self.latency_ms += self.policy.latency_weight * (latency_ms - self.latency_ms)
+        self.samples += 1
+        # The first samples count fully; the assumed latency is only a placeholder.
+        weight = max(self.policy.latency_weight, 1.0 / self.samples)
+        self.latency_ms += weight * (latency_ms - self.latency_ms)
 
     def expected_wait_ms(self, priority: Priority) -> float:
         """Return how long a new request would wait for a place."""
--- /dev/null
+++ b/tests/routing/conftest.py
@@ -0,0 +1,41 @@
+"""Servers and routers shared by the routing tests."""
+
+from collections.abc import Callable
+from dataclasses import replace
+from random import Random
+
+import pytest
+from kingcuplug_routing import Holding, Router, RoutingPolicy, ServerView
+
+MakeRouter = Callable[..., Router]
+
+
+def _view(index: int, shards: tuple[int, ...] = (0, 1), **fields: object) -> ServerView:
+    """Return a server with 2 slots; its zone is one of three."""
+    view = ServerView(
+        f"server-{index}",
+        f"127.0.0.1:{9_000 + index}",
+        f"zone-{index % 3}",
+        2,
+        120,
+        "serving",
+        (Holding(1, 2, shards),),
+    )
+    return replace(view, **fields)  # type: ignore[arg-type]
+
+
+@pytest.fixture
+def make_view() -> Callable[..., ServerView]:
+    return _view
+
+
+@pytest.fixture
+def make_router() -> MakeRouter:
+    def make(servers: int = 3, hosts: int = 10, **fields: object) -> Router:
+        """Return a router without slow start, to be made inside the loop."""
+        policy = RoutingPolicy(**({"slow_start_s": 0.0} | fields))  # type: ignore[arg-type]
+        router = Router("stock", policy, Random(7))
+        router.update([_view(i) for i in range(servers)], hosts)
+        return router
+
+    return make
--- /dev/null
+++ b/tests/routing/test_admission.py
@@ -0,0 +1,166 @@
+"""Admission of whole queries: budget, order, early refusal, no starvation."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+
+import pytest
+from kingcuplug_common import Refusal, RefusalKind, RefusalReason
+from kingcuplug_routing import (
+    Admission,
+    AttemptOutcome,
+    Priority,
+    Router,
+)
+from kingcuplug_testkit import run_virtual
+
+MakeRouter = Callable[..., Router]
+SERVICE_S = 0.01
+
+
+async def _query(
+    router: Router, admission: Admission, priority: Priority, deadline_s: float = 10.0
+) -> float:
+    """Run a query of two sub-requests and return its wait for admission."""
+    loop = asyncio.get_running_loop()
+    arrived = loop.time()
+    async with admission.admit(priority, arrived + deadline_s, 2):
+        waited = loop.time() - arrived
+        for shard in range(2):
+            ticket = await router.acquire(1, shard)
+            outcome = AttemptOutcome.CANCELLED
+            try:
+                await asyncio.sleep(SERVICE_S)
+                outcome = AttemptOutcome.OK
+            finally:
+                ticket.finish(outcome, (loop.time() - ticket.started) * 1_000)
+    return waited
+
+
+async def _overload(
+    router: Router, priorities: dict[Priority, float], seconds: float
+) -> tuple[Counter[Priority], Counter[Priority], list[float]]:
+    """Offer queries at regular intervals per class."""
+    admission = Admission(router)
+    served: Counter[Priority] = Counter()
+    refused: Counter[Priority] = Counter()
+    waits: list[float] = []
+
+    async def one(priority: Priority) -> None:
+        try:
+            wait = await _query(router, admission, priority)
+        except Refusal as refusal:
+            assert refusal.kind is RefusalKind.NOT_RUN
+            refused[priority] += 1
+        else:
+            served[priority] += 1
+            if priority is Priority.URGENT:
+                waits.append(wait)
+
+    async def source(priority: Priority, interval_s: float) -> None:
+        tasks = []
+        for _ in range(int(seconds / interval_s)):
+            tasks.append(asyncio.create_task(one(priority)))
+            await asyncio.sleep(interval_s)
+        await asyncio.gather(*tasks)
+
+    await asyncio.gather(*(source(p, each) for p, each in priorities.items()))
+    return served, refused, waits
+
+
+def test_slot_time_stays_within_the_share(make_router: MakeRouter) -> None:
+    # Guards against ten entry hosts that each use a whole server.
+    async def main() -> None:
+        router = make_router()
+        offered = {Priority.NORMAL: 0.005}
+        await _overload(router, offered, 20.0)
+        slots = router.statistics.occupied_ms / 1_000 / 20.0
+        share = router.policy.utilisation * 6 / 10
+        assert 0.9 * share < slots < 1.15 * share  # the burst is used once
+
+    run_virtual(main())
+
+
+def test_urgent_goes_first_and_bulk_does_not_starve(make_router: MakeRouter) -> None:
+    # Guards against urgent checks that wait behind others, and against bulk work
+    # that never runs while normal load exceeds the capacity.
+    async def main() -> None:
+        router = make_router()
+        offered = {
+            Priority.URGENT: 0.2,
+            Priority.NORMAL: 0.01,
+            Priority.BULK: 0.1,
+        }
+        served, refused, waits = await _overload(router, offered, 20.0)
+        assert refused[Priority.URGENT] == 0
+        assert max(waits) < 0.1
+        assert served[Priority.BULK] >= served[Priority.NORMAL] / 20
+        assert refused[Priority.NORMAL] > 0
+
+    run_virtual(main())
+
+
+def test_refuses_early(make_router: MakeRouter) -> None:
+    # Guards against callers that learn of an overload only at their deadline.
+    async def main() -> None:
+        router = make_router()
+        admission = Admission(router)
+        loop = asyncio.get_running_loop()
+        tasks = []
+        for _ in range(2_000):
+            tasks.append(
+                asyncio.create_task(_query(router, admission, Priority.NORMAL))
+            )
+            await asyncio.sleep(0.005)
+        started = loop.time()
+        with pytest.raises(Refusal) as caught:
+            await _query(router, admission, Priority.NORMAL)
+        assert caught.value.reason is RefusalReason.OVERLOADED
+        assert caught.value.retry_after_ms is not None
+        assert loop.time() - started <= router.policy.longest_wait_s + 0.001
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    run_virtual(main())
+
+
+def test_refuses_what_cannot_finish(make_router: MakeRouter) -> None:
+    # Guards against work that is thrown away at its deadline, and against an old
+    # slow period that refuses such work for ever.
+    async def main() -> None:
+        router = make_router()
+        admission = Admission(router)
+        for _ in range(100):
+            await _query(router, admission, Priority.URGENT)
+        with pytest.raises(Refusal) as caught:
+            await _query(router, admission, Priority.URGENT, deadline_s=0.01)
+        assert caught.value.reason is RefusalReason.DEADLINE_EXCEEDED
+        for _ in range(100):
+            try:
+                await _query(router, admission, Priority.URGENT, deadline_s=0.01)
+            except Refusal:
+                continue
+            return
+        pytest.fail("nothing was tried again")
+
+    run_virtual(main())
+
+
+def test_cancelled_wait_costs_nothing(make_router: MakeRouter) -> None:
+    # Guards against budget that leaks when callers go away while they wait.
+    async def main() -> None:
+        router = make_router(burst_s=0.05, longest_wait_s=5.0)
+        admission = Admission(router)
+        await _query(router, admission, Priority.NORMAL)
+        for _ in range(50):
+            tasks = [
+                asyncio.create_task(_query(router, admission, Priority.NORMAL))
+                for _ in range(5)
+            ]
+            await asyncio.sleep(0.001)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.sleep(1.0)
+        assert await _query(router, admission, Priority.NORMAL) == 0.0
+
+    run_virtual(main())
--- /dev/null
+++ b/tests/routing/test_router.py
@@ -0,0 +1,423 @@
+"""Choice, limits, budgets and ejection of one router."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import replace
+from random import Random
+
+import pytest
+from kingcuplug_common import Refusal, RefusalKind, RefusalReason
+from kingcuplug_routing import (
+    Attempt,
+    AttemptOutcome,
+    Priority,
+    Router,
+    RoutingPolicy,
+    ServerView,
+    baseline_policy,
+)
+from kingcuplug_testkit import run_virtual
+
+MakeRouter = Callable[..., Router]
+MakeView = Callable[..., ServerView]
+OK = AttemptOutcome.OK
+
+
+def _spread(router: Router, rounds: int, latency_ms: dict[str, float]) -> Counter[str]:
+    chosen: Counter[str] = Counter()
+    for _ in range(rounds):
+        ticket = router.choose(1, 0)
+        assert ticket is not None
+        chosen[ticket.server] += 1
+        ticket.finish(OK, latency_ms.get(ticket.server, 10.0))
+    return chosen
+
+
+def _fail(router: Router, server: str, outcome: AttemptOutcome, times: int) -> None:
+    others = {f"server-{i}" for i in range(9)} - {server}
+    for _ in range(times):
+        ticket = router.choose(1, 0, others)
+        assert ticket is not None
+        ticket.finish(outcome, 10.0)
+
+
+def test_avoids_a_straggler(make_router: MakeRouter) -> None:
+    # Guards against a slow replica that keeps its even share of the work.
+    async def main() -> None:
+        chosen = _spread(make_router(), 300, {"server-1": 100.0})
+        assert chosen["server-1"] < 30
+
+    run_virtual(main())
+
+
+def test_straggler_gets_nothing_while_others_are_only_busy(
+    make_router: MakeRouter,
+) -> None:
+    # Guards against a full limit that pushes work to the straggler.
+    async def main() -> None:
+        router = make_router()
+        _spread(router, 100, {"server-1": 200.0})
+        held = [router.choose(1, 0, {"server-1"}) for _ in range(4)]
+        waiting = asyncio.create_task(router.acquire(1, 0))
+        await asyncio.sleep(0.001)
+        assert not waiting.done()
+        assert held[0] is not None
+        held[0].finish(OK, 10.0)
+        assert (await waiting).server != "server-1"
+
+    run_virtual(main())
+
+
+def test_cancelled_loser_is_not_a_fast_answer(make_router: MakeRouter) -> None:
+    # Guards against hedge losers that make a straggler look quick.
+    async def main() -> None:
+        router = make_router(latency_weight=0.5)
+        _fail(router, "server-1", OK, 20)
+        for _ in range(20):
+            ticket = router.choose(1, 0, {"server-0", "server-2"})
+            assert ticket is not None
+            ticket.finish(AttemptOutcome.CANCELLED, 1.0)
+        chosen = _spread(router, 60, {"server-0": 5.0, "server-2": 5.0})
+        assert chosen["server-1"] < 20
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize(
+    ("slots", "connections", "hosts", "most"),
+    [(3, 30, 10, 3), (3, 30, 20, 1), (2, 120, 10, 2), (3, 5, 10, 1)],
+)
+def test_connection_budget(
+    slots: int, connections: int, hosts: int, most: int, make_view: MakeView
+) -> None:
+    # Guards against entry hosts that together exceed a server's connections.
+    async def main() -> None:
+        router = Router("stock", RoutingPolicy(slow_start_s=0.0), Random(1))
+        view = make_view(0, slots=slots, connections=connections)
+        router.update([view], hosts)
+        for _ in range(100):
+            held = []
+            while (ticket := router.choose(1, 0)) is not None:
+                held.append(ticket)
+            assert len(held) <= most
+            for each in held:
+                each.finish(OK, 10.0)
+        assert len(held) == most
+
+    run_virtual(main())
+
+
+def test_sheds_lower_the_limit_and_back_off(make_router: MakeRouter) -> None:
+    # Guards against sending on to a server that sheds.
+    async def main() -> None:
+        router = make_router(1)
+        _spread(router, 50, {})
+        ticket = router.choose(1, 0)
+        assert ticket is not None
+        ticket.finish(AttemptOutcome.SHED, 1.0)
+        assert router.choose(1, 0) is None
+        await asyncio.sleep(1.0)
+        assert router.choose(1, 0) is not None
+        assert router.choose(1, 0) is None
+
+    run_virtual(main())
+
+
+def test_ejection_is_capped_and_ends(make_router: MakeRouter) -> None:
+    # Guards against ejecting so many replicas that the rest is overloaded.
+    async def main() -> None:
+        router = make_router()
+        _fail(router, "server-0", AttemptOutcome.FAILED, 3)
+        assert "server-0" not in _spread(router, 60, {})
+        _fail(router, "server-1", AttemptOutcome.FAILED, 3)
+        assert len(_spread(router, 60, {})) >= 2
+        await asyncio.sleep(5.0)
+        assert len(_spread(router, 200, {})) == 3
+
+    run_virtual(main())
+
+
+def test_last_replica_is_used_though_it_fails(make_router: MakeRouter) -> None:
+    # Guards against refusing what a live replica could still serve.
+    async def main() -> None:
+        router = make_router(1)
+        _fail(router, "server-0", AttemptOutcome.FAILED, 10)
+        assert router.choose(1, 0) is not None
+        router = make_router(2)
+        _fail(router, "server-0", AttemptOutcome.FAILED, 3)
+        ticket = router.choose(1, 0, {"server-1"})
+        assert ticket is not None
+        assert ticket.server == "server-0"
+
+    run_virtual(main())
+
+
+def test_lost_replica_costs_no_refusal(make_router: MakeRouter) -> None:
+    # Guards against a refusal while a live replica has room.
+    async def main() -> None:
+        router = make_router()
+        for _ in range(50):
+            ticket = await router.acquire(1, 0)
+            if ticket.server == "server-2":
+                ticket.finish(AttemptOutcome.CONNECTION_LOST, 1.0)
+                ticket = await router.acquire(1, 0, {"server-2"}, attempt=Attempt.RETRY)
+            ticket.finish(OK, 10.0)
+            await asyncio.sleep(0.01)
+
+    run_virtual(main())
+
+
+def test_snapshot_gone_leaves_the_snapshot(make_router: MakeRouter) -> None:
+    # Guards against asking a server again for a snapshot that it dropped.
+    async def main() -> None:
+        router = make_router(1)
+        _fail(router, "server-0", AttemptOutcome.SNAPSHOT_GONE, 1)
+        assert router.snapshots() == []
+        with pytest.raises(Refusal) as caught:
+            await router.acquire(1, 0)
+        assert caught.value.reason is RefusalReason.SNAPSHOT_UNKNOWN
+
+    run_virtual(main())
+
+
+def test_snapshots_are_newest_first(make_view: MakeView) -> None:
+    # Guards against answers from an old snapshot, and a shard counted as served
+    # because only a draining server holds it.
+    async def main() -> None:
+        router = Router("stock", RoutingPolicy(), Random(1))
+        newer = replace(make_view(0).holdings[0], snapshot=2)  # type: ignore[type-var]
+        serving = make_view(0, holdings=(*make_view(0).holdings, newer))
+        router.update([make_view(1, (0,)), serving], 1)
+        assert [view.snapshot for view in router.snapshots()] == [2, 1]
+        router.update([make_view(0, (1,)), make_view(1, state="draining")], 1)
+        assert router.snapshots()[0].served_shards == {1}
+        assert router.choose(1, 0) is None
+
+    run_virtual(main())
+
+
+def test_new_incarnation_starts_slowly(
+    make_router: MakeRouter, make_view: MakeView
+) -> None:
+    # Guards against a cold server that gets its full share at once.
+    async def main() -> None:
+        router = make_router(slow_start_s=5.0)
+        await asyncio.sleep(6.0)
+        fresh = make_view(0, incarnation=1)
+        router.update([fresh, make_view(1), make_view(2)], 10)
+        early = _spread(router, 300, {})["server-0"]
+        await asyncio.sleep(6.0)
+        late = _spread(router, 300, {})["server-0"]
+        assert early < 30 < late
+
+    run_virtual(main())
+
+
+def test_own_zone_is_preferred_until_it_is_the_more_loaded_one(
+    make_router: MakeRouter,
+) -> None:
+    # Guards against a zone preference that overloads the entry host's own zone.
+    async def main() -> None:
+        router = make_router()
+        for latency_ms, least, most in ((10.0, 100, 200), (13.0, 0, 60)):
+            chosen: Counter[str] = Counter()
+            for turn in range(600):
+                ticket = router.choose(1, 0, zone="zone-0")
+                assert ticket is not None
+                chosen[ticket.server] += turn >= 400
+                slow = ticket.server == "server-0"
+                ticket.finish(OK, latency_ms if slow else 10.0)
+                await asyncio.sleep(0.01)
+            assert least <= chosen["server-0"] <= most
+
+    run_virtual(main())
+
+
+def test_load_reports_only_break_ties(
+    make_router: MakeRouter, make_view: MakeView
+) -> None:
+    # Guards against a lying load endpoint that attracts work.
+    async def main() -> None:
+        router = make_router()
+        liar = make_view(1, reported_load=-1.0)
+        honest = [make_view(i, reported_load=5.0) for i in (0, 2)]
+        router.update([liar, *honest], 10)
+        assert _spread(router, 300, {"server-1": 40.0})["server-1"] < 30
+
+    run_virtual(main())
+
+
+def test_hedges_stay_within_the_budget(make_router: MakeRouter) -> None:
+    # Guards against extra load above 5% when every attempt is slow.
+    async def main() -> None:
+        router = make_router()
+        hedges = 0
+        for _ in range(2_000):
+            first = router.choose(1, 0)
+            assert first is not None
+            hedge = router.choose(1, 0, {first.server}, attempt=Attempt.HEDGE)
+            if hedge is not None:
+                hedges += 1
+                hedge.finish(AttemptOutcome.CANCELLED, 1.0)
+            first.finish(OK, 10.0)
+        assert 90 <= hedges <= 101
+
+    run_virtual(main())
+
+
+def test_hedge_delay_follows_the_observed_quantile(make_router: MakeRouter) -> None:
+    # Guards against hedges that start before most answers could arrive.
+    async def main() -> None:
+        router = make_router()
+        assert router.hedge_delay_ms(0) is None
+        random = Random(3)
+        for _ in range(2_000):
+            ticket = router.choose(1, 0)
+            assert ticket is not None
+            ticket.finish(OK, 2.0 + random.expovariate(1 / 8.0))
+        delay_ms = router.hedge_delay_ms(0)
+        assert delay_ms is not None
+        assert 20.0 < delay_ms < 34.0  # the true 95th percentile is 26 ms
+
+    run_virtual(main())
+
+
+def test_retries_are_refused_without_budget(make_router: MakeRouter) -> None:
+    # Guards against retry storms.
+    async def main() -> None:
+        router = make_router()
+        sent = 0
+        with pytest.raises(Refusal, match="retry budget"):
+            for _ in range(50):
+                ticket = await router.acquire(1, 0, attempt=Attempt.RETRY)
+                ticket.finish(OK, 1.0)
+                sent += 1
+        assert sent <= 10
+
+    run_virtual(main())
+
+
+def test_waits_in_order_of_priority(make_router: MakeRouter) -> None:
+    # Guards against an urgent check that waits behind bulk work.
+    async def main() -> None:
+        router = make_router(1)
+        held = router.choose(1, 0)
+        assert held is not None
+        order: list[Priority] = []
+
+        async def work(priority: Priority) -> None:
+            ticket = await router.acquire(1, 0, priority=priority)
+            order.append(priority)
+            await asyncio.sleep(0.01)
+            ticket.finish(AttemptOutcome.CANCELLED, 0.0)
+
+        tasks = [asyncio.create_task(work(p)) for p in reversed(Priority)]
+        await asyncio.sleep(0.001)
+        held.finish(AttemptOutcome.CANCELLED, 0.0)
+        await asyncio.gather(*tasks)
+        assert order == list(Priority)
+
+    run_virtual(main())
+
+
+def test_late_work_is_refused_before_it_is_sent(make_router: MakeRouter) -> None:
+    # Guards against wasting slots on answers that come too late.
+    async def main() -> None:
+        router = make_router(1)
+        _spread(router, 100, {"server-0": 100.0})
+        now = asyncio.get_running_loop().time()
+        with pytest.raises(Refusal) as caught:
+            await router.acquire(1, 0, deadline=now + 0.02)
+        assert caught.value.kind is RefusalKind.NOT_RUN
+        assert caught.value.reason is RefusalReason.DEADLINE_EXCEEDED
+        for _ in range(2):
+            assert router.choose(1, 0) is not None
+        with pytest.raises(Refusal):
+            await router.acquire(1, 0, deadline=now + 0.2)
+        assert asyncio.get_running_loop().time() - now <= 0.2
+
+    run_virtual(main())
+
+
+def test_refusals_do_not_last_for_ever(make_router: MakeRouter) -> None:
+    # Guards against one slow period after which every request is refused.
+    async def main() -> None:
+        router = make_router(1)
+        _spread(router, 100, {"server-0": 1_000.0})
+        for _ in range(300):
+            deadline = asyncio.get_running_loop().time() + 0.1
+            try:
+                ticket = await router.acquire(1, 0, deadline=deadline)
+            except Refusal:
+                continue
+            ticket.finish(OK, 10.0)
+            return
+        pytest.fail("no request was tried again")
+
+    run_virtual(main())
+
+
+def test_early_timer_does_not_spin(make_router: MakeRouter) -> None:
+    # Guards against re-arming a timer for ever when it fires within the clock's
+    # resolution of its time, which hung a run.
+    async def main() -> None:
+        router = make_router(1)
+        for _ in range(200):
+            ticket = await router.acquire(1, 0)
+            await asyncio.sleep(0.0013)
+            ticket.finish(AttemptOutcome.SHED, 1.3)
+
+    run_virtual(asyncio.wait_for(main(), 3_600))
+
+
+def test_update_keeps_requests_in_flight(
+    make_router: MakeRouter, make_view: MakeView
+) -> None:
+    # Guards against capacity that is forgotten when the directory changes.
+    async def main() -> None:
+        router = make_router(1)
+        held = router.choose(1, 0)
+        assert held is not None
+        router.update([], 10)
+        waiting = asyncio.create_task(router.acquire(1, 0))
+        with pytest.raises(Refusal, match="no server"):
+            await waiting
+        router.update([make_view(0)], 10)
+        assert router.choose(1, 0) is None
+        held.finish(OK, 1.0)
+        held.finish(OK, 1.0)
+        assert router.choose(1, 0) is not None
+        assert router.choose(1, 0) is None
+
+    run_virtual(main())
+
+
+def test_waiting_request_moves_to_a_new_server(
+    make_router: MakeRouter, make_view: MakeView
+) -> None:
+    # Guards against a request that waits for a lost server only.
+    async def main() -> None:
+        router = make_router(1)
+        router.choose(1, 0)
+        waiting = asyncio.create_task(router.acquire(1, 0))
+        await asyncio.sleep(0.01)
+        router.update([make_view(5)], 10)
+        assert (await waiting).server == "server-5"
+
+    run_virtual(main())
+
+
+def test_baseline_is_random_and_unlimited(make_view: MakeView) -> None:
+    # Guards against a baseline that shares the rules it is compared with.
+    async def main() -> None:
+        router = Router("stock", baseline_policy(), Random(7))
+        router.update([make_view(i) for i in range(3)], 10)
+        held = [router.choose(1, 0) for _ in range(300)]
+        assert all(held)
+        assert router.hedge_delay_ms(0) is None
+        assert not router.may_hedge()
+        counts = Counter(ticket.server for ticket in held if ticket)
+        assert min(counts.values()) > 70
+
+    run_virtual(main())
