Let an entry host use more than its even share while servers have room

With fixed even shares, an entry host that got half of all queries refused most of them while slots stood idle.

--- a/packages/routing/src/kingcuplug_routing/_admission.py
+++ b/packages/routing/src/kingcuplug_routing/_admission.py
@@ -15,6 +15,7 @@
 
 from kingcuplug_routing._refusals import overloaded, too_late
 from kingcuplug_routing._router import Router
+from kingcuplug_routing._share import AdaptiveShare
 from kingcuplug_routing._types import Priority
 from kingcuplug_routing._waiting import Waiter, WaitingQueue
 
@@ -45,6 +46,7 @@
         self._refilled = 0.0
         self._charged_ms = 0.0
         self._duration_s = 0.0
+        self._share = AdaptiveShare(router.policy.greatest_share)
         self._timer: asyncio.TimerHandle | None = None
 
     def admit(
@@ -102,6 +104,7 @@
     async def _wait(
         self, priority: Priority, deadline: float, cost: float, now: float
     ) -> None:
+        self._share.bound = True
         expected_s = self._expected_wait_s(priority, cost)
         longest_s = min(
             self._longest_wait_s(priority),
@@ -148,6 +151,7 @@
         self._timer = asyncio.get_running_loop().call_later(delay, self._pump)
 
     def _refill(self, now: float) -> None:
+        self._share.adapt(self._router.statistics, now)
         rate = self._rate()
         depth = self._depth(rate)
         level = self._level_s + rate * (now - self._refilled)
@@ -156,7 +160,8 @@
 
     def _rate(self) -> float:
         """Return this entry host's slot time per second."""
-        return max(1e-6, self._policy.utilisation * self._router.slots())
+        share = self._share.factor * self._router.slots()
+        return max(1e-6, self._policy.utilisation * share)
 
     def _depth(self, rate: float) -> float:
         return self._policy.burst_s * rate
--- a/packages/routing/src/kingcuplug_routing/_policy.py
+++ b/packages/routing/src/kingcuplug_routing/_policy.py
@@ -47,6 +47,9 @@
     utilisation : float
         Share of the service's slots that all entry hosts together plan to use;
         infinite for no admission control.
+    greatest_share : float
+        Multiple of its even share that an entry host may use while servers have
+        room.
     urgent_reserve : float
         Share of the admission burst that only urgent requests may use.
     burst_s : float
@@ -72,6 +75,7 @@
     zone_factor: float = 0.9
     turn_after: int = 15
     utilisation: float = 1.1
+    greatest_share: float = 10.0
     urgent_reserve: float = 0.2
     burst_s: float = 1.0
     longest_wait_s: float = 0.2
--- a/packages/routing/src/kingcuplug_routing/_statistics.py
+++ b/packages/routing/src/kingcuplug_routing/_statistics.py
@@ -8,6 +8,7 @@
 
 _MEAN_WEIGHT = 0.05
 _BUSY_WEIGHT = 0.02
+_PLAIN = 50
 _MEDIAN_SHARE = 0.7  # median of an exponential distribution, as a share of its mean
 _DOUBT = 0.98
 
@@ -25,11 +26,15 @@
         before the first attempt.
     occupied_ms : float
         Total of these times.
+    answered, answered_ms : int, float
+        Answers and the total of their latencies.
     """
 
     __slots__ = (
         "_ratios",
         "_shard_ms",
+        "answered",
+        "answered_ms",
         "busy_ms",
         "finished",
         "mean_ms",
@@ -43,16 +48,16 @@
         self.busy_ms = 0.0
         self.occupied_ms = 0.0
         self.mean_ms = 1.0
+        self.answered = 0
+        self.answered_ms = 0.0
         self.finished = 0
         self.shed = 0
 
     def record(self, shard: int, outcome: AttemptOutcome, latency_ms: float) -> None:
         """Add one attempt."""
-        if not self.finished:
-            self.busy_ms = self.mean_ms = latency_ms
         self.finished += 1
         self.occupied_ms += latency_ms
-        self.busy_ms += _BUSY_WEIGHT * (latency_ms - self.busy_ms)
+        self.busy_ms += _weight(self.finished) * (latency_ms - self.busy_ms)
         if outcome is AttemptOutcome.OK:
             self._answer(shard, latency_ms)
         elif outcome is AttemptOutcome.SHED:
@@ -87,6 +92,13 @@
         if mean_ms is None or mean_ms <= 0:
             mean_ms = latency_ms
         self._shard_ms[shard] = mean_ms + _MEAN_WEIGHT * (latency_ms - mean_ms)
-        self.mean_ms += _BUSY_WEIGHT * (latency_ms - self.mean_ms)
+        self.answered += 1
+        self.answered_ms += latency_ms
+        self.mean_ms += _weight(self.answered) * (latency_ms - self.mean_ms)
         if mean_ms > 0:
             self._ratios.record(latency_ms / mean_ms)
+
+
+def _weight(count: int) -> float:
+    """Return the weight of one observation; the first ones form a plain mean."""
+    return _BUSY_WEIGHT if count > _PLAIN else 1.0 / count
--- a/tools/_routing_model.py
+++ b/tools/_routing_model.py
@@ -200,7 +200,13 @@
             outcome = await self._hedged(ticket, shard, deadline, tried)
             if outcome is AttemptOutcome.OK:
                 return True
-            if outcome is not AttemptOutcome.SHED:
+            if not self.router.policy.limited:
+                # The baseline tries each replica once; without back-off, more
+                # retries would only load the servers' hosts.
+                tried.add(ticket.server)
+                if len(tried) >= self.layout.replicas:
+                    return False
+            elif outcome is not AttemptOutcome.SHED:
                 # A server that shed is only full; its back-off is the router's.
                 tried.add(ticket.server)
             if len(tried) >= self.layout.replicas:
