--- a/packages/routing/src/kingcuplug_routing/_admission.py
+++ b/packages/routing/src/kingcuplug_routing/_admission.py
@@ -46,7 +46,7 @@
         self._refilled = 0.0
         self._charged_ms = 0.0
         self._duration_s = 0.0
-        self._share = AdaptiveShare()
+        self._share = AdaptiveShare(router.policy.greatest_share)
         self._timer: asyncio.TimerHandle | None = None
 
     def admit(
--- a/packages/routing/src/kingcuplug_routing/_share.py
+++ b/packages/routing/src/kingcuplug_routing/_share.py
@@ -15,7 +15,6 @@
 _GROWTH = 1.1
 _DECAY = 0.9
 _SMALLEST = 0.5
-_GREATEST = 10.0
 _SHED_LOW = 0.12  # an even load of 120% keeps sheds at about 0.18
 _SHED_HIGH = 0.2
 _SHED_LESS = 0.25
@@ -28,6 +27,11 @@
 class AdaptiveShare:
     """Factor on the even share.
 
+    Parameters
+    ----------
+    greatest : float
+        Upper bound of the factor.
+
     Attributes
     ----------
     factor : float
@@ -41,13 +45,15 @@
         "_answered_ms",
         "_best_ms",
         "_finished",
+        "_greatest",
         "_shed",
         "_window_end",
         "bound",
         "factor",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, greatest: float) -> None:
+        self._greatest = greatest
         self.factor = 1.0
         self.bound = False
         self._best_ms = 0.0
@@ -76,7 +82,7 @@
         elif shed > _SHED_HIGH or slow > _SLOW_HIGH:
             factor = max(1.0, factor * _DECAY)
         elif self.bound and shed < _SHED_LOW and slow < _SLOW_LOW:
-            factor = min(_GREATEST, factor * _GROWTH)
+            factor = min(self._greatest, factor * _GROWTH)
         self.factor = factor
         self._answered = statistics.answered
         self._answered_ms = statistics.answered_ms
