Test each safety rule of the log on its own

Cause: the fault matrix did not notice acknowledgement before fsync, a vote that is not persisted, an empty disk that votes under its old identity, or a count of older terms: with one crash at a time the other hosts cover for it. Change: focused tests of storage, votes, commit, lease and members; a crash of the storage script after every single call; the matrix fault "crash of all hosts after a commit".

--- a/packages/testkit/src/kingcuplug_testkit/_disk.py
+++ b/packages/testkit/src/kingcuplug_testkit/_disk.py
@@ -87,6 +87,8 @@
         Traps that wait for their call, and those that have met it.
     calls : list of tuple
         Every call that had its effect, as (method, file name).
+    crash_at : int, optional
+        Number of calls after which the host crashes.
     """
 
     def __init__(self, random: Random, sync_s: float = _SYNC_S) -> None:
@@ -97,6 +99,7 @@
         self.sprung: list[Trap] = []
         self.on_crash: Callable[[], None] = lambda: None
         self.calls: list[tuple[str, str]] = []
+        self.crash_at: int | None = None
         self.names: dict[str, _File] = {}
         self.durable_names: dict[str, _File] = {}
         self.pending: list[tuple[str, str | None, _File | None]] = []
@@ -273,6 +276,9 @@
 
     def _leave(self, call: str, name: str) -> None:
         self._disk.calls.append((call, name))
+        if len(self._disk.calls) == self._disk.crash_at:
+            self._disk.crash()
+            raise Crashed(errno.EIO, "the host has crashed")
         self._spring(call, name, "after")
 
     def _spring(self, call: str, name: str, moment: str) -> None:
--- a/packages/testkit/src/kingcuplug_testkit/_faults.py
+++ b/packages/testkit/src/kingcuplug_testkit/_faults.py
@@ -124,6 +124,22 @@
     return Fault(name, strike)
 
 
+def _power_failure() -> Fault:
+    """Crash all hosts at the moment when a client is told of a commit."""
+
+    def strike(cell: "Cell", leading: Host, following: Host) -> None:
+        del leading, following
+
+        def crash() -> None:
+            cell.on_acknowledged = lambda: None
+            for host in cell.group.running():
+                host.disk.crash()
+
+        cell.on_acknowledged = crash
+
+    return Fault("crash of all hosts after a commit", strike)
+
+
 def _lost_disk(name: str, *, follower: bool) -> Fault:
     def strike(cell: "Cell", leading: Host, following: Host) -> None:
         del cell
@@ -189,6 +205,7 @@
         _cut("leading cannot receive", out=False),
         _crash("crash, leading", follower=False),
         _crash("crash, following", follower=True),
+        _power_failure(),
         *(
             _trap(f"crash {moment} fsync", Trap("sync", "*", moment), follower=follower)
             for moment in ("before", "after")
--- a/packages/testkit/src/kingcuplug_testkit/_log_group.py
+++ b/packages/testkit/src/kingcuplug_testkit/_log_group.py
@@ -258,13 +258,18 @@
         assert leader is not None
         return leader
 
-    async def until(self, condition: Callable[[], bool], timeout: float = 10) -> None:
+    async def until(
+        self,
+        condition: Callable[[], bool],
+        timeout: float = 10,
+        poll_s: float = _POLL_S,
+    ) -> None:
         """Wait for a condition; raises `TimeoutError`."""
         async with asyncio.timeout(timeout):
             while True:
                 if condition():
                     return
-                await asyncio.sleep(_POLL_S)
+                await asyncio.sleep(poll_s)
 
     async def propose(self, command: Any, timeout: float = 10) -> Any:
         """Propose at the leader until it succeeds; for commands that may repeat."""
--- a/packages/testkit/src/kingcuplug_testkit/_matrix.py
+++ b/packages/testkit/src/kingcuplug_testkit/_matrix.py
@@ -59,6 +59,8 @@
     ----------
     before_strike : callable
         Called directly before the faults strike.
+    on_acknowledged : callable
+        Called directly after a client was told that its command is committed.
     victims : set of str
         Hosts that the faults name.
     """
@@ -66,6 +68,7 @@
     def __init__(self, faults: Sequence[Fault], step: Step, seed: str) -> None:
         self.group = LogGroup(seed, _SETTINGS)
         self.before_strike: Callable[[], None] = lambda: None
+        self.on_acknowledged: Callable[[], None] = lambda: None
         self._faults = faults
         self._step = step
         self._armed = False
@@ -200,6 +203,7 @@
         self._sprung = self._all_sprung()
         for host in self.group.hosts.values():
             host.disk.traps.clear()
+        self.on_acknowledged = lambda: None
         self.group.network.heal()
         for host in list(self.group.hosts.values()):
             await self._restart(host)
@@ -260,6 +264,7 @@
             async with asyncio.timeout(_PROPOSE_S):
                 result = await replica.propose(command)
             self.group.invariants.answered(result["index"], command)
+            self.on_acknowledged()
             return True
         return False
 
--- a/tests/log/test_replica.py
+++ b/tests/log/test_replica.py
@@ -1,14 +1,42 @@
 """A group must keep what it acknowledged and go on after a loss."""
 
-from kingcuplug_testkit import LogGroup, run_virtual
+import asyncio
+import errno
+
+import pytest
+from kingcuplug_log import (
+    BootstrapRefused,
+    LogSettings,
+    LostLeadership,
+    NotLeader,
+    Replica,
+    StorageFailed,
+    WrongIdentity,
+)
+from kingcuplug_testkit import Host, LogGroup, Trap, run_virtual
+
+_SLOW_SYNC_S = 0.2  # Longer than a heartbeat, shorter than the lease.
+
+
+async def _three(name: str, settings: LogSettings | None = None) -> LogGroup:
+    group = LogGroup(name, settings)
+    await group.start("a", "b", "c")
+    await group.propose({"number": 0})
+    await group.converge()
+    return group
+
+
+def _lead(group: LogGroup) -> tuple[Host, list[Host]]:
+    leader = group.leader()
+    assert leader is not None
+    return leader, group.followers()
 
 
 def test_group_survives_loss_of_leader() -> None:
     # Guards against a group that loses commands or stalls when its leader dies.
     async def main() -> None:
-        group = LogGroup("loss of leader")
-        await group.start("a", "b", "c")
-        for number in range(50):
+        group = await _three("loss of leader")
+        for number in range(1, 50):
             await group.propose({"number": number})
         leader = await group.wait_leader()
         leader.disk.crash()
@@ -20,3 +48,140 @@
         group.invariants.check()
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("slow_leader", [False, True])
+def test_commit_waits_for_sync_of_quorum(slow_leader: bool) -> None:
+    # Guards against an acknowledged command that a power failure takes back.
+    async def main() -> None:
+        group = await _three("slow sync")
+        leader, (follower, cut_off) = _lead(group)
+        cut_off.disk.crash()
+        (leader if slow_leader else follower).disk.sync_s = _SLOW_SYNC_S
+        proposal = asyncio.ensure_future(group.replica(leader.name).propose({"n": 1}))
+        await asyncio.sleep(_SLOW_SYNC_S * 0.9)
+        assert not proposal.done()
+        await proposal
+        await group.stop()
+
+    run_virtual(main())
+
+
+def test_leader_with_failed_storage_steps_down() -> None:
+    # Guards against acknowledgements from a disk that has lost pages.
+    async def main() -> None:
+        group = await _three("failed storage")
+        leader, _ = _lead(group)
+        replica = group.replica(leader.name)
+        leader.disk.traps.append(Trap("sync", "log", error=errno.EIO))
+        with pytest.raises(LostLeadership):
+            await replica.propose({"n": 1})
+        with pytest.raises(StorageFailed):
+            await replica.propose({"n": 2})
+        assert replica.status().storage_failed
+        await group.propose({"n": 3})
+        assert group.leader() is not leader
+        await group.stop()
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_lease_allows_for_drift(seed: int) -> None:
+    # Guards against old state from a cut-off leader whose clock is slow by the bound.
+    # The bound is large here, so that a lease without it overlaps the next term.
+    async def main() -> None:
+        settings = LogSettings(drift_bound=0.4)
+        group = await _three(f"drift {seed}", settings)
+        old, followers = _lead(group)
+        stale = group.replica(old.name)
+        old.clock.drift(1 - settings.drift_bound)
+        group.network.isolate(old.name, list(group.hosts))
+        await group.until(
+            lambda: any(group.replica(host.name).leading for host in followers),
+            poll_s=0.001,
+        )
+        assert not stale.status().lease_valid
+        with pytest.raises(NotLeader):
+            await stale.read_barrier()
+        await group.stop()
+
+    run_virtual(main())
+
+
+def test_read_without_lease_needs_quorum_round() -> None:
+    # Guards against refusing reads although a quorum still follows, and against
+    # serving them without asking.
+    async def main() -> None:
+        group = await _three("quorum round", LogSettings(drift_bound=0.9))
+        leader, _ = _lead(group)
+        replica = group.replica(leader.name)
+        await group.until(lambda: not replica.status().lease_valid, poll_s=0.001)
+        applied = replica.status().applied_index
+        assert await replica.read_barrier() == applied
+        group.network.isolate(leader.name, list(group.hosts))
+        await asyncio.sleep(0.04)
+        with pytest.raises(NotLeader):
+            await replica.read_barrier()
+        await group.stop()
+
+    run_virtual(main())
+
+
+def test_follower_names_leader() -> None:
+    # Guards against a caller that cannot find the leader.
+    async def main() -> None:
+        group = await _three("hint")
+        leader, (follower, _) = _lead(group)
+        with pytest.raises(NotLeader) as caught:
+            await group.replica(follower.name).propose({"n": 1})
+        assert caught.value.hint == leader.member
+        await group.stop()
+
+    run_virtual(main())
+
+
+def test_unusable_command_is_refused_early() -> None:
+    # Guards against a command that ends the writer of the whole group.
+    async def main() -> None:
+        group = await _three("unusable")
+        leader, _ = _lead(group)
+        with pytest.raises(TypeError):
+            await group.replica(leader.name).propose({"n": object()})
+        await group.propose({"n": 1})
+        await group.stop()
+
+    run_virtual(main())
+
+
+def test_used_folder_is_not_bootstrapped() -> None:
+    # Guards against a second cluster on the disk of a voter.
+    async def main() -> None:
+        group = await _three("bootstrap")
+        with pytest.raises(BootstrapRefused):
+            await group.replica("b").bootstrap("other")
+        await group.stop()
+
+    run_virtual(main())
+
+
+def test_identity_must_match_disk() -> None:
+    # Guards against a host that votes with the identity of its former disk.
+    async def main() -> None:
+        group = await _three("identity")
+        replica = group.replica("a")
+        core = replica._core
+        other = Replica(
+            group.hosts["b"].member,
+            core.storage,
+            group.network.transport("a"),
+            group.hosts["a"].machine,
+            group.settings,
+            core.clock,
+            group.random,
+        )
+        with pytest.raises(WrongIdentity):
+            await other.start()
+        await group.stop()
+
+    run_virtual(main())
--- /dev/null
+++ b/tests/log/test_storage.py
@@ -0,0 +1,188 @@
+"""Whatever the storage has acknowledged must survive any crash of its host."""
+
+import errno
+from dataclasses import dataclass
+from random import Random
+
+import pytest
+from kingcuplug_log import CorruptLog, Storage, StorageFailed
+from kingcuplug_log._snapshot import Snapshot
+from kingcuplug_log._types import Entry, EntryKind
+from kingcuplug_testkit import FakeDisk, Trap, run_virtual
+
+
+@dataclass
+class _Acknowledged:
+    """What the script has been told is durable."""
+
+    disk_id: str = ""
+    term: int = 0
+    vote: str | None = None
+    terms: tuple[int, ...] = ()
+    snapshot: int = 0
+
+
+def _entry(index: int, term: int) -> Entry:
+    return Entry(index, term, EntryKind.COMMAND, {"index": index, "term": term})
+
+
+async def _script(disk: FakeDisk, told: _Acknowledged) -> None:
+    """Use every operation of the storage once, and some of them again."""
+    storage = Storage(disk.mount())
+    await storage.open()
+    told.disk_id = storage.disk_id
+    storage.set_vote(1, "a")
+    await storage.persist()
+    told.term, told.vote = 1, "a"
+    for index in (1, 2, 3):
+        storage.stage([_entry(index, 1)])
+        await storage.flush()
+        told.terms += (1,)
+    storage.set_vote(2, None)
+    await storage.persist()
+    told.term, told.vote = 2, None
+    told.terms = told.terms[:2]
+    storage.stage([_entry(3, 2), _entry(4, 2)])
+    await storage.flush()
+    told.terms += (2, 2)
+    await storage.save_snapshot(Snapshot(3, 2, "test", (), {}), retained=1)
+    told.snapshot = 3
+    storage.stage([_entry(5, 2)])
+    await storage.flush()
+    told.terms += (2,)
+    await storage.save_snapshot(Snapshot(9, 3, "test", (), {}), retained=1)
+    told.snapshot, told.terms = 9, ()
+    await storage.close()
+
+
+async def _check(disk: FakeDisk, told: _Acknowledged) -> None:
+    storage = Storage(disk.mount())
+    await storage.open()
+    assert told.disk_id in ("", storage.disk_id)
+    assert storage.term >= told.term
+    if storage.term == told.term and told.vote:
+        assert storage.vote == told.vote
+    assert storage.snapshot_index >= told.snapshot
+    for index, term in enumerate(told.terms, start=1):
+        if index > max(storage.snapshot_index, storage.first_index - 1):
+            assert storage.term_at(index) == term
+    await storage.close()
+
+
+def _calls() -> list[tuple[str, str]]:
+    disk = FakeDisk(Random(0))
+    run_virtual(_script(disk, _Acknowledged()))
+    return disk.calls
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_crash_after_each_call(seed: int) -> None:
+    # Guards against a missing sync, folder sync or wrong order at any single call.
+    async def main(crash_at: int) -> None:
+        disk = FakeDisk(Random(f"{seed}/{crash_at}"))
+        disk.crash_at = crash_at
+        told = _Acknowledged()
+        with pytest.raises(StorageFailed):
+            await _script(disk, told)
+        disk.crash_at = None
+        await _check(disk, told)
+
+    for crash_at in range(1, len(_calls()) + 1):
+        run_virtual(main(crash_at))
+
+
+@pytest.mark.parametrize("code", [errno.EIO, errno.ENOSPC])
+@pytest.mark.parametrize("call", ["write", "sync", "rename", "sync_folder"])
+def test_failure_is_final(call: str, code: int) -> None:
+    # Guards against a retry that reports success for pages dropped by a failure.
+    async def main() -> None:
+        disk = FakeDisk(Random(0))
+        storage = Storage(disk.mount())
+        await storage.open()
+        disk.traps.append(Trap(call, error=code))
+        storage.set_vote(1, "a")
+        storage.stage([_entry(1, 1)])
+        for operation in (storage.persist, storage.flush, storage.persist):
+            with pytest.raises(StorageFailed):
+                await operation()
+        assert storage.durable_index == 0
+
+    run_virtual(main())
+
+
+def test_failed_sync_ends_group_commit() -> None:
+    # Guards against entries that are acknowledged by a later sync of the same file.
+    async def main() -> None:
+        disk = FakeDisk(Random(0))
+        storage = Storage(disk.mount())
+        await storage.open()
+        disk.traps.append(Trap("sync", "log", error=errno.EIO))
+        storage.stage([_entry(1, 1)])
+        with pytest.raises(StorageFailed):
+            await storage.flush()
+        storage.stage([_entry(2, 1)])
+        with pytest.raises(StorageFailed):
+            await storage.flush()
+        assert storage.durable_index == 0
+
+    run_virtual(main())
+
+
+def _disk_with_entries(count: int) -> FakeDisk:
+    async def main() -> FakeDisk:
+        disk = FakeDisk(Random(0))
+        storage = Storage(disk.mount())
+        await storage.open()
+        for index in range(1, count + 1):
+            storage.stage([_entry(index, 1)])
+            await storage.flush()
+        await storage.close()
+        return disk
+
+    return run_virtual(main())
+
+
+def _open(disk: FakeDisk) -> Storage:
+    async def main() -> Storage:
+        storage = Storage(disk.mount())
+        await storage.open()
+        return storage
+
+    return run_virtual(main())
+
+
+def test_torn_tail_is_cut() -> None:
+    # Guards against a host that cannot start after a crash in the middle of a write.
+    disk = _disk_with_entries(3)
+    size = len(disk.names["log"].durable)
+    disk.tear("log")
+    assert _open(disk).last_index == 3
+    assert len(disk.names["log"].durable) == size
+
+
+def test_corrupt_middle_is_refused() -> None:
+    # Guards against dropping synced entries that follow a damaged one.
+    disk = _disk_with_entries(3)
+    first = disk.names["log"].durable.index(b"\xf5KL\xfa", 1)
+    disk.damage("log", first + 20)
+    with pytest.raises(CorruptLog) as caught:
+        _open(disk)
+    assert (caught.value.file, caught.value.offset) == ("log", first)
+
+
+def test_damaged_length_is_refused() -> None:
+    # Guards against taking everything after a damaged length for a torn tail.
+    disk = _disk_with_entries(3)
+    first = disk.names["log"].durable.index(b"\xf5KL\xfa", 1)
+    disk.damage("log", first + 4)
+    with pytest.raises(CorruptLog):
+        _open(disk)
+
+
+@pytest.mark.parametrize("name", ["state", "log"])
+def test_missing_file_is_refused(name: str) -> None:
+    # Guards against a folder that forgets its vote or its entries unnoticed.
+    disk = _disk_with_entries(1)
+    del disk.names[name]
+    with pytest.raises(CorruptLog, match="missing"):
+        _open(disk)
--- /dev/null
+++ b/tests/log/test_votes.py
@@ -0,0 +1,113 @@
+"""No replica may break a promise that it has made with an answer."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import pytest
+from kingcuplug_log import LogSettings
+from kingcuplug_testkit import Host, LogGroup, run_virtual
+
+_PROMISE_S = LogSettings().election_timeout
+
+
+@asynccontextmanager
+async def _follower() -> AsyncIterator[Host]:
+    """Yield a follower of a group of three whose other hosts have just crashed."""
+    group = LogGroup("votes")
+    await group.start("a", "b", "c")
+    await group.propose({"number": 1})
+    follower, *_ = group.followers()
+    for host in group.running():
+        if host is not follower:
+            host.disk.crash()
+    yield follower
+    await group.stop()
+
+
+def _vote(host: Host, sender: str, term: int, to: str | None = None) -> dict[str, Any]:
+    header = {
+        "cluster": "test",
+        "sender": sender,
+        "to": to or host.member.id,
+        "term": term,
+    }
+    return {"kind": "vote", "header": header, "last_index": 99, "last_term": 99}
+
+
+async def _ask(host: Host, message: dict[str, Any]) -> dict[str, Any]:
+    assert host.replica is not None
+    return await host.replica.handle(message)
+
+
+def test_vote_survives_crash() -> None:
+    # Guards against two leaders of one term after a voter forgot its vote.
+    async def main() -> None:
+        async with _follower() as host:
+            await asyncio.sleep(_PROMISE_S)
+            assert (await _ask(host, _vote(host, "x/1", 50)))["granted"]
+            host.disk.crash()
+            await host.start()
+            await asyncio.sleep(_PROMISE_S)
+            assert not (await _ask(host, _vote(host, "y/1", 50)))["granted"]
+            assert (await _ask(host, _vote(host, "x/1", 50)))["granted"]
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("restart", [False, True])
+def test_promise_to_leader(restart: bool) -> None:
+    # Guards against a vote within the leader's lease, also after a restart.
+    async def main() -> None:
+        async with _follower() as host:
+            if restart:
+                host.disk.crash()
+                await host.start()
+            await asyncio.sleep(_PROMISE_S * 0.8)
+            message = _vote(host, "x/1", 50)
+            assert not (await _ask(host, message))["granted"]
+            assert not (await _ask(host, message | {"kind": "pre_vote"}))["granted"]
+            await asyncio.sleep(_PROMISE_S * 0.2)
+            assert (await _ask(host, message | {"kind": "pre_vote"}))["granted"]
+            assert (await _ask(host, message))["granted"]
+
+    run_virtual(main())
+
+
+def test_empty_disk_does_not_vote() -> None:
+    # Guards against a quorum made of a host that forgot what it acknowledged.
+    async def main() -> None:
+        async with _follower() as host:
+            old = host.member.id
+            host.disk.lose()
+            await host.start()
+            await asyncio.sleep(_PROMISE_S)
+            reply = await _ask(host, _vote(host, "x/1", 50, to=old))
+            assert reply == {"kind": "rejected", "reason": "wrong_identity"}
+            assert not (await _ask(host, _vote(host, "x/1", 50)))["granted"]
+
+    run_virtual(main())
+
+
+def test_older_log_gets_no_vote() -> None:
+    # Guards against a leader that lacks committed entries.
+    async def main() -> None:
+        async with _follower() as host:
+            await asyncio.sleep(_PROMISE_S)
+            message = _vote(host, "x/1", 50) | {"last_term": 1}
+            assert not (await _ask(host, message))["granted"]
+
+    run_virtual(main())
+
+
+def test_other_cluster_is_rejected() -> None:
+    # Guards against two clusters that mix their entries after a wrong address.
+    async def main() -> None:
+        async with _follower() as host:
+            message = _vote(host, "x/1", 50)
+            message["header"]["cluster"] = "other"
+            assert (await _ask(host, message))["reason"] == "wrong_cluster"
+            assert (await _ask(host, {"kind": "vote"}))["reason"] == "malformed"
+
+    run_virtual(main())
