Halt a replica whose task fails unexpectedly

Cause: an error outside the storage, such as a machine that cannot be dumped, ended the task that applies entries while the replica kept its lease, so that every proposal waited for ever. Change: the replica's tasks run supervised; an unexpected error halts the replica like a failed disk, another voter takes over, and stop() raises the error. A test of storage on real files was missing and is added.

--- a/packages/log/src/kingcuplug_log/_core.py
+++ b/packages/log/src/kingcuplug_log/_core.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import random as random_module
-from typing import TYPE_CHECKING
+from collections.abc import Coroutine
+from typing import TYPE_CHECKING, Any
 
 from kingcuplug_common import Metrics, state_change
 
@@ -119,6 +120,19 @@
         self.metrics.count("log.storage_failed")
         state_change("storage", "failed", error=str(self.storage.failure))
 
+    async def supervise(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run one of the replica's tasks; an unexpected error halts the replica.
+
+        Without its tasks a replica could hold the leadership and answer nothing.
+        """
+        try:
+            await work
+        except Exception as error:
+            self.metrics.count("log.task_failed")
+            self.storage.halt(f"a task of the replica failed: {error!r}")
+            self.fail()
+            raise
+
     def commit(self, index: int) -> None:
         """Record that entries up to `index` are committed."""
         if index > self.commit_index:
--- a/packages/log/src/kingcuplug_log/_replica.py
+++ b/packages/log/src/kingcuplug_log/_replica.py
@@ -108,12 +108,15 @@
         # A promise made before a restart is forgotten; its time is waited out.
         core.hear()
         self._tasks = [
-            asyncio.create_task(self._take_part()),
-            asyncio.create_task(self._applier.run()),
+            asyncio.create_task(core.supervise(self._take_part())),
+            asyncio.create_task(core.supervise(self._applier.run())),
         ]
 
     async def stop(self) -> None:
-        """Stop taking part; proposals in flight get an unknown outcome."""
+        """Stop taking part; proposals in flight get an unknown outcome.
+
+        Raises the error of a task that has failed unexpectedly.
+        """
         self._core.step_down(None)
         for task in self._tasks:
             task.cancel()
@@ -189,7 +192,7 @@
         return index
 
     async def wait_applied(self, index: int) -> None:
-        """Return once entry `index` is applied here."""
+        """Return once entry `index` is applied here; callers bound the wait."""
         core = self._core
         await core.progressed.until(lambda: core.applied_index >= index)
 
--- a/packages/log/src/kingcuplug_log/_storage.py
+++ b/packages/log/src/kingcuplug_log/_storage.py
@@ -90,6 +90,10 @@
         await self._guard.drain()
         self._close_log()
 
+    def halt(self, reason: str) -> None:
+        """Acknowledge nothing from now on, as after a failed write."""
+        self._guard.fail(OSError(reason))
+
     @property
     def failure(self) -> OSError | None:
         """The error after which nothing is acknowledged any more."""
--- a/tests/log/test_replica.py
+++ b/tests/log/test_replica.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import errno
+from typing import Any
 
 import pytest
 from kingcuplug_log import (
@@ -86,6 +87,26 @@
     run_virtual(main())
 
 
+def test_failed_task_halts_replica(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against a leader that holds its lease but applies nothing any more.
+    async def main() -> None:
+        group = await _three("failed task", LogSettings(snapshot_entries=5))
+        leader, _ = _lead(group)
+
+        def dump() -> dict[str, Any]:
+            raise RuntimeError("the machine cannot be dumped")
+
+        monkeypatch.setattr(leader.machine, "dump", dump)
+        for number in range(1, 10):
+            await group.propose({"number": number})
+        assert group.leader() is not leader
+        with pytest.raises(RuntimeError, match="dumped"):
+            await leader.stop()
+        await group.stop()
+
+    run_virtual(main())
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_lease_allows_for_drift(seed: int) -> None:
     # Guards against old state from a cut-off leader whose clock is slow by the bound.
--- a/tests/log/test_storage.py
+++ b/tests/log/test_storage.py
@@ -1,11 +1,13 @@
 """Whatever the storage has acknowledged must survive any crash of its host."""
 
+import asyncio
 import errno
 from dataclasses import dataclass
+from pathlib import Path
 from random import Random
 
 import pytest
-from kingcuplug_log import CorruptLog, Storage, StorageFailed
+from kingcuplug_log import CorruptLog, DiskFileSystem, Storage, StorageFailed
 from kingcuplug_log._snapshot import Snapshot
 from kingcuplug_log._types import Entry, EntryKind
 from kingcuplug_testkit import FakeDisk, Trap, run_virtual
@@ -186,3 +188,28 @@
     del disk.names[name]
     with pytest.raises(CorruptLog, match="missing"):
         _open(disk)
+
+
+def test_real_files_survive_reopening(tmp_path: Path) -> None:
+    # Guards against a file system that behaves otherwise than the fake one.
+    async def main() -> None:
+        storage = Storage(DiskFileSystem(tmp_path / "data"))
+        await storage.open()
+        storage.set_vote(4, "a")
+        await storage.persist()
+        storage.stage([_entry(index, 1) for index in range(1, 6)])
+        await storage.flush()
+        await storage.save_snapshot(Snapshot(3, 1, "test", (), {"n": 1}), retained=1)
+        storage.stage([_entry(6, 2)])
+        await storage.flush()
+        await storage.close()
+        with (tmp_path / "data" / "log").open("ab") as log:
+            log.write(b"\xf5KL\xfa\0\0\1\0torn")
+        again = Storage(DiskFileSystem(tmp_path / "data"))
+        await again.open()
+        assert (again.disk_id, again.term, again.vote) == (storage.disk_id, 4, "a")
+        assert (again.first_index, again.last_index, again.last_term) == (3, 6, 2)
+        assert again.recovered == Snapshot(3, 1, "test", (), {"n": 1})
+        await again.close()
+
+    asyncio.run(main())
