--- a/packages/log/src/kingcuplug_log/_applier.py
+++ b/packages/log/src/kingcuplug_log/_applier.py
@@ -108,7 +108,9 @@
         if core.applied_index < due or self._storage.failure:
             return
         if self._saving is None or self._saving.done():
-            self._saving = asyncio.ensure_future(self._save(self._snapshot()))
+            self._saving = asyncio.ensure_future(
+                core.supervise(self._save(self._snapshot()))
+            )
 
     def _snapshot(self) -> Snapshot:
         core = self._core
