--- a/packages/testkit/src/kingcuplug_testkit/_log_group.py
+++ b/packages/testkit/src/kingcuplug_testkit/_log_group.py
@@ -258,23 +258,36 @@
         assert leader is not None
         return leader
 
-    async def until(self, condition: Callable[[], bool], timeout: float = 10) -> None:
+    async def until(
+        self,
+        condition: Callable[[], bool],
+        timeout: float = 10,
+        poll_s: float = _POLL_S,
+    ) -> None:
         """Wait for a condition; raises `TimeoutError`."""
         async with asyncio.timeout(timeout):
             while True:
                 if condition():
                     return
-                await asyncio.sleep(_POLL_S)
+                await asyncio.sleep(poll_s)
+
+    async def propose(self, command: dict[str, Any], timeout: float = 10) -> Any:
+        """Propose at the leader until it succeeds.
 
-    async def propose(self, command: Any, timeout: float = 10) -> Any:
-        """Propose at the leader until it succeeds; for commands that may repeat."""
+        After an unknown outcome the command may be in the log already, so the next
+        attempt is a command of its own, with the field ``attempt``.
+        """
+        attempt = 0
         async with asyncio.timeout(timeout):
             while True:
                 leader = await self.wait_leader(timeout)
+                numbered = command | {"attempt": attempt} if attempt else command
                 try:
-                    return await self.replica(leader.name).propose(command)
-                except (NotLeader, LostLeadership, StorageFailed):
-                    await asyncio.sleep(0.02)
+                    return await self.replica(leader.name).propose(numbered)
+                except LostLeadership:
+                    attempt += 1
+                except (NotLeader, StorageFailed):
+                    await asyncio.sleep(_POLL_S)
 
     async def converge(self, timeout: float = 10) -> None:
         """Wait until all running hosts have applied the same sequence."""
