--- a/packages/ledger/src/kingcuplug_ledger/_entry.py
+++ b/packages/ledger/src/kingcuplug_ledger/_entry.py
@@ -1,9 +1,12 @@
 """The ledger's mutable entry for one order, and its compact JSON."""
 
 import dataclasses
+import json
+from operator import attrgetter
 from sys import intern
-from typing import Any, Literal
+from typing import Any, Literal, NamedTuple, cast
 
+from kingcuplug_ledger._commands import Outcome, OutcomeKind
 from kingcuplug_ledger._records import (
     OrderRecord,
     OrderState,
@@ -12,13 +15,39 @@
 )
 from kingcuplug_ledger._results import Attached
 
-__all__ = ["Entry"]
+__all__ = ["Entry", "KeptOutcome"]
 
 # An entry that is claimed and given back more often forgets its oldest tokens. A
 # duplicate of such an old claim would reserve the key again; it dispatches nothing.
 PAST_CLAIMS_LIMIT = 32
 
 
+class KeptOutcome(NamedTuple):
+    """An outcome whose body is kept as JSON text.
+
+    The text takes less than half of the memory of the value, and a snapshot of
+    the ledger need not copy it.
+    """
+
+    kind: OutcomeKind
+    status: str
+    body_text: str
+    body_digest: str
+
+    @classmethod
+    def of(cls, command: Outcome) -> "KeptOutcome":
+        """Return the outcome that a command states."""
+        # Unlike orjson, the standard library writes every value that it reads.
+        body_text = json.dumps(command.body, separators=(",", ":"), sort_keys=True)
+        kind = cast(OutcomeKind, intern(command.kind))
+        return cls(kind, intern(command.status), body_text, command.body_digest)
+
+    def stored(self) -> StoredOutcome:
+        """Return the outcome with its body as a value."""
+        body = json.loads(self.body_text)
+        return StoredOutcome(self.kind, self.status, body, self.body_digest)
+
+
 @dataclasses.dataclass(slots=True)
 class Entry:
     """State of one key; the fields are those of `OrderRecord`.
@@ -43,12 +72,13 @@
     finished_ms: int = 0
     server: str = ""
     attempt_id: str = ""
-    outcome: StoredOutcome | None = None
+    outcome: KeptOutcome | None = None
     past_claims: tuple[PastClaim, ...] = ()
 
     def attached(self) -> Attached:
         """Return what another claimant of the key is told."""
-        return Attached(self.state, self.outcome, self.host, self.host_incarnation)
+        outcome = self.outcome and self.outcome.stored()
+        return Attached(self.state, outcome, self.host, self.host_incarnation)
 
     def end(self, how: Literal["released", "taken_over"], now_ms: int) -> None:
         """End the present claim without a dispatch."""
@@ -75,15 +105,15 @@
 
     def record(self) -> OrderRecord:
         """Return an immutable copy without the token."""
-        names = OrderRecord.__dataclass_fields__
-        return OrderRecord(**{name: getattr(self, name) for name in names})
+        fields = {name: getattr(self, name) for name in _RECORD_NAMES}
+        fields["outcome"] = self.outcome and self.outcome.stored()
+        return OrderRecord(**fields)
 
     def dump(self) -> list[Any]:
         """Return the fields in order, as JSON values."""
-        values = [getattr(self, name) for name in _NAMES]
-        if self.outcome is not None:
-            values[_OUTCOME] = dataclasses.astuple(self.outcome)
-        values[_PAST] = [list(dataclasses.astuple(past)) for past in self.past_claims]
+        values = list(_values(self))
+        values[_OUTCOME] = None if self.outcome is None else list(self.outcome)
+        values[_PAST] = [list(_past_values(past)) for past in self.past_claims]
         return values
 
     @classmethod
@@ -91,7 +121,9 @@
         """Read what `dump` returned."""
         entry = cls(*values)
         if entry.outcome is not None:
-            entry.outcome = StoredOutcome(*values[_OUTCOME])
+            kind, status, *rest = values[_OUTCOME]
+            kind = cast(OutcomeKind, intern(kind))
+            entry.outcome = KeptOutcome(kind, intern(status), *rest)
         entry.past_claims = tuple(PastClaim(*past) for past in values[_PAST])
         entry.share_strings()
         return entry
@@ -103,6 +135,13 @@
         self.server = intern(self.server)
 
 
-_NAMES = tuple(field.name for field in dataclasses.fields(Entry))
+def _names(kind: type[Any]) -> tuple[str, ...]:
+    return tuple(field.name for field in dataclasses.fields(kind))
+
+
+_NAMES = _names(Entry)
+_RECORD_NAMES = _names(OrderRecord)
+_values = attrgetter(*_NAMES)
+_past_values = attrgetter(*_names(PastClaim))
 _OUTCOME = _NAMES.index("outcome")
 _PAST = _NAMES.index("past_claims")
--- a/packages/ledger/src/kingcuplug_ledger/_ledger.py
+++ b/packages/ledger/src/kingcuplug_ledger/_ledger.py
@@ -21,9 +21,9 @@
     Release,
     command_from_json,
 )
-from kingcuplug_ledger._entry import Entry
+from kingcuplug_ledger._entry import Entry, KeptOutcome
 from kingcuplug_ledger._keys import KeyInvalid, parse_key
-from kingcuplug_ledger._records import OrderRecord, PastClaim, StoredOutcome
+from kingcuplug_ledger._records import OrderRecord, PastClaim
 from kingcuplug_ledger._results import (
     Claimed,
     Dispatched,
@@ -230,16 +230,14 @@
             return OutcomeRefused("superseded")
         if entry.state == "claimed":
             return OutcomeRefused("not_dispatched")
-        stored = StoredOutcome(
-            command.kind, command.status, command.body, command.body_digest
-        )
-        if entry.outcome == stored:
+        kept = KeptOutcome.of(command)
+        if entry.outcome == kept:
             return Recorded()
         # What the backend server said late is better than not knowing.
         if entry.outcome is not None and entry.outcome.kind != "unknown":
-            return OutcomeRefused("already_finished", entry.outcome)
+            return OutcomeRefused("already_finished", entry.outcome.stored())
         entry.state = "finished"
-        entry.outcome = stored
+        entry.outcome = kept
         entry.finished_ms = self.time_ms
         return Recorded()
 
