Answer settled changes without an entry in the log

Cause: a resend and a change whose base is replaced carry a whole text (3.7 MB at 16,000 services) through the log, although their results are certain before. Change: ConfigurationHistory.settled returns such a result; apply uses it too. A test of a delta that closes a cycle, since the graph is searched only on change. Conclusion: only a change that can be accepted needs an entry.

--- a/packages/configuration/src/kingcuplug_configuration/_history.py
+++ b/packages/configuration/src/kingcuplug_configuration/_history.py
@@ -95,10 +95,10 @@
             except CommandInvalid as error:
                 fault = ConfigurationFault("command", error.message, error.remedy)
                 return Rejected((fault,))
-        known = self._changes.get(command.change_id)
-        if known is not None:
-            return _repeated(known, command)
-        if command.base_revision != self.current.number:
+        settled = self.settled(command)
+        if settled is not None:
+            return settled
+        if command.base_revision > self.current.number:
             return self._conflict(command.base_revision)
         try:
             proposed = self._proposed(command)
@@ -107,6 +107,20 @@
         self._accept(command, proposed)
         return Accepted(self.current.number)
 
+    def settled(self, command: ApplyConfiguration) -> Result | None:
+        """Return the result if it is certain without an entry in the log.
+
+        A resend of a known change and a change whose base revision has been
+        replaced have their results already, on any replica that knows the
+        revision after the base. None means that the change must be proposed.
+        """
+        known = self._changes.get(command.change_id)
+        if known is not None:
+            return _repeated(known, command)
+        if command.base_revision < self.current.number:
+            return self._conflict(command.base_revision)
+        return None
+
     def condense(self, command: ApplyConfiguration) -> ApplyConfiguration:
         """Validate a change and return it with a delta in place of its text.
 
--- a/tests/configuration/test_history.py
+++ b/tests/configuration/test_history.py
@@ -14,6 +14,7 @@
     DigestMismatch,
     DumpInvalid,
     Rejected,
+    Service,
     _history,
     describe,
     difference,
@@ -111,6 +112,18 @@
     assert history.current.number == 1
 
 
+def test_delta_that_closes_a_cycle(history: ConfigurationHistory) -> None:
+    # Guards against a search of the graph that is left out when a delta changes it.
+    both = '{"services": {"a": {}, "b": {"depends_on": ["a"]}}}'
+    history.apply(change("c1", 0, both))
+    services = history.configuration.services
+    cycle = ConfigurationText({**services, "a": Service("a", ("b",))})
+    delta = difference(history.configuration, cycle)
+    result = history.apply(ApplyConfiguration("c2", 1, "", "anna", 5, delta))
+    assert isinstance(result, Rejected)
+    assert "a -> b -> a" in str(result.faults[0])
+
+
 @pytest.mark.parametrize(
     "fields",
     [
--- a/tests/configuration/test_history_machine.py
+++ b/tests/configuration/test_history_machine.py
@@ -64,8 +64,10 @@
 
     def _apply(self, command: ApplyConfiguration) -> Result:
         message = json.loads(json.dumps(command.to_json()))
+        settled = self.steady.settled(command)
         results = [h.apply(message) for h in (self.steady, self.restarted)]
         assert results[0] == results[1], "replicas disagree"
+        assert settled in (None, results[0]), "the result was not certain"
         return results[0]
 
     @rule(body=texts, behind=st.integers(0, 2), condensed=st.booleans())
@@ -76,7 +78,9 @@
         command = ApplyConfiguration(f"c{len(self.sent)}", base, body, "anna", 5)
         if condensed:
             command = self.steady.condense(command)
+        settled = self.steady.settled(command)
         result = self._apply(command)
+        assert (settled is None) == (base == number)
         if base == number:
             assert result == Accepted(number + 1)
             self.accepted.append(render(parse(body)))
