Bound numbers and texts in commands from the log

Cause: test_fuzzed_commands_are_answered, new for both aggregates, failed: a text that is no string raised in apply; numbers beyond 64 bits and unprintable authors were accepted and then broke the dump; a time after the year 9999 broke explain. Change: whole numbers below 2**53, times up to the year 9999, printable change ids and authors, text of type str; everything else is Rejected or Malformed. Conclusion: no JSON object that was tried makes apply, dump or explain raise.

--- a/packages/configuration/src/kingcuplug_configuration/_commands.py
+++ b/packages/configuration/src/kingcuplug_configuration/_commands.py
@@ -20,6 +20,8 @@
 ]
 
 IDENTIFIER_LIMIT_CHARACTERS = 128
+# Numbers below are exact in every JSON reader, and orjson writes them.
+NUMBER_LIMIT = 2**53
 
 
 class CommandInvalid(KingcuplugError):
@@ -57,18 +59,19 @@
     def __post_init__(self) -> None:
         for name in ("change_id", "author"):
             value = getattr(self, name)
-            if not isinstance(value, str) or not (
-                0 < len(value) <= IDENTIFIER_LIMIT_CHARACTERS
-            ):
+            if not _is_identifier(value):
                 raise CommandInvalid(
-                    f"{name} {value!r:.40} is not usable", "use 1 to 128 characters"
+                    f"{name} {value!r:.40} is not usable",
+                    "use 1 to 128 printable characters",
                 )
         for name in ("base_revision", "time_ms"):
             value = getattr(self, name)
-            if type(value) is not int or value < 0:
+            if type(value) is not int or not 0 <= value < NUMBER_LIMIT:
                 raise CommandInvalid(
-                    f"{name} {value!r:.40} is not usable", "use a number from 0"
+                    f"{name} {value!r:.40} is not usable", "use a whole number from 0"
                 )
+        if not isinstance(self.text, str):
+            raise CommandInvalid(f"text {self.text!r:.40} is no text", "send a text")
         if bool(self.text) == (self.delta is not None):
             raise CommandInvalid(
                 "a change needs either text or delta", "give exactly one of them"
@@ -92,7 +95,7 @@
         try:
             fields = {field.name: value[field.name] for field in _FIELDS}
             fields["delta"] = _delta(value["delta"])
-        except (KeyError, TypeError, ValueError, ExceptionGroup) as error:
+        except (LookupError, TypeError, ValueError, ExceptionGroup) as error:
             raise CommandInvalid(
                 f"the command is malformed: {error!r:.200}",
                 "send the fields of ApplyConfiguration.to_json",
@@ -182,6 +185,14 @@
             raise CommandInvalid(f"unknown result {other!r:.40}", "update this program")
 
 
+def _is_identifier(value: Any) -> bool:
+    return (
+        isinstance(value, str)
+        and 0 < len(value) <= IDENTIFIER_LIMIT_CHARACTERS
+        and value.isprintable()
+    )
+
+
 def _optional(delta: Delta | None) -> dict[str, Any] | None:
     return None if delta is None else delta.to_json()
 
--- a/packages/configuration/src/kingcuplug_configuration/_delta.py
+++ b/packages/configuration/src/kingcuplug_configuration/_delta.py
@@ -82,7 +82,9 @@
         digests = value["base_digest"], value["digest"]
         if not all(isinstance(text, str) for text in (*removed, *digests)):
             raise TypeError("names and digests are texts")
-        revision = int(value["revision"])
+        revision = value["revision"]
+        if type(revision) is not int:
+            raise TypeError("the revision is a whole number")
         return cls(services, removed, retention_days, *digests, revision)
 
 
--- a/packages/ledger/src/kingcuplug_ledger/_commands.py
+++ b/packages/ledger/src/kingcuplug_ledger/_commands.py
@@ -7,7 +7,9 @@
 
 import dataclasses
 from collections.abc import Mapping
-from typing import Any, Literal
+from typing import Annotated, Any, Literal
+
+from pydantic import Field
 
 from kingcuplug_ledger._codec import Codec
 
@@ -26,6 +28,11 @@
 
 OutcomeKind = Literal["done", "not_run", "unknown"]
 
+# Numbers below 2**53 are exact in every JSON reader, and orjson writes them.
+_Count = Annotated[int, Field(ge=0, lt=2**53)]
+# Up to the year 9999, so that times can be printed.
+_TimeMs = Annotated[int, Field(ge=0, lt=253_402_300_800_000)]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Claim:
@@ -49,11 +56,11 @@
     digest: str
     service: str
     host: str
-    host_incarnation: int
+    host_incarnation: _Count
     token: str
-    time_ms: int
-    revision: int
-    retention_ms: int
+    time_ms: _TimeMs
+    revision: _Count
+    retention_ms: _TimeMs
     takeover: bool = False
 
 
@@ -65,7 +72,7 @@
     token: str
     server: str
     attempt_id: str
-    time_ms: int
+    time_ms: _TimeMs
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,7 +97,7 @@
     kind: OutcomeKind
     status: str
     body: Any
-    time_ms: int
+    time_ms: _TimeMs
     body_digest: str = ""
 
 
@@ -100,7 +107,7 @@
 
     key: str
     token: str
-    time_ms: int
+    time_ms: _TimeMs
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/configuration/test_history.py
+++ b/tests/configuration/test_history.py
@@ -4,6 +4,9 @@
 from typing import Any
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from kingcuplug_common import canonical
 from kingcuplug_configuration import (
     Accepted,
     ApplyConfiguration,
@@ -149,6 +152,38 @@
     assert history.current.number == 0
 
 
+_values = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.sampled_from(["", "x", "\ud800", "{}", 10**400]),
+    lambda inner: (
+        st.lists(inner, max_size=2)
+        | st.dictionaries(
+            st.sampled_from(["a", "policy", "changed"]), inner, max_size=2
+        )
+    ),
+    max_leaves=4,
+)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.data())
+def test_fuzzed_commands_are_answered(data: st.DataObject) -> None:
+    # Guards against an entry of the log that ends every voter that applies it.
+    history = ConfigurationHistory()
+    message = history.condense(change("c1", 0, text("a"))).to_json()
+    if data.draw(st.booleans()):
+        message = change("c1", 0, text("a")).to_json()
+    place = message
+    if message["delta"] and data.draw(st.booleans()):
+        place = message["delta"]
+    place[data.draw(st.sampled_from(sorted(place)))] = data.draw(_values)
+    json.dumps(history.apply(message).to_json(), allow_nan=False).encode()
+    canonical(history.dump())
+
+
 def test_bounds(history: ConfigurationHistory, monkeypatch: pytest.MonkeyPatch) -> None:
     # Guards against memory without a limit, and against a forgotten change that is
     # accepted a second time.
--- a/tests/ledger/test_ledger.py
+++ b/tests/ledger/test_ledger.py
@@ -5,6 +5,9 @@
 from typing import Any
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from kingcuplug_common import canonical
 from kingcuplug_ledger import (
     Attached,
     Claim,
@@ -237,6 +240,36 @@
     assert ledger.dump() == before
 
 
+_values = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.sampled_from(["", "x", "\ud800", 10**14, 10**15, 10**400]),
+    lambda inner: (
+        st.lists(inner, max_size=2)
+        | st.dictionaries(st.sampled_from(["key", "type"]), inner, max_size=2)
+    ),
+    max_leaves=4,
+)
+
+
+@settings(derandomize=True, max_examples=400, deadline=None)
+@given(st.data())
+def test_fuzzed_commands_are_answered(data: st.DataObject) -> None:
+    # Guards against an entry of the log that ends every voter that applies it, and
+    # against a record that an operator cannot read afterwards.
+    ledger = OrderLedger()
+    for command in (claim(), dispatch(), outcome(), release("t2")):
+        message = command_to_json(command)
+        if data.draw(st.booleans()):
+            field = data.draw(st.sampled_from(sorted(message.keys() - {"body"})))
+            message[field] = data.draw(_values)
+        canonical(result_to_json(ledger.apply(message)))
+        ledger.explain(KEY).encode()
+    canonical(ledger.dump())
+
+
 def test_results_survive_json(ledger: OrderLedger) -> None:
     # Guards against results that mean something else at the host that asked.
     ledger.apply(claim())
