--- a/tests/configuration/test_history.py
+++ b/tests/configuration/test_history.py
@@ -4,6 +4,9 @@
 from typing import Any
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from kingcuplug_common import canonical
 from kingcuplug_configuration import (
     Accepted,
     ApplyConfiguration,
@@ -14,6 +17,7 @@
     DigestMismatch,
     DumpInvalid,
     Rejected,
+    Service,
     _history,
     describe,
     difference,
@@ -111,6 +115,18 @@
     assert history.current.number == 1
 
 
+def test_delta_that_closes_a_cycle(history: ConfigurationHistory) -> None:
+    # Guards against a search of the graph that is left out when a delta changes it.
+    both = '{"services": {"a": {}, "b": {"depends_on": ["a"]}}}'
+    history.apply(change("c1", 0, both))
+    services = history.configuration.services
+    cycle = ConfigurationText({**services, "a": Service("a", ("b",))})
+    delta = difference(history.configuration, cycle)
+    result = history.apply(ApplyConfiguration("c2", 1, "", "anna", 5, delta))
+    assert isinstance(result, Rejected)
+    assert "a -> b -> a" in str(result.faults[0])
+
+
 @pytest.mark.parametrize(
     "fields",
     [
@@ -136,6 +152,38 @@
     assert history.current.number == 0
 
 
+_values = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.sampled_from(["", "x", "\ud800", "{}", 10**400]),
+    lambda inner: (
+        st.lists(inner, max_size=2)
+        | st.dictionaries(
+            st.sampled_from(["a", "policy", "changed"]), inner, max_size=2
+        )
+    ),
+    max_leaves=4,
+)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.data())
+def test_fuzzed_commands_are_answered(data: st.DataObject) -> None:
+    # Guards against an entry of the log that ends every voter that applies it.
+    history = ConfigurationHistory()
+    message = history.condense(change("c1", 0, text("a"))).to_json()
+    if data.draw(st.booleans()):
+        message = change("c1", 0, text("a")).to_json()
+    place = message
+    if message["delta"] and data.draw(st.booleans()):
+        place = message["delta"]
+    place[data.draw(st.sampled_from(sorted(place)))] = data.draw(_values)
+    json.dumps(history.apply(message).to_json(), allow_nan=False).encode()
+    canonical(history.dump())
+
+
 def test_bounds(history: ConfigurationHistory, monkeypatch: pytest.MonkeyPatch) -> None:
     # Guards against memory without a limit, and against a forgotten change that is
     # accepted a second time.
