--- a/packages/routing/src/kingcuplug_routing/_router.py
+++ b/packages/routing/src/kingcuplug_routing/_router.py
@@ -1,13 +1,14 @@
 """Choice of a replica for each sub-request of one service at one entry host."""
 
 import asyncio
-from collections.abc import Iterable, Sequence, Set
+from collections.abc import Iterable, Set
 from math import inf
 from random import Random
 
 from kingcuplug_routing._budget import Budget
 from kingcuplug_routing._fleet import Fleet
 from kingcuplug_routing._policy import RoutingPolicy
+from kingcuplug_routing._queueing import outpaced, wake, wake_all
 from kingcuplug_routing._refusals import (
     budget_spent,
     no_replica,
@@ -31,7 +32,6 @@
 # Part of a retry's token given back for a shed attempt, which ran nothing: without
 # it, sheds between entry hosts that do not see each other use up the budget.
 _SHED_CREDIT = 0.8
-_MUCH_SLOWER = 1.5  # a straggler must not get work only because the others are busy
 # A loop fires timers up to its clock's resolution early; comparing without this
 # allowance would set the same timer again and again.
 _TIMER_EARLY_S = 1e-6
@@ -75,7 +75,7 @@
             Entry hosts that share the servers' connections and slots.
         """
         mean_ms = self.statistics.mean_ms
-        _wake_all(self._fleet.update(servers, live_entry_hosts, mean_ms, _now()))
+        wake_all(self._fleet.update(servers, live_entry_hosts, mean_ms, _now()))
         # A lost zone breaks all its attempts at once, and each has a live replica.
         self._retries.widen(sum(each.cap for each in self._fleet.servers()))
 
@@ -199,7 +199,7 @@
         if len(candidates) > 1:
             place = self.policy.select(candidates, zone, self._random)
         chosen = candidates[place]
-        if len(candidates) < len(replicas) and _outpaced(chosen, replicas, now):
+        if len(candidates) < len(replicas) and outpaced(chosen, replicas, now):
             return None
         return self._reserve(chosen, snapshot, shard, now)
 
@@ -214,7 +214,7 @@
 
     def _upkeep(self, now: float) -> None:
         if self._fleet.upkeep(self.statistics.mean_ms, now):
-            _wake_all(self._fleet.servers())
+            wake_all(self._fleet.servers())
 
     def _reserve(self, server: Server, snapshot: int, shard: int, now: float) -> Ticket:
         server.in_flight += 1
@@ -240,9 +240,9 @@
             self._retries.credit(_SHED_CREDIT)
         if outcome is AttemptOutcome.SNAPSHOT_GONE:
             self._fleet.lose_holding(server, ticket.snapshot, now)
-            _wake_all(self._fleet.servers())
+            wake_all(self._fleet.servers())
         elif server.failures and self._fleet.eject(server, now):
-            _wake_all(self._fleet.servers())
+            wake_all(self._fleet.servers())
         if server.waiting.entries:
             self._serve(server)
 
@@ -296,7 +296,7 @@
         timer = None
         if deadline < inf:
             latest = deadline - self.statistics.median_ms(shard) / 1_000
-            timer = loop.call_at(latest, _wake, future)
+            timer = loop.call_at(latest, wake, future)
         try:
             return await future
         except asyncio.CancelledError:
@@ -322,7 +322,7 @@
             return
         while server.in_flight + 1 <= server.limit:
             waiter = server.waiting.peek()
-            if waiter is None or _outpaced(server, waiter.replicas, now):
+            if waiter is None or outpaced(server, waiter.replicas, now):
                 return
             server.waiting.pop()
             ticket = self._reserve(server, waiter.snapshot, waiter.shard, now)
@@ -337,35 +337,5 @@
         self._serve(server)
 
 
-def _outpaced(server: Server, replicas: Sequence[Server], now: float) -> bool:
-    """Return whether waiting for a busy replica is expected to be quicker.
-
-    A replica at its limit has a request in flight here, whose end serves the
-    waiting ones; the end of a back-off does the same.
-    """
-    bound_ms = server.latency_ms / _MUCH_SLOWER
-    for each in replicas:
-        expected_ms = (each.in_flight + 1) * each.latency_ms
-        if each.back_off_until > now:
-            expected_ms += (each.back_off_until - now) * 1_000
-        elif each.in_flight + 1 <= each.limit:
-            continue
-        if expected_ms < bound_ms:
-            return True
-    return False
-
-
-def _wake_all(servers: Iterable[Server]) -> None:
-    """Let every waiting request look at the new replica lists."""
-    for server in servers:
-        for waiter in server.waiting:
-            waiter.future.set_result(None)
-
-
-def _wake(future: asyncio.Future[Ticket | None]) -> None:
-    if not future.done():
-        future.set_result(None)
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -208,3 +208,25 @@
         assert await _query(router, admission, Priority.NORMAL) == 0.0
 
     run_virtual(main())
+
+
+def test_cancelled_grant_is_given_back(make_router: MakeRouter) -> None:
+    # Guards against budget that leaks when a query is cancelled in the tick in
+    # which it is admitted.
+    async def main() -> None:
+        router = make_router(greatest_share=1.0, longest_wait_s=10.0)
+        admission = Admission(router)
+        await _query(router, admission, Priority.NORMAL)
+        large = admission.admit(Priority.NORMAL, sub_requests=100)
+        await large.__aenter__()
+        waiting = asyncio.create_task(
+            admission.enter(Priority.NORMAL, float("inf"), sub_requests=1)
+        )
+        await asyncio.sleep(0)
+        await large.__aexit__(None, None, None)
+        granted_level_s = admission._level_s
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        assert admission._level_s > granted_level_s
+
+    run_virtual(main())
--- a/tools/_routing_model.py
+++ b/tools/_routing_model.py
@@ -155,6 +155,7 @@
         self.servers = servers
         self.router = Router("modelled", policy, random)
         self.admission = Admission(self.router)
+        self.avoided: int | None = None
         self.sent = 0
         self.wanted = 0
         self.hedged = 0
