--- a/models/run.py
+++ b/models/run.py
@@ -74,7 +74,12 @@
 
 def mutant(model: str, macro: str, violated: str, *defines: str) -> Case:
     """Return a case with a seeded fault that must violate the named property."""
-    return Case(model, macro, violated, (macro, *defines))
+    return Case(model, _title(macro, defines), violated, (macro, *defines))
+
+
+def _title(macro: str, defines: tuple[str, ...]) -> str:
+    """Return the macro with the other mutants that are switched on beside it."""
+    return ", ".join([macro, *(name for name in defines if name in MUTANTS_BESIDE)])
 
 
 def reachable(model: str, macro: str, name: str, *defines: str) -> Case:
@@ -93,6 +98,7 @@
 THREE_ENTRIES = ("MAX_TERM=2", "MAX_LOG=3")
 CLOCKS = ("ELECTION_TIMEOUT=12",)
 ONE_CHANGE = ("MAX_REVISION=1",)
+MUTANTS_BESIDE = ("EQUAL_REVISIONS_ACCEPTED", "OLDER_BARRIER")
 THREE_ATTEMPTS = ("MAX_ATTEMPTS=3", "MAX_TOKENS=4", "SLOTS=3")
 OLDER_BARRIER = ("OLDER_BARRIER", "RESTART_MAY_REVERT", *ONE_CHANGE)
 
@@ -174,7 +180,10 @@
     mutant("history", "EQUAL_REVISIONS_ACCEPTED", "one-winner-per-base"),
     mutant("history", "RESEND_IS_NEW", "conflict-is-true"),
     mutant(
-        "history", "RESEND_IS_NEW", "change-applied-once", "EQUAL_REVISIONS_ACCEPTED"
+        "history",
+        "RESEND_IS_NEW",
+        "change-applied-once",
+        "EQUAL_REVISIONS_ACCEPTED",
     ),
     reachable("history", "REACH_CONFLICT", "conflict"),
     reachable("history", "REACH_ACCEPTED_BY_RESEND", "accepted-by-resend"),
@@ -318,7 +327,7 @@
         for case in CASES
         if case.large == large and arguments.model in (None, case.model)
     ]
-    row = "{:<14} {:<34} {:<32} {:<32} {:>10} {:>6} {:>7} {:>8}"
+    row = "{:<14} {:<42} {:<32} {:<32} {:>10} {:>6} {:>7} {:>8}"
     header = [
         "model",
         "variant",
