--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,6 @@
 	$(PYTHON) models/run.py
 
 models-large: spin
-	$(PYTHON) models/run.py --size large
+	$(PYTHON) models/run.py --size large --jobs 1
 
 check: lint types test models
