--- a/Makefile
+++ b/Makefile
@@ -48,5 +48,5 @@
 	$(PYTHON) models/run.py
 
 models-large: spin
-	$(PYTHON) models/run.py --size large
+	$(PYTHON) models/run.py --size large --jobs 1
 
