Retry shed work at the same servers, hedge later if there is no room, lease by boot time

Cause: measurements of the routing package showed that excluding servers that shed sends work to the straggler, and that a hedge refused once was never tried again; a refused connection was no evidence of a lost zone. Checking a text of 16,000 services takes 0.5 s and blocked the leader's loop beyond an election timeout; time.monotonic stands still while a machine is suspended, so a stale leader would trust its lease. Change: exclude only servers that failed; repeat a refused hedge after another delay; report refused connections to the crash guard without blaming the query; check texts in a thread and answer resends without a log entry; leases run on CLOCK_BOOTTIME.

--- a/packages/daemon/src/kingcuplug_daemon/_control.py
+++ b/packages/daemon/src/kingcuplug_daemon/_control.py
@@ -27,6 +27,7 @@
     SessionServer,
 )
 
+from kingcuplug_daemon._clock import boot_time
 from kingcuplug_daemon._machine import LEDGER_COMMANDS, SystemMachine
 from kingcuplug_daemon._peers import PeerClient, PeerError
 
@@ -97,7 +98,6 @@
         self._folder.mkdir(parents=True, exist_ok=True)
         storage = Storage(DiskFileSystem(self._folder))
         await storage.open()
-        loop = asyncio.get_running_loop()
         identity = member_id(self._settings.host, storage.disk_id)
         self.replica = Replica(
             Member(identity, self._settings.host, self._address),
@@ -105,7 +105,7 @@
             self._send_log,
             self.machine,
             self._log_settings,
-            loop.time,
+            boot_time,
             random.Random(),
             self._metrics,
         )
@@ -115,7 +115,7 @@
             self._configuration_source(),
             self._leader_source(),
             self._peers.path("/peer/v1/barrier", _RPC_TIMEOUT_S * 2),
-            loop.time,
+            boot_time,
             self._membership_settings,
         )
         self.mesh = Mesh(
@@ -125,7 +125,7 @@
             self.sessions.continuity,
             self._other_addresses,
             self._peers.path("/peer/v1/mesh", _POLL_TIMEOUT_S),
-            loop.time,
+            boot_time,
             self._membership_settings,
         )
         self.machine.on_revision.append(self.sessions.wake)
@@ -154,7 +154,7 @@
         if kind in LEDGER_COMMANDS:
             command = stamp(command, _wall_ms())
         elif kind == "apply_configuration":
-            command = self._condensed(command)
+            return await self._apply(command)
         result = await self.replica.propose(command)
         return dict(result)
 
@@ -249,9 +249,16 @@
         await self.replica.read_barrier()
         return result_to_json(self.machine.ledger.apply(command_from_json(command)))
 
-    def _condensed(self, command: dict[str, Any]) -> dict[str, Any]:
-        apply = ApplyConfiguration.from_json(command | {"time_ms": _wall_ms()})
-        return self.machine.configuration.condense(apply).to_json()
+    async def _apply(self, command: dict[str, Any]) -> dict[str, Any]:
+        change = ApplyConfiguration.from_json(command | {"time_ms": _wall_ms()})
+        await self.replica.read_barrier()
+        history = self.machine.configuration
+        settled = history.settled(change)
+        if settled is not None:
+            return settled.to_json()
+        # A text of the target size takes longer than an election timeout to check.
+        condensed = await asyncio.to_thread(history.condense, change)
+        return dict(await self.replica.propose(condensed.to_json()))
 
     def _read_configuration(self) -> dict[str, Any]:
         return self.machine.configuration.current._asdict()
--- a/packages/daemon/src/kingcuplug_daemon/_entry.py
+++ b/packages/daemon/src/kingcuplug_daemon/_entry.py
@@ -17,6 +17,7 @@
 )
 from kingcuplug_routing import CrashGuard, RoutingPolicy
 
+from kingcuplug_daemon._clock import boot_time
 from kingcuplug_daemon._entry_configuration import EntryConfiguration, PolicyOf
 from kingcuplug_daemon._holders import HolderWatch
 from kingcuplug_daemon._peers import PeerClient, client_context
@@ -72,7 +73,6 @@
         routing_policy: PolicyOf = policy_of,
         membership_settings: MembershipSettings | None = None,
     ) -> None:
-        loop = asyncio.get_running_loop()
         zone = settings.availability_zone
         self.background = Background()
         self.guard = CrashGuard()
@@ -92,7 +92,7 @@
                 self.configuration.services,
             ),
             peers.path("/peer/v1/session", _SESSION_TIMEOUT_S),
-            loop.time,
+            boot_time,
             membership_settings,
         )
         self._routing = RoutingState(
--- a/packages/query/src/kingcuplug_query/_gather.py
+++ b/packages/query/src/kingcuplug_query/_gather.py
@@ -156,6 +156,7 @@
         self._attempts: dict[int, list[_SubAttempt]] = {}
         self._tried: dict[int, set[str]] = {}
         self._hedged: set[int] = set()
+        self._hedge_tries: dict[int, int] = {}
         self._interrupted = False
         self._changed = asyncio.Event()
         self._numbers = itertools.count()
@@ -216,8 +217,7 @@
         if hedge is not None:
             following = await self._attempt(shard, hedge, hedge=True)
         while shard in self._open and following is not _Next.DONE:
-            retry = following is _Next.RETRY
-            ticket = await self._ticket(shard, retry)
+            ticket = await self._ticket(shard, following is _Next.RETRY)
             if ticket is None:
                 return
             following = await self._attempt(shard, ticket, hedge=False)
@@ -262,21 +262,24 @@
                 continue
             # An attempt that still waits for capacity has not started its delay.
             started = attempts[0].started if attempts else now
-            due = started + delay_ms / _MILLISECONDS
+            due = started + delay_ms * self._hedge_tries.get(shard, 1) / _MILLISECONDS
             if due > now:
                 following = min(following, due)
             elif attempts:
                 self._hedge(shard)
+                following = min(following, now + delay_ms / _MILLISECONDS)
         return following
 
     def _hedge(self, shard: int) -> None:
-        self._hedged.add(shard)
         tried = self._tried[shard]
         ticket = self._router.choose(
             self.view.snapshot, shard, tried, self._network.zone, Attempt.HEDGE
         )
         if ticket is None:
+            # No replica has room or the budget is spent; later, that may change.
+            self._hedge_tries[shard] = self._hedge_tries.get(shard, 1) + 1
             return
+        self._hedged.add(shard)
         tried.add(ticket.server)
         self._network.metrics.count("query.hedge")
         self._network.background(self._serve(shard, hedge=ticket))
@@ -304,6 +307,7 @@
             return self._receive(shard, attempt, reply)
         except ConnectFailed:
             outcome = AttemptOutcome.CONNECTION_LOST
+            self._note_gone(sub_request, ticket)
             return self._retryable(shard, "a replica accepts no connection")
         except ReplyLost as error:
             outcome = AttemptOutcome.CONNECTION_LOST
@@ -333,6 +337,19 @@
             self._guard.ended(sub_request.attempt_id, outcome)
             self._attempts[shard].remove(attempt)
 
+    def _note_gone(self, sub_request: SubRequest, ticket: Ticket) -> None:
+        """Report a server that accepts no connection, as evidence of a lost zone.
+
+        Nothing was sent, so this query must not be blamed for it.
+        """
+        self._guard.ended(sub_request.attempt_id, AttemptOutcome.CANCELLED)
+        self._guard.server_crashed(
+            ticket.server,
+            ticket.incarnation,
+            self._request.service,
+            ticket.availability_zone,
+        )
+
     def _sub_request(self, shard: int) -> SubRequest:
         remaining_s = self._request.deadline - self._loop.time()
         return SubRequest(
@@ -364,6 +381,10 @@
             return _Next.DONE
         if reply.status is ReplyStatus.SNAPSHOT_GONE:
             return _Next.MOVED
+        if reply.status in _DID_NOT_RUN:
+            # The router backs off from a server that shed; excluding it for the rest
+            # of the query would send its work to the slowest replica.
+            self._tried[shard].discard(attempt.ticket.server)
         return self._retryable(shard, f"a replica replied {reply.status.value}")
 
     def _retryable(self, shard: int, fault: str) -> _Next:
