Send the directory to entry hosts in shorter parts

After the loss of a control host, several entry hosts start a session at the same survivor and wait 400 ms each for the first answer before they move on.

--- a/packages/membership/src/kingcuplug_membership/_directory.py
+++ b/packages/membership/src/kingcuplug_membership/_directory.py
@@ -164,15 +164,20 @@
         if services is None:
             return self._changes.since(version, local)
         wanted = frozenset(services)
-        if version > 0:
+        known = sum(len(self._services.get(service, ())) for service in wanted)
+        if self.version - version < known:
             found = self._changes.since(version, local)
             return [key for key in found if key[0] in wanted]
+        # Fewer servers than changes: each part of a long answer looks at these only.
         keys = [
             (service, server)
             for service in wanted
-            for server in self._services.get(service, {})
+            for server in self._services.get(service, ())
         ]
-        return sorted(keys, key=lambda key: self._changes[key].version)
+        marks = self._changes
+        keys = [key for key in keys if marks[key].version > version]
+        keys = [key for key in keys if marks[key].local or not local]
+        return sorted(keys, key=lambda key: marks[key].version)
 
     def has_news(self, version: int, services: frozenset[str]) -> bool:
         """Return whether a server of `services` changed after `version`."""
--- a/packages/membership/src/kingcuplug_membership/_session_server.py
+++ b/packages/membership/src/kingcuplug_membership/_session_server.py
@@ -233,7 +233,7 @@
         changes = self.directory.changes_since(
             0 if full else request.directory,
             session.services,
-            limit=self._settings.batch_limit,
+            limit=self._settings.session_batch_limit,
         )
         session.behind = changes.more
         return SessionReply(
--- a/packages/membership/src/kingcuplug_membership/_settings.py
+++ b/packages/membership/src/kingcuplug_membership/_settings.py
@@ -39,9 +39,11 @@
         Time for which blames and condemnations are kept.
     verdict_limit : int
         Greatest number of blames and condemnations kept.
-    batch_limit : int
-        Greatest number of directory entries in one message. 2,000 entries are
-        about 0.6 MB of JSON.
+    session_batch_limit, batch_limit : int
+        Greatest number of directory entries in one answer to an entry host, and
+        in one message between control hosts. 2,000 entries take about 60 ms of
+        CPU to encode; after the loss of a control host, several entry hosts want
+        an answer within the grace at the same moment, so theirs are shorter.
     return_ms : int
         Time after which an entry host tries its first choice of home again.
     """
@@ -60,6 +62,7 @@
     drift_bound: float = 0.01
     verdict_ms: int = 600_000
     verdict_limit: int = 10_000
+    session_batch_limit: int = 250
     batch_limit: int = 2_000
     return_ms: int = 300_000
 
