--- a/packages/membership/src/kingcuplug_membership/_barrier.py
+++ b/packages/membership/src/kingcuplug_membership/_barrier.py
@@ -99,11 +99,16 @@
     def grant_until(self) -> float:
         """Return the time up to which this host may grant session leases."""
         if self._leading.active():
+            self._note_leading()
             self._limit = self._clock() + self._settings.safe_lease
         while self._pending and self._pending[0][0] <= self._leader.applied_index():
             self._limit = max(self._limit, self._pending.popleft()[1])
         return self._limit
 
+    def uploaded(self) -> int:
+        """Return up to which version the leader has this host's directory."""
+        return self._directory.version if self._leading.active() else self._uploaded
+
     def failing(self) -> bool:
         """Return whether sessions should move while their leases still run."""
         return self.grant_until() - self._clock() < self._settings.safe_lease / 2
@@ -166,6 +171,7 @@
         MessageInvalid
             If the request cannot be read.
         """
+        self.grant_until()
         return self._leading.handle(message)
 
     async def run(self) -> None:
@@ -202,10 +208,15 @@
             self._sessions.wake()
         self._failed = failing
 
-    def _lead(self) -> None:
+    def _note_leading(self) -> None:
+        # Called before anything is granted: this host may lead again after a time
+        # in which it missed what others learned.
         if self._continuity.interrupted():
             self._collect_again()
         self._continuity.note_leader()
+
+    def _lead(self) -> None:
+        self._note_leading()
         self._relayed_at = self._clock()
         self._relayed_into = self._directory.epoch
         live = self._leading.step()
@@ -228,6 +239,8 @@
             return False
         self._continuity.note_leader()
         self._uploaded = upload.version
+        if upload.entries:
+            self._sessions.wake()
         self._take(request, reply)
         if reply.more or upload.more:
             return False
--- a/packages/membership/src/kingcuplug_membership/_messages.py
+++ b/packages/membership/src/kingcuplug_membership/_messages.py
@@ -90,6 +90,8 @@
         What the directory holds instead of updates that it did not accept.
     live : dict
         Live incarnation of the hosts asked for; None if none is live.
+    delivered : bool
+        Whether the log's leader has all updates that the host has sent.
     """
 
     epoch: str = ""
@@ -109,6 +111,7 @@
     verdict_version: int = 0
     live_entry_hosts: int = 0
     live: dict[str, int | None] | None = None
+    delivered: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/membership/src/kingcuplug_membership/_session_client.py
+++ b/packages/membership/src/kingcuplug_membership/_session_client.py
@@ -102,6 +102,7 @@
         self._refusals = 0
         self._return_at = 0.0
         self._answered_at = float("-inf")
+        self._delivered = 0
         self._start()
         self.leases = LeaseTable(
             holder_name(host, incarnation),
@@ -129,7 +130,11 @@
             self._urgent.set()
 
     async def delivered(self, version: int) -> None:
-        """Wait until a control host has the lease changes up to `version`."""
+        """Wait until the log's leader has the lease changes up to `version`.
+
+        From then on they are in force everywhere within a session lease, whoever
+        is cut off: no host gets a longer lease without them.
+        """
         while self._delivered < version:
             await self._replied.wait()
 
@@ -162,7 +167,7 @@
         self._epoch = ""
         self._verdict_version = 0
         self._sent_verdicts = 0
-        self._delivered = 0
+        self._sent_leases = 0
         self._services: tuple[str, ...] | None = None
         self._intake.start()
 
@@ -205,7 +210,7 @@
 
     def _request(self) -> SessionRequest:
         self._number += 1
-        updates, _ = self.leases.changes_since(self._delivered)
+        updates, _ = self.leases.changes_since(self._sent_leases)
         services = self._configuration.services()
         return SessionRequest(
             host=self._host,
@@ -261,7 +266,9 @@
         self._epoch = reply.epoch
         if sent.request.services is not None:
             self._services = sent.request.services
-        self._delivered = sent.leases_version
+        self._sent_leases = sent.leases_version
+        if reply.delivered:
+            self._delivered = sent.leases_version
         self._sent_verdicts = sent.verdicts_version
         self.live_entry_hosts = max(1, reply.live_entry_hosts)
         self._take_news(reply)
--- a/packages/membership/src/kingcuplug_membership/_session_server.py
+++ b/packages/membership/src/kingcuplug_membership/_session_server.py
@@ -125,6 +125,8 @@
         full = request.epoch == "" or self._route(session, request)
         self._sessions.confirm(session, request.confirmed)
         refused = self._merge(request)
+        if request.updates:
+            session.awaited = self.directory.version
         if not (full or refused or session.behind or self._is_urgent(request)):
             await self._hold(session, request)
         if not self._is_current(session, request):
@@ -203,15 +205,16 @@
             self._refusal(request) != ""
             or request.confirmed != self._configuration.revision()
             or self.verdicts.version > request.verdict_version
+            or 0 < session.awaited <= self.barrier.uploaded()
             or self.directory.has_news(request.directory, session.services)
         )
 
     def _refusal(self, request: SessionRequest) -> str:
         """Return why this host grants nothing now; empty if it does."""
-        if not self.continuity.settled():
-            return "the directory is not complete yet"
         if self.barrier.failing():
             return "the leader does not confirm this control host"
+        if not self.continuity.settled():
+            return "the directory is not complete yet"
         if request.confirmed > self._configuration.revision():
             return "this control host is behind"
         return ""
@@ -236,6 +239,9 @@
             limit=self._settings.session_batch_limit,
         )
         session.behind = changes.more
+        delivered = session.awaited <= self.barrier.uploaded()
+        if delivered:
+            session.awaited = 0
         return SessionReply(
             epoch=self.directory.epoch,
             lease_ms=max(0, int((until - received) * 1_000)),
@@ -252,6 +258,7 @@
             verdict_version=self.verdicts.version,
             live_entry_hosts=self.barrier.count_hosts(),
             live=self._live_news(request),
+            delivered=delivered,
         )
 
     def _configuration_news(
--- a/packages/membership/src/kingcuplug_membership/_sessions.py
+++ b/packages/membership/src/kingcuplug_membership/_sessions.py
@@ -29,6 +29,9 @@
         Whether the leader is told of a running lease.
     behind : bool
         Whether the last answer left out entries for its size.
+    awaited : int
+        Directory version that the leader must have before the host's updates count
+        as delivered; 0 if the host was told so.
     """
 
     host: str
@@ -41,6 +44,7 @@
     answered_at: float = 0.0
     listed: bool = False
     behind: bool = False
+    awaited: int = 0
     wake: asyncio.Event = field(default_factory=asyncio.Event)
 
     def row(self) -> HostRow:
--- a/tests/membership/conftest.py
+++ b/tests/membership/conftest.py
@@ -110,6 +110,7 @@
     def __init__(self, network: FakeNetwork) -> None:
         self.network = network
         self.names: list[str] = []
+        self.controls: dict[str, Control] = {}
         self.texts = ['{"n":0}']
         self.accepted_at = [0.0]
         self.leader: str | None = "c0"
@@ -128,6 +129,9 @@
         """Change the leader at once; the caller sees to the former one's lease."""
         self.leader = name
         self.term += 1
+        if name is not None:
+            # A leader has all committed entries and applies them before it leads.
+            self.controls[name].applied = len(self.texts) - 1
 
     def leading_until(self, name: str) -> float:
         """Return the end of a control host's lease as leader."""
@@ -360,6 +364,7 @@
         self.log.names = [f"c{number}" for number in range(controls)]
         self.election = asyncio.ensure_future(self.log.run())
         self.controls: dict[str, Control] = dict.fromkeys(self.log.names)
+        self.log.controls = self.controls
         for name in self.controls:
             self.controls[name] = Control(self, name)
         self.entries = {
--- a/tests/membership/test_sessions.py
+++ b/tests/membership/test_sessions.py
@@ -452,6 +452,22 @@
     play(scenario, controls=1)
 
 
+def test_new_leader_grants_nothing_before_others_upload(play: Play) -> None:
+    # Guards against grants in the moment between an election that ends a time
+    # without leader and the new leader's first round.
+    async def scenario(system: System) -> None:
+        system.log.enabled = False
+        system.log.elect(None)
+        await asyncio.sleep(5)
+        system.log.elect("c1")
+        await until(lambda: system.log.leading_until("c1") > now())
+        reply = await system.network.caller("session", "e9")("c1", make_request(1))
+        assert "lease_ms" not in reply
+        assert "not complete" in reply["reason"]
+
+    play(scenario)
+
+
 def test_continuity_after_a_time_without_leader() -> None:
     # Guards against grants from a directory that lacks what other control hosts
     # learned while there was no leader.
