--- a/packages/daemon/src/kingcuplug_daemon/_caller_app.py
+++ b/packages/daemon/src/kingcuplug_daemon/_caller_app.py
@@ -44,6 +44,7 @@
 _MILLISECONDS = 1_000
 _UNAVAILABLE = 503
 _CONFLICT = 409
+_LEAVE_TIMEOUT_S = 0.8
 
 Run = Callable[[Any, str, float], Awaitable[Answer]]
 
@@ -290,7 +291,15 @@
     async def _announce(self, request: Request) -> Response:
         async def announce() -> Any:
             fields = await read_json(request, self._settings.body_limit_bytes)
-            return self._entry.session.leases.announce(parse_announcement(fields))
+            announcement = parse_announcement(fields)
+            session = self._entry.session
+            granted = session.leases.announce(announcement)
+            if announcement.state != "serving":
+                # A leaving server may stop as soon as it has this answer, so the
+                # other entry hosts must be about to learn of it.
+                async with asyncio.timeout(_LEAVE_TIMEOUT_S):
+                    await session.delivered(session.leases.version)
+            return granted
 
         return await self._server_call(request, announce)
 
@@ -321,6 +330,8 @@
             granted = await work()
         except Refusal as refusal:
             return json_response(error_fields(refusal), status_of(refusal))
+        except TimeoutError:
+            return json_response({"error": "NotDelivered"}, _UNAVAILABLE)
         except KingcuplugError as error:
             self._metrics.count(f"servers.refused.{type(error).__name__}")
             return json_response(error_fields(error), _CONFLICT)
