Add the operators' commands

Cause: kingcuplug had only the demo; operators had to post JSON by hand.

An apply is named by the digest of author, base revision and text and is sent again after a lost answer. A command runs only after all of its arguments were understood. At the hosts, an in-force question no longer says yes while leases of an earlier leader may run, and impossible additions of members are refused with a typed error.

--- /dev/null
+++ b/packages/cli/src/kingcuplug_cli/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the program as ``python -m kingcuplug_cli``."""
+
+from kingcuplug_cli._main import main
+
+main()
--- /dev/null
+++ b/packages/cli/src/kingcuplug_cli/_config.py
@@ -0,0 +1,269 @@
+"""Commands about the configuration."""
+
+import asyncio
+import getpass
+from pathlib import Path
+from typing import Any
+
+from kingcuplug_common import digest
+from kingcuplug_configuration import (
+    ConfigurationFault,
+    ConfigurationText,
+    describe,
+    parse,
+    render,
+)
+
+from kingcuplug_cli._config_results import (
+    Applied,
+    ApplyConflict,
+    Checked,
+    Difference,
+    Fault,
+    History,
+    HistoryRow,
+    HostRow,
+    InForce,
+    Shown,
+)
+from kingcuplug_cli._connection import OperatorClient
+from kingcuplug_cli._results import (
+    CommandRefused,
+    OutcomeUnknown,
+    Unreachable,
+    WrongUsage,
+)
+
+__all__ = ["apply", "check", "diff", "history", "show", "status"]
+
+_MILLISECONDS = 1_000
+_RESEND_PAUSE_S = 0.5
+_WAIT_SLICE_S = 5.0
+_WAIT_MARGIN_S = 10.0
+
+
+async def check(file: str) -> Checked:
+    """Validate a text without a host; every fault is reported at once."""
+    return _checked(_read(file))
+
+
+async def diff(client: OperatorClient, file: str) -> Difference:
+    """Compare a text with the one in force."""
+    new = _parsed(_read(file))
+    current = await show(client)
+    changes = describe(parse(current.text), new).splitlines()
+    return Difference(current.number, bool(changes), tuple(changes))
+
+
+async def show(client: OperatorClient, raw: bool = False) -> Shown:
+    """Return the configuration in force."""
+    fields = await client.call("configuration/show")
+    return Shown(
+        fields["number"],
+        fields["digest"],
+        fields["author"],
+        fields["time_ms"],
+        fields["text"],
+        raw,
+    )
+
+
+async def history(client: OperatorClient) -> History:
+    """Return the accepted revisions."""
+    fields = await client.call("history/show")
+    return History(tuple(HistoryRow(**row) for row in fields["revisions"]))
+
+
+async def status(client: OperatorClient) -> InForce:
+    """Return whether the present revision is in force everywhere."""
+    current = await show(client)
+    return await _in_force(client, current.number, 0.0)
+
+
+async def apply(
+    client: OperatorClient,
+    file: str,
+    base_revision: int | None = None,
+    author: str | None = None,
+    wait: bool = False,
+    wait_s: float = 60.0,
+    resend_s: float = 20.0,
+) -> Applied | ApplyConflict | Checked:
+    """Replace the configuration if it is still at the base revision.
+
+    Parameters
+    ----------
+    base_revision : int, optional
+        Revision that the text was made from; by default the present one.
+    author : str, optional
+        Who makes the change; by default the user of this process.
+    wait : bool
+        Whether to wait until the revision is in force everywhere.
+    wait_s, resend_s : float
+        Bounds of that wait, and of resending after lost answers, in seconds.
+    """
+    _require_numbers(base_revision, wait_s, resend_s)
+    text = _read(file)
+    checked = _checked(text)
+    if checked.faults:
+        return checked
+    if base_revision is None:
+        current = await show(client)
+        base_revision = current.number
+        if current.text == render(parse(text)):
+            applied = Applied(base_revision, "", 0, unchanged=True)
+            return await _waited(client, applied, wait_s) if wait else applied
+    author = author or getpass.getuser()
+    command = {
+        # Equal for a resend, and for nothing else: a text that comes back later
+        # has another base revision.
+        "change_id": digest([author, base_revision, text]),
+        "base_revision": base_revision,
+        "text": text,
+        "author": author,
+    }
+    answer, resends = await _send(client, command, resend_s)
+    if answer["type"] == "conflict":
+        return await _conflict(client, base_revision, text, answer)
+    if answer["type"] != "accepted":
+        return Checked(0, _faults(answer["faults"]))
+    applied = Applied(answer["revision"], str(command["change_id"]), resends)
+    return await _waited(client, applied, wait_s) if wait else applied
+
+
+async def _send(
+    client: OperatorClient, command: dict[str, Any], resend_s: float
+) -> tuple[dict[str, Any], int]:
+    """Send a change until its fate is known or `resend_s` have passed."""
+    loop = asyncio.get_running_loop()
+    give_up = loop.time() + resend_s
+    unknown: OutcomeUnknown | None = None
+    resends = 0
+    while True:
+        try:
+            answer = await client.call("configuration", command, changes=True)
+            return answer, resends
+        except OutcomeUnknown as error:
+            unknown = error
+        except Unreachable:
+            # An earlier copy may still be applied, whatever became of this one.
+            if unknown is None:
+                raise
+        except CommandRefused as error:
+            if error.kind != "Rejected":
+                raise
+            return {"type": "rejected", "faults": error.fields["faults"]}, resends
+        if loop.time() >= give_up:
+            raise OutcomeUnknown(
+                unknown.message,
+                "send the same text again with the same --author and "
+                f"--base-revision {command['base_revision']}; it is applied at most "
+                "once",
+            )
+        await asyncio.sleep(_RESEND_PAUSE_S)
+        resends += 1
+
+
+async def _waited(client: OperatorClient, applied: Applied, wait_s: float) -> Applied:
+    """Return the result once the revision is in force, or the time is over."""
+    loop = asyncio.get_running_loop()
+    give_up = loop.time() + wait_s
+    while True:
+        left = give_up - loop.time()
+        try:
+            found = await _in_force(
+                client, applied.revision, max(min(left, _WAIT_SLICE_S), 0.0)
+            )
+        except Unreachable:
+            # An election interrupts the wait; the change itself is accepted.
+            found = InForce(applied.revision, False, (), ())
+            await asyncio.sleep(min(_RESEND_PAUSE_S, max(left, 0.0)))
+        if found.in_force or left <= 0:
+            return Applied(
+                applied.revision,
+                applied.change_id,
+                applied.resends,
+                applied.unchanged,
+                found,
+            )
+
+
+async def _in_force(client: OperatorClient, revision: int, wait_s: float) -> InForce:
+    fields = await client.call(
+        "in-force",
+        {"revision": revision, "wait_ms": int(wait_s * _MILLISECONDS)},
+        timeout_s=wait_s + _WAIT_MARGIN_S,
+    )
+    return InForce(
+        revision,
+        fields["in_force"],
+        tuple(fields["waiting_for"]),
+        tuple(HostRow(**row) for row in fields["hosts"]),
+    )
+
+
+async def _conflict(
+    client: OperatorClient, base_revision: int, text: str, answer: dict[str, Any]
+) -> ApplyConflict:
+    current = await show(client)
+    difference = describe(parse(current.text), parse(text)).splitlines()
+    return ApplyConflict(
+        base_revision,
+        answer["current_revision"],
+        answer["winner_author"],
+        answer["winner_time_ms"],
+        _changed(answer["difference"]),
+        tuple(difference),
+    )
+
+
+def _require_numbers(base_revision: Any, *times_s: Any) -> None:
+    if base_revision is not None and type(base_revision) is not int:
+        raise WrongUsage(
+            f"base revision {base_revision!r} is not a number",
+            "pass the number that `kingcuplug config show` prints",
+        )
+    for time_s in times_s:
+        if type(time_s) not in (int, float):
+            raise WrongUsage(f"time {time_s!r} is not a number", "pass seconds")
+
+
+def _changed(difference: dict[str, Any] | None) -> tuple[str, ...] | None:
+    if difference is None:
+        return None
+    changes = [f"~ service {name}" for name in sorted(difference["changed"])]
+    changes += [f"- service {name}" for name in sorted(difference["removed"])]
+    if difference["retention_days"] is not None:
+        changes.append(f"retention_days: {difference['retention_days']}")
+    return tuple(changes)
+
+
+def _checked(text: str) -> Checked:
+    try:
+        return Checked(len(parse(text).services))
+    except ExceptionGroup as group:
+        faults = [f for f in group.exceptions if isinstance(f, ConfigurationFault)]
+        return Checked(0, _faults([fault.to_json() for fault in faults]))
+
+
+def _parsed(text: str) -> ConfigurationText:
+    try:
+        return parse(text)
+    except ExceptionGroup as group:
+        raise WrongUsage(
+            f"the text has {len(group.exceptions)} faults",
+            "list them with `kingcuplug config check`",
+        ) from group
+
+
+def _faults(faults: list[dict[str, str]]) -> tuple[Fault, ...]:
+    return tuple(Fault(**fault) for fault in faults)
+
+
+def _read(file: str) -> str:
+    try:
+        return Path(file).read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise WrongUsage(
+            f"file {file} cannot be read: {error}", "check the path and its encoding"
+        ) from error
--- /dev/null
+++ b/packages/cli/src/kingcuplug_cli/_connection.py
@@ -0,0 +1,217 @@
+"""How the program reaches a host."""
+
+import os
+import ssl
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import orjson
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from kingcuplug_cli._results import (
+    CommandRefused,
+    OutcomeUnknown,
+    Unreachable,
+    WrongUsage,
+)
+
+__all__ = ["SETTINGS_VARIABLE", "Connection", "OperatorClient", "connection_of"]
+
+SETTINGS_VARIABLE = "KINGCUPLUG_CLIENT"
+_DEFAULT_TIMEOUT_S = 15.0
+_CONNECT_TIMEOUT_S = 3.0
+# A host that starts or has no leader behind it has changed nothing.
+_NOTHING_DONE = frozenset(("Starting", "NoLeader", "NotLeader"))
+
+
+class Connection(BaseModel):
+    """Connection options of the program.
+
+    Attributes
+    ----------
+    host : str or None
+        ``ip:port`` of the callers' listener of any host.
+    token_file : Path or None
+        File with the operators' bearer token.
+    ca_file : Path or None
+        Certificates of the authority; with it the connection uses TLS.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    host: str | None = None
+    token_file: Path | None = None
+    ca_file: Path | None = None
+
+
+def connection_of(
+    options: Mapping[str, str | None], environment: Mapping[str, str] = os.environ
+) -> Connection:
+    """Return the options, completed from the settings file of the environment.
+
+    Raises
+    ------
+    WrongUsage
+        If the file or an option cannot be used.
+    """
+    given = {name: value for name, value in options.items() if value is not None}
+    path = environment.get(SETTINGS_VARIABLE)
+    stored: Any = {}
+    if path:
+        try:
+            stored = orjson.loads(Path(path).read_bytes())
+        except (OSError, orjson.JSONDecodeError) as error:
+            raise WrongUsage(
+                f"client settings {path} cannot be read: {error}",
+                f"correct the file or unset {SETTINGS_VARIABLE}",
+            ) from error
+    try:
+        return Connection.model_validate({**stored, **given})
+    except (ValidationError, TypeError) as error:
+        raise WrongUsage(
+            f"the connection options cannot be used: {error}",
+            "give host, token_file and ca_file as texts",
+        ) from error
+
+
+class OperatorClient:
+    """Calls the operators' interface of one host.
+
+    Parameters
+    ----------
+    connection : Connection
+        The host and the credentials.
+    """
+
+    def __init__(self, connection: Connection) -> None:
+        if connection.host is None:
+            raise WrongUsage(
+                "no host is given",
+                f"pass --host ip:port, or name a file in {SETTINGS_VARIABLE}",
+            )
+        self.host = connection.host
+        self._headers = {"Content-Type": "application/json", **_token(connection)}
+        self._context = _context(connection.ca_file)
+
+    async def call(
+        self,
+        path: str,
+        fields: dict[str, Any] | None = None,
+        *,
+        changes: bool = False,
+        timeout_s: float = _DEFAULT_TIMEOUT_S,
+    ) -> dict[str, Any]:
+        """Post to an operators' endpoint and return its answer.
+
+        Parameters
+        ----------
+        changes : bool
+            Whether the call changes anything; a lost answer then leaves its
+            outcome unknown.
+
+        Raises
+        ------
+        CommandRefused
+            If the system refused.
+        Unreachable
+            If nothing was done because no host could be asked.
+        OutcomeUnknown
+            If the answer to a change was lost.
+        """
+        try:
+            status, body = await self._post(path, fields or {}, timeout_s)
+        except aiohttp.ClientConnectorError as error:
+            raise Unreachable(
+                f"host {self.host} accepts no connection: {error}",
+                "check that the host runs, --host, and --ca-file if it serves TLS",
+            ) from error
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            raise self._lost(f"{type(error).__name__} {error}", changes) from error
+        return self._read(status, body, changes)
+
+    async def _post(
+        self, path: str, fields: dict[str, Any], timeout_s: float
+    ) -> tuple[int, bytes]:
+        scheme = "http" if self._context is None else "https"
+        url = f"{scheme}://{self.host}/v1/operator/{path}"
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_s, sock_connect=_CONNECT_TIMEOUT_S
+        )
+        connector = aiohttp.TCPConnector(
+            ssl=True if self._context is None else self._context
+        )
+        async with (
+            aiohttp.ClientSession(connector=connector, timeout=timeout) as session,
+            session.post(
+                url, data=orjson.dumps(fields), headers=self._headers
+            ) as response,
+        ):
+            return response.status, await response.read()
+
+    def _read(self, status: int, body: bytes, changes: bool) -> dict[str, Any]:
+        try:
+            answer = orjson.loads(body)
+        except orjson.JSONDecodeError:
+            answer = None
+        if status == 404 and answer is None:
+            raise Unreachable(
+                f"host {self.host} has no operators' interface here",
+                "pass its caller_address, not its peer_address",
+            )
+        if not isinstance(answer, dict):
+            raise self._lost(f"HTTP status {status} without a JSON object", changes)
+        if status == 200:
+            return answer
+        kind = str(answer.get("error", status))
+        message = str(answer.get("message", f"HTTP status {status}"))
+        remedy = str(answer.get("remedy", "try again shortly"))
+        if kind == "OutcomeUnknown":
+            raise self._lost(message, changes)
+        if kind in _NOTHING_DONE:
+            raise Unreachable(message, remedy)
+        raise CommandRefused(message, remedy, kind, answer)
+
+    def _lost(self, cause: str, changes: bool) -> OutcomeUnknown | Unreachable:
+        if changes:
+            return OutcomeUnknown(
+                f"host {self.host} did not answer, so the change may have been made:"
+                f" {cause}",
+                "look at the present state before you repeat the command",
+            )
+        return Unreachable(
+            f"host {self.host} did not answer: {cause}", "ask again, or another host"
+        )
+
+
+def _token(connection: Connection) -> dict[str, str]:
+    if connection.token_file is None:
+        return {}
+    try:
+        token = connection.token_file.read_text().strip()
+    except (OSError, UnicodeDecodeError) as error:
+        raise WrongUsage(
+            f"token file {connection.token_file} cannot be read: {error}",
+            "check the path and its permissions",
+        ) from error
+    if not token:
+        raise WrongUsage(
+            f"token file {connection.token_file} is empty", "write the token into it"
+        )
+    return {"Authorization": f"Bearer {token}"}
+
+
+def _context(ca_file: Path | None) -> ssl.SSLContext | None:
+    if ca_file is None:
+        return None
+    try:
+        context = ssl.create_default_context(cafile=str(ca_file))
+    except (OSError, ssl.SSLError) as error:
+        raise WrongUsage(
+            f"CA file {ca_file} cannot be used: {error}",
+            "name a PEM file with the authority's certificate",
+        ) from error
+    # Hosts are addressed by IP number; the private authority vouches for them.
+    context.check_hostname = False
+    return context
--- /dev/null
+++ b/packages/cli/src/kingcuplug_cli/_control_commands.py
@@ -0,0 +1,121 @@
+"""Commands about the control hosts."""
+
+import dataclasses
+from collections.abc import Iterator
+from typing import Any
+
+from kingcuplug_cli._connection import OperatorClient
+from kingcuplug_cli._results import CommandRefused, ExitCode, Unreachable
+
+__all__ = ["add", "bootstrap", "remove", "status"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bootstrapped:
+    """A cluster with one member."""
+
+    cluster: str
+    member: str
+    exit_code: ExitCode = ExitCode.DONE
+
+    def lines(self) -> Iterator[str]:
+        """Yield what was begun."""
+        yield f"cluster {self.cluster} begins with member {self.member}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Added:
+    """A control host that takes part from now on."""
+
+    member: str
+    role: str
+    exit_code: ExitCode = ExitCode.DONE
+
+    def lines(self) -> Iterator[str]:
+        """Yield what was added."""
+        yield f"added {self.member} as {self.role}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Removed:
+    """A member that no longer takes part."""
+
+    member: str
+    exit_code: ExitCode = ExitCode.DONE
+
+    def lines(self) -> Iterator[str]:
+        """Yield what was removed."""
+        yield f"removed {self.member}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ControlStatus:
+    """The group as the leader sees it, or as the asked host does.
+
+    Attributes
+    ----------
+    leads : bool
+        Whether a leader answered.
+    """
+
+    leads: bool
+    fields: dict[str, Any]
+
+    @property
+    def exit_code(self) -> ExitCode:
+        """Not reachable if no leader answered."""
+        return ExitCode.DONE if self.leads else ExitCode.UNREACHABLE
+
+    def lines(self) -> Iterator[str]:
+        """Yield the leader, the members, and whether one may be lost."""
+        fields = self.fields
+        if self.leads:
+            yield f"leader {fields['leader']}, term {fields['term']}"
+        else:
+            yield f"no leader answers; this is what {fields['member']} knows"
+        yield f"committed up to {fields['commit_index']}"
+        safe = "yes" if fields["safe_to_lose_one"] else "no"
+        yield f"safe to lose one voter: {safe}"
+        if fields["storage_failed"]:
+            yield f"the storage of {fields['member']} has failed; replace its disk"
+        matches = {peer["member"]: peer for peer in fields["peers"]}
+        for member in fields["members"]:
+            peer = matches.get(member["id"])
+            yield f"  {member['id']}  {member['role']}  {member['address']}{_at(peer)}"
+
+
+def _at(peer: dict[str, Any] | None) -> str:
+    if peer is None:
+        return ""
+    caught_up = "caught up" if peer["caught_up"] else "behind"
+    return f"  {caught_up} at {peer['match_index']}"
+
+
+async def bootstrap(client: OperatorClient) -> Bootstrapped:
+    """Begin a cluster on the host that is asked."""
+    return Bootstrapped(**await client.call("control/bootstrap", changes=True))
+
+
+async def add(client: OperatorClient, address: str, role: str = "voter") -> Added:
+    """Add the control host at a peer address."""
+    fields = await client.call(
+        "control/add", {"address": address, "role": role}, changes=True
+    )
+    return Added(fields["added"], fields["role"])
+
+
+async def remove(client: OperatorClient, member: str) -> Removed:
+    """Remove a member by its id, as `control status` prints it."""
+    fields = await client.call("control/remove", {"member": member}, changes=True)
+    return Removed(fields["removed"])
+
+
+async def status(client: OperatorClient) -> ControlStatus:
+    """Return the leader's view; without a leader, that of the host asked."""
+    try:
+        return ControlStatus(True, await client.call("control/leader/show"))
+    except Unreachable as error:
+        try:
+            return ControlStatus(False, await client.call("control/status"))
+        except CommandRefused:
+            raise error from None
--- /dev/null
+++ b/packages/cli/src/kingcuplug_cli/_hosts.py
@@ -0,0 +1,114 @@
+"""Commands about hosts and backend servers."""
+
+import dataclasses
+from collections.abc import Iterator
+from typing import Any
+
+from kingcuplug_cli._config_results import HostRow
+from kingcuplug_cli._connection import OperatorClient
+from kingcuplug_cli._results import ExitCode
+
+__all__ = ["drain", "hosts", "servers", "status"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hosts:
+    """Entry hosts with a running lease."""
+
+    hosts: tuple[HostRow, ...]
+    exit_code: ExitCode = ExitCode.DONE
+
+    def lines(self) -> Iterator[str]:
+        """Yield one line per host."""
+        yield f"{len(self.hosts)} entry hosts with a running lease"
+        for host in self.hosts:
+            yield host.line()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerRow:
+    """One backend server of the directory."""
+
+    server: str
+    service: str
+    address: str
+    availability_zone: str
+    incarnation: int
+    sequence: int
+    state: str
+    snapshots: list[int]
+    held_by: list[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Servers:
+    """Backend servers that the control host knows."""
+
+    servers: tuple[ServerRow, ...]
+    exit_code: ExitCode = ExitCode.DONE
+
+    def lines(self) -> Iterator[str]:
+        """Yield one line per server."""
+        yield f"{len(self.servers)} backend servers"
+        for row in self.servers:
+            snapshots = ",".join(str(number) for number in row.snapshots)
+            yield (
+                f"  {row.service}  {row.server}  {row.address}  "
+                f"{row.availability_zone}  {row.state}  snapshots {snapshots or '-'}"
+            )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Drained:
+    """The graceful shutdown of a host began."""
+
+    host: str
+    in_flight: int
+    exit_code: ExitCode = ExitCode.DONE
+
+    def lines(self) -> Iterator[str]:
+        """Yield what happens next."""
+        yield (
+            f"host at {self.host} drains and then ends: {self.in_flight} requests "
+            "in flight are finished first"
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostStatus:
+    """State and counters of the host that was asked."""
+
+    fields: dict[str, Any]
+    exit_code: ExitCode = ExitCode.DONE
+
+    def lines(self) -> Iterator[str]:
+        """Yield one line per field and counter."""
+        for name, value in self.fields.items():
+            if name not in ("counters", "control"):
+                yield f"{name}: {value}"
+        for name, value in self.fields["counters"].items():
+            yield f"  {name}: {value}"
+
+
+async def hosts(client: OperatorClient) -> Hosts:
+    """Return the entry hosts with a running lease."""
+    fields = await client.call("hosts/show")
+    return Hosts(tuple(HostRow(**row) for row in fields["hosts"]))
+
+
+async def servers(client: OperatorClient, service: str | None = None) -> Servers:
+    """Return the backend servers, of one service or all."""
+    fields = await client.call("servers/show")
+    rows = (ServerRow(**row) for row in fields["servers"])
+    return Servers(tuple(r for r in rows if service is None or r.service == service))
+
+
+async def drain(client: OperatorClient) -> Drained:
+    """Begin the graceful shutdown of the host that is asked."""
+    fields = await client.call("drain", changes=True)
+    return Drained(client.host, fields["in_flight"])
+
+
+async def status(client: OperatorClient) -> HostStatus:
+    """Return state and counters of the host that is asked."""
+    return HostStatus(await client.call("status"))
--- /dev/null
+++ b/packages/cli/src/kingcuplug_cli/_invocation.py
@@ -0,0 +1,128 @@
+"""Running of one command and printing of its result."""
+
+import asyncio
+import dataclasses
+import json
+import sys
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from typing import Any, Concatenate, ParamSpec, TypeVar
+
+import fire
+from kingcuplug_common import KingcuplugError
+
+from kingcuplug_cli._connection import OperatorClient, connection_of
+from kingcuplug_cli._results import ExitCode, Result
+
+__all__ = ["Invocation", "Program", "plain_texts", "spell_switches"]
+
+_SWITCHES = frozenset(("--json", "--wait", "--raw"))
+
+_Parameters = ParamSpec("_Parameters")
+_Function = TypeVar("_Function", bound=Callable[..., Any])
+
+
+class Invocation:
+    """A command whose arguments were understood and that has not run yet.
+
+    Parameters
+    ----------
+    work : callable
+        Runs the command.
+    as_json : bool
+        Whether the result is printed as JSON.
+    """
+
+    def __init__(self, work: Callable[[], Awaitable[Result]], as_json: bool) -> None:
+        self._work = work
+        self._as_json = as_json
+
+    def _run(self) -> int:
+        """Run the command, print its result and return the exit code."""
+        try:
+            result = asyncio.run(self._result())
+        except KingcuplugError as error:
+            code = getattr(error, "exit_code", ExitCode.REFUSED)
+            print(self._error_text(error, code), file=sys.stderr)
+            return int(code)
+        except KeyboardInterrupt:
+            print("kingcuplug: interrupted", file=sys.stderr)
+            return int(ExitCode.OUTCOME_UNKNOWN)
+        if self._as_json:
+            fields = dataclasses.asdict(result)  # type: ignore[call-overload]
+            print(json.dumps(fields, indent=2))
+        else:
+            for line in result.lines():
+                print(line)
+        return int(result.exit_code)
+
+    async def _result(self) -> Result:
+        return await self._work()
+
+    def _error_text(self, error: KingcuplugError, code: ExitCode) -> str:
+        if not self._as_json:
+            return f"kingcuplug: {error.message}; {error.remedy}"
+        kind = getattr(error, "kind", type(error).__name__)
+        fields = {
+            "error": kind,
+            "message": error.message,
+            "remedy": error.remedy,
+            "exit_code": int(code),
+        }
+        return json.dumps(fields, indent=2)
+
+
+class Program:
+    """The connection options and the form of the output.
+
+    Parameters
+    ----------
+    options : Mapping
+        Connection options as they were given.
+    as_json : bool
+        Whether results are printed as JSON.
+    """
+
+    def __init__(self, options: Mapping[str, str | None], as_json: bool) -> None:
+        self._options = options
+        self._as_json = as_json
+
+    def local(
+        self,
+        function: Callable[_Parameters, Awaitable[Result]],
+        *args: _Parameters.args,
+        **kwargs: _Parameters.kwargs,
+    ) -> Invocation:
+        """Return the invocation of a command that needs no host."""
+        return Invocation(lambda: function(*args, **kwargs), self._as_json)
+
+    def remote(
+        self,
+        function: Callable[Concatenate[OperatorClient, _Parameters], Awaitable[Result]],
+        *args: _Parameters.args,
+        **kwargs: _Parameters.kwargs,
+    ) -> Invocation:
+        """Return the invocation of a command that asks a host."""
+
+        async def work() -> Result:
+            client = OperatorClient(connection_of(self._options))
+            return await function(client, *args, **kwargs)
+
+        return Invocation(work, self._as_json)
+
+
+def plain_texts(*names: str) -> Callable[[_Function], _Function]:
+    """Take arguments as texts, where fire would read numbers or lists."""
+
+    def decorate(function: _Function) -> _Function:
+        fire.decorators.SetParseFns(**dict.fromkeys(names, str))(function)
+        return function
+
+    return decorate
+
+
+def spell_switches(arguments: Sequence[str]) -> list[str]:
+    """Return the arguments with a value for each switch.
+
+    Otherwise fire would take a word that follows a switch as its value.
+    """
+    return [f"{word}=True" if word in _SWITCHES else word for word in arguments]
--- a/packages/cli/src/kingcuplug_cli/_main.py
+++ b/packages/cli/src/kingcuplug_cli/_main.py
@@ -1,23 +1,96 @@
 """The `kingcuplug` program."""
 
 import asyncio
+import sys
+from collections.abc import Sequence
 from pathlib import Path
 
 import fire
 
 from kingcuplug_cli._demo import run_demo
+from kingcuplug_cli._groups import (
+    ConfigCommands,
+    ControlCommands,
+    KeyCommands,
+    OrderCommands,
+    ReceiptCommands,
+    TraceCommands,
+)
+from kingcuplug_cli._hosts import drain, hosts, servers, status
+from kingcuplug_cli._invocation import Invocation, Program, plain_texts, spell_switches
 
 __all__ = ["main"]
 
 
 class Commands:
-    """Operators' commands of kingcuplug."""
+    """Operators' commands of kingcuplug.
+
+    Exit codes: 0 done, 1 refused or conflict, 2 wrong usage or settings, 3 outcome
+    unknown, 4 not reachable.
+
+    Parameters
+    ----------
+    host : str, optional
+        ip:port of the callers' listener of any host.
+    token_file : str, optional
+        File with the operators' bearer token.
+    ca_file : str, optional
+        Certificate of the authority; the connection then uses TLS.
+    json : bool
+        Print results and errors as JSON.
+    """
+
+    def __init__(
+        self,
+        host: str | None = None,
+        token_file: str | None = None,
+        ca_file: str | None = None,
+        json: bool = False,
+    ) -> None:
+        options = {"host": host, "token_file": token_file, "ca_file": ca_file}
+        self._program = Program(options, json)
+        self.config = ConfigCommands(self._program)
+        self.control = ControlCommands(self._program)
+        self.keys = KeyCommands(self._program)
+        self.orders = OrderCommands(self._program)
+        self.receipt = ReceiptCommands(self._program)
+        self.trace = TraceCommands(self._program)
 
     def demo(self, example: str = "examples/kavango") -> None:
         """Run the main job on loopback and print what happens."""
         asyncio.run(run_demo(Path(example)))
 
+    def drain(self) -> Invocation:
+        """Shut the asked host down gracefully."""
+        return self._program.remote(drain)
+
+    def hosts(self) -> Invocation:
+        """List the entry hosts with a running lease."""
+        return self._program.remote(hosts)
+
+    @plain_texts("service")
+    def servers(self, service: str | None = None) -> Invocation:
+        """List the backend servers, of one service or all."""
+        return self._program.remote(servers, service)
+
+    def status(self) -> Invocation:
+        """Show state and counters of the asked host."""
+        return self._program.remote(status)
+
+
+plain_texts("host", "token_file", "ca_file")(Commands.__init__)
+
 
-def main() -> None:
-    """Run the program."""
-    fire.Fire(Commands, name="kingcuplug")
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Run the program and exit with the code of its result."""
+    given = sys.argv[1:] if arguments is None else arguments
+    # An invocation runs only after all arguments were understood, so that a
+    # misspelt option does not follow a change that was already made.
+    result = fire.Fire(
+        Commands,
+        command=spell_switches(given),
+        name="kingcuplug",
+        serialize=lambda value: None if isinstance(value, Invocation) else value,
+    )
+    if isinstance(result, Invocation):
+        sys.exit(result._run())
--- a/packages/daemon/src/kingcuplug_daemon/_control.py
+++ b/packages/daemon/src/kingcuplug_daemon/_control.py
@@ -45,6 +45,10 @@
     """A cluster may exist already, so this host must not begin another."""
 
 
+class HostNotAdded(KingcuplugError):
+    """A host that cannot become a member; nothing was changed."""
+
+
 class ControlNode:
     """A control host's state and its answers to other hosts.
 
@@ -202,8 +206,14 @@
             await self.replica.change(remove=str(change["remove"]))
             return {"removed": change["remove"]}
         address = str(change["add"])
-        identity = await self._identity_of(address)
-        role = MemberRole(str(change.get("role", MemberRole.VOTER.value)))
+        role = _role(str(change.get("role", MemberRole.VOTER.value)))
+        try:
+            identity = await self._identity_of(address)
+        except (OSError, TimeoutError, PeerError) as error:
+            raise HostNotAdded(
+                f"control host at {address} cannot be asked who it is: {error}",
+                "start it with the role 'control' and pass its peer_address",
+            ) from error
         member = Member(identity["member"], identity["host"], address, role)
         await self.replica.change(add=member)
         return {"added": member.id, "role": role.value}
@@ -296,17 +306,20 @@
         }
 
     async def _wait_in_force(self, question: dict[str, Any]) -> dict[str, Any]:
+        """Wait for a revision; the answer tells who may still serve an older one."""
         revision = int(question["revision"])
         wait_s = min(float(question["wait_ms"]) / _MILLISECONDS, _LONGEST_WAIT_S)
         try:
             async with asyncio.timeout(wait_s):
                 await self.sessions.wait_in_force(revision)
-            waiting: list[str] = []
+            in_force, waiting = True, []
         except TimeoutError:
+            # Nobody may lag and the leases of an earlier leader still count.
+            in_force = False
             waiting = self.sessions.barrier.lagging(revision)
         return {
             "revision": revision,
-            "in_force": not waiting,
+            "in_force": in_force,
             "waiting_for": waiting,
             **self._read_hosts(),
         }
@@ -370,6 +383,15 @@
         return None if leader is None else leader.address
 
 
+def _role(name: str) -> MemberRole:
+    try:
+        return MemberRole(name)
+    except ValueError as error:
+        raise HostNotAdded(
+            f"role {name!r} is unknown", "use voter, learner or observer"
+        ) from error
+
+
 def leader_of(error: NotLeader) -> str | None:
     """Return the address of the leader that an error names."""
     return None if error.hint is None else error.hint.address
--- a/packages/daemon/src/kingcuplug_daemon/_operator_app.py
+++ b/packages/daemon/src/kingcuplug_daemon/_operator_app.py
@@ -170,10 +170,10 @@
         return await self._submitter.submit(command)
 
     async def _in_force(self, fields: dict[str, Any]) -> dict[str, Any]:
-        wait_ms = int(fields.get("wait_ms", _DEFAULT_WAIT_MS))
+        wait_ms = _number(fields, "wait_ms", _DEFAULT_WAIT_MS)
         question = {
             "type": "in_force",
-            "revision": int(fields["revision"]),
+            "revision": _number(fields, "revision"),
             "wait_ms": wait_ms,
         }
         timeout_s = wait_ms / _MILLISECONDS + _READ_TIMEOUT_S
@@ -246,6 +246,17 @@
     return value
 
 
+def _number(fields: dict[str, Any], name: str, default: int | None = None) -> int:
+    value = fields.get(name, default)
+    if type(value) is not int or value < 0:
+        raise not_run(
+            RefusalReason.INVALID_REQUEST,
+            f"the field {name!r} is {value!r}, not a number from 0",
+            f"send {name!r}",
+        )
+    return value
+
+
 def _unknown_fields(error: Exception) -> dict[str, Any]:
     return {
         "error": "OutcomeUnknown",
--- /dev/null
+++ b/tests/cli/conftest.py
@@ -0,0 +1,59 @@
+"""Fixtures of the tests of the operators' commands."""
+
+import dataclasses
+import json
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from kingcuplug_cli import main
+
+
+@dataclasses.dataclass(frozen=True)
+class Run:
+    """What one run of the program printed and how it ended."""
+
+    code: int
+    out: str
+    err: str
+
+    @property
+    def fields(self) -> Any:
+        """The result as JSON."""
+        return json.loads(self.out)
+
+
+Program = Callable[..., Run]
+
+
+@pytest.fixture
+def program(
+    capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> Program:
+    """Return a function that runs `kingcuplug` with the given arguments."""
+    monkeypatch.delenv("KINGCUPLUG_CLIENT", raising=False)
+
+    def run(*arguments: str) -> Run:
+        capsys.readouterr()
+        with pytest.raises(SystemExit) as ended:
+            main(arguments)
+        printed = capsys.readouterr()
+        return Run(int(ended.value.code or 0), printed.out, printed.err)
+
+    return run
+
+
+@pytest.fixture
+def operator(
+    program: Program, deployment: Any, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> Program:
+    """Return the program, connected by the settings file of the environment."""
+    token = tmp_path / "token"
+    token.write_text("operator-secret\n")
+    settings = tmp_path / "client.json"
+    settings.write_text(
+        json.dumps({"host": deployment.address(), "token_file": str(token)})
+    )
+    monkeypatch.setenv("KINGCUPLUG_CLIENT", str(settings))
+    return program
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,101 @@
+"""Fixtures shared by the tests that use whole deployments."""
+
+import asyncio
+import contextlib
+import json
+import threading
+from collections.abc import Coroutine, Iterator
+from typing import Any, TypeVar
+
+import pytest
+from kingcuplug_cli._local import Group, LocalDeployment, Sizes
+
+_T = TypeVar("_T")
+_STEP_TIMEOUT_S = 60.0
+
+SIZES = Sizes(
+    ("zone-1", "zone-2"),
+    0.0,
+    0.0,
+    (
+        Group(("stock", "patterns"), 3, 3, 30, 0.0, 4, 2),
+        Group(("trims",), 2, 3, 30, 0.0, 2, 2),
+    ),
+)
+TEXT = json.dumps(
+    {
+        "services": {
+            "stock": {"depends_on": ["trims"]},
+            "patterns": {},
+            "trims": {},
+        }
+    }
+)
+
+
+class RunningDeployment:
+    """A deployment whose event loop runs in a thread of its own.
+
+    Tests then call the program like a person does, while the hosts answer it.
+    """
+
+    def __init__(self) -> None:
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+        self._thread.start()
+        self.local: LocalDeployment
+        self.revision = 0
+
+    def run(self, work: Coroutine[Any, Any, _T]) -> _T:
+        """Run a coroutine on the deployment's loop and return its result."""
+        return asyncio.run_coroutine_threadsafe(work, self._loop).result(
+            _STEP_TIMEOUT_S
+        )
+
+    def start(self, **options: Any) -> None:
+        """Start hosts and stand-ins; `options` go to `LocalDeployment`."""
+
+        async def begin() -> None:
+            self.local = LocalDeployment(SIZES, **options)
+            self.revision = await self.local.start(TEXT)
+
+        self.run(begin())
+
+    def stop(self) -> None:
+        """Stop everything."""
+        self.run(self.local.stop())
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(_STEP_TIMEOUT_S)
+        self._loop.close()
+
+    def address(self, number: int = 0) -> str:
+        """Return the callers' address of a host."""
+        return self.local.hosts[number].caller_address
+
+    def call(self, service: str, kind: str, fields: Any) -> tuple[int, dict[str, Any]]:
+        """Send a request as a caller."""
+        return self.run(self.local.call(service, kind, fields))
+
+
+@contextlib.contextmanager
+def running(**options: Any) -> Iterator[RunningDeployment]:
+    """Run a deployment."""
+    deployment = RunningDeployment()
+    deployment.start(**options)
+    try:
+        yield deployment
+    finally:
+        deployment.stop()
+
+
+@pytest.fixture(scope="package")
+def deployment(tmp_path_factory: pytest.TempPathFactory) -> Iterator[RunningDeployment]:
+    """One deployment for the tests of a folder that leave it as it was."""
+    folder = tmp_path_factory.mktemp("deployment")
+    with running(
+        entry_hosts=2,
+        control_hosts=1,
+        operator_token="operator-secret",
+        host_fields={"trace_file": folder / "trace.jsonl"},
+    ) as deployment:
+        yield deployment
