Make TLS and tokens work and reload them on SIGHUP

Cause: TLS had no test. Clients kept their first certificates for ever, a reload with unusable files raised out of the signal handler, missing files showed as an OSError without a path, refused tokens carried no kind and reason, and the tokens stood in the settings file.

Change: SIGHUP reads certificates, authorities and tokens again at both listeners and both clients; unusable files leave what was read before in use, are counted and logged. Tokens come from operator_token_file and announce_token_file, one per line, so that an old and a new one overlap. Unusable files end kingcuplugd with 2. Errors to operators and backend servers carry kind and reason if they are refusals. LocalDeployment and stand-ins can use TLS. The test deployment ends with its folder, since its threads drew from the random module during hypothesis tests of others.

Checked by breaking: a peer listener without client certificates fails test_peers_need_a_certificate_of_the_authority; a client that does not reload fails test_certificates_are_reloaded_without_a_restart; an unchecked or untyped reload fails test_a_reload_of_unusable_files_changes_nothing; authorities that are not reloaded fail test_a_new_authority_is_accepted_beside_the_old_one; announcements without a check fail test_wrong_tokens_get_typed_refusals.

--- a/packages/cli/src/kingcuplug_cli/_local.py
+++ b/packages/cli/src/kingcuplug_cli/_local.py
@@ -13,8 +13,8 @@
 from typing import Any
 
 import aiohttp
-from kingcuplug_common import HostSettings, identifier
-from kingcuplug_daemon import Host, policy_of
+from kingcuplug_common import HostSettings, TlsSettings, identifier
+from kingcuplug_daemon import Host, client_context, policy_of
 from kingcuplug_log import LogSettings
 from kingcuplug_membership import MembershipSettings
 
@@ -86,6 +86,8 @@
         Seed of the stand-ins' service times.
     folder : Path, optional
         Parent of the data folders; by default a temporary one.
+    tls : TlsSettings, optional
+        Identity of all hosts and stand-ins; without it nothing uses TLS.
 
     Attributes
     ----------
@@ -109,6 +111,7 @@
         log_settings: LogSettings | None = None,
         membership_settings: MembershipSettings | None = None,
         host_fields: dict[str, Any] | None = None,
+        tls: TlsSettings | None = None,
     ) -> None:
         self.sizes = sizes
         self.hosts: list[Host] = []
@@ -121,6 +124,8 @@
         self._seed = seed
         self._routing_policy = routing_policy
         self._token = operator_token
+        self._tls = tls
+        self._scheme = "http" if tls is None else "https"
         self._log_settings = log_settings
         self._membership_settings = membership_settings
         self._host_fields = host_fields or {}
@@ -195,7 +200,10 @@
             "peer_address": known.peer_address if known else "127.0.0.1:0",
             "data_folder": self._folder / name if "control" in roles else None,
             "control_seeds": self._seeds,
-            "operator_token": self._token,
+            "operator_token_file": self._token_file(),
+            "caller_tls": self._tls,
+            "peer_tls": self._tls,
+            "backend_tls": self._tls,
         }
         return Host(
             HostSettings.model_validate(fields | self._host_fields),
@@ -204,6 +212,13 @@
             self._membership_settings,
         )
 
+    def _token_file(self) -> Path | None:
+        if self._token is None:
+            return None
+        path = self._folder / "operator-token"
+        path.write_text(self._token)
+        return path
+
     def _make_servers(self, group: Group, name: str, snapshot: int) -> list[StandIn]:
         service = StandInService(
             name, group.slots, group.connections, group.connection_cost_ms
@@ -218,6 +233,7 @@
                 self.journal,
                 self.balancer,
                 seed=self._seed * 1_000_003 + len(self.servers) + number,
+                tls=self._tls,
             )
             for number in range(group.servers)
         ]
@@ -230,14 +246,16 @@
             host for host in self.hosts if host.entry and not host.lifecycle.draining
         ]
         self._turn += 1
-        return f"http://{entries[self._turn % len(entries)].caller_address}"
+        return f"{self._scheme}://{entries[self._turn % len(entries)].caller_address}"
 
     @property
     def http(self) -> aiohttp.ClientSession:
         """The callers' HTTP client."""
         if self._http is None:
             self._http = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0),
+                connector=aiohttp.TCPConnector(
+                    limit=0, ssl=client_context(self._tls) or True
+                ),
                 cookie_jar=aiohttp.DummyCookieJar(),
             )
         return self._http
@@ -255,7 +273,7 @@
     ) -> dict[str, Any]:
         """Call an operator's endpoint and return its answer."""
         headers = {"Authorization": f"Bearer {self._token}"} if self._token else {}
-        url = f"http://{host.caller_address}/v1/operator/{path}"
+        url = f"{self._scheme}://{host.caller_address}/v1/operator/{path}"
         async with self.http.post(url, json=fields, headers=headers) as response:
             answer = await response.json()
             if response.status != 200:
@@ -290,7 +308,7 @@
         for host in self.hosts:
             if host.entry is None:
                 continue
-            url = f"http://{host.caller_address}/readyz"
+            url = f"{self._scheme}://{host.caller_address}/readyz"
             async with self.http.get(url) as response:
                 if response.status != 200:
                     return False
--- a/packages/cli/src/kingcuplug_cli/_standin.py
+++ b/packages/cli/src/kingcuplug_cli/_standin.py
@@ -13,8 +13,8 @@
 
 import aiohttp
 import orjson
-from kingcuplug_common import digest
-from kingcuplug_daemon import Listener
+from kingcuplug_common import TlsSettings, digest
+from kingcuplug_daemon import Listener, client_context
 
 __all__ = ["Behaviour", "Journal", "StandIn", "StandInService", "expected_value"]
 
@@ -114,6 +114,8 @@
         Bearer token for announcements.
     latency_ms : float
         One-way network latency that is added to every reply and request.
+    tls : TlsSettings, optional
+        Its identity, also when it announces; without it nothing uses TLS.
     """
 
     def __init__(
@@ -127,6 +129,7 @@
         seed: int,
         announce_token: str | None = None,
         latency_ms: float = 0.0,
+        tls: TlsSettings | None = None,
     ) -> None:
         self.name = name
         self.service = service
@@ -139,6 +142,7 @@
         self._balancer = balancer
         self._random = random.Random(seed)
         self._token = announce_token
+        self._tls = tls
         self._incarnation = 0
         self._sequence = 0
         self._state = "serving"
@@ -167,7 +171,7 @@
         self._in_service = self._waiting = 0
         self._known_connections.clear()
         self._started = asyncio.get_running_loop().time()
-        self._listener = Listener(self._application, self._address)
+        self._listener = Listener(self._application, self._address, self._tls)
         self._address = self._listener.address
         await self._listener.start()
         self._announcer = asyncio.create_task(self._announce())
@@ -236,7 +240,11 @@
     async def _announce(self) -> None:
         headers = {"Authorization": f"Bearer {self._token}"} if self._token else {}
         timeout = aiohttp.ClientTimeout(total=_REQUEST_TIMEOUT_S)
-        async with aiohttp.ClientSession(headers=headers, timeout=timeout) as session:
+        async with aiohttp.ClientSession(
+            headers=headers,
+            timeout=timeout,
+            connector=aiohttp.TCPConnector(ssl=client_context(self._tls) or True),
+        ) as session:
             while True:
                 self._announce_now.clear()
                 state = self._state
@@ -261,7 +269,8 @@
 
     async def _renew(self, session: aiohttp.ClientSession, renew_at: str) -> None:
         """Renew until the lease is lost or something changed."""
-        url = f"http://{renew_at}/v1/servers/renew"
+        scheme = "http" if self._tls is None else "https"
+        url = f"{scheme}://{renew_at}/v1/servers/renew"
         fields = {
             "server": self.name,
             "incarnation": self._incarnation,
--- a/packages/common/src/kingcuplug_common/_settings.py
+++ b/packages/common/src/kingcuplug_common/_settings.py
@@ -49,8 +49,12 @@
         Peer addresses of the control hosts, as ``ip:port``.
     data_folder : Path or None
         Folder for durable state; needed by the role ``control``.
-    operator_token, announce_token : str or None
-        Bearer tokens; ``None`` accepts anyone, for use on loopback only.
+    operator_token_file, announce_token_file : Path or None
+        Files with bearer tokens, one per line; ``None`` accepts anyone, for use on
+        loopback only.
+    caller_tls, peer_tls, backend_tls : TlsSettings or None
+        Identities of the callers' listener, of both sides of traffic between hosts
+        (mutual), and towards backend servers.
     trace_file : Path or None
         JSON-lines file that gets one span per hop.
     trace_share : float
@@ -67,8 +71,8 @@
     control_seeds: tuple[Address, ...] = ()
     data_folder: Path | None = None
     services: tuple[str, ...] | None = None
-    operator_token: str | None = None
-    announce_token: str | None = None
+    operator_token_file: Path | None = None
+    announce_token_file: Path | None = None
     caller_tls: TlsSettings | None = None
     peer_tls: TlsSettings | None = None
     backend_tls: TlsSettings | None = None
--- a/packages/daemon/src/kingcuplug_daemon/__init__.py
+++ b/packages/daemon/src/kingcuplug_daemon/__init__.py
@@ -4,6 +4,6 @@
 from kingcuplug_daemon._host import Host
 from kingcuplug_daemon._listener import Listener
 from kingcuplug_daemon._main import main
-from kingcuplug_daemon._peers import client_context
+from kingcuplug_daemon._tls import client_context
 
 __all__ = ["Host", "Listener", "client_context", "main", "policy_of"]
--- a/packages/daemon/src/kingcuplug_daemon/_caller_app.py
+++ b/packages/daemon/src/kingcuplug_daemon/_caller_app.py
@@ -26,7 +26,6 @@
 
 from kingcuplug_daemon._entry import EntryNode
 from kingcuplug_daemon._http import (
-    authorize,
     error_fields,
     json_response,
     not_run,
@@ -38,6 +37,7 @@
 from kingcuplug_daemon._keys import ReceiptKeys
 from kingcuplug_daemon._lifecycle import Lifecycle
 from kingcuplug_daemon._requests import OrderModel, QueryModel
+from kingcuplug_daemon._tokens import BearerTokens
 
 __all__ = ["CallerApp"]
 
@@ -65,6 +65,8 @@
         Counters.
     tracer : Tracer
         Makes one span per request.
+    announcers : BearerTokens
+        Tokens of backend servers.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         lifecycle: Lifecycle,
         metrics: Metrics,
         tracer: Tracer,
+        announcers: BearerTokens,
     ) -> None:
         self._settings = settings
         self._entry = entry
@@ -82,6 +85,7 @@
         self._lifecycle = lifecycle
         self._metrics = metrics
         self._tracer = tracer
+        self._announcers = announcers
 
     def routes(self) -> list[Route]:
         """Return the routes of the callers' listener."""
@@ -315,7 +319,7 @@
         self, request: Request, work: Callable[[], Awaitable[Any]]
     ) -> Response:
         try:
-            authorize(request, self._settings.announce_token)
+            self._announcers.authorize(request)
             if self._lifecycle.draining:
                 # The server then announces at another entry host.
                 return json_response({"error": "ShuttingDown"}, _UNAVAILABLE)
--- a/packages/daemon/src/kingcuplug_daemon/_entry.py
+++ b/packages/daemon/src/kingcuplug_daemon/_entry.py
@@ -20,9 +20,10 @@
 
 from kingcuplug_daemon._entry_configuration import EntryConfiguration, PolicyOf
 from kingcuplug_daemon._holders import HolderWatch
-from kingcuplug_daemon._peers import PeerClient, client_context
+from kingcuplug_daemon._peers import PeerClient
 from kingcuplug_daemon._routing_state import RoutingState
 from kingcuplug_daemon._submission import Submitter
+from kingcuplug_daemon._tls import client_context, reload_identity
 from kingcuplug_daemon._tracing import traced_session, traced_submit
 from kingcuplug_daemon._verdicts import VerdictExchange
 
@@ -81,7 +82,9 @@
         zone = settings.availability_zone
         self.background = Background()
         self.guard = CrashGuard()
-        self.backend = HttpBackend(client_context(settings.backend_tls))
+        self._backend_tls = settings.backend_tls
+        self._backend_context = client_context(settings.backend_tls)
+        self.backend = HttpBackend(self._backend_context)
         self.configuration = EntryConfiguration(
             settings.services, routing_policy, random.Random()
         )
@@ -130,6 +133,10 @@
         """Begin the session."""
         self._tasks = asyncio.create_task(self._run())
 
+    def reload(self) -> None:
+        """Read the certificates for backend servers again, for new connections."""
+        reload_identity(self._backend_context, self._backend_tls)
+
     async def stop(self) -> None:
         """Finish attempts in flight, then end the session."""
         await self.background.drain(_DRAIN_S)
--- a/packages/daemon/src/kingcuplug_daemon/_host.py
+++ b/packages/daemon/src/kingcuplug_daemon/_host.py
@@ -3,8 +3,16 @@
 import asyncio
 import contextlib
 import time
-
-from kingcuplug_common import HostSettings, Metrics, log_to, state_change, tracer
+from collections.abc import Callable
+
+from kingcuplug_common import (
+    HostSettings,
+    Metrics,
+    SettingsInvalid,
+    log_to,
+    state_change,
+    tracer,
+)
 from kingcuplug_log import LogSettings
 from kingcuplug_membership import MembershipSettings
 from starlette.applications import Starlette
@@ -24,6 +32,8 @@
 from kingcuplug_daemon._peer_app import peer_application
 from kingcuplug_daemon._peers import PeerClient
 from kingcuplug_daemon._submission import Submitter
+from kingcuplug_daemon._tls import check_identity
+from kingcuplug_daemon._tokens import BearerTokens
 
 __all__ = ["Host"]
 
@@ -62,6 +72,10 @@
         self._routing_policy = routing_policy
         self._log_settings = log_settings
         self._membership_settings = membership_settings
+        for tls in (settings.caller_tls, settings.peer_tls, settings.backend_tls):
+            check_identity(tls)
+        self._operators = BearerTokens(settings.operator_token_file)
+        self._announcers = BearerTokens(settings.announce_token_file)
         self._peers = PeerClient(settings.peer_tls)
         self._resources = contextlib.ExitStack()
         self._drain_requested = asyncio.Event()
@@ -135,11 +149,18 @@
             self.lifecycle,
             self.metrics,
             self._drain_requested.set,
+            self._operators,
         )
         routes = operators.routes()
         if self.entry is not None:
             routes += CallerApp(
-                settings, self.entry, self.keys, self.lifecycle, self.metrics, spans
+                settings,
+                self.entry,
+                self.keys,
+                self.lifecycle,
+                self.metrics,
+                spans,
+                self._announcers,
             ).routes()
         self._caller_application = Starlette(routes=routes)
         self._peer_application = peer_application(self.control, self.metrics, spans)
@@ -191,9 +212,25 @@
         self._resources.close()
 
     def reload(self) -> None:
-        """Read certificates again, for new connections."""
-        self._caller_listener.reload()
-        self._peer_listener.reload()
+        """Read certificates, for new connections, and tokens again.
+
+        Files that cannot be used are logged, and what was read before stays in use.
+        """
+        parts: list[Callable[[], None]] = [
+            self._caller_listener.reload,
+            self._peer_listener.reload,
+            self._peers.reload,
+            self._operators.reload,
+            self._announcers.reload,
+        ]
+        if self.entry is not None:
+            parts.append(self.entry.reload)
+        for part in parts:
+            try:
+                part()
+            except SettingsInvalid as error:
+                self.metrics.count("reload.failed")
+                state_change("host", "reload failed", why=str(error))
 
     async def _caller_entry(self, scope: Scope, receive: Receive, send: Send) -> None:
         await (self._caller_application or _starting)(scope, receive, send)
--- a/packages/daemon/src/kingcuplug_daemon/_http.py
+++ b/packages/daemon/src/kingcuplug_daemon/_http.py
@@ -1,6 +1,5 @@
 """Reading and writing of JSON over HTTP, with limits and typed refusals."""
 
-import hmac
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
 
@@ -11,7 +10,6 @@
 from starlette.responses import Response
 
 __all__ = [
-    "authorize",
     "error_fields",
     "json_response",
     "not_run",
@@ -76,12 +74,11 @@
 
 
 def error_fields(error: KingcuplugError) -> dict[str, Any]:
-    """Return any typed error as JSON value."""
-    return {
-        "error": type(error).__name__,
-        "message": error.message,
-        "remedy": error.remedy,
-    }
+    """Return any typed error as JSON value; a refusal with kind and reason."""
+    fields: dict[str, Any] = {"error": type(error).__name__}
+    if isinstance(error, Refusal):
+        return fields | refusal_fields(error)
+    return fields | {"message": error.message, "remedy": error.remedy}
 
 
 async def read_json(request: Request, limit_bytes: int) -> Any:
@@ -129,25 +126,6 @@
         ) from error
 
 
-def authorize(request: Request, token: str | None) -> None:
-    """Check the bearer token of a request.
-
-    Raises
-    ------
-    Refusal
-        If a token is configured and the request does not carry it.
-    """
-    if token is None:
-        return
-    given = request.headers.get("authorization", "")
-    if not hmac.compare_digest(given.encode(), f"Bearer {token}".encode()):
-        raise not_run(
-            RefusalReason.UNAUTHENTICATED,
-            "the Authorization header carries no valid bearer token",
-            "pass the token of the host's settings",
-        )
-
-
 def _require_single_headers(request: Request) -> None:
     seen: set[bytes] = set()
     for name, _ in request.headers.raw:
--- a/packages/daemon/src/kingcuplug_daemon/_listener.py
+++ b/packages/daemon/src/kingcuplug_daemon/_listener.py
@@ -15,6 +15,8 @@
 from kingcuplug_common import TlsSettings
 from starlette.types import ASGIApp
 
+from kingcuplug_daemon._tls import reload_identity
+
 __all__ = ["Listener"]
 
 _BACKLOG = 1024
@@ -61,6 +63,7 @@
         self._socket.bind((host.strip("[]"), int(port)))
         bound_host, bound_port = self._socket.getsockname()[:2]
         self.address = f"{bound_host}:{bound_port}"
+        self._tls = tls
         self._config = uvicorn.Config(
             cast(Any, application),
             loop="none",
@@ -112,6 +115,5 @@
 
     def reload(self) -> None:
         """Read the certificate and key files again, for new connections."""
-        context = self._config.ssl
-        if context is not None and self._config.ssl_certfile is not None:
-            context.load_cert_chain(self._config.ssl_certfile, self._config.ssl_keyfile)
+        # uvicorn makes its context when the listener starts.
+        reload_identity(getattr(self._config, "ssl", None), self._tls)
--- a/packages/daemon/src/kingcuplug_daemon/_main.py
+++ b/packages/daemon/src/kingcuplug_daemon/_main.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 import fire
-from kingcuplug_common import KingcuplugError, load_settings
+from kingcuplug_common import KingcuplugError, SettingsInvalid, load_settings
 
 from kingcuplug_daemon._host import Host
 
@@ -37,6 +37,9 @@
         sys.exit(_EXIT_SETTINGS)
     try:
         asyncio.run(serve(lambda: Host(host_settings)))
+    except SettingsInvalid as error:
+        print(f"kingcuplugd: {error}", file=sys.stderr)
+        sys.exit(_EXIT_SETTINGS)
     except (KingcuplugError, OSError) as error:
         print(f"kingcuplugd: {error}", file=sys.stderr)
         sys.exit(_EXIT_STATE)
--- a/packages/daemon/src/kingcuplug_daemon/_operator_app.py
+++ b/packages/daemon/src/kingcuplug_daemon/_operator_app.py
@@ -17,7 +17,6 @@
 from kingcuplug_daemon._control import ControlNode
 from kingcuplug_daemon._entry import EntryNode
 from kingcuplug_daemon._http import (
-    authorize,
     error_fields,
     json_response,
     not_run,
@@ -28,6 +27,7 @@
 from kingcuplug_daemon._lifecycle import Lifecycle
 from kingcuplug_daemon._peers import PeerError
 from kingcuplug_daemon._submission import Submitter
+from kingcuplug_daemon._tokens import BearerTokens
 
 __all__ = ["OperatorApp"]
 
@@ -59,6 +59,8 @@
         Readiness of this host.
     drain : callable
         Begins a graceful shutdown.
+    operators : BearerTokens
+        Tokens of operators.
     """
 
     def __init__(
@@ -71,6 +73,7 @@
         lifecycle: Lifecycle,
         metrics: Metrics,
         drain: Callable[[], None],
+        operators: BearerTokens,
     ) -> None:
         self._settings = settings
         self._submitter = submitter
@@ -80,6 +83,7 @@
         self._lifecycle = lifecycle
         self._metrics = metrics
         self._drain = drain
+        self._operators = operators
 
     def routes(self) -> list[Route]:
         """Return the routes of the callers' listener."""
@@ -117,7 +121,7 @@
 
     async def _answer(self, request: Request, work: Work) -> Response:
         try:
-            authorize(request, self._settings.operator_token)
+            self._operators.authorize(request)
             fields = await read_json(request, self._settings.body_limit_bytes)
             if not isinstance(fields, dict):
                 raise not_run(
--- a/packages/daemon/src/kingcuplug_daemon/_peers.py
+++ b/packages/daemon/src/kingcuplug_daemon/_peers.py
@@ -1,6 +1,5 @@
 """Calls between the system's own processes: HTTP with JSON."""
 
-import ssl
 from collections.abc import Mapping
 from typing import Any
 
@@ -9,7 +8,9 @@
 from kingcuplug_common import KingcuplugError, TlsSettings, traceparent
 from kingcuplug_membership import Call
 
-__all__ = ["NotSent", "PeerClient", "PeerError", "client_context"]
+from kingcuplug_daemon._tls import client_context, reload_identity
+
+__all__ = ["NotSent", "PeerClient", "PeerError"]
 
 _CONNECT_TIMEOUT_S = 0.5
 _POOL_PER_HOST = 8
@@ -53,8 +54,13 @@
     def __init__(self, tls: TlsSettings | None = None) -> None:
         self._scheme = "https" if tls is not None else "http"
         self._tls = tls
+        self._context = client_context(tls)
         self._session: aiohttp.ClientSession | None = None
 
+    def reload(self) -> None:
+        """Read the certificates again, for new connections."""
+        reload_identity(self._context, self._tls)
+
     async def close(self) -> None:
         """Close all connections."""
         if self._session is not None:
@@ -98,13 +104,12 @@
 
     def _http(self) -> aiohttp.ClientSession:
         if self._session is None:
-            context = client_context(self._tls)
             self._session = aiohttp.ClientSession(
                 connector=aiohttp.TCPConnector(
                     limit=0,
                     limit_per_host=_POOL_PER_HOST,
                     keepalive_timeout=_KEEPALIVE_S,
-                    ssl=context if context is not None else True,
+                    ssl=self._context if self._context is not None else True,
                 ),
                 cookie_jar=aiohttp.DummyCookieJar(),
             )
@@ -116,17 +121,6 @@
     return _JSON_HEADERS if trace is None else {**_JSON_HEADERS, "traceparent": trace}
 
 
-def client_context(tls: TlsSettings | None) -> ssl.SSLContext | None:
-    """Return a client context that presents and requires a certificate."""
-    if tls is None:
-        return None
-    context = ssl.create_default_context(cafile=str(tls.authority))
-    # Hosts are addressed by IP number; the private authority vouches for them.
-    context.check_hostname = False
-    context.load_cert_chain(str(tls.certificate), str(tls.private_key))
-    return context
-
-
 def _read(status: int, body: bytes) -> dict[str, Any]:
     try:
         value = orjson.loads(body)
--- /dev/null
+++ b/packages/daemon/src/kingcuplug_daemon/_tls.py
@@ -0,0 +1,65 @@
+"""TLS contexts, and reading their files again while they are in use."""
+
+import ssl
+
+from kingcuplug_common import SettingsInvalid, TlsSettings
+
+__all__ = ["check_identity", "client_context", "reload_identity"]
+
+
+def check_identity(tls: TlsSettings | None) -> None:
+    """Check that the files of an identity can be used together.
+
+    Raises
+    ------
+    SettingsInvalid
+        If a file cannot be read, or certificate and key do not belong together.
+    """
+    if tls is not None:
+        _load(ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER), tls)
+
+
+def client_context(tls: TlsSettings | None) -> ssl.SSLContext | None:
+    """Return a client context that presents and requires a certificate.
+
+    Raises
+    ------
+    SettingsInvalid
+        If the files cannot be used.
+    """
+    if tls is None:
+        return None
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    # Hosts are addressed by IP number; the private authority vouches for them.
+    context.check_hostname = False
+    _load(context, tls)
+    return context
+
+
+def reload_identity(context: ssl.SSLContext | None, tls: TlsSettings | None) -> None:
+    """Read the files again, for new connections.
+
+    Authorities are added and never removed, so that a bundle with the old and the
+    new one lets hosts change one after another; a restart removes the old one.
+
+    Raises
+    ------
+    SettingsInvalid
+        If the files cannot be used; the context is not touched then.
+    """
+    if context is None or tls is None:
+        return
+    check_identity(tls)
+    _load(context, tls)
+
+
+def _load(context: ssl.SSLContext, tls: TlsSettings) -> None:
+    try:
+        context.load_verify_locations(cafile=tls.authority)
+        context.load_cert_chain(tls.certificate, tls.private_key)
+    except OSError as error:
+        raise SettingsInvalid(
+            f"TLS files {tls.certificate}, {tls.private_key} and {tls.authority} "
+            f"cannot be used: {error}",
+            "name PEM files of a certificate, its key and its authority",
+        ) from error
--- /dev/null
+++ b/packages/daemon/src/kingcuplug_daemon/_tokens.py
@@ -0,0 +1,74 @@
+"""Bearer tokens, read from files so that settings files hold no secret."""
+
+import hmac
+from pathlib import Path
+
+from kingcuplug_common import RefusalReason, SettingsInvalid
+from starlette.requests import Request
+
+from kingcuplug_daemon._http import not_run
+
+__all__ = ["BearerTokens"]
+
+
+class BearerTokens:
+    """The accepted tokens of one interface.
+
+    Parameters
+    ----------
+    path : Path or None
+        One token per line, so that an old and a new one hold during a change;
+        ``None`` accepts anyone.
+
+    Raises
+    ------
+    SettingsInvalid
+        If the file cannot be read or holds no token.
+    """
+
+    def __init__(self, path: Path | None) -> None:
+        self._path = path
+        self._accepted: tuple[bytes, ...] | None = None
+        self.reload()
+
+    def reload(self) -> None:
+        """Read the file again; on an error the former tokens stay accepted."""
+        if self._path is not None:
+            self._accepted = _read(self._path)
+
+    def authorize(self, request: Request) -> None:
+        """Check the bearer token of a request.
+
+        Raises
+        ------
+        Refusal
+            If tokens are configured and the request carries none of them.
+        """
+        if self._accepted is None:
+            return
+        given = request.headers.get("authorization", "").encode()
+        matches = [
+            hmac.compare_digest(given, b"Bearer " + token) for token in self._accepted
+        ]
+        if not any(matches):
+            raise not_run(
+                RefusalReason.UNAUTHENTICATED,
+                "the Authorization header carries no valid bearer token",
+                "pass a token of the host's token file",
+            )
+
+
+def _read(path: Path) -> tuple[bytes, ...]:
+    try:
+        tokens = tuple(line.strip() for line in path.read_bytes().splitlines())
+    except OSError as error:
+        raise SettingsInvalid(
+            f"token file {path} cannot be read: {error.strerror}",
+            "check the path and its permissions",
+        ) from error
+    tokens = tuple(token for token in tokens if token)
+    if not tokens:
+        raise SettingsInvalid(
+            f"token file {path} is empty", "write one token per line into it"
+        )
+    return tokens
--- a/tests/cli/conftest.py
+++ b/tests/cli/conftest.py
@@ -2,13 +2,15 @@
 
 import dataclasses
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
 
 import pytest
 from kingcuplug_cli import main
 
+from tests.conftest import RunningDeployment, shared
+
 
 @dataclasses.dataclass(frozen=True)
 class Run:
@@ -27,6 +29,13 @@
 Program = Callable[..., Run]
 
 
+@pytest.fixture(scope="package")
+def deployment(tmp_path_factory: pytest.TempPathFactory) -> Iterator[RunningDeployment]:
+    """Return the deployment that the tests of this folder share."""
+    with shared(tmp_path_factory.mktemp("deployment")) as running:
+        yield running
+
+
 @pytest.fixture
 def program(
     capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,9 +5,9 @@
 import json
 import threading
 from collections.abc import Coroutine, Iterator
+from pathlib import Path
 from typing import Any, TypeVar
 
-import pytest
 from kingcuplug_cli._local import Group, LocalDeployment, Sizes
 
 _T = TypeVar("_T")
@@ -89,10 +89,13 @@
         deployment.stop()
 
 
-@pytest.fixture(scope="package")
-def deployment(tmp_path_factory: pytest.TempPathFactory) -> Iterator[RunningDeployment]:
-    """One deployment for the tests of a folder that leave it as it was."""
-    folder = tmp_path_factory.mktemp("deployment")
+@contextlib.contextmanager
+def shared(folder: Path) -> Iterator[RunningDeployment]:
+    """Run the deployment that the tests of one folder share and leave as it was.
+
+    The fixture that calls this belongs to the folder's own conftest, so that no
+    host runs during the tests of other folders.
+    """
     with running(
         entry_hosts=2,
         control_hosts=1,
--- a/tests/daemon/conftest.py
+++ b/tests/daemon/conftest.py
@@ -10,6 +10,8 @@
 
 import pytest
 
+from tests.conftest import RunningDeployment, shared
+
 Respond = Callable[[dict[str, Any], dict[str, str]], bytes]
 
 
@@ -110,6 +112,13 @@
 _numbers = itertools.count(1)
 
 
+@pytest.fixture(scope="package")
+def deployment(tmp_path_factory: pytest.TempPathFactory) -> Iterator[RunningDeployment]:
+    """Return the deployment that the tests of this folder share."""
+    with shared(tmp_path_factory.mktemp("deployment")) as running:
+        yield running
+
+
 @pytest.fixture
 def raw_server(deployment: Any) -> Iterator[RawServer]:
     """Return a raw backend server that the first host knows."""
--- /dev/null
+++ b/tests/daemon/test_tls.py
@@ -0,0 +1,455 @@
+"""TLS and tokens on loopback, with certificates made here."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import ssl
+import time
+import uuid
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import pytest
+from kingcuplug_cli import _config
+from kingcuplug_cli._connection import Connection, OperatorClient
+from kingcuplug_cli._results import CommandRefused, Unreachable
+from kingcuplug_common import HostSettings, SettingsInvalid, TlsSettings
+from kingcuplug_daemon import Host, Listener, _main
+from kingcuplug_daemon._main import serve
+from kingcuplug_daemon._peers import PeerClient
+from kingcuplug_daemon._tls import client_context
+from kingcuplug_query import ConnectFailed, HttpBackend, SubRequest
+
+from tests.conftest import RunningDeployment, running
+from tests.daemon._certificates import Authority
+
+
+@pytest.fixture(scope="module")
+def folder(tmp_path_factory: pytest.TempPathFactory) -> Path:
+    return tmp_path_factory.mktemp("tls")
+
+
+@pytest.fixture(scope="module")
+def authority(folder: Path) -> Authority:
+    return Authority(folder, "authority")
+
+
+@pytest.fixture(scope="module")
+def stranger(folder: Path) -> Authority:
+    return Authority(folder, "stranger")
+
+
+@pytest.fixture(scope="module")
+def secure(folder: Path, authority: Authority) -> Iterator[RunningDeployment]:
+    """Return a deployment in which everything uses TLS and tokens."""
+    with running(
+        entry_hosts=2,
+        control_hosts=1,
+        operator_token="operator-secret",
+        tls=authority.identity(),
+    ) as deployment:
+        yield deployment
+
+
+@pytest.fixture
+def operator(secure: RunningDeployment, authority: Authority, tmp_path: Path) -> Any:
+    """Return a function that makes a client with a token and an authority."""
+
+    def make(token: str = "operator-secret", ca: Path | None = authority.file) -> Any:
+        path = tmp_path / "token"
+        path.write_text(token)
+        return OperatorClient(
+            Connection(host=secure.address(), token_file=path, ca_file=ca)
+        )
+
+    return make
+
+
+def test_everything_runs_over_tls(secure: RunningDeployment, operator: Any):
+    """Guards against TLS settings that only a unit test ever used."""
+    status, answer = secure.call("stock", "query", {"body": {"band": "black"}})
+    assert (status, answer["coverage"]) == (200, 1.0)
+    order = {
+        "body": 1,
+        "idempotency_key": f"{time.time_ns() // 1_000_000}-{uuid.uuid4().hex}",
+        "partition_key": "4711",
+    }
+    assert secure.call("stock", "order", order)[0] == 200
+    assert secure.run(_config.show(operator())).number == 1
+
+
+def test_plain_callers_and_operators_get_nothing(
+    secure: RunningDeployment, operator: Any
+):
+    """Guards against a listener that falls back to plain text."""
+    with pytest.raises(aiohttp.ClientError):
+        secure.run(
+            secure.local.call(
+                "stock", "query", {"body": 1}, f"http://{secure.address()}"
+            )
+        )
+    with pytest.raises(Unreachable):
+        secure.run(_config.show(operator(ca=None)))
+
+
+def test_an_operator_does_not_trust_a_strangers_host(
+    operator: Any, secure: RunningDeployment, stranger: Authority
+):
+    """Guards against sending the token to whoever took the address."""
+    with pytest.raises(Unreachable):
+        secure.run(_config.show(operator(ca=stranger.file)))
+
+
+async def _identity(address: str, tls: TlsSettings | None) -> dict[str, Any]:
+    client = PeerClient(tls)
+    try:
+        return await client.post(address, "/peer/v1/identity", {}, 2.0)
+    finally:
+        await client.close()
+
+
+def test_peers_need_a_certificate_of_the_authority(
+    secure: RunningDeployment, authority: Authority, stranger: Authority
+):
+    """Guards against a log that anyone on the network may write."""
+    address = secure.local.hosts[0].peer_address
+    known = secure.run(_identity(address, authority.identity()))
+    assert known["host"] == "host-01"
+    refused = stranger.identity(trusted=authority.file)
+    with pytest.raises(OSError):
+        secure.run(_identity(address, refused))
+    with pytest.raises(OSError):
+        secure.run(_identity(address, None))
+    with pytest.raises(OSError):
+        secure.run(_anonymous(address, authority))
+
+
+async def _anonymous(address: str, authority: Authority) -> None:
+    """Call with the right authority and without a certificate."""
+    context = ssl.create_default_context(cafile=str(authority.file))
+    context.check_hostname = False
+    async with (
+        aiohttp.ClientSession() as session,
+        session.post(
+            f"https://{address}/peer/v1/identity", json={}, ssl=context
+        ) as response,
+    ):
+        await response.read()
+
+
+def test_a_peer_does_not_trust_a_strangers_host(
+    secure: RunningDeployment, authority: Authority, stranger: Authority
+):
+    """Guards against a session with an impostor of the control host."""
+    impostor = stranger.identity(trusted=authority.file)
+    with pytest.raises(OSError):
+        secure.run(_served(impostor, lambda a: _identity(a, authority.identity())))
+
+
+async def _nothing(scope: Any, receive: Any, send: Any) -> None:
+    await send({"type": "http.response.start", "status": 200, "headers": []})
+    await send({"type": "http.response.body", "body": b"{}"})
+
+
+async def _served(tls: TlsSettings, work: Any) -> Any:
+    listener = Listener(_nothing, "127.0.0.1:0", tls)
+    await listener.start()
+    try:
+        return await work(listener.address)
+    finally:
+        await listener.stop()
+
+
+class _Ticket:
+    server = "impostor"
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+
+
+def test_sub_requests_do_not_go_to_a_strangers_server(
+    secure: RunningDeployment, authority: Authority, stranger: Authority
+):
+    """Guards against customers' data going to whoever took a server's address."""
+    request = SubRequest("r", "a", "stock", "query", 1, 0, 1, 1_000, "normal", 1)
+
+    async def send(address: str) -> None:
+        backend = HttpBackend(client_context(authority.identity()))
+        try:
+            await backend.send(_Ticket(address), request, 2.0)  # type: ignore[arg-type]
+        finally:
+            await backend.close()
+
+    with pytest.raises(ConnectFailed):
+        secure.run(_served(stranger.identity(trusted=authority.file), send))
+
+
+def _served_certificate(address: str, tls: TlsSettings) -> str:
+    host, _, port = address.rpartition(":")
+    # Certificate requests of the peer listener are answered with `tls`.
+    context = client_context(tls)
+    assert context is not None
+    with (
+        socket.create_connection((host, int(port)), timeout=5) as raw,
+        context.wrap_socket(raw) as connection,
+    ):
+        return ssl.DER_cert_to_PEM_cert(connection.getpeercert(True) or b"")
+
+
+@pytest.fixture
+def own_host(
+    secure: RunningDeployment, authority: Authority, tmp_path: Path
+) -> Iterator[Host]:
+    """Return an entry host with an identity and tokens of its own."""
+    tls = authority.identity()
+    for name in ("operator", "announce"):
+        (tmp_path / f"{name}-token").write_text(f"{name}-1\n")
+    settings = secure.local.hosts[1].settings.model_copy(
+        update={
+            "host": "host-09",
+            "caller_tls": tls,
+            "peer_tls": tls,
+            "backend_tls": tls,
+            "operator_token_file": tmp_path / "operator-token",
+            "announce_token_file": tmp_path / "announce-token",
+        }
+    )
+
+    async def start() -> Host:
+        host = Host(settings)
+        await host.start()
+        return host
+
+    host = secure.run(start())
+    yield host
+    secure.run(host.stop(grace_ms=0))
+
+
+async def _reload(host: Host) -> None:
+    host.reload()
+
+
+async def _presented(host: Host, tls: TlsSettings) -> str:
+    """Return the certificate with which a host calls its peers."""
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH, cafile=tls.authority)
+    context.load_cert_chain(tls.certificate, tls.private_key)
+    context.verify_mode = ssl.CERT_REQUIRED
+    seen: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+
+    def connected(reader: Any, writer: asyncio.StreamWriter) -> None:
+        seen.set_result(writer.get_extra_info("ssl_object").getpeercert(True))
+        writer.close()
+
+    server = await asyncio.start_server(connected, "127.0.0.1", 0, ssl=context)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    with pytest.raises(OSError):
+        await host._peers.post(address, "/", {}, 2.0)
+    server.close()
+    return ssl.DER_cert_to_PEM_cert(await seen)
+
+
+def test_certificates_are_reloaded_without_a_restart(
+    secure: RunningDeployment, authority: Authority, own_host: Host
+):
+    """Guards against an outage when the certificates of running hosts expire."""
+    tls = own_host.settings.peer_tls
+    assert tls is not None
+    other = authority.identity()
+    listeners = (own_host.caller_address, own_host.peer_address)
+    before = tls.certificate.read_text()
+    authority.renew(tls)
+    after = tls.certificate.read_text()
+    assert [_served_certificate(a, other) for a in listeners] == [before, before]
+    secure.run(_reload(own_host))
+    assert [_served_certificate(a, other) for a in listeners] == [after, after]
+    assert secure.run(_presented(own_host, other)) == after
+
+
+def test_a_new_authority_is_accepted_beside_the_old_one(
+    secure: RunningDeployment, authority: Authority, own_host: Host, folder: Path
+):
+    """Guards against an authority that can be changed only by an outage."""
+    tls = own_host.settings.peer_tls
+    assert tls is not None
+    successor = Authority(folder, "successor")
+    newcomer = successor.identity(trusted=authority.file)
+    address = own_host.peer_address
+    with pytest.raises(OSError):
+        secure.run(_identity(address, newcomer))
+    old = authority.file.read_bytes()
+    try:
+        authority.file.write_bytes(old + successor.file.read_bytes())
+        secure.run(_reload(own_host))
+        # A host without control role answers no peer; it is the 404 that counts.
+        with pytest.raises(ConnectionError, match="no JSON"):
+            secure.run(_identity(address, newcomer))
+        with pytest.raises(ConnectionError, match="no JSON"):
+            secure.run(_identity(address, authority.identity()))
+    finally:
+        authority.file.write_bytes(old)
+
+
+def test_a_reload_of_unusable_files_changes_nothing(
+    secure: RunningDeployment, authority: Authority, own_host: Host
+):
+    """Guards against a host that a typing error during a renewal takes down."""
+    tls = own_host.settings.peer_tls
+    assert tls is not None
+    before = tls.certificate.read_text()
+    authority.renew(tls)
+    tls.private_key.write_text("no key")
+    own_host.settings.operator_token_file.write_text("\n")
+    secure.run(_reload(own_host))
+    assert own_host.metrics.counts["reload.failed"] >= 4
+    assert _served_certificate(own_host.caller_address, authority.identity()) == before
+    status, _ = secure.run(_post(own_host, "operator/status", "operator-1"))
+    assert status == 200
+
+
+async def _post(host: Host, path: str, token: str | None) -> tuple[int, dict[str, Any]]:
+    headers = {} if token is None else {"Authorization": f"Bearer {token}"}
+    tls = host.settings.caller_tls
+    assert tls is not None
+    context = ssl.create_default_context(cafile=str(tls.authority))
+    context.check_hostname = False
+    async with (
+        aiohttp.ClientSession() as session,
+        session.post(
+            f"https://{host.caller_address}/v1/{path}",
+            json={},
+            headers=headers,
+            ssl=context,
+        ) as response,
+    ):
+        return response.status, await response.json()
+
+
+@pytest.mark.parametrize(
+    ("path", "right"),
+    [("operator/status", "operator-1"), ("servers/announce", "announce-1")],
+)
+def test_wrong_tokens_get_typed_refusals(
+    secure: RunningDeployment, own_host: Host, path: str, right: str
+):
+    """Guards against an interface that another interface's token opens."""
+    for token in (None, "", "operator-2", "operator-1x", "announce-1x", "é"):
+        status, answer = secure.run(_post(own_host, path, token))
+        assert (status, answer["error"]) == (401, "Refusal")
+        assert answer["reason"] == "unauthenticated"
+        assert answer["remedy"]
+    other = {"operator-1": "announce-1", "announce-1": "operator-1"}[right]
+    assert secure.run(_post(own_host, path, other))[0] == 401
+    assert secure.run(_post(own_host, path, right))[0] != 401
+
+
+def test_tokens_are_reloaded_and_may_overlap(secure: RunningDeployment, own_host: Host):
+    """Guards against a token change that cuts off every operator at once."""
+    path = own_host.settings.operator_token_file
+
+    def statuses() -> list[int]:
+        return [
+            secure.run(_post(own_host, "operator/status", token))[0]
+            for token in ("operator-1", "operator-2")
+        ]
+
+    assert statuses() == [200, 401]
+    path.write_text("operator-1\noperator-2\n")
+    secure.run(_reload(own_host))
+    assert statuses() == [200, 200]
+    path.write_text("operator-2\n")
+    secure.run(_reload(own_host))
+    assert statuses() == [401, 200]
+
+
+def test_a_wrong_token_ends_a_command_with_refused(
+    secure: RunningDeployment, operator: Any
+):
+    """Guards against a wrong token that looks like an unreachable host."""
+    with pytest.raises(CommandRefused) as refused:
+        secure.run(_config.show(operator(token="guess")))
+    assert refused.value.exit_code == 1
+
+
+def _settings(folder: Path, **fields: Any) -> HostSettings:
+    return HostSettings.model_validate(
+        {
+            "host": "host-01",
+            "availability_zone": "zone-1",
+            "roles": ["entry"],
+            "caller_address": "127.0.0.1:0",
+            "peer_address": "127.0.0.1:0",
+            "control_seeds": ["127.0.0.1:1"],
+        }
+        | fields
+    )
+
+
+def test_unusable_files_are_reported_at_the_start(tmp_path: Path):
+    """Guards against a host that starts and then refuses every connection."""
+    absent = {
+        name: tmp_path / name for name in ("certificate", "private_key", "authority")
+    }
+
+    async def make(**fields: Any) -> None:
+        Host(_settings(tmp_path, **fields))
+
+    for fields in (
+        {"caller_tls": absent},
+        {"peer_tls": absent},
+        {"backend_tls": absent},
+        {"operator_token_file": tmp_path / "absent"},
+        {"announce_token_file": tmp_path / "absent"},
+    ):
+        with pytest.raises(SettingsInvalid, match=str(tmp_path)):
+            asyncio.run(make(**fields))
+
+
+def test_sighup_reloads_and_sigterm_stops(tmp_path: Path):
+    """Guards against signals that the program does not hear."""
+    token = tmp_path / "token"
+    token.write_text("first")
+    settings = _settings(tmp_path, operator_token_file=token, shutdown_grace_ms=0)
+    seen: list[int] = []
+
+    async def work() -> None:
+        hosts: list[Host] = []
+
+        def make() -> Host:
+            hosts.append(Host(settings))
+            return hosts[0]
+
+        running_host = asyncio.create_task(serve(make))
+        async with asyncio.timeout(10), aiohttp.ClientSession() as session:
+            # The last thing that a start does is accept connections.
+            while not hosts or not hosts[0]._caller_listener._server.started:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            token.write_text("second")
+            os.kill(os.getpid(), signal.SIGHUP)
+            await asyncio.sleep(0)
+            url = f"http://{hosts[0].caller_address}/v1/operator/status"
+            headers = {"Authorization": "Bearer second"}
+            async with session.post(url, json={}, headers=headers) as response:
+                seen.append(response.status)
+            os.kill(os.getpid(), signal.SIGTERM)
+            await running_host
+
+    asyncio.run(work())
+    assert seen == [200]
+
+
+def test_kingcuplugd_ends_with_2_for_wrong_settings(tmp_path: Path):
+    """Guards against a supervisor that restarts a host forever."""
+    path = tmp_path / "settings.json"
+    fields = json.loads(
+        _settings(tmp_path, operator_token_file=tmp_path / "absent").model_dump_json(
+            exclude_defaults=True
+        )
+    )
+    path.write_text(json.dumps(fields))
+    with pytest.raises(SystemExit) as ended:
+        _main._run(str(path))
+    assert ended.value.code == 2
