--- a/packages/cli/src/kingcuplug_cli/_control_commands.py
+++ b/packages/cli/src/kingcuplug_cli/_control_commands.py
@@ -1,5 +1,6 @@
 """Commands about the control hosts."""
 
+import asyncio
 import dataclasses
 from collections.abc import Iterator
 from typing import Any
@@ -9,6 +10,9 @@
 
 __all__ = ["add", "bootstrap", "remove", "status"]
 
+_ELECTION_S = 5.0
+_POLL_S = 0.1
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Bootstrapped:
@@ -92,8 +96,17 @@
 
 
 async def bootstrap(client: OperatorClient) -> Bootstrapped:
-    """Begin a cluster on the host that is asked."""
-    return Bootstrapped(**await client.call("control/bootstrap", changes=True))
+    """Begin a cluster on the host that is asked and wait until it leads.
+
+    The next command of a first start, `control add`, needs the leader.
+    """
+    begun = Bootstrapped(**await client.call("control/bootstrap", changes=True))
+    loop = asyncio.get_running_loop()
+    give_up = loop.time() + _ELECTION_S
+    # The leader is asked over HTTP, so there is no event to wait for.
+    while not (await status(client)).leads and loop.time() < give_up:  # noqa: ASYNC110
+        await asyncio.sleep(_POLL_S)
+    return begun
 
 
 async def add(client: OperatorClient, address: str, role: str = "voter") -> Added:
--- a/packages/cli/src/kingcuplug_cli/_main.py
+++ b/packages/cli/src/kingcuplug_cli/_main.py
@@ -83,7 +83,9 @@
 
 def main(arguments: Sequence[str] | None = None) -> None:
     """Run the program and exit with the code of its result."""
-    given = sys.argv[1:] if arguments is None else arguments
+    given = list(sys.argv[1:] if arguments is None else arguments)
+    if given in (["--help"], ["-h"]):
+        given = []  # fire then lists the commands and not only the options.
     # An invocation runs only after all arguments were understood, so that a
     # misspelt option does not follow a change that was already made.
     result = fire.Fire(
--- a/tests/cli/test_usage.py
+++ b/tests/cli/test_usage.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import pytest
+from kingcuplug_cli import main
 
 
 @pytest.fixture
@@ -16,6 +17,15 @@
         return f"127.0.0.1:{held.getsockname()[1]}"
 
 
+@pytest.mark.parametrize("arguments", [(), ("--help",)])
+def test_help_lists_the_commands(
+    capsys: pytest.CaptureFixture[str], arguments: tuple[str, ...]
+):
+    """Guards against a help that names options and no command."""
+    main(arguments)
+    assert "config" in capsys.readouterr().out
+
+
 def test_a_host_that_does_not_run_ends_with_4(program: Any, closed_address: str):
     """Guards against a script that takes "nobody answered" for a refusal."""
     run = program("hosts", "--host", closed_address)
