--- a/packages/routing/src/kingcuplug_routing/_budget.py
+++ b/packages/routing/src/kingcuplug_routing/_budget.py
@@ -21,20 +21,28 @@
         Tokens earned per first sub-request.
     burst : float
         Most tokens kept.
+    start : float
+        Tokens at the start.
     floor_per_s : float
-        Tokens earned per second without any traffic; a budget with a floor starts
-        full.
+        Tokens earned per second without any traffic, unless the share is 0.
     """
 
     __slots__ = ("_burst", "_filled_at", "_floor_per_s", "_share", "tokens")
 
-    def __init__(self, share: float, burst: float, floor_per_s: float = 0.0) -> None:
+    def __init__(
+        self, share: float, burst: float, start: float, floor_per_s: float = 0.0
+    ) -> None:
         self._share = share
         self._burst = burst
-        self._floor_per_s = floor_per_s
+        self._floor_per_s = floor_per_s if share > 0 else 0.0
         self._filled_at: float | None = None
-        full = share >= 1 or floor_per_s > 0
-        self.tokens = burst if full else min(1.0, share * burst)
+        self.tokens = start if share > 0 else 0.0
+
+    def widen(self, burst: float) -> None:
+        """Raise the burst and fill the tokens that it adds."""
+        if burst > self._burst:
+            self.tokens += burst - self._burst
+            self._burst = burst
 
     def earn(self) -> None:
         """Add the share for one first sub-request."""
--- a/tools/_routing_model.py
+++ b/tools/_routing_model.py
@@ -155,6 +155,7 @@
         self.servers = servers
         self.router = Router("modelled", policy, random)
         self.admission = Admission(self.router)
+        self.avoided: int | None = None
         self.sent = 0
         self.wanted = 0
         self.hedged = 0
@@ -200,7 +201,13 @@
             outcome = await self._hedged(ticket, shard, deadline, tried)
             if outcome is AttemptOutcome.OK:
                 return True
-            if outcome is not AttemptOutcome.SHED:
+            if not self.router.policy.limited:
+                # The baseline tries each replica once; without back-off, more
+                # retries would only load the servers' hosts.
+                tried.add(ticket.server)
+                if len(tried) >= self.layout.replicas:
+                    return False
+            elif outcome is not AttemptOutcome.SHED:
                 # A server that shed is only full; its back-off is the router's.
                 tried.add(ticket.server)
             if len(tried) >= self.layout.replicas:
