--- a/packages/daemon/src/kingcuplug_daemon/_caller_app.py
+++ b/packages/daemon/src/kingcuplug_daemon/_caller_app.py
@@ -14,7 +14,7 @@
     RefusalReason,
     digest,
     identifier,
-    propagator,
+    request_span,
 )
 from kingcuplug_configuration import Policy
 from kingcuplug_membership import parse_announcement
@@ -26,7 +26,6 @@
 
 from kingcuplug_daemon._entry import EntryNode
 from kingcuplug_daemon._http import (
-    authorize,
     error_fields,
     json_response,
     not_run,
@@ -38,6 +37,7 @@
 from kingcuplug_daemon._keys import ReceiptKeys
 from kingcuplug_daemon._lifecycle import Lifecycle
 from kingcuplug_daemon._requests import OrderModel, QueryModel
+from kingcuplug_daemon._tokens import BearerTokens
 
 __all__ = ["CallerApp"]
 
@@ -66,6 +66,8 @@
         Counters.
     tracer : Tracer
         Makes one span per request.
+    announcers : BearerTokens
+        Tokens of backend servers.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         lifecycle: Lifecycle,
         metrics: Metrics,
         tracer: Tracer,
+        announcers: BearerTokens,
     ) -> None:
         self._settings = settings
         self._entry = entry
@@ -83,6 +86,7 @@
         self._lifecycle = lifecycle
         self._metrics = metrics
         self._tracer = tracer
+        self._announcers = announcers
 
     def routes(self) -> list[Route]:
         """Return the routes of the callers' listener."""
@@ -147,10 +151,9 @@
         request_id = identifier()
         body: Any = None
         resend = False
-        parent = propagator.extract(dict(request.headers))
         with (
             self._lifecycle.request(),
-            self._tracer.start_as_current_span(kind, context=parent) as span,
+            request_span(self._tracer, kind, request.headers) as span,
         ):
             span.set_attribute("service", service)
             try:
@@ -323,7 +326,7 @@
         self, request: Request, work: Callable[[], Awaitable[Any]]
     ) -> Response:
         try:
-            authorize(request, self._settings.announce_token)
+            self._announcers.authorize(request)
             if self._lifecycle.draining:
                 # The server then announces at another entry host.
                 return json_response({"error": "ShuttingDown"}, _UNAVAILABLE)
--- a/packages/daemon/src/kingcuplug_daemon/_entry.py
+++ b/packages/daemon/src/kingcuplug_daemon/_entry.py
@@ -16,13 +16,16 @@
     QueryExecutor,
 )
 from kingcuplug_routing import CrashGuard, RoutingPolicy
+from opentelemetry.trace import Tracer
 
 from kingcuplug_daemon._clock import boot_time
 from kingcuplug_daemon._entry_configuration import EntryConfiguration, PolicyOf
 from kingcuplug_daemon._holders import HolderWatch
-from kingcuplug_daemon._peers import PeerClient, client_context
+from kingcuplug_daemon._peers import PeerClient
 from kingcuplug_daemon._routing_state import RoutingState
 from kingcuplug_daemon._submission import Submitter
+from kingcuplug_daemon._tls import client_context, reload_identity
+from kingcuplug_daemon._tracing import traced_session, traced_submit
 from kingcuplug_daemon._verdicts import VerdictExchange
 
 __all__ = ["EntryNode", "policy_of"]
@@ -57,6 +60,8 @@
         Sends commands to the leader of the log.
     metrics : Metrics
         Counters.
+    tracer : Tracer
+        Makes a span per exchange of the session.
     routing_policy : callable
         Returns the routing policy of a service.
     """
@@ -70,13 +75,16 @@
         submitter: Submitter,
         seeds: Sequence[str],
         metrics: Metrics,
+        tracer: Tracer,
         routing_policy: PolicyOf = policy_of,
         membership_settings: MembershipSettings | None = None,
     ) -> None:
         zone = settings.availability_zone
         self.background = Background()
         self.guard = CrashGuard()
-        self.backend = HttpBackend(client_context(settings.backend_tls))
+        self._backend_tls = settings.backend_tls
+        self._backend_context = client_context(settings.backend_tls)
+        self.backend = HttpBackend(self._backend_context)
         self.configuration = EntryConfiguration(
             settings.services, routing_policy, random.Random()
         )
@@ -91,7 +99,7 @@
                 self.configuration.apply,
                 self.configuration.services,
             ),
-            peers.path("/peer/v1/session", _SESSION_TIMEOUT_S),
+            traced_session(peers.path("/peer/v1/session", _SESSION_TIMEOUT_S), tracer),
             boot_time,
             membership_settings,
         )
@@ -109,7 +117,9 @@
             zone,
         )
         self.orders = OrderExecutor(
-            LedgerClient(submitter.submit, settings.host, incarnation, _wall_ms),
+            LedgerClient(
+                traced_submit(submitter.submit), settings.host, incarnation, _wall_ms
+            ),
             self.backend.send,
             self.guard,
             metrics,
@@ -123,6 +133,10 @@
         """Begin the session."""
         self._tasks = asyncio.create_task(self._run())
 
+    def reload(self) -> None:
+        """Read the certificates for backend servers again, for new connections."""
+        reload_identity(self._backend_context, self._backend_tls)
+
     async def stop(self) -> None:
         """Finish attempts in flight, then end the session."""
         await self.background.drain(_DRAIN_S)
