--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PYTHON ?= python3.11
 
-.PHONY: demo check format lint types test models venv
+.PHONY: bench demo check format lint types test models venv
 
 # Only the default environment is installed; a shared one is used as it is.
 .venv/.installed: requirements-dev.txt constraints.txt packages/*/pyproject.toml
@@ -13,6 +13,11 @@
 
 venv: $(if $(filter .venv,$(VENV)),.venv/.installed)
 
+# A short run of every scenario on both deployments; see docs/decisions/bench.md.
+bench: venv
+	PYTHONPATH=$(subst $(eval ) ,:,$(abspath $(wildcard packages/*/src))) \
+		$(BIN)/python -m kingcuplug_cli bench all
+
 demo: venv
 	$(BIN)/kingcuplug demo
 
--- /dev/null
+++ b/packages/cli/src/kingcuplug_cli/_bench/_commands.py
@@ -0,0 +1,143 @@
+"""Commands of the load tool."""
+
+import asyncio
+import json
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+from kingcuplug_common import KingcuplugError
+from tqdm import tqdm
+
+from kingcuplug_cli._bench._report import scenario_fields, table, truth_holds, write
+from kingcuplug_cli._bench._runner import Runner
+from kingcuplug_cli._bench._scenario import Scenario, load_policy, load_scenario, names
+from kingcuplug_cli._bench._targets import Verdict, verdicts
+from kingcuplug_cli._local import load_sizes
+
+__all__ = ["Bench"]
+
+_EXIT_UNTRUE = 1
+_EXIT_FILES = 2
+
+# Services under load: enough for a fan-out over two services, few enough for the
+# CPU of one machine.
+_SERVICES = {
+    "kavango": ("counter-01", "ledger-01"),
+    "agency": ("inspector-01", "owner-portal"),
+}
+
+
+class Bench:
+    """Load and experiment tool."""
+
+    def run(
+        self,
+        deployment: str = "kavango",
+        scenarios: str | tuple[str, ...] = "all",
+        policies: str | tuple[str, ...] = ("configured", "baseline"),
+        rounds: int = 3,
+        seed: int = 1,
+        examples: str = "examples",
+        output: str = "bench-results",
+    ) -> None:
+        """Compare policies on one deployment and write a report.
+
+        Parameters
+        ----------
+        deployment : str
+            Folder below `examples`: ``kavango`` or ``agency``.
+        scenarios, policies : str
+            Names or paths, separated by commas; ``all`` takes every scenario.
+        rounds : int
+            Rounds of each scenario and policy.
+        output : str
+            Folder of the report.
+        """
+        chosen = _listed(scenarios)
+        if chosen == ["all"]:
+            chosen = names("scenarios")
+        try:
+            run = _Run(Path(examples) / deployment, _listed(policies), rounds, seed)
+            fields, found, true = asyncio.run(
+                run.all([load_scenario(name) for name in chosen])
+            )
+        except KingcuplugError as error:
+            print(f"kingcuplug bench: {error}", file=sys.stderr)
+            sys.exit(_EXIT_FILES)
+        write(Path(output) / deployment, fields, found)
+        print(
+            f"\n{deployment}\n{table(found)}\nReport: {output}/{deployment}/report.md"
+        )
+        if not true:
+            print("Ground truth was violated; see the report.", file=sys.stderr)
+            sys.exit(_EXIT_UNTRUE)
+
+    def all(
+        self, rounds: int = 1, seed: int = 1, output: str = "bench-results"
+    ) -> None:
+        """Run every scenario on every deployment, the deployments side by side."""
+        options = [f"--rounds={rounds}", f"--seed={seed}", f"--output={output}"]
+        codes = asyncio.run(_side_by_side(options))
+        if any(codes):
+            sys.exit(max(codes))
+
+    def list(self) -> None:
+        """Print the packaged scenarios and policies."""
+        for name in names("scenarios"):
+            print(f"scenario {name}: {load_scenario(name).description}")
+        for name in names("policies"):
+            print(f"policy {name}")
+
+
+class _Run:
+    """One deployment, its policies and scenarios."""
+
+    def __init__(
+        self, example: Path, policies: Sequence[str], rounds: int, seed: int
+    ) -> None:
+        self._name = example.name
+        self._rounds = rounds
+        self._seed = seed
+        self._policies = [load_policy(name) for name in policies]
+        text = json.loads((example / "configuration.json").read_text())
+        sizes = load_sizes(example / "servers.json", only=_SERVICES[self._name])
+        self._runner = Runner(sizes, text, self._policies, seed)
+
+    async def all(
+        self, scenarios: Sequence[Scenario]
+    ) -> tuple[dict[str, Any], list[Verdict], bool]:
+        """Run the scenarios; return the JSON value, the verdicts and if all is true."""
+        fields: dict[str, Any] = {}
+        found: list[Verdict] = []
+        true = True
+        steps = len(scenarios) * self._rounds * len(self._policies)
+        with tqdm(total=steps, desc=self._name, unit="round") as progress:
+            async with self._runner.running() as runner:
+                for scenario in scenarios:
+                    results = await runner.run(scenario, self._rounds, progress)
+                    summaries = {name: r.summary() for name, r in results.items()}
+                    judged = verdicts(scenario, self._name, summaries)
+                    found += judged
+                    fields[scenario.name] = scenario_fields(results, judged)
+                    true = true and truth_holds(results)
+        head = {"deployment": self._name, "seed": self._seed, "rounds": self._rounds}
+        return head | {"scenarios": fields}, found, true
+
+
+async def _side_by_side(options: Sequence[str]) -> list[int]:
+    processes = [
+        await asyncio.create_subprocess_exec(
+            sys.executable,
+            *("-m", "kingcuplug_cli", "bench", "run", f"--deployment={name}"),
+            *options,
+        )
+        for name in _SERVICES
+    ]
+    return [await process.wait() for process in processes]
+
+
+def _listed(names: str | Sequence[str]) -> list[str]:
+    """Return the names of an option, which fire may have split already."""
+    return names.split(",") if isinstance(names, str) else [str(n) for n in names]
--- /dev/null
+++ b/packages/cli/src/kingcuplug_cli/_bench/_figures.py
@@ -0,0 +1,151 @@
+"""Figures of one policy in one phase, added up over rounds."""
+
+import dataclasses
+from collections import Counter
+from collections.abc import Iterable
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from kingcuplug_cli._bench._load import Sample
+from kingcuplug_cli._bench._truth import Truth, shard_values
+
+__all__ = ["PhaseFigures"]
+
+_LOWEST_US = 1
+_HIGHEST_US = 60_000_000
+_DIGITS = 3
+_MICROSECONDS = 1_000
+_PERCENTILES = {"p50_ms": 50.0, "p99_ms": 99.0, "p999_ms": 99.9}
+
+
+def _histogram() -> Any:
+    return HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
+
+
+@dataclasses.dataclass(slots=True)
+class PhaseFigures:
+    """Sums and histograms of one phase.
+
+    Attributes
+    ----------
+    latencies, urgent : HdrHistogram
+        Latency of answers in microseconds, from the planned arrival.
+    needed, received, started, delivered : int
+        Sub-requests: needed by the answered requests, received and begun by the
+        stand-ins for them, and results that reached a caller.
+    worst_recovery_s : float
+        Longest time from the first event to an arrival that was not served whole.
+    """
+
+    duration_s: float = 0.0
+    latencies: Any = dataclasses.field(default_factory=_histogram)
+    urgent: Any = dataclasses.field(default_factory=_histogram)
+    counts: Counter[str] = dataclasses.field(default_factory=Counter)
+    refusals: Counter[str] = dataclasses.field(default_factory=Counter)
+    coverage_sum: float = 0.0
+    needed: int = 0
+    received: int = 0
+    started: int = 0
+    delivered: int = 0
+    worst_recovery_s: float = 0.0
+
+    def add(
+        self,
+        samples: Iterable[Sample],
+        truth: Truth,
+        duration_s: float,
+        event_s: float | None,
+    ) -> None:
+        """Add one round's samples of this phase."""
+        self.duration_s += duration_s
+        for sample in samples:
+            if sample.arrival.extra:
+                self._add_extra(sample)
+                continue
+            self.counts["requests"] += 1
+            self._add_work(sample, truth)
+            if sample.answered:
+                self._add_answer(sample)
+            else:
+                self._add_failure(sample, truth)
+            self._add_recovery(sample, event_s)
+
+    def _add_extra(self, sample: Sample) -> None:
+        self.counts["extra_requests"] += 1
+        if sample.answered:
+            self.counts["extra_answered"] += 1
+
+    def _add_answer(self, sample: Sample) -> None:
+        self.counts["answered"] += 1
+        latency_us = min(max(int(sample.latency_ms * _MICROSECONDS), 1), _HIGHEST_US)
+        self.latencies.record_value(latency_us)
+        if sample.arrival.priority == "urgent":
+            self.urgent.record_value(latency_us)
+        if sample.arrival.kind == "order":
+            self.counts["orders"] += 1
+            return
+        self.counts["queries"] += 1
+        self.coverage_sum += sample.answer["coverage"]
+        self.counts["whole"] += not sample.answer["partial"]
+
+    def _add_failure(self, sample: Sample, truth: Truth) -> None:
+        refusal = sample.answer.get("refusal")
+        if refusal is None:
+            self.counts["cut"] += 1
+            return
+        self.refusals[f"{refusal['kind']}: {refusal['reason']}"] += 1
+        early = not truth.received.get(sample.request_id, 0)
+        if not early or refusal["kind"] != "not_run":
+            self.counts["late_refusals"] += 1
+
+    def _add_work(self, sample: Sample, truth: Truth) -> None:
+        received = truth.received.get(sample.request_id, 0)
+        self.started += truth.started.get(sample.request_id, 0)
+        if not sample.answered:
+            return
+        if sample.arrival.kind == "query":
+            self.received += received
+            self.needed += sample.answer["shard_count"]
+            self.delivered += len(shard_values(sample.answer))
+        else:
+            # A resend is answered from the ledger and may need nothing.
+            self.delivered += truth.started.get(sample.request_id, 0)
+
+    def _add_recovery(self, sample: Sample, event_s: float | None) -> None:
+        if event_s is None or sample.arrival.at_s < event_s:
+            return
+        whole = sample.answered and not sample.answer.get("partial")
+        if not whole:
+            after_s = sample.arrival.at_s - event_s
+            self.worst_recovery_s = max(self.worst_recovery_s, after_s)
+
+    def summary(self) -> dict[str, Any]:
+        """Return all figures by name."""
+        queries = self.counts["queries"]
+        needed = max(self.needed, 1)
+        figures: dict[str, Any] = {
+            "requests": self.counts["requests"],
+            "answered": self.counts["answered"],
+            "whole": self.counts["whole"],
+            "cut": self.counts["cut"],
+            "refused": self.refusals.total(),
+            "late_refusals": self.counts["late_refusals"],
+            "refusals": dict(self.refusals),
+            "coverage": self.coverage_sum / queries if queries else 0.0,
+            "goodput": (self.coverage_sum + self.counts["orders"])
+            / max(self.duration_s, 1e-9),
+            "extra_load": self.received / needed - 1 if self.needed else 0.0,
+            "work_for_nobody": max(self.started - self.delivered, 0) / needed,
+            "recovery_s": self.worst_recovery_s,
+            "extra_requests": self.counts["extra_requests"],
+            "extra_answered": self.counts["extra_answered"],
+        }
+        for name, share in _PERCENTILES.items():
+            figures[name] = _percentile_ms(self.latencies, share)
+            figures[f"urgent_{name}"] = _percentile_ms(self.urgent, share)
+        return figures
+
+
+def _percentile_ms(histogram: Any, share: float) -> float:
+    return float(histogram.get_value_at_percentile(share)) / _MICROSECONDS
--- /dev/null
+++ b/packages/cli/src/kingcuplug_cli/_bench/_fleet.py
@@ -0,0 +1,224 @@
+"""The stand-in backend servers of one deployment and what happens to them."""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any
+
+from kingcuplug_cli._local import Group, Sizes, shards_of
+from kingcuplug_cli._standin import Behaviour, Journal, StandIn, StandInService
+
+__all__ = ["Fleet", "Served"]
+
+_RESTART_AFTER_S = 0.8
+_WATCH_PERIOD_S = 0.1
+_STEP_S = 0.05
+
+Holdings = dict[int, tuple[int, tuple[int, ...]]]
+
+
+@dataclasses.dataclass(slots=True)
+class Served:
+    """One service: its sizes, its servers and its newest snapshot."""
+
+    name: str
+    group: Group
+    servers: list[StandIn]
+    snapshot: int
+    shard_count: int
+
+    def holdings(self, number: int, snapshot: int, shard_count: int) -> Holdings:
+        """Return what server `number` holds of one snapshot."""
+        shape = dataclasses.replace(self.group, shard_count=shard_count)
+        return {snapshot: (shard_count, shards_of(shape, number))}
+
+
+class Fleet:
+    """All stand-ins of one deployment.
+
+    Parameters
+    ----------
+    sizes : Sizes
+        Zones and services.
+    balancer : callable
+        Returns the base URL of some entry host.
+    latency_of : callable
+        Returns the one-way latency between a client's address and a zone.
+    seed : int
+        Seed of the service times.
+
+    Attributes
+    ----------
+    journal : Journal
+        Ground truth.
+    drain_lags_s : list of float
+        Time from each drain to the last new work that the server got.
+    snapshots : dict
+        Shard count of each snapshot of each service that ever existed.
+    """
+
+    def __init__(
+        self,
+        sizes: Sizes,
+        balancer: Callable[[], str],
+        latency_of: Callable[[str, str], float],
+        seed: int,
+    ) -> None:
+        self.journal = Journal()
+        self.drain_lags_s: list[float] = []
+        self.services: dict[str, Served] = {}
+        self.snapshots: dict[str, dict[int, int]] = {}
+        self._random = random.Random(seed)
+        self._lost: set[str] = set()
+        self._zones = sizes.availability_zones
+        self._behaviour = Behaviour()
+        for group in sizes.groups:
+            for name in group.services:
+                self._add(group, name, balancer, latency_of)
+
+    def _add(
+        self,
+        group: Group,
+        name: str,
+        balancer: Callable[[], str],
+        latency_of: Callable[[str, str], float],
+    ) -> None:
+        service = StandInService(
+            name, group.slots, group.connections, group.connection_cost_ms
+        )
+        served = Served(name, group, [], 1, group.shard_count)
+        for number in range(group.servers):
+            zone = self._zones[number % len(self._zones)]
+            served.servers.append(
+                StandIn(
+                    f"{name}-s{number}",
+                    service,
+                    zone,
+                    served.holdings(number, 1, group.shard_count),
+                    self.journal,
+                    balancer,
+                    self._random.getrandbits(32),
+                    latency_of=_to_zone(latency_of, zone),
+                )
+            )
+        self.services[name] = served
+        self.snapshots[name] = {1: group.shard_count}
+
+    @property
+    def servers(self) -> list[StandIn]:
+        """All servers."""
+        return [s for served in self.services.values() for s in served.servers]
+
+    async def start(self, behaviour: Behaviour) -> None:
+        """Start all servers."""
+        self._behaviour = behaviour
+        await self.heal()
+
+    async def watch(self) -> None:
+        """Restart servers that crashed, as a supervisor does, until cancelled."""
+        while True:
+            await asyncio.sleep(_WATCH_PERIOD_S)
+            for server in self.servers:
+                if not server.running and server.name not in self._lost:
+                    self._lost.add(server.name)
+                    asyncio.get_running_loop().create_task(self._revive(server))
+
+    async def _revive(self, server: StandIn) -> None:
+        await asyncio.sleep(_RESTART_AFTER_S)
+        if not server.running:
+            await server.start()
+        self._lost.discard(server.name)
+
+    async def heal(self) -> None:
+        """Bring every server back to its ordinary behaviour."""
+        self._lost.clear()
+        for server in self.servers:
+            server.behaviour = dataclasses.replace(self._behaviour)
+        await asyncio.gather(*(s.start() for s in self.servers if not s.running))
+
+    async def act(self, action: str, fields: dict[str, Any]) -> None:
+        """Let one event of a scenario happen; returns when it is over."""
+        await getattr(self, f"_{action}")(**fields)
+
+    # Events
+
+    async def _slow_server(self, factor: float) -> None:
+        for served in self.services.values():
+            served.servers[0].behaviour.slow_factor = factor
+
+    async def _lose_server(self) -> None:
+        await self._lose(s.servers[0] for s in self.services.values())
+
+    async def _lose_zone(self, number: int = 0) -> None:
+        zone = self._zones[number]
+        await self._lose(s for s in self.servers if s.availability_zone == zone)
+
+    async def _lose(self, servers: Iterable[StandIn]) -> None:
+        lost = list(servers)
+        self._lost.update(server.name for server in lost)
+        await asyncio.gather(*(server.crash() for server in lost))
+
+    async def _lie_about_load(self) -> None:
+        for number, server in enumerate(self.servers):
+            server.behaviour.reported_load = 0.0 if number % 2 else 1.0
+
+    async def _cold_restart(self, cold_ms: float, factor: float) -> None:
+        """Restart all servers of the first service at once, cold."""
+        served = next(iter(self.services.values()))
+        await self._lose(served.servers)
+        await asyncio.sleep(_RESTART_AFTER_S)
+        for server in served.servers:
+            server.behaviour.cold_ms = cold_ms
+            server.behaviour.cold_factor = factor
+            await server.start()
+
+    async def _rolling_drain(self, hold_s: float, last_hold_s: float) -> None:
+        """Drain, stop and restart one server of each service after the other."""
+        await asyncio.gather(
+            *(
+                self._drain_in_turn(served.servers, hold_s, last_hold_s)
+                for served in self.services.values()
+            )
+        )
+
+    async def _drain_in_turn(
+        self, servers: Sequence[StandIn], hold_s: float, last_hold_s: float
+    ) -> None:
+        for server in servers:
+            drained = asyncio.get_running_loop().time()
+            server.drain()
+            await asyncio.sleep(last_hold_s if server is servers[-1] else hold_s)
+            self.drain_lags_s.append(max(server.last_new_work - drained, 0.0))
+            self._lost.add(server.name)
+            await server.stop()
+            await server.start()
+            self._lost.discard(server.name)
+
+    async def _index_change(self, shard_count: int, overlap_s: float) -> None:
+        """Replace the index by one with another number of shards, and back."""
+        for served in self.services.values():
+            former = served.group.shard_count
+            for count in (former + shard_count, former):
+                await self._publish(served, count, overlap_s)
+
+    async def _publish(
+        self, served: Served, shard_count: int, overlap_s: float
+    ) -> None:
+        snapshot = served.snapshot + 1
+        self.snapshots[served.name][snapshot] = shard_count
+        for number, server in enumerate(served.servers):
+            new = served.holdings(number, snapshot, shard_count)
+            server.hold(server.holdings | new)
+            await asyncio.sleep(_STEP_S)
+        served.snapshot, served.shard_count = snapshot, shard_count
+        await asyncio.sleep(overlap_s)
+        for number, server in enumerate(served.servers):
+            server.hold(served.holdings(number, snapshot, shard_count))
+            await asyncio.sleep(_STEP_S)
+
+
+def _to_zone(
+    latency_of: Callable[[str, str], float], zone: str
+) -> Callable[[str], float]:
+    return lambda client: latency_of(client, zone)
--- /dev/null
+++ b/packages/cli/src/kingcuplug_cli/_bench/_load.py
@@ -0,0 +1,135 @@
+"""Sends the planned arrivals and notes how each one ended."""
+
+import asyncio
+import dataclasses
+import time
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import aiohttp
+from kingcuplug_common import identifier
+
+from kingcuplug_cli._bench._balancer import Balancer
+from kingcuplug_cli._bench._schedule import Arrival
+
+__all__ = ["Sample", "send_all"]
+
+_MILLISECONDS = 1_000
+_TIMEOUT_S = 5.0
+_CONNECT_TRIES = 3
+
+
+@dataclasses.dataclass(slots=True)
+class Sample:
+    """How one arrival ended.
+
+    Attributes
+    ----------
+    lag_ms : float
+        How late the load generator began it.
+    latency_ms : float
+        From the planned arrival until the caller has the whole answer.
+    status : int
+        HTTP status; 0 if the connection broke or no answer came in time.
+    """
+
+    arrival: Arrival
+    request_id: str
+    lag_ms: float = 0.0
+    latency_ms: float = 0.0
+    status: int = 0
+    answer: dict[str, Any] = dataclasses.field(default_factory=dict)
+    error: str = ""
+    order_key: str | None = None
+
+    @property
+    def answered(self) -> bool:
+        """Whether there is an answer, whole or partial."""
+        return self.status == 200
+
+
+class _Round:
+    """What the senders of one round share."""
+
+    def __init__(
+        self, http: aiohttp.ClientSession, balancer: Balancer, caller_latency_ms: float
+    ) -> None:
+        self.http = http
+        self.balancer = balancer
+        self.latency_s = caller_latency_ms / _MILLISECONDS
+        self.issued_ms = time.time_ns() // 1_000_000
+
+    async def send(self, arrival: Arrival, planned: float) -> Sample:
+        """Send one arrival, whose planned time is `planned`."""
+        loop = asyncio.get_running_loop()
+        sample = Sample(arrival, identifier())
+        sample.lag_ms = (loop.time() - planned) * _MILLISECONDS
+        await asyncio.sleep(planned + self.latency_s - loop.time())
+        try:
+            async with asyncio.timeout(_TIMEOUT_S):
+                await self._post(sample, self._fields(sample))
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            sample.error = repr(error)
+        ended = loop.time() + self.latency_s
+        sample.latency_ms = (ended - planned) * _MILLISECONDS
+        return sample
+
+    def _fields(self, sample: Sample) -> dict[str, Any]:
+        arrival = sample.arrival
+        fields: dict[str, Any] = {
+            "request_id": sample.request_id,
+            "body": arrival.body,
+            "priority": arrival.priority,
+        }
+        if arrival.order is not None:
+            sample.order_key = f"{self.issued_ms}-{arrival.order}"
+            fields["idempotency_key"] = sample.order_key
+            fields["partition_key"] = arrival.order
+            fields["resend"] = arrival.resend
+        return fields
+
+    async def _post(self, sample: Sample, fields: dict[str, Any]) -> None:
+        """Send through the balancer, which tries another host on a refused connect."""
+        path = f"/v1/services/{sample.arrival.service}/{sample.arrival.kind}"
+        refused: list[str] = []
+        while True:
+            name, address = self.balancer.pick(refused)
+            try:
+                async with self.http.post(
+                    f"http://{address}{path}", json=fields
+                ) as response:
+                    sample.answer = await response.json()
+                    sample.status = response.status
+                    return
+            except aiohttp.ClientConnectorError:
+                refused.append(name)
+                if len(refused) == _CONNECT_TRIES:
+                    raise
+
+
+async def send_all(
+    arrivals: Sequence[Arrival],
+    http: aiohttp.ClientSession,
+    balancer: Balancer,
+    caller_latency_ms: float,
+    ended: Callable[[Sample], None] = lambda _: None,
+) -> tuple[float, list[Sample]]:
+    """Send all arrivals at their times and wait for the last answer.
+
+    Returns
+    -------
+    tuple
+        The loop's time at the start of the round, and the samples.
+    """
+    loop = asyncio.get_running_loop()
+    current = _Round(http, balancer, caller_latency_ms)
+    start = loop.time()
+    tasks = []
+    for arrival in arrivals:
+        planned = start + arrival.at_s
+        if planned > loop.time():
+            await asyncio.sleep(planned - loop.time())
+        task = loop.create_task(current.send(arrival, planned))
+        task.add_done_callback(lambda done: ended(done.result()))
+        tasks.append(task)
+    return start, list(await asyncio.gather(*tasks))
--- /dev/null
+++ b/packages/cli/src/kingcuplug_cli/_bench/_report.py
@@ -0,0 +1,151 @@
+"""JSON, table and plots of one deployment's run."""
+
+import json
+import math
+from collections.abc import Iterable, Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+from kingcuplug_cli._bench._runner import PolicyResult
+from kingcuplug_cli._bench._targets import Verdict
+
+__all__ = ["is_saturated", "scenario_fields", "table", "truth_holds", "write"]
+
+_SATURATED = 0.85
+_LATE_LAG_MS = 20.0
+_LAG_PERCENTILE = 0.99
+_COLUMNS = (
+    "requests",
+    "p50_ms",
+    "p99_ms",
+    "p999_ms",
+    "urgent_p99_ms",
+    "coverage",
+    "goodput",
+    "extra_load",
+    "work_for_nobody",
+    "refused",
+    "cut",
+)
+
+
+def scenario_fields(
+    results: Mapping[str, PolicyResult], verdicts: Iterable[Verdict]
+) -> dict[str, Any]:
+    """Return the JSON value of one scenario."""
+    return {
+        "policies": {name: _policy_fields(result) for name, result in results.items()},
+        "verdicts": [
+            {name: getattr(verdict, name) for name in Verdict.__slots__}
+            for verdict in verdicts
+        ],
+    }
+
+
+def _policy_fields(result: PolicyResult) -> dict[str, Any]:
+    return {
+        "phases": result.summary(),
+        "truth": dict(result.truth),
+        "cpu": result.cpu,
+        "peak_mib": result.peak_mib,
+        "lag_p99_ms": _lag_ms(result),
+        "saturated": is_saturated(result),
+        "stand_ins": dict(result.totals),
+        "errors": result.errors,
+    }
+
+
+def _lag_ms(result: PolicyResult) -> float:
+    lags = sorted(result.lags_ms)
+    return lags[int(len(lags) * _LAG_PERCENTILE)] if lags else 0.0
+
+
+def is_saturated(result: PolicyResult) -> bool:
+    """Return whether a process or the load generator was the bottleneck."""
+    busiest = max(result.cpu.values(), default=0.0)
+    return busiest > _SATURATED or _lag_ms(result) > _LATE_LAG_MS
+
+
+def truth_holds(results: Mapping[str, PolicyResult]) -> bool:
+    """Return whether no request of any policy violated an invariant."""
+    return not any(result.truth.total() for result in results.values())
+
+
+def table(verdicts: Sequence[Verdict]) -> str:
+    """Return the targets as a Markdown table."""
+    lines = [
+        "| scenario | target | bound | measured | baseline | verdict |",
+        "| --- | --- | --- | --- | --- | --- |",
+    ]
+    for each in verdicts:
+        baseline = "" if each.baseline is None else _number(each.baseline)
+        verdict = "pass" if each.passed else "MISS"
+        lines.append(
+            f"| {each.scenario} | {each.target} | {each.bound} | "
+            f"{_number(each.measured)} | {baseline} | {verdict} |"
+        )
+    return "\n".join(lines)
+
+
+def _number(value: float) -> str:
+    return "none" if math.isnan(value) else f"{value:.4g}"
+
+
+def write(folder: Path, fields: dict[str, Any], verdicts: Sequence[Verdict]) -> None:
+    """Write ``results.json``, ``report.md`` and one plot per scenario."""
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / "results.json").write_text(json.dumps(fields, indent=2) + "\n")
+    parts = [f"# {fields['deployment']}, seed {fields['seed']}", table(verdicts)]
+    for name, scenario in fields["scenarios"].items():
+        parts += [f"## {name}", _phases_table(scenario), _notes(scenario)]
+        parts.append(f"![{name}]({name}.png)")
+        _plot(folder / f"{name}.png", name, scenario)
+    (folder / "report.md").write_text("\n\n".join(parts) + "\n")
+
+
+def _phases_table(scenario: dict[str, Any]) -> str:
+    lines = [
+        f"| policy | phase | {' | '.join(_COLUMNS)} |",
+        "| --- " * (len(_COLUMNS) + 2) + "|",
+    ]
+    for policy, fields in scenario["policies"].items():
+        for phase, figures in fields["phases"].items():
+            values = " | ".join(_number(float(figures[name])) for name in _COLUMNS)
+            lines.append(f"| {policy} | {phase} | {values} |")
+    return "\n".join(lines)
+
+
+def _notes(scenario: dict[str, Any]) -> str:
+    lines = []
+    for policy, fields in scenario["policies"].items():
+        cpu = ", ".join(f"{name} {share:.0%}" for name, share in fields["cpu"].items())
+        truth = ", ".join(f"{name} {n}" for name, n in fields["truth"].items())
+        validity = "INVALID (saturated)" if fields["saturated"] else "valid"
+        lines.append(
+            f"* {policy}: {validity}; CPU: {cpu}; load generator's lag p99 "
+            f"{fields['lag_p99_ms']:.1f} ms; ground truth: {truth}"
+        )
+        for phase, figures in fields["phases"].items():
+            if figures["refusals"]:
+                lines.append(f"  * refusals in {phase}: {figures['refusals']}")
+    return "\n".join(lines)
+
+
+def _plot(path: Path, title: str, scenario: dict[str, Any]) -> None:
+    # Loading matplotlib takes half a second, which other commands need not pay.
+    from matplotlib.figure import Figure
+
+    figure = Figure(figsize=(10, 4), layout="constrained")
+    tail, share = figure.subplots(1, 2)
+    for policy, fields in scenario["policies"].items():
+        for phase, figures in fields["phases"].items():
+            label = f"{policy}, {phase}"
+            heights = [figures[name] for name in ("p50_ms", "p99_ms", "p999_ms")]
+            tail.plot(["p50", "p99", "p99.9"], heights, marker="o", label=label)
+            share.barh(label, figures["extra_load"])
+    tail.set_ylabel("latency from planned arrival, ms")
+    tail.set_yscale("log")
+    tail.legend(fontsize="x-small")
+    share.set_xlabel("extra sub-requests, share of those needed")
+    figure.suptitle(title)
+    figure.savefig(path, dpi=90)
--- /dev/null
+++ b/packages/cli/src/kingcuplug_cli/_bench/_runner.py
@@ -0,0 +1,256 @@
+"""Runs scenarios on one deployment, the policies taking turns."""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections import Counter
+from collections.abc import AsyncIterator, Sequence
+from typing import Any
+
+import aiohttp
+from tqdm import tqdm
+
+from kingcuplug_cli._bench._deployment import BenchDeployment
+from kingcuplug_cli._bench._figures import PhaseFigures
+from kingcuplug_cli._bench._load import Sample, send_all
+from kingcuplug_cli._bench._scenario import Phase, Policy, Scenario, Times
+from kingcuplug_cli._bench._schedule import plan
+from kingcuplug_cli._bench._truth import VIOLATIONS, Truth, judge
+from kingcuplug_cli._bench._worker import usage
+from kingcuplug_cli._local import Sizes
+
+__all__ = ["PolicyResult", "Runner"]
+
+_WARM_UP = Scenario(
+    name="warm-up",
+    description="Fills the routing statistics.",
+    phases=(Phase(name="warm-up", duration_s=2.0, load=0.3),),
+    configuration_period_s=None,
+)
+_LATE_WORK_S = 0.3
+_HOST_ACTIONS = frozenset(("restart_hosts",))
+_LOAD_ACTIONS = frozenset(("bulk_burst", "crash_request"))
+_LOAD_GENERATOR = "load generator"
+
+
+@dataclasses.dataclass(slots=True)
+class PolicyResult:
+    """What one policy did in one scenario, over all rounds.
+
+    Attributes
+    ----------
+    truth : Counter
+        Violations by name; all must be 0.
+    cpu : dict
+        Highest share of one core that each process used in any round.
+    peak_mib : dict
+        Peak memory of each process.
+    lags_ms : list of float
+        How late the load generator began each arrival.
+    """
+
+    phases: dict[str, PhaseFigures] = dataclasses.field(default_factory=dict)
+    truth: Counter[str] = dataclasses.field(
+        default_factory=lambda: Counter(dict.fromkeys(VIOLATIONS, 0))
+    )
+    cpu: dict[str, float] = dataclasses.field(default_factory=dict)
+    peak_mib: dict[str, float] = dataclasses.field(default_factory=dict)
+    lags_ms: list[float] = dataclasses.field(default_factory=list)
+    drain_lag_s: float = 0.0
+    servers_crashed: int = 0
+    totals: Counter[str] = dataclasses.field(default_factory=Counter)
+    errors: list[str] = dataclasses.field(default_factory=list)
+
+    def summary(self) -> dict[str, dict[str, Any]]:
+        """Return the figures per phase."""
+        common = {
+            "drain_lag_s": self.drain_lag_s,
+            "servers_crashed": self.servers_crashed,
+        }
+        return {name: p.summary() | common for name, p in self.phases.items()}
+
+
+class Runner:
+    """One deployment per policy, all alive at once, loaded one at a time.
+
+    Parameters
+    ----------
+    sizes : Sizes
+        Zones and services.
+    text : dict
+        Configuration text.
+    policies : sequence of Policy
+        What is compared.
+    seed : int
+        Seed of arrivals and service times, equal for all policies.
+    """
+
+    def __init__(
+        self,
+        sizes: Sizes,
+        text: dict[str, Any],
+        policies: Sequence[Policy],
+        seed: int,
+        entry_hosts: int = 10,
+        host_processes: int = 2,
+    ) -> None:
+        self._sizes = sizes
+        self._text = text
+        self._policies = policies
+        self._seed = seed
+        self._entry_hosts = entry_hosts
+        self._host_processes = host_processes
+        self._deployments: dict[str, BenchDeployment] = {}
+        self._http: aiohttp.ClientSession
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator["Runner"]:
+        """Start one deployment per policy and stop them in the end."""
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(
+            connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+        ) as self._http:
+            try:
+                for policy in self._policies:
+                    await self._start(policy)
+                yield self
+            finally:
+                for deployment in self._deployments.values():
+                    await deployment.stop()
+
+    async def _start(self, policy: Policy) -> None:
+        deployment = BenchDeployment(
+            self._sizes,
+            self._text,
+            policy,
+            self._http,
+            self._seed,
+            self._entry_hosts,
+            self._host_processes,
+        )
+        self._deployments[policy.name] = deployment
+        await deployment.start(Times())
+        await self._round(deployment, _WARM_UP, 0, PolicyResult())
+
+    async def run(
+        self, scenario: Scenario, rounds: int, progress: "tqdm[Any]"
+    ) -> dict[str, PolicyResult]:
+        """Run a scenario; in each round every policy meets the same arrivals."""
+        results = {policy.name: PolicyResult() for policy in self._policies}
+        for number in range(rounds):
+            # The order alternates, so that drift of the machine favours nobody.
+            order = self._policies if number % 2 == 0 else self._policies[::-1]
+            for policy in order:
+                progress.set_postfix_str(f"{scenario.name}, {policy.name}")
+                deployment = self._deployments[policy.name]
+                await self._round(deployment, scenario, number, results[policy.name])
+                progress.update()
+        return results
+
+    async def _round(
+        self,
+        deployment: BenchDeployment,
+        scenario: Scenario,
+        number: int,
+        result: PolicyResult,
+    ) -> None:
+        await deployment.heal(scenario.times)
+        await deployment.servers.call("journal")
+        arrivals = plan(scenario, deployment.loads, self._seed + number)
+        before = await _usages(deployment)
+        async with _events(deployment, scenario):
+            start, samples = await send_all(
+                arrivals,
+                self._http,
+                deployment.balancer,
+                self._sizes.caller_latency_ms,
+            )
+        await asyncio.sleep(_LATE_WORK_S)
+        after = await _usages(deployment)
+        journal = await deployment.servers.call("journal")
+        _add_usage(result, before, after)
+        _add_journal(result, journal)
+        truth = Truth.from_journal(journal, deployment.revisions, start)
+        _add_samples(result, scenario, samples, truth)
+
+
+@contextlib.asynccontextmanager
+async def _events(
+    deployment: BenchDeployment, scenario: Scenario
+) -> AsyncIterator[None]:
+    """Let the scenario's events happen while the body runs."""
+    tasks = [
+        asyncio.create_task(_event(deployment, event.at_s, event.do, event.fields))
+        for event in scenario.events
+        if event.do not in _LOAD_ACTIONS
+    ]
+    changes = None
+    if scenario.configuration_period_s is not None:
+        changes = asyncio.create_task(
+            _change_configuration(deployment, scenario.configuration_period_s)
+        )
+    try:
+        yield
+        await asyncio.gather(*tasks)
+    finally:
+        for task in [*tasks, *filter(None, [changes])]:
+            task.cancel()
+        ended = await asyncio.gather(*filter(None, [changes]), return_exceptions=True)
+    for error in ended:
+        if isinstance(error, Exception):
+            raise error
+
+
+async def _event(
+    deployment: BenchDeployment, at_s: float, action: str, fields: dict[str, Any]
+) -> None:
+    await asyncio.sleep(at_s)
+    if action in _HOST_ACTIONS:
+        await deployment.restart_hosts(**fields)
+    else:
+        await deployment.servers.call("act", action=action, fields=fields)
+
+
+async def _change_configuration(deployment: BenchDeployment, period_s: float) -> None:
+    turn = 0
+    while True:
+        await asyncio.sleep(period_s)
+        turn += 1
+        await deployment.apply(turn)
+
+
+async def _usages(deployment: BenchDeployment) -> dict[str, dict[str, float]]:
+    return await deployment.usage() | {_LOAD_GENERATOR: usage()}
+
+
+def _add_usage(
+    result: PolicyResult,
+    before: dict[str, dict[str, float]],
+    after: dict[str, dict[str, float]],
+) -> None:
+    for name, now in after.items():
+        then = before[name]
+        share = (now["cpu_s"] - then["cpu_s"]) / (now["clock_s"] - then["clock_s"])
+        result.cpu[name] = max(result.cpu.get(name, 0.0), share)
+        result.peak_mib[name] = now["peak_mib"]
+
+
+def _add_journal(result: PolicyResult, journal: dict[str, Any]) -> None:
+    lags = [result.drain_lag_s, *journal["drain_lags_s"]]
+    result.drain_lag_s = max(lags)
+    crashes = [result.servers_crashed, *journal["crashed_by"].values()]
+    result.servers_crashed = max(crashes)
+    result.totals.update(journal["totals"])
+    result.errors += journal["errors"]
+
+
+def _add_samples(
+    result: PolicyResult, scenario: Scenario, samples: list[Sample], truth: Truth
+) -> None:
+    result.truth.update(judge(samples, truth))
+    result.lags_ms += [sample.lag_ms for sample in samples]
+    event_s = min((event.at_s for event in scenario.events), default=None)
+    for phase in scenario.phases:
+        figures = result.phases.setdefault(phase.name, PhaseFigures())
+        own = [sample for sample in samples if sample.arrival.phase == phase.name]
+        figures.add(own, truth, phase.duration_s, event_s)
--- /dev/null
+++ b/packages/cli/src/kingcuplug_cli/_bench/_schedule.py
@@ -0,0 +1,169 @@
+"""The arrivals of one round, drawn before it starts.
+
+Arrivals are a Poisson process that does not wait for answers (open loop), so a slow
+answer delays nobody else's planned time and hides no latency.
+"""
+
+import dataclasses
+import math
+import random
+from collections.abc import Iterator, Sequence
+from typing import Any
+
+from kingcuplug_cli._bench._scenario import Event, Mix, Scenario, Times
+
+__all__ = ["Arrival", "ServiceLoad", "mean_service_ms", "plan"]
+
+_BODIES = 200
+_MILLISECONDS = 1_000
+_RESEND_AFTER_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceLoad:
+    """A service under load: its slots and the sub-requests of one query."""
+
+    name: str
+    slots: int
+    shard_count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """One planned request.
+
+    Attributes
+    ----------
+    at_s : float
+        Seconds after the start of the round.
+    extra : bool
+        Whether an event of the scenario adds it to the phase's load.
+    """
+
+    number: int
+    at_s: float
+    phase: str
+    service: str
+    kind: str
+    priority: str
+    body: dict[str, Any]
+    order: str | None = None
+    resend: bool = False
+    extra: bool = False
+
+
+def mean_service_ms(times: Times) -> float:
+    """Return the mean of the service time distribution."""
+    mean = times.median_ms * math.exp(times.spread**2 / 2)
+    return mean * (1 + times.straggle_share * (times.straggle_factor - 1))
+
+
+def plan(
+    scenario: Scenario, services: Sequence[ServiceLoad], seed: int
+) -> list[Arrival]:
+    """Return the arrivals of one round in the order of their times.
+
+    The same scenario, services and seed give the same arrivals, so that policies
+    are compared on equal work.
+    """
+    source = random.Random(seed)
+    drawn = [
+        arrival
+        for service in services
+        for arrival in _of_service(scenario, service, source)
+    ]
+    for event in scenario.events:
+        if event.do == "bulk_burst":
+            drawn += _burst(scenario, event, services, source)
+        elif event.do == "crash_request":
+            drawn += _crashing(scenario, event, services[0], seed)
+    drawn.sort(key=lambda arrival: arrival.at_s)
+    return [
+        dataclasses.replace(arrival, number=number)
+        for number, arrival in enumerate(drawn)
+    ]
+
+
+def _of_service(
+    scenario: Scenario, service: ServiceLoad, source: random.Random
+) -> Iterator[Arrival]:
+    start = 0.0
+    for phase in scenario.phases:
+        rate = _rate(service, phase.load, scenario.times)
+        for at_s in _poisson(rate, start, start + phase.duration_s, source):
+            yield from _requests(at_s, phase.name, service, scenario.mix, source)
+        start += phase.duration_s
+
+
+def _rate(service: ServiceLoad, load: float, times: Times) -> float:
+    """Return the queries per second that need `load` of the service's slots."""
+    query_s = service.shard_count * mean_service_ms(times) / _MILLISECONDS
+    return load * service.slots / query_s
+
+
+def _poisson(
+    rate: float, start: float, end: float, source: random.Random
+) -> Iterator[float]:
+    at_s = start + source.expovariate(rate)
+    while at_s < end:
+        yield at_s
+        at_s += source.expovariate(rate)
+
+
+def _requests(
+    at_s: float, phase: str, service: ServiceLoad, mix: Mix, source: random.Random
+) -> Iterator[Arrival]:
+    chosen = source.random()
+    body = {"check": source.randrange(_BODIES), "service": service.name}
+    priority = "normal"
+    if chosen < mix.urgent:
+        priority = "urgent"
+    elif chosen < mix.urgent + mix.bulk:
+        priority = "bulk"
+    if source.random() >= mix.orders:
+        yield Arrival(0, at_s, phase, service.name, "query", priority, body)
+        return
+    order = f"{source.getrandbits(64):016x}"
+    first = Arrival(0, at_s, phase, service.name, "order", "normal", body, order)
+    yield first
+    if source.random() < mix.resent_orders:
+        later = at_s + source.random() * _RESEND_AFTER_S
+        yield dataclasses.replace(first, at_s=later, resend=True)
+
+
+def _burst(
+    scenario: Scenario,
+    event: Event,
+    services: Sequence[ServiceLoad],
+    source: random.Random,
+) -> Iterator[Arrival]:
+    """Yield extra bulk queries: fields ``load`` and ``duration_s``."""
+    end = event.at_s + float(event.fields["duration_s"])
+    for service in services:
+        rate = _rate(service, float(event.fields["load"]), scenario.times)
+        for at_s in _poisson(rate, event.at_s, end, source):
+            body = {"check": source.randrange(_BODIES), "service": service.name}
+            phase = _phase_at(scenario, at_s)
+            yield Arrival(
+                0, at_s, phase, service.name, "query", "bulk", body, extra=True
+            )
+
+
+def _crashing(
+    scenario: Scenario, event: Event, service: ServiceLoad, seed: int
+) -> Iterator[Arrival]:
+    """Yield one request that crashes servers, resent by its caller."""
+    body = {"crash-the-server": f"{scenario.name}-{seed}"}
+    for turn in range(int(event.fields["times"])):
+        at_s = event.at_s + turn * float(event.fields["period_s"])
+        phase = _phase_at(scenario, at_s)
+        yield Arrival(0, at_s, phase, service.name, "query", "normal", body, extra=True)
+
+
+def _phase_at(scenario: Scenario, at_s: float) -> str:
+    end = 0.0
+    for phase in scenario.phases:
+        end += phase.duration_s
+        if at_s < end:
+            return phase.name
+    return scenario.phases[-1].name
--- /dev/null
+++ b/packages/cli/src/kingcuplug_cli/_bench/_servers_worker.py
@@ -0,0 +1,114 @@
+"""Child process with the stand-in backend servers of one deployment."""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Coroutine
+from typing import Any
+
+from kingcuplug_cli._bench._fleet import Fleet
+from kingcuplug_cli._bench._worker import serve_commands
+from kingcuplug_cli._local import Group, Sizes
+from kingcuplug_cli._standin import Behaviour
+
+__all__ = ["ServersWorker"]
+
+
+class ServersWorker:
+    """Handlers of the commands."""
+
+    def __init__(self) -> None:
+        self._entries: list[str] = []
+        self._random = random.Random(1)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._errors: list[str] = []
+        self._fleet: Fleet
+
+    async def start(self, fields: dict[str, Any]) -> list[str]:
+        """Start all servers; return their names."""
+        sizes = _sizes(fields["sizes"])
+        zone_of = fields["zone_of"]
+
+        def latency_of(client: str, zone: str) -> float:
+            return 0.0 if zone_of.get(client, zone) == zone else sizes.zone_latency_ms
+
+        self._entries = fields["entries"]
+        self._fleet = Fleet(sizes, self._balance, latency_of, fields["seed"])
+        await self._fleet.start(Behaviour(**fields["behaviour"]))
+        self._watch = asyncio.create_task(self._fleet.watch())
+        return [server.name for server in self._fleet.servers]
+
+    async def entries(self, fields: dict[str, Any]) -> None:
+        """Set the entry hosts at which servers announce."""
+        self._entries = fields["entries"]
+
+    async def act(self, fields: dict[str, Any]) -> None:
+        """Begin an event; it goes on in the background."""
+        self._spawn(self._fleet.act(fields["action"], fields["fields"]))
+
+    async def heal(self, fields: dict[str, Any]) -> None:
+        """End all events and bring all servers back, with the given behaviour."""
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+        await self._fleet.start(Behaviour(**fields["behaviour"]))
+
+    async def addresses(self, _: dict[str, Any]) -> dict[str, list[str]]:
+        """Return the addresses of each service's servers."""
+        return {
+            name: [server.address for server in served.servers]
+            for name, served in self._fleet.services.items()
+        }
+
+    async def journal(self, _: dict[str, Any]) -> dict[str, Any]:
+        """Return the ground truth since the last call and forget it."""
+        journal = self._fleet.journal
+        result: dict[str, Any] = {
+            field.name: dict(getattr(journal, field.name))
+            for field in dataclasses.fields(journal)
+        }
+        for field in dataclasses.fields(journal):
+            getattr(journal, field.name).clear()
+        result["drain_lags_s"] = list(self._fleet.drain_lags_s)
+        self._fleet.drain_lags_s.clear()
+        result["snapshots"] = [
+            [name, snapshot, count]
+            for name, counts in self._fleet.snapshots.items()
+            for snapshot, count in counts.items()
+        ]
+        result["errors"] = list(self._errors)
+        return result
+
+    def _balance(self) -> str:
+        return self._random.choice(self._entries)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._errors.append(repr(task.exception()))
+
+
+def _sizes(fields: dict[str, Any]) -> Sizes:
+    groups = tuple(
+        Group(**(group | {"services": tuple(group["services"])}))
+        for group in fields["groups"]
+    )
+    zones = tuple(fields["availability_zones"])
+    return Sizes(**(fields | {"groups": groups, "availability_zones": zones}))
+
+
+async def _main() -> None:
+    worker = ServersWorker()
+    handlers = {
+        name: getattr(worker, name)
+        for name in ("start", "entries", "act", "heal", "addresses", "journal")
+    }
+    await serve_commands(handlers)
+
+
+if __name__ == "__main__":
+    asyncio.run(_main())
--- /dev/null
+++ b/packages/cli/src/kingcuplug_cli/_bench/_truth.py
@@ -0,0 +1,169 @@
+"""Judges samples against what the stand-ins really did."""
+
+import dataclasses
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any
+
+from kingcuplug_cli._bench._load import Sample
+from kingcuplug_cli._standin import expected_value
+
+__all__ = ["VIOLATIONS", "Truth", "judge", "shard_values"]
+
+VIOLATIONS = (
+    "mixed_snapshots",
+    "crossed_answers",
+    "doubled_orders",
+    "false_not_run",
+    "untrue_coverage",
+    "stale_revisions",
+)
+
+_IN_FORCE_S = 4.0
+_ROUNDING = 1e-9
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Truth:
+    """What the stand-ins did in one round.
+
+    Attributes
+    ----------
+    received, started : Mapping
+        Sub-requests received and begun per request id.
+    orders : Mapping
+        Runs per idempotency key.
+    shard_counts : Mapping
+        Shard count of each (service, snapshot) that ever existed.
+    revisions : sequence of (float, int)
+        Time of each accepted configuration and its number.
+    start : float
+        Time of the start of the round, on the clock of `revisions`.
+    """
+
+    received: Mapping[str, int]
+    started: Mapping[str, int]
+    orders: Mapping[str, int]
+    shard_counts: Mapping[tuple[str, int], int]
+    revisions: Sequence[tuple[float, int]] = ()
+    start: float = 0.0
+
+    @classmethod
+    def from_journal(
+        cls,
+        journal: Mapping[str, Any],
+        revisions: Sequence[tuple[float, int]],
+        start: float,
+    ) -> "Truth":
+        """Return the truth in a stand-ins' journal."""
+        return cls(
+            journal["received"],
+            journal["started"],
+            journal["orders"],
+            {(name, number): count for name, number, count in journal["snapshots"]},
+            tuple(revisions),
+            start,
+        )
+
+
+def judge(samples: Iterable[Sample], truth: Truth) -> Counter[str]:
+    """Count the violations of the invariants, by name.
+
+    Each answer counts at most once per name; zero counts are present.
+    """
+    found = Counter(dict.fromkeys(VIOLATIONS, 0))
+    for sample in samples:
+        if sample.answered:
+            found.update(_answer_faults(sample, truth))
+        elif _is_false_not_run(sample, truth):
+            found["false_not_run"] += 1
+    found["doubled_orders"] += sum(1 for runs in truth.orders.values() if runs > 1)
+    return found
+
+
+def _answer_faults(sample: Sample, truth: Truth) -> set[str]:
+    faults = set()
+    if _is_stale(sample, truth):
+        faults.add("stale_revisions")
+    if sample.arrival.kind == "query":
+        faults |= _query_faults(sample, truth)
+    return faults
+
+
+def _query_faults(sample: Sample, truth: Truth) -> set[str]:
+    answer, service = sample.answer, sample.arrival.service
+    faults = set()
+    values = shard_values(answer)
+    right = 0
+    for shard, value in values:
+        fault = _value_fault(sample, shard, value, truth)
+        if fault is None:
+            right += 1
+        else:
+            faults.add(fault)
+    count = truth.shard_counts.get((service, answer["snapshot"]), 0)
+    if not _coverage_is_true(answer, values, right, count):
+        faults.add("untrue_coverage")
+    return faults
+
+
+def shard_values(answer: Mapping[str, Any]) -> list[tuple[int, Any]]:
+    """Return shard and value of each entry of a merged answer."""
+    value = answer["value"]
+    if all(isinstance(entry, dict) for entry in value):
+        return [(entry["shard"], entry["value"]) for entry in value]
+    missing = set(answer["missing_shards"])
+    shards = [s for s in range(answer["shard_count"]) if s not in missing]
+    # A wrong number of entries leaves shards or values without a partner.
+    padded = [*value, *[None] * (len(shards) - len(value))]
+    return [
+        (shards[place] if place < len(shards) else -1, entry)
+        for place, entry in enumerate(padded)
+    ]
+
+
+def _value_fault(sample: Sample, shard: int, value: Any, truth: Truth) -> str | None:
+    service, body = sample.arrival.service, sample.arrival.body
+    snapshot = sample.answer["snapshot"]
+    if value == expected_value(service, snapshot, shard, body):
+        return None
+    others = (number for name, number in truth.shard_counts if name == service)
+    if any(value == expected_value(service, other, shard, body) for other in others):
+        return "mixed_snapshots"
+    return "crossed_answers"
+
+
+def _coverage_is_true(
+    answer: Mapping[str, Any],
+    values: Sequence[tuple[int, Any]],
+    right: int,
+    count: int,
+) -> bool:
+    shards = {shard for shard, _ in values}
+    if count == 0 or len(shards) != len(values) or answer["shard_count"] != count:
+        return False
+    missing = sorted(set(range(count)) - shards)
+    return bool(
+        abs(answer["coverage"] - right / count) < _ROUNDING
+        and sorted(answer["missing_shards"]) == missing
+        and answer["partial"] == (right < count)
+    )
+
+
+def _is_false_not_run(sample: Sample, truth: Truth) -> bool:
+    refusal = sample.answer.get("refusal")
+    if refusal is None or refusal["kind"] != "not_run":
+        return False
+    if truth.started.get(sample.request_id, 0):
+        return True
+    # A resent order speaks for every earlier sending of its key. An earlier sending
+    # that was refused stays truthful although a later one runs.
+    key = sample.order_key
+    return bool(sample.arrival.resend and key and truth.orders.get(key, 0))
+
+
+def _is_stale(sample: Sample, truth: Truth) -> bool:
+    """Return whether a newer revision was in force long before the arrival."""
+    in_force = truth.start + sample.arrival.at_s - _IN_FORCE_S
+    newest = max((n for at, n in truth.revisions if at <= in_force), default=-1)
+    return int(sample.answer["revision"]) < newest
--- /dev/null
+++ b/packages/cli/src/kingcuplug_cli/_bench/_worker.py
@@ -0,0 +1,113 @@
+"""Child processes of the load tool and the channel to them.
+
+A child reads one JSON command per line on standard input and answers with one JSON
+line on standard output. It ends when its input ends, so it never outlives its
+parent.
+"""
+
+import asyncio
+import json
+import os
+import resource
+import sys
+import time
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+
+__all__ = ["Handler", "Worker", "serve_commands", "usage"]
+
+Handler = Callable[[dict[str, Any]], Awaitable[Any]]
+_LINE_LIMIT_BYTES = 64 * 1024 * 1024
+_END_TIMEOUT_S = 10.0
+_KIB_PER_MIB = 1024
+
+
+class Worker:
+    """The parent's side of one child process.
+
+    Parameters
+    ----------
+    name : str
+        Name in reports.
+    module : str
+        Module that the child runs.
+    """
+
+    def __init__(self, name: str, module: str) -> None:
+        self.name = name
+        self._module = module
+        self._process: asyncio.subprocess.Process | None = None
+        self._turn = asyncio.Lock()
+
+    async def start(self) -> None:
+        """Start the child."""
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            self._module,
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            limit=_LINE_LIMIT_BYTES,
+            env=os.environ | {"PYTHONPATH": os.pathsep.join(filter(None, sys.path))},
+        )
+
+    async def call(self, command: str, **fields: Any) -> Any:
+        """Run a command in the child and return its result."""
+        assert self._process is not None
+        assert self._process.stdin is not None
+        assert self._process.stdout is not None
+        line = json.dumps({"command": command} | fields) + "\n"
+        async with self._turn:
+            self._process.stdin.write(line.encode())
+            await self._process.stdin.drain()
+            answer = await self._process.stdout.readline()
+        if not answer:
+            raise RuntimeError(f"{self.name} ended during the command {command!r}")
+        result = json.loads(answer)
+        if "error" in result:
+            raise RuntimeError(f"{command!r} failed in {self.name}: {result['error']}")
+        return result["result"]
+
+    async def stop(self) -> None:
+        """End the child by closing its input."""
+        process = self._process
+        if process is None or process.stdin is None:
+            return
+        process.stdin.close()
+        try:
+            async with asyncio.timeout(_END_TIMEOUT_S):
+                await process.wait()
+        except TimeoutError:
+            process.kill()
+            await process.wait()
+
+
+async def serve_commands(handlers: Mapping[str, Handler]) -> None:
+    """Run commands from standard input until it ends; for the child's side."""
+    loop = asyncio.get_running_loop()
+    reader = asyncio.StreamReader(limit=_LINE_LIMIT_BYTES)
+    await loop.connect_read_pipe(
+        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+    )
+    every = {"usage": _usage, **handlers}
+    while line := await reader.readline():
+        fields = json.loads(line)
+        try:
+            result = {"result": await every[fields.pop("command")](fields)}
+        except Exception as error:
+            result = {"error": repr(error)}
+        print(json.dumps(result), flush=True)
+
+
+async def _usage(_: dict[str, Any]) -> dict[str, float]:
+    return usage()
+
+
+def usage() -> dict[str, float]:
+    """Return this process's CPU seconds, clock and peak memory."""
+    peak_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    return {
+        "cpu_s": time.process_time(),
+        "clock_s": time.monotonic(),
+        "peak_mib": peak_kib / _KIB_PER_MIB,
+    }
--- a/packages/cli/src/kingcuplug_cli/_main.py
+++ b/packages/cli/src/kingcuplug_cli/_main.py
@@ -5,6 +5,7 @@
 
 import fire
 
+from kingcuplug_cli._bench import Bench
 from kingcuplug_cli._demo import run_demo
 
 __all__ = ["main"]
@@ -13,6 +14,8 @@
 class Commands:
     """Operators' commands of kingcuplug."""
 
+    bench = Bench
+
     def demo(self, example: str = "examples/kavango") -> None:
         """Run the main job on loopback and print what happens."""
         asyncio.run(run_demo(Path(example)))
--- a/packages/cli/src/kingcuplug_cli/_standin.py
+++ b/packages/cli/src/kingcuplug_cli/_standin.py
@@ -65,12 +65,13 @@
         Runs per idempotency key; more than one is a doubled order.
     received : Counter
         Sub-requests received per request id.
-    executed : Counter
-        Sub-requests executed to the end per request id.
+    started, executed : Counter
+        Sub-requests begun, and executed to the end, per request id.
     """
 
     orders: Counter[str] = dataclasses.field(default_factory=Counter)
     received: Counter[str] = dataclasses.field(default_factory=Counter)
+    started: Counter[str] = dataclasses.field(default_factory=Counter)
     executed: Counter[str] = dataclasses.field(default_factory=Counter)
     totals: Counter[str] = dataclasses.field(default_factory=Counter)
     crashed_by: Counter[str] = dataclasses.field(default_factory=Counter)
@@ -112,8 +113,9 @@
         Seed of its service times.
     announce_token : str, optional
         Bearer token for announcements.
-    latency_ms : float
-        One-way network latency that is added to every reply and request.
+    latency_of : callable, optional
+        Returns the one-way network latency to a client's IP address, in
+        milliseconds; it is added to every request and reply.
     """
 
     def __init__(
@@ -126,14 +128,14 @@
         balancer: Callable[[], str],
         seed: int,
         announce_token: str | None = None,
-        latency_ms: float = 0.0,
+        latency_of: Callable[[str], float] = lambda _: 0.0,
     ) -> None:
         self.name = name
         self.service = service
         self.availability_zone = availability_zone
         self.holdings = holdings
         self.behaviour = Behaviour()
-        self.latency_ms = latency_ms
+        self.latency_of = latency_of
         self.last_new_work = 0.0
         self._journal = journal
         self._balancer = balancer
@@ -153,6 +155,11 @@
         self._announce_now = asyncio.Event()
         self._address = "127.0.0.1:0"
 
+    @property
+    def address(self) -> str:
+        """Where the server accepts connections, as ``ip:port``."""
+        return self._address
+
     @property
     def running(self) -> bool:
         """Whether the server accepts connections."""
@@ -288,7 +295,8 @@
         path = scope["path"]
         if path == "/sub-request":
             await self._pay_connection(scope["client"])
-            reply = await self._sub_request(orjson.loads(body))
+            latency_s = self.latency_of(scope["client"][0]) / _MILLISECONDS
+            reply = await self._sub_request(orjson.loads(body), latency_s)
         elif path == "/cancel":
             reply = self._cancel(orjson.loads(body))
         elif path == "/load":
@@ -316,11 +324,11 @@
             task.cancel()
         return {"cancelled": task is not None}
 
-    async def _sub_request(self, fields: dict[str, Any]) -> Any:
+    async def _sub_request(self, fields: dict[str, Any], latency_s: float) -> Any:
         self._journal.received[fields["request_id"]] += 1
         self._journal.totals["received"] += 1
         self.last_new_work = asyncio.get_running_loop().time()
-        await asyncio.sleep(self.latency_ms / _MILLISECONDS)
+        await asyncio.sleep(latency_s)
         echo = {
             name: fields[name]
             for name in ("attempt_id", "snapshot", "shard", "shard_count")
@@ -342,7 +350,7 @@
             reply = echo | {"status": "failed"}
         finally:
             del self._attempts[fields["attempt_id"]]
-        await asyncio.sleep(self.latency_ms / _MILLISECONDS)
+        await asyncio.sleep(latency_s)
         if self.behaviour.reply_corruption is not None:
             return self.behaviour.reply_corruption(reply)
         return reply
@@ -350,7 +358,11 @@
     async def _execute(self, fields: dict[str, Any]) -> dict[str, Any]:
         self._waiting += 1
         try:
-            await self._slots.acquire()
+            async with asyncio.timeout(fields["deadline_ms"] / _MILLISECONDS):
+                await self._slots.acquire()
+        except TimeoutError:
+            self._journal.totals["expired"] += 1
+            return {"status": "not_run"}
         finally:
             self._waiting -= 1
         self._in_service += 1
@@ -362,6 +374,7 @@
 
     async def _serve(self, fields: dict[str, Any]) -> dict[str, Any]:
         body = fields["body"]
+        self._journal.started[fields["request_id"]] += 1
         if isinstance(body, dict) and body.get(CRASH_MARKER):
             self._journal.crashed_by[digest(body)] += 1
             asyncio.get_running_loop().create_task(self.crash())
--- a/packages/query/src/kingcuplug_query/_backend.py
+++ b/packages/query/src/kingcuplug_query/_backend.py
@@ -56,9 +56,15 @@
     ----------
     tls : ssl.SSLContext, optional
         Context for TLS towards backend servers.
+
+    Attributes
+    ----------
+    local_address : str or None
+        IP address that new pools connect from; ``None`` leaves it to the system.
     """
 
     def __init__(self, tls: ssl.SSLContext | None = None) -> None:
+        self.local_address: str | None = None
         self._scheme = "https" if tls is not None else "http"
         self._tls = tls
         self._sessions: dict[str, aiohttp.ClientSession] = {}
@@ -142,6 +148,7 @@
                 limit=self._connection_limits.get(address, 0),
                 keepalive_timeout=_KEEPALIVE_S,
                 ssl=self._tls if self._tls is not None else True,
+                local_addr=(self.local_address, 0) if self.local_address else None,
             )
             session = aiohttp.ClientSession(
                 connector=connector,
