--- a/packages/cli/src/kingcuplug_cli/_bench/_commands.py
+++ b/packages/cli/src/kingcuplug_cli/_bench/_commands.py
@@ -10,6 +10,7 @@
 from kingcuplug_common import KingcuplugError
 from tqdm import tqdm
 
+from kingcuplug_cli._bench._cpu import compare, cpu_table, write_cpu
 from kingcuplug_cli._bench._report import scenario_fields, table, truth_holds, write
 from kingcuplug_cli._bench._runner import Runner
 from kingcuplug_cli._bench._scenario import Scenario, load_policy, load_scenario, names
@@ -74,6 +75,42 @@
             print("Ground truth was violated; see the report.", file=sys.stderr)
             sys.exit(_EXIT_UNTRUE)
 
+    def cpu(
+        self,
+        deployment: str = "kavango",
+        service: str = "cutting",
+        policy: str = "configured",
+        rounds: int = 3,
+        duration_s: float = 4.0,
+        load: float = 0.3,
+        seed: int = 1,
+        profile: bool = False,
+        examples: str = "examples",
+        output: str = "bench-results",
+    ) -> None:
+        """Compare the CPU per sub-request with a bare aiohttp fan-out's.
+
+        Parameters
+        ----------
+        service : str
+            The one service that is queried.
+        load : float
+            Share of its slots.
+        profile : bool
+            Also print a profile of the entry host.
+        """
+        example = Path(examples) / deployment
+        text = json.loads((example / "configuration.json").read_text())
+        sizes = load_sizes(example / "servers.json", only=(service,))
+        figures, found = asyncio.run(
+            compare(
+                *(sizes, text, load_policy(policy), seed),
+                *(rounds, duration_s, load, profile),
+            )
+        )
+        print(found + cpu_table(figures))
+        write_cpu(Path(output) / deployment, figures)
+
     def all(
         self, rounds: int = 1, seed: int = 1, output: str = "bench-results"
     ) -> None:
--- a/packages/cli/src/kingcuplug_cli/_bench/_deployment.py
+++ b/packages/cli/src/kingcuplug_cli/_bench/_deployment.py
@@ -44,11 +44,15 @@
         Seed of the service times.
     entry_hosts, host_processes : int
         Number of hosts, and of processes that they are spread over.
+    control_apart : bool
+        Gives the control hosts a process of their own and no entry role.
 
     Attributes
     ----------
     revisions : list of (float, int)
         Time on the loop's clock of each acceptance, and the revision.
+    configuration_retries : int
+        Changes that had to be sent again, such as during an election.
     """
 
     def __init__(
@@ -60,11 +64,13 @@
         seed: int,
         entry_hosts: int = 10,
         host_processes: int = 2,
+        control_apart: bool = False,
     ) -> None:
         self.sizes = sizes
         self.policy = policy
         self.balancer = Balancer(http)
         self.revisions: list[tuple[float, int]] = []
+        self.configuration_retries = 0
         self.http = http
         self.servers = Worker("stand-ins", "kingcuplug_cli._bench._servers_worker")
         self.hosts = [
@@ -73,7 +79,9 @@
         ]
         self._text = _with_policy(text, policy)
         self._seed = seed
+        self._control_apart = control_apart
         self._entry_hosts = entry_hosts
+        self._hosts = entry_hosts + (_CONTROL_HOSTS if control_apart else 0)
         self._settings: dict[str, dict[str, Any]] = {}
         self._seeds: list[str] = []
         self._server_names: list[str] = []
@@ -100,7 +108,7 @@
         for number in range(_CONTROL_HOSTS):
             await self._start_host(number)
         await self._bootstrap()
-        for number in range(_CONTROL_HOSTS, self._entry_hosts):
+        for number in range(_CONTROL_HOSTS, self._hosts):
             await self._start_host(number)
         await self._start_servers(times)
         self._checks = asyncio.create_task(self.balancer.run())
@@ -131,7 +139,7 @@
 
     async def restart_hosts(self, count: int) -> None:
         """Restart `count` entry hosts, one after the other, gracefully."""
-        for number in range(self._entry_hosts - count, self._entry_hosts):
+        for number in range(self._hosts - count, self._hosts):
             await self._worker(number).call("drain", host=_name(number))
             await self._start_host(number)
 
@@ -140,16 +148,23 @@
         for service in self._text["services"].values():
             # Only the upper bound of retries moves, so that the load is the same.
             service["policy"]["retry_budget"] = 0.1 + turn % 2 * 0.001
-        revision = self.revisions[-1][1] if self.revisions else 0
-        answer = await self._operate(
-            "configuration",
-            {
-                "change_id": identifier(),
-                "base_revision": revision,
-                "text": json.dumps(self._text),
-                "author": "bench",
-            },
-        )
+        fields = {
+            "change_id": identifier(),
+            "base_revision": self.revisions[-1][1] if self.revisions else 0,
+            "text": json.dumps(self._text),
+            "author": "bench",
+        }
+        answer: dict[str, Any] = {}
+
+        async def accepted() -> bool:
+            # The same change id makes a repetition after a lost answer harmless.
+            with contextlib.suppress(RuntimeError):
+                answer.update(await self._operate("configuration", fields))
+                return True
+            self.configuration_retries += 1
+            return False
+
+        await _until(accepted)
         if answer.get("type") != "accepted":
             raise RuntimeError(f"the configuration was not accepted: {answer}")
         now = asyncio.get_running_loop().time()
@@ -161,7 +176,7 @@
         await self._operate("control/bootstrap", {})
         for number in range(1, _CONTROL_HOSTS):
             await _until(partial(self._add, number))
-        await _until(self._apply_first)
+        await self.apply(0)
 
     async def _add(self, number: int) -> bool:
         """Add a control host; the first leader may not be elected yet."""
@@ -170,19 +185,14 @@
             return True
         return False
 
-    async def _apply_first(self) -> bool:
-        with contextlib.suppress(RuntimeError):
-            await self.apply(0)
-            return True
-        return False
-
     async def _start_host(self, number: int) -> None:
         settings = self._settings.get(_name(number)) or self._make_settings(number)
         addresses = await self._worker(number).call(
             "start", settings=settings, policy=self.policy.model_dump()
         )
         self._settings[_name(number)] = settings | addresses
-        self.balancer.targets[_name(number)] = addresses["caller_address"]
+        if "entry" in settings["roles"]:
+            self.balancer.targets[_name(number)] = addresses["caller_address"]
         if number < _CONTROL_HOSTS and len(self._seeds) < _CONTROL_HOSTS:
             self._seeds.append(addresses["peer_address"])
 
@@ -194,7 +204,7 @@
         return {
             "host": name,
             "availability_zone": self.sizes.availability_zones[zone],
-            "roles": ["control", "entry"] if control else ["entry"],
+            "roles": self._roles(control),
             "caller_address": f"{address}:0",
             "peer_address": f"{address}:0",
             "data_folder": str(Path(self._folder.name) / name) if control else None,
@@ -202,6 +212,11 @@
             "shutdown_grace_ms": _GRACE_MS,
         }
 
+    def _roles(self, control: bool) -> list[str]:
+        if not control:
+            return ["entry"]
+        return ["control"] if self._control_apart else ["control", "entry"]
+
     async def _start_servers(self, times: Times) -> None:
         zone_of = {
             settings["caller_address"].rpartition(":")[0]: settings["availability_zone"]
@@ -226,6 +241,8 @@
         return all(known)
 
     def _worker(self, number: int) -> Worker:
+        if self._control_apart:
+            return self.hosts[0 if number < _CONTROL_HOSTS else 1]
         return self.hosts[number % len(self.hosts)]
 
     async def _operate(self, path: str, fields: dict[str, Any]) -> dict[str, Any]:
--- a/packages/cli/src/kingcuplug_cli/_bench/_fleet.py
+++ b/packages/cli/src/kingcuplug_cli/_bench/_fleet.py
@@ -110,6 +110,18 @@
         """All servers."""
         return [s for served in self.services.values() for s in served.servers]
 
+    def holders(self, service: str) -> list[list[str]]:
+        """Return the addresses that hold each shard of the newest snapshot."""
+        served = self.services[service]
+        return [
+            [
+                server.address
+                for server in served.servers
+                if shard in server.holdings[served.snapshot][1]
+            ]
+            for shard in range(served.shard_count)
+        ]
+
     async def start(self, behaviour: Behaviour) -> None:
         """Start all servers."""
         self._behaviour = behaviour
--- a/packages/cli/src/kingcuplug_cli/_bench/_hosts_worker.py
+++ b/packages/cli/src/kingcuplug_cli/_bench/_hosts_worker.py
@@ -55,7 +55,8 @@
     async def knows(self, fields: dict[str, Any]) -> bool:
         """Return whether every entry host here knows all servers as live."""
         wanted = set(fields["servers"])
-        return all(wanted <= _known(host) for host in self._hosts.values())
+        entries = [host for host in self._hosts.values() if host.entry is not None]
+        return all(wanted <= _known(host) for host in entries)
 
     async def stop(self, _: dict[str, Any]) -> None:
         """Stop all hosts."""
--- a/packages/cli/src/kingcuplug_cli/_bench/_report.py
+++ b/packages/cli/src/kingcuplug_cli/_bench/_report.py
@@ -52,6 +52,7 @@
         "saturated": is_saturated(result),
         "stand_ins": dict(result.totals),
         "errors": result.errors,
+        "configuration_retries": result.configuration_retries,
     }
 
 
@@ -123,7 +124,8 @@
         validity = "INVALID (saturated)" if fields["saturated"] else "valid"
         lines.append(
             f"* {policy}: {validity}; CPU: {cpu}; load generator's lag p99 "
-            f"{fields['lag_p99_ms']:.1f} ms; ground truth: {truth}"
+            f"{fields['lag_p99_ms']:.1f} ms; configuration changes sent again "
+            f"{fields['configuration_retries']}; ground truth: {truth}"
         )
         for phase, figures in fields["phases"].items():
             if figures["refusals"]:
--- a/packages/cli/src/kingcuplug_cli/_bench/_runner.py
+++ b/packages/cli/src/kingcuplug_cli/_bench/_runner.py
@@ -60,6 +60,7 @@
     servers_crashed: int = 0
     totals: Counter[str] = dataclasses.field(default_factory=Counter)
     errors: list[str] = dataclasses.field(default_factory=list)
+    configuration_retries: int = 0
 
     def summary(self) -> dict[str, dict[str, Any]]:
         """Return the figures per phase."""
@@ -166,6 +167,8 @@
                 self._sizes.caller_latency_ms,
             )
         await asyncio.sleep(_LATE_WORK_S)
+        result.configuration_retries += deployment.configuration_retries
+        deployment.configuration_retries = 0
         after = await _usages(deployment)
         journal = await deployment.servers.call("journal")
         _add_usage(result, before, after)
--- a/packages/cli/src/kingcuplug_cli/_bench/_servers_worker.py
+++ b/packages/cli/src/kingcuplug_cli/_bench/_servers_worker.py
@@ -52,12 +52,9 @@
             await asyncio.wait(self._tasks)
         await self._fleet.start(Behaviour(**fields["behaviour"]))
 
-    async def addresses(self, _: dict[str, Any]) -> dict[str, list[str]]:
-        """Return the addresses of each service's servers."""
-        return {
-            name: [server.address for server in served.servers]
-            for name, served in self._fleet.services.items()
-        }
+    async def holders(self, _: dict[str, Any]) -> dict[str, list[list[str]]]:
+        """Return, for each service and shard, the addresses that hold it."""
+        return {name: self._fleet.holders(name) for name in self._fleet.services}
 
     async def journal(self, _: dict[str, Any]) -> dict[str, Any]:
         """Return the ground truth since the last call and forget it."""
@@ -105,7 +102,7 @@
     worker = ServersWorker()
     handlers = {
         name: getattr(worker, name)
-        for name in ("start", "entries", "act", "heal", "addresses", "journal")
+        for name in ("start", "entries", "act", "heal", "holders", "journal")
     }
     await serve_commands(handlers)
 
--- a/packages/cli/src/kingcuplug_cli/_bench/_worker.py
+++ b/packages/cli/src/kingcuplug_cli/_bench/_worker.py
@@ -6,8 +6,11 @@
 """
 
 import asyncio
+import cProfile
+import io
 import json
 import os
+import pstats
 import resource
 import sys
 import time
@@ -20,6 +23,7 @@
 _LINE_LIMIT_BYTES = 64 * 1024 * 1024
 _END_TIMEOUT_S = 10.0
 _KIB_PER_MIB = 1024
+_PROFILE_LINES = 70
 
 
 class Worker:
@@ -89,7 +93,13 @@
     await loop.connect_read_pipe(
         lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
     )
-    every = {"usage": _usage, **handlers}
+    profiler = _Profiler()
+    every = {
+        "usage": _usage,
+        "begin_profile": profiler.begin,
+        "end_profile": profiler.end,
+        **handlers,
+    }
     while line := await reader.readline():
         fields = json.loads(line)
         try:
@@ -99,6 +109,26 @@
         print(json.dumps(result), flush=True)
 
 
+class _Profiler:
+    """Profiles the whole process between two commands."""
+
+    def __init__(self) -> None:
+        self._profile = cProfile.Profile()
+
+    async def begin(self, _: dict[str, Any]) -> None:
+        """Start profiling."""
+        self._profile.enable()
+
+    async def end(self, _: dict[str, Any]) -> str:
+        """Stop profiling; return the functions that took most time themselves."""
+        self._profile.disable()
+        text = io.StringIO()
+        pstats.Stats(self._profile, stream=text).sort_stats("tottime").print_stats(
+            _PROFILE_LINES
+        )
+        return text.getvalue()
+
+
 async def _usage(_: dict[str, Any]) -> dict[str, float]:
     return usage()
 
