--- /dev/null
+++ b/packages/cli/src/kingcuplug_cli/_bench/_bare_worker.py
@@ -0,0 +1,129 @@
+"""Child process with a bare aiohttp fan-out, to compare the tier's CPU with.
+
+It sends what a query needs and nothing more: a random server for each shard, no
+limits, no retries, no checks. ``drive`` sends planned queries itself; ``listen``
+takes them from callers over HTTP, which the tier has to do as well.
+"""
+
+import asyncio
+import itertools
+import random
+from typing import Any
+
+import aiohttp
+import orjson
+from kingcuplug_daemon import Listener
+
+from kingcuplug_cli._bench._worker import serve_commands
+
+__all__ = ["BareWorker"]
+
+_HEADERS = {"Content-Type": "application/json"}
+_DEADLINE_MS = 1_000
+
+
+class BareWorker:
+    """Handlers of the commands."""
+
+    def __init__(self) -> None:
+        self._http = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+        )
+        self._random = random.Random(1)
+        self._numbers = itertools.count()
+        self._service = ""
+        self._holders: list[list[str]] = []
+        self._listener: Listener | None = None
+
+    async def prepare(self, fields: dict[str, Any]) -> None:
+        """Set the service and the addresses that hold each of its shards."""
+        self._service = fields["service"]
+        self._holders = fields["holders"]
+
+    async def listen(self, _: dict[str, Any]) -> str:
+        """Accept queries over HTTP; return the address."""
+        self._listener = Listener(self._application, "127.0.0.1:0")
+        await self._listener.start()
+        return self._listener.address
+
+    async def drive(self, fields: dict[str, Any]) -> None:
+        """Send queries with the given bodies at the given seconds from now."""
+        loop = asyncio.get_running_loop()
+        start = loop.time()
+        tasks = []
+        for at_s, body in fields["queries"]:
+            await asyncio.sleep(max(start + at_s - loop.time(), 0))
+            tasks.append(loop.create_task(self._query(f"bare-{at_s}", body)))
+        await asyncio.gather(*tasks)
+
+    async def stop(self, _: dict[str, Any]) -> None:
+        """Close the connections."""
+        await self._http.close()
+
+    async def _query(self, request_id: str, body: Any) -> list[dict[str, Any]]:
+        replies = await asyncio.gather(
+            *(self._send(request_id, s, body) for s in range(len(self._holders)))
+        )
+        return [{"shard": reply["shard"], "value": reply["value"]} for reply in replies]
+
+    async def _send(self, request_id: str, shard: int, body: Any) -> Any:
+        fields = {
+            "request_id": request_id,
+            "attempt_id": f"{next(self._numbers)}",
+            "service": self._service,
+            "snapshot": 1,
+            "shard": shard,
+            "shard_count": len(self._holders),
+            "deadline_ms": _DEADLINE_MS,
+            "priority": "normal",
+            "kind": "query",
+            "body": body,
+        }
+        address = self._random.choice(self._holders[shard])
+        async with self._http.post(
+            f"http://{address}/sub-request", data=orjson.dumps(fields), headers=_HEADERS
+        ) as response:
+            reply = orjson.loads(await response.read())
+        # A shed sub-request has no value; the comparison runs below that load.
+        return {"value": None} | reply
+
+    async def _application(self, scope: Any, receive: Any, send: Any) -> None:
+        parts = []
+        while True:
+            message = await receive()
+            parts.append(message.get("body", b""))
+            if not message.get("more_body"):
+                break
+        fields = orjson.loads(b"".join(parts) or b"{}")
+        answer: dict[str, Any] = {}
+        if "body" in fields:
+            value = await self._query(fields["request_id"], fields["body"])
+            answer = _answer(value, len(self._holders))
+        head = [(b"content-type", b"application/json")]
+        start = {"type": "http.response.start", "status": 200, "headers": head}
+        await send(start)
+        await send({"type": "http.response.body", "body": orjson.dumps(answer)})
+
+
+def _answer(value: list[dict[str, Any]], shard_count: int) -> dict[str, Any]:
+    return {
+        "value": value,
+        "snapshot": 1,
+        "shard_count": shard_count,
+        "coverage": 1.0,
+        "partial": False,
+        "missing_shards": [],
+        "revision": 0,
+    }
+
+
+async def _main() -> None:
+    worker = BareWorker()
+    names = ("prepare", "listen", "drive", "stop")
+    await serve_commands({name: getattr(worker, name) for name in names})
+
+
+if __name__ == "__main__":
+    asyncio.run(_main())
--- /dev/null
+++ b/packages/cli/src/kingcuplug_cli/_bench/_cpu.py
@@ -0,0 +1,192 @@
+"""CPU of the tier per sub-request beside a bare fan-out's.
+
+An entry host alone in its process, a bare aiohttp fan-out, and the bare fan-out
+behind an HTTP listener take turns with equal arrivals at equal stand-ins.
+"""
+
+import asyncio
+import dataclasses
+import json
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from kingcuplug_cli._bench._balancer import Balancer
+from kingcuplug_cli._bench._deployment import BenchDeployment
+from kingcuplug_cli._bench._load import send_all
+from kingcuplug_cli._bench._scenario import Mix, Phase, Policy, Scenario, Times
+from kingcuplug_cli._bench._schedule import Arrival, plan
+from kingcuplug_cli._bench._worker import Worker
+from kingcuplug_cli._local import Sizes
+
+__all__ = ["CpuFigure", "compare", "cpu_table", "write_cpu"]
+
+_LATE_WORK_S = 0.3
+_ENTRY, _BARE, _LISTENING = "entry host", "bare fan-out", "bare fan-out, listening"
+_MICROSECONDS = 1_000_000
+_BOUND = 1.5
+
+
+@dataclasses.dataclass(slots=True)
+class CpuFigure:
+    """CPU of one kind of process, over all rounds."""
+
+    cpu_s: float = 0.0
+    clock_s: float = 0.0
+    sub_requests: int = 0
+
+    @property
+    def per_sub_request_us(self) -> float:
+        """Microseconds of CPU per sub-request."""
+        return self.cpu_s / max(self.sub_requests, 1) * _MICROSECONDS
+
+    @property
+    def share(self) -> float:
+        """Share of one core."""
+        return self.cpu_s / max(self.clock_s, 1e-9)
+
+
+async def compare(
+    sizes: Sizes,
+    text: dict[str, Any],
+    policy: Policy,
+    seed: int,
+    rounds: int,
+    duration_s: float,
+    load: float,
+    profile: bool,
+) -> tuple[dict[str, CpuFigure], str]:
+    """Measure the three kinds; return their figures and the entry host's profile."""
+    scenario = Scenario(
+        name="cpu",
+        description="Steady queries.",
+        phases=(Phase(name="steady", duration_s=duration_s, load=load),),
+        mix=Mix(orders=0.0),
+        configuration_period_s=None,
+    )
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as http:
+        deployment = BenchDeployment(
+            sizes, text, policy, http, seed, entry_hosts=1, control_apart=True
+        )
+        comparison = _Comparison(deployment, sizes, http)
+        try:
+            await comparison.start()
+            for number in range(-1, rounds):
+                arrivals = plan(scenario, deployment.loads, seed + number)
+                # The first round opens connections and is not counted.
+                await comparison.round(arrivals, counted=number >= 0)
+            found = ""
+            if profile:
+                arrivals = plan(scenario, deployment.loads, seed + rounds)
+                found = await comparison.profile(arrivals)
+            return comparison.figures, found
+        finally:
+            await comparison.stop()
+
+
+class _Comparison:
+    """The three processes and the stand-ins that they share."""
+
+    def __init__(
+        self, deployment: BenchDeployment, sizes: Sizes, http: aiohttp.ClientSession
+    ) -> None:
+        self.figures = {name: CpuFigure() for name in (_ENTRY, _BARE, _LISTENING)}
+        self._deployment = deployment
+        self._sizes = sizes
+        self._http = http
+        self._bare = Worker(_BARE, "kingcuplug_cli._bench._bare_worker")
+        self._listening = Worker(_LISTENING, "kingcuplug_cli._bench._bare_worker")
+        self._balancer = Balancer(http)
+
+    async def start(self) -> None:
+        """Start all processes."""
+        await self._deployment.start(Times())
+        addresses = await self._deployment.servers.call("holders")
+        service = self._deployment.loads[0].name
+        for worker in (self._bare, self._listening):
+            await worker.start()
+            await worker.call("prepare", service=service, holders=addresses[service])
+        self._balancer.targets["bare"] = await self._listening.call("listen")
+        self._balancer.ready.add("bare")
+
+    async def stop(self) -> None:
+        """End all processes."""
+        for worker in (self._bare, self._listening):
+            await worker.stop()
+        await self._deployment.stop()
+
+    async def round(self, arrivals: list[Arrival], counted: bool) -> None:
+        """Let each kind serve the arrivals once."""
+        turns: tuple[tuple[str, Worker, Callable[[], Awaitable[Any]]], ...] = (
+            (
+                _ENTRY,
+                self._deployment.hosts[1],
+                lambda: self._send(arrivals, self._deployment.balancer),
+            ),
+            (_BARE, self._bare, lambda: self._drive(arrivals)),
+            (
+                _LISTENING,
+                self._listening,
+                lambda: self._send(arrivals, self._balancer),
+            ),
+        )
+        for name, worker, work in turns:
+            await self._deployment.servers.call("journal")
+            before = await worker.call("usage")
+            await work()
+            await asyncio.sleep(_LATE_WORK_S)
+            after = await worker.call("usage")
+            journal = await self._deployment.servers.call("journal")
+            if counted:
+                figure = self.figures[name]
+                figure.cpu_s += after["cpu_s"] - before["cpu_s"]
+                figure.clock_s += after["clock_s"] - before["clock_s"]
+                figure.sub_requests += journal["totals"]["received"]
+
+    async def profile(self, arrivals: list[Arrival]) -> str:
+        """Return the entry host's profile while it serves the arrivals."""
+        worker = self._deployment.hosts[1]
+        await worker.call("begin_profile")
+        await self._send(arrivals, self._deployment.balancer)
+        return str(await worker.call("end_profile"))
+
+    async def _send(self, arrivals: list[Arrival], balancer: Balancer) -> None:
+        await send_all(arrivals, self._http, balancer, self._sizes.caller_latency_ms)
+
+    async def _drive(self, arrivals: list[Arrival]) -> None:
+        queries = [(arrival.at_s, arrival.body) for arrival in arrivals]
+        await self._bare.call("drive", queries=queries)
+
+
+def cpu_table(figures: dict[str, CpuFigure]) -> str:
+    """Return the comparison and its verdict as a Markdown table."""
+    bare = figures[_BARE].per_sub_request_us
+    lines = [
+        "| process | sub-requests | CPU share | us per sub-request | ratio to bare |",
+        "| --- | --- | --- | --- | --- |",
+    ]
+    for name, figure in figures.items():
+        each = figure.per_sub_request_us
+        lines.append(
+            f"| {name} | {figure.sub_requests} | {figure.share:.0%} | {each:.0f} "
+            f"| {each / max(bare, 1e-9):.2f} |"
+        )
+    ratio = figures[_ENTRY].per_sub_request_us / max(bare, 1e-9)
+    verdict = "pass" if ratio <= _BOUND else "MISS"
+    lines.append(f"\nTarget: ratio <= {_BOUND}; measured {ratio:.2f}: {verdict}")
+    return "\n".join(lines)
+
+
+def write_cpu(folder: Path, figures: dict[str, CpuFigure]) -> None:
+    """Write ``cpu.json`` and ``cpu.md``."""
+    folder.mkdir(parents=True, exist_ok=True)
+    fields = {
+        name: dataclasses.asdict(figure)
+        | {"per_sub_request_us": figure.per_sub_request_us}
+        for name, figure in figures.items()
+    }
+    (folder / "cpu.json").write_text(json.dumps(fields, indent=2) + "\n")
+    (folder / "cpu.md").write_text(cpu_table(figures) + "\n")
--- a/packages/cli/src/kingcuplug_cli/_bench/_runner.py
+++ b/packages/cli/src/kingcuplug_cli/_bench/_runner.py
@@ -187,21 +187,20 @@
         for event in scenario.events
         if event.do not in _LOAD_ACTIONS
     ]
-    changes = None
+    ended = asyncio.Event()
     if scenario.configuration_period_s is not None:
-        changes = asyncio.create_task(
-            _change_configuration(deployment, scenario.configuration_period_s)
+        # A change is never cancelled half-way: its revision would stay unknown.
+        changes = _change_configuration(
+            deployment, scenario.configuration_period_s, ended
         )
+        tasks.append(asyncio.create_task(changes))
     try:
         yield
+        ended.set()
         await asyncio.gather(*tasks)
     finally:
-        for task in [*tasks, *filter(None, [changes])]:
+        for task in tasks:
             task.cancel()
-        ended = await asyncio.gather(*filter(None, [changes]), return_exceptions=True)
-    for error in ended:
-        if isinstance(error, Exception):
-            raise error
 
 
 async def _event(
@@ -214,11 +213,16 @@
         await deployment.servers.call("act", action=action, fields=fields)
 
 
-async def _change_configuration(deployment: BenchDeployment, period_s: float) -> None:
+async def _change_configuration(
+    deployment: BenchDeployment, period_s: float, ended: asyncio.Event
+) -> None:
     turn = 0
-    while True:
-        await asyncio.sleep(period_s)
+    while not ended.is_set():
         turn += 1
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(period_s):
+                await ended.wait()
+                return
         await deployment.apply(turn)
 
 
--- a/tests/cli/test_bench_truth.py
+++ b/tests/cli/test_bench_truth.py
@@ -98,6 +98,10 @@
             "shard_count": 2,
         },
         {"value": [entry(0)], "coverage": 0.5, "partial": True},
+        {
+            "value": [entry(0), entry(1), entry(2), entry(2)],
+            "missing_shards": [3],
+        },
     ],
     ids=[
         "value missing",
@@ -108,6 +112,7 @@
         "shard twice",
         "own denominator",
         "coverage too great",
+        "shard twice in place of a missing one",
     ],
 )
 def test_untrue_coverage_is_found(fields: dict[str, Any]):
