--- a/packages/cli/src/kingcuplug_cli/_bench/_report.py
+++ b/packages/cli/src/kingcuplug_cli/_bench/_report.py
@@ -51,6 +51,7 @@
         "lag_p99_ms": _lag_ms(result),
         "saturated": is_saturated(result),
         "stand_ins": dict(result.totals),
+        "violations": result.violations,
         "errors": result.errors,
         "configuration_retries": result.configuration_retries,
     }
--- a/packages/cli/src/kingcuplug_cli/_bench/_runner.py
+++ b/packages/cli/src/kingcuplug_cli/_bench/_runner.py
@@ -61,6 +61,7 @@
     totals: Counter[str] = dataclasses.field(default_factory=Counter)
     errors: list[str] = dataclasses.field(default_factory=list)
     configuration_retries: int = 0
+    violations: list[dict[str, Any]] = dataclasses.field(default_factory=list)
 
     def summary(self) -> dict[str, dict[str, Any]]:
         """Return the figures per phase."""
@@ -84,6 +85,10 @@
         What is compared.
     seed : int
         Seed of arrivals and service times, equal for all policies.
+    entry_hosts, host_processes : int
+        Size of each deployment.
+    warm_up : Scenario, optional
+        Run first and not counted.
     """
 
     def __init__(
@@ -94,7 +99,9 @@
         seed: int,
         entry_hosts: int = 10,
         host_processes: int = 2,
+        warm_up: Scenario | None = _WARM_UP,
     ) -> None:
+        self._warm_up = warm_up
         self._sizes = sizes
         self._text = text
         self._policies = policies
@@ -131,7 +138,8 @@
         )
         self._deployments[policy.name] = deployment
         await deployment.start(Times())
-        await self._round(deployment, _WARM_UP, 0, PolicyResult())
+        if self._warm_up is not None:
+            await self._round(deployment, self._warm_up, 0, PolicyResult())
 
     async def run(
         self, scenario: Scenario, rounds: int, progress: "tqdm[Any]"
@@ -254,7 +262,7 @@
 def _add_samples(
     result: PolicyResult, scenario: Scenario, samples: list[Sample], truth: Truth
 ) -> None:
-    result.truth.update(judge(samples, truth))
+    result.truth.update(judge(samples, truth, result.violations))
     result.lags_ms += [sample.lag_ms for sample in samples]
     event_s = min((event.at_s for event in scenario.events), default=None)
     for phase in scenario.phases:
--- a/packages/cli/src/kingcuplug_cli/_bench/_servers_worker.py
+++ b/packages/cli/src/kingcuplug_cli/_bench/_servers_worker.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import logging
 import random
 from collections.abc import Coroutine
 from typing import Any
@@ -108,4 +109,6 @@
 
 
 if __name__ == "__main__":
+    # uvicorn reports each request that a crash of a stand-in leaves unanswered.
+    logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
     asyncio.run(_main())
--- a/packages/cli/src/kingcuplug_cli/_bench/_worker.py
+++ b/packages/cli/src/kingcuplug_cli/_bench/_worker.py
@@ -43,6 +43,11 @@
         self._process: asyncio.subprocess.Process | None = None
         self._turn = asyncio.Lock()
 
+    @property
+    def returncode(self) -> int | None:
+        """The child's exit status, or None while it runs."""
+        return None if self._process is None else self._process.returncode
+
     async def start(self) -> None:
         """Start the child."""
         self._process = await asyncio.create_subprocess_exec(
--- /dev/null
+++ b/tests/cli/test_bench_run.py
@@ -0,0 +1,65 @@
+"""One small run from end to end: processes, load, faults, truth and figures."""
+
+import asyncio
+import json
+from pathlib import Path
+from typing import Any
+
+from kingcuplug_cli._bench._deployment import BenchDeployment
+from kingcuplug_cli._bench._runner import PolicyResult, Runner
+from kingcuplug_cli._bench._scenario import Scenario, load_policy
+from kingcuplug_cli._local import load_sizes
+from tqdm import tqdm
+
+EXAMPLE = Path(__file__).parents[2] / "examples" / "agency"
+SCENARIO = Scenario.model_validate(
+    {
+        "name": "smoke",
+        "description": "A lost server under light load.",
+        "phases": [{"name": "all", "duration_s": 1.5, "load": 0.2}],
+        "events": [{"at_s": 0.5, "do": "lose_server"}],
+        "configuration_period_s": 0.5,
+        "mix": {"orders": 0.2, "resent_orders": 1.0},
+    }
+)
+
+
+async def run_once() -> dict[str, PolicyResult]:
+    sizes = load_sizes(EXAMPLE / "servers.json", only=("inspector-01",))
+    text = json.loads((EXAMPLE / "configuration.json").read_text())
+    policies = [load_policy("configured")]
+    runner = Runner(
+        sizes, text, policies, 1, entry_hosts=3, host_processes=1, warm_up=None
+    )
+    async with runner.running():
+        with tqdm(disable=True) as progress:
+            return await runner.run(SCENARIO, 1, progress)
+
+
+def test_run_has_figures_and_is_true():
+    """Guards against a load tool that measures nothing or judges nothing."""
+    result = asyncio.run(run_once())["configured"]
+    figures: dict[str, Any] = result.summary()["all"]
+    assert result.truth.total() == 0
+    assert figures["requests"] > 0
+    assert figures["answered"] == figures["requests"] - figures["refused"]
+    assert figures["cut"] == 0
+    assert result.totals["executed"] > 0
+    assert set(result.cpu) == {"hosts 1", "stand-ins", "load generator"}
+    assert not result.errors
+
+
+def test_child_processes_end_with_their_deployment():
+    """Guards against processes that go on after a run."""
+
+    async def start_and_stop() -> list[int | None]:
+        sizes = load_sizes(EXAMPLE / "servers.json", only=("inspector-01",))
+        deployment = BenchDeployment(
+            sizes, {"services": {}}, load_policy("baseline"), None, 1
+        )
+        for worker in deployment.processes:
+            await worker.start()
+        await deployment.stop()
+        return [worker.returncode for worker in deployment.processes]
+
+    assert asyncio.run(start_and_stop()) == [0, 0, 0]
