Refuse a resent order that gave back its claim with outcome_unknown

Cause: a resend that held the claim and was then refused by admission answered not_run and gave the claim back; an earlier copy that waited for the claim took it and ran. Change: such a refusal is unsettled like one before the claim.

--- a/packages/query/src/kingcuplug_query/_orders.py
+++ b/packages/query/src/kingcuplug_query/_orders.py
@@ -147,7 +147,13 @@
             raise unsettled(refusal, request.resend) from refusal
         if isinstance(token, OrderRecord):
             return _recorded(token, request)
-        return await self._run_claimed(request, runtime, revision.number, token)
+        try:
+            return await self._run_claimed(request, runtime, revision.number, token)
+        except Refusal as refusal:
+            if refusal.reason is RefusalReason.ORDER_NOT_RUN:
+                raise  # The key is spent, so no copy can run any more.
+            # The claim is given back, and an earlier copy may yet take it and run.
+            raise unsettled(refusal, request.resend) from refusal
 
     async def _claim(
         self, request: OrderRequest, revision: int, retention_ms: int
--- /dev/null
+++ b/tests/query/test_resent_orders.py
@@ -0,0 +1,74 @@
+"""What is said of a resent order while an earlier copy of it is on its way."""
+
+import asyncio
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from kingcuplug_common import Refusal, RefusalKind, RefusalReason
+from kingcuplug_ledger import Claimed
+from kingcuplug_query import Background, OrderExecutor, OrderRequest
+from kingcuplug_routing import CrashGuard, Priority
+from kingcuplug_testkit import run_virtual
+
+
+class Ledger:
+    """Grants every claim and takes back every token."""
+
+    def __init__(self) -> None:
+        self.released: list[str] = []
+
+    async def claim(self, key: str, *arguments: Any, **fields: Any) -> Claimed:
+        return Claimed("token-1")
+
+    async def release(self, key: str, token: str, deadline: float) -> None:
+        self.released.append(token)
+
+
+class Full:
+    """Admission that refuses everybody."""
+
+    def admit(self, *arguments: Any) -> "Full":
+        return self
+
+    async def __aenter__(self) -> None:
+        raise Refusal(RefusalKind.NOT_RUN, RefusalReason.OVERLOADED, "full", "wait")
+
+    async def __aexit__(self, *error: object) -> None:
+        raise AssertionError("never entered")
+
+
+@pytest.mark.parametrize(
+    ("resend", "kind"),
+    [(False, RefusalKind.NOT_RUN), (True, RefusalKind.OUTCOME_UNKNOWN)],
+)
+def test_resend_that_held_the_claim_does_not_deny_a_run(
+    resend: bool, kind: RefusalKind
+):
+    """Guards against ``not_run`` for a key that an earlier copy then runs.
+
+    The resend gives its claim back when admission refuses it, and an earlier copy
+    that still waits for the claim takes it.
+    """
+    ledger = Ledger()
+
+    async def run() -> Refusal:
+        background = Background()
+        executor = OrderExecutor(
+            ledger, None, CrashGuard(), None, background, "zone-1", lambda *_: False
+        )
+        runtime = SimpleNamespace(admission=Full())
+        view = SimpleNamespace(number=1, find=lambda _: runtime)
+        deadline = asyncio.get_running_loop().time() + 1.0
+        order = OrderRequest(
+            *("request-1", "stock", {}, Priority.NORMAL, deadline, "1-a", "p"), resend
+        )
+        with pytest.raises(Refusal) as caught:
+            await executor.run(order, view, 90)
+        await background.drain(1.0)
+        return caught.value
+
+    refusal = run_virtual(run())
+    assert refusal.kind is kind
+    assert refusal.reason is RefusalReason.OVERLOADED
+    assert ledger.released == ["token-1"]
