Share the timers of attempts' timeouts

Cause: samples of CPU time showed asyncio.timeout and the timer heap among what an entry host spends beyond a bare fan-out; nearly no attempt uses its timer. Change: timeouts that end within 20 ms share one timer of the loop.

--- a/packages/query/src/kingcuplug_query/_backend.py
+++ b/packages/query/src/kingcuplug_query/_backend.py
@@ -15,6 +15,7 @@
 from kingcuplug_common import KingcuplugError
 from kingcuplug_routing import Ticket
 
+from kingcuplug_query._expiry import Expiries
 from kingcuplug_query._messages import ReplyInvalid, SubReply, SubRequest, parse_reply
 
 __all__ = ["Cancel", "ConnectFailed", "HttpBackend", "ReplyLost", "Send"]
@@ -67,6 +68,7 @@
         self.local_address: str | None = None
         self._scheme = "https" if tls is not None else "http"
         self._tls = tls
+        self._expiries = Expiries()
         self._sessions: dict[str, aiohttp.ClientSession] = {}
         self._connection_limits: dict[str, int] = {}
 
@@ -109,13 +111,11 @@
         url = f"{self._scheme}://{ticket.address}/sub-request"
         body = orjson.dumps(request.to_json())
         try:
-            async with (
-                asyncio.timeout(timeout_s),
-                self._session(ticket.address).post(
+            with self._expiries.after(timeout_s):
+                async with self._session(ticket.address).post(
                     url, data=body, headers=_JSON_HEADERS
-                ) as response,
-            ):
-                return await self._read(response, request)
+                ) as response:
+                    return await self._read(response, request)
         except aiohttp.ClientConnectorError as error:
             raise ConnectFailed(
                 f"backend server {ticket.server} at {ticket.address} "
