--- a/packages/cli/src/kingcuplug_cli/_bench/_cpu.py
+++ b/packages/cli/src/kingcuplug_cli/_bench/_cpu.py
@@ -131,6 +131,8 @@
     async def stop(self) -> None:
         """End all processes."""
         for worker in (self._bare, self._listening):
+            if worker.running:
+                await worker.call("stop")
             await worker.stop()
         await self._deployment.stop()
 
--- a/packages/cli/src/kingcuplug_cli/_bench/_report.py
+++ b/packages/cli/src/kingcuplug_cli/_bench/_report.py
@@ -122,7 +122,9 @@
     for policy, fields in scenario["policies"].items():
         cpu = ", ".join(f"{name} {share:.0%}" for name, share in fields["cpu"].items())
         truth = ", ".join(f"{name} {n}" for name, n in fields["truth"].items())
-        validity = "INVALID (saturated)" if fields["saturated"] else "valid"
+        validity = (
+            "INVALID (a full CPU or late arrivals)" if fields["saturated"] else "valid"
+        )
         lines.append(
             f"* {policy}: {validity}; CPU: {cpu}; load generator's lag p99 "
             f"{fields['lag_p99_ms']:.1f} ms; configuration changes sent again "
--- a/packages/cli/src/kingcuplug_cli/_bench/_worker.py
+++ b/packages/cli/src/kingcuplug_cli/_bench/_worker.py
@@ -44,6 +44,11 @@
         self._process: asyncio.subprocess.Process | None = None
         self._turn = asyncio.Lock()
 
+    @property
+    def running(self) -> bool:
+        """Whether the child was started and has not ended."""
+        return self._process is not None and self._process.returncode is None
+
     @property
     def returncode(self) -> int | None:
         """The child's exit status, or None while it runs."""
