--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SOURCES := $(subst $(empty) $(empty),:,$(wildcard packages/*/src))
 PYTHON ?= python3.11
 
-.PHONY: demo check format lint types test system matrix models models-large spin venv
+.PHONY: bench demo check format lint types test system matrix models models-large spin venv
 
 # Only the default environment is installed; a shared one is used as it is.
 .venv/.installed: requirements-dev.txt constraints.txt packages/*/pyproject.toml
@@ -16,6 +16,11 @@
 
 venv: $(if $(filter .venv,$(VENV)),.venv/.installed)
 
+# A short run of every scenario on both deployments; see docs/decisions/bench.md.
+bench: venv
+	PYTHONPATH=$(subst $(eval ) ,:,$(abspath $(wildcard packages/*/src))) \
+		$(BIN)/python -m kingcuplug_cli bench all
+
 demo: venv
 	$(BIN)/kingcuplug demo
 
--- a/packages/cli/src/kingcuplug_cli/__main__.py
+++ b/packages/cli/src/kingcuplug_cli/__main__.py
@@ -1,5 +1,6 @@
-"""Runs the program as ``python -m kingcuplug_cli``."""
+"""Runs the command with ``python -m kingcuplug_cli``."""
 
 from kingcuplug_cli._main import main
 
-main()
+if __name__ == "__main__":
+    main()
--- a/packages/cli/src/kingcuplug_cli/_main.py
+++ b/packages/cli/src/kingcuplug_cli/_main.py
@@ -7,6 +7,7 @@
 
 import fire
 
+from kingcuplug_cli._bench import Bench
 from kingcuplug_cli._demo import run_demo
 from kingcuplug_cli._groups import (
     ConfigCommands,
@@ -56,6 +57,8 @@
         self.receipt = ReceiptCommands(self._program)
         self.trace = TraceCommands(self._program)
 
+    bench = Bench
+
     def demo(self, example: str = "examples/kavango") -> None:
         """Run the main job on loopback and print what happens."""
         asyncio.run(run_demo(Path(example)))
--- a/packages/query/src/kingcuplug_query/_backend.py
+++ b/packages/query/src/kingcuplug_query/_backend.py
@@ -15,6 +15,7 @@
 from kingcuplug_common import KingcuplugError, traceparent
 from kingcuplug_routing import Ticket
 
+from kingcuplug_query._expiry import Expiries
 from kingcuplug_query._messages import ReplyInvalid, SubReply, SubRequest, parse_reply
 
 __all__ = ["Cancel", "ConnectFailed", "HttpBackend", "ReplyLost", "Send"]
@@ -56,11 +57,18 @@
     ----------
     tls : ssl.SSLContext, optional
         Context for TLS towards backend servers.
+
+    Attributes
+    ----------
+    local_address : str or None
+        IP address that new pools connect from; ``None`` leaves it to the system.
     """
 
     def __init__(self, tls: ssl.SSLContext | None = None) -> None:
+        self.local_address: str | None = None
         self._scheme = "https" if tls is not None else "http"
         self._tls = tls
+        self._expiries = Expiries()
         self._sessions: dict[str, aiohttp.ClientSession] = {}
         self._connection_limits: dict[str, int] = {}
 
@@ -103,13 +111,11 @@
         url = f"{self._scheme}://{ticket.address}/sub-request"
         body = orjson.dumps(request.to_json())
         try:
-            async with (
-                asyncio.timeout(timeout_s),
-                self._session(ticket.address).post(
+            with self._expiries.after(timeout_s):
+                async with self._session(ticket.address).post(
                     url, data=body, headers=_headers()
-                ) as response,
-            ):
-                return await self._read(response, request)
+                ) as response:
+                    return await self._read(response, request)
         except aiohttp.ClientConnectorError as error:
             raise ConnectFailed(
                 f"backend server {ticket.server} at {ticket.address} "
@@ -142,6 +148,7 @@
                 limit=self._connection_limits.get(address, 0),
                 keepalive_timeout=_KEEPALIVE_S,
                 ssl=self._tls if self._tls is not None else True,
+                local_addr=(self.local_address, 0) if self.local_address else None,
             )
             session = aiohttp.ClientSession(
                 connector=connector,
