Do not condemn queries that ran beside a crashing one; find lost servers before dispatch

Ruled out: the crashing request itself is stopped after 2 servers in this tree. Change: (1) what completed before is blamed only where nothing else was in flight, after the blames of other entry hosts had 0.5 s to come, and goes alone until then; the former test of such a fingerprint now waits those 0.5 s, and checks that it goes alone before. (2) an order is dispatched only to a server that accepts a connection at that moment.

--- a/packages/daemon/src/kingcuplug_daemon/_entry.py
+++ b/packages/daemon/src/kingcuplug_daemon/_entry.py
@@ -126,6 +126,7 @@
             self.background,
             zone,
             HolderWatch(self.session, self.background).lost,
+            self.backend.reachable,
         )
         self._tasks: asyncio.Task[None] | None = None
 
--- a/packages/query/src/kingcuplug_query/__init__.py
+++ b/packages/query/src/kingcuplug_query/__init__.py
@@ -4,6 +4,7 @@
     Cancel,
     ConnectFailed,
     HttpBackend,
+    Reachable,
     ReplyLost,
     Send,
 )
@@ -37,6 +38,7 @@
     "OrderRequest",
     "QueryExecutor",
     "QueryRequest",
+    "Reachable",
     "ReplyInvalid",
     "ReplyLost",
     "ReplyStatus",
--- a/packages/query/src/kingcuplug_query/_backend.py
+++ b/packages/query/src/kingcuplug_query/_backend.py
@@ -18,7 +18,14 @@
 from kingcuplug_query._expiry import Expiries
 from kingcuplug_query._messages import ReplyInvalid, SubReply, SubRequest, parse_reply
 
-__all__ = ["Cancel", "ConnectFailed", "HttpBackend", "ReplyLost", "Send"]
+__all__ = [
+    "Cancel",
+    "ConnectFailed",
+    "HttpBackend",
+    "Reachable",
+    "ReplyLost",
+    "Send",
+]
 
 _REPLY_LIMIT_BYTES = 16 * 1024 * 1024
 _CONNECT_TIMEOUT_S = 1.0
@@ -28,6 +35,7 @@
 _JSON_HEADERS = {"Content-Type": "application/json"}
 
 Send = Callable[[Ticket, SubRequest, float], Awaitable[SubReply]]
+Reachable = Callable[[Ticket], Awaitable[bool]]
 Cancel = Callable[[Ticket, str], Awaitable[None]]
 
 
@@ -125,6 +133,10 @@
         except (aiohttp.ClientError, ConnectionError) as error:
             raise await self._lost(ticket, error) from error
 
+    async def reachable(self, ticket: Ticket) -> bool:
+        """Return whether a server accepts connections at this moment."""
+        return await self._accepts(ticket.address)
+
     async def cancel(self, ticket: Ticket, attempt_id: str) -> None:
         """Ask a server to stop an attempt whose reply is no longer wanted."""
         url = f"{self._scheme}://{ticket.address}/cancel"
--- a/packages/query/src/kingcuplug_query/_orders.py
+++ b/packages/query/src/kingcuplug_query/_orders.py
@@ -37,7 +37,7 @@
 )
 from kingcuplug_routing import AttemptOutcome, CrashGuard, Ticket
 
-from kingcuplug_query._backend import ConnectFailed, ReplyLost, Send
+from kingcuplug_query._backend import ConnectFailed, Reachable, ReplyLost, Send
 from kingcuplug_query._background import Background
 from kingcuplug_query._gather import OUTCOME_OF_STATUS
 from kingcuplug_query._messages import (
@@ -108,6 +108,8 @@
     holder_lost : callable
         Whether a run of an entry host, by name and incarnation, is known to have
         ended.
+    reachable : Reachable
+        Whether a server accepts connections.
     """
 
     def __init__(
@@ -119,7 +121,9 @@
         background: Background,
         zone: str,
         holder_lost: HolderLost,
+        reachable: Reachable,
     ) -> None:
+        self._reachable = reachable
         self._ledger = ledger
         self._send = send
         self._guard = guard
@@ -239,14 +243,7 @@
                 retry_after_ms=_MILLISECONDS,
             )
         shard = shard_of(request.partition_key, view.shard_count)
-        ticket = await runtime.router.acquire(
-            view.snapshot,
-            shard,
-            frozenset(),
-            request.priority,
-            request.deadline,
-            self._zone,
-        )
+        ticket = await self._reachable_ticket(request, runtime, view.snapshot, shard)
         remaining_s = request.deadline - asyncio.get_running_loop().time()
         return ticket, SubRequest(
             request_id=request.request_id,
@@ -262,6 +259,29 @@
             idempotency_key=request.key,
         )
 
+    async def _reachable_ticket(
+        self, request: OrderRequest, runtime: ServiceRuntime, snapshot: int, shard: int
+    ) -> Ticket:
+        """Return capacity at a server that accepts connections.
+
+        After the dispatch there is no second try, so a lost server has to be found
+        before it.
+        """
+        unreachable: set[str] = set()
+        while True:
+            ticket = await runtime.router.acquire(
+                snapshot,
+                shard,
+                unreachable,
+                request.priority,
+                request.deadline,
+                self._zone,
+            )
+            if await self._reachable(ticket):
+                return ticket
+            ticket.finish(AttemptOutcome.CONNECTION_LOST, 0.0)
+            unreachable.add(ticket.server)
+
     async def _dispatch(
         self, request: OrderRequest, token: str, ticket: Ticket, sub_request: SubRequest
     ) -> None:
--- a/packages/routing/src/kingcuplug_routing/_blames.py
+++ b/packages/routing/src/kingcuplug_routing/_blames.py
@@ -7,6 +7,7 @@
 __all__ = ["Blame", "BlameBook", "Crash", "CrashGuardSettings"]
 
 _DISTINCT_SERVERS = 2
+_BLAMES_ARRIVE_S = 0.5  # two session exchanges and one of the mesh
 _CRASHES = 3  # of one server: a shard with one replica never has two servers
 
 
@@ -143,7 +144,7 @@
         standing = [
             crash
             for crash in self._of.get(fingerprint, ())
-            if self._stands(crash, fingerprint)
+            if self._stands(crash, fingerprint, now)
         ]
         servers = {crash.server for crash in standing}
         if len(servers) < _DISTINCT_SERVERS and len(standing) < _CRASHES:
@@ -155,10 +156,17 @@
         """Return the blamed fingerprints."""
         return list(self._of)
 
-    def _stands(self, crash: Crash, fingerprint: str) -> bool:
+    def _stands(self, crash: Crash, fingerprint: str, now: float) -> bool:
         if crash.other_services or len(crash.blamed) > self._settings.most_blamed:
             return False
-        return not (crash.one_zone and crash.blamed[fingerprint])
+        if not crash.blamed[fingerprint]:
+            return True
+        # A query is in flight at many servers at once, so two crashes within
+        # milliseconds would condemn every query that runs beside a crashing one. What
+        # completed before is blamed only where nothing else was in flight, once the
+        # blames of other entry hosts have come. Until then it goes alone.
+        alone = len(crash.blamed) == 1 and now - crash.time >= _BLAMES_ARRIVE_S
+        return alone and not crash.one_zone
 
     def _judge(self, newest: Crash) -> None:
         """Mark crashes that coincide with the loss of a zone or a rack."""
--- a/packages/routing/src/kingcuplug_routing/_crash_guard.py
+++ b/packages/routing/src/kingcuplug_routing/_crash_guard.py
@@ -141,13 +141,21 @@
                     server,
                     incarnation,
                     availability_zone,
-                    attempt.proven,
+                    self._was_proven(attempt),
                 )
         for blame in blames.values():
             self._book.blame(crash, blame.fingerprint, blame.proven)
             self._fresh.append((now, blame))
         return tuple(blames.values())
 
+    def _was_proven(self, attempt: _Attempt) -> bool:
+        """Return whether a fingerprint had completed before the crash, and forget it.
+
+        It goes alone next time, in case it became dangerous with a new index.
+        """
+        completed = self._completed.pop(attempt.fingerprint, attempt)
+        return attempt.proven or completed is None
+
     def fresh(self) -> list[Blame]:
         """Return and forget the blames that no session has carried yet."""
         now = _now()
--- a/packages/testkit/src/kingcuplug_testkit/_query_world.py
+++ b/packages/testkit/src/kingcuplug_testkit/_query_world.py
@@ -72,6 +72,7 @@
     servers: dict[str, list[ServerView]] = dataclasses.field(default_factory=dict)
     handlers: dict[str, Handler] = dataclasses.field(default_factory=dict)
     sent: list[tuple[str, SubRequest]] = dataclasses.field(default_factory=list)
+    down: set[str] = dataclasses.field(default_factory=set)
     cancelled: list[str] = dataclasses.field(default_factory=list)
     metrics: Metrics = dataclasses.field(default_factory=Metrics)
     background: Background = dataclasses.field(default_factory=Background)
@@ -144,6 +145,11 @@
         """Note a cancellation, as `Cancel`."""
         self.cancelled.append(attempt_id)
 
+    async def reachable(self, ticket: Ticket) -> bool:
+        """Return whether a server is up, as `Reachable`."""
+        await asyncio.sleep(0.0005)
+        return ticket.server not in self.down
+
     async def submit(self, command: dict[str, Any]) -> dict[str, Any]:
         """Apply a command to the ledger, with the scripted faults."""
         self.commands[command["type"]] += 1
@@ -172,6 +178,7 @@
             self.background,
             "zone-0",
             lambda name, incarnation: self.holder_lost(name, incarnation),
+            self.reachable,
         )
 
 
--- a/tests/query/test_orders.py
+++ b/tests/query/test_orders.py
@@ -178,6 +178,26 @@
     run_virtual(main())
 
 
+def test_lost_servers_are_found_before_the_dispatch(stock: World) -> None:
+    # Guards against an order that is refused, with its key spent, because it was
+    # dispatched to a lost server while another replica lives.
+    async def main() -> None:
+        stock.add("stock")
+        runs = _counting(stock)
+        stock.down = {"stock-0", "stock-2"}
+        for number in range(10):
+            answer = await _run(stock, key=f"{NOW_MS}-abcdefg{number}")
+            assert isinstance(answer, Answer)
+        assert {server for server, _ in stock.sent} == {"stock-1"}
+        assert set(runs.values()) == {1}
+        stock.down = {"stock-0", "stock-1", "stock-2"}
+        refusal = await _run(stock)
+        assert isinstance(refusal, Refusal)
+        assert refusal.kind is RefusalKind.NOT_RUN
+
+    run_virtual(main())
+
+
 def test_failed_connection_is_not_run(stock: World) -> None:
     # Guards against doubt about an order of which no byte was sent.
     async def main() -> None:
--- a/tests/routing/test_crash_guard.py
+++ b/tests/routing/test_crash_guard.py
@@ -171,11 +171,31 @@
         attempts.crash("server-1", (sent[1],), zone="zone-1")
         attempts.guard.ended(sent[2], AttemptOutcome.OK)
         attempts.crash("server-3", (sent[3],), zone="zone-0")
+        # What completed before goes alone until the blames of others have come.
+        assert not attempts.guard.proven(CRASHER)
+        await asyncio.sleep(0.5)
         assert _is_condemned(attempts.guard, CRASHER)
 
     run_virtual(main())
 
 
+def test_queries_beside_a_crasher_go_free(attempts: Attempts) -> None:
+    # Guards against condemning a query because it was in flight, as every query is,
+    # at both servers that a crashing request took down within milliseconds.
+    async def main() -> None:
+        attempts.complete("popular", "server-9")
+        popular = [attempts.start("popular", f"server-{i}") for i in range(3)]
+        for number in range(2):
+            crasher = attempts.start(CRASHER, f"server-{number}")
+            attempts.crash(f"server-{number}", (popular[number], crasher))
+        assert _is_condemned(attempts.guard, CRASHER)
+        assert not _is_condemned(attempts.guard, "popular")
+        await asyncio.sleep(5)
+        assert not _is_condemned(attempts.guard, "popular")
+
+    run_virtual(main())
+
+
 @pytest.mark.parametrize("services", [4, 1])
 def test_zone_loss_condemns_nobody(attempts: Attempts, services: int) -> None:
     # Guards against refusing ordinary queries because a zone was lost. With several
