Find a crashing request at a busy server

Cause: a crash with more than 8 fingerprints in flight is blamed on nobody. Change: only fingerprints that had not completed before count towards the 8.

--- a/packages/routing/src/kingcuplug_routing/_blames.py
+++ b/packages/routing/src/kingcuplug_routing/_blames.py
@@ -22,7 +22,8 @@
     most_entries : int
         Bound on crashes, on blamed and on remembered completed fingerprints.
     most_blamed : int
-        A crash with more fingerprints in flight is blamed on none of them.
+        A crash with more fingerprints in flight that had not completed before is
+        blamed on none of them.
     most_other_losses : int
         A crash is not blamed if more servers of other services broke close to it.
     loss_window_s : float
@@ -157,7 +158,9 @@
         return list(self._of)
 
     def _stands(self, crash: Crash, fingerprint: str, now: float) -> bool:
-        if crash.other_services or len(crash.blamed) > self._settings.most_blamed:
+        # What completed before does not count: under load, many such are in flight.
+        unproven = sum(1 for proven in crash.blamed.values() if not proven)
+        if crash.other_services or unproven > self._settings.most_blamed:
             return False
         if not crash.blamed[fingerprint]:
             return True
--- a/tests/routing/test_crash_guard.py
+++ b/tests/routing/test_crash_guard.py
@@ -179,6 +179,21 @@
     run_virtual(main())
 
 
+def test_crasher_is_found_at_a_busy_server(attempts: Attempts) -> None:
+    # Guards against a crashing request that hides among many ordinary ones.
+    async def main() -> None:
+        for number in range(2):
+            busy = []
+            for query in range(20):
+                attempts.complete(f"query-{query}", "server-9")
+                busy.append(attempts.start(f"query-{query}", f"server-{number}"))
+            crasher = attempts.start(CRASHER, f"server-{number}")
+            attempts.crash(f"server-{number}", (*busy, crasher))
+        assert set(attempts.guard.condemned()) == {CRASHER}
+
+    run_virtual(main())
+
+
 def test_queries_beside_a_crasher_go_free(attempts: Attempts) -> None:
     # Guards against condemning a query because it was in flight, as every query is,
     # at both servers that a crashing request took down within milliseconds.
