--- a/Makefile
+++ b/Makefile
@@ -3,10 +3,10 @@
 BIN := $(VENV)/bin
 # The sources come before any installed copy, so that a work tree runs itself.
 empty :=
-SOURCES := $(subst $(empty) $(empty),:,$(wildcard packages/*/src))
+SOURCES := $(subst $(empty) $(empty),:,$(abspath $(wildcard packages/*/src)))
 PYTHON ?= python3.11
 
-.PHONY: bench demo check format lint types test system matrix models models-large spin venv
+.PHONY: bench capacity demo check format lint types test system matrix models models-large spin venv
 
 # Only the default environment is installed; a shared one is used as it is.
 .venv/.installed: requirements-dev.txt constraints.txt packages/*/pyproject.toml
@@ -18,8 +18,7 @@
 
 # A short run of every scenario on both deployments; see docs/decisions/bench.md.
 bench: venv
-	PYTHONPATH=$(subst $(eval ) ,:,$(abspath $(wildcard packages/*/src))) \
-		$(BIN)/python -m kingcuplug_cli bench all
+	PYTHONPATH=$(SOURCES) $(BIN)/python -m kingcuplug_cli bench all
 
 demo: venv
 	$(BIN)/kingcuplug demo
@@ -55,3 +54,9 @@
 models-large: spin
 	$(PYTHON) models/run.py --size large --jobs 1
 
+
+capacity: venv
+	for tool in query receipts tracing state membership log; do \
+		PYTHONPATH=$(SOURCES) $(BIN)/python tools/measure_$$tool.py || exit 1; \
+	done
+	PYTHONPATH=$(SOURCES) $(BIN)/python -m kingcuplug_cli bench cpu
--- /dev/null
+++ b/tools/measure_query.py
@@ -0,0 +1,52 @@
+"""Measures the CPU time of a query without HTTP, at several numbers of shards.
+
+Sub-requests are answered by a fake in the same process, so the figure is the tier's
+own work: admission, choice of replicas, gathering, crash guard and merging.
+"""
+
+import asyncio
+import dataclasses
+import time
+from typing import Any
+
+from kingcuplug_query import SubRequest
+from kingcuplug_testkit import World, echo, query
+
+_SHARD_COUNTS = (6, 15, 41, 82)
+_QUERIES = 300
+_SERVERS = 9
+
+
+async def _answer(request: SubRequest) -> Any:
+    await asyncio.sleep(0)
+    return echo(request)
+
+
+async def _measure(shard_count: int) -> float:
+    """Return the CPU time per query in microseconds."""
+    world = World()
+    world.add("stock", servers=_SERVERS, shard_count=shard_count, canary="always")
+    views = [dataclasses.replace(v, slots=1_000) for v in world.servers["stock"]]
+    world.services["stock"].router.update(views, 1)
+    world.handlers = {f"stock-{n}": _answer for n in range(_SERVERS)}
+    executor, view = world.queries(), world.view()
+    for _ in range(20):
+        await executor.run(query(), view)
+    started = time.process_time()
+    for _ in range(_QUERIES):
+        await executor.run(query(), view)
+    return (time.process_time() - started) / _QUERIES * 1e6
+
+
+def main() -> None:
+    """Print one line per number of shards, and the slope."""
+    results = {count: asyncio.run(_measure(count)) for count in _SHARD_COUNTS}
+    for count, spent_us in results.items():
+        print(f"query shards={count}: {spent_us:.0f} us CPU")
+    first, last = _SHARD_COUNTS[0], _SHARD_COUNTS[-1]
+    slope_us = (results[last] - results[first]) / (last - first)
+    print(f"slope: {slope_us:.1f} us per sub-request")
+
+
+if __name__ == "__main__":
+    main()
