--- a/packages/query/src/kingcuplug_query/__init__.py
+++ b/packages/query/src/kingcuplug_query/__init__.py
@@ -19,7 +19,8 @@
     SubRequest,
     parse_reply,
 )
-from kingcuplug_query._orders import OrderExecutor, unsettled
+from kingcuplug_query._order_refusals import unsettled
+from kingcuplug_query._orders import OrderExecutor
 from kingcuplug_query._query import (
     QueryExecutor,
     RevisionView,
--- /dev/null
+++ b/packages/query/src/kingcuplug_query/_order_endings.py
@@ -0,0 +1,88 @@
+"""How the only attempt of an order ended, and what its caller is told."""
+
+import dataclasses
+from typing import Any
+
+from kingcuplug_common import RefusalReason
+from kingcuplug_ledger import OrderRecord, OutcomeKind, StoredOutcome
+
+from kingcuplug_query._messages import (
+    Answer,
+    OrderRequest,
+    ReplyStatus,
+    SubReply,
+    SubRequest,
+)
+from kingcuplug_query._order_refusals import not_run, unknown
+
+__all__ = ["Ending", "answer_of", "ending_of", "recorded"]
+
+_NEW_KEY_REMEDY = "send the order again with a new idempotency key"
+
+_KIND_OF_STATUS: dict[ReplyStatus, OutcomeKind] = {
+    ReplyStatus.OK: "done",
+    ReplyStatus.PARTIAL: "done",
+    ReplyStatus.SHED: "not_run",
+    ReplyStatus.NOT_RUN: "not_run",
+    ReplyStatus.SNAPSHOT_GONE: "not_run",
+    ReplyStatus.FAILED: "unknown",
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ending:
+    """How the only attempt ended."""
+
+    kind: OutcomeKind
+    status: str
+    body: Any
+
+
+def ending_of(reply: SubReply, sub_request: SubRequest) -> Ending:
+    body = {
+        "value": reply.value,
+        "coverage": reply.coverage,
+        "snapshot": sub_request.snapshot,
+        "shard": sub_request.shard,
+        "shard_count": sub_request.shard_count,
+    }
+    return Ending(_KIND_OF_STATUS[reply.status], reply.status.value, body)
+
+
+def recorded(record: OrderRecord, request: OrderRequest) -> Answer:
+    outcome = record.outcome
+    if outcome is None:
+        raise unknown(
+            f"order {record.key} was dispatched to {record.server} by {record.host} "
+            "and has no recorded outcome"
+        )
+    return answer_of(_stored(outcome), request, record.revision)
+
+
+def _stored(outcome: StoredOutcome) -> Ending:
+    if outcome.kind == "done" and outcome.body is None:
+        note = {"value_digest": outcome.body_digest}
+        return Ending("done", outcome.status, {"value": note})
+    return Ending(outcome.kind, outcome.status, outcome.body)
+
+
+def answer_of(ending: Ending, request: OrderRequest, revision: int) -> Answer:
+    if ending.kind == "unknown":
+        raise unknown(f"the attempt ended with {ending.status}")
+    if ending.kind == "not_run":
+        raise not_run(
+            RefusalReason.ORDER_NOT_RUN,
+            f"order {request.key} ended without a run: {ending.status}",
+            _NEW_KEY_REMEDY,
+        )
+    body = ending.body
+    shard = body.get("shard", 0)
+    coverage = body.get("coverage", 1.0)
+    return Answer(
+        value=body["value"],
+        snapshot=body.get("snapshot", 0),
+        shard_count=body.get("shard_count", 0),
+        coverage=coverage,
+        revision=revision,
+        partial_shards={} if coverage == 1 else {shard: coverage},
+    )
--- /dev/null
+++ b/packages/query/src/kingcuplug_query/_order_refusals.py
@@ -0,0 +1,107 @@
+"""Refusals of orders, and what holds for all copies of one order."""
+
+from typing import Any
+
+from kingcuplug_common import KingcuplugError, Refusal, RefusalKind, RefusalReason
+from kingcuplug_ledger import KeyExpired, KeyFromFuture, OrderRecord
+
+from kingcuplug_query._messages import OrderRequest
+
+__all__ = [
+    "SAME_KEY_REMEDY",
+    "key_refused",
+    "no_quorum",
+    "not_run",
+    "still_claimed",
+    "unknown",
+    "unsettled",
+]
+
+_MILLISECONDS = 1_000
+_UNKNOWN_REMEDY = (
+    "send the order again with the same key to get its outcome, or look it up with "
+    "`kingcuplug orders show`"
+)
+_NEW_KEY_REMEDY = "send the order again with a new idempotency key"
+SAME_KEY_REMEDY = "send the order again with the same idempotency key"
+
+# Refusals that no copy of the same order can contradict.
+_SETTLED = frozenset(
+    (
+        RefusalReason.INVALID_REQUEST,
+        RefusalReason.KEY_REUSED,
+        RefusalReason.ORDER_NOT_RUN,
+    )
+)
+
+
+def unsettled(refusal: Refusal, resend: bool) -> Refusal:
+    """Return a refusal of an order that holds for all of its copies.
+
+    Another copy of a resent order may have run or may yet run, even if this one
+    gave its claim back, so ``not_run`` would be a claim that nobody here can make.
+    """
+    if not resend or refusal.kind is RefusalKind.OUTCOME_UNKNOWN:
+        return refusal
+    if refusal.reason in _SETTLED:
+        return refusal
+    return Refusal(
+        RefusalKind.OUTCOME_UNKNOWN,
+        refusal.reason,
+        f"this copy was not run, another one may have been: {refusal.message}",
+        _UNKNOWN_REMEDY,
+        refusal.retry_after_ms,
+    )
+
+
+def not_run(
+    reason: RefusalReason,
+    message: str,
+    remedy: str,
+    retry_after_ms: int | None = None,
+) -> Refusal:
+    return Refusal(RefusalKind.NOT_RUN, reason, message, remedy, retry_after_ms)
+
+
+def unknown(message: str) -> Refusal:
+    return Refusal(
+        RefusalKind.OUTCOME_UNKNOWN,
+        RefusalReason.ORDER_UNKNOWN,
+        message,
+        _UNKNOWN_REMEDY,
+    )
+
+
+def no_quorum(error: KingcuplugError) -> Refusal:
+    return not_run(
+        RefusalReason.NO_QUORUM,
+        f"the order ledger cannot be written: {error.message}",
+        SAME_KEY_REMEDY,
+        retry_after_ms=_MILLISECONDS,
+    )
+
+
+def still_claimed(request: OrderRequest, record: OrderRecord) -> Refusal:
+    return unknown(f"order {request.key} is being run by {record.host}")
+
+
+def key_refused(key: str, result: Any) -> Refusal:
+    if isinstance(result, KeyExpired):
+        # The record may be purged, so whether an earlier copy ran is not known.
+        return Refusal(
+            RefusalKind.OUTCOME_UNKNOWN,
+            RefusalReason.KEY_EXPIRED,
+            f"key {key} is older than the retention, so this copy was not run",
+            "check whether the order was run before; else use a new key",
+        )
+    if isinstance(result, KeyFromFuture):
+        return not_run(
+            RefusalReason.KEY_FROM_FUTURE,
+            f"the issue time of key {key} is {result.ahead_ms} ms ahead",
+            "correct the caller's clock and use a new key",
+        )
+    return not_run(
+        RefusalReason.KEY_REUSED,
+        f"key {key} belongs to an order with another body or service",
+        _NEW_KEY_REMEDY,
+    )
--- a/packages/query/src/kingcuplug_query/_orders.py
+++ b/packages/query/src/kingcuplug_query/_orders.py
@@ -6,15 +6,12 @@
 """
 
 import asyncio
-import dataclasses
 from collections.abc import Callable
-from typing import Any
 
 from kingcuplug_common import (
     KingcuplugError,
     Metrics,
     Refusal,
-    RefusalKind,
     RefusalReason,
     digest,
     entering,
@@ -24,15 +21,11 @@
 from kingcuplug_ledger import (
     Attached,
     Claimed,
-    KeyExpired,
-    KeyFromFuture,
     KeyInvalid,
     LedgerClient,
     MustNotSend,
     OrderRecord,
-    OutcomeKind,
     ReleaseRefused,
-    StoredOutcome,
     SubmissionUnknown,
 )
 from kingcuplug_routing import AttemptOutcome, CrashGuard, Ticket
@@ -44,10 +37,18 @@
     Answer,
     OrderRequest,
     ReplyInvalid,
-    ReplyStatus,
-    SubReply,
     SubRequest,
 )
+from kingcuplug_query._order_endings import Ending, answer_of, ending_of, recorded
+from kingcuplug_query._order_refusals import (
+    SAME_KEY_REMEDY,
+    key_refused,
+    no_quorum,
+    not_run,
+    still_claimed,
+    unknown,
+    unsettled,
+)
 from kingcuplug_query._query import RevisionView, ServiceRuntime, fingerprint_of
 from kingcuplug_query._snapshots import choose_snapshot, shard_of
 
@@ -62,31 +63,6 @@
 
 HolderLost = Callable[[str, int], bool]
 
-_UNKNOWN_REMEDY = (
-    "send the order again with the same key to get its outcome, or look it up with "
-    "`kingcuplug orders show`"
-)
-_NEW_KEY_REMEDY = "send the order again with a new idempotency key"
-_SAME_KEY_REMEDY = "send the order again with the same idempotency key"
-
-_KIND_OF_STATUS: dict[ReplyStatus, OutcomeKind] = {
-    ReplyStatus.OK: "done",
-    ReplyStatus.PARTIAL: "done",
-    ReplyStatus.SHED: "not_run",
-    ReplyStatus.NOT_RUN: "not_run",
-    ReplyStatus.SNAPSHOT_GONE: "not_run",
-    ReplyStatus.FAILED: "unknown",
-}
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Ending:
-    """How the only attempt ended."""
-
-    kind: OutcomeKind
-    status: str
-    body: Any
-
 
 class OrderExecutor:
     """Runs orders.
@@ -157,7 +133,7 @@
         retention_ms = retention_days * _MILLISECONDS_PER_DAY
         token = await self._claim(request, revision.number, retention_ms)
         if isinstance(token, OrderRecord):
-            return _recorded(token, request)
+            return recorded(token, request)
         return await self._run_claimed(request, runtime, revision.number, token)
 
     async def _claim(
@@ -177,21 +153,21 @@
                     takeover=takeover,
                 )
             except KeyInvalid as error:
-                raise _not_run(
+                raise not_run(
                     RefusalReason.INVALID_REQUEST, error.message, error.remedy
                 ) from error
             except KingcuplugError as error:
-                raise _no_quorum(error) from error
+                raise no_quorum(error) from error
             if isinstance(result, Claimed):
                 return result.token
             if not isinstance(result, Attached):
-                raise _key_refused(request.key, result)
+                raise key_refused(request.key, result)
             record = await self._attach(request)
             if record.state in ("dispatched", "finished"):
                 return record
             takeover = self._holder_lost(record.host, record.host_incarnation)
             if record.state == "claimed" and not takeover:
-                raise _still_claimed(request, record)
+                raise still_claimed(request, record)
 
     async def _attach(self, request: OrderRequest) -> OrderRecord:
         self._metrics.count("order.attached")
@@ -200,9 +176,9 @@
                 request.key, deadline=request.deadline, holder_lost=self._holder_lost
             )
         except SubmissionUnknown as error:
-            raise _unknown(error.message) from error
+            raise unknown(error.message) from error
         if record is None:
-            raise _unknown(f"the record of order {request.key} was purged")
+            raise unknown(f"the record of order {request.key} was purged")
         return record
 
     async def _run_claimed(
@@ -236,10 +212,10 @@
     ) -> tuple[Ticket, SubRequest]:
         view = choose_snapshot(runtime.router.snapshots(), request.partition_key)
         if view is None:
-            raise _not_run(
+            raise not_run(
                 RefusalReason.SNAPSHOT_UNKNOWN,
                 f"no backend server of {request.service!r} has announced a snapshot",
-                _SAME_KEY_REMEDY,
+                SAME_KEY_REMEDY,
                 retry_after_ms=_MILLISECONDS,
             )
         shard = shard_of(request.partition_key, view.shard_count)
@@ -295,11 +271,11 @@
             )
         except MustNotSend as error:
             # Nobody but this task could send under this token, and it does not.
-            raise _not_run(
-                RefusalReason.NO_QUORUM, error.message, _SAME_KEY_REMEDY
+            raise not_run(
+                RefusalReason.NO_QUORUM, error.message, SAME_KEY_REMEDY
             ) from error
         except KingcuplugError as error:
-            raise _no_quorum(error) from error
+            raise no_quorum(error) from error
 
     async def _give_back(self, key: str, token: str) -> None:
         """Spend the token of an order that was not sent."""
@@ -324,7 +300,7 @@
         sub_request: SubRequest,
         revision: int,
     ) -> Answer:
-        ended: asyncio.Future[_Ending] = asyncio.get_running_loop().create_future()
+        ended: asyncio.Future[Ending] = asyncio.get_running_loop().create_future()
         # A caller that leaves must not cancel an order that was dispatched.
         self._background.start(
             self._attempt(request, token, ticket, sub_request, ended)
@@ -333,8 +309,8 @@
             async with asyncio.timeout_at(request.deadline):
                 ending = await ended
         except TimeoutError:
-            raise _unknown("the outcome was not known before the deadline") from None
-        return _answer(ending, request, revision)
+            raise unknown("the outcome was not known before the deadline") from None
+        return answer_of(ending, request, revision)
 
     async def _attempt(
         self,
@@ -342,7 +318,7 @@
         token: str,
         ticket: Ticket,
         sub_request: SubRequest,
-        ended: "asyncio.Future[_Ending]",
+        ended: "asyncio.Future[Ending]",
     ) -> None:
         loop = asyncio.get_running_loop()
         started = loop.time()
@@ -373,11 +349,11 @@
 
     async def _exchange(
         self, ticket: Ticket, sub_request: SubRequest, timeout_s: float
-    ) -> tuple[AttemptOutcome, _Ending]:
+    ) -> tuple[AttemptOutcome, Ending]:
         try:
             reply = await self._send(ticket, sub_request, timeout_s)
         except ConnectFailed as error:
-            ending = _Ending("not_run", "connect_failed", error.message)
+            ending = Ending("not_run", "connect_failed", error.message)
             return AttemptOutcome.CONNECTION_LOST, ending
         except ReplyLost as error:
             if error.server_gone:
@@ -387,17 +363,17 @@
                     sub_request.service,
                     ticket.availability_zone,
                 )
-            ending = _Ending("unknown", "reply_lost", error.message)
+            ending = Ending("unknown", "reply_lost", error.message)
             return AttemptOutcome.CONNECTION_LOST, ending
         except ReplyInvalid as error:
-            ending = _Ending("unknown", "reply_invalid", error.message)
+            ending = Ending("unknown", "reply_invalid", error.message)
             return AttemptOutcome.FAILED, ending
         except TimeoutError:
-            ending = _Ending("unknown", "no_reply", "the backend server did not reply")
+            ending = Ending("unknown", "no_reply", "the backend server did not reply")
             return AttemptOutcome.TIMEOUT, ending
-        return OUTCOME_OF_STATUS[reply.status], _ending(reply, sub_request)
+        return OUTCOME_OF_STATUS[reply.status], ending_of(reply, sub_request)
 
-    async def _record(self, key: str, token: str, ending: _Ending) -> None:
+    async def _record(self, key: str, token: str, ending: Ending) -> None:
         deadline = asyncio.get_running_loop().time() + _RECORD_S
         try:
             await self._ledger.outcome(
@@ -408,146 +384,14 @@
             self._metrics.count("order.outcome_not_recorded")
 
 
-# Refusals that no copy of the same order can contradict.
-_SETTLED = frozenset(
-    (
-        RefusalReason.INVALID_REQUEST,
-        RefusalReason.KEY_REUSED,
-        RefusalReason.ORDER_NOT_RUN,
-    )
-)
-
-
-def unsettled(refusal: Refusal, resend: bool) -> Refusal:
-    """Return a refusal of an order that holds for all of its copies.
-
-    Another copy of a resent order may have run or may yet run, even if this one
-    gave its claim back, so ``not_run`` would be a claim that nobody here can make.
-    """
-    if not resend or refusal.kind is RefusalKind.OUTCOME_UNKNOWN:
-        return refusal
-    if refusal.reason in _SETTLED:
-        return refusal
-    return Refusal(
-        RefusalKind.OUTCOME_UNKNOWN,
-        refusal.reason,
-        f"this copy was not run, another one may have been: {refusal.message}",
-        _UNKNOWN_REMEDY,
-        refusal.retry_after_ms,
-    )
-
-
 def _fingerprint(request: OrderRequest) -> str:
     return fingerprint_of(request.service, "order", request.body)
 
 
 def _require_time(request: OrderRequest) -> None:
     if request.deadline <= asyncio.get_running_loop().time():
-        raise _not_run(
+        raise not_run(
             RefusalReason.DEADLINE_EXCEEDED,
             "the deadline passed before the order was claimed",
             "send the order again with the same key and a longer deadline_ms",
         )
-
-
-def _ending(reply: SubReply, sub_request: SubRequest) -> _Ending:
-    body = {
-        "value": reply.value,
-        "coverage": reply.coverage,
-        "snapshot": sub_request.snapshot,
-        "shard": sub_request.shard,
-        "shard_count": sub_request.shard_count,
-    }
-    return _Ending(_KIND_OF_STATUS[reply.status], reply.status.value, body)
-
-
-def _recorded(record: OrderRecord, request: OrderRequest) -> Answer:
-    outcome = record.outcome
-    if outcome is None:
-        raise _unknown(
-            f"order {record.key} was dispatched to {record.server} by {record.host} "
-            "and has no recorded outcome"
-        )
-    return _answer(_stored(outcome), request, record.revision)
-
-
-def _stored(outcome: StoredOutcome) -> _Ending:
-    if outcome.kind == "done" and outcome.body is None:
-        note = {"value_digest": outcome.body_digest}
-        return _Ending("done", outcome.status, {"value": note})
-    return _Ending(outcome.kind, outcome.status, outcome.body)
-
-
-def _answer(ending: _Ending, request: OrderRequest, revision: int) -> Answer:
-    if ending.kind == "unknown":
-        raise _unknown(f"the attempt ended with {ending.status}")
-    if ending.kind == "not_run":
-        raise _not_run(
-            RefusalReason.ORDER_NOT_RUN,
-            f"order {request.key} ended without a run: {ending.status}",
-            _NEW_KEY_REMEDY,
-        )
-    body = ending.body
-    shard = body.get("shard", 0)
-    coverage = body.get("coverage", 1.0)
-    return Answer(
-        value=body["value"],
-        snapshot=body.get("snapshot", 0),
-        shard_count=body.get("shard_count", 0),
-        coverage=coverage,
-        revision=revision,
-        partial_shards={} if coverage == 1 else {shard: coverage},
-    )
-
-
-def _not_run(
-    reason: RefusalReason,
-    message: str,
-    remedy: str,
-    retry_after_ms: int | None = None,
-) -> Refusal:
-    return Refusal(RefusalKind.NOT_RUN, reason, message, remedy, retry_after_ms)
-
-
-def _unknown(message: str) -> Refusal:
-    return Refusal(
-        RefusalKind.OUTCOME_UNKNOWN,
-        RefusalReason.ORDER_UNKNOWN,
-        message,
-        _UNKNOWN_REMEDY,
-    )
-
-
-def _no_quorum(error: KingcuplugError) -> Refusal:
-    return _not_run(
-        RefusalReason.NO_QUORUM,
-        f"the order ledger cannot be written: {error.message}",
-        _SAME_KEY_REMEDY,
-        retry_after_ms=_MILLISECONDS,
-    )
-
-
-def _still_claimed(request: OrderRequest, record: OrderRecord) -> Refusal:
-    return _unknown(f"order {request.key} is being run by {record.host}")
-
-
-def _key_refused(key: str, result: Any) -> Refusal:
-    if isinstance(result, KeyExpired):
-        # The record may be purged, so whether an earlier copy ran is not known.
-        return Refusal(
-            RefusalKind.OUTCOME_UNKNOWN,
-            RefusalReason.KEY_EXPIRED,
-            f"key {key} is older than the retention, so this copy was not run",
-            "check whether the order was run before; else use a new key",
-        )
-    if isinstance(result, KeyFromFuture):
-        return _not_run(
-            RefusalReason.KEY_FROM_FUTURE,
-            f"the issue time of key {key} is {result.ahead_ms} ms ahead",
-            "correct the caller's clock and use a new key",
-        )
-    return _not_run(
-        RefusalReason.KEY_REUSED,
-        f"key {key} belongs to an order with another body or service",
-        _NEW_KEY_REMEDY,
-    )
--- a/packages/query/src/kingcuplug_query/_query.py
+++ b/packages/query/src/kingcuplug_query/_query.py
@@ -26,6 +26,14 @@
 from kingcuplug_query._gather import Allowance, Gather, Network
 from kingcuplug_query._merge import merge
 from kingcuplug_query._messages import Answer, QueryRequest, ReplyStatus, SubReply
+from kingcuplug_query._query_refusals import (
+    coverage_too_low,
+    require_servable,
+    require_servable_share,
+    require_time,
+    snapshot_unknown,
+    with_kind,
+)
 from kingcuplug_query._snapshots import choose_snapshot, wanted_shards
 
 __all__ = ["QueryExecutor", "RevisionView", "ServiceRuntime", "fingerprint_of"]
@@ -124,13 +132,13 @@
         runtime = revision.find(request.service)
         fingerprint = fingerprint_of(request.service, "query", request.body)
         self._guard.check(fingerprint)
-        _require_time(request)
+        require_time(request)
         dependency_answers = await self._call_dependencies(
             request, runtime, revision, allowance
         )
         view = choose_snapshot(runtime.router.snapshots(), request.partition_key)
         if view is None:
-            raise _snapshot_unknown(request.service)
+            raise snapshot_unknown(request.service)
         sub_requests = len(wanted_shards(view, request.partition_key))
         admission = runtime.admission.admit(
             request.priority, request.deadline, sub_requests
@@ -157,7 +165,7 @@
                     "declare the dependency or drop it from dependency_requests",
                 )
         for name in declared:
-            _require_servable(revision.find(name), request.service)
+            require_servable(name, revision.find(name).router, request.service)
         if not request.dependency_requests:
             return None
         calls = {
@@ -211,11 +219,11 @@
     ) -> Answer:
         view = choose_snapshot(runtime.router.snapshots(), request.partition_key)
         if view is None:
-            raise _snapshot_unknown(request.service)
+            raise snapshot_unknown(request.service)
         restarted = False
         ran_before = False
         while True:
-            _require_servable_share(request, view, ran_before)
+            require_servable_share(request, view, ran_before)
             gather = Gather(
                 request,
                 view,
@@ -296,11 +304,11 @@
     ) -> Answer:
         ran = ran_before or gather.may_have_run
         if gather.refusal is not None:
-            raise _with_kind(gather.refusal, ran)
+            raise with_kind(gather.refusal, ran)
         wanted = wanted_shards(gather.view, request.partition_key)
         coverage = self._coverage(wanted, gather.replies)
         if not gather.replies or coverage < request.minimum_coverage:
-            raise _coverage_too_low(request, gather, coverage, ran)
+            raise coverage_too_low(request, gather.faults.values(), coverage, ran)
         return Answer(
             value=merge(runtime.service.policy.merge, gather.replies),
             snapshot=gather.view.snapshot,
@@ -358,74 +366,3 @@
 def _serves(view: SnapshotView, request: QueryRequest) -> bool:
     wanted = wanted_shards(view, request.partition_key)
     return all(shard in view.served_shards for shard in wanted)
-
-
-def _require_time(request: QueryRequest) -> None:
-    if request.deadline <= asyncio.get_running_loop().time():
-        raise Refusal(
-            RefusalKind.NOT_RUN,
-            RefusalReason.DEADLINE_EXCEEDED,
-            "the deadline passed before the query was sent to any backend server",
-            "send the query again with a longer deadline_ms",
-        )
-
-
-def _require_servable(dependency: ServiceRuntime, dependent: str) -> None:
-    if any(view.served_shards for view in dependency.router.snapshots()):
-        return
-    name = dependency.service.name
-    raise Refusal(
-        RefusalKind.NOT_RUN,
-        RefusalReason.DEPENDENCY_UNAVAILABLE,
-        f"service {dependent!r} needs {name!r}, which no backend server serves",
-        f"start backend servers of {name!r}",
-        retry_after_ms=_MILLISECONDS,
-    )
-
-
-def _require_servable_share(
-    request: QueryRequest, view: SnapshotView, ran_before: bool
-) -> None:
-    wanted = wanted_shards(view, request.partition_key)
-    served = sum(1 for shard in wanted if shard in view.served_shards)
-    if served and served / len(wanted) >= request.minimum_coverage:
-        return
-    raise Refusal(
-        RefusalKind.OUTCOME_UNKNOWN if ran_before else RefusalKind.NOT_RUN,
-        RefusalReason.COVERAGE_TOO_LOW,
-        f"backend servers serve {served} of {len(wanted)} wanted shards of "
-        f"snapshot {view.snapshot}",
-        "lower minimum_coverage or start the missing backend servers",
-        retry_after_ms=_MILLISECONDS,
-    )
-
-
-def _snapshot_unknown(service: str) -> Refusal:
-    return Refusal(
-        RefusalKind.NOT_RUN,
-        RefusalReason.SNAPSHOT_UNKNOWN,
-        f"no backend server of {service!r} has announced a snapshot",
-        "start backend servers of the service and try again",
-        retry_after_ms=_MILLISECONDS,
-    )
-
-
-def _with_kind(refusal: Refusal, ran: bool) -> Refusal:
-    kind = RefusalKind.OUTCOME_UNKNOWN if ran else RefusalKind.NOT_RUN
-    return Refusal(
-        kind, refusal.reason, refusal.message, refusal.remedy, refusal.retry_after_ms
-    )
-
-
-def _coverage_too_low(
-    request: QueryRequest, gather: Gather, coverage: float, ran: bool
-) -> Refusal:
-    faults = sorted(set(gather.faults.values()))
-    return Refusal(
-        RefusalKind.OUTCOME_UNKNOWN if ran else RefusalKind.NOT_RUN,
-        RefusalReason.COVERAGE_TOO_LOW,
-        f"coverage {coverage:.4f} is below {request.minimum_coverage} "
-        f"({'; '.join(faults) or 'no shard answered'})",
-        "send the query again, with a longer deadline_ms or less minimum_coverage",
-        retry_after_ms=_MILLISECONDS,
-    )
--- /dev/null
+++ b/packages/query/src/kingcuplug_query/_query_refusals.py
@@ -0,0 +1,96 @@
+"""Refusals of queries; each says whether the query can have run."""
+
+import asyncio
+from collections.abc import Iterable
+
+from kingcuplug_common import Refusal, RefusalKind, RefusalReason
+from kingcuplug_routing import Router, SnapshotView
+
+from kingcuplug_query._messages import QueryRequest
+from kingcuplug_query._snapshots import wanted_shards
+
+__all__ = [
+    "coverage_too_low",
+    "require_servable",
+    "require_servable_share",
+    "require_time",
+    "snapshot_unknown",
+    "with_kind",
+]
+
+_MILLISECONDS = 1_000
+
+
+def require_time(request: QueryRequest) -> None:
+    """Refuse if the deadline has passed."""
+    if request.deadline <= asyncio.get_running_loop().time():
+        raise Refusal(
+            RefusalKind.NOT_RUN,
+            RefusalReason.DEADLINE_EXCEEDED,
+            "the deadline passed before the query was sent to any backend server",
+            "send the query again with a longer deadline_ms",
+        )
+
+
+def require_servable(name: str, router: Router, dependent: str) -> None:
+    """Refuse if no backend server serves the dependency `name`."""
+    if any(view.served_shards for view in router.snapshots()):
+        return
+    raise Refusal(
+        RefusalKind.NOT_RUN,
+        RefusalReason.DEPENDENCY_UNAVAILABLE,
+        f"service {dependent!r} needs {name!r}, which no backend server serves",
+        f"start backend servers of {name!r}",
+        retry_after_ms=_MILLISECONDS,
+    )
+
+
+def require_servable_share(
+    request: QueryRequest, view: SnapshotView, ran_before: bool
+) -> None:
+    """Refuse if too few of the wanted shards have a backend server at all."""
+    wanted = wanted_shards(view, request.partition_key)
+    served = sum(1 for shard in wanted if shard in view.served_shards)
+    if served and served / len(wanted) >= request.minimum_coverage:
+        return
+    raise Refusal(
+        RefusalKind.OUTCOME_UNKNOWN if ran_before else RefusalKind.NOT_RUN,
+        RefusalReason.COVERAGE_TOO_LOW,
+        f"backend servers serve {served} of {len(wanted)} wanted shards of "
+        f"snapshot {view.snapshot}",
+        "lower minimum_coverage or start the missing backend servers",
+        retry_after_ms=_MILLISECONDS,
+    )
+
+
+def snapshot_unknown(service: str) -> Refusal:
+    """Return the refusal of a query for which no shard map is known."""
+    return Refusal(
+        RefusalKind.NOT_RUN,
+        RefusalReason.SNAPSHOT_UNKNOWN,
+        f"no backend server of {service!r} has announced a snapshot",
+        "start backend servers of the service and try again",
+        retry_after_ms=_MILLISECONDS,
+    )
+
+
+def with_kind(refusal: Refusal, ran: bool) -> Refusal:
+    """Return a refusal that says whether the query can have run."""
+    kind = RefusalKind.OUTCOME_UNKNOWN if ran else RefusalKind.NOT_RUN
+    return Refusal(
+        kind, refusal.reason, refusal.message, refusal.remedy, refusal.retry_after_ms
+    )
+
+
+def coverage_too_low(
+    request: QueryRequest, faults: Iterable[str], coverage: float, ran: bool
+) -> Refusal:
+    """Return the refusal of a query that got too little, with the shards' faults."""
+    return Refusal(
+        RefusalKind.OUTCOME_UNKNOWN if ran else RefusalKind.NOT_RUN,
+        RefusalReason.COVERAGE_TOO_LOW,
+        f"coverage {coverage:.4f} is below {request.minimum_coverage} "
+        f"({'; '.join(sorted(set(faults))) or 'no shard answered'})",
+        "send the query again, with a longer deadline_ms or less minimum_coverage",
+        retry_after_ms=_MILLISECONDS,
+    )
