--- a/packages/daemon/src/kingcuplug_daemon/_control.py
+++ b/packages/daemon/src/kingcuplug_daemon/_control.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from typing import Any
 
 from kingcuplug_common import HostSettings, KingcuplugError, Metrics, identifier
@@ -27,6 +27,7 @@
     SessionServer,
 )
 
+from kingcuplug_daemon import _questions
 from kingcuplug_daemon._clock import boot_time
 from kingcuplug_daemon._machine import LEDGER_COMMANDS, SystemMachine
 from kingcuplug_daemon._peers import PeerClient, PeerError
@@ -39,7 +40,6 @@
 _MILLISECONDS = 1_000
 _LONGEST_WAIT_S = 60.0
 _LOG_FOLDER = "log"
-_HISTORY_LIMIT = 1_000
 
 
 class BootstrapUnsafe(KingcuplugError):
@@ -167,12 +167,12 @@
         await self.replica.read_barrier()
         kind = question.get("type")
         answers = {
-            "configuration": self._read_configuration,
-            "history": self._read_history,
-            "order": lambda: self._read_order(str(question.get("key"))),
-            "keys": self._read_keys,
-            "hosts": self._read_hosts,
-            "servers": self._read_servers,
+            "configuration": lambda: _questions.configuration(self.machine),
+            "history": lambda: _questions.history(self.machine),
+            "order": lambda: _questions.order(self.machine, str(question.get("key"))),
+            "keys": lambda: _questions.keys(self.machine),
+            "hosts": lambda: _questions.hosts(self.sessions),
+            "servers": lambda: _questions.servers(self.sessions),
             "control_status": self.status,
         }
         if kind == "in_force":
@@ -270,48 +270,6 @@
         condensed = await asyncio.to_thread(history.condense, change)
         return dict(await self.replica.propose(condensed.to_json()))
 
-    def _read_configuration(self) -> dict[str, Any]:
-        return self.machine.configuration.current._asdict()
-
-    def _read_history(self) -> dict[str, Any]:
-        changes = self.machine.configuration.recent(_HISTORY_LIMIT)
-        return {"revisions": [change._asdict() for change in changes]}
-
-    def _read_order(self, key: str) -> dict[str, Any]:
-        record = self.machine.ledger.lookup(key)
-        return {
-            "key": key,
-            "explanation": self.machine.ledger.explain(key),
-            "state": None if record is None else record.state,
-        }
-
-    def _read_keys(self) -> dict[str, Any]:
-        return self.machine.keys.dump()
-
-    def _read_hosts(self) -> dict[str, Any]:
-        return {
-            "hosts": [
-                {
-                    "host": status.host,
-                    "incarnation": status.incarnation,
-                    "availability_zone": status.availability_zone,
-                    "confirmed_revision": status.confirmed,
-                    "control_host": status.control_host,
-                }
-                for status in self.sessions.hosts()
-            ]
-        }
-
-    def _read_servers(self) -> dict[str, Any]:
-        directory = self.sessions.directory
-        return {
-            "servers": [
-                _server_fields(entry)
-                for service in directory.services()
-                for entry in directory.servers(service)
-            ]
-        }
-
     async def _wait_in_force(self, question: dict[str, Any]) -> dict[str, Any]:
         """Wait for a revision; the answer tells who may still serve an older one."""
         revision = int(question["revision"])
@@ -328,7 +286,7 @@
             "revision": revision,
             "in_force": in_force,
             "waiting_for": waiting,
-            **self._read_hosts(),
+            **_questions.hosts(self.sessions),
         }
 
     async def _identity_of(self, address: str) -> dict[str, Any]:
@@ -408,20 +366,5 @@
     return None if deltas is None else [delta.to_json() for delta in deltas]
 
 
-def _server_fields(entry: Any) -> Mapping[str, Any]:
-    announcement = entry.announcement
-    return {
-        "server": announcement.server,
-        "service": announcement.service,
-        "address": announcement.address,
-        "availability_zone": announcement.availability_zone,
-        "incarnation": announcement.incarnation,
-        "sequence": announcement.sequence,
-        "state": announcement.state if entry.live else "gone",
-        "snapshots": [holding.snapshot for holding in announcement.holdings],
-        "held_by": list(entry.held),
-    }
-
-
 def _wall_ms() -> int:
     return time.time_ns() // 1_000_000
--- /dev/null
+++ b/packages/daemon/src/kingcuplug_daemon/_questions.py
@@ -0,0 +1,84 @@
+"""Answers to questions about the shared state.
+
+The caller has confirmed the state with the quorum before it asks.
+"""
+
+from collections.abc import Mapping
+from typing import Any
+
+from kingcuplug_membership import ServerEntry, SessionServer
+
+from kingcuplug_daemon._machine import SystemMachine
+
+__all__ = ["configuration", "history", "hosts", "keys", "order", "servers"]
+
+_HISTORY_LIMIT = 1_000
+
+
+def configuration(machine: SystemMachine) -> dict[str, Any]:
+    """Return the revision in force."""
+    return machine.configuration.current._asdict()
+
+
+def history(machine: SystemMachine) -> dict[str, Any]:
+    """Return the remembered changes, the newest first."""
+    changes = machine.configuration.recent(_HISTORY_LIMIT)
+    return {"revisions": [change._asdict() for change in changes]}
+
+
+def order(machine: SystemMachine, key: str) -> dict[str, Any]:
+    """Return what happened to an order."""
+    record = machine.ledger.lookup(key)
+    return {
+        "key": key,
+        "explanation": machine.ledger.explain(key),
+        "state": None if record is None else record.state,
+    }
+
+
+def keys(machine: SystemMachine) -> dict[str, Any]:
+    """Return the public keys that check receipts."""
+    return machine.keys.dump()
+
+
+def hosts(sessions: SessionServer) -> dict[str, Any]:
+    """Return the entry hosts with a running lease."""
+    return {
+        "hosts": [
+            {
+                "host": status.host,
+                "incarnation": status.incarnation,
+                "availability_zone": status.availability_zone,
+                "confirmed_revision": status.confirmed,
+                "control_host": status.control_host,
+            }
+            for status in sessions.hosts()
+        ]
+    }
+
+
+def servers(sessions: SessionServer) -> dict[str, Any]:
+    """Return all known backend servers."""
+    directory = sessions.directory
+    return {
+        "servers": [
+            _server_fields(entry)
+            for service in directory.services()
+            for entry in directory.servers(service)
+        ]
+    }
+
+
+def _server_fields(entry: ServerEntry) -> Mapping[str, Any]:
+    announcement = entry.announcement
+    return {
+        "server": announcement.server,
+        "service": announcement.service,
+        "address": announcement.address,
+        "availability_zone": announcement.availability_zone,
+        "incarnation": announcement.incarnation,
+        "sequence": announcement.sequence,
+        "state": announcement.state if entry.live else "gone",
+        "snapshots": [holding.snapshot for holding in announcement.holdings],
+        "held_by": list(entry.held),
+    }
