--- a/packages/routing/src/kingcuplug_routing/_blames.py
+++ b/packages/routing/src/kingcuplug_routing/_blames.py
@@ -76,6 +76,7 @@
     blamed: dict[str, bool] = field(default_factory=dict)
     other_services: bool = False
     one_zone: bool = False
+    close: int = 1  # crashes within the loss window, this one included
 
 
 class BlameBook:
@@ -147,6 +148,7 @@
             for crash in self._of.get(fingerprint, ())
             if self._stands(crash, fingerprint, now)
         ]
+        standing = [crash for crash in standing if self._explains(crash, standing)]
         servers = {crash.server for crash in standing}
         if len(servers) < _DISTINCT_SERVERS and len(standing) < _CRASHES:
             return None
@@ -171,6 +173,16 @@
         alone = len(crash.blamed) == 1 and now - crash.time >= _BLAMES_ARRIVE_S
         return alone and not crash.one_zone
 
+    def _explains(self, crash: Crash, blamed: list[Crash]) -> bool:
+        """Return whether a fingerprint was in flight at half of the close crashes.
+
+        A crashing request was at all of them. When a whole service restarts, each
+        of its canaries was at a few servers only.
+        """
+        window = self._settings.loss_window_s
+        own = sum(1 for other in blamed if abs(other.time - crash.time) <= window)
+        return 2 * own >= crash.close
+
     def _judge(self, newest: Crash) -> None:
         """Mark crashes that coincide with the loss of a zone or a rack."""
         window = self._settings.loss_window_s
@@ -184,6 +196,7 @@
         most = self._settings.most_other_losses
         one_zone = len(self._recent) > most and len(self._zones) == 1
         for crash in self._recent:
+            crash.close = max(crash.close, len(self._recent))
             others = len(self._recent) - self._services[crash.service]
             crash.other_services = crash.other_services or others > most
             crash.one_zone = one_zone
--- a/tests/routing/test_crash_guard.py
+++ b/tests/routing/test_crash_guard.py
@@ -179,6 +179,22 @@
     run_virtual(main())
 
 
+def test_restart_of_a_service_condemns_nobody(attempts: Attempts) -> None:
+    # Guards against refusing requests that were alone at two servers while all
+    # servers of their service, in several zones, restarted.
+    async def main() -> None:
+        for index in range(12):
+            server = f"server-{index}"
+            sent = ()
+            if index in (3, 7):
+                sent = (attempts.start("innocent", server),)
+            attempts.crash(server, sent, zone=f"zone-{index % 4}")
+            await asyncio.sleep(0.01)
+        assert attempts.guard.condemned() == {}
+
+    run_virtual(main())
+
+
 def test_crasher_is_found_at_a_busy_server(attempts: Attempts) -> None:
     # Guards against a crashing request that hides among many ordinary ones.
     async def main() -> None:
