Refuse an order early if a declared dependency cannot serve

Cause: the read-through found that only queries checked their dependencies. Change: orders check them before the claim.

--- a/packages/query/src/kingcuplug_query/_orders.py
+++ b/packages/query/src/kingcuplug_query/_orders.py
@@ -50,6 +50,7 @@
     unsettled,
 )
 from kingcuplug_query._query import RevisionView, ServiceRuntime, fingerprint_of
+from kingcuplug_query._query_refusals import require_servable
 from kingcuplug_query._snapshots import choose_snapshot, shard_of
 
 __all__ = ["OrderExecutor"]
@@ -129,6 +130,8 @@
     ) -> Answer:
         runtime = revision.find(request.service)
         self._guard.check(_fingerprint(request))
+        for name in runtime.service.depends_on:
+            require_servable(name, revision.find(name).router, request.service)
         _require_time(request)
         retention_ms = retention_days * _MILLISECONDS_PER_DAY
         token = await self._claim(request, revision.number, retention_ms)
--- a/tests/query/test_dependencies.py
+++ b/tests/query/test_dependencies.py
@@ -7,7 +7,7 @@
 from kingcuplug_common import Refusal, RefusalKind, RefusalReason
 from kingcuplug_query import SubRequest
 from kingcuplug_routing import Priority
-from kingcuplug_testkit import World, echo, query, run_virtual
+from kingcuplug_testkit import World, echo, order, query, run_virtual
 
 
 def test_call_inherits_and_passes_answers_on(world: World) -> None:
@@ -47,6 +47,22 @@
     run_virtual(main())
 
 
+def test_unservable_dependency_refuses_an_order_early(world: World) -> None:
+    # Guards against an order that is claimed and sent although it cannot succeed.
+    async def main() -> None:
+        world.add("bands")
+        world.hold("bands", {})
+        world.add("stock", depends_on=("bands",))
+        with pytest.raises(Refusal, match="bands") as caught:
+            await world.orders().run(order(), world.view(), 90)
+        assert caught.value.reason is RefusalReason.DEPENDENCY_UNAVAILABLE
+        assert caught.value.kind is RefusalKind.NOT_RUN
+        assert not world.commands
+        assert not world.sent
+
+    run_virtual(main())
+
+
 def test_undeclared_dependency_is_invalid(world: World) -> None:
     # Guards against calls around the declared dependencies.
     async def main() -> None:
--- a/tests/query/test_resent_orders.py
+++ b/tests/query/test_resent_orders.py
@@ -67,7 +67,8 @@
             lambda *_: False,
             None,
         )
-        runtime = SimpleNamespace(admission=Full())
+        service = SimpleNamespace(depends_on=())
+        runtime = SimpleNamespace(admission=Full(), service=service)
         view = SimpleNamespace(number=1, find=lambda _: runtime)
         deadline = asyncio.get_running_loop().time() + 1.0
         order = OrderRequest(
