Keep one not_run and one wall clock

Cause: the read-through found the same refusal constructor in routing, query and daemon, and the same wall clock four times in the daemon. Change: kingcuplug_common.not_run and kingcuplug_daemon._clock.wall_ms serve all; behaviour, texts and tests are unchanged.

--- a/packages/common/src/kingcuplug_common/__init__.py
+++ b/packages/common/src/kingcuplug_common/__init__.py
@@ -6,6 +6,7 @@
     Refusal,
     RefusalKind,
     RefusalReason,
+    not_run,
 )
 from kingcuplug_common._receipts import (
     Receipt,
@@ -58,6 +59,7 @@
     "key_id",
     "load_settings",
     "log_to",
+    "not_run",
     "propagator",
     "request_span",
     "start_hop",
--- a/packages/common/src/kingcuplug_common/_errors.py
+++ b/packages/common/src/kingcuplug_common/_errors.py
@@ -6,7 +6,7 @@
 
 from enum import StrEnum
 
-__all__ = ["KingcuplugError", "Refusal", "RefusalKind", "RefusalReason"]
+__all__ = ["KingcuplugError", "Refusal", "RefusalKind", "RefusalReason", "not_run"]
 
 
 class KingcuplugError(Exception):
@@ -84,3 +84,13 @@
         self.kind = kind
         self.reason = reason
         self.retry_after_ms = retry_after_ms
+
+
+def not_run(
+    reason: RefusalReason,
+    message: str,
+    remedy: str,
+    retry_after_ms: int | None = None,
+) -> Refusal:
+    """Return a refusal of a request on which no backend server can have acted."""
+    return Refusal(RefusalKind.NOT_RUN, reason, message, remedy, retry_after_ms)
--- a/packages/daemon/src/kingcuplug_daemon/_caller_app.py
+++ b/packages/daemon/src/kingcuplug_daemon/_caller_app.py
@@ -1,7 +1,6 @@
 """HTTP application for callers and backend servers."""
 
 import asyncio
-import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -14,6 +13,7 @@
     RefusalReason,
     digest,
     identifier,
+    not_run,
     request_span,
 )
 from kingcuplug_configuration import Policy
@@ -24,11 +24,11 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from kingcuplug_daemon._clock import wall_ms
 from kingcuplug_daemon._entry import EntryNode
 from kingcuplug_daemon._http import (
     error_fields,
     json_response,
-    not_run,
     read_json,
     read_model,
     refusal_fields,
@@ -285,7 +285,7 @@
                 coverage=None if answer is None else answer.coverage,
                 revision=revision,
                 host=self._settings.host,
-                time_ms=time.time_ns() // 1_000_000,
+                time_ms=wall_ms(),
             )
         )
 
--- a/packages/daemon/src/kingcuplug_daemon/_clock.py
+++ b/packages/daemon/src/kingcuplug_daemon/_clock.py
@@ -1,8 +1,8 @@
-"""The clock of leases."""
+"""The clock of leases, and the wall clock of records."""
 
 import time
 
-__all__ = ["boot_time"]
+__all__ = ["boot_time", "wall_ms"]
 
 
 def boot_time() -> float:
@@ -12,3 +12,8 @@
     trust a lease that ended long ago.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def wall_ms() -> int:
+    """Return the wall clock in milliseconds since the epoch."""
+    return time.time_ns() // 1_000_000
--- a/packages/daemon/src/kingcuplug_daemon/_control.py
+++ b/packages/daemon/src/kingcuplug_daemon/_control.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Sequence
 from typing import Any
 
@@ -28,7 +27,7 @@
 )
 
 from kingcuplug_daemon import _questions
-from kingcuplug_daemon._clock import boot_time
+from kingcuplug_daemon._clock import boot_time, wall_ms
 from kingcuplug_daemon._machine import LEDGER_COMMANDS, SystemMachine
 from kingcuplug_daemon._peers import PeerClient, PeerError
 
@@ -156,7 +155,7 @@
         if kind == "lookup":
             return await self._lookup(command)
         if kind in LEDGER_COMMANDS:
-            command = stamp(command, _wall_ms())
+            command = stamp(command, wall_ms())
         elif kind == "apply_configuration":
             return await self._apply(command)
         result = await self.replica.propose(command)
@@ -260,7 +259,7 @@
         return result_to_json(self.machine.ledger.apply(command_from_json(command)))
 
     async def _apply(self, command: dict[str, Any]) -> dict[str, Any]:
-        change = ApplyConfiguration.from_json(command | {"time_ms": _wall_ms()})
+        change = ApplyConfiguration.from_json(command | {"time_ms": wall_ms()})
         await self.replica.read_barrier()
         history = self.machine.configuration
         settled = history.settled(change)
@@ -364,7 +363,3 @@
 
 def _deltas_json(deltas: Sequence[Any] | None) -> list[Any] | None:
     return None if deltas is None else [delta.to_json() for delta in deltas]
-
-
-def _wall_ms() -> int:
-    return time.time_ns() // 1_000_000
--- a/packages/daemon/src/kingcuplug_daemon/_entry.py
+++ b/packages/daemon/src/kingcuplug_daemon/_entry.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Sequence
 
 from kingcuplug_common import HostSettings, Metrics
@@ -18,7 +17,7 @@
 from kingcuplug_routing import CrashGuard, RoutingPolicy
 from opentelemetry.trace import Tracer
 
-from kingcuplug_daemon._clock import boot_time
+from kingcuplug_daemon._clock import boot_time, wall_ms
 from kingcuplug_daemon._entry_configuration import EntryConfiguration, PolicyOf
 from kingcuplug_daemon._holders import HolderWatch
 from kingcuplug_daemon._peers import PeerClient
@@ -118,7 +117,7 @@
         )
         self.orders = OrderExecutor(
             LedgerClient(
-                traced_submit(submitter.submit), settings.host, incarnation, _wall_ms
+                traced_submit(submitter.submit), settings.host, incarnation, wall_ms
             ),
             self.backend.send,
             self.guard,
@@ -159,7 +158,3 @@
             tasks.create_task(self.session.run())
             tasks.create_task(self._routing.run())
             tasks.create_task(self._verdicts.run())
-
-
-def _wall_ms() -> int:
-    return time.time_ns() // 1_000_000
--- a/packages/daemon/src/kingcuplug_daemon/_host.py
+++ b/packages/daemon/src/kingcuplug_daemon/_host.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import time
 from collections.abc import Callable
 
 from kingcuplug_common import (
@@ -21,6 +20,7 @@
 from starlette.types import Receive, Scope, Send
 
 from kingcuplug_daemon._caller_app import CallerApp
+from kingcuplug_daemon._clock import wall_ms
 from kingcuplug_daemon._control import ControlNode
 from kingcuplug_daemon._entry import EntryNode, policy_of
 from kingcuplug_daemon._entry_configuration import PolicyOf
@@ -115,7 +115,7 @@
         seeds = settings.control_seeds or (self.peer_address,)
         submitter = Submitter(self._peers, lambda: seeds)
         self.keys = ReceiptKeys(
-            settings.host, settings.data_folder, submitter.submit, _wall_ms
+            settings.host, settings.data_folder, submitter.submit, wall_ms
         )
         if "control" in settings.roles:
             self.control = ControlNode(
@@ -131,7 +131,7 @@
             self.entry = EntryNode(
                 settings,
                 self.caller_address,
-                _wall_ms(),
+                wall_ms(),
                 self._peers,
                 submitter,
                 seeds,
@@ -242,7 +242,3 @@
 async def _starting(scope: Scope, receive: Receive, send: Send) -> None:
     response: Response = json_response({"error": "Starting"}, 503)
     await response(scope, Request(scope, receive).receive, send)
-
-
-def _wall_ms() -> int:
-    return time.time_ns() // 1_000_000
--- a/packages/daemon/src/kingcuplug_daemon/_http.py
+++ b/packages/daemon/src/kingcuplug_daemon/_http.py
@@ -4,7 +4,12 @@
 from typing import Any, TypeVar
 
 import orjson
-from kingcuplug_common import KingcuplugError, Refusal, RefusalKind, RefusalReason
+from kingcuplug_common import (
+    KingcuplugError,
+    Refusal,
+    RefusalReason,
+    not_run,
+)
 from pydantic import BaseModel, ValidationError
 from starlette.requests import Request
 from starlette.responses import Response
@@ -12,7 +17,6 @@
 __all__ = [
     "error_fields",
     "json_response",
-    "not_run",
     "read_json",
     "read_model",
     "refusal_fields",
@@ -42,16 +46,6 @@
 Handler = Callable[[Request], Awaitable[Response]]
 
 
-def not_run(
-    reason: RefusalReason,
-    message: str,
-    remedy: str,
-    retry_after_ms: int | None = None,
-) -> Refusal:
-    """Return a refusal of a request that reached no backend server."""
-    return Refusal(RefusalKind.NOT_RUN, reason, message, remedy, retry_after_ms)
-
-
 def json_response(value: Any, status: int = 200) -> Response:
     """Return `value` as a JSON response."""
     return Response(orjson.dumps(value), status, media_type="application/json")
--- a/packages/daemon/src/kingcuplug_daemon/_operator_app.py
+++ b/packages/daemon/src/kingcuplug_daemon/_operator_app.py
@@ -9,6 +9,7 @@
     Metrics,
     Refusal,
     RefusalReason,
+    not_run,
 )
 from starlette.requests import Request
 from starlette.responses import Response
@@ -19,7 +20,6 @@
 from kingcuplug_daemon._http import (
     error_fields,
     json_response,
-    not_run,
     read_json,
     status_of,
 )
--- a/packages/daemon/src/kingcuplug_daemon/_tokens.py
+++ b/packages/daemon/src/kingcuplug_daemon/_tokens.py
@@ -3,11 +3,9 @@
 import hmac
 from pathlib import Path
 
-from kingcuplug_common import RefusalReason, SettingsInvalid
+from kingcuplug_common import RefusalReason, SettingsInvalid, not_run
 from starlette.requests import Request
 
-from kingcuplug_daemon._http import not_run
-
 __all__ = ["BearerTokens"]
 
 
--- a/packages/query/src/kingcuplug_query/_order_endings.py
+++ b/packages/query/src/kingcuplug_query/_order_endings.py
@@ -3,7 +3,7 @@
 import dataclasses
 from typing import Any
 
-from kingcuplug_common import RefusalReason
+from kingcuplug_common import RefusalReason, not_run
 from kingcuplug_ledger import OrderRecord, OutcomeKind, StoredOutcome
 
 from kingcuplug_query._messages import (
@@ -13,7 +13,7 @@
     SubReply,
     SubRequest,
 )
-from kingcuplug_query._order_refusals import not_run, unknown
+from kingcuplug_query._order_refusals import unknown
 
 __all__ = ["Ending", "answer_of", "ending_of", "recorded"]
 
--- a/packages/query/src/kingcuplug_query/_order_refusals.py
+++ b/packages/query/src/kingcuplug_query/_order_refusals.py
@@ -2,7 +2,13 @@
 
 from typing import Any
 
-from kingcuplug_common import KingcuplugError, Refusal, RefusalKind, RefusalReason
+from kingcuplug_common import (
+    KingcuplugError,
+    Refusal,
+    RefusalKind,
+    RefusalReason,
+    not_run,
+)
 from kingcuplug_ledger import KeyExpired, KeyFromFuture, OrderRecord
 
 from kingcuplug_query._messages import OrderRequest
@@ -11,7 +17,6 @@
     "SAME_KEY_REMEDY",
     "key_refused",
     "no_quorum",
-    "not_run",
     "still_claimed",
     "unknown",
     "unsettled",
@@ -54,15 +59,6 @@
     )
 
 
-def not_run(
-    reason: RefusalReason,
-    message: str,
-    remedy: str,
-    retry_after_ms: int | None = None,
-) -> Refusal:
-    return Refusal(RefusalKind.NOT_RUN, reason, message, remedy, retry_after_ms)
-
-
 def unknown(message: str) -> Refusal:
     return Refusal(
         RefusalKind.OUTCOME_UNKNOWN,
--- a/packages/query/src/kingcuplug_query/_orders.py
+++ b/packages/query/src/kingcuplug_query/_orders.py
@@ -16,6 +16,7 @@
     digest,
     entering,
     identifier,
+    not_run,
     start_hop,
 )
 from kingcuplug_ledger import (
@@ -44,7 +45,6 @@
     SAME_KEY_REMEDY,
     key_refused,
     no_quorum,
-    not_run,
     still_claimed,
     unknown,
     unsettled,
--- a/packages/routing/src/kingcuplug_routing/_refusals.py
+++ b/packages/routing/src/kingcuplug_routing/_refusals.py
@@ -1,6 +1,6 @@
 """Refusals of the routing package; nothing was sent, so each says ``not_run``."""
 
-from kingcuplug_common import Refusal, RefusalKind, RefusalReason
+from kingcuplug_common import Refusal, RefusalReason, not_run
 
 __all__ = [
     "budget_spent",
@@ -14,7 +14,7 @@
 
 def no_replica(service: str, snapshot: int, shard: int) -> Refusal:
     """Refuse because no server announced the shard."""
-    return _not_run(
+    return not_run(
         RefusalReason.SNAPSHOT_UNKNOWN,
         f"no server of {service} serves shard {shard} of snapshot {snapshot}",
         "use a newer snapshot or check the service's servers",
@@ -23,7 +23,7 @@
 
 def replicas_excluded(service: str, shard: int, exclude: frozenset[str]) -> Refusal:
     """Refuse because all replicas were tried already."""
-    return _not_run(
+    return not_run(
         RefusalReason.BACKEND_SERVER_FAILED,
         f"all replicas of shard {shard} of {service} were tried: {sorted(exclude)}",
         "check these servers",
@@ -32,7 +32,7 @@
 
 def budget_spent(service: str) -> Refusal:
     """Refuse a retry that would exceed the budget."""
-    return _not_run(
+    return not_run(
         RefusalReason.OVERLOADED,
         f"the retry budget of {service} is spent",
         "check the service's servers or raise retry_budget",
@@ -41,7 +41,7 @@
 
 def too_late(service: str, remaining_ms: float, needed_ms: float) -> Refusal:
     """Refuse work that can no longer finish in time."""
-    return _not_run(
+    return not_run(
         RefusalReason.DEADLINE_EXCEEDED,
         f"{service} needs about {needed_ms:.0f} ms, {remaining_ms:.0f} ms remain",
         "allow a longer deadline or send less load",
@@ -50,7 +50,7 @@
 
 def overloaded(service: str, wait_ms: float) -> Refusal:
     """Refuse because the expected wait is too long."""
-    return _not_run(
+    return not_run(
         RefusalReason.OVERLOADED,
         f"{service} is overloaded, the expected wait is {wait_ms:.0f} ms",
         "send the request again later or add servers",
@@ -60,18 +60,9 @@
 
 def condemned(fingerprint: str, remaining_ms: float) -> Refusal:
     """Refuse a request that crashed backend servers."""
-    return _not_run(
+    return not_run(
         RefusalReason.CRASHING_REQUEST,
         f"requests with fingerprint {fingerprint} crashed backend servers",
         "change the request; it is accepted again after the stated time",
         max(1, int(remaining_ms)),
     )
-
-
-def _not_run(
-    reason: RefusalReason,
-    message: str,
-    remedy: str,
-    retry_after_ms: int | None = None,
-) -> Refusal:
-    return Refusal(RefusalKind.NOT_RUN, reason, message, remedy, retry_after_ms)
