--- a/Makefile
+++ b/Makefile
@@ -3,13 +3,13 @@
 BIN := $(VENV)/bin
 # The sources come before any installed copy, so that a work tree runs itself.
 empty :=
-SOURCES := $(subst $(empty) $(empty),:,$(abspath $(wildcard packages/*/src)))
+SOURCES := $(subst $(empty) $(empty),:,$(abspath $(wildcard packages/*/src platform/src)))
 PYTHON ?= python3.11
 
 .PHONY: bench capacity demo check format lint types test system matrix models models-large spin venv
 
 # Only the default environment is installed; a shared one is used as it is.
-.venv/.installed: requirements-dev.txt constraints.txt packages/*/pyproject.toml
+.venv/.installed: requirements-dev.txt constraints.txt packages/*/pyproject.toml platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --requirement requirements-dev.txt
 	touch $@
@@ -32,7 +32,7 @@
 	$(BIN)/ruff check .
 
 types: venv
-	$(BIN)/mypy packages/*/src
+	$(BIN)/mypy packages/*/src platform/src
 
 test: venv
 	$(BIN)/pytest -m "not system"
--- a/packages/common/src/kingcuplug_common/__init__.py
+++ b/packages/common/src/kingcuplug_common/__init__.py
@@ -1,5 +1,13 @@
-"""Errors, digests, settings, telemetry and receipts shared by all packages."""
+"""Errors, digests, settings, telemetry and receipts shared by all packages.
 
+Names whose modules import large libraries (validation, cryptography, tracing) are
+loaded on first use, so that a process pays at its start only for what it uses.
+"""
+
+import importlib
+from typing import TYPE_CHECKING, Any
+
+from kingcuplug_common._counters import Metrics, send_state_changes_to, state_change
 from kingcuplug_common._digest import canonical, digest, identifier
 from kingcuplug_common._errors import (
     KingcuplugError,
@@ -8,36 +16,39 @@
     RefusalReason,
     not_run,
 )
-from kingcuplug_common._receipts import (
-    Receipt,
-    ReceiptInvalid,
-    Signer,
-    Verifier,
-    key_id,
-)
-from kingcuplug_common._settings import (
-    HostSettings,
-    SettingsInvalid,
-    TlsSettings,
-    load_settings,
-)
-from kingcuplug_common._spans import (
-    Hop,
-    entering,
-    request_span,
-    start_hop,
-    traceparent,
-)
-from kingcuplug_common._telemetry import (
-    Metrics,
-    TraceFile,
-    log_to,
-    propagator,
-    state_change,
-    tracer,
-)
+from kingcuplug_common._events import EventLog
+from kingcuplug_common._signal import Signal
+
+if TYPE_CHECKING:
+    from kingcuplug_common._receipts import (
+        Receipt,
+        ReceiptInvalid,
+        Signer,
+        Verifier,
+        key_id,
+    )
+    from kingcuplug_common._settings import (
+        HostSettings,
+        SettingsInvalid,
+        TlsSettings,
+        load_settings,
+    )
+    from kingcuplug_common._spans import (
+        Hop,
+        entering,
+        request_span,
+        start_hop,
+        traceparent,
+    )
+    from kingcuplug_common._telemetry import (
+        TraceFile,
+        log_to,
+        propagator,
+        tracer,
+    )
 
 __all__ = [
+    "EventLog",
     "Hop",
     "HostSettings",
     "KingcuplugError",
@@ -48,6 +59,7 @@
     "RefusalKind",
     "RefusalReason",
     "SettingsInvalid",
+    "Signal",
     "Signer",
     "TlsSettings",
     "TraceFile",
@@ -62,8 +74,29 @@
     "not_run",
     "propagator",
     "request_span",
+    "send_state_changes_to",
     "start_hop",
     "state_change",
     "traceparent",
     "tracer",
 ]
+
+_LOADED_ON_USE = {
+    "_receipts": ("Receipt", "ReceiptInvalid", "Signer", "Verifier", "key_id"),
+    "_settings": ("HostSettings", "SettingsInvalid", "TlsSettings", "load_settings"),
+    "_spans": ("Hop", "entering", "request_span", "start_hop", "traceparent"),
+    "_telemetry": ("TraceFile", "log_to", "propagator", "tracer"),
+}
+_MODULE_OF = {
+    name: module for module, names in _LOADED_ON_USE.items() for name in names
+}
+
+
+def __getattr__(name: str) -> Any:
+    """Import the module of a name at its first use."""
+    module = _MODULE_OF.get(name)
+    if module is None:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    value = getattr(importlib.import_module(f"{__name__}.{module}"), name)
+    globals()[name] = value
+    return value
--- a/packages/common/src/kingcuplug_common/_telemetry.py
+++ b/packages/common/src/kingcuplug_common/_telemetry.py
@@ -1,18 +1,15 @@
-"""Counters, state-change logs and trace spans.
+"""Trace spans and the log file of a host.
 
-Counters come first; log lines are written only for changes of state; spans go to
-a JSON-lines file, one span per hop.
+Spans go to a JSON-lines file, one span per hop.
 """
 
 import json
-from collections import Counter
 from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
 import eliot
-import statsd
 from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
 from opentelemetry.sdk.trace.export import (
     BatchSpanProcessor,
@@ -23,9 +20,10 @@
 from opentelemetry.trace import Tracer
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
-__all__ = ["Metrics", "TraceFile", "log_to", "propagator", "state_change", "tracer"]
+from kingcuplug_common._counters import PREFIX
+
+__all__ = ["TraceFile", "log_to", "propagator", "tracer"]
 
-_PREFIX = "kingcuplug"
 # An operator looks at the waterfall right after the request.
 _TRACE_FILE_DELAY_MS = 500.0
 _NANOSECONDS_PER_MICROSECOND = 1_000
@@ -33,49 +31,11 @@
 propagator = TraceContextTextMapPropagator()
 
 
-class Metrics:
-    """Counters and timers, kept in memory and sent to statsd if configured.
-
-    Parameters
-    ----------
-    address : str, optional
-        ``ip:port`` of the statsd server; without it nothing is sent.
-    """
-
-    def __init__(self, address: str | None = None) -> None:
-        self.counts: Counter[str] = Counter()
-        self._client = None
-        if address is not None:
-            host, _, port = address.rpartition(":")
-            self._client = statsd.StatsClient(host, int(port), prefix=_PREFIX)
-
-    def count(self, name: str, value: int = 1) -> None:
-        """Add `value` to a counter."""
-        self.counts[name] += value
-        if self._client is not None:
-            self._client.incr(name, value)
-
-    def gauge(self, name: str, value: float) -> None:
-        """Set a gauge."""
-        if self._client is not None:
-            self._client.gauge(name, value)
-
-    def time(self, name: str, duration_ms: float) -> None:
-        """Record a duration in milliseconds."""
-        if self._client is not None:
-            self._client.timing(name, duration_ms)
-
-
 def log_to(path: Path) -> None:
     """Append eliot's log messages to a file, one JSON object per line."""
     eliot.to_file(path.open("a"))
 
 
-def state_change(subject: str, state: str, **fields: Any) -> None:
-    """Log that a subject (a replica, a session, a listener) changed its state."""
-    eliot.log_message(f"{_PREFIX}:{subject}", state=state, **fields)
-
-
 class TraceFile(SpanExporter):
     """Writes spans to a file as JSON lines."""
 
@@ -132,6 +92,6 @@
             )
         )
     try:
-        yield provider.get_tracer(_PREFIX)
+        yield provider.get_tracer(PREFIX)
     finally:
         provider.shutdown()
--- /dev/null
+++ b/packages/fleet/src/kingcuplug_fleet/_core.py
@@ -0,0 +1,359 @@
+"""The control part of a host with a disk: its replica of the log of routes."""
+
+import asyncio
+import contextlib
+import random as random_module
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from kingcuplug_common import EventLog, KingcuplugError, Metrics, identifier
+from kingcuplug_log import (
+    ChangeRefused,
+    CorruptLog,
+    DiskFileSystem,
+    LogSettings,
+    LogStatus,
+    LostLeadership,
+    Member,
+    MemberRole,
+    NotLeader,
+    Replica,
+    Storage,
+    StorageFailed,
+    member_id,
+)
+
+from kingcuplug_fleet._peers import PeerFailed, Peers
+from kingcuplug_fleet._register import RouteRegister
+from kingcuplug_fleet._succession import Joiner, next_change
+
+__all__ = ["Core", "CoreSettings", "CoreUnavailable"]
+
+LOG_PATH = "/peer/v2/log"
+BARRIER_PATH = "/peer/v2/barrier"
+PROPOSE_PATH = "/peer/v2/propose"
+JOIN_PATH = "/peer/v2/join"
+
+# Small hosts share a processor with the request path and their disks may take
+# 150 ms for a sync, so elections are slower than the log's defaults. An operator
+# tries another host after one second without an answer.
+LOG_SETTINGS = LogSettings(
+    election_timeout_ms=900,
+    heartbeat_ms=150,
+    rpc_timeout_ms=450,
+    snapshot_entries=64,
+    retained_entries=8,
+)
+_CALL_TIMEOUT_S = 0.8
+_JOIN_INTERVAL_S = 0.4
+_JOINER_KEPT_S = 1.5
+_STEWARD_INTERVAL_S = 0.2
+_CHANGE_TIMEOUT_S = 2.0
+_REOPEN_AFTER_S = 0.5
+# A founding group that has not gathered its first voters by then goes on without.
+_FORMATION_S = 6.0
+_MS_PER_S = 1_000
+
+
+class CoreUnavailable(KingcuplugError):
+    """The control hosts cannot confirm a change or a read at the moment."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason, "try again, here or at another control host")
+
+
+@dataclass(frozen=True)
+class CoreSettings:
+    """Settings of the control part.
+
+    Attributes
+    ----------
+    address : str
+        ``ip:port`` at which other hosts reach this one.
+    seeds : tuple of str
+        Addresses of control hosts; the first one founds the group.
+    first_start : bool
+        Whether the whole system starts for the first time.
+    """
+
+    host: str
+    address: str
+    folder: Path
+    seeds: tuple[str, ...]
+    first_start: bool
+
+
+def boot_time() -> float:
+    """Return monotonic seconds that go on while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Core:
+    """Takes part in the replicated log, and reopens it after a failure of the disk.
+
+    Parameters
+    ----------
+    known_control : callable
+        Addresses of control hosts that this host has learnt of.
+    """
+
+    def __init__(
+        self,
+        settings: CoreSettings,
+        peers: Peers,
+        register: RouteRegister,
+        known_control: Callable[[], set[str]],
+        log: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        self._settings = settings
+        self._peers = peers
+        self._register = register
+        self._known_control = known_control
+        self._log = log
+        self._metrics = metrics
+        self._replica: Replica | None = None
+        self._fresh = False
+        self._joiners: dict[str, tuple[Joiner, float]] = {}
+        self._successors = 0
+        self._random = random_module.Random()
+
+    async def run(self) -> None:
+        """Take part for ever."""
+        while True:
+            try:
+                await self._take_part()
+            except (StorageFailed, CorruptLog, OSError) as error:
+                self._log.write("storage_unusable", {"error": str(error)})
+            await asyncio.sleep(_REOPEN_AFTER_S)
+
+    def connected(self) -> bool:
+        """Return whether what is applied here is at most a second old."""
+        return self._replica is not None and self._replica.connected()
+
+    def members(self) -> list[str]:
+        """Return the addresses of all members of the group."""
+        if self._replica is None:
+            return []
+        return [member.address for member in self._replica.status().members]
+
+    def leads(self) -> bool:
+        """Return whether this host leads the group."""
+        return self._replica is not None and self._replica.leading
+
+    async def submit(self, version: int, document: str) -> int:
+        """Make a document durable; return the version then held.
+
+        Raises
+        ------
+        CoreUnavailable
+            If that is not known to have happened.
+        """
+        command = {"version": version, "document": document}
+        try:
+            async with asyncio.timeout(_CALL_TIMEOUT_S):
+                replica = self._running()
+                if replica.leading:
+                    return await self._propose(replica, command)
+                leader = self._leader(replica)
+                value = await self._peers.call(
+                    leader, PROPOSE_PATH, command, _CALL_TIMEOUT_S
+                )
+                return int(value["version"])
+        except (TimeoutError, PeerFailed, NotLeader, LostLeadership) as error:
+            raise CoreUnavailable(f"not confirmed: {error!r}") from error
+        except StorageFailed as error:
+            raise CoreUnavailable(f"the disk failed: {error}") from error
+
+    async def read(self) -> RouteRegister:
+        """Return the register once it holds every document acknowledged before.
+
+        Raises
+        ------
+        CoreUnavailable
+            If this host cannot be sure.
+        """
+        try:
+            async with asyncio.timeout(_CALL_TIMEOUT_S):
+                replica = self._running()
+                if replica.leading:
+                    await replica.read_barrier()
+                else:
+                    leader = self._leader(replica)
+                    value = await self._peers.call(
+                        leader, BARRIER_PATH, {}, _CALL_TIMEOUT_S
+                    )
+                    await replica.wait_applied(int(value["index"]))
+        except (TimeoutError, PeerFailed, NotLeader) as error:
+            raise CoreUnavailable(f"not confirmed: {error!r}") from error
+        return self._register
+
+    async def answer(self, path: str, value: Any) -> Any:
+        """Answer a call of another control host.
+
+        Raises
+        ------
+        CoreUnavailable, NotLeader, LostLeadership, StorageFailed, TimeoutError
+            If the call cannot be served here.
+        """
+        replica = self._running()
+        if path == LOG_PATH:
+            return await replica.handle(value)
+        if path == JOIN_PATH:
+            return await self._take_joiner(replica, value)
+        async with asyncio.timeout(_CALL_TIMEOUT_S):
+            if path == BARRIER_PATH:
+                return {"index": await replica.read_barrier()}
+            return {"version": await self._propose(replica, value)}
+
+    def _running(self) -> Replica:
+        if self._replica is None:
+            raise CoreUnavailable("this host's log is not open")
+        return self._replica
+
+    def _leader(self, replica: Replica) -> str:
+        leader = replica.status().leader
+        if leader is None or leader.address == self._settings.address:
+            raise CoreUnavailable("no leader is known")
+        return leader.address
+
+    async def _propose(self, replica: Replica, command: Any) -> int:
+        if not self._formed(replica.status()):
+            raise CoreUnavailable("the group is still forming")
+        return int(await replica.propose(command))
+
+    def _formed(self, status: LogStatus) -> bool:
+        """Return whether the group bears a loss, as far as it ever will."""
+        voters = sum(m.role is MemberRole.VOTER for m in status.members)
+        if voters >= len(self._settings.seeds):
+            return True
+        return boot_time() - self._started_at > _FORMATION_S
+
+    async def _take_part(self) -> None:
+        settings = self._settings
+        self._started_at = boot_time()
+        storage = Storage(DiskFileSystem(settings.folder))
+        await storage.open()
+        self._fresh = storage.last_index == 0
+        name = settings.host
+        member = Member(
+            member_id(name, storage.disk_id), name, settings.address, MemberRole.VOTER
+        )
+        replica = Replica(
+            member,
+            storage,
+            self._send,
+            self._register,
+            LOG_SETTINGS,
+            boot_time,
+            self._random,
+            self._metrics,
+        )
+        founder = settings.first_start and settings.seeds[:1] == (settings.address,)
+        if founder and self._fresh:
+            await replica.bootstrap(identifier())
+        self._replica = replica
+        await replica.start()
+        self._log.write(
+            "replica_started",
+            {"member": member.id, "fresh": self._fresh, "founder": founder},
+            always=True,
+        )
+        try:
+            await self._attend(replica, member)
+        finally:
+            self._replica = None
+            with contextlib.suppress(Exception):
+                await replica.stop()
+
+    async def _attend(self, replica: Replica, member: Member) -> None:
+        """Join the group while not in it, and lead its changes while leading."""
+        while not replica.status().storage_failed:
+            if replica.leading:
+                await self._change_members(replica)
+                await asyncio.sleep(_STEWARD_INTERVAL_S)
+                continue
+            self._successors = 0
+            own = replica.find(member.id)
+            votes = own is not None and own.role is MemberRole.VOTER
+            if not votes or not replica.connected():
+                await self._ask_to_join(member)
+            await asyncio.sleep(_JOIN_INTERVAL_S)
+        raise OSError("the log's storage has failed")
+
+    async def _ask_to_join(self, member: Member) -> None:
+        value = {
+            "member": member.to_json(),
+            "fresh": self._fresh,
+            "founding": self._settings.first_start,
+        }
+        targets = sorted(
+            (self._known_control() | set(self.members()) | set(self._settings.seeds))
+            - {self._settings.address}
+        )
+        self._random.shuffle(targets)
+        calls = [
+            self._peers.call(address, JOIN_PATH, value, _CALL_TIMEOUT_S)
+            for address in targets[:3]
+        ]
+        await asyncio.gather(*calls, return_exceptions=True)
+
+    async def _take_joiner(self, replica: Replica, value: Any) -> Any:
+        if not replica.leading:
+            leader = self._leader(replica)
+            if value.get("forwarded"):
+                raise CoreUnavailable("no leader is known")
+            forwarded = {**value, "forwarded": True}
+            return await self._peers.call(leader, JOIN_PATH, forwarded, _CALL_TIMEOUT_S)
+        member = Member.from_json(value["member"])
+        joiner = Joiner(member, value["fresh"], value["founding"])
+        self._joiners[member.id] = (joiner, boot_time())
+        return {}
+
+    async def _change_members(self, replica: Replica) -> None:
+        now = boot_time()
+        self._joiners = {
+            i: entry
+            for i, entry in self._joiners.items()
+            if now - entry[1] < _JOINER_KEPT_S
+        }
+        joiners = {i: joiner for i, (joiner, _) in self._joiners.items()}
+        change = next_change(replica.status(), joiners, self._successors)
+        if change is None:
+            return
+        added = change if isinstance(change, Member) else None
+        removed = change if isinstance(change, str) else None
+        try:
+            async with asyncio.timeout(_CHANGE_TIMEOUT_S):
+                await replica.change(add=added, remove=removed)
+        except (ChangeRefused, NotLeader, LostLeadership, StorageFailed, TimeoutError):
+            return
+        self._count_successor(added, joiners)
+        self._log.write(
+            "members_changed",
+            {"added": added.id if added else None, "removed": removed},
+            always=True,
+        )
+
+    def _count_successor(
+        self, added: Member | None, joiners: dict[str, Joiner]
+    ) -> None:
+        if added is None:
+            self._successors = max(0, self._successors - 1)
+        elif joiners[added.id].fresh and not joiners[added.id].founding:
+            self._successors += 1
+
+    async def _send(self, peer: str, message: dict[str, Any]) -> dict[str, Any]:
+        replica = self._replica
+        member = replica.find(peer) if replica is not None else None
+        if member is None:
+            raise ConnectionError(f"{peer} is not a member")
+        timeout_s = LOG_SETTINGS.rpc_timeout_ms / _MS_PER_S
+        try:
+            value = await self._peers.call(member.address, LOG_PATH, message, timeout_s)
+        except PeerFailed as error:
+            raise ConnectionError(str(error)) from error
+        return dict(value)
--- /dev/null
+++ b/packages/fleet/src/kingcuplug_fleet/_knowledge.py
@@ -0,0 +1,106 @@
+"""What one host knows of the fleet, and the signal that wakes whoever waits for it."""
+
+import asyncio
+
+from kingcuplug_common import Signal, identifier
+
+from kingcuplug_fleet._directory import Directory
+from kingcuplug_fleet._records import ServerRecord
+
+__all__ = ["Knowledge"]
+
+# A host asks its control host at least once a second.
+_HOST_KEPT_S = 3.5
+
+
+class Knowledge:
+    """Servers, the newest routes, control hosts and live hosts.
+
+    Parameters
+    ----------
+    silent_after_s : float
+        Without a statement for this long, a server counts as silent.
+
+    Attributes
+    ----------
+    epoch : str
+        Identifies this run of the process; versions of the directory count in it.
+    changed : Signal
+        Notified when something changes that other hosts must learn.
+    routes_version : int
+        Version of the newest route document known here.
+    routes_document : str
+        That document.
+    control : tuple of str
+        Addresses of control hosts, as far as known.
+    hosts : int
+        Number of live hosts that serve callers, 0 if unknown.
+    """
+
+    def __init__(self, silent_after_s: float) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._met: dict[str, float] = {}
+        self._told: dict[str, float] = {}
+        self.epoch = identifier()
+        self.changed = Signal()
+        self.directory = Directory(silent_after_s)
+        self.routes_version = 0
+        self.routes_document = ""
+        self.control: tuple[str, ...] = ()
+        self.hosts = 0
+        self.silent: set[str] = set()
+
+    def learn_routes(self, version: int, document: str) -> None:
+        """Take a route document if it is newer."""
+        if version > self.routes_version:
+            self.routes_version, self.routes_document = version, document
+            self.changed.notify()
+
+    def learn_servers(self, records: list[ServerRecord]) -> bool:
+        """Take statements about servers; return whether one was news."""
+        now = self._loop.time()
+        news = [record for record in records if self.directory.merge(record, now)]
+        if news:
+            self.changed.notify()
+        return bool(news)
+
+    def learn_control(self, addresses: list[str]) -> None:
+        """Take the addresses of the control hosts."""
+        control = tuple(sorted(addresses))
+        if control and control != self.control:
+            self.control = control
+            self.changed.notify()
+
+    def learn_silent(self, identifiers: set[str]) -> None:
+        """Take which servers have stopped to speak."""
+        if identifiers != self.silent:
+            self.silent = identifiers
+            self.changed.notify()
+
+    def learn_hosts(self, count: int) -> None:
+        """Take the number of live hosts."""
+        if count != self.hosts:
+            self.hosts = count
+            self.changed.notify()
+
+    def meet_host(self, name: str) -> None:
+        """Count a host as live that has asked here."""
+        self._met[name] = self._loop.time()
+
+    def hear_of_host(self, name: str) -> None:
+        """Count a host as live that has asked another control host."""
+        self._told[name] = self._loop.time()
+
+    def met_hosts(self) -> list[str]:
+        """Return the hosts that asked here lately."""
+        self._met = self._recent(self._met)
+        return list(self._met)
+
+    def live_hosts(self) -> set[str]:
+        """Return the hosts that asked anywhere lately."""
+        self._told = self._recent(self._told)
+        return set(self._told) | set(self.met_hosts())
+
+    def _recent(self, hosts: dict[str, float]) -> dict[str, float]:
+        limit = self._loop.time() - _HOST_KEPT_S
+        return {name: at for name, at in hosts.items() if at > limit}
--- /dev/null
+++ b/packages/fleet/src/kingcuplug_fleet/_register.py
@@ -0,0 +1,46 @@
+"""The newest document of routes, as the state machine of the log."""
+
+from collections.abc import Callable
+from typing import Any
+
+__all__ = ["RouteRegister"]
+
+
+class RouteRegister:
+    """Keeps the document with the greatest version; the first of a version holds.
+
+    Parameters
+    ----------
+    on_change : callable
+        Called with no arguments when a newer document is held.
+
+    Attributes
+    ----------
+    version : int
+        Version of the document held; 0 without one.
+    document : str
+        The text as the operator sent it.
+    """
+
+    def __init__(self, on_change: Callable[[], None]) -> None:
+        self._on_change = on_change
+        self.version = 0
+        self.document = ""
+
+    def apply(self, index: int, command: Any) -> Any:
+        """Take a document if its version is greater; return the version held."""
+        if command["version"] > self.version:
+            self._hold(command["version"], command["document"])
+        return self.version
+
+    def dump(self) -> dict[str, Any]:
+        """Return the whole state."""
+        return {"version": self.version, "document": self.document}
+
+    def load(self, state: dict[str, Any]) -> None:
+        """Replace the whole state."""
+        self._hold(state["version"], state["document"])
+
+    def _hold(self, version: int, document: str) -> None:
+        self.version, self.document = version, document
+        self._on_change()
--- /dev/null
+++ b/packages/fleet/src/kingcuplug_fleet/_teaching.py
@@ -0,0 +1,305 @@
+"""How control hosts tell each other and all other hosts what they know.
+
+Every host polls one control host; the answer waits for news, at most a second. The
+control hosts push to each other what servers tell them. Both directions carry records
+of which the greatest wins, so the order and repetition of messages do not matter.
+"""
+
+import asyncio
+import contextlib
+import random as random_module
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from kingcuplug_common import EventLog
+
+from kingcuplug_fleet._knowledge import Knowledge
+from kingcuplug_fleet._peers import PeerFailed, Peers
+from kingcuplug_fleet._records import ServerRecord
+
+__all__ = ["LEARN_PATH", "SHARE_PATH", "Learner", "Mesh", "teach"]
+
+LEARN_PATH = "/peer/v2/learn"
+SHARE_PATH = "/peer/v2/share"
+
+_WAIT_S = 1.0
+# Beyond the wait: a round trip and the time of a busy control host.
+_LEARN_TIMEOUT_S = _WAIT_S + 0.7
+_RETRY_S = 0.1
+# News of one burst (a rolling restart, a zone's start) share an answer.
+_GATHER_S = 0.02
+_SHARE_INTERVAL_S = 0.5
+_SHARE_TIMEOUT_S = 0.6
+_UPKEEP_S = 0.3
+# Acknowledging a leaving server waits for one other control host this long, so that
+# the news survives the loss of this one.
+_TELL_TIMEOUT_S = 0.35
+
+
+async def teach(
+    knowledge: Knowledge, connected: Callable[[], bool], value: Any
+) -> dict[str, Any]:
+    """Answer a host's poll.
+
+    Parameters
+    ----------
+    connected : callable
+        Whether this control host is in touch with the leader; the asking host
+        prefers one that is.
+    """
+    knowledge.meet_host(value["host"])
+    knowledge.learn_servers([ServerRecord.from_json(r) for r in value["servers"]])
+    same_epoch = value["epoch"] == knowledge.epoch
+    cursor = int(value["cursor"]) if same_epoch else 0
+    directory = knowledge.directory
+    seen = (set(value["silent"]), value["control"], value["hosts"])
+
+    def news() -> bool:
+        current = (knowledge.silent, list(knowledge.control), knowledge.hosts)
+        return (
+            directory.version > cursor
+            or knowledge.routes_version > value["routes"]
+            or current != seen
+        )
+
+    if connected():
+        await knowledge.changed.until(news, _WAIT_S)
+        await asyncio.sleep(_GATHER_S)
+    newer = knowledge.routes_version > value["routes"]
+    return {
+        "epoch": knowledge.epoch,
+        "cursor": directory.version,
+        "servers": [record.to_json() for record in directory.since(cursor)],
+        "silent": sorted(knowledge.silent),
+        "routes": knowledge.routes_version if newer else 0,
+        "document": knowledge.routes_document if newer else "",
+        "control": knowledge.control,
+        "hosts": knowledge.hosts,
+        "connected": connected(),
+    }
+
+
+@dataclass(slots=True)
+class _Cursor:
+    epoch: str = ""
+    version: int = 0
+
+
+class Learner:
+    """Polls one control host after the other for news.
+
+    Parameters
+    ----------
+    host : str
+        Name of this host.
+    seeds : callable
+        Control addresses of the settings, which may change.
+    skip : callable
+        Whether this host knows everything at first hand now.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        knowledge: Knowledge,
+        peers: Peers,
+        seeds: Callable[[], tuple[str, ...]],
+        skip: Callable[[], bool],
+        own_address: str,
+        log: EventLog,
+    ) -> None:
+        self._host = host
+        self._knowledge = knowledge
+        self._peers = peers
+        self._seeds = seeds
+        self._skip = skip
+        self._own_address = own_address
+        self._log = log
+        self._cursors: dict[str, _Cursor] = {}
+        self._random = random_module.Random()
+        self.teacher: str | None = None
+
+    async def run(self) -> None:
+        """Learn for ever."""
+        while True:
+            if self._skip():
+                await asyncio.sleep(_WAIT_S / 2)
+                continue
+            address = self.teacher or self._choose()
+            if address is None or not await self._poll(address):
+                self._leave(address)
+                await asyncio.sleep(_RETRY_S)
+
+    def _choose(self, avoided: str | None = None) -> str | None:
+        known = set(self._knowledge.control) or set(self._seeds())
+        # Seeds may be all that is reachable if the known control hosts are gone.
+        if self._random.random() < 0.2:
+            known |= set(self._seeds())
+        known.discard(self._own_address)
+        choices = sorted(known - {avoided}) or sorted(known)
+        return self._random.choice(choices) if choices else None
+
+    def _leave(self, address: str | None) -> None:
+        if self.teacher is not None:
+            self._log.write("control_host_lost", {"address": address}, always=True)
+        self.teacher = None
+
+    async def _poll(self, address: str) -> bool:
+        """Ask once; return whether to ask the same host again."""
+        knowledge = self._knowledge
+        cursor = self._cursors.setdefault(address, _Cursor())
+        begun = cursor.version > 0
+        value = {
+            "host": self._host,
+            "epoch": cursor.epoch,
+            "cursor": cursor.version,
+            "routes": knowledge.routes_version,
+            "servers": []
+            if begun
+            else [record.to_json() for record in knowledge.directory.leaving()],
+            "silent": sorted(knowledge.silent),
+            "control": list(knowledge.control),
+            "hosts": knowledge.hosts,
+        }
+        try:
+            reply = await self._peers.call(address, LEARN_PATH, value, _LEARN_TIMEOUT_S)
+        except PeerFailed:
+            cursor.version = 0
+            return False
+        self._take(reply)
+        if reply["epoch"] != cursor.epoch:
+            # A control host that has restarted must hear who is leaving.
+            self._cursors[address] = _Cursor(reply["epoch"], 0)
+            if begun:
+                return True
+        self._cursors[address] = _Cursor(reply["epoch"], reply["cursor"])
+        if not reply["connected"]:
+            return False
+        if self.teacher != address:
+            self.teacher = address
+            self._log.write("control_host_found", {"address": address}, always=True)
+        return True
+
+    def _take(self, reply: Any) -> None:
+        knowledge = self._knowledge
+        if reply["routes"]:
+            knowledge.learn_routes(reply["routes"], reply["document"])
+        knowledge.learn_servers([ServerRecord.from_json(r) for r in reply["servers"]])
+        if reply["connected"]:
+            knowledge.learn_control(reply["control"])
+            knowledge.learn_hosts(reply["hosts"])
+            knowledge.learn_silent(set(reply["silent"]))
+
+
+class Mesh:
+    """Pushes what servers tell this control host to the other ones."""
+
+    def __init__(self, host: str, knowledge: Knowledge, peers: Peers, own: str) -> None:
+        self._host = host
+        self._knowledge = knowledge
+        self._peers = peers
+        self._own = own
+        self._heard: dict[str, tuple[int, int]] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._pending: dict[str, dict[str, tuple[int, int]]] = {}
+
+    async def run(self) -> None:
+        """Keep one task for each other control host, and what ages."""
+        loop = asyncio.get_running_loop()
+        try:
+            while True:
+                self._follow_members()
+                self._age(loop.time())
+                await asyncio.sleep(_UPKEEP_S)
+        finally:
+            for task in self._tasks.values():
+                task.cancel()
+
+    def hear(self, record: ServerRecord) -> None:
+        """Note that a server has spoken to this host."""
+        for pending in self._pending.values():
+            pending[record.id] = (record.born_ms, record.sequence)
+
+    async def tell(self, record: ServerRecord) -> bool:
+        """Return once one other control host knows a record, or in vain."""
+        others = list(self._tasks)
+        if not others:
+            return True
+        value = self._message([record], {}, full=False)
+        calls = [
+            asyncio.ensure_future(
+                self._peers.call(other, SHARE_PATH, value, _TELL_TIMEOUT_S)
+            )
+            for other in others
+        ]
+        for call in asyncio.as_completed(calls):
+            with contextlib.suppress(PeerFailed):
+                await call
+                return True
+        return False
+
+    def take(self, value: Any) -> dict[str, Any]:
+        """Take what another control host pushes."""
+        knowledge = self._knowledge
+        now = asyncio.get_running_loop().time()
+        knowledge.learn_servers([ServerRecord.from_json(r) for r in value["servers"]])
+        for identifier, (born_ms, sequence) in value["heard"].items():
+            knowledge.directory.heard(identifier, born_ms, sequence, now)
+        for host in value["hosts"]:
+            knowledge.hear_of_host(host)
+        return {"epoch": knowledge.epoch}
+
+    def _follow_members(self) -> None:
+        wanted = set(self._knowledge.control) - {self._own}
+        for address in self._tasks.keys() - wanted:
+            self._tasks.pop(address).cancel()
+            self._pending.pop(address, None)
+        for address in wanted - self._tasks.keys():
+            self._pending[address] = {}
+            self._tasks[address] = asyncio.ensure_future(self._push(address))
+
+    def _age(self, now: float) -> None:
+        knowledge = self._knowledge
+        knowledge.meet_host(self._host)
+        knowledge.directory.forget(now)
+        knowledge.learn_silent(knowledge.directory.silent(now))
+        knowledge.learn_hosts(len(knowledge.live_hosts()))
+
+    async def _push(self, address: str) -> None:
+        knowledge = self._knowledge
+        sent, epoch = 0, ""
+        while True:
+            version = knowledge.directory.version
+            heard, self._pending[address] = self._pending[address], {}
+            records = knowledge.directory.since(sent)
+            value = self._message(records, heard, full=True)
+            try:
+                reply = await self._peers.call(
+                    address, SHARE_PATH, value, _SHARE_TIMEOUT_S
+                )
+            except PeerFailed:
+                # What was heard meanwhile is soon said again by the servers.
+                await asyncio.sleep(_SHARE_INTERVAL_S)
+                continue
+            if reply["epoch"] == epoch:
+                sent = version
+            else:
+                epoch, sent = reply["epoch"], 0
+
+            def news(sent: int = sent) -> bool:
+                return knowledge.directory.version > sent
+
+            await knowledge.changed.until(news, _SHARE_INTERVAL_S)
+
+    def _message(
+        self,
+        records: list[ServerRecord],
+        heard: dict[str, tuple[int, int]],
+        full: bool,
+    ) -> dict[str, Any]:
+        return {
+            "servers": [record.to_json() for record in records],
+            "heard": heard,
+            "hosts": self._knowledge.met_hosts() if full else [],
+        }
--- /dev/null
+++ b/packages/gateway/src/kingcuplug_gateway/__init__.py
@@ -0,0 +1,25 @@
+"""Routes, and the way of a caller's request through backend servers."""
+
+from kingcuplug_gateway._gateway import Gateway, GatewaySettings
+from kingcuplug_gateway._protocol import HeaderNames
+from kingcuplug_gateway._routes import (
+    Route,
+    RouteTable,
+    ServiceSettings,
+    WeightedService,
+)
+from kingcuplug_gateway._scatter import RECORD_BYTES, merge_records
+from kingcuplug_gateway._servers import KnownServer
+
+__all__ = [
+    "RECORD_BYTES",
+    "Gateway",
+    "GatewaySettings",
+    "HeaderNames",
+    "KnownServer",
+    "Route",
+    "RouteTable",
+    "ServiceSettings",
+    "WeightedService",
+    "merge_records",
+]
--- /dev/null
+++ b/packages/gateway/src/kingcuplug_gateway/_call.py
@@ -0,0 +1,312 @@
+"""One request to one service: attempts, second attempts and retries."""
+
+import asyncio
+import random as random_module
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from kingcuplug_http import Failure, OutboundConnection, Response
+from kingcuplug_routing import Timing, choose_replica
+
+from kingcuplug_gateway._protocol import HeaderNames
+from kingcuplug_gateway._servers import Server, ServerTable, ServicePool
+
+__all__ = ["CallEnding", "Outgoing", "ServiceCall"]
+
+_MS_PER_S = 1_000
+_MISDIRECTED = 421  # The server is not the expected one.
+# Servers that have no room are passed over without counting as attempts, at most
+# this many, so that a full service is not asked server by server.
+_MAX_REJECTIONS = 2
+# An attempt whose call is over may still finish and tell how fast the server is;
+# a longer one only takes a slot.
+_LINGER_S = 0.3
+
+
+class Verdict(Enum):
+    """What a server's response means for the request."""
+
+    GOOD = "good"
+    NOT_RUN = "not_run"
+    FAILED = "failed"
+    UNSEALED = "unsealed"
+
+
+@dataclass(slots=True)
+class Outgoing:
+    """A caller's request as it goes to servers.
+
+    Attributes
+    ----------
+    head : bytes
+        Request line and headers, without those that differ between attempts.
+    deadline_at : float
+        When the caller or the route's time is over, in event loop time.
+    repeatable : bool
+        Whether it may run more than once.
+    """
+
+    head: bytes
+    body: bytes
+    attempt_id: bytes
+    deadline_at: float
+    repeatable: bool
+    bodiless: bool
+
+
+@dataclass(slots=True)
+class CallEnding:
+    """How a call ended.
+
+    Attributes
+    ----------
+    response : Response or None
+        A good answer, or else a server's own failure.
+    good : bool
+        Whether the response is a success.
+    may_have_run : bool
+        Whether any server may have run the request.
+    attempts : list of (str, str)
+        Server id and outcome, for the log.
+    """
+
+    response: Response | None = None
+    good: bool = False
+    may_have_run: bool = False
+    hedges: int = 0
+    attempts: list[tuple[str, str]] = field(default_factory=list)
+
+
+class ServiceCall:
+    """Gets one good answer from a service's servers, if there is one.
+
+    Parameters
+    ----------
+    done : callable
+        Called once, with this call, when `ending` is final.
+    """
+
+    def __init__(
+        self,
+        table: ServerTable,
+        pool: ServicePool,
+        outgoing: Outgoing,
+        names: HeaderNames,
+        timing: Timing,
+        max_attempts: int,
+        random: random_module.Random,
+        done: Callable[["ServiceCall"], None],
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._table = table
+        self._pool = pool
+        self._names = names
+        self._timing = timing
+        self._max_attempts = max_attempts
+        self._random = random
+        self._done = done
+        self._open: list[_Attempt] = []
+        self._tried: set[str] = set()
+        self._counted = 0
+        self._rejections = 0
+        self._timer: asyncio.TimerHandle | None = None
+        self.outgoing = outgoing
+        self.ending = CallEnding()
+        self.over = False
+
+    @property
+    def service(self) -> str:
+        """Name of the service."""
+        return self._pool.name
+
+    def start(self) -> None:
+        """Send the first attempt."""
+        self._pool.allowance.request(self._loop.time())
+        if not self._send():
+            self._end()
+
+    def cancel(self, linger: bool = False) -> None:
+        """Give up; attempts in progress are dropped.
+
+        Parameters
+        ----------
+        linger : bool
+            Let them finish for a moment, to learn how fast their servers are.
+        """
+        self.over = True
+        self._stop_timer()
+        if linger and self._open:
+            self._loop.call_later(_LINGER_S, self._drop)
+        else:
+            self._drop()
+
+    def answered(self, attempt: "_Attempt", response: Response) -> None:
+        """Take the response to an attempt."""
+        self._open.remove(attempt)
+        now = self._loop.time()
+        state = attempt.server.state
+        verdict = _judge(response, self._names)
+        if verdict is Verdict.GOOD:
+            self._timing.record(state.answer(attempt, now))
+        elif response.status == _MISDIRECTED:
+            # Another server has the address now.
+            state.fail(attempt, now, unreachable=True)
+        elif verdict is Verdict.NOT_RUN:
+            state.reject(attempt, now)
+        else:
+            state.fail(attempt, now, unreachable=False)
+        if self.over:
+            return
+        self.ending.attempts.append((attempt.server.known.id, verdict.value))
+        if verdict is Verdict.NOT_RUN:
+            self._rejections += 1
+            self._counted -= 1
+        else:
+            self.ending.may_have_run = True
+        if verdict is Verdict.GOOD:
+            self.ending.response, self.ending.good = response, True
+            self._end()
+            return
+        if verdict is Verdict.FAILED:
+            self.ending.response = response
+        self._retry(may_have_run=verdict is not Verdict.NOT_RUN)
+
+    def failed(self, attempt: "_Attempt", failure: Failure) -> None:
+        """Take the failure of an attempt."""
+        self._open.remove(attempt)
+        unreachable = failure is Failure.CONNECT
+        attempt.server.state.fail(attempt, self._loop.time(), unreachable)
+        if self.over:
+            return
+        self.ending.attempts.append((attempt.server.known.id, failure.name.lower()))
+        if unreachable:
+            self._counted -= 1
+        else:
+            self.ending.may_have_run = True
+        self._retry(may_have_run=not unreachable)
+
+    def _retry(self, may_have_run: bool) -> None:
+        """Send the request again if that is allowed, or else wait or end."""
+        if may_have_run and not self.outgoing.repeatable:
+            self._end()
+            return
+        if self._rejections <= _MAX_REJECTIONS and self._send(retry=True):
+            return
+        if not self._open:
+            self._end()
+
+    def _send(self, retry: bool = False, hedge: bool = False) -> bool:
+        now = self._loop.time()
+        if self._counted >= self._max_attempts or now >= self.outgoing.deadline_at:
+            return False
+        servers = self._pool.usable(self._tried)
+        if not servers:
+            return False
+        if retry or hedge:
+            hosts = self._table.hosts
+            if not self._pool.allowance.take(now, hosts, hedge):
+                return False
+        states = [server.state for server in servers]
+        typical_s = self._timing.typical_s
+        server = servers[choose_replica(states, now, typical_s, self._random)]
+        attempt = _Attempt(self, server, self._names)
+        self._tried.add(server.known.id)
+        self._open.append(attempt)
+        self._counted += 1
+        server.state.begin(attempt, now, typical_s)
+        if self.outgoing.repeatable and self._counted < self._max_attempts:
+            self._stop_timer()
+            self._timer = self._loop.call_later(self._timing.hedge_after_s, self._hedge)
+        server.connections.submit(attempt, fresh=not self.outgoing.repeatable)
+        return True
+
+    def _hedge(self) -> None:
+        self._timer = None
+        if not self.over and self._send(hedge=True):
+            self.ending.hedges += 1
+
+    def _end(self) -> None:
+        self.cancel(linger=len(self._open) > 0 and self.ending.good)
+        self._done(self)
+
+    def _drop(self) -> None:
+        open_attempts, self._open = self._open, []
+        for attempt in open_attempts:
+            attempt.drop()
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+
+class _Attempt:
+    """One request at one server."""
+
+    __slots__ = ("_call", "_connection", "_names", "server", "wanted")
+
+    def __init__(self, call: ServiceCall, server: Server, names: HeaderNames) -> None:
+        self._call = call
+        self._names = names
+        self._connection: OutboundConnection | None = None
+        self.server = server
+        self.wanted = True
+
+    def encode(self) -> bytes:
+        outgoing, names = self._call.outgoing, self._names
+        now = asyncio.get_running_loop().time()
+        left_ms = max(1, int((outgoing.deadline_at - now) * _MS_PER_S))
+        return b"%s%s: %d\r\n%s: %s\r\n\r\n%s" % (
+            outgoing.head,
+            names.deadline_ms,
+            left_ms,
+            names.expected_server,
+            self.server.known.id.encode(),
+            outgoing.body,
+        )
+
+    def sent(self, connection: OutboundConnection) -> None:
+        self._connection = connection
+
+    def accepts(self, response: Response) -> bool:
+        echoed = response.header(self._names.attempt_id.lower())
+        return echoed is None or echoed == self._call.outgoing.attempt_id
+
+    def answered(self, response: Response) -> None:
+        self._release()
+        self._call.answered(self, response)
+
+    def failed(self, failure: Failure) -> None:
+        self._release()
+        if self.wanted:
+            self._call.failed(self, failure)
+
+    def drop(self) -> None:
+        self.wanted = False
+        now = asyncio.get_running_loop().time()
+        self.server.state.forget(self, now)
+        if self._connection is not None:
+            self._connection.abandon()
+            self._release()
+        else:
+            self.server.connections.withdraw(self)
+
+    def _release(self) -> None:
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            self.server.connections.release(connection)
+
+
+def _judge(response: Response, names: HeaderNames) -> Verdict:
+    if (
+        response.header(names.not_run.lower()) is not None
+        or response.status == _MISDIRECTED
+    ):
+        return Verdict.NOT_RUN
+    if response.header(names.seal.lower()) is None:
+        return Verdict.UNSEALED
+    encoding = response.header(b"content-encoding")
+    if encoding is not None and encoding.lower() != b"identity":
+        return Verdict.UNSEALED
+    return Verdict.GOOD if 200 <= response.status < 300 else Verdict.FAILED
--- /dev/null
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -0,0 +1,355 @@
+"""The way of one caller's request: route, servers, answer."""
+
+import asyncio
+import random as random_module
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from kingcuplug_common import EventLog, Metrics
+from kingcuplug_http import (
+    Headers,
+    Limits,
+    Request,
+    Response,
+    end_to_end,
+    error_response,
+)
+from kingcuplug_routing import AllowanceSettings, AnswerRule, Timing
+
+from kingcuplug_gateway._call import Outgoing, ServiceCall
+from kingcuplug_gateway._protocol import HeaderNames
+from kingcuplug_gateway._routes import Route, RouteTable
+from kingcuplug_gateway._scatter import Scatter
+from kingcuplug_gateway._servers import KnownServer, ServerTable
+from kingcuplug_gateway._split import WeightedTurn
+
+__all__ = ["Gateway", "GatewaySettings"]
+
+_MS_PER_S = 1_000
+# A caller that is told to come back should find a server that was restarted or
+# announced meanwhile; the spread keeps callers from returning in step.
+_RETRY_AFTER_S = (0.15, 0.45)
+_LONGEST_DEADLINE_MS = 600_000
+_DEFAULT_ALLOWANCE = AllowanceSettings()
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """Settings of the request path.
+
+    Attributes
+    ----------
+    availability_zone : str
+        The host's own.
+    caller_delay_ms : float
+        One way between callers and this host; an answer must leave earlier by it.
+    answer_margin_ms : float
+        Time to merge and write an answer, kept free before a deadline.
+    """
+
+    availability_zone: str
+    names: HeaderNames
+    allowance: AllowanceSettings = _DEFAULT_ALLOWANCE
+    caller_delay_ms: float = 3.0
+    answer_margin_ms: float = 4.0
+
+
+class Gateway:
+    """Serves callers by the newest route table that the host has learnt.
+
+    Attributes
+    ----------
+    table : RouteTable or None
+        The routes in force here; ``None`` before the first were learnt.
+    servers : ServerTable
+        Backend servers by service.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        log: EventLog,
+        metrics: Metrics,
+        random: random_module.Random | None = None,
+    ) -> None:
+        self._settings = settings
+        self._names = settings.names
+        self._log = log
+        self._metrics = metrics
+        self._random = random or random_module.Random()
+        self._timings: dict[str, Timing] = {}
+        self._turns: dict[str, WeightedTurn] = {}
+        self._set_here = frozenset(
+            name.lower()
+            for name in (
+                self._names.deadline_ms,
+                self._names.expected_server,
+                self._names.not_run,
+                self._names.seal,
+                self._names.part_seals,
+                self._names.missing_parts,
+            )
+        )
+        self._hosts = 0
+        self.table: RouteTable | None = None
+        self.servers = ServerTable(settings.availability_zone, settings.allowance)
+
+    def adopt(self, table: RouteTable) -> bool:
+        """Take a route table if it is newer than the one in force."""
+        if self.table is not None and table.version <= self.table.version:
+            return False
+        self.table = table
+        names = {route.name for route in table.routes}
+        self._timings = {n: t for n, t in self._timings.items() if n in names}
+        self._turns.clear()
+        self._limit_connections()
+        return True
+
+    def use(self, servers: list[KnownServer], hosts: int) -> None:
+        """Take the usable servers, and the number of live hosts or 0."""
+        self.servers.replace(servers)
+        if hosts != self._hosts:
+            self._hosts = hosts
+            self._limit_connections()
+
+    def limits(self) -> Limits:
+        """Return what callers may send."""
+        table = self.table
+        if table is None:
+            return Limits()
+        return Limits(
+            max_header_bytes=table.max_header_bytes,
+            max_body_bytes=table.max_body_bytes,
+            header_timeout_ms=table.header_timeout_ms,
+            idle_timeout_ms=table.idle_timeout_ms,
+        )
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one caller's request."""
+        table = self.table
+        if table is None:
+            return self._refuse(request, None, "no_routes")
+        host, path = _place(request)
+        if host is None or path is None:
+            return self._end(request, None, error_response(400, "no host or path"))
+        route = table.find(host, path)
+        if route is None:
+            return self._end(request, None, error_response(404, "no such route"))
+        if route.shards:
+            return await self._query(request, route)
+        return await self._forward(request, route)
+
+    async def _forward(self, request: Request, route: Route) -> Response:
+        """Send a request to one server of the route's service."""
+        service = self._service(route)
+        pool = self.servers.pool(service)
+        if not pool.servers:
+            return self._refuse(request, route, "no_servers")
+        loop = asyncio.get_running_loop()
+        finished: asyncio.Future[None] = loop.create_future()
+
+        def done(call: ServiceCall) -> None:
+            if not finished.done():
+                finished.set_result(None)
+
+        outgoing = self._outgoing(request, route)
+        call = self._call(route, service, outgoing, done)
+        call.start()
+        try:
+            async with asyncio.timeout_at(self._final_at(outgoing)):
+                await finished
+        except TimeoutError:
+            call.cancel()
+            return self._end(request, route, error_response(504, "timed out"), call)
+        except asyncio.CancelledError:
+            call.cancel()
+            self._gone(request, route)
+            raise
+        ending = call.ending
+        if ending.response is not None:
+            return self._end(request, route, _relayed(ending.response), call)
+        if not ending.may_have_run:
+            return self._refuse(request, route, "no_room", call)
+        return self._end(request, route, error_response(502, "no answer"), call)
+
+    async def _query(self, request: Request, route: Route) -> Response:
+        """Send a request to one server of each shard and merge the parts."""
+        outgoing = self._outgoing(request, route)
+        rule = self._rule(request, route, outgoing)
+        now = asyncio.get_running_loop().time()
+        pools = [self.servers.pool(shard) for shard in route.shards]
+        reachable = sum(pool.reachable(now) for pool in pools)
+        if reachable < rule.needed:
+            return self._refuse(request, route, "shards_unreachable")
+        scatter = Scatter(rule)
+
+        def make_call(shard: str) -> ServiceCall:
+            return self._call(route, shard, outgoing, scatter.part_done)
+
+        try:
+            await scatter.run(make_call, route.shards)
+        except asyncio.CancelledError:
+            self._gone(request, route)
+            raise
+        merged = scatter.merged(route.top_records, self._names.seal.lower())
+        if merged is None:
+            status = 504 if now >= rule.final_at else 502
+            response = error_response(status, "too few shards answered")
+            return self._end(request, route, response, *scatter.calls)
+        headers: Headers = [
+            (self._names.part_seals, b", ".join(merged.seals)),
+            (self._names.missing_parts, b"%d" % len(merged.missing)),
+            (b"Content-Type", b"application/octet-stream"),
+        ]
+        response = Response(200, headers, merged.body)
+        return self._end(request, route, response, *scatter.calls)
+
+    def _service(self, route: Route) -> str:
+        if len(route.services) == 1:
+            return route.services[0].service
+        turn = self._turns.get(route.name)
+        if turn is None:
+            turn = self._turns[route.name] = WeightedTurn(route.services, self._random)
+        return turn.next()
+
+    def _call(
+        self,
+        route: Route,
+        service: str,
+        outgoing: Outgoing,
+        done: Callable[[ServiceCall], None],
+    ) -> ServiceCall:
+        return ServiceCall(
+            table=self.servers,
+            pool=self.servers.pool(service),
+            outgoing=outgoing,
+            names=self._names,
+            timing=self._timing(route),
+            max_attempts=route.max_attempts,
+            random=self._random,
+            done=done,
+        )
+
+    def _timing(self, route: Route) -> Timing:
+        timing = self._timings.get(route.name)
+        if timing is None:
+            timing = self._timings[route.name] = Timing(route.target_ms)
+        return timing
+
+    def _rule(self, request: Request, route: Route, outgoing: Outgoing) -> AnswerRule:
+        # A caller's clock runs from before its connection was made.
+        trips = 4 if request.first else 2
+        lost_ms = trips * self._settings.caller_delay_ms
+        target_ms = route.target_ms - lost_ms - self._settings.answer_margin_ms
+        final_at = self._final_at(outgoing)
+        target_at = request.received_at + max(target_ms, 1.0) / _MS_PER_S
+        return AnswerRule(
+            total=len(route.shards),
+            minimum=route.minimum_coverage,
+            begun_at=request.received_at,
+            target_at=min(target_at, final_at),
+            final_at=final_at,
+        )
+
+    def _outgoing(self, request: Request, route: Route) -> Outgoing:
+        names = self._names
+        wait_ms = route.timeout_ms
+        given = request.header(names.deadline_ms.lower())
+        if given is not None and given.isdigit():
+            wait_ms = min(wait_ms, int(given), _LONGEST_DEADLINE_MS)
+        lines = [b"%s %s HTTP/1.1\r\n" % (request.method, request.target)]
+        for name, value in end_to_end(request.headers, self._set_here):
+            lines.append(b"%s: %s\r\n" % (name, value))
+        if (
+            request.body
+            or b"content-length" in request.fields
+            or request.method
+            in (
+                b"POST",
+                b"PUT",
+                b"PATCH",
+            )
+        ):
+            lines.append(b"Content-Length: %d\r\n" % len(request.body))
+        return Outgoing(
+            head=b"".join(lines),
+            body=request.body,
+            attempt_id=request.header(names.attempt_id.lower()) or b"",
+            deadline_at=request.received_at + wait_ms / _MS_PER_S,
+            repeatable=route.repeatable,
+            bodiless=request.method == b"HEAD",
+        )
+
+    def _final_at(self, outgoing: Outgoing) -> float:
+        """Return when the final answer must leave to reach the caller in time."""
+        settings = self._settings
+        kept_ms = settings.caller_delay_ms + settings.answer_margin_ms
+        return outgoing.deadline_at - kept_ms / _MS_PER_S
+
+    def _limit_connections(self) -> None:
+        if self.table is not None:
+            services = self.table.services
+            limits = {name: s.connection_limit for name, s in services.items()}
+            self.servers.limit_connections(limits, self._hosts)
+
+    def _refuse(
+        self, request: Request, route: Route | None, reason: str, *calls: ServiceCall
+    ) -> Response:
+        """Refuse a request that has not run and never will."""
+        pause_s = self._random.uniform(*_RETRY_AFTER_S)
+        response = error_response(503, reason, retry_after_s=pause_s)
+        return self._end(request, route, response, *calls)
+
+    def _gone(self, request: Request, route: Route) -> None:
+        self._metrics.count("requests.caller_left")
+        self._record(request, route, "caller_left", ())
+
+    def _end(
+        self,
+        request: Request,
+        route: Route | None,
+        response: Response,
+        *calls: ServiceCall,
+    ) -> Response:
+        self._metrics.count(f"requests.{response.status}")
+        self._record(request, route, str(response.status), calls)
+        return response
+
+    def _record(
+        self,
+        request: Request,
+        route: Route | None,
+        outcome: str,
+        calls: tuple[ServiceCall, ...],
+    ) -> None:
+        """Write the request's line: outcome and the decisions that led to it."""
+        now = asyncio.get_running_loop().time()
+        kind = "request" if outcome.startswith("2") else "request_failed"
+        attempt = request.header(self._names.attempt_id.lower()) or b""
+        fields: dict[str, Any] = {
+            "id": attempt.decode("latin-1"),
+            "route": route.name if route else None,
+            "version": self.table.version if self.table else None,
+            "outcome": outcome,
+            "elapsed_ms": round((now - request.received_at) * _MS_PER_S, 1),
+        }
+        if kind == "request_failed":
+            fields["calls"] = {c.service: c.ending.attempts for c in calls}
+            fields["missing"] = [c.service for c in calls if not c.ending.good]
+        self._log.write(kind, fields)
+
+
+def _place(request: Request) -> tuple[str | None, str | None]:
+    """Return the host name and the path that select the route."""
+    host = request.header(b"host")
+    path = request.target.partition(b"?")[0]
+    if host is None or not path.startswith(b"/"):
+        return None, None
+    name = host.decode("latin-1").lower().partition(":")[0]
+    return name, path.decode("latin-1")
+
+
+def _relayed(response: Response) -> Response:
+    """Return a server's response as it goes to the caller."""
+    return Response(response.status, end_to_end(response.headers), response.body)
--- /dev/null
+++ b/packages/gateway/src/kingcuplug_gateway/_pool.py
@@ -0,0 +1,162 @@
+"""Connections of this host to one backend server.
+
+Answers these load patterns: servers bound their connections over all hosts
+together, a new connection costs a server time, and servers close idle connections.
+"""
+
+import asyncio
+from collections import deque
+from typing import Protocol
+
+from kingcuplug_http import Exchange, Failure, OutboundConnection, connect
+
+__all__ = ["Pending", "ServerConnections"]
+
+# A server that is up answers in a round trip; a dark one costs the caller this.
+CONNECT_TIMEOUT_S = 0.5
+# A request that crosses the server's close is lost, so connections end early.
+_CLOSE_MARGIN_S = 0.6
+_DEFAULT_KEEP_ALIVE_S = 4.0  # Shorter than the idle time-out of usual servers.
+
+
+class Pending(Exchange, Protocol):
+    """A request that waits for a connection or is on one.
+
+    Attributes
+    ----------
+    wanted : bool
+        Whether it is still to be sent once there is a connection.
+    """
+
+    wanted: bool
+
+    def encode(self) -> bytes:
+        """Return the bytes of the request, made when they are sent."""
+        ...
+
+    def sent(self, connection: OutboundConnection) -> None:
+        """Take the news that the request is on its way."""
+        ...
+
+
+class ServerConnections:
+    """Idle and busy connections to one server.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port``.
+    limit : int
+        Connections of this host at the same time.
+    """
+
+    def __init__(self, address: str, limit: int) -> None:
+        self.address = address
+        self.limit = limit
+        self._idle: list[OutboundConnection] = []
+        self._busy = 0
+        self._waiting: deque[tuple[Pending, bool]] = deque()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._closed = False
+
+    def submit(self, pending: Pending, fresh: bool) -> None:
+        """Send a request as soon as there is a connection.
+
+        Parameters
+        ----------
+        fresh : bool
+            Use a new connection: a kept one may have been closed by the server
+            already, and then nobody knows whether the request ran.
+        """
+        connection = None if fresh else self._take()
+        if connection is not None:
+            self._busy += 1
+            self._send(connection, pending)
+        elif self._busy < self.limit:
+            self._open(pending)
+        else:
+            self._waiting.append((pending, fresh))
+
+    def withdraw(self, pending: Pending) -> bool:
+        """Take back a request that waits; return whether it did."""
+        for entry in self._waiting:
+            if entry[0] is pending:
+                self._waiting.remove(entry)
+                return True
+        return False
+
+    def release(self, connection: OutboundConnection) -> None:
+        """Take back the connection of a request that has ended."""
+        self._busy -= 1
+        if not connection.usable or self._closed:
+            connection.close()
+            self._serve_waiting(None)
+        else:
+            self._serve_waiting(connection)
+
+    def close(self) -> None:
+        """Close idle connections, and busy ones as they are released."""
+        self._closed = True
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
+
+    def prune(self, now: float) -> None:
+        """Close connections that have been idle for long."""
+        kept = []
+        for connection in self._idle:
+            if connection.usable and now < _expiry(connection):
+                kept.append(connection)
+            else:
+                connection.close()
+        self._idle = kept
+
+    def _take(self) -> OutboundConnection | None:
+        now = asyncio.get_running_loop().time()
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.usable and now < _expiry(connection):
+                return connection
+            connection.close()
+        return None
+
+    def _send(self, connection: OutboundConnection, pending: Pending) -> None:
+        if not pending.wanted:
+            self.release(connection)
+            return
+        pending.sent(connection)
+        connection.send(pending.encode(), pending)
+
+    def _open(self, pending: Pending) -> None:
+        self._busy += 1
+        while self._idle and self._busy + len(self._idle) > self.limit:
+            self._idle.pop(0).close()
+        task = asyncio.ensure_future(self._connect(pending))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _connect(self, pending: Pending) -> None:
+        try:
+            connection = await connect(self.address, CONNECT_TIMEOUT_S)
+        except OSError:
+            self._busy -= 1
+            pending.failed(Failure.CONNECT)
+            self._fail_waiting()
+            return
+        self._send(connection, pending)
+
+    def _fail_waiting(self) -> None:
+        waiting, self._waiting = self._waiting, deque()
+        for pending, _ in waiting:
+            pending.failed(Failure.CONNECT)
+
+    def _serve_waiting(self, connection: OutboundConnection | None) -> None:
+        if connection is not None:
+            self._idle.append(connection)
+        if self._waiting and self._busy < self.limit:
+            self.submit(*self._waiting.popleft())
+
+
+def _expiry(connection: OutboundConnection) -> float:
+    keep_alive_s = connection.keep_alive_s or _DEFAULT_KEEP_ALIVE_S
+    return connection.idle_since + max(keep_alive_s - _CLOSE_MARGIN_S, 0.3)
--- /dev/null
+++ b/packages/gateway/src/kingcuplug_gateway/_servers.py
@@ -0,0 +1,141 @@
+"""The backend servers of each service, as this host may use them."""
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from kingcuplug_routing import AllowanceSettings, ReplicaState, RetryAllowance
+
+from kingcuplug_gateway._pool import ServerConnections
+
+__all__ = ["KnownServer", "Server", "ServerTable", "ServicePool"]
+
+_MS_PER_S = 1_000
+# Hosts do not get even shares of the callers, so their sum stays below the limit.
+_LIMIT_SHARE = 0.95
+_UNKNOWN_HOSTS = 10  # Assumed until a control host says how many there are.
+
+
+@dataclass(frozen=True, slots=True)
+class KnownServer:
+    """One usable backend server.
+
+    Attributes
+    ----------
+    cold_ms : int
+        How much longer it is slow after its start, when this was learnt.
+    silent : bool
+        Whether its heartbeats have stopped.
+    """
+
+    id: str
+    service: str
+    address: str
+    availability_zone: str
+    slots: int
+    cold_ms: int
+    silent: bool
+
+
+class Server:
+    """One backend server with its connections and what was seen of it."""
+
+    def __init__(self, known: KnownServer, remote: bool, limit: int) -> None:
+        self.known = known
+        self.state = ReplicaState(slots=max(1, known.slots), remote=remote)
+        self.connections = ServerConnections(known.address, limit)
+
+
+class ServicePool:
+    """Servers of one service, and the retries that it bears."""
+
+    def __init__(self, name: str, allowance: AllowanceSettings) -> None:
+        self.name = name
+        self.servers: dict[str, Server] = {}
+        self.allowance = RetryAllowance(allowance)
+
+    def usable(self, excluded: Iterable[str] = ()) -> list[Server]:
+        """Return the servers other than those with an excluded id."""
+        return [
+            s for identifier, s in self.servers.items() if identifier not in excluded
+        ]
+
+    def reachable(self, now: float) -> bool:
+        """Return whether some server is not known to refuse connections."""
+        return any(now >= s.state.paused_until for s in self.servers.values())
+
+
+class ServerTable:
+    """All services that the host knows servers of.
+
+    Parameters
+    ----------
+    availability_zone : str
+        The host's own.
+    """
+
+    def __init__(self, availability_zone: str, allowance: AllowanceSettings) -> None:
+        self._zone = availability_zone
+        self._allowance = allowance
+        self._pools: dict[str, ServicePool] = {}
+        self._limits: dict[str, int] = {}
+        self.hosts = 0
+
+    def pool(self, service: str) -> ServicePool:
+        """Return the pool of a service, which may have no servers."""
+        pool = self._pools.get(service)
+        if pool is None:
+            pool = self._pools[service] = ServicePool(service, self._allowance)
+        return pool
+
+    def limit_connections(self, limits: dict[str, int], hosts: int) -> None:
+        """Take the services' connection limits and the number of hosts."""
+        self.hosts = hosts
+        self._limits = limits
+        for pool in self._pools.values():
+            limit = self._limit(pool.name)
+            for server in pool.servers.values():
+                server.connections.limit = limit
+
+    def replace(self, known: Iterable[KnownServer]) -> None:
+        """Use exactly these servers from now on; requests in progress go on."""
+        now = asyncio.get_running_loop().time()
+        wanted: dict[str, dict[str, KnownServer]] = {}
+        for entry in known:
+            wanted.setdefault(entry.service, {})[entry.id] = entry
+        for service in wanted.keys() | self._pools.keys():
+            self._replace(self.pool(service), wanted.get(service, {}), now)
+
+    def prune(self, now: float) -> None:
+        """Close connections that have been idle for long."""
+        for pool in self._pools.values():
+            for server in pool.servers.values():
+                server.connections.prune(now)
+
+    def close(self) -> None:
+        """Close all connections."""
+        for pool in self._pools.values():
+            for server in pool.servers.values():
+                server.connections.close()
+
+    def _replace(
+        self, pool: ServicePool, wanted: dict[str, KnownServer], now: float
+    ) -> None:
+        for identifier in pool.servers.keys() - wanted.keys():
+            pool.servers.pop(identifier).connections.close()
+        for identifier, known in wanted.items():
+            server = pool.servers.get(identifier)
+            if server is None or server.known.address != known.address:
+                if server is not None:
+                    server.connections.close()
+                remote = known.availability_zone != self._zone
+                server = Server(known, remote, self._limit(pool.name))
+                server.state.cold_until = now + known.cold_ms / _MS_PER_S
+                pool.servers[identifier] = server
+            server.state.silent = known.silent
+
+    def _limit(self, service: str) -> int:
+        total = self._limits.get(service)
+        if total is None:
+            return 1
+        return max(1, int(total * _LIMIT_SHARE / (self.hosts or _UNKNOWN_HOSTS)))
--- /dev/null
+++ b/packages/gateway/src/kingcuplug_gateway/_split.py
@@ -0,0 +1,32 @@
+"""Division of a route's requests among services by weight.
+
+Answers this load pattern: a route is moved to another service step by step, and the
+operator wants each step's share kept even over a few hundred requests. Weighted
+round robin from a random start keeps the share within one request on each host.
+"""
+
+import random as random_module
+from collections.abc import Sequence
+
+from kingcuplug_gateway._routes import WeightedService
+
+__all__ = ["WeightedTurn"]
+
+
+class WeightedTurn:
+    """Smooth weighted round robin."""
+
+    def __init__(
+        self, services: Sequence[WeightedService], random: random_module.Random
+    ) -> None:
+        self._services = [entry for entry in services if entry.weight > 0]
+        self._total = sum(entry.weight for entry in self._services)
+        self._credit = [random.uniform(0, entry.weight) for entry in self._services]
+
+    def next(self) -> str:
+        """Return the service of the next request."""
+        for position, entry in enumerate(self._services):
+            self._credit[position] += entry.weight
+        first = max(range(len(self._credit)), key=self._credit.__getitem__)
+        self._credit[first] -= self._total
+        return self._services[first].service
--- /dev/null
+++ b/packages/http/src/kingcuplug_http/__init__.py
@@ -0,0 +1,43 @@
+"""HTTP/1.1 connections of the request path, on asyncio protocols.
+
+Both directions parse with httptools. `docs/platform.md` gives the measurement for
+which the request path does not use uvicorn and aiohttp.
+"""
+
+from kingcuplug_http._inbound import (
+    Handler,
+    InboundConnection,
+    Limits,
+    Listener,
+)
+from kingcuplug_http._messages import (
+    Headers,
+    Request,
+    Response,
+    encode_response,
+    end_to_end,
+    error_response,
+)
+from kingcuplug_http._outbound import (
+    Exchange,
+    Failure,
+    OutboundConnection,
+    connect,
+)
+
+__all__ = [
+    "Exchange",
+    "Failure",
+    "Handler",
+    "Headers",
+    "InboundConnection",
+    "Limits",
+    "Listener",
+    "OutboundConnection",
+    "Request",
+    "Response",
+    "connect",
+    "encode_response",
+    "end_to_end",
+    "error_response",
+]
--- /dev/null
+++ b/packages/http/src/kingcuplug_http/_inbound.py
@@ -0,0 +1,322 @@
+"""Connections from callers, backend servers, operators and other hosts."""
+
+import asyncio
+import contextlib
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import httptools
+
+from kingcuplug_http._messages import (
+    Headers,
+    Request,
+    Response,
+    encode_response,
+    error_response,
+)
+
+__all__ = ["Handler", "InboundConnection", "Limits", "Listener"]
+
+# Requests that a caller may send ahead of their answers before reading stops.
+_PIPELINED_REQUESTS = 16
+# Time for a caller to read a refusal while the rest of its request is discarded:
+# closing with unread bytes would reset the connection and lose the refusal.
+_DISCARD_S = 1.0
+_BACKLOG = 1_024  # Connections that may wait for accept during a burst.
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What a peer may send, and how long it may take.
+
+    Attributes
+    ----------
+    header_timeout_ms : int
+        From the first byte of a request to the end of its headers.
+    idle_timeout_ms : int
+        Without a byte, between requests or within a body.
+    """
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 1_048_576
+    header_timeout_ms: int = 10_000
+    idle_timeout_ms: int = 60_000
+
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+class Listener:
+    """One listening address and its open connections.
+
+    Parameters
+    ----------
+    handler : callable
+        Answers one request; cancelled when the peer is gone.
+    limits : callable
+        Limits in force.
+
+    Attributes
+    ----------
+    closing : bool
+        Set to tell peers with each response that the connection ends.
+    """
+
+    def __init__(self, handler: Handler, limits: Callable[[], Limits]) -> None:
+        self.handler = handler
+        self.limits = limits
+        self.closing = False
+        self.connections: set[InboundConnection] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self, address: str) -> str:
+        """Listen on ``ip:port`` and return the address with the port in use."""
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: InboundConnection(self, loop), host, int(port), backlog=_BACKLOG
+        )
+        return f"{host}:{self._server.sockets[0].getsockname()[1]}"
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket; open connections go on."""
+        if self._server is not None:
+            self._server.close()
+
+    def close_idle(self) -> None:
+        """Close connections on which no request is in progress."""
+        for connection in tuple(self.connections):
+            connection.close_if_idle()
+
+    @property
+    def busy(self) -> int:
+        """Connections with a request in progress."""
+        return sum(connection.busy for connection in self.connections)
+
+    async def stop(self) -> None:
+        """Stop listening and drop all connections."""
+        self.stop_accepting()
+        for connection in tuple(self.connections):
+            connection.abort()
+
+
+class InboundConnection(asyncio.Protocol):
+    """Parses requests and answers them one after the other, in order."""
+
+    def __init__(self, listener: Listener, loop: asyncio.AbstractEventLoop) -> None:
+        self._listener = listener
+        self._loop = loop
+        self._transport: asyncio.Transport
+        self._parser = httptools.HttpRequestParser(self)
+        self._waiting: deque[Request] = deque()
+        self._task: asyncio.Task[None] | None = None
+        self._served = 0
+        self._head_bytes = 0
+        self._in_head = False
+        self._in_body = False
+        self._closed = False
+        self._last = False
+        self._refusal: Response | None = None
+        self._active_at = loop.time()
+        self._head_at = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+        self._begin()
+
+    # Callbacks of the transport.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to watch the peer's time limits."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._listener.connections.add(self)
+        self._active_at = self._loop.time()
+        self._watch()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrived and start to answer complete requests."""
+        self._active_at = self._loop.time()
+        if self._last:
+            return
+        if self._in_head or not self._in_body:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # The request is served without the upgrade; what follows it on the
+            # connection is not HTTP of this version.
+            self._last = True
+        except httptools.HttpParserError:
+            self._refuse(error_response(400, "the request is not valid HTTP/1.1"))
+        if (
+            self._in_head
+            and self._head_bytes > self._listener.limits().max_header_bytes
+        ):
+            self._refuse(error_response(431, "the headers are too large"))
+        if len(self._waiting) > _PIPELINED_REQUESTS:
+            self._transport.pause_reading()
+        self._next()
+
+    def eof_received(self) -> bool:
+        """Take the peer's end of sending as its end of interest."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stop the work for a peer that is gone."""
+        self._closed = True
+        self._listener.connections.discard(self)
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._task is not None:
+            self._task.cancel()
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        """Start a new request."""
+        self._begin()
+        self._in_head = True
+        self._head_at = self._loop.time()
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the target, which may arrive in parts."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect one header."""
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Check what the headers say before the body is read."""
+        self._in_head = False
+        self._in_body = True
+        limits = self._listener.limits()
+        if self._head_bytes > limits.max_header_bytes:
+            size = len(self._target) + sum(
+                len(name) + len(value) + 4 for name, value in self._headers
+            )
+            if size > limits.max_header_bytes:
+                self._refuse(error_response(431, "the headers are too large"))
+                return
+        for name, value in self._headers:
+            self._fields.setdefault(name.lower(), value)
+        length = self._fields.get(b"content-length")
+        if length is not None and int(length) > limits.max_body_bytes:
+            self._refuse(error_response(413, "the body is too large"))
+        elif self._fields.get(b"expect", b"").lower() == b"100-continue":
+            self._transport.write(_CONTINUE)
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a part of the body."""
+        self._body.append(body)
+        self._body_bytes += len(body)
+        if self._body_bytes > self._listener.limits().max_body_bytes:
+            self._refuse(error_response(413, "the body is too large"))
+
+    def on_message_complete(self) -> None:
+        """Queue the request."""
+        self._in_body = False
+        self._head_bytes = 0
+        if self._last:
+            return
+        request = Request(
+            method=self._parser.get_method(),
+            target=bytes(self._target),
+            headers=self._headers,
+            body=b"".join(self._body),
+            keep_alive=self._parser.should_keep_alive(),
+            received_at=self._loop.time(),
+            first=self._served == 0 and not self._waiting,
+            fields=self._fields,
+        )
+        self._last = not request.keep_alive
+        self._waiting.append(request)
+
+    # The rest is this connection's own.
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is in progress or waits for its answer."""
+        return self._task is not None or bool(self._waiting)
+
+    def close_if_idle(self) -> None:
+        """Close unless a request has begun to arrive or is in progress."""
+        if not self.busy and not self._in_head and not self._in_body:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Drop the connection."""
+        self._transport.abort()
+
+    def _begin(self) -> None:
+        self._target = bytearray()
+        self._headers: Headers = []
+        self._fields: dict[bytes, bytes] = {}
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+
+    def _refuse(self, response: Response) -> None:
+        """End the connection with a refusal once earlier requests are answered."""
+        if self._refusal is None:
+            self._refusal = response
+            self._last = True
+
+    def _next(self) -> None:
+        if self._task is not None or self._closed:
+            return
+        if self._waiting:
+            request = self._waiting.popleft()
+            self._task = self._loop.create_task(self._answer(request))
+        elif self._refusal is not None:
+            self._transport.write(encode_response(self._refusal, close=True))
+            self._loop.call_later(_DISCARD_S, self._transport.close)
+
+    async def _answer(self, request: Request) -> None:
+        try:
+            response = await self._listener.handler(request)
+        except Exception as error:
+            # The request may have run: the status must not promise otherwise.
+            response = error_response(500, f"internal error: {type(error).__name__}")
+            self._loop.call_exception_handler(
+                {"message": "a request's handler failed", "exception": error}
+            )
+        if self._closed:
+            return
+        self._served += 1
+        # Requests that were read are answered before the connection ends.
+        last = (self._last or self._listener.closing) and not self._waiting
+        last = last and self._refusal is None
+        head = request.method == b"HEAD"
+        self._transport.write(encode_response(response, last, head))
+        self._task = None
+        self._active_at = self._loop.time()
+        if last:
+            self._last = True  # What still arrives is not read.
+            self._transport.close()
+            return
+        if len(self._waiting) <= _PIPELINED_REQUESTS:
+            with contextlib.suppress(RuntimeError):
+                self._transport.resume_reading()
+        self._next()
+
+    def _watch(self) -> None:
+        """Check the time limits now and again when the next one may be over."""
+        limits, now = self._listener.limits(), self._loop.time()
+        due = self._active_at + limits.idle_timeout_ms / 1_000
+        if self._in_head:
+            due = self._head_at + limits.header_timeout_ms / 1_000
+        if self.busy:
+            due = max(due, now + limits.header_timeout_ms / 1_000)
+        elif now >= due:
+            self._overdue()
+            return
+        pause = min(due - now, limits.header_timeout_ms / 1_000)
+        self._timer = self._loop.call_later(max(pause, 0.01), self._watch)
+
+    def _overdue(self) -> None:
+        if self._in_head or self._in_body:
+            self._refuse(error_response(408, "the request did not arrive in time"))
+            self._next()
+        else:
+            self._transport.close()
--- a/packages/log/src/kingcuplug_log/_core.py
+++ b/packages/log/src/kingcuplug_log/_core.py
@@ -5,7 +5,7 @@
 from collections.abc import Coroutine
 from typing import TYPE_CHECKING, Any
 
-from kingcuplug_common import Metrics, state_change
+from kingcuplug_common import Metrics, Signal, state_change
 
 from kingcuplug_log._group import Group
 from kingcuplug_log._messages import (
@@ -16,7 +16,6 @@
     decode_reply,
     to_json,
 )
-from kingcuplug_log._signal import Signal
 from kingcuplug_log._storage import Storage
 from kingcuplug_log._types import Clock, LogSettings, Member, ReplicaRole, Transport
 
--- a/packages/log/src/kingcuplug_log/_files.py
+++ b/packages/log/src/kingcuplug_log/_files.py
@@ -59,7 +59,10 @@
 
 
 class DiskFileSystem:
-    """A folder on a real disk; syncs run in a thread.
+    """A folder on a real disk; writes and syncs run in a thread.
+
+    A stalled disk blocks the thread that writes as well as the one that syncs, so
+    written bytes are kept in memory until the next sync of their file.
 
     Parameters
     ----------
@@ -70,23 +73,24 @@
     def __init__(self, folder: Path) -> None:
         folder.mkdir(parents=True, exist_ok=True)
         self._folder = folder
+        self._unwritten: dict[int, bytearray] = {}
 
     def open_append(self, name: str) -> int:
         """Open a file for appending, create it if absent; return its handle."""
         return os.open(self._folder / name, _APPEND, 0o600)
 
     def write(self, handle: int, data: bytes) -> None:
-        """Append all of `data`."""
-        rest = memoryview(data)
-        while rest:
-            rest = rest[os.write(handle, rest) :]
+        """Append all of `data` with the next `sync`."""
+        self._unwritten.setdefault(handle, bytearray()).extend(data)
 
     async def sync(self, handle: int) -> None:
         """Make the content of the file durable."""
-        await asyncio.to_thread(os.fsync, handle)
+        data = bytes(self._unwritten.pop(handle, b""))
+        await asyncio.to_thread(_write_and_sync, handle, data)
 
     def close(self, handle: int) -> None:
-        """Close a handle."""
+        """Close a handle; bytes that were not synced are dropped."""
+        self._unwritten.pop(handle, None)
         os.close(handle)
 
     def rename(self, old: str, new: str) -> None:
@@ -114,6 +118,13 @@
         (self._folder / name).unlink()
 
 
+def _write_and_sync(handle: int, data: bytes) -> None:
+    rest = memoryview(data)
+    while rest:
+        rest = rest[os.write(handle, rest) :]
+    os.fsync(handle)
+
+
 def _sync_folder(folder: Path) -> None:
     handle = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
     try:
--- a/packages/log/src/kingcuplug_log/_replica.py
+++ b/packages/log/src/kingcuplug_log/_replica.py
@@ -133,6 +133,19 @@
         """Whether this replica takes itself for the leader; it may be cut off."""
         return self._core.leadership is not None
 
+    def find(self, identifier: str) -> Member | None:
+        """Return the member with this identifier."""
+        return self._core.group.find(identifier)
+
+    def connected(self) -> bool:
+        """Return whether this replica leads under a lease or follows such a leader.
+
+        What it has applied is then at most an election timeout behind.
+        """
+        if self.leading:
+            return self.leading_until() > self._core.clock()
+        return self._core.leader is not None and self._core.promised()
+
     async def bootstrap(self, cluster_id: str) -> None:
         """Begin a cluster whose only member is this replica.
 
--- /dev/null
+++ b/packages/node/src/kingcuplug_node/__init__.py
@@ -0,0 +1,6 @@
+"""Composition of a host that serves callers and control at once."""
+
+from kingcuplug_node._host import Elsewhere, Host
+from kingcuplug_node._settings import NodeSettings
+
+__all__ = ["Elsewhere", "Host", "NodeSettings"]
--- /dev/null
+++ b/packages/node/src/kingcuplug_node/_settings.py
@@ -0,0 +1,45 @@
+"""Settings of a host that serves callers and control at once."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from kingcuplug_routing import AllowanceSettings
+
+__all__ = ["NodeSettings"]
+
+
+@dataclass(frozen=True)
+class NodeSettings:
+    """Settings of one host.
+
+    Attributes
+    ----------
+    caller_address, ready_address, control_address : str
+        ``ip:port`` of the listeners. Backend servers, operators and the other
+        hosts of the system use the control address.
+    seeds : tuple of str
+        Control addresses of hosts that may know the others.
+    first_start : bool
+        Whether the whole system starts for the first time, with empty disks.
+    data_folder : Path or None
+        Where the replicated log lives; a host without one keeps no state.
+    heartbeat_ms : int
+        Interval at which backend servers announce themselves.
+    drain_ms : int
+        How long callers may still come to a host that is stopping.
+    grace_ms : int
+        From SIGTERM to SIGKILL.
+    """
+
+    host: str
+    availability_zone: str
+    caller_address: str
+    ready_address: str
+    control_address: str
+    seeds: tuple[str, ...]
+    first_start: bool
+    data_folder: Path | None
+    heartbeat_ms: int
+    drain_ms: int
+    grace_ms: int
+    allowance: AllowanceSettings
--- a/packages/routing/src/kingcuplug_routing/__init__.py
+++ b/packages/routing/src/kingcuplug_routing/__init__.py
@@ -1,9 +1,12 @@
 """Replica choice, limits, hedging, retry budgets and the crash guard."""
 
 from kingcuplug_routing._admission import Admission, Admitted
+from kingcuplug_routing._allowance import AllowanceSettings, RetryAllowance
 from kingcuplug_routing._blames import Blame, CrashGuardSettings
+from kingcuplug_routing._completeness import AnswerRule
 from kingcuplug_routing._crash_guard import CrashGuard
 from kingcuplug_routing._policy import RoutingPolicy, baseline_policy
+from kingcuplug_routing._replicas import ReplicaState, choose_replica
 from kingcuplug_routing._router import Router
 from kingcuplug_routing._selection import (
     least_expected_time,
@@ -12,6 +15,7 @@
     two_choices,
 )
 from kingcuplug_routing._ticket import Ticket
+from kingcuplug_routing._timing import Timing
 from kingcuplug_routing._types import (
     Attempt,
     AttemptOutcome,
@@ -25,6 +29,8 @@
 __all__ = [
     "Admission",
     "Admitted",
+    "AllowanceSettings",
+    "AnswerRule",
     "Attempt",
     "AttemptOutcome",
     "Blame",
@@ -33,12 +39,16 @@
     "Holding",
     "HoldingView",
     "Priority",
+    "ReplicaState",
+    "RetryAllowance",
     "Router",
     "RoutingPolicy",
     "ServerView",
     "SnapshotView",
     "Ticket",
+    "Timing",
     "baseline_policy",
+    "choose_replica",
     "least_expected_time",
     "least_in_flight",
     "random_replica",
