--- a/packages/fleet/src/kingcuplug_fleet/_records.py
+++ b/packages/fleet/src/kingcuplug_fleet/_records.py
@@ -79,4 +79,17 @@
     @classmethod
     def from_json(cls, value: list[Any]) -> "ServerRecord":
         """Return the record described by a JSON array of another host."""
-        return cls(*value[:7], state=ServerState(value[7]), cold_ms=value[8])
+        identifier, born_ms, sequence, service, address, zone, slots, state, cold = (
+            value
+        )
+        return cls(
+            identifier,
+            born_ms,
+            sequence,
+            service,
+            address,
+            zone,
+            slots,
+            ServerState(state),
+            cold,
+        )
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -339,6 +339,9 @@
         knowledge = self._knowledge
         applied: tuple[object, ...] = ()
 
+        def news() -> bool:
+            return current() != applied
+
         def current() -> tuple[object, ...]:
             return (
                 knowledge.routes_version,
@@ -348,7 +351,7 @@
             )
 
         while True:
-            await knowledge.changed.until(lambda seen=applied: current() != seen)
+            await knowledge.changed.until(news)
             applied = current()
             self._apply_routes()
             self._apply_servers()
