--- a/packages/fleet/src/kingcuplug_fleet/_teaching.py
+++ b/packages/fleet/src/kingcuplug_fleet/_teaching.py
@@ -23,10 +23,13 @@
 LEARN_PATH = "/peer/v2/learn"
 SHARE_PATH = "/peer/v2/share"
 
-_WAIT_S = 1.0
-# Beyond the wait: a round trip and the time of a busy control host.
-_LEARN_TIMEOUT_S = _WAIT_S + 0.7
-_RETRY_S = 0.1
+_WAIT_S = 0.8
+# A round trip and the time of a busy control host; beyond the wait, if there is one.
+_ANSWER_S = 0.5
+# News must be in force everywhere within 3 s, so a host that has lost its control
+# host may meet only few dead ones before it finds a live one.
+_RETRY_S = 0.05
+_AVOIDED_S = 4.0
 # News of one burst (a rolling restart, a zone's start) share an answer.
 _GATHER_S = 0.02
 _SHARE_INTERVAL_S = 0.5
@@ -63,7 +66,7 @@
             or current != seen
         )
 
-    if connected():
+    if connected() and value["wait"]:
         await knowledge.changed.until(news, _WAIT_S)
         await asyncio.sleep(_GATHER_S)
     newer = knowledge.routes_version > value["routes"]
@@ -117,6 +120,7 @@
         self._own_address = own_address
         self._log = log
         self._cursors: dict[str, _Cursor] = {}
+        self._avoided: dict[str, float] = {}
         self._random = random_module.Random()
         self.teacher: str | None = None
 
@@ -131,16 +135,21 @@
                 self._leave(address)
                 await asyncio.sleep(_RETRY_S)
 
-    def _choose(self, avoided: str | None = None) -> str | None:
-        known = set(self._knowledge.control) or set(self._seeds())
-        # Seeds may be all that is reachable if the known control hosts are gone.
-        if self._random.random() < 0.2:
-            known |= set(self._seeds())
+    def _choose(self) -> str | None:
+        """Return a control host, one that has not failed lately if there is one."""
+        now = asyncio.get_running_loop().time()
+        # The seeds may be all that is reachable if the known ones are gone.
+        known = set(self._knowledge.control) | set(self._seeds())
         known.discard(self._own_address)
-        choices = sorted(known - {avoided}) or sorted(known)
-        return self._random.choice(choices) if choices else None
+        limit = now - _AVOIDED_S
+        fresh = [a for a in known if self._avoided.get(a, limit) <= limit]
+        if fresh:
+            return self._random.choice(sorted(fresh))
+        return min(known, key=lambda a: self._avoided[a]) if known else None
 
     def _leave(self, address: str | None) -> None:
+        if address is not None:
+            self._avoided[address] = asyncio.get_running_loop().time()
         if self.teacher is not None:
             self._log.write("control_host_lost", {"address": address}, always=True)
         self.teacher = None
@@ -161,9 +170,12 @@
             "silent": sorted(knowledge.silent),
             "control": list(knowledge.control),
             "hosts": knowledge.hosts,
+            # The first answer comes at once: it shows that the host is alive.
+            "wait": self.teacher == address,
         }
+        timeout_s = _ANSWER_S + (_WAIT_S if self.teacher == address else 0)
         try:
-            reply = await self._peers.call(address, LEARN_PATH, value, _LEARN_TIMEOUT_S)
+            reply = await self._peers.call(address, LEARN_PATH, value, timeout_s)
         except PeerFailed:
             cursor.version = 0
             return False
--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from kingcuplug_common import EventLog, Metrics
+from kingcuplug_common import EventLog, Metrics, Signal
 from kingcuplug_http import (
     Headers,
     Limits,
@@ -15,7 +15,7 @@
     end_to_end,
     error_response,
 )
-from kingcuplug_routing import AllowanceSettings, AnswerRule, Timing
+from kingcuplug_routing import AllowanceSettings, AnswerRule, Timing, wait_until
 
 from kingcuplug_gateway._call import Outgoing, ServiceCall
 from kingcuplug_gateway._protocol import HeaderNames
@@ -30,7 +30,9 @@
 # A caller that is told to come back should find a server that was restarted or
 # announced meanwhile; the spread keeps callers from returning in step.
 _RETRY_AFTER_S = (0.15, 0.45)
-_LONGEST_DEADLINE_MS = 600_000
+# Bounds the wait of requests that come before the routes, with their timeouts, are
+# known.
+_LONGEST_WAIT_MS = 10_000
 _DEFAULT_ALLOWANCE = AllowanceSettings()
 
 
@@ -92,6 +94,8 @@
             )
         )
         self._hosts = 0
+        self._started_at = asyncio.get_running_loop().time()
+        self._changed = Signal()
         self.table: RouteTable | None = None
         self.servers = ServerTable(settings.availability_zone, settings.allowance)
 
@@ -104,6 +108,7 @@
         self._timings = {n: t for n, t in self._timings.items() if n in names}
         self._turns.clear()
         self._limit_connections()
+        self._changed.notify()
         return True
 
     def use(self, servers: list[KnownServer], hosts: int) -> None:
@@ -112,6 +117,7 @@
         if hosts != self._hosts:
             self._hosts = hosts
             self._limit_connections()
+        self._changed.notify()
 
     def limits(self) -> Limits:
         """Return what callers may send."""
@@ -127,6 +133,7 @@
 
     async def handle(self, request: Request) -> Response:
         """Answer one caller's request."""
+        await self._warm(request, _LONGEST_WAIT_MS, lambda: self.table is not None)
         table = self.table
         if table is None:
             return self._refuse(request, None, "no_routes")
@@ -144,6 +151,7 @@
         """Send a request to one server of the route's service."""
         service = self._service(route)
         pool = self.servers.pool(service)
+        await self._warm(request, route.timeout_ms, lambda: bool(pool.servers))
         if not pool.servers:
             return self._refuse(request, route, "no_servers")
         loop = asyncio.get_running_loop()
@@ -177,8 +185,11 @@
         """Send a request to one server of each shard and merge the parts."""
         outgoing = self._outgoing(request, route)
         rule = self._rule(request, route, outgoing)
-        now = asyncio.get_running_loop().time()
         pools = [self.servers.pool(shard) for shard in route.shards]
+        await self._warm(
+            request, route.timeout_ms, lambda: all(pool.servers for pool in pools)
+        )
+        now = asyncio.get_running_loop().time()
         reachable = sum(pool.reachable(now) for pool in pools)
         if reachable < rule.needed:
             return self._refuse(request, route, "shards_unreachable")
@@ -205,6 +216,25 @@
         response = Response(200, headers, merged.body)
         return self._end(request, route, response, *scatter.calls)
 
+    async def _warm(
+        self, request: Request, wait_ms: int, known: Callable[[], bool]
+    ) -> None:
+        """Wait while the host has just started and does not know enough yet."""
+        if known():
+            return
+        now = asyncio.get_running_loop().time()
+        deadline_at = self._deadline_at(request, wait_ms)
+        until = wait_until(request.received_at, deadline_at, self._started_at)
+        if now < until:
+            await self._changed.until(known, until - now)
+
+    def _deadline_at(self, request: Request, wait_ms: int) -> float:
+        """Return when the caller or the route's time is over."""
+        given = request.header(self._names.deadline_ms.lower())
+        if given is not None and given.isdigit():
+            wait_ms = min(wait_ms, int(given))
+        return request.received_at + wait_ms / _MS_PER_S
+
     def _service(self, route: Route) -> str:
         if len(route.services) == 1:
             return route.services[0].service
@@ -254,10 +284,6 @@
 
     def _outgoing(self, request: Request, route: Route) -> Outgoing:
         names = self._names
-        wait_ms = route.timeout_ms
-        given = request.header(names.deadline_ms.lower())
-        if given is not None and given.isdigit():
-            wait_ms = min(wait_ms, int(given), _LONGEST_DEADLINE_MS)
         lines = [b"%s %s HTTP/1.1\r\n" % (request.method, request.target)]
         for name, value in end_to_end(request.headers, self._set_here):
             lines.append(b"%s: %s\r\n" % (name, value))
@@ -276,7 +302,7 @@
             head=b"".join(lines),
             body=request.body,
             attempt_id=request.header(names.attempt_id.lower()) or b"",
-            deadline_at=request.received_at + wait_ms / _MS_PER_S,
+            deadline_at=self._deadline_at(request, route.timeout_ms),
             repeatable=route.repeatable,
             bodiless=request.method == b"HEAD",
         )
--- a/packages/routing/src/kingcuplug_routing/__init__.py
+++ b/packages/routing/src/kingcuplug_routing/__init__.py
@@ -25,6 +25,7 @@
     ServerView,
     SnapshotView,
 )
+from kingcuplug_routing._warm_up import wait_until
 
 __all__ = [
     "Admission",
@@ -53,4 +54,5 @@
     "least_in_flight",
     "random_replica",
     "two_choices",
+    "wait_until",
 ]
--- a/packages/routing/src/kingcuplug_routing/_replicas.py
+++ b/packages/routing/src/kingcuplug_routing/_replicas.py
@@ -14,12 +14,13 @@
 
 __all__ = ["ReplicaState", "choose_replica"]
 
-# Weight of a new sample in a replica's pace: about the last five answers count.
-_PACE_WEIGHT = 0.2
+# Weight of a new sample in a replica's pace: about the last three answers count,
+# because a host sees each replica only about once a second.
+_PACE_WEIGHT = 0.3
 _PACE_RANGE = (0.3, 20.0)
 # A pace that was not confirmed for this long counts half, so that a replica that
 # was slow is tried again.
-_PACE_HALF_LIFE_S = 3.0
+_PACE_HALF_LIFE_S = 5.0
 # An attempt open for this many times its expected duration shows a stalled server.
 _STALL_FACTOR = 3.0
 _STALL_FLOOR_S = 0.03  # Shorter waits are within the spread of a healthy server.
@@ -34,7 +35,7 @@
 _SILENT_COST_S = 1.0
 # Bytes between availability zones are priced, so a replica there has to be
 # faster by this share.
-_REMOTE_FACTOR = 1.3
+_REMOTE_FACTOR = 1.5
 _REMOTE_S = 0.002  # A round trip between availability zones.
 _COLD_FACTOR = 1.6  # Servers that have just started work this much slower.
 _JITTER = (0.85, 1.15)
