--- a/packages/routing/src/kingcuplug_routing/_replicas.py
+++ b/packages/routing/src/kingcuplug_routing/_replicas.py
@@ -17,7 +17,9 @@
 # Weight of a new sample in a replica's pace: about the last three answers count,
 # because a host sees each replica only about once a second.
 _PACE_WEIGHT = 0.3
-_PACE_RANGE = (0.3, 20.0)
+# One answer that met a pause must not condemn a replica for long; a replica that is
+# really slow gives several such answers.
+_PACE_RANGE = (0.3, 4.0)
 # A pace that was not confirmed for this long counts half, so that a replica that
 # was slow is tried again.
 _PACE_HALF_LIFE_S = 5.0
