--- /dev/null
+++ b/tests/gateway/conftest.py
@@ -0,0 +1,153 @@
+"""Scripted backend servers on loopback, and a gateway that uses them."""
+
+import asyncio
+import contextlib
+import os
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+from kingcuplug_common import EventLog, Metrics
+from kingcuplug_gateway import (
+    Gateway,
+    GatewaySettings,
+    HeaderNames,
+    KnownServer,
+    Route,
+    RouteTable,
+    ServiceSettings,
+    WeightedService,
+)
+from kingcuplug_http import Limits, Listener, Request, Response
+from kingcuplug_routing import AllowanceSettings
+
+NAMES = HeaderNames(
+    attempt_id=b"Try-Id",
+    deadline_ms=b"Left-Ms",
+    expected_server=b"Only-At",
+    seal=b"Seal",
+    not_run=b"Unrun",
+    part_seals=b"Seals",
+    missing_parts=b"Missing",
+)
+ServerScript = Callable[[Request], Awaitable[Response]]
+
+
+def sealed(body: bytes = b"", status: int = 200, **headers: str) -> Response:
+    """Return a server's answer with its signature."""
+    pairs = [(k.replace("_", "-").encode(), v.encode()) for k, v in headers.items()]
+    return Response(status, [(b"Seal", os.urandom(4).hex().encode()), *pairs], body)
+
+
+def make_route(**fields: Any) -> Route:
+    """Return a route to the service ``stock`` unless fields say otherwise."""
+    defaults: dict[str, Any] = {
+        "name": "r",
+        "host": "shop.example",
+        "prefix": "/",
+        "repeatable": True,
+        "services": (WeightedService("stock", 1.0),),
+        "shards": (),
+        "max_attempts": 2,
+        "timeout_ms": 2_000,
+        "target_ms": 400,
+        "rank": 1,
+        "top_records": 5,
+        "minimum_coverage": 0.5,
+    }
+    return Route(**(defaults | fields))
+
+
+@dataclass
+class World:
+    """A gateway and what its servers were asked, by server id."""
+
+    gateway: Gateway
+    asked: dict[str, list[Request]] = field(default_factory=dict)
+    listeners: list[Listener] = field(default_factory=list)
+    known: list[KnownServer] = field(default_factory=list)
+
+    async def add(self, service: str, script: ServerScript) -> str:
+        """Start a server of a service and return its id."""
+        identifier = f"{service}-{len(self.known)}"
+        requests = self.asked[identifier] = []
+
+        async def answer(request: Request) -> Response:
+            requests.append(request)
+            response = await script(request)
+            response.headers.append((b"Try-Id", request.header(b"try-id") or b""))
+            return response
+
+        listener = Listener(answer, Limits)
+        address = await listener.start("127.0.0.1:0")
+        self.listeners.append(listener)
+        self.know(identifier, service, address)
+        return identifier
+
+    def know(self, identifier: str, service: str, address: str) -> None:
+        """Tell the gateway of a server, running or not."""
+        self.known.append(KnownServer(identifier, service, address, "z", 3, 0, False))
+        self.gateway.use(self.known, hosts=1)
+
+    def adopt(self, *routes: Route, version: int = 1) -> None:
+        """Bring routes into force."""
+        names = {s for r in routes for s in r.shards}
+        names |= {w.service for r in routes for w in r.services}
+        services = {name: ServiceSettings(name, "/health", 32) for name in names}
+        table = RouteTable(version, routes, services, 8_192, 65_536, 3_000, 15_000)
+        self.gateway.adopt(table)
+
+    async def ask(
+        self,
+        target: str = "/x",
+        method: str = "GET",
+        body: bytes = b"",
+        **headers: str,
+    ) -> Response:
+        """Send one caller's request through the gateway."""
+        fields = {b"host": b"shop.example", b"try-id": b"t1"}
+        for name, value in headers.items():
+            fields[name.replace("_", "-").encode()] = value.encode()
+        request = Request(
+            method=method.encode(),
+            target=target.encode(),
+            headers=list(fields.items()),
+            body=body,
+            keep_alive=True,
+            received_at=asyncio.get_running_loop().time(),
+            first=False,
+            fields=fields,
+        )
+        return await asyncio.wait_for(self.gateway.handle(request), timeout=10)
+
+
+@asynccontextmanager
+async def _world(
+    allowance: AllowanceSettings | None = None, warm: bool = True
+) -> AsyncIterator[World]:
+    reader, writer = os.pipe()
+    settings = GatewaySettings(
+        "z", NAMES, allowance or AllowanceSettings(), caller_delay_ms=0
+    )
+    log = EventLog(writer, "host")
+    gateway = Gateway(settings, log, Metrics(), random.Random(3))
+    if warm:
+        gateway._started_at -= 100  # Nothing waits for a start that is long past.
+    world = World(gateway)
+    try:
+        yield world
+    finally:
+        gateway.servers.close()
+        for listener in world.listeners:
+            await listener.stop()
+        with contextlib.suppress(OSError):
+            os.close(reader)
+            os.close(writer)
+
+
+@pytest.fixture
+def open_world() -> Callable[..., Any]:
+    return _world
--- /dev/null
+++ b/tests/http/conftest.py
@@ -0,0 +1,66 @@
+"""A listener on loopback, and a peer that speaks raw bytes."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from dataclasses import dataclass, field
+
+import pytest
+from kingcuplug_http import Handler, Limits, Listener, Request, Response
+
+SMALL_LIMITS = Limits(
+    max_header_bytes=512,
+    max_body_bytes=1_000,
+    header_timeout_ms=200,
+    idle_timeout_ms=400,
+)
+
+
+@dataclass
+class Served:
+    """A running listener and what it was asked."""
+
+    address: str
+    listener: Listener
+    requests: list[Request] = field(default_factory=list)
+
+
+async def _echo(request: Request) -> Response:
+    return Response(200, [(b"Echo", request.target)], request.body)
+
+
+@asynccontextmanager
+async def _serve(
+    handler: Handler = _echo, limits: Limits = SMALL_LIMITS
+) -> AsyncIterator[Served]:
+    async def record(request: Request) -> Response:
+        served.requests.append(request)
+        return await handler(request)
+
+    listener = Listener(record, lambda: limits)
+    served = Served(await listener.start("127.0.0.1:0"), listener)
+    try:
+        yield served
+    finally:
+        await listener.stop()
+
+
+async def _talk(address: str, data: bytes) -> bytes:
+    """Send bytes and return all that comes back until the peer closes."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(data)
+    try:
+        return await asyncio.wait_for(reader.read(), timeout=10)
+    finally:
+        writer.close()
+
+
+@pytest.fixture
+def serve() -> Callable[..., AbstractAsyncContextManager[Served]]:
+    return _serve
+
+
+@pytest.fixture
+def talk() -> Callable[[str, bytes], Awaitable[bytes]]:
+    return _talk
--- /dev/null
+++ b/tests/http/test_inbound.py
@@ -0,0 +1,149 @@
+"""What a listener does with callers that are slow, greedy, or gone."""
+
+import asyncio
+
+import pytest
+from kingcuplug_http import Request, Response
+
+
+def _status_codes(data: bytes) -> list[int]:
+    return [
+        int(line.split()[1])
+        for line in data.split(b"\r\n")
+        if line.startswith(b"HTTP/1.1 ")
+    ]
+
+
+def test_pipelined_requests_are_answered_in_order(serve, talk):
+    """Guards against answers that reach the wrong request of a connection."""
+
+    async def slow_first(request: Request) -> Response:
+        await asyncio.sleep(0.05 if request.target == b"/1" else 0)
+        return Response(200, [], request.target)
+
+    async def run() -> bytes:
+        async with serve(slow_first) as served:
+            return await talk(
+                served.address,
+                b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                b"GET /2 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+            )
+
+    data = asyncio.run(run())
+    assert data.index(b"\r\n\r\n/1") < data.index(b"\r\n\r\n/2")
+
+
+def test_chunked_body_arrives_whole(serve, talk):
+    """Guards against bodies that lose their chunk borders' bytes."""
+
+    async def run() -> bytes:
+        async with serve() as served:
+            return await talk(
+                served.address,
+                b"POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n"
+                b"5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n",
+            )
+
+    assert asyncio.run(run()).endswith(b"\r\n\r\nhello world")
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GET / HTTP/1.1\r\nLong: " + b"x" * 600 + b"\r\n\r\n", 431),
+        (b"GET / HTTP/1.1\r\nLong: " + b"x" * 600, 431),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1001\r\n\r\n", 413),
+        (
+            b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"7d0\r\n" + b"x" * 2_000 + b"\r\n",
+            413,
+        ),
+        (b"NOT HTTP AT ALL\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: a", 408),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nabc", 408),
+    ],
+)
+def test_bad_requests_are_refused_unserved(serve, talk, data, status):
+    """Guards against a host that serves, or waits forever for, what breaks limits."""
+
+    async def run() -> tuple[bytes, int]:
+        async with serve() as served:
+            return await talk(served.address, data), len(served.requests)
+
+    answer, served_count = asyncio.run(run())
+    assert _status_codes(answer) == [status]
+    assert served_count == 0
+
+
+def test_smuggled_request_is_not_served(serve, talk):
+    """Guards against a body that one side takes for a second request."""
+    data = (
+        b"POST /outer HTTP/1.1\r\nHost: a\r\nContent-Length: 6\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /inner HTTP/1.1\r\n\r\n"
+    )
+
+    async def run() -> list[bytes]:
+        async with serve() as served:
+            await talk(served.address, data)
+            return [request.target for request in served.requests]
+
+    assert b"/inner" not in asyncio.run(run())
+
+
+def test_work_stops_when_the_caller_leaves(serve):
+    """Guards against servers that work for callers who are gone."""
+    begun, cancelled = asyncio.Event(), asyncio.Event()
+
+    async def endless(request: Request) -> Response:
+        begun.set()
+        try:
+            await asyncio.sleep(60)
+        except asyncio.CancelledError:
+            cancelled.set()
+            raise
+        return Response(200, [], b"")
+
+    async def run() -> None:
+        async with serve(endless) as served:
+            host, _, port = served.address.rpartition(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            await begun.wait()
+            writer.close()
+            await asyncio.wait_for(cancelled.wait(), timeout=5)
+
+    asyncio.run(run())
+
+
+def test_closing_listener_answers_what_it_has_read(serve, talk):
+    """Guards against a shutdown that drops requests that were read already."""
+
+    async def run() -> bytes:
+        async with serve() as served:
+            served.listener.closing = True
+            return await talk(
+                served.address,
+                b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n",
+            )
+
+    data = asyncio.run(run())
+    assert _status_codes(data) == [200, 200]
+    assert data.count(b"Connection: close") == 1
+
+
+def test_failing_handler_promises_nothing(serve, talk):
+    """Guards against a 503, which says not run, for a request that may have run."""
+
+    async def fail(request: Request) -> Response:
+        raise RuntimeError("broken")
+
+    async def run() -> bytes:
+        async with serve(fail) as served:
+            asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+            return await talk(
+                served.address,
+                b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+            )
+
+    assert _status_codes(asyncio.run(run())) == [500]
