--- a/packages/routing/src/kingcuplug_routing/_replicas.py
+++ b/packages/routing/src/kingcuplug_routing/_replicas.py
@@ -19,7 +19,7 @@
 _PACE_WEIGHT = 0.3
 # One answer that met a pause must not condemn a replica for long; a replica that is
 # really slow gives several such answers.
-_PACE_RANGE = (0.3, 4.0)
+_PACE_RANGE = (0.3, 3.0)
 # A pace that was not confirmed for this long counts half, so that a replica that
 # was slow is tried again.
 _PACE_HALF_LIFE_S = 5.0
--- /dev/null
+++ b/tests/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the fleet's knowledge."""
--- /dev/null
+++ b/tests/fleet/test_succession.py
@@ -0,0 +1,77 @@
+"""Which voters the leader adds and removes without an operator."""
+
+from typing import Any
+
+from kingcuplug_fleet import Joiner, next_change
+from kingcuplug_log import LogStatus, Member, MemberRole, PeerStatus, ReplicaRole
+
+
+def _member(name: str, disk: str = "1", role: MemberRole = MemberRole.VOTER) -> Member:
+    return Member(f"{name}/{disk}", name, f"{name}:1", role)
+
+
+def _status(silent_ms: dict[str, float], **roles: MemberRole) -> LogStatus:
+    members = [_member("a")]
+    members += [_member(n, role=roles.get(n, MemberRole.VOTER)) for n in silent_ms]
+    peers = tuple(PeerStatus(m, 5, True, silent_ms[m.name]) for m in members[1:])
+    fields: dict[str, Any] = dict.fromkeys(
+        ("term", "commit_index", "applied_index", "last_index", "snapshot_index"), 5
+    )
+    return LogStatus(
+        member=members[0],
+        role=ReplicaRole.LEADER,
+        leader=members[0],
+        members=tuple(members),
+        peers=peers,
+        lease_valid=True,
+        storage_failed=False,
+        safe_to_lose_one=True,
+        **fields,
+    )
+
+
+def _joiners(*members: Member, fresh: bool = True) -> dict[str, Joiner]:
+    return {member.id: Joiner(member, fresh, False) for member in members}
+
+
+def test_new_host_is_added():
+    """Guards against a group that stays too small to bear a loss."""
+    new = _member("d")
+    assert next_change(_status({"b": 1, "c": 1}), _joiners(new), 0) == new
+
+
+def test_member_with_an_emptied_disk_is_removed_before_its_host_joins():
+    """Guards against counting a voter that forgot its votes."""
+    status = _status({"b": 1, "c": 1, "d": 9_000})
+    assert next_change(status, _joiners(_member("d", disk="2")), 0) == "d/1"
+
+
+def test_silent_voter_is_kept_without_a_successor():
+    """Guards against shrinking the group whenever a host is cut off."""
+    assert next_change(_status({"b": 1, "c": 1, "d": 9_000}), {}, 0) is None
+
+
+def test_silent_voter_is_removed_once_a_successor_has_come():
+    """Guards against a group that keeps a removed host's vote."""
+    status = _status({"b": 1, "c": 1, "d": 9_000, "e": 1})
+    assert next_change(status, {}, 1) == "d/1"
+    assert next_change(_status({"b": 1, "c": 1, "d": 900, "e": 1}), {}, 1) is None
+
+
+def test_three_voters_are_never_made_two():
+    """Guards against a group of two, which bears no loss."""
+    assert next_change(_status({"b": 1, "c": 90_000}), {}, 1) is None
+
+
+def test_learner_that_went_away_is_removed():
+    """Guards against a dead learner that blocks its own second try."""
+    status = _status({"b": 1, "c": 5_000}, c=MemberRole.LEARNER)
+    assert next_change(status, {}, 0) == "c/1"
+
+
+def test_removed_host_may_return():
+    """Guards against a host that was cut off and stays outside for ever."""
+    back = _member("d")
+    assert (
+        next_change(_status({"b": 1, "c": 1}), _joiners(back, fresh=False), 0) == back
+    )
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the platform's formats."""
--- /dev/null
+++ b/tests/platform/test_formats.py
@@ -0,0 +1,156 @@
+"""What the platform's messages mean, and which of them are refused."""
+
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from kingcuplug_fleet import ServerState
+from kingcuplug_platform import (
+    DocumentInvalid,
+    StatementInvalid,
+    decode_document,
+    decode_settings,
+    decode_statement,
+)
+
+STATEMENT: dict[str, Any] = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 3,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "sequence": 4,
+    "born": 1_700_000_000_000,
+}
+ROUTE: dict[str, Any] = {
+    "name": "r",
+    "host": "Shop.example",
+    "path_prefix": "/a/",
+    "kind": "safe",
+    "timeout_ms": 900,
+    "target_latency_ms": 70,
+    "priority": 2,
+    "service": "s",
+    "max_attempts": 2,
+}
+SETTINGS: dict[str, Any] = {
+    "node_name": "n",
+    "zone": "z",
+    "listen": {"front": "1.1.1.1:1", "ready": "1.1.1.1:2", "control": "1.1.1.1:3"},
+    "seeds": ["1.1.1.1:3"],
+    "first_start": True,
+    "heartbeat_interval_ms": 1_200,
+    "bounds": {
+        "grace_s": 6,
+        "retry_budget_ratio": 0.2,
+        "retry_budget_slack": 60,
+        "retry_window_s": 10,
+    },
+}
+
+
+def _document(**fields: Any) -> str:
+    value = {
+        "version": 7,
+        "routes": [ROUTE],
+        "services": [{"name": "s", "connection_limit": 32}, {"name": "t"}],
+        "limits": {"idle_timeout_ms": 9_000},
+    }
+    return json.dumps(value | fields)
+
+
+def test_statement_is_decoded():
+    """Guards against swapped fields of a heartbeat."""
+    record = decode_statement("i-1", json.dumps(STATEMENT).encode())
+    assert (record.id, record.service, record.address) == ("i-1", "s", "10.0.0.1:80")
+    assert (record.born_ms, record.sequence) == (1_700_000_000_000, 4)
+    assert record.state is ServerState.READY
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "asleep"},
+        {"state": None},
+        {"service": 5},
+        {"address": "nowhere"},
+        {"address": "10.0.0.1:http"},
+        {"slots": "3"},
+        {"sequence": True},
+        {"sequence": -1},
+        {"born": 1.5},
+    ],
+)
+def test_statement_of_another_writer_names_no_server(change):
+    """Guards against sending requests where a forged statement points."""
+    with pytest.raises(StatementInvalid):
+        decode_statement("i-1", json.dumps(STATEMENT | change).encode())
+
+
+@pytest.mark.parametrize("missing", sorted(set(STATEMENT) - {"version"}))
+def test_statement_without_a_field_names_no_server(missing):
+    """Guards against defaults for what a server did not say."""
+    value = {k: v for k, v in STATEMENT.items() if k != missing}
+    with pytest.raises(StatementInvalid):
+        decode_statement("i-1", json.dumps(value).encode())
+
+
+@given(st.binary(max_size=60))
+def test_unreadable_statement_names_no_server(data):
+    """Guards against a crash by bytes that cannot be read."""
+    with pytest.raises(StatementInvalid):
+        decode_statement("i-1", data)
+
+
+def test_document_is_decoded():
+    """Guards against routes that mean something else than the operator said."""
+    table = decode_document(_document())
+    (route,) = table.routes
+    assert table.version == 7
+    assert (route.host, route.prefix, route.repeatable) == ("shop.example", "/a/", True)
+    assert (route.timeout_ms, route.target_ms, route.max_attempts) == (900, 70, 2)
+    assert table.services["s"].connection_limit == 32
+    assert table.idle_timeout_ms == 9_000
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"routes": [ROUTE | {"service": "unknown"}]},
+        {"routes": [ROUTE | {"service": None, "fanout_services": ["s", "x"]}]},
+        {"routes": [ROUTE, ROUTE | {"name": "q"}]},
+        {"routes": [ROUTE, ROUTE | {"name": "q", "host": "shop.EXAMPLE"}]},
+        {"routes": [ROUTE | {"timeout_ms": 0}]},
+        {"routes": [ROUTE | {"traffic_split": [{"service": "s", "weight": 0}]}]},
+        {"routes": [ROUTE | {"traffic_split": [{"service": "x", "weight": 1}]}]},
+        {"routes": [ROUTE | {"path_prefix": "/a"}]},
+        {"routes": None},
+        {"services": {}},
+        {"version": "7"},
+        {"version": None},
+    ],
+)
+def test_invalid_document_is_refused(fields):
+    """Guards against acknowledging a document that must not be in force."""
+    with pytest.raises(DocumentInvalid):
+        decode_document(_document(**fields))
+
+
+@given(st.integers(0, 200))
+def test_document_cut_short_is_refused(length):
+    """Guards against obeying the part of a document that arrived."""
+    text = _document()
+    with pytest.raises(DocumentInvalid):
+        decode_document(text[: min(length, len(text) - 1)])
+
+
+def test_settings_without_a_disk_and_with_unknown_fields():
+    """Guards against a host that does not start when fields are added."""
+    settings = decode_settings(json.dumps(SETTINGS | {"new": 1}).encode())
+    assert settings.data_folder is None
+    assert settings.allowance.fixed == 60
+    assert settings.drain_ms < settings.grace_ms
--- /dev/null
+++ b/tests/routing/test_replicas.py
@@ -0,0 +1,89 @@
+"""Replays of load patterns against the choice of a replica."""
+
+from random import Random
+
+from kingcuplug_routing import ReplicaState, choose_replica
+
+TYPICAL_S = 0.03
+
+
+def _shares(
+    replicas: list[ReplicaState], durations_s: list[float], requests: int = 300
+) -> list[float]:
+    """Return the share of each replica when requests come every 100 ms."""
+    random, counts, now = Random(5), [0] * len(replicas), 0.0
+    for _ in range(requests):
+        now += 0.1
+        chosen = choose_replica(replicas, now, TYPICAL_S, random)
+        counts[chosen] += 1
+        key = object()
+        replicas[chosen].begin(key, now, TYPICAL_S)
+        replicas[chosen].answer(key, now + durations_s[chosen])
+    return [count / requests for count in counts]
+
+
+def test_equal_replicas_share_the_load():
+    """Guards against all hosts choosing the same replica."""
+    shares = _shares([ReplicaState(3) for _ in range(3)], [TYPICAL_S] * 3)
+    assert min(shares) > 0.2
+
+
+def test_replica_that_became_slow_is_avoided():
+    """Guards against one slow replica that delays a third of all queries."""
+    slow = TYPICAL_S * 8
+    shares = _shares([ReplicaState(3) for _ in range(3)], [slow, TYPICAL_S, TYPICAL_S])
+    assert shares[0] < 0.08
+
+
+def test_one_pause_does_not_condemn_a_local_replica():
+    """Guards against ten seconds of traffic to other zones after a pause of 200 ms."""
+    local, remote = ReplicaState(3), ReplicaState(3, remote=True)
+    key = object()
+    local.begin(key, 0.0, TYPICAL_S)
+    local.answer(key, 0.23)
+    random = Random(5)
+    chosen = [
+        choose_replica([local, remote], 5.0, TYPICAL_S, random) for _ in range(50)
+    ]
+    assert chosen.count(0) > 40
+
+
+def test_stalled_replica_is_avoided_before_it_answers():
+    """Guards against sending more requests to a server in the middle of a pause."""
+    stalled, other = ReplicaState(3), ReplicaState(3, remote=True)
+    stalled.begin(object(), 0.0, TYPICAL_S)
+    random = Random(5)
+    chosen = [
+        choose_replica([stalled, other], 0.15, TYPICAL_S, random) for _ in range(50)
+    ]
+    assert chosen.count(1) == 50
+
+
+def test_failing_fast_does_not_attract_requests():
+    """Guards against a server that fails at once and so looks idle."""
+    grey, sound = ReplicaState(3), ReplicaState(3)
+    random, now, to_grey = Random(5), 0.0, 0
+    for _ in range(200):
+        now += 0.1
+        replica = (grey, sound)[choose_replica([grey, sound], now, TYPICAL_S, random)]
+        key = object()
+        replica.begin(key, now, TYPICAL_S)
+        if replica is grey:
+            to_grey += 1
+            replica.fail(key, now + 0.001, unreachable=False)
+        else:
+            replica.answer(key, now + TYPICAL_S)
+    assert to_grey < 20
+
+
+def test_unreachable_server_is_tried_again_later():
+    """Guards against a server that is never used again after a restart."""
+    down, up = ReplicaState(3), ReplicaState(3)
+    key = object()
+    down.begin(key, 0.0, TYPICAL_S)
+    down.fail(key, 0.0, unreachable=True)
+    random = Random(5)
+    soon = [choose_replica([down, up], 0.1, TYPICAL_S, random) for _ in range(50)]
+    later = [choose_replica([down, up], 60.0, TYPICAL_S, random) for _ in range(50)]
+    assert soon.count(0) == 0
+    assert later.count(0) > 10
