Explain a request from log lines; serve counters and histograms as text

Cause: on-call engineers have only logs and metrics, and a request's line did not say which servers were asked and why. Change: failed requests' lines hold each attempt with its reason, expectation and outcome; lines that would not be written are not built; counters and log-bucketed histograms are served on the metrics address, with prometheus_client imported on the first question; kingcuplug explain tells one request's story with the beliefs behind it. A histogram's zero duration fell into the bucket of one second; its test found that.

--- /dev/null
+++ b/packages/cli/src/kingcuplug_cli/_explain.py
@@ -0,0 +1,170 @@
+"""The story of one request from the log lines of several hosts.
+
+On-call engineers have an id and files of log lines. A request's own line says which
+servers it was sent to, why, and what they answered; the lines before it on the same
+host say what the host believed then, and since when.
+"""
+
+import dataclasses
+import heapq
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from kingcuplug_cli._results import CommandRefused, ExitCode, WrongUsage
+
+__all__ = ["explain"]
+
+_US_PER_S = 1_000_000
+# Beliefs older than this are shown only if nothing newer replaced them.
+_RECENT_US = 30 * _US_PER_S
+_REQUEST_EVENTS = frozenset(("request", "request_failed"))
+# The newest line of each of these before a request is what its host believed.
+_BELIEFS = (
+    "started",
+    "stopping",
+    "routes_in_force",
+    "control_host_found",
+    "control_host_lost",
+    "replica_changed",
+    "members_changed",
+    "storage_unusable",
+    "settings_reloaded",
+)
+_SERVER_EVENT = "server_learnt"
+_META = frozenset(("event", "host", "time_us", "monotonic_us", "id", "calls"))
+
+Line = dict[str, Any]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Belief:
+    """A line that says what a host believed, and its age at the request."""
+
+    age_ms: float
+    line: Line
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """One line of the request and the beliefs behind it."""
+
+    line: Line
+    beliefs: tuple[Belief, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Story:
+    """All lines of one request, in order."""
+
+    request_id: str
+    steps: tuple[Step, ...]
+    exit_code: ExitCode = ExitCode.DONE
+
+    def lines(self) -> Iterator[str]:
+        """Yield the story for people."""
+        for step in self.steps:
+            line = step.line
+            yield f"{line['host']}: {line['event']} {_fields(line)}"
+            for call in line.get("calls", ()):
+                yield f"  attempt {_fields(call)}"
+            for belief in step.beliefs:
+                known = f"{belief.line['host']} {belief.line['event']}"
+                age = f"known for {belief.age_ms:.0f} ms"
+                yield f"  {age}: {known} {_fields(belief.line)}"
+
+
+async def explain(request_id: str, files: tuple[str, ...]) -> Story:
+    """Return the story of one request.
+
+    Parameters
+    ----------
+    files : tuple of str
+        Files of log lines, from any number of hosts.
+    """
+    by_host: dict[str, list[Line]] = {}
+    for file in files:
+        for line in _read(file):
+            by_host.setdefault(line["host"], []).append(line)
+    for lines in by_host.values():
+        lines.sort(key=lambda line: line["monotonic_us"])
+    steps = [
+        Step(line, tuple(_beliefs(line, by_host)))
+        for line in _merged(by_host.values())
+        if line["event"] in _REQUEST_EVENTS and line.get("id") == request_id
+    ]
+    if not steps:
+        raise CommandRefused(
+            f"no line of request {request_id} in {len(files)} files",
+            "add the files of the other hosts; lines of successes are written up to "
+            "a rate, and the field suppressed counts what was left out",
+            "NoSuchRequest",
+        )
+    return Story(request_id, tuple(steps))
+
+
+def _merged(groups: Iterable[list[Line]]) -> Iterator[Line]:
+    """Merge the hosts' lines by wall clock, keeping each host's own order.
+
+    Wall clocks of hosts differ and may jump, but no line of a host is ever put
+    before an earlier one of the same host.
+    """
+    return heapq.merge(*map(_with_rising_time, groups), key=lambda line: line["at_us"])
+
+
+def _with_rising_time(lines: list[Line]) -> Iterator[Line]:
+    latest = 0
+    for line in lines:
+        latest = max(latest, line["time_us"])
+        yield {**line, "at_us": latest}
+
+
+def _beliefs(request: Line, by_host: dict[str, list[Line]]) -> Iterator[Belief]:
+    now_us = request["monotonic_us"]
+    newest: dict[str, Line] = {}
+    for line in by_host[request["host"]]:
+        if line["monotonic_us"] > now_us:
+            break
+        if line["event"] in _BELIEFS:
+            newest[line["event"]] = line
+    for line in sorted(newest.values(), key=lambda line: line["monotonic_us"]):
+        yield Belief((now_us - line["monotonic_us"]) / 1_000, line)
+    yield from _servers(request, by_host)
+
+
+def _servers(request: Line, by_host: dict[str, list[Line]]) -> Iterator[Belief]:
+    """Yield what any host learnt lately of the servers that were asked."""
+    asked = {call.get("server") for call in request.get("calls", ())}
+    for lines in by_host.values():
+        for line in lines:
+            age_us = request["time_us"] - line["time_us"]
+            recent = -_US_PER_S < age_us < _RECENT_US
+            if line["event"] == _SERVER_EVENT and line["server"] in asked and recent:
+                yield Belief(age_us / 1_000, line)
+
+
+def _fields(line: Line) -> str:
+    return " ".join(
+        f"{name}={value}" for name, value in line.items() if name not in _META
+    )
+
+
+def _read(file: str) -> Iterator[Line]:
+    try:
+        lines = Path(file).read_bytes().splitlines()
+    except OSError as error:
+        raise WrongUsage(
+            f"log file {file} cannot be read: {error}",
+            "name files that hold the standard output of hosts",
+        ) from error
+    for text in lines:
+        # Collectors put their own time and the host's name before each line.
+        start = text.find(b'{"event"')
+        if start < 0:
+            continue
+        try:
+            yield orjson.loads(text[start:])
+        except orjson.JSONDecodeError:
+            continue  # A line that a killed host left unfinished.
--- a/packages/cli/src/kingcuplug_cli/_main.py
+++ b/packages/cli/src/kingcuplug_cli/_main.py
@@ -9,6 +9,7 @@
 
 from kingcuplug_cli._bench import Bench
 from kingcuplug_cli._demo import run_demo
+from kingcuplug_cli._explain import explain
 from kingcuplug_cli._groups import (
     ConfigCommands,
     ControlCommands,
@@ -67,6 +68,11 @@
         """Shut the asked host down gracefully."""
         return self._program.remote(drain)
 
+    @plain_texts("request_id")
+    def explain(self, request_id: str, *files: str) -> Invocation:
+        """Tell the story of one request from the hosts' log files."""
+        return self._program.local(explain, request_id, files)
+
     def hosts(self) -> Invocation:
         """List the entry hosts with a running lease."""
         return self._program.remote(hosts)
--- a/packages/common/src/kingcuplug_common/__init__.py
+++ b/packages/common/src/kingcuplug_common/__init__.py
@@ -20,6 +20,7 @@
 from kingcuplug_common._signal import Signal
 
 if TYPE_CHECKING:
+    from kingcuplug_common._exposition import exposition
     from kingcuplug_common._receipts import (
         Receipt,
         ReceiptInvalid,
@@ -67,6 +68,7 @@
     "canonical",
     "digest",
     "entering",
+    "exposition",
     "identifier",
     "key_id",
     "load_settings",
@@ -82,6 +84,7 @@
 ]
 
 _LOADED_ON_USE = {
+    "_exposition": ("exposition",),
     "_receipts": ("Receipt", "ReceiptInvalid", "Signer", "Verifier", "key_id"),
     "_settings": ("HostSettings", "SettingsInvalid", "TlsSettings", "load_settings"),
     "_spans": ("Hop", "entering", "request_span", "start_hop", "traceparent"),
--- a/packages/common/src/kingcuplug_common/_counters.py
+++ b/packages/common/src/kingcuplug_common/_counters.py
@@ -6,15 +6,50 @@
 
 from collections import Counter
 from collections.abc import Callable
+from math import frexp
 from typing import Any
 
-__all__ = ["Metrics", "send_state_changes_to", "state_change"]
+__all__ = ["Histogram", "Metrics", "send_state_changes_to", "state_change"]
 
 PREFIX = "kingcuplug"
 
 StateSink = Callable[[str, str, dict[str, Any]], None]
 
 
+# Beyond so many combinations of labels, durations are counted together.
+_MOST_LABELS = 512
+_OTHER = "other"
+# Upper bounds of buckets: powers of two from 1/1024 s to 64 s.
+_SMALLEST_EXPONENT = -10
+_BUCKETS = 17
+_CLOCK_S = 1e-6  # Resolution of the clock; shorter durations count as this.
+
+
+class Histogram:
+    """Durations in buckets whose bounds double.
+
+    Attributes
+    ----------
+    counts : list of int
+        By bucket; the last one takes everything above its bound.
+    """
+
+    BOUNDS_S = tuple(2.0 ** (_SMALLEST_EXPONENT + i) for i in range(_BUCKETS))
+
+    def __init__(self) -> None:
+        self.counts = [0] * (_BUCKETS + 1)
+        self.sum_s = 0.0
+
+    def record(self, duration_s: float) -> None:
+        """Count one duration."""
+        mantissa, exponent = frexp(max(duration_s, _CLOCK_S))
+        if mantissa == 0.5:
+            exponent -= 1
+        bucket = min(max(exponent - _SMALLEST_EXPONENT, 0), _BUCKETS)
+        self.counts[bucket] += 1
+        self.sum_s += duration_s
+
+
 class Metrics:
     """Counters and timers, kept in memory and sent to statsd if configured.
 
@@ -26,6 +61,7 @@
 
     def __init__(self, address: str | None = None) -> None:
         self.counts: Counter[str] = Counter()
+        self.durations: dict[str, dict[tuple[str, ...], Histogram]] = {}
         self._client: Any = None
         if address is not None:
             import statsd
@@ -39,6 +75,22 @@
         if self._client is not None:
             self._client.incr(name, value)
 
+    def observe(self, name: str, labels: tuple[str, ...], duration_s: float) -> None:
+        """Record a duration in a histogram in memory.
+
+        Parameters
+        ----------
+        labels : tuple of str
+            From small sets: never an id of a request or a server.
+        """
+        by_labels = self.durations.setdefault(name, {})
+        histogram = by_labels.get(labels)
+        if histogram is None:
+            if len(by_labels) >= _MOST_LABELS:
+                labels = (_OTHER,) * len(labels)
+            histogram = by_labels.setdefault(labels, Histogram())
+        histogram.record(duration_s)
+
     def gauge(self, name: str, value: float) -> None:
         """Set a gauge."""
         if self._client is not None:
--- a/packages/common/src/kingcuplug_common/_events.py
+++ b/packages/common/src/kingcuplug_common/_events.py
@@ -72,6 +72,14 @@
         with contextlib.suppress(OSError):
             os.set_blocking(descriptor, False)
 
+    def admits(self, kind: str) -> bool:
+        """Return whether a line of this kind is within its rate, and count it.
+
+        Spares building the fields of a line that would not be written; the line is
+        then written with `always`.
+        """
+        return self._rate(kind).take(time.monotonic())
+
     def write(self, kind: str, fields: dict[str, Any], always: bool = False) -> None:
         """Queue one line, unless its kind exceeds its rate.
 
@@ -81,9 +89,7 @@
             Skips the rate, for rare events such as start and stop.
         """
         now = time.monotonic()
-        rate = self._rates.get(kind)
-        if rate is None:
-            rate = self._rates[kind] = _Rate(now)
+        rate = self._rate(kind)
         if not always and not rate.take(now):
             return
         line = {
@@ -104,6 +110,12 @@
         self._lines.append(data)
         self._waiting_bytes += len(data)
 
+    def _rate(self, kind: str) -> _Rate:
+        rate = self._rates.get(kind)
+        if rate is None:
+            rate = self._rates[kind] = _Rate(time.monotonic())
+        return rate
+
     def flush(self) -> None:
         """Write what the descriptor takes without blocking."""
         while self._rest or self._lines:
--- /dev/null
+++ b/packages/common/src/kingcuplug_common/_exposition.py
@@ -0,0 +1,73 @@
+"""Counters and histograms as text, in the format that Prometheus reads.
+
+The library is imported when somebody asks for the text, so that a host which nobody
+examines does not pay for it.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import TYPE_CHECKING, Any
+
+from kingcuplug_common._counters import Histogram, Metrics
+
+if TYPE_CHECKING:
+    from prometheus_client.core import Metric
+
+__all__ = ["exposition"]
+
+_LABELS = {"request": ("rank", "outcome"), "attempt": ("service", "outcome")}
+
+
+def exposition(metrics: Metrics, gauges: Mapping[str, float]) -> bytes:
+    """Return all figures as text.
+
+    Parameters
+    ----------
+    gauges : mapping
+        Values of this moment, by name.
+    """
+    from prometheus_client import CollectorRegistry, generate_latest
+
+    registry = CollectorRegistry(auto_describe=False)
+    registry.register(_Collector(metrics, gauges))
+    return generate_latest(registry)
+
+
+class _Collector:
+    def __init__(self, metrics: Metrics, gauges: Mapping[str, float]) -> None:
+        self._metrics = metrics
+        self._gauges = gauges
+
+    def collect(self) -> "Iterable[Metric]":
+        """Yield the families of figures."""
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            GaugeMetricFamily,
+            HistogramMetricFamily,
+        )
+
+        events = CounterMetricFamily(
+            "kingcuplug_events", "Events by name", labels=["event"]
+        )
+        for name, count in self._metrics.counts.items():
+            events.add_metric([name], count)
+        yield events
+        for name, value in self._gauges.items():
+            yield GaugeMetricFamily(f"kingcuplug_{name}", name, value)
+        for name, by_labels in self._metrics.durations.items():
+            family = HistogramMetricFamily(
+                f"kingcuplug_{name}_seconds",
+                f"Durations of {name}s",
+                labels=_LABELS[name],
+            )
+            for labels, histogram in by_labels.items():
+                family.add_metric(labels, _buckets(histogram), histogram.sum_s)
+            yield family
+
+
+def _buckets(histogram: Histogram) -> list[Any]:
+    total, buckets = 0, []
+    bounds = [*map(str, Histogram.BOUNDS_S), "+Inf"]
+    for bound, count in zip(bounds, histogram.counts, strict=True):
+        total += count
+        buckets.append((bound, total))
+    return buckets
--- a/packages/gateway/src/kingcuplug_gateway/_call.py
+++ b/packages/gateway/src/kingcuplug_gateway/_call.py
@@ -6,13 +6,14 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from kingcuplug_common import Metrics
 from kingcuplug_http import Failure, OutboundConnection, Response
 from kingcuplug_routing import Timing, choose_replica
 
 from kingcuplug_gateway._protocol import HeaderNames
 from kingcuplug_gateway._servers import Server, ServerTable, ServicePool
 
-__all__ = ["CallEnding", "Outgoing", "ServiceCall"]
+__all__ = ["AttemptNote", "CallEnding", "Outgoing", "ServiceCall"]
 
 _MS_PER_S = 1_000
 _MISDIRECTED = 421  # The server is not the expected one.
@@ -55,6 +56,32 @@
     bodiless: bool
 
 
+@dataclass(slots=True)
+class AttemptNote:
+    """One attempt, for the log.
+
+    Attributes
+    ----------
+    why : str
+        ``first``, ``hedge`` or ``retry``.
+    expected_s : float
+        When the server was expected to answer, on which the choice rested.
+    outcome : str
+        ``open`` until the attempt has ended.
+    """
+
+    server: str
+    why: str
+    sent_at: float
+    expected_s: float
+    ended_at: float = 0.0
+    outcome: str = "open"
+
+    def end(self, outcome: str, now: float) -> None:
+        """Note how the attempt ended."""
+        self.outcome, self.ended_at = outcome, now
+
+
 @dataclass(slots=True)
 class CallEnding:
     """How a call ended.
@@ -67,15 +94,17 @@
         Whether the response is a success.
     may_have_run : bool
         Whether any server may have run the request.
-    attempts : list of (str, str)
-        Server id and outcome, for the log.
+    attempts : list of AttemptNote
+        For the log.
+    denied : list of str
+        Further attempts that the retry allowance did not admit.
     """
 
     response: Response | None = None
     good: bool = False
     may_have_run: bool = False
-    hedges: int = 0
-    attempts: list[tuple[str, str]] = field(default_factory=list)
+    attempts: list[AttemptNote] = field(default_factory=list)
+    denied: list[str] = field(default_factory=list)
 
 
 class ServiceCall:
@@ -94,6 +123,7 @@
         outgoing: Outgoing,
         names: HeaderNames,
         timing: Timing,
+        metrics: Metrics,
         max_attempts: int,
         random: random_module.Random,
         done: Callable[["ServiceCall"], None],
@@ -103,6 +133,7 @@
         self._pool = pool
         self._names = names
         self._timing = timing
+        self._metrics = metrics
         self._max_attempts = max_attempts
         self._random = random
         self._done = done
@@ -156,9 +187,12 @@
             state.reject(attempt, now)
         else:
             state.fail(attempt, now, unreachable=False)
+        attempt.note.end(verdict.value, now)
+        self._metrics.observe(
+            "attempt", (self.service, verdict.value), now - attempt.note.sent_at
+        )
         if self.over:
             return
-        self.ending.attempts.append((attempt.server.known.id, verdict.value))
         if verdict is Verdict.NOT_RUN:
             self._rejections += 1
             self._counted -= 1
@@ -176,10 +210,11 @@
         """Take the failure of an attempt."""
         self._open.remove(attempt)
         unreachable = failure is Failure.CONNECT
-        attempt.server.state.fail(attempt, self._loop.time(), unreachable)
+        now = self._loop.time()
+        attempt.server.state.fail(attempt, now, unreachable)
+        attempt.note.end(failure.name.lower(), now)
         if self.over:
             return
-        self.ending.attempts.append((attempt.server.known.id, failure.name.lower()))
         if unreachable:
             self._counted -= 1
         else:
@@ -191,26 +226,27 @@
         if may_have_run and not self.outgoing.repeatable:
             self._end()
             return
-        if self._rejections <= _MAX_REJECTIONS and self._send(retry=True):
+        if self._rejections <= _MAX_REJECTIONS and self._send("retry"):
             return
         if not self._open:
             self._end()
 
-    def _send(self, retry: bool = False, hedge: bool = False) -> bool:
+    def _send(self, why: str = "first") -> bool:
         now = self._loop.time()
         if self._counted >= self._max_attempts or now >= self.outgoing.deadline_at:
             return False
         servers = self._pool.usable(self._tried)
         if not servers:
             return False
-        if retry or hedge:
-            hosts = self._table.hosts
-            if not self._pool.allowance.take(now, hosts, hedge):
-                return False
+        if why != "first" and not self._allowed(why, now):
+            return False
         states = [server.state for server in servers]
         typical_s = self._timing.typical_s
         server = servers[choose_replica(states, now, typical_s, self._random)]
-        attempt = _Attempt(self, server, self._names)
+        expected_s = server.state.expected_s(now, typical_s)
+        note = AttemptNote(server.known.id, why, now, expected_s)
+        self.ending.attempts.append(note)
+        attempt = _Attempt(self, server, self._names, note)
         self._tried.add(server.known.id)
         self._open.append(attempt)
         self._counted += 1
@@ -223,8 +259,15 @@
 
     def _hedge(self) -> None:
         self._timer = None
-        if not self.over and self._send(hedge=True):
-            self.ending.hedges += 1
+        if not self.over:
+            self._send("hedge")
+
+    def _allowed(self, why: str, now: float) -> bool:
+        hosts = self._table.hosts
+        if self._pool.allowance.take(now, hosts, hedge=why == "hedge"):
+            return True
+        self.ending.denied.append(why)
+        return False
 
     def _end(self) -> None:
         self.cancel(linger=len(self._open) > 0 and self.ending.good)
@@ -244,12 +287,15 @@
 class _Attempt:
     """One request at one server."""
 
-    __slots__ = ("_call", "_connection", "_names", "server", "wanted")
+    __slots__ = ("_call", "_connection", "_names", "note", "server", "wanted")
 
-    def __init__(self, call: ServiceCall, server: Server, names: HeaderNames) -> None:
+    def __init__(
+        self, call: ServiceCall, server: Server, names: HeaderNames, note: AttemptNote
+    ) -> None:
         self._call = call
         self._names = names
         self._connection: OutboundConnection | None = None
+        self.note = note
         self.server = server
         self.wanted = True
 
--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -4,7 +4,6 @@
 import random as random_module
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
 
 from kingcuplug_common import EventLog, Metrics, Signal
 from kingcuplug_http import (
@@ -27,6 +26,7 @@
 __all__ = ["Gateway", "GatewaySettings"]
 
 _MS_PER_S = 1_000
+_FIRST_ERROR = 400
 # A caller that is told to come back should find a server that was restarted or
 # announced meanwhile; the spread keeps callers from returning in step.
 _RETRY_AFTER_S = (0.15, 0.45)
@@ -172,7 +172,7 @@
             return self._end(request, route, error_response(504, "timed out"), call)
         except asyncio.CancelledError:
             call.cancel()
-            self._gone(request, route)
+            self._gone(request, route, call)
             raise
         ending = call.ending
         if ending.response is not None:
@@ -201,7 +201,7 @@
         try:
             await scatter.run(make_call, route.shards)
         except asyncio.CancelledError:
-            self._gone(request, route)
+            self._gone(request, route, *scatter.calls)
             raise
         merged = scatter.merged(route.top_records, self._names.seal.lower())
         if merged is None:
@@ -256,6 +256,7 @@
             outgoing=outgoing,
             names=self._names,
             timing=self._timing(route),
+            metrics=self._metrics,
             max_attempts=route.max_attempts,
             random=self._random,
             done=done,
@@ -327,9 +328,8 @@
         response = error_response(503, reason, retry_after_s=pause_s)
         return self._end(request, route, response, *calls)
 
-    def _gone(self, request: Request, route: Route) -> None:
-        self._metrics.count("requests.caller_left")
-        self._record(request, route, "caller_left", ())
+    def _gone(self, request: Request, route: Route, *calls: ServiceCall) -> None:
+        self._observe(request, route, "caller_left", b"", calls)
 
     def _end(
         self,
@@ -338,32 +338,75 @@
         response: Response,
         *calls: ServiceCall,
     ) -> Response:
-        self._metrics.count(f"requests.{response.status}")
-        self._record(request, route, str(response.status), calls)
+        own = response.header(self._names.seal.lower()) is None
+        reason = response.body if own and response.status >= _FIRST_ERROR else b""
+        self._observe(request, route, str(response.status), reason, calls)
         return response
 
-    def _record(
+    def _observe(
         self,
         request: Request,
         route: Route | None,
         outcome: str,
+        reason: bytes,
         calls: tuple[ServiceCall, ...],
     ) -> None:
-        """Write the request's line: outcome and the decisions that led to it."""
+        """Count the request, and write its line if its kind is within its rate."""
         now = asyncio.get_running_loop().time()
+        elapsed_s = now - request.received_at
+        rank = route.rank if route else -1
+        self._metrics.count(f"requests.{outcome}")
+        self._metrics.observe("request", (str(rank), outcome), elapsed_s)
         kind = "request" if outcome.startswith("2") else "request_failed"
-        attempt = request.header(self._names.attempt_id.lower()) or b""
-        fields: dict[str, Any] = {
-            "id": attempt.decode("latin-1"),
-            "route": route.name if route else None,
-            "version": self.table.version if self.table else None,
-            "outcome": outcome,
-            "elapsed_ms": round((now - request.received_at) * _MS_PER_S, 1),
+        if not self._log.admits(kind):
+            return
+        attempt_id = request.header(self._names.attempt_id.lower()) or b""
+        self._log.write(
+            kind,
+            {
+                "id": attempt_id.decode("latin-1"),
+                "route": route.name if route else None,
+                "routes_version": self.table.version if self.table else None,
+                "outcome": outcome,
+                "reason": reason.decode("latin-1"),
+                "elapsed_ms": _ms(elapsed_s),
+                "hosts": self._hosts,
+                "missing": [c.service for c in calls if not c.ending.good],
+                "calls": [
+                    note for call in calls for note in _notes(call, request, kind)
+                ],
+            },
+            always=True,
+        )
+
+
+def _notes(
+    call: ServiceCall, request: Request, kind: str
+) -> list[dict[str, str | float | None]]:
+    """Return what the line says of one call: all attempts if the request failed."""
+    ending = call.ending
+    plain = kind == "request" and ending.good and len(ending.attempts) == 1
+    if plain:
+        return []
+    notes: list[dict[str, str | float | None]] = [
+        {
+            "service": call.service,
+            "server": note.server,
+            "why": note.why,
+            "sent_ms": _ms(note.sent_at - request.received_at),
+            "expected_ms": _ms(note.expected_s),
+            "took_ms": _ms(note.ended_at - note.sent_at) if note.ended_at else None,
+            "outcome": note.outcome,
         }
-        if kind == "request_failed":
-            fields["calls"] = {c.service: c.ending.attempts for c in calls}
-            fields["missing"] = [c.service for c in calls if not c.ending.good]
-        self._log.write(kind, fields)
+        for note in ending.attempts
+    ]
+    for why in ending.denied:
+        notes.append({"service": call.service, "why": why, "outcome": "no_allowance"})
+    return notes
+
+
+def _ms(seconds: float) -> float:
+    return round(seconds * _MS_PER_S, 1)
 
 
 def _place(request: Request) -> tuple[str | None, str | None]:
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -12,6 +12,7 @@
     EventLog,
     KingcuplugError,
     Metrics,
+    exposition,
     send_state_changes_to,
 )
 from kingcuplug_fleet import (
@@ -206,6 +207,8 @@
         ready = Listener(self._readiness, lambda: _CONTROL_LIMITS)
         await listener.start(self._settings.control_address)
         await ready.start(self._settings.ready_address)
+        figures = Listener(self._figures, lambda: _CONTROL_LIMITS)
+        await figures.start(self._settings.metrics_address)
         await self._front.start(self._settings.caller_address)
         self._log.write("started", {"zone": self._settings.availability_zone}, True)
         gc.freeze()
@@ -217,7 +220,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        for open_listener in (listener, ready, self._front):
+        for open_listener in (listener, ready, figures, self._front):
             await open_listener.stop()
         self._gateway.servers.close()
         self._peers.close()
@@ -334,6 +337,23 @@
             return Response(200, [], b"")
         return error_response(503, "stopping" if self._stopping else "no routes yet")
 
+    async def _figures(self, request: Request) -> Response:
+        knowledge = self._knowledge
+        gauges = {
+            "routes_version": knowledge.routes_version,
+            "servers_usable": len(knowledge.directory.usable()),
+            "servers_silent": len(knowledge.silent),
+            "hosts_live": knowledge.hosts,
+            "callers_connected": len(self._front.connections),
+            "control_connected": float(
+                self._knows_all() or self._learner.teacher is not None
+            ),
+            "control_leads": float(self._core is not None and self._core.leads()),
+            "log_lines_dropped": self._log.dropped,
+        }
+        headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
+        return Response(200, headers, exposition(self._metrics, gauges))
+
     async def _apply(self) -> None:
         """Bring what becomes known into force."""
         knowledge = self._knowledge
--- a/packages/node/src/kingcuplug_node/_settings.py
+++ b/packages/node/src/kingcuplug_node/_settings.py
@@ -14,7 +14,7 @@
 
     Attributes
     ----------
-    caller_address, ready_address, control_address : str
+    caller_address, ready_address, control_address, metrics_address : str
         ``ip:port`` of the listeners. Backend servers, operators and the other
         hosts of the system use the control address.
     seeds : tuple of str
@@ -36,6 +36,7 @@
     caller_address: str
     ready_address: str
     control_address: str
+    metrics_address: str
     seeds: tuple[str, ...]
     first_start: bool
     data_folder: Path | None
--- /dev/null
+++ b/tests/cli/test_explain.py
@@ -0,0 +1,69 @@
+"""The story of a request from log lines."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+
+def _line(host: str, event: str, at_ms: int, skew_ms: int = 0, **fields: Any) -> str:
+    line = {
+        "event": event,
+        "host": host,
+        "time_us": (at_ms + skew_ms) * 1_000,
+        "monotonic_us": at_ms * 1_000,
+    }
+    return json.dumps(line | fields, separators=(",", ":"))
+
+
+@pytest.fixture
+def log_files(tmp_path: Path) -> list[str]:
+    call = {"service": "s", "server": "i-1", "why": "first", "outcome": "lost"}
+    first = [
+        _line("a", "routes_in_force", 1_000, version=4),
+        _line("a", "routes_in_force", 9_000, version=5),
+        "  12.5 a " + _line("a", "request_failed", 10_000, id="q", calls=[call]),
+        _line("a", "routes_in_force", 11_000, version=6),
+        '{"event":"request_fai',
+    ]
+    # The clock of this host jumps back between its two lines.
+    second = [
+        _line("b", "server_learnt", 9_500, server="i-1", state="draining"),
+        _line("b", "request", 12_000, id="q", calls=[]),
+        _line("b", "request", 12_500, skew_ms=-9_000, id="q", calls=[], second=True),
+        _line("b", "request", 13_000, id="other", calls=[]),
+    ]
+    paths = [tmp_path / "a.log", tmp_path / "b.log"]
+    paths[0].write_text("\n".join(first))
+    paths[1].write_text("\n".join(second))
+    return [str(path) for path in paths]
+
+
+def test_story_holds_what_the_host_believed_then(program: Any, log_files: list[str]):
+    """Guards against blaming a request on routes that came later."""
+    run = program("explain", "q", *log_files, "--json")
+    assert run.code == 0
+    step = run.fields["steps"][0]
+    versions = [b["line"].get("version") for b in step["beliefs"]]
+    assert 5 in versions
+    assert 6 not in versions
+    assert any(b["line"].get("state") == "draining" for b in step["beliefs"])
+
+
+def test_lines_of_one_host_keep_their_order_when_its_clock_jumps(
+    program: Any, log_files: list[str]
+):
+    """Guards against a story told backwards after a step of the wall clock."""
+    run = program("explain", "q", *log_files, "--json")
+    hosts = [step["line"]["host"] for step in run.fields["steps"]]
+    assert hosts == ["a", "b", "b"]
+    assert run.fields["steps"][2]["line"]["second"]
+    assert "attempt" in program("explain", "q", *log_files).out
+
+
+def test_unknown_request_is_refused(program: Any, log_files: list[str]):
+    """Guards against an empty story that looks like a fast success."""
+    run = program("explain", "nobody", *log_files)
+    assert run.code == 1
+    assert "suppressed" in run.err
--- /dev/null
+++ b/tests/common/test_events.py
@@ -0,0 +1,85 @@
+"""Log lines under load and with a reader that stops, and figures as text."""
+
+import os
+
+import orjson
+import pytest
+from kingcuplug_common import EventLog, Metrics, exposition
+from kingcuplug_common._counters import Histogram
+from kingcuplug_common._events import BUFFER_BYTES, BURST_LINES
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def _lines(reader: int) -> list[dict]:
+    return [orjson.loads(line) for line in os.read(reader, 1 << 20).splitlines()]
+
+
+def test_flood_of_one_kind_is_counted_and_hides_no_other(pipe):
+    """Guards against logs that grow with the load, and against silent gaps."""
+    reader, writer = pipe
+    log = EventLog(writer, "host")
+    for number in range(BURST_LINES + 50):
+        log.write("flood", {"number": number})
+    log.write("rare", {})
+    log._rates["flood"].tokens = 1.0
+    log.write("flood", {"number": -1})
+    log.flush()
+    lines = _lines(reader)
+    assert sum(line["event"] == "rare" for line in lines) == 1
+    assert len(lines) == BURST_LINES + 2
+    assert lines[-1]["suppressed"] == 50
+
+
+def test_reader_that_stops_never_blocks_the_host(pipe):
+    """Guards against a host that waits for whoever collects its logs."""
+    reader, writer = pipe
+    log = EventLog(writer, "host")
+    for _ in range(2_000):
+        log.write("line", {"text": "x" * 1_000}, always=True)
+        log.flush()
+    assert log.dropped > 0
+    assert log._waiting_bytes <= BUFFER_BYTES
+    waiting_bytes = log._waiting_bytes
+    os.read(reader, 1 << 20)
+    log.flush()
+    assert log._waiting_bytes < waiting_bytes
+
+
+@pytest.mark.parametrize(
+    ("duration_s", "bucket"),
+    [(0.0, 0), (2**-10, 0), (0.001, 1), (1.0, 10), (900.0, 17)],
+)
+def test_durations_fall_under_their_bounds(duration_s, bucket):
+    """Guards against a duration counted below its bucket's lower bound."""
+    histogram = Histogram()
+    histogram.record(duration_s)
+    assert histogram.counts[bucket] == 1
+    if bucket < len(Histogram.BOUNDS_S):
+        assert duration_s <= Histogram.BOUNDS_S[bucket]
+
+
+def test_figures_are_served_as_text():
+    """Guards against figures that the collector cannot read."""
+    metrics = Metrics()
+    metrics.count("requests.503", 2)
+    metrics.observe("request", ("0", "200"), 0.03)
+    metrics.observe("request", ("0", "200"), 90.0)
+    text = exposition(metrics, {"hosts_live": 3}).decode()
+    assert 'kingcuplug_events_total{event="requests.503"} 2.0' in text
+    assert "kingcuplug_hosts_live 3.0" in text
+    assert 'kingcuplug_request_seconds_count{outcome="200",rank="0"} 2.0' in text
+
+
+def test_number_of_label_sets_is_bounded():
+    """Guards against memory that grows with the names of services."""
+    metrics = Metrics()
+    for number in range(2_000):
+        metrics.observe("attempt", (f"s{number}", "good"), 0.01)
+    assert len(metrics.durations["attempt"]) <= 513
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -39,6 +39,7 @@
 }
 SETTINGS: dict[str, Any] = {
     "node_name": "n",
+    "ip": "1.1.1.1",
     "zone": "z",
     "listen": {"front": "1.1.1.1:1", "ready": "1.1.1.1:2", "control": "1.1.1.1:3"},
     "seeds": ["1.1.1.1:3"],
