Add a randomized fault soak against real processes

Cause: the users ask for a soak that injects faults from outside and judges from what callers and backend servers see. Change: packages/soak starts host processes with a proxy before each control address, kills, pauses, restarts, cuts, delays and wipes them, changes the configuration meanwhile, and judges every answer; kingcuplug soak runs and replays seeds.

--- a/packages/cli/src/kingcuplug_cli/_main.py
+++ b/packages/cli/src/kingcuplug_cli/_main.py
@@ -20,6 +20,7 @@
 )
 from kingcuplug_cli._hosts import drain, hosts, servers, status
 from kingcuplug_cli._invocation import Invocation, Program, plain_texts, spell_switches
+from kingcuplug_cli._soak import Soak
 
 __all__ = ["main"]
 
@@ -59,6 +60,7 @@
         self.trace = TraceCommands(self._program)
 
     bench = Bench
+    soak = Soak
 
     def demo(self, example: str = "examples/kavango") -> None:
         """Run the main job on loopback and print what happens."""
--- /dev/null
+++ b/packages/cli/src/kingcuplug_cli/_soak.py
@@ -0,0 +1,94 @@
+"""The fault soak: run seeds, run one again, report."""
+
+import asyncio
+import dataclasses
+import sys
+from pathlib import Path
+
+import orjson
+
+__all__ = ["Soak"]
+
+_RESULTS = Path("soak-results.jsonl")
+_JOBS = 3  # A soak starts a handful of processes; more at once slow each other down.
+
+
+class Soak:
+    """Randomized faults against real processes on loopback.
+
+    Violations make the exit code 1. Each result is appended to a file of JSON lines.
+    """
+
+    def run(
+        self,
+        first: int = 1,
+        seeds: int = 5,
+        duration_s: float = 12.0,
+        hosts: int = 5,
+        disks: int = 3,
+        results: str = str(_RESULTS),
+    ) -> None:
+        """Run consecutive seeds, three at a time."""
+        failed = asyncio.run(
+            _run_all(
+                range(first, first + seeds), duration_s, hosts, disks, Path(results)
+            )
+        )
+        sys.exit(1 if failed else 0)
+
+    def replay(
+        self, seed: int, folder: str, duration_s: float = 12.0, hosts: int = 5
+    ) -> None:
+        """Run one seed again and keep logs and disks in a folder."""
+        from kingcuplug_soak import SoakSettings, soak
+
+        Path(folder).mkdir(parents=True, exist_ok=True)
+        settings = SoakSettings(seed, duration_s, hosts, folder=Path(folder))
+        outcome = asyncio.run(soak(settings))
+        _print(dataclasses.asdict(outcome))
+        print("\n".join(outcome.troubles))
+        sys.exit(1 if outcome.violations else 0)
+
+    def report(self, results: str = str(_RESULTS)) -> None:
+        """Sum up the results so far."""
+        lines = [orjson.loads(line) for line in Path(results).read_bytes().splitlines()]
+        failed = [line for line in lines if line["violations"]]
+        served = sum(line["served"] for line in lines)
+        asked = sum(line["asked"] for line in lines)
+        print(f"{len(lines)} runs, {len(failed)} with violations")
+        print(f"{served} of {asked} requests served")
+        for line in failed:
+            _print(line)
+
+
+async def _run_all(
+    seeds: range, duration_s: float, hosts: int, disks: int, results: Path
+) -> int:
+    from kingcuplug_soak import SoakSettings, soak
+
+    gate = asyncio.Semaphore(_JOBS)
+    failed = 0
+
+    async def one(seed: int) -> None:
+        nonlocal failed
+        async with gate:
+            outcome = await soak(SoakSettings(seed, duration_s, hosts, disks))
+        line = dataclasses.asdict(outcome)
+        failed += bool(outcome.violations)
+        with results.open("ab") as file:
+            file.write(orjson.dumps(line, option=orjson.OPT_APPEND_NEWLINE))
+        _print(line)
+
+    await asyncio.gather(*map(one, seeds))
+    return failed
+
+
+def _print(line: dict[str, object]) -> None:
+    violations = line["violations"]
+    assert isinstance(violations, list)
+    print(
+        f"seed {line['seed']}: {line['served']} of {line['asked']} served, "
+        f"{len(violations)} violations"
+    )
+    for violation in violations:
+        print(f"  {violation}")
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -205,7 +205,8 @@
         self._install()
         listener = Listener(self._control(control), lambda: _CONTROL_LIMITS)
         ready = Listener(self._readiness, lambda: _CONTROL_LIMITS)
-        await listener.start(self._settings.control_address)
+        settings = self._settings
+        await listener.start(settings.control_bind_address or settings.control_address)
         await ready.start(self._settings.ready_address)
         figures = Listener(self._figures, lambda: _CONTROL_LIMITS)
         await figures.start(self._settings.metrics_address)
--- a/packages/node/src/kingcuplug_node/_settings.py
+++ b/packages/node/src/kingcuplug_node/_settings.py
@@ -17,6 +17,8 @@
     caller_address, ready_address, control_address, metrics_address : str
         ``ip:port`` of the listeners. Backend servers, operators and the other
         hosts of the system use the control address.
+    control_bind_address : str or None
+        Where the control listener listens if others reach it by another address.
     seeds : tuple of str
         Control addresses of hosts that may know the others.
     first_start : bool
@@ -44,3 +46,4 @@
     drain_ms: int
     grace_ms: int
     allowance: AllowanceSettings
+    control_bind_address: str | None = None
--- /dev/null
+++ b/packages/soak/src/kingcuplug_soak/__main__.py
@@ -0,0 +1,5 @@
+"""Run one host process of the soak."""
+
+from kingcuplug_soak._host_process import main
+
+main()
--- /dev/null
+++ b/packages/soak/src/kingcuplug_soak/_calls.py
@@ -0,0 +1,79 @@
+"""Calls of callers, operators and backend servers to a host."""
+
+import asyncio
+import contextlib
+
+from kingcuplug_fleet import PeerFailed
+from kingcuplug_http import Exchange, Failure, Response, connect
+
+__all__ = ["call"]
+
+_REDIRECT = 307
+_TIMEOUT_S = 1.0
+
+
+class _Reply(Exchange):
+    def __init__(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.response: asyncio.Future[Response] = loop.create_future()
+
+    def accepts(self, response: Response) -> bool:
+        return True
+
+    def answered(self, response: Response) -> None:
+        with contextlib.suppress(asyncio.InvalidStateError):
+            self.response.set_result(response)
+
+    def failed(self, failure: Failure) -> None:
+        with contextlib.suppress(asyncio.InvalidStateError):
+            self.response.set_exception(ConnectionError(failure.value))
+
+
+async def call(
+    address: str,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    headers: str = "",
+    timeout_s: float = _TIMEOUT_S,
+    follow: bool = False,
+) -> Response:
+    """Send one request on a new connection.
+
+    Parameters
+    ----------
+    headers : str
+        Further header lines, each with its line end.
+    follow : bool
+        Follow up to two redirects.
+
+    Raises
+    ------
+    PeerFailed
+        If there is no answer.
+    """
+    for _ in range(3):
+        response = await _one(address, method, path, body, headers, timeout_s)
+        if not follow or response.status != _REDIRECT:
+            return response
+        location = response.header(b"location") or b""
+        address = location.decode().removeprefix("http://").partition("/")[0]
+    return response
+
+
+async def _one(
+    address: str, method: str, path: str, body: bytes, headers: str, timeout_s: float
+) -> Response:
+    reply = _Reply()
+    host = "" if "Host:" in headers else f"Host: {address}\r\n"
+    head = f"{method} {path} HTTP/1.1\r\n{host}{headers}Content-Length: {len(body)}\r\n"
+    try:
+        async with asyncio.timeout(timeout_s):
+            connection = await connect(address, timeout_s)
+            try:
+                connection.send(f"{head}\r\n".encode() + body, reply)
+                return await reply.response
+            finally:
+                connection.close()
+    except OSError as error:
+        raise PeerFailed(f"{address}: {error!r}", "ask another host") from error
--- /dev/null
+++ b/packages/soak/src/kingcuplug_soak/_hosts.py
@@ -0,0 +1,146 @@
+"""The host processes of one soak: start, signals, restart, loss of a disk."""
+
+import asyncio
+import contextlib
+import shutil
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from kingcuplug_soak._proxy import Proxy
+
+__all__ = ["HostProcess", "Hosts"]
+
+_LOOPBACK = "127.0.0."
+_FRONT_PORT, _READY_PORT, _CONTROL_PORT, _BIND_PORT, _METRICS_PORT = range(5)
+
+
+@dataclass
+class HostProcess:
+    """One host and its process, if it runs."""
+
+    name: str
+    settings: dict[str, Any]
+    folder: Path
+    proxy: Proxy
+    process: subprocess.Popen[bytes] | None = None
+    starts: int = field(default=0)
+
+    @property
+    def front(self) -> str:
+        """Address of callers."""
+        return str(self.settings["listen"]["front"])
+
+    @property
+    def control(self) -> str:
+        """Address of servers and operators, behind the proxy."""
+        return str(self.settings["listen"]["control"])
+
+    @property
+    def folder_used(self) -> bool:
+        """Whether the host has a disk."""
+        return self.settings["data_directory"] is not None
+
+    @property
+    def running(self) -> bool:
+        """Whether the process runs."""
+        return self.process is not None and self.process.poll() is None
+
+    def start(self) -> None:
+        """Start the process; its lines are appended to the host's log file."""
+        self.settings["first_start"] = self.starts == 0
+        self.starts += 1
+        path = self.folder / f"{self.name}.json"
+        path.write_bytes(orjson.dumps(self.settings))
+        with (self.folder / f"{self.name}.log").open("ab") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "kingcuplug_soak", str(path)],
+                stdout=output,
+                stderr=output,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal if the process runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    async def end(self) -> None:
+        """Kill the process and wait for it."""
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            await asyncio.to_thread(self.process.wait)
+
+    async def leave(self, grace_s: float) -> None:
+        """Stop the process as an operator does: SIGTERM, then SIGKILL."""
+        self.signal(signal.SIGTERM)
+        if self.process is not None:
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                await asyncio.to_thread(self.process.wait, grace_s)
+        await self.end()
+
+    def wipe(self) -> None:
+        """Empty the disk."""
+        if self.settings["data_directory"]:
+            shutil.rmtree(self.settings["data_directory"], ignore_errors=True)
+
+
+class Hosts:
+    """All hosts; the first ones have a disk.
+
+    Parameters
+    ----------
+    base_port : int
+        Five ports from here on are used, on a loopback address for each host.
+    """
+
+    def __init__(self, folder: Path, count: int, disks: int, base_port: int) -> None:
+        self.all: list[HostProcess] = []
+        addresses = [f"{_LOOPBACK}{number + 1}" for number in range(count)]
+        seeds = [f"{a}:{base_port + _CONTROL_PORT}" for a in addresses[: min(3, disks)]]
+        for number, address in enumerate(addresses):
+            name = f"host-{number}"
+
+            def at(port: int, address: str = address) -> str:
+                return f"{address}:{base_port + port}"
+
+            settings = {
+                "node_name": name,
+                "ip": address,
+                "zone": f"zone-{number % 3}",
+                "listen": {
+                    "front": at(_FRONT_PORT),
+                    "ready": at(_READY_PORT),
+                    "control": at(_CONTROL_PORT),
+                },
+                "control_bind": at(_BIND_PORT),
+                "metrics": at(_METRICS_PORT),
+                "seeds": seeds,
+                "first_start": True,
+                "data_directory": str(folder / name) if number < disks else None,
+                "heartbeat_interval_ms": 800,
+                "bounds": {
+                    "grace_s": 6,
+                    "retry_budget_ratio": 0.2,
+                    "retry_budget_slack": 60,
+                    "retry_window_s": 10,
+                },
+            }
+            proxy = Proxy(at(_BIND_PORT))
+            self.all.append(HostProcess(name, settings, folder, proxy))
+
+    async def start(self) -> None:
+        """Start proxies and processes."""
+        for host in self.all:
+            await host.proxy.start(host.control)
+            host.start()
+
+    async def stop(self) -> None:
+        """End all processes that were started here."""
+        for host in self.all:
+            await host.end()
+            host.proxy.stop()
