Share which servers are slow; ask the last shards of a query again sooner

Change: hosts report samples to their control host, which tells all hosts the servers whose recent mean is slow; when 85% of a query's shards are in, the rest is asked again at 1.25 of that time; servers in other zones are used only if 1.8 times as fast.

--- a/packages/fleet/src/kingcuplug_fleet/__init__.py
+++ b/packages/fleet/src/kingcuplug_fleet/__init__.py
@@ -7,10 +7,18 @@
 from kingcuplug_fleet._records import ServerRecord, ServerState
 from kingcuplug_fleet._register import RouteRegister
 from kingcuplug_fleet._succession import Joiner, next_change
-from kingcuplug_fleet._teaching import LEARN_PATH, SHARE_PATH, Learner, Mesh, teach
+from kingcuplug_fleet._teaching import (
+    LEARN_PATH,
+    REPORT_PATH,
+    SHARE_PATH,
+    Learner,
+    Mesh,
+    teach,
+)
 
 __all__ = [
     "LEARN_PATH",
+    "REPORT_PATH",
     "SHARE_PATH",
     "Core",
     "CoreSettings",
--- a/packages/fleet/src/kingcuplug_fleet/_knowledge.py
+++ b/packages/fleet/src/kingcuplug_fleet/_knowledge.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from kingcuplug_common import Signal, identifier
+from kingcuplug_routing import PaceBoard
 
 from kingcuplug_fleet._directory import Directory
 from kingcuplug_fleet._records import ServerRecord
@@ -35,6 +36,10 @@
         Addresses of control hosts, as far as known.
     hosts : int
         Number of live hosts that serve callers, 0 if unknown.
+    slow : dict
+        Pace of the servers that all hosts together find slow.
+    paces : PaceBoard
+        What hosts have reported here; used at control hosts only.
     """
 
     def __init__(self, silent_after_s: float) -> None:
@@ -49,6 +54,8 @@
         self.control: tuple[str, ...] = ()
         self.hosts = 0
         self.silent: set[str] = set()
+        self.slow: dict[str, float] = {}
+        self.paces = PaceBoard()
 
     def learn_routes(self, version: int, document: str) -> None:
         """Take a route document if it is newer."""
@@ -77,6 +84,12 @@
             self.silent = identifiers
             self.changed.notify()
 
+    def learn_slow(self, paces: dict[str, float]) -> None:
+        """Take which servers are slow."""
+        if paces != self.slow:
+            self.slow = paces
+            self.changed.notify()
+
     def learn_hosts(self, count: int) -> None:
         """Take the number of live hosts."""
         if count != self.hosts:
--- a/packages/fleet/src/kingcuplug_fleet/_teaching.py
+++ b/packages/fleet/src/kingcuplug_fleet/_teaching.py
@@ -13,15 +13,17 @@
 from typing import Any
 
 from kingcuplug_common import EventLog
+from kingcuplug_routing import Samples
 
 from kingcuplug_fleet._knowledge import Knowledge
 from kingcuplug_fleet._peers import PeerFailed, Peers
 from kingcuplug_fleet._records import ServerRecord
 
-__all__ = ["LEARN_PATH", "SHARE_PATH", "Learner", "Mesh", "teach"]
+__all__ = ["LEARN_PATH", "REPORT_PATH", "SHARE_PATH", "Learner", "Mesh", "teach"]
 
 LEARN_PATH = "/peer/v2/learn"
 SHARE_PATH = "/peer/v2/share"
+REPORT_PATH = "/peer/v2/report"
 
 _WAIT_S = 0.8
 # A round trip and the time of a busy control host; beyond the wait, if there is one.
@@ -34,6 +36,7 @@
 _GATHER_S = 0.02
 _SHARE_INTERVAL_S = 0.5
 _SHARE_TIMEOUT_S = 0.6
+_REPORT_TIMEOUT_S = 0.5
 _UPKEEP_S = 0.3
 # Acknowledging a leaving server waits for one other control host this long, so that
 # the news survives the loss of this one.
@@ -56,10 +59,15 @@
     same_epoch = value["epoch"] == knowledge.epoch
     cursor = int(value["cursor"]) if same_epoch else 0
     directory = knowledge.directory
-    seen = (set(value["silent"]), value["control"], value["hosts"])
+    seen = (set(value["silent"]), value["control"], value["hosts"], value["slow"])
 
     def news() -> bool:
-        current = (knowledge.silent, list(knowledge.control), knowledge.hosts)
+        current = (
+            knowledge.silent,
+            list(knowledge.control),
+            knowledge.hosts,
+            knowledge.slow,
+        )
         return (
             directory.version > cursor
             or knowledge.routes_version > value["routes"]
@@ -75,6 +83,7 @@
         "cursor": directory.version,
         "servers": [record.to_json() for record in directory.since(cursor)],
         "silent": sorted(knowledge.silent),
+        "slow": knowledge.slow,
         "routes": knowledge.routes_version if newer else 0,
         "document": knowledge.routes_document if newer else "",
         "control": knowledge.control,
@@ -135,6 +144,14 @@
                 self._leave(address)
                 await asyncio.sleep(_RETRY_S)
 
+    async def report(self, samples: Samples) -> None:
+        """Tell the control host what was seen of servers' pace; loss is harmless."""
+        if self.teacher is not None and samples:
+            with contextlib.suppress(PeerFailed):
+                await self._peers.call(
+                    self.teacher, REPORT_PATH, samples, _REPORT_TIMEOUT_S
+                )
+
     def _choose(self) -> str | None:
         """Return a control host, one that has not failed lately if there is one."""
         now = asyncio.get_running_loop().time()
@@ -168,6 +185,7 @@
             if begun
             else [record.to_json() for record in knowledge.directory.leaving()],
             "silent": sorted(knowledge.silent),
+            "slow": knowledge.slow,
             "control": list(knowledge.control),
             "hosts": knowledge.hosts,
             # The first answer comes at once: it shows that the host is alive.
@@ -202,6 +220,7 @@
             knowledge.learn_control(reply["control"])
             knowledge.learn_hosts(reply["hosts"])
             knowledge.learn_silent(set(reply["silent"]))
+            knowledge.learn_slow(reply["slow"])
 
 
 class Mesh:
@@ -215,6 +234,7 @@
         self._heard: dict[str, tuple[int, int]] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._pending: dict[str, dict[str, tuple[int, int]]] = {}
+        self._samples: dict[str, Samples] = {}
 
     async def run(self) -> None:
         """Keep one task for each other control host, and what ages."""
@@ -233,12 +253,20 @@
         for pending in self._pending.values():
             pending[record.id] = (record.born_ms, record.sequence)
 
+    def take_samples(self, samples: Samples) -> None:
+        """Take what a host, perhaps this one, has seen of servers' pace."""
+        self._knowledge.paces.add(samples, asyncio.get_running_loop().time())
+        for pending in self._samples.values():
+            for server, (count, total) in samples.items():
+                known = pending.get(server, (0, 0.0))
+                pending[server] = (known[0] + count, known[1] + total)
+
     async def tell(self, record: ServerRecord) -> bool:
         """Return once one other control host knows a record, or in vain."""
         others = list(self._tasks)
         if not others:
             return True
-        value = self._message([record], {}, full=False)
+        value = self._message([record], {}, {}, full=False)
         calls = [
             asyncio.ensure_future(
                 self._peers.call(other, SHARE_PATH, value, _TELL_TIMEOUT_S)
@@ -258,6 +286,7 @@
         knowledge.learn_servers([ServerRecord.from_json(r) for r in value["servers"]])
         for identifier, (born_ms, sequence) in value["heard"].items():
             knowledge.directory.heard(identifier, born_ms, sequence, now)
+        knowledge.paces.add(value["samples"], now)
         for host in value["hosts"]:
             knowledge.hear_of_host(host)
         return {"epoch": knowledge.epoch}
@@ -267,8 +296,10 @@
         for address in self._tasks.keys() - wanted:
             self._tasks.pop(address).cancel()
             self._pending.pop(address, None)
+            self._samples.pop(address, None)
         for address in wanted - self._tasks.keys():
             self._pending[address] = {}
+            self._samples[address] = {}
             self._tasks[address] = asyncio.ensure_future(self._push(address))
 
     def _age(self, now: float) -> None:
@@ -276,6 +307,7 @@
         knowledge.meet_host(self._host)
         knowledge.directory.forget(now)
         knowledge.learn_silent(knowledge.directory.silent(now))
+        knowledge.learn_slow(knowledge.paces.slow(now))
         knowledge.learn_hosts(len(knowledge.live_hosts()))
 
     async def _push(self, address: str) -> None:
@@ -285,7 +317,8 @@
             version = knowledge.directory.version
             heard, self._pending[address] = self._pending[address], {}
             records = knowledge.directory.since(sent)
-            value = self._message(records, heard, full=True)
+            samples, self._samples[address] = self._samples[address], {}
+            value = self._message(records, heard, samples, full=True)
             try:
                 reply = await self._peers.call(
                     address, SHARE_PATH, value, _SHARE_TIMEOUT_S
@@ -308,10 +341,12 @@
         self,
         records: list[ServerRecord],
         heard: dict[str, tuple[int, int]],
+        samples: Samples,
         full: bool,
     ) -> dict[str, Any]:
         return {
             "servers": [record.to_json() for record in records],
             "heard": heard,
+            "samples": samples,
             "hosts": self._knowledge.met_hosts() if full else [],
         }
--- a/packages/gateway/src/kingcuplug_gateway/_call.py
+++ b/packages/gateway/src/kingcuplug_gateway/_call.py
@@ -157,6 +157,12 @@
         if not self._send():
             self._end()
 
+    def hurry(self, at: float) -> None:
+        """Send a second attempt at a time, if one would only go out later."""
+        if self._timer is not None and at < self._timer.when():
+            self._timer.cancel()
+            self._timer = self._loop.call_at(at, self._hedge)
+
     def cancel(self, linger: bool = False) -> None:
         """Give up; attempts in progress are dropped.
 
--- a/packages/gateway/src/kingcuplug_gateway/_scatter.py
+++ b/packages/gateway/src/kingcuplug_gateway/_scatter.py
@@ -60,6 +60,7 @@
         self._timers: list[asyncio.TimerHandle] = []
         self._open = rule.total
         self._included = 0
+        self._hurried = False
         self.calls: list[ServiceCall] = []
 
     async def run(
@@ -88,6 +89,8 @@
         self._open -= 1
         self._included += call.ending.good
         self._check()
+        if not self._hurried and 0 < self._open <= self._rule.stragglers:
+            self._hurry()
 
     def merged(self, top: int, seal_name: bytes) -> Merged | None:
         """Return the merged answer, or ``None`` if too few shards are in."""
@@ -103,6 +106,14 @@
             bodies.append(response.body)
         return Merged(seals, missing, merge_records(bodies, top))
 
+    def _hurry(self) -> None:
+        """Ask the last shards again soon, now that most of them have answered."""
+        self._hurried = True
+        at = self._rule.hurry_at(self._loop.time())
+        for call in self.calls:
+            if not call.over:
+                call.hurry(at)
+
     def _arm(self) -> None:
         rule = self._rule
         self._timers = [
--- a/packages/gateway/src/kingcuplug_gateway/_servers.py
+++ b/packages/gateway/src/kingcuplug_gateway/_servers.py
@@ -4,7 +4,12 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from kingcuplug_routing import AllowanceSettings, ReplicaState, RetryAllowance
+from kingcuplug_routing import (
+    AllowanceSettings,
+    ReplicaState,
+    RetryAllowance,
+    Samples,
+)
 
 from kingcuplug_gateway._pool import ServerConnections
 
@@ -26,6 +31,9 @@
         How much longer it is slow after its start, when this was learnt.
     silent : bool
         Whether its heartbeats have stopped.
+    pace : float
+        Duration of its answers relative to the typical one, if all hosts together
+        find it slow; else 1.
     """
 
     id: str
@@ -35,6 +43,7 @@
     slots: int
     cold_ms: int
     silent: bool
+    pace: float = 1.0
 
 
 class Server:
@@ -106,6 +115,16 @@
         for service in wanted.keys() | self._pools.keys():
             self._replace(self.pool(service), wanted.get(service, {}), now)
 
+    def take_samples(self) -> Samples:
+        """Return what was seen of the servers' pace since the last call."""
+        samples = {}
+        for pool in self._pools.values():
+            for identifier, server in pool.servers.items():
+                taken = server.state.take_samples()
+                if taken[0]:
+                    samples[identifier] = taken
+        return samples
+
     def prune(self, now: float) -> None:
         """Close connections that have been idle for long."""
         for pool in self._pools.values():
@@ -133,6 +152,7 @@
                 server.state.cold_until = now + known.cold_ms / _MS_PER_S
                 pool.servers[identifier] = server
             server.state.silent = known.silent
+            server.state.shared_pace = known.pace
 
     def _limit(self, service: str) -> int:
         total = self._limits.get(service)
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -17,6 +17,7 @@
 )
 from kingcuplug_fleet import (
     LEARN_PATH,
+    REPORT_PATH,
     SHARE_PATH,
     Core,
     CoreSettings,
@@ -50,6 +51,7 @@
 # Statements that are missing for this many intervals make a server silent.
 _SILENT_INTERVALS = 3.5
 _UPKEEP_S = 0.25
+_REPORT_S = 0.5
 _SETTINGS_CHECK_S = 1.0
 # Left of the grace period to write the last lines and exit.
 _EXIT_MARGIN_S = 0.5
@@ -254,6 +256,7 @@
             self._learner.run(),
             self._watch_settings(),
             self._prune(),
+            self._report(),
         ]
         if self._core is not None:
             work += [self._core.run(), self._mesh.run(), self._follow_core(self._core)]
@@ -327,6 +330,9 @@
     async def _peer_reply(self, path: str, value: Any) -> Any:
         if path == LEARN_PATH:
             return await teach(self._knowledge, self._knows_all, value)
+        if path == REPORT_PATH:
+            self._mesh.take_samples(value)
+            return {}
         if path == SHARE_PATH:
             return self._mesh.take(value)
         if self._core is None:
@@ -368,6 +374,7 @@
                 knowledge.routes_version,
                 knowledge.directory.version,
                 frozenset(knowledge.silent),
+                frozenset(knowledge.slow.items()),
                 knowledge.hosts,
             )
 
@@ -402,6 +409,7 @@
                 slots=record.slots,
                 cold_ms=record.cold_ms,
                 silent=record.id in knowledge.silent,
+                pace=knowledge.slow.get(record.id, 1.0),
             )
             for record in knowledge.directory.usable()
         ]
@@ -413,6 +421,16 @@
                 self._knowledge.learn_control(core.members())
             await asyncio.sleep(_UPKEEP_S)
 
+    async def _report(self) -> None:
+        """Share what this host sees of the servers' pace."""
+        while True:
+            await asyncio.sleep(_REPORT_S)
+            samples = self._gateway.servers.take_samples()
+            if self._knows_all():
+                self._mesh.take_samples(samples)
+            else:
+                await self._learner.report(samples)
+
     async def _prune(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
--- a/packages/routing/src/kingcuplug_routing/__init__.py
+++ b/packages/routing/src/kingcuplug_routing/__init__.py
@@ -5,6 +5,7 @@
 from kingcuplug_routing._blames import Blame, CrashGuardSettings
 from kingcuplug_routing._completeness import AnswerRule
 from kingcuplug_routing._crash_guard import CrashGuard
+from kingcuplug_routing._paces import PaceBoard, Samples
 from kingcuplug_routing._policy import RoutingPolicy, baseline_policy
 from kingcuplug_routing._replicas import ReplicaState, choose_replica
 from kingcuplug_routing._router import Router
@@ -39,11 +40,13 @@
     "CrashGuardSettings",
     "Holding",
     "HoldingView",
+    "PaceBoard",
     "Priority",
     "ReplicaState",
     "RetryAllowance",
     "Router",
     "RoutingPolicy",
+    "Samples",
     "ServerView",
     "SnapshotView",
     "Ticket",
--- a/packages/routing/src/kingcuplug_routing/_completeness.py
+++ b/packages/routing/src/kingcuplug_routing/_completeness.py
@@ -13,6 +13,10 @@
 # Once the target is missed, a whole answer is worth more than a sooner one, but
 # not for ever: the caller still waits.
 _LATE_TARGETS = 2.0
+# The last shards of a query are compared with the others of the same query, which
+# met the same links and load: beyond this factor they wait for a server that stalls.
+_STRAGGLING_SHARE = 0.15
+_STRAGGLING_FACTOR = 1.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +48,15 @@
         whole, rest = divmod(self.total * self.minimum, 1)
         return max(1, int(whole) + (rest > 1e-9))
 
+    @property
+    def stragglers(self) -> int:
+        """Number of shards that are still open when most have answered."""
+        return max(1, int(self.total * _STRAGGLING_SHARE))
+
+    def hurry_at(self, now: float) -> float:
+        """Return when stragglers are asked again, if most have answered by now."""
+        return self.begun_at + (now - self.begun_at) * _STRAGGLING_FACTOR
+
     @property
     def late_at(self) -> float:
         """Time after which a late query no longer waits for its last shards."""
--- a/packages/routing/src/kingcuplug_routing/_replicas.py
+++ b/packages/routing/src/kingcuplug_routing/_replicas.py
@@ -37,7 +37,7 @@
 _SILENT_COST_S = 1.0
 # Bytes between availability zones are priced, so a replica there has to be
 # faster by this share.
-_REMOTE_FACTOR = 1.5
+_REMOTE_FACTOR = 1.8
 _REMOTE_S = 0.002  # A round trip between availability zones.
 _COLD_FACTOR = 1.6  # Servers that have just started work this much slower.
 _JITTER = (0.85, 1.15)
@@ -63,6 +63,8 @@
         Until when it is slow after its start.
     silent : bool
         Whether its heartbeats have stopped.
+    shared_pace : float
+        The pace that all hosts together find, 1 unless it is slow.
     """
 
     slots: int
@@ -75,6 +77,9 @@
     paused_until: float = 0.0
     cold_until: float = 0.0
     silent: bool = False
+    shared_pace: float = 1.0
+    samples: int = 0
+    samples_total: float = 0.0
     open: dict[object, tuple[float, float]] = field(default_factory=dict)
 
     def begin(self, attempt: object, now: float, typical_s: float) -> None:
@@ -86,9 +91,7 @@
         begun_at, typical_s = self.open.pop(attempt, (now, 0.0))
         duration_s = now - begun_at
         if typical_s > 0:
-            sample = min(max(duration_s / typical_s, _PACE_RANGE[0]), _PACE_RANGE[1])
-            self.pace = self._pace(now) * (1 - _PACE_WEIGHT) + sample * _PACE_WEIGHT
-            self.pace_at = now
+            self._sample(duration_s / typical_s, now)
         self.errors = self._errors(now) * (1 - _ERROR_WEIGHT)
         self.errors_at = now
         self.failures_in_row = 0
@@ -98,7 +101,7 @@
     def reject(self, attempt: object, now: float) -> None:
         """Record that the server had no room; it is alive, but busy."""
         self.open.pop(attempt, None)
-        self.pace = min(self._pace(now) + 1.0, _PACE_RANGE[1])
+        self.pace = min(self._own_pace(now) + 1.0, _PACE_RANGE[1])
         self.pace_at = now
 
     def fail(self, attempt: object, now: float, unreachable: bool) -> None:
@@ -110,6 +113,7 @@
             No connection could be made, so every other attempt would fail too.
         """
         self.open.pop(attempt, None)
+        self._share(_PACE_RANGE[1])
         self.errors = self._errors(now) * (1 - _ERROR_WEIGHT) + _ERROR_WEIGHT
         self.errors_at = now
         if unreachable:
@@ -121,9 +125,13 @@
         """Record that an attempt was abandoned; its age so far is a sample."""
         begun_at, typical_s = self.open.pop(attempt, (now, 0.0))
         if typical_s > 0 and now - begun_at > typical_s * self._pace(now):
-            sample = min((now - begun_at) / typical_s, _PACE_RANGE[1])
-            self.pace = self._pace(now) * (1 - _PACE_WEIGHT) + sample * _PACE_WEIGHT
-            self.pace_at = now
+            self._sample((now - begun_at) / typical_s, now)
+
+    def take_samples(self) -> tuple[int, float]:
+        """Return number and sum of the samples since the last call."""
+        taken = (self.samples, self.samples_total)
+        self.samples, self.samples_total = 0, 0.0
+        return taken
 
     def expected_s(self, now: float, typical_s: float) -> float:
         """Return the time in which an answer is expected, penalties included."""
@@ -141,7 +149,20 @@
             expected_s += _SILENT_COST_S
         return expected_s
 
+    def _sample(self, ratio: float, now: float) -> None:
+        sample = min(max(ratio, _PACE_RANGE[0]), _PACE_RANGE[1])
+        self.pace = self._own_pace(now) * (1 - _PACE_WEIGHT) + sample * _PACE_WEIGHT
+        self.pace_at = now
+        self._share(sample)
+
+    def _share(self, sample: float) -> None:
+        self.samples += 1
+        self.samples_total += sample
+
     def _pace(self, now: float) -> float:
+        return max(self._own_pace(now), self.shared_pace)
+
+    def _own_pace(self, now: float) -> float:
         return 1 + (self.pace - 1) * _decay(now - self.pace_at)
 
     def _errors(self, now: float) -> float:
