--- a/tests/gateway/test_scatter.py
+++ b/tests/gateway/test_scatter.py
@@ -143,3 +143,35 @@
     merged = merge_records([b"".join(part) + b"tail" for part in parts], top)
     everything = sorted((r for part in parts for r in part), reverse=True)
     assert merged == b"".join(everything[:top])
+
+
+def test_last_shard_is_asked_again_soon_after_the_others_have_answered(open_world):
+    """Guards against waiting for a fixed time while all other parts are in."""
+    asked_at: list[float] = []
+
+    async def stalling(request: Request) -> Response:
+        asked_at.append(asyncio.get_running_loop().time())
+        if len(asked_at) == 1:
+            await asyncio.sleep(60)
+        return sealed(record("a"))
+
+    async def run() -> Response:
+        async with open_world() as world:
+            for shard in SHARDS[1:]:
+                await world.add(shard, _part("b"))
+            await world.add("s0", stalling)
+            await world.add("s0", stalling)
+            world.adopt(
+                make_route(
+                    services=(),
+                    shards=SHARDS,
+                    minimum_coverage=1.0,
+                    target_ms=60_000,
+                    timeout_ms=90_000,
+                )
+            )
+            return await world.ask()
+
+    response = asyncio.run(run())
+    assert response.body.startswith(record("b"))
+    assert _headers(response)[b"Missing"] == b"0"
