--- a/tests/routing/test_paces.py
+++ b/tests/routing/test_paces.py
@@ -11,7 +11,7 @@
 
 
 def test_slow_server_is_found_within_a_second():
-    """Guards against a server that delays a query of every host before it is avoided."""
+    """Guards against a server that delays every host before it is avoided."""
     board = PaceBoard()
     now = _feed(board, "i-1", [1.0] * 40, 0.0)
     now = _feed(board, "i-1", [3.0] * 20, now)
