Keep the directory of servers on control hosts' disks; elect sooner after a start

Change: control hosts write the directory to a file and load it at the start; elections after 0.48 s; final answers leave earlier by a caller's connection set-up.

--- a/packages/fleet/src/kingcuplug_fleet/__init__.py
+++ b/packages/fleet/src/kingcuplug_fleet/__init__.py
@@ -2,6 +2,7 @@
 
 from kingcuplug_fleet._core import Core, CoreSettings, CoreUnavailable
 from kingcuplug_fleet._directory import Directory
+from kingcuplug_fleet._directory_file import DirectoryFile
 from kingcuplug_fleet._knowledge import Knowledge
 from kingcuplug_fleet._peers import PeerFailed, Peers
 from kingcuplug_fleet._records import ServerRecord, ServerState
@@ -24,6 +25,7 @@
     "CoreSettings",
     "CoreUnavailable",
     "Directory",
+    "DirectoryFile",
     "Joiner",
     "Knowledge",
     "Learner",
--- a/packages/fleet/src/kingcuplug_fleet/_core.py
+++ b/packages/fleet/src/kingcuplug_fleet/_core.py
@@ -41,8 +41,8 @@
 # 150 ms for a sync, so elections are slower than the log's defaults. An operator
 # tries another host after one second without an answer.
 LOG_SETTINGS = LogSettings(
-    election_timeout_ms=600,
-    heartbeat_ms=120,
+    election_timeout_ms=480,
+    heartbeat_ms=100,
     rpc_timeout_ms=300,
     snapshot_entries=64,
     retained_entries=8,
--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -27,6 +27,9 @@
 
 _MS_PER_S = 1_000
 _FIRST_ERROR = 400
+# One-way trips between a caller's start and its answer if it connects first: the
+# connection's set-up, the request and the answer.
+_TRIPS = 4
 # A caller that is told to come back should find a server that was restarted or
 # announced meanwhile; the spread keeps callers from returning in step.
 _RETRY_AFTER_S = (0.15, 0.45)
@@ -270,7 +273,7 @@
 
     def _rule(self, request: Request, route: Route, outgoing: Outgoing) -> AnswerRule:
         # A caller's clock runs from before its connection was made.
-        trips = 4 if request.first else 2
+        trips = _TRIPS if request.first else 2
         lost_ms = trips * self._settings.caller_delay_ms
         target_ms = route.target_ms - lost_ms - self._settings.answer_margin_ms
         final_at = self._final_at(outgoing)
@@ -311,7 +314,7 @@
     def _final_at(self, outgoing: Outgoing) -> float:
         """Return when the final answer must leave to reach the caller in time."""
         settings = self._settings
-        kept_ms = settings.caller_delay_ms + settings.answer_margin_ms
+        kept_ms = _TRIPS * settings.caller_delay_ms + settings.answer_margin_ms
         return outgoing.deadline_at - kept_ms / _MS_PER_S
 
     def _limit_connections(self) -> None:
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -22,6 +22,7 @@
     Core,
     CoreSettings,
     CoreUnavailable,
+    DirectoryFile,
     Knowledge,
     Learner,
     Mesh,
@@ -109,6 +110,9 @@
         )
         self._front = Listener(self._gateway.handle, self._gateway.limits)
         self._core = self._make_core()
+        self._file: DirectoryFile | None = None
+        if settings.data_folder is not None:
+            self._file = DirectoryFile(settings.data_folder, self._knowledge, log)
         self._mesh = Mesh(
             settings.host, self._knowledge, self._peers, settings.control_address
         )
@@ -205,6 +209,8 @@
             Answers backend servers and operators.
         """
         self._install()
+        if self._file is not None:
+            self._file.load()
         listener = Listener(self._control(control), lambda: _CONTROL_LIMITS)
         ready = Listener(self._readiness, lambda: _CONTROL_LIMITS)
         settings = self._settings
@@ -258,6 +264,8 @@
             self._prune(),
             self._report(),
         ]
+        if self._file is not None:
+            work.append(self._file.run())
         if self._core is not None:
             work += [self._core.run(), self._mesh.run(), self._follow_core(self._core)]
         return work
