Bound the requests that a host has at a service at once; remember the number of hosts

Change: a turnstile for each service, most urgent first, with the host's part of the slots and a short queue; the number of hosts is kept beside the directory of servers, and an unknown number counts as 100.

--- a/packages/fleet/src/kingcuplug_fleet/_directory_file.py
+++ b/packages/fleet/src/kingcuplug_fleet/_directory_file.py
@@ -1,4 +1,4 @@
-"""The directory of servers on a control host's disk.
+"""The directory of servers, and the number of hosts, on a control host's disk.
 
 Answers this load pattern: all hosts lose power at once, and callers are back before
 the servers have spoken again, which takes one heartbeat interval. The file is only a
@@ -34,15 +34,17 @@
     def load(self) -> None:
         """Take the records of the file; without a readable one there are none."""
         try:
-            values = orjson.loads(self._path.read_bytes())
-            records = [ServerRecord.from_json(value) for value in values]
+            value = orjson.loads(self._path.read_bytes())
+            records = [ServerRecord.from_json(entry) for entry in value["servers"]]
+            hosts = int(value["hosts"])
         except FileNotFoundError:
             return
-        except (OSError, ValueError, TypeError, IndexError) as error:
+        except (OSError, ValueError, TypeError, LookupError) as error:
             # A loss of power may leave any bytes; servers soon speak for themselves.
             self._log.write("directory_file_unreadable", {"error": repr(error)})
             return
         self._knowledge.learn_servers(records)
+        self._knowledge.expect_hosts(hosts)
         self._log.write("directory_loaded", {"servers": len(records)}, always=True)
 
     async def run(self) -> None:
@@ -53,7 +55,8 @@
                 lambda seen=written: directory.version != seen  # type: ignore[misc]
             )
             version = directory.version
-            data = orjson.dumps([r.to_json() for r in directory.since(0)])
+            records = [record.to_json() for record in directory.since(0)]
+            data = orjson.dumps({"servers": records, "hosts": self._knowledge.hosts})
             try:
                 await asyncio.to_thread(self._write, data)
                 written = version
--- a/packages/fleet/src/kingcuplug_fleet/_knowledge.py
+++ b/packages/fleet/src/kingcuplug_fleet/_knowledge.py
@@ -44,6 +44,8 @@
 
     def __init__(self, silent_after_s: float) -> None:
         self._loop = asyncio.get_running_loop()
+        self._begun_at = self._loop.time()
+        self._expected_hosts = 0
         self._met: dict[str, float] = {}
         self._told: dict[str, float] = {}
         self.epoch = identifier()
@@ -90,6 +92,18 @@
             self.slow = paces
             self.changed.notify()
 
+    def expect_hosts(self, count: int) -> None:
+        """Assume so many hosts until those that live have had time to ask."""
+        self._expected_hosts = count
+        self.learn_hosts(count)
+
+    def count_hosts(self) -> None:
+        """Count the hosts that asked lately, or were there before a restart."""
+        count = len(self.live_hosts())
+        if self._loop.time() - self._begun_at < _HOST_KEPT_S:
+            count = max(count, self._expected_hosts)
+        self.learn_hosts(count)
+
     def learn_hosts(self, count: int) -> None:
         """Take the number of live hosts."""
         if count != self.hosts:
--- a/packages/fleet/src/kingcuplug_fleet/_teaching.py
+++ b/packages/fleet/src/kingcuplug_fleet/_teaching.py
@@ -308,7 +308,7 @@
         knowledge.directory.forget(now)
         knowledge.learn_silent(knowledge.directory.silent(now))
         knowledge.learn_slow(knowledge.paces.slow(now))
-        knowledge.learn_hosts(len(knowledge.live_hosts()))
+        knowledge.count_hosts()
 
     async def _push(self, address: str) -> None:
         knowledge = self._knowledge
--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -14,13 +14,19 @@
     end_to_end,
     error_response,
 )
-from kingcuplug_routing import AllowanceSettings, AnswerRule, Timing, wait_until
+from kingcuplug_routing import (
+    AllowanceSettings,
+    AnswerRule,
+    Timing,
+    places,
+    wait_until,
+)
 
 from kingcuplug_gateway._call import Outgoing, ServiceCall
 from kingcuplug_gateway._protocol import HeaderNames
 from kingcuplug_gateway._routes import Route, RouteTable
 from kingcuplug_gateway._scatter import Scatter
-from kingcuplug_gateway._servers import KnownServer, ServerTable
+from kingcuplug_gateway._servers import KnownServer, ServerTable, ServicePool
 from kingcuplug_gateway._split import WeightedTurn
 
 __all__ = ["Gateway", "GatewaySettings"]
@@ -166,6 +172,8 @@
 
         outgoing = self._outgoing(request, route)
         call = self._call(route, service, outgoing, done)
+        if not await self._enter(pool, route, outgoing):
+            return self._refuse(request, route, "no_turn")
         call.start()
         try:
             async with asyncio.timeout_at(self._final_at(outgoing)):
@@ -177,6 +185,8 @@
             call.cancel()
             self._gone(request, route, call)
             raise
+        finally:
+            pool.turnstile.leave(places(pool.slots, self._hosts))
         ending = call.ending
         if ending.response is not None:
             return self._end(request, route, _relayed(ending.response), call)
@@ -196,6 +206,8 @@
         reachable = sum(pool.reachable(now) for pool in pools)
         if reachable < rule.needed:
             return self._refuse(request, route, "shards_unreachable")
+        if not await self._enter(pools[0], route, outgoing):
+            return self._refuse(request, route, "no_turn")
         scatter = Scatter(rule)
 
         def make_call(shard: str) -> ServiceCall:
@@ -206,6 +218,8 @@
         except asyncio.CancelledError:
             self._gone(request, route, *scatter.calls)
             raise
+        finally:
+            pools[0].turnstile.leave(places(pools[0].slots, self._hosts))
         merged = scatter.merged(route.top_records, self._names.seal.lower())
         if merged is None:
             status = 504 if now >= rule.final_at else 502
@@ -231,6 +245,30 @@
         if now < until:
             await self._changed.until(known, until - now)
 
+    async def _enter(self, pool: ServicePool, route: Route, outgoing: Outgoing) -> bool:
+        """Wait for the request's turn; return whether it came in time."""
+        if pool.turnstile.enter(places(pool.slots, self._hosts)):
+            return True
+        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+        def admit() -> bool:
+            if turn.done():
+                return False
+            turn.set_result(None)
+            return True
+
+        pool.turnstile.wait(route.rank, admit)
+        try:
+            async with asyncio.timeout_at(self._final_at(outgoing)):
+                await turn
+        except TimeoutError:
+            return False
+        except asyncio.CancelledError:
+            if turn.done() and not turn.cancelled():
+                pool.turnstile.leave(places(pool.slots, self._hosts))
+            raise
+        return True
+
     def _deadline_at(self, request: Request, wait_ms: int) -> float:
         """Return when the caller or the route's time is over."""
         given = request.header(self._names.deadline_ms.lower())
--- a/packages/gateway/src/kingcuplug_gateway/_servers.py
+++ b/packages/gateway/src/kingcuplug_gateway/_servers.py
@@ -9,6 +9,7 @@
     ReplicaState,
     RetryAllowance,
     Samples,
+    Turnstile,
 )
 
 from kingcuplug_gateway._pool import ServerConnections
@@ -18,7 +19,9 @@
 _MS_PER_S = 1_000
 # Hosts do not get even shares of the callers, so their sum stays below the limit.
 _LIMIT_SHARE = 0.95
-_UNKNOWN_HOSTS = 10  # Assumed until a control host says how many there are.
+# Assumed until a control host says how many there are: too many connections at once
+# are reset by the servers.
+_UNKNOWN_HOSTS = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +65,12 @@
         self.name = name
         self.servers: dict[str, Server] = {}
         self.allowance = RetryAllowance(allowance)
+        self.turnstile = Turnstile()
+
+    @property
+    def slots(self) -> int:
+        """Requests that all servers run at once."""
+        return sum(server.state.slots for server in self.servers.values())
 
     def usable(self, excluded: Iterable[str] = ()) -> list[Server]:
         """Return the servers other than those with an excluded id."""
--- a/packages/routing/src/kingcuplug_routing/__init__.py
+++ b/packages/routing/src/kingcuplug_routing/__init__.py
@@ -17,6 +17,7 @@
 )
 from kingcuplug_routing._ticket import Ticket
 from kingcuplug_routing._timing import Timing
+from kingcuplug_routing._turnstile import Turnstile, places
 from kingcuplug_routing._types import (
     Attempt,
     AttemptOutcome,
@@ -51,10 +52,12 @@
     "SnapshotView",
     "Ticket",
     "Timing",
+    "Turnstile",
     "baseline_policy",
     "choose_replica",
     "least_expected_time",
     "least_in_flight",
+    "places",
     "random_replica",
     "two_choices",
     "wait_until",
