Let the leader sum up the samples; prefer a control host in the own zone; leave sooner on small hosts

Change: control hosts forward samples to the leader, which tells all which servers are slow; hosts prefer a control host in their zone; answers leave earlier on hosts with a small share of a core.

--- a/packages/fleet/src/kingcuplug_fleet/_core.py
+++ b/packages/fleet/src/kingcuplug_fleet/_core.py
@@ -140,6 +140,13 @@
             return []
         return [member.address for member in self._replica.status().members]
 
+    def leader(self) -> str | None:
+        """Return the address of the leader, if one is known and followed."""
+        if self._replica is None or not self._replica.connected():
+            return None
+        leader = self._replica.status().leader
+        return leader.address if leader is not None else None
+
     def leads(self) -> bool:
         """Return whether this host leads the group."""
         return self._replica is not None and self._replica.leading
--- a/packages/fleet/src/kingcuplug_fleet/_knowledge.py
+++ b/packages/fleet/src/kingcuplug_fleet/_knowledge.py
@@ -38,6 +38,8 @@
         Number of live hosts that serve callers, 0 if unknown.
     slow : dict
         Pace of the servers that all hosts together find slow.
+    zones : dict
+        Availability zones of control hosts, by address.
     paces : PaceBoard
         What hosts have reported here; used at control hosts only.
     """
@@ -58,6 +60,7 @@
         self.silent: set[str] = set()
         self.slow: dict[str, float] = {}
         self.paces = PaceBoard()
+        self.zones: dict[str, str] = {}
 
     def learn_routes(self, version: int, document: str) -> None:
         """Take a route document if it is newer."""
--- a/packages/fleet/src/kingcuplug_fleet/_teaching.py
+++ b/packages/fleet/src/kingcuplug_fleet/_teaching.py
@@ -34,7 +34,7 @@
 _AVOIDED_S = 4.0
 # News of one burst (a rolling restart, a zone's start) share an answer.
 _GATHER_S = 0.02
-_SHARE_INTERVAL_S = 0.5
+_SHARE_INTERVAL_S = 0.9
 _SHARE_TIMEOUT_S = 0.6
 _REPORT_TIMEOUT_S = 0.5
 _UPKEEP_S = 0.3
@@ -84,6 +84,7 @@
         "servers": [record.to_json() for record in directory.since(cursor)],
         "silent": sorted(knowledge.silent),
         "slow": knowledge.slow,
+        "zones": knowledge.zones,
         "routes": knowledge.routes_version if newer else 0,
         "document": knowledge.routes_document if newer else "",
         "control": knowledge.control,
@@ -119,6 +120,7 @@
         seeds: Callable[[], tuple[str, ...]],
         skip: Callable[[], bool],
         own_address: str,
+        availability_zone: str,
         log: EventLog,
     ) -> None:
         self._host = host
@@ -127,6 +129,7 @@
         self._seeds = seeds
         self._skip = skip
         self._own_address = own_address
+        self._zone = availability_zone
         self._log = log
         self._cursors: dict[str, _Cursor] = {}
         self._avoided: dict[str, float] = {}
@@ -160,8 +163,10 @@
         known.discard(self._own_address)
         limit = now - _AVOIDED_S
         fresh = [a for a in known if self._avoided.get(a, limit) <= limit]
-        if fresh:
-            return self._random.choice(sorted(fresh))
+        zones = self._knowledge.zones
+        near = [a for a in fresh if zones.get(a) == self._zone]
+        if near or fresh:
+            return self._random.choice(sorted(near or fresh))
         return min(known, key=lambda a: self._avoided[a]) if known else None
 
     def _leave(self, address: str | None) -> None:
@@ -206,6 +211,13 @@
         self._cursors[address] = _Cursor(reply["epoch"], reply["cursor"])
         if not reply["connected"]:
             return False
+        zones = knowledge.zones
+        if zones.get(address) != self._zone and self._zone in zones.values():
+            # Bytes between availability zones are priced.
+            nearer = self._choose()
+            if nearer is not None and zones.get(nearer) == self._zone:
+                self.teacher = None
+                return True
         if self.teacher != address:
             self.teacher = address
             self._log.write("control_host_found", {"address": address}, always=True)
@@ -217,6 +229,7 @@
             knowledge.learn_routes(reply["routes"], reply["document"])
         knowledge.learn_servers([ServerRecord.from_json(r) for r in reply["servers"]])
         if reply["connected"]:
+            knowledge.zones = reply["zones"]
             knowledge.learn_control(reply["control"])
             knowledge.learn_hosts(reply["hosts"])
             knowledge.learn_silent(set(reply["silent"]))
@@ -226,7 +239,15 @@
 class Mesh:
     """Pushes what servers tell this control host to the other ones."""
 
-    def __init__(self, host: str, knowledge: Knowledge, peers: Peers, own: str) -> None:
+    def __init__(
+        self,
+        host: str,
+        knowledge: Knowledge,
+        peers: Peers,
+        own: str,
+        availability_zone: str,
+        leader: Callable[[], str | None],
+    ) -> None:
         self._host = host
         self._knowledge = knowledge
         self._peers = peers
@@ -234,16 +255,19 @@
         self._heard: dict[str, tuple[int, int]] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._pending: dict[str, dict[str, tuple[int, int]]] = {}
-        self._samples: dict[str, Samples] = {}
+        self._samples: Samples = {}
+        self._zone = availability_zone
+        self._leader = leader
 
     async def run(self) -> None:
         """Keep one task for each other control host, and what ages."""
         loop = asyncio.get_running_loop()
+        self._knowledge.zones[self._own] = self._zone
         try:
             while True:
                 self._follow_members()
                 self._age(loop.time())
-                await asyncio.sleep(_UPKEEP_S)
+                await asyncio.gather(asyncio.sleep(_UPKEEP_S), self._forward_samples())
         finally:
             for task in self._tasks.values():
                 task.cancel()
@@ -254,19 +278,24 @@
             pending[record.id] = (record.born_ms, record.sequence)
 
     def take_samples(self, samples: Samples) -> None:
-        """Take what a host, perhaps this one, has seen of servers' pace."""
-        self._knowledge.paces.add(samples, asyncio.get_running_loop().time())
-        for pending in self._samples.values():
-            for server, (count, total) in samples.items():
-                known = pending.get(server, (0, 0.0))
-                pending[server] = (known[0] + count, known[1] + total)
+        """Take what a host, perhaps this one, has seen of servers' pace.
+
+        The leader alone sums the samples up, as all to all would cost more bytes
+        than the queries.
+        """
+        if self._leader() == self._own:
+            self._knowledge.paces.add(samples, asyncio.get_running_loop().time())
+            return
+        for server, (count, total) in samples.items():
+            known = self._samples.get(server, (0, 0.0))
+            self._samples[server] = (known[0] + count, known[1] + total)
 
     async def tell(self, record: ServerRecord) -> bool:
         """Return once one other control host knows a record, or in vain."""
         others = list(self._tasks)
         if not others:
             return True
-        value = self._message([record], {}, {}, full=False)
+        value = self._message([record], {}, full=False)
         calls = [
             asyncio.ensure_future(
                 self._peers.call(other, SHARE_PATH, value, _TELL_TIMEOUT_S)
@@ -286,7 +315,9 @@
         knowledge.learn_servers([ServerRecord.from_json(r) for r in value["servers"]])
         for identifier, (born_ms, sequence) in value["heard"].items():
             knowledge.directory.heard(identifier, born_ms, sequence, now)
-        knowledge.paces.add(value["samples"], now)
+        knowledge.zones[value["address"]] = value["zone"]
+        if value["slow"] is not None:
+            knowledge.learn_slow(value["slow"])
         for host in value["hosts"]:
             knowledge.hear_of_host(host)
         return {"epoch": knowledge.epoch}
@@ -296,18 +327,27 @@
         for address in self._tasks.keys() - wanted:
             self._tasks.pop(address).cancel()
             self._pending.pop(address, None)
-            self._samples.pop(address, None)
         for address in wanted - self._tasks.keys():
             self._pending[address] = {}
-            self._samples[address] = {}
             self._tasks[address] = asyncio.ensure_future(self._push(address))
 
+    async def _forward_samples(self) -> None:
+        leader = self._leader()
+        if leader is None or leader == self._own or not self._samples:
+            return
+        samples, self._samples = self._samples, {}
+        with contextlib.suppress(PeerFailed):
+            await self._peers.call(leader, REPORT_PATH, samples, _REPORT_TIMEOUT_S)
+
     def _age(self, now: float) -> None:
         knowledge = self._knowledge
         knowledge.meet_host(self._host)
         knowledge.directory.forget(now)
         knowledge.learn_silent(knowledge.directory.silent(now))
-        knowledge.learn_slow(knowledge.paces.slow(now))
+        if self._leader() == self._own:
+            knowledge.learn_slow(knowledge.paces.slow(now))
+        elif self._leader() is None:
+            knowledge.learn_slow({})
         knowledge.count_hosts()
 
     async def _push(self, address: str) -> None:
@@ -317,8 +357,7 @@
             version = knowledge.directory.version
             heard, self._pending[address] = self._pending[address], {}
             records = knowledge.directory.since(sent)
-            samples, self._samples[address] = self._samples[address], {}
-            value = self._message(records, heard, samples, full=True)
+            value = self._message(records, heard, full=True)
             try:
                 reply = await self._peers.call(
                     address, SHARE_PATH, value, _SHARE_TIMEOUT_S
@@ -332,8 +371,11 @@
             else:
                 epoch, sent = reply["epoch"], 0
 
-            def news(sent: int = sent) -> bool:
-                return knowledge.directory.version > sent
+            slow = knowledge.slow
+
+            def news(sent: int = sent, slow: dict[str, float] = slow) -> bool:
+                changed = slow != knowledge.slow and self._leader() == self._own
+                return knowledge.directory.version > sent or changed
 
             await knowledge.changed.until(news, _SHARE_INTERVAL_S)
 
@@ -341,12 +383,13 @@
         self,
         records: list[ServerRecord],
         heard: dict[str, tuple[int, int]],
-        samples: Samples,
         full: bool,
     ) -> dict[str, Any]:
         return {
             "servers": [record.to_json() for record in records],
             "heard": heard,
-            "samples": samples,
+            "address": self._own,
+            "zone": self._zone,
+            "slow": self._knowledge.slow if self._leader() == self._own else None,
             "hosts": self._knowledge.met_hosts() if full else [],
         }
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -53,6 +53,10 @@
 _SILENT_INTERVALS = 3.5
 _UPKEEP_S = 0.25
 _REPORT_S = 0.5
+# Timers fire late, and an answer takes a moment on the host's link; merging and
+# writing the answer of a query over 36 shards takes some time of a whole core.
+_MARGIN_MS = 4.0
+_MERGE_CORE_MS = 4.0
 _SETTINGS_CHECK_S = 1.0
 # Left of the grace period to write the last lines and exit.
 _EXIT_MARGIN_S = 0.5
@@ -104,7 +108,12 @@
         self._knowledge = Knowledge(silent_after_s)
         self._register = RouteRegister(self._on_routes)
         self._gateway = Gateway(
-            GatewaySettings(settings.availability_zone, names, settings.allowance),
+            GatewaySettings(
+                settings.availability_zone,
+                names,
+                settings.allowance,
+                answer_margin_ms=_MARGIN_MS + _MERGE_CORE_MS / settings.processor_cores,
+            ),
             log,
             self._metrics,
         )
@@ -114,7 +123,12 @@
         if settings.data_folder is not None:
             self._file = DirectoryFile(settings.data_folder, self._knowledge, log)
         self._mesh = Mesh(
-            settings.host, self._knowledge, self._peers, settings.control_address
+            settings.host,
+            self._knowledge,
+            self._peers,
+            settings.control_address,
+            settings.availability_zone,
+            lambda: self._core.leader() if self._core is not None else None,
         )
         self._learner = Learner(
             settings.host,
@@ -123,6 +137,7 @@
             lambda: self._settings.seeds,
             self._knows_all,
             settings.control_address,
+            settings.availability_zone,
             log,
         )
 
--- a/packages/node/src/kingcuplug_node/_settings.py
+++ b/packages/node/src/kingcuplug_node/_settings.py
@@ -31,6 +31,8 @@
         How long callers may still come to a host that is stopping.
     grace_ms : int
         From SIGTERM to SIGKILL.
+    processor_cores : float
+        Share of processor cores that the host may use.
     """
 
     host: str
@@ -46,4 +48,5 @@
     drain_ms: int
     grace_ms: int
     allowance: AllowanceSettings
+    processor_cores: float = 1.0
     control_bind_address: str | None = None
--- a/tests/fleet/test_learning.py
+++ b/tests/fleet/test_learning.py
@@ -8,6 +8,7 @@
 import pytest
 from kingcuplug_common import EventLog
 from kingcuplug_fleet import (
+    REPORT_PATH,
     Knowledge,
     Learner,
     Mesh,
@@ -50,7 +51,9 @@
 
 def _learner(knowledge: Knowledge, peers: FakePeers, seeds: tuple[str, ...]) -> Learner:
     log = EventLog(os.open(os.devnull, os.O_WRONLY), "host")
-    return Learner("host", knowledge, peers, lambda: seeds, lambda: False, "self", log)
+    return Learner(
+        "host", knowledge, peers, lambda: seeds, lambda: False, "self", "z", log
+    )
 
 
 async def _until(condition: Callable[[], bool], seconds: float) -> float:
@@ -148,7 +151,7 @@
         peers = FakePeers()
         knowledge = [Knowledge(5.0) for _ in range(3)]
         meshes = [
-            Mesh(f"host-{name}", known, peers, name)
+            Mesh(f"host-{name}", known, peers, name, "z", lambda: "a")
             for name, known in zip("abc", knowledge, strict=True)
         ]
 
@@ -181,8 +184,8 @@
     async def run() -> None:
         peers = FakePeers()
         first, second = Knowledge(5.0), Knowledge(5.0)
-        mesh_a = Mesh("host-a", first, peers, "a")
-        mesh_b = Mesh("host-b", second, peers, "b")
+        mesh_a = Mesh("host-a", first, peers, "a", "z", lambda: "a")
+        mesh_b = Mesh("host-b", second, peers, "b", "z", lambda: "a")
 
         async def to_a(path: str, value: Any) -> Any:
             return mesh_a.take(value)
@@ -203,3 +206,60 @@
             task.cancel()
 
     run_virtual(run())
+
+
+def test_slow_servers_are_summed_up_by_the_leader_and_told_to_all():
+    """Guards against each control host judging by the few samples of its own hosts."""
+
+    async def run() -> None:
+        peers = FakePeers()
+        names = ("a", "b", "c")
+        knowledge = {name: Knowledge(5.0) for name in names}
+        meshes = {
+            name: Mesh(f"host-{name}", knowledge[name], peers, name, name, lambda: "a")
+            for name in names
+        }
+
+        def answer_of(name: str) -> Answer:
+            async def answer(path: str, value: Any) -> Any:
+                if path == REPORT_PATH:
+                    return meshes[name].take_samples(value)
+                return meshes[name].take(value)
+
+            return answer
+
+        peers.answers = {name: answer_of(name) for name in names}
+        for known in knowledge.values():
+            known.learn_control(list(names))
+        tasks = [asyncio.ensure_future(mesh.run()) for mesh in meshes.values()]
+        for _ in range(8):
+            for mesh in meshes.values():
+                mesh.take_samples({"slow": (1, 3.0), "sound": (1, 1.0)})
+            await asyncio.sleep(0.25)
+        await asyncio.sleep(1.0)
+        assert all(set(known.slow) == {"slow"} for known in knowledge.values())
+        assert knowledge["b"].zones == {name: name for name in names}
+        await asyncio.sleep(8.0)
+        assert all(known.slow == {} for known in knowledge.values())
+        for task in tasks:
+            task.cancel()
+
+    run_virtual(run())
+
+
+def test_host_prefers_a_control_host_in_its_availability_zone():
+    """Guards against control traffic between availability zones without need."""
+
+    async def run() -> None:
+        peers, own, taught = FakePeers(), Knowledge(5.0), Knowledge(5.0)
+        taught.learn_control(["a", "b", "c"])
+        taught.zones = {"a": "y", "b": "z", "c": "x"}
+        peers.answers = {name: _teacher(taught) for name in "abc"}
+        learner = _learner(own, peers, ("a", "c"))
+        task = asyncio.ensure_future(learner.run())
+        await _until(lambda: learner.teacher == "b", 2.0)
+        peers.frozen.add("b")
+        await _until(lambda: learner.teacher in ("a", "c"), 3.0)
+        task.cancel()
+
+    run_virtual(run())
