--- a/packages/cli/src/kingcuplug_cli/_explain.py
+++ b/packages/cli/src/kingcuplug_cli/_explain.py
@@ -127,6 +127,8 @@
     for line in by_host[request["host"]]:
         if line["monotonic_us"] > now_us:
             break
+        if line["event"] == "started":
+            newest.clear()  # A new process knows nothing of what the last one knew.
         if line["event"] in _BELIEFS:
             newest[line["event"]] = line
     for line in sorted(newest.values(), key=lambda line: line["monotonic_us"]):
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -21,6 +21,8 @@
 def log_files(tmp_path: Path) -> list[str]:
     call = {"service": "s", "server": "i-1", "why": "first", "outcome": "lost"}
     first = [
+        _line("a", "control_host_found", 500, address="before the restart"),
+        _line("a", "started", 800),
         _line("a", "routes_in_force", 1_000, version=4),
         _line("a", "routes_in_force", 9_000, version=5),
         "  12.5 a " + _line("a", "request_failed", 10_000, id="q", calls=[call]),
@@ -47,6 +49,8 @@
     step = run.fields["steps"][0]
     versions = [b["line"].get("version") for b in step["beliefs"]]
     assert 5 in versions
+    events = [b["line"]["event"] for b in step["beliefs"]]
+    assert "control_host_found" not in events
     assert 6 not in versions
     assert any(b["line"].get("state") == "draining" for b in step["beliefs"])
 
