Model check the formation of the group; never acknowledge with one of three seeds

Cause: the new model shows that a founder which has waited 6 s for the other seeds acknowledges alone, and the loss of its disk then loses the document. Change: most of the seeds must be voters whatever the wait.

--- a/packages/fleet/src/kingcuplug_fleet/_core.py
+++ b/packages/fleet/src/kingcuplug_fleet/_core.py
@@ -53,7 +53,9 @@
 _STEWARD_INTERVAL_S = 0.2
 _CHANGE_TIMEOUT_S = 2.0
 _REOPEN_AFTER_S = 0.5
-# A founding group that has not gathered its first voters by then goes on without.
+# A founding group that has not gathered all seeds by then goes on with most of them.
+# A single voter never acknowledges anything where there are more seeds, because the
+# loss of its disk would lose it (models/formation.pml, ACK_WHILE_FORMING).
 _FORMATION_S = 6.0
 _MS_PER_S = 1_000
 
@@ -91,6 +93,19 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def is_formed(voters: int, seeds: int, waited_s: float) -> bool:
+    """Return whether a group bears a loss, as far as it ever will.
+
+    Parameters
+    ----------
+    waited_s : float
+        Since this host's replica was opened.
+    """
+    if voters >= seeds:
+        return True
+    return waited_s > _FORMATION_S and voters > seeds // 2
+
+
 class Core:
     """Takes part in the replicated log, and reopens it after a failure of the disk.
 
@@ -235,9 +250,8 @@
     def _formed(self, status: LogStatus) -> bool:
         """Return whether the group bears a loss, as far as it ever will."""
         voters = sum(m.role is MemberRole.VOTER for m in status.members)
-        if voters >= len(self._settings.seeds):
-            return True
-        return boot_time() - self._started_at > _FORMATION_S
+        waited_s = boot_time() - self._started_at
+        return is_formed(voters, len(self._settings.seeds), waited_s)
 
     async def _take_part(self) -> None:
         settings = self._settings
--- a/tests/fleet/test_succession.py
+++ b/tests/fleet/test_succession.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from kingcuplug_fleet import Joiner, next_change
+from kingcuplug_fleet._core import is_formed
 from kingcuplug_log import LogStatus, Member, MemberRole, PeerStatus, ReplicaRole
 
 
@@ -75,3 +76,15 @@
     assert (
         next_change(_status({"b": 1, "c": 1}), _joiners(back, fresh=False), 0) == back
     )
+
+
+def test_single_voter_of_three_seeds_never_acknowledges():
+    """Guards against a document that is lost with the founder's disk.
+
+    The model checker found it in a group that had waited for long.
+    """
+    assert not is_formed(voters=1, seeds=3, waited_s=1_000.0)
+    assert not is_formed(voters=2, seeds=3, waited_s=1.0)
+    assert is_formed(voters=2, seeds=3, waited_s=7.0)
+    assert is_formed(voters=3, seeds=3, waited_s=0.0)
+    assert is_formed(voters=1, seeds=1, waited_s=0.0)
