--- a/Makefile
+++ b/Makefile
@@ -56,7 +56,7 @@
 
 
 capacity: venv
-	for tool in query receipts tracing state membership log; do \
+	for tool in query receipts tracing state membership log gateway fleet; do \
 		PYTHONPATH=$(SOURCES) $(BIN)/python tools/measure_$$tool.py || exit 1; \
 	done
 	PYTHONPATH=$(SOURCES) $(BIN)/python -m kingcuplug_cli bench cpu
--- /dev/null
+++ b/tools/measure_gateway.py
@@ -0,0 +1,124 @@
+"""Processor time of one sub-request: the gateway against a bare aiohttp fan-out.
+
+Both ask the same stand-in servers, which run in a process of their own, in turns
+within one run; the ratio is what counts, as machines are shared.
+"""
+
+import asyncio
+import os
+import random
+import subprocess
+import sys
+import time
+
+import aiohttp
+from kingcuplug_common import EventLog, Metrics
+from kingcuplug_gateway import (
+    Gateway,
+    GatewaySettings,
+    HeaderNames,
+    KnownServer,
+    Route,
+    RouteTable,
+    ServiceSettings,
+)
+from kingcuplug_http import Limits, Listener, Request, Response
+
+SHARDS = 36
+QUERIES = 150  # For each turn.
+TURNS = 4
+PART_BYTES = 1_000
+NAMES = HeaderNames(
+    b"Try-Id", b"Left-Ms", b"Only-At", b"Seal", b"Unrun", b"Seals", b"Missing"
+)
+
+
+async def serve() -> None:
+    """Answer sub-requests on a port for each shard until killed."""
+    body = os.urandom(PART_BYTES)
+
+    async def answer(request: Request) -> Response:
+        echo = (b"Try-Id", request.header(b"try-id") or b"")
+        return Response(200, [(b"Seal", os.urandom(6).hex().encode()), echo], body)
+
+    listeners = [Listener(answer, Limits) for _ in range(SHARDS)]
+    addresses = [await listener.start("127.0.0.1:0") for listener in listeners]
+    print(" ".join(addresses), flush=True)
+    await asyncio.Event().wait()
+
+
+def make_gateway(addresses: list[str]) -> Gateway:
+    """Return a gateway with one server for each shard."""
+    names = [f"s{number}" for number in range(SHARDS)]
+    log = EventLog(os.open(os.devnull, os.O_WRONLY), "host")
+    gateway = Gateway(GatewaySettings("z", NAMES), log, Metrics(), random.Random(1))
+    route = Route("r", "a", "/", True, (), tuple(names), 2, 60_000, 50_000, 1, 50, 1.0)
+    services = {name: ServiceSettings(name, "/", 64) for name in names}
+    gateway.adopt(RouteTable(1, (route,), services, 8_192, 65_536, 3_000, 15_000))
+    known = [
+        KnownServer(f"i-{name}", name, address, "z", 4, 0, False)
+        for name, address in zip(names, addresses, strict=True)
+    ]
+    gateway.use(known, hosts=1)
+    return gateway
+
+
+async def through_gateway(gateway: Gateway, number: int) -> None:
+    """Send one query."""
+    fields = {b"host": b"a", b"try-id": b"%d" % number}
+    now = asyncio.get_running_loop().time()
+    request = Request(
+        b"GET", b"/x", list(fields.items()), b"", True, now, False, fields
+    )
+    response = await gateway.handle(request)
+    assert response.status == 200, response
+
+
+async def through_aiohttp(session: aiohttp.ClientSession, urls: list[str]) -> None:
+    """Ask all servers at once."""
+
+    async def one(url: str) -> bytes:
+        async with session.get(url, headers={"Try-Id": "1"}) as response:
+            return await response.read()
+
+    await asyncio.gather(*map(one, urls))
+
+
+async def measure(addresses: list[str]) -> None:
+    """Print processor time of a sub-request for both, and the ratio."""
+    gateway = make_gateway(addresses)
+    urls = [f"http://{address}/x" for address in addresses]
+    spent = {"gateway": 0.0, "aiohttp": 0.0}
+    async with aiohttp.ClientSession() as session:
+        await through_gateway(gateway, 0)
+        await through_aiohttp(session, urls)
+        for turn in range(TURNS):
+            begun = time.process_time()
+            for number in range(QUERIES):
+                await through_gateway(gateway, turn * QUERIES + number)
+            middle = time.process_time()
+            for _ in range(QUERIES):
+                await through_aiohttp(session, urls)
+            spent["gateway"] += middle - begun
+            spent["aiohttp"] += time.process_time() - middle
+    for name, seconds in spent.items():
+        each_us = seconds / (TURNS * QUERIES * SHARDS) * 1e6
+        print(f"{name}: {each_us:.0f} us a sub-request")
+    print(f"ratio: {spent['gateway'] / spent['aiohttp']:.2f} (target: 0.6)")
+
+
+def main() -> None:
+    """Run the servers in a process of their own and measure."""
+    if sys.argv[1:] == ["serve"]:
+        asyncio.run(serve())
+        return
+    command = [sys.executable, __file__, "serve"]
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as servers:
+        assert servers.stdout is not None
+        try:
+            asyncio.run(measure(servers.stdout.readline().split()))
+        finally:
+            servers.kill()
+
+
+main()
