Move what decides out of platform/; keep one clock, one awaited reply and one set of formats

Cause: read-through: platform/ decided how long a stopping host drains; the boot-time clock and the awaited reply stood twice; the soak spelled the platform's names itself; a test package named platform hid the standard library's module (prometheus_client failed to import in the tests).

--- a/packages/common/src/kingcuplug_common/__init__.py
+++ b/packages/common/src/kingcuplug_common/__init__.py
@@ -7,6 +7,7 @@
 import importlib
 from typing import TYPE_CHECKING, Any
 
+from kingcuplug_common._clock import boot_time, wall_ms
 from kingcuplug_common._counters import Metrics, send_state_changes_to, state_change
 from kingcuplug_common._digest import canonical, digest, identifier
 from kingcuplug_common._errors import (
@@ -65,6 +66,7 @@
     "TlsSettings",
     "TraceFile",
     "Verifier",
+    "boot_time",
     "canonical",
     "digest",
     "entering",
@@ -81,6 +83,7 @@
     "state_change",
     "traceparent",
     "tracer",
+    "wall_ms",
 ]
 
 _LOADED_ON_USE = {
--- a/packages/daemon/src/kingcuplug_daemon/_caller_app.py
+++ b/packages/daemon/src/kingcuplug_daemon/_caller_app.py
@@ -15,6 +15,7 @@
     identifier,
     not_run,
     request_span,
+    wall_ms,
 )
 from kingcuplug_configuration import Policy
 from kingcuplug_membership import parse_announcement
@@ -24,7 +25,6 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from kingcuplug_daemon._clock import wall_ms
 from kingcuplug_daemon._entry import EntryNode
 from kingcuplug_daemon._http import (
     error_fields,
--- a/packages/daemon/src/kingcuplug_daemon/_control.py
+++ b/packages/daemon/src/kingcuplug_daemon/_control.py
@@ -5,7 +5,14 @@
 from collections.abc import Sequence
 from typing import Any
 
-from kingcuplug_common import HostSettings, KingcuplugError, Metrics, identifier
+from kingcuplug_common import (
+    HostSettings,
+    KingcuplugError,
+    Metrics,
+    boot_time,
+    identifier,
+    wall_ms,
+)
 from kingcuplug_configuration import ApplyConfiguration
 from kingcuplug_ledger import command_from_json, result_to_json, stamp
 from kingcuplug_log import (
@@ -27,7 +34,6 @@
 )
 
 from kingcuplug_daemon import _questions
-from kingcuplug_daemon._clock import boot_time, wall_ms
 from kingcuplug_daemon._machine import LEDGER_COMMANDS, SystemMachine
 from kingcuplug_daemon._peers import PeerClient, PeerError
 
--- a/packages/daemon/src/kingcuplug_daemon/_entry.py
+++ b/packages/daemon/src/kingcuplug_daemon/_entry.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Sequence
 
-from kingcuplug_common import HostSettings, Metrics
+from kingcuplug_common import HostSettings, Metrics, boot_time, wall_ms
 from kingcuplug_configuration import Service
 from kingcuplug_ledger import LedgerClient
 from kingcuplug_membership import ConfigurationSink, MembershipSettings, SessionClient
@@ -17,7 +17,6 @@
 from kingcuplug_routing import CrashGuard, RoutingPolicy
 from opentelemetry.trace import Tracer
 
-from kingcuplug_daemon._clock import boot_time, wall_ms
 from kingcuplug_daemon._entry_configuration import EntryConfiguration, PolicyOf
 from kingcuplug_daemon._holders import HolderWatch
 from kingcuplug_daemon._peers import PeerClient
--- a/packages/daemon/src/kingcuplug_daemon/_host.py
+++ b/packages/daemon/src/kingcuplug_daemon/_host.py
@@ -11,6 +11,7 @@
     log_to,
     state_change,
     tracer,
+    wall_ms,
 )
 from kingcuplug_log import LogSettings
 from kingcuplug_membership import MembershipSettings
@@ -20,7 +21,6 @@
 from starlette.types import Receive, Scope, Send
 
 from kingcuplug_daemon._caller_app import CallerApp
-from kingcuplug_daemon._clock import wall_ms
 from kingcuplug_daemon._control import ControlNode
 from kingcuplug_daemon._entry import EntryNode, policy_of
 from kingcuplug_daemon._entry_configuration import PolicyOf
--- a/packages/fleet/src/kingcuplug_fleet/_core.py
+++ b/packages/fleet/src/kingcuplug_fleet/_core.py
@@ -3,13 +3,18 @@
 import asyncio
 import contextlib
 import random as random_module
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
-from kingcuplug_common import EventLog, KingcuplugError, Metrics, identifier
+from kingcuplug_common import (
+    EventLog,
+    KingcuplugError,
+    Metrics,
+    boot_time,
+    identifier,
+)
 from kingcuplug_log import (
     ChangeRefused,
     CorruptLog,
@@ -88,11 +93,6 @@
     first_start: bool
 
 
-def boot_time() -> float:
-    """Return monotonic seconds that go on while the machine is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 def is_formed(voters: int, seeds: int, waited_s: float) -> bool:
     """Return whether a group bears a loss, as far as it ever will.
 
--- a/packages/fleet/src/kingcuplug_fleet/_peers.py
+++ b/packages/fleet/src/kingcuplug_fleet/_peers.py
@@ -5,7 +5,7 @@
 
 import orjson
 from kingcuplug_common import KingcuplugError
-from kingcuplug_http import Failure, OutboundConnection, Response, connect
+from kingcuplug_http import OutboundConnection, Reply, Response, connect
 
 __all__ = ["PeerFailed", "Peers"]
 
@@ -17,25 +17,6 @@
     """Another host did not answer, or refused."""
 
 
-class _Reply:
-    """Waits for the response to one call."""
-
-    def __init__(self) -> None:
-        loop = asyncio.get_running_loop()
-        self.response: asyncio.Future[Response] = loop.create_future()
-
-    def accepts(self, response: Response) -> bool:
-        return True
-
-    def answered(self, response: Response) -> None:
-        if not self.response.done():
-            self.response.set_result(response)
-
-    def failed(self, failure: Failure) -> None:
-        if not self.response.done():
-            self.response.set_exception(ConnectionError(failure.value))
-
-
 class Peers:
     """Keeps connections to other hosts."""
 
@@ -77,7 +58,7 @@
             f"POST {path} HTTP/1.1\r\nHost: {address}\r\n"
             f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
         )
-        reply = _Reply()
+        reply = Reply()
         connection.send(head.encode() + body, reply)
         try:
             response = await reply.response
--- a/packages/http/src/kingcuplug_http/__init__.py
+++ b/packages/http/src/kingcuplug_http/__init__.py
@@ -22,6 +22,7 @@
     Exchange,
     Failure,
     OutboundConnection,
+    Reply,
     connect,
 )
 
@@ -34,6 +35,7 @@
     "Limits",
     "Listener",
     "OutboundConnection",
+    "Reply",
     "Request",
     "Response",
     "connect",
--- a/packages/http/src/kingcuplug_http/_outbound.py
+++ b/packages/http/src/kingcuplug_http/_outbound.py
@@ -8,7 +8,7 @@
 
 from kingcuplug_http._messages import Headers, Response
 
-__all__ = ["Exchange", "Failure", "OutboundConnection", "connect"]
+__all__ = ["Exchange", "Failure", "OutboundConnection", "Reply", "connect"]
 
 _CLOSE = b"close"
 # A late answer to an earlier request is followed by ours; many are no HTTP peer's.
@@ -39,6 +39,34 @@
         ...
 
 
+class Reply:
+    """An exchange that is awaited.
+
+    Attributes
+    ----------
+    response : Future
+        The response, or `ConnectionError` if there is none.
+    """
+
+    def __init__(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.response: asyncio.Future[Response] = loop.create_future()
+
+    def accepts(self, response: Response) -> bool:
+        """Take every response: nothing else is asked on the connection."""
+        return True
+
+    def answered(self, response: Response) -> None:
+        """Give the response to whoever waits."""
+        if not self.response.done():
+            self.response.set_result(response)
+
+    def failed(self, failure: Failure) -> None:
+        """Give the failure to whoever waits."""
+        if not self.response.done():
+            self.response.set_exception(ConnectionError(failure.value))
+
+
 class OutboundConnection(asyncio.Protocol):
     """Sends one request at a time and matches responses to it.
 
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -58,6 +58,10 @@
 _MARGIN_MS = 4.0
 _MERGE_CORE_MS = 4.0
 _SETTINGS_CHECK_S = 1.0
+# New callers come until the balancer has missed two checks, one second apart, and has
+# taken note; what they have begun must end within the grace period.
+_LONGEST_DRAIN_S = 3.2
+_DRAIN_SHARE_OF_GRACE = 0.55
 # Left of the grace period to write the last lines and exit.
 _EXIT_MARGIN_S = 0.5
 _STOP_CHECK_S = 0.02
@@ -481,9 +485,10 @@
         self._stopping = True
         self._front.closing = True
         self._log.write("stopping", {"busy": self._front.busy}, always=True)
-        await asyncio.sleep(settings.drain_ms / _MS_PER_S)
+        grace_s = settings.grace_ms / _MS_PER_S
+        await asyncio.sleep(min(_LONGEST_DRAIN_S, grace_s * _DRAIN_SHARE_OF_GRACE))
         self._front.stop_accepting()
-        end_at = begun_at + settings.grace_ms / _MS_PER_S - _EXIT_MARGIN_S
+        end_at = begun_at + grace_s - _EXIT_MARGIN_S
         while loop.time() < end_at:
             self._front.close_idle()
             if not self._front.connections:
--- a/packages/node/src/kingcuplug_node/_settings.py
+++ b/packages/node/src/kingcuplug_node/_settings.py
@@ -27,8 +27,6 @@
         Where the replicated log lives; a host without one keeps no state.
     heartbeat_ms : int
         Interval at which backend servers announce themselves.
-    drain_ms : int
-        How long callers may still come to a host that is stopping.
     grace_ms : int
         From SIGTERM to SIGKILL.
     processor_cores : float
@@ -45,7 +43,6 @@
     first_start: bool
     data_folder: Path | None
     heartbeat_ms: int
-    drain_ms: int
     grace_ms: int
     allowance: AllowanceSettings
     processor_cores: float = 1.0
--- a/packages/soak/src/kingcuplug_soak/_backends.py
+++ b/packages/soak/src/kingcuplug_soak/_backends.py
@@ -6,9 +6,9 @@
 import time
 from dataclasses import dataclass, field
 
-import orjson
-from kingcuplug_fleet import PeerFailed
+from kingcuplug_fleet import PeerFailed, ServerRecord, ServerState
 from kingcuplug_http import Limits, Listener, Request, Response
+from kingcuplug_platform import HEADER_NAMES, SERVERS_PATH, encode_statement
 
 from kingcuplug_soak._calls import call
 
@@ -70,7 +70,7 @@
         self._task: asyncio.Task[None] | None = None
         self._born_ms = int(time.time() * _MS_PER_S)
         self._sequence = 0
-        self._state = "ready"
+        self._state = ServerState.READY
         self._told = asyncio.Event()
         self._told_at: float | None = None
         self.name = name
@@ -90,7 +90,7 @@
 
     async def drain(self) -> None:
         """Say that it leaves, serve on for a while, withdraw and end."""
-        self._state = "draining"
+        self._state = ServerState.DRAINING
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_DRAIN_PATIENCE_S):
                 await self._told.wait()
@@ -102,19 +102,18 @@
         while True:
             self._sequence += 1
             state = self._state
-            body = {
-                "service": self.service,
-                "address": self._address,
-                "zone": self.zone,
-                "version": "v1",
-                "slots": 3,
-                "state": state,
-                "cold_remaining_ms": 0,
-                "sequence": self._sequence,
-                "born": self._born_ms,
-            }
-            told = await self._tell("PUT", orjson.dumps(body))
-            if told and state == "draining" and self._told_at is None:
+            record = ServerRecord(
+                id=self.name,
+                born_ms=self._born_ms,
+                sequence=self._sequence,
+                service=self.service,
+                address=self._address,
+                availability_zone=self.zone,
+                slots=3,
+                state=state,
+            )
+            told = await self._tell("PUT", encode_statement(record))
+            if told and state is ServerState.DRAINING and self._told_at is None:
                 self._told_at = asyncio.get_running_loop().time()
                 self._told.set()
             await asyncio.sleep(_HEARTBEAT_S if state == self._state else 0)
@@ -126,16 +125,17 @@
         for control in controls[:4]:
             with contextlib.suppress(PeerFailed):
                 response = await call(
-                    control, method, f"/v1/instances/{self.name}", body, follow=True
+                    control, method, f"{SERVERS_PATH}{self.name}", body, follow=True
                 )
                 if response.status == 200:
                     return True
         return False
 
     async def _answer(self, request: Request) -> Response:
-        attempt_id = (request.header(b"attempt-id") or b"").decode()
-        echo = [(b"Attempt-Id", attempt_id.encode())]
-        expected = request.header(b"expected-instance")
+        names = HEADER_NAMES
+        attempt_id = (request.header(names.attempt_id.lower()) or b"").decode()
+        echo = [(names.attempt_id, attempt_id.encode())]
+        expected = request.header(names.expected_server.lower())
         if expected != self.name.encode():
             return Response(421, echo, b"")
         now = asyncio.get_running_loop().time()
@@ -143,7 +143,7 @@
             self._world.late_arrivals.append(f"{attempt_id} at {self.name}")
         random = self._world.random
         if self.fault == "full":
-            return Response(503, [*echo, (b"Not-Executed", b"1")], b"")
+            return Response(503, [*echo, (names.not_run, b"1")], b"")
         good = self.fault != "errors" or random.random() < 0.5
         records = [random.randbytes(16) for _ in range(3)]
         body = b"".join(records)
@@ -157,5 +157,5 @@
                 if connection.busy:
                     connection.abort()
         return Response(
-            200 if good else 500, [*echo, (b"Server-Seal", seal.encode())], body
+            200 if good else 500, [*echo, (names.seal, seal.encode())], body
         )
--- a/packages/soak/src/kingcuplug_soak/_calls.py
+++ b/packages/soak/src/kingcuplug_soak/_calls.py
@@ -1,10 +1,9 @@
 """Calls of callers, operators and backend servers to a host."""
 
 import asyncio
-import contextlib
 
 from kingcuplug_fleet import PeerFailed
-from kingcuplug_http import Exchange, Failure, Response, connect
+from kingcuplug_http import Reply, Response, connect
 
 __all__ = ["call"]
 
@@ -12,23 +11,6 @@
 _TIMEOUT_S = 1.0
 
 
-class _Reply(Exchange):
-    def __init__(self) -> None:
-        loop = asyncio.get_running_loop()
-        self.response: asyncio.Future[Response] = loop.create_future()
-
-    def accepts(self, response: Response) -> bool:
-        return True
-
-    def answered(self, response: Response) -> None:
-        with contextlib.suppress(asyncio.InvalidStateError):
-            self.response.set_result(response)
-
-    def failed(self, failure: Failure) -> None:
-        with contextlib.suppress(asyncio.InvalidStateError):
-            self.response.set_exception(ConnectionError(failure.value))
-
-
 async def call(
     address: str,
     method: str,
@@ -64,7 +46,7 @@
 async def _one(
     address: str, method: str, path: str, body: bytes, headers: str, timeout_s: float
 ) -> Response:
-    reply = _Reply()
+    reply = Reply()
     host = "" if "Host:" in headers else f"Host: {address}\r\n"
     head = f"{method} {path} HTTP/1.1\r\n{host}{headers}Content-Length: {len(body)}\r\n"
     try:
--- a/packages/soak/src/kingcuplug_soak/_checks.py
+++ b/packages/soak/src/kingcuplug_soak/_checks.py
@@ -4,6 +4,7 @@
 
 from kingcuplug_gateway import merge_records
 from kingcuplug_http import Response
+from kingcuplug_platform import HEADER_NAMES
 
 from kingcuplug_soak._backends import Backends, Run
 
@@ -97,14 +98,18 @@
         return self.violations
 
     def _judge_single(self, asked: Asked, response: Response) -> None:
-        seal = (response.header(b"server-seal") or b"").decode()
+        seal = (response.header(HEADER_NAMES.seal.lower()) or b"").decode()
         run = self._run(asked, seal)
         if run is None or not run.good or run.body != response.body:
             self.violations.append(f"mixed: {asked} got another answer ({seal})")
 
     def _judge_query(self, asked: Asked, response: Response) -> None:
-        seals = (response.header(b"part-seals") or b"").decode().split(", ")
-        missing = int(response.header(b"missing-parts") or b"0")
+        seals = (
+            (response.header(HEADER_NAMES.part_seals.lower()) or b"")
+            .decode()
+            .split(", ")
+        )
+        missing = int(response.header(HEADER_NAMES.missing_parts.lower()) or b"0")
         runs = [run for seal in seals if (run := self._run(asked, seal)) and run.good]
         shards = frozenset(run.service for run in runs)
         if len(runs) != len(seals) or len(shards) != len(seals):
--- a/packages/soak/src/kingcuplug_soak/_load.py
+++ b/packages/soak/src/kingcuplug_soak/_load.py
@@ -8,6 +8,8 @@
 
 import orjson
 from kingcuplug_fleet import PeerFailed
+from kingcuplug_gateway import Route, RouteTable, ServiceSettings, WeightedService
+from kingcuplug_platform import DOCUMENT_PATH, HEADER_NAMES, encode_document
 
 from kingcuplug_soak._calls import call
 from kingcuplug_soak._checks import Asked, Judge
@@ -17,36 +19,51 @@
 
 _HOST_NAME = "soak.example"
 _TIMEOUT_MS = 1_500
+_TARGET_MS = 300
 _PAUSE_S = 0.02
 TOP = 5
 
 
 def document(version: int, shards: Sequence[str], idle_timeout_ms: int) -> bytes:
     """Return a configuration document with one route of each kind."""
+
+    def route(name: str, **fields: Any) -> Route:
+        return Route(
+            name=name,
+            host=_HOST_NAME,
+            prefix=f"/{name}/",
+            max_attempts=2,
+            timeout_ms=_TIMEOUT_MS,
+            target_ms=_TARGET_MS,
+            rank=1,
+            **fields,
+        )
+
+    query = route(
+        "query",
+        repeatable=True,
+        services=(),
+        shards=tuple(shards),
+        top_records=TOP,
+        minimum_coverage=0.6,
+    )
+    read = route(
+        "read", repeatable=True, services=(WeightedService("reads", 1.0),), shards=()
+    )
+    order = route(
+        "order", repeatable=False, services=(WeightedService("orders", 1.0),), shards=()
+    )
     names = (*shards, "reads", "orders")
-    common = {"timeout_ms": _TIMEOUT_MS, "target_latency_ms": 300, "max_attempts": 2}
-    routes: list[dict[str, Any]] = [
-        {
-            "kind": "safe",
-            "fanout_services": list(shards),
-            "top_k": TOP,
-            "minimum": 0.6,
-        },
-        {"kind": "safe", "service": "reads"},
-        {"kind": "unsafe", "service": "orders"},
-    ]
-    for route, name in zip(routes, ("query", "read", "order"), strict=True):
-        prefix = f"/{name}/"
-        route |= {"name": name, "host": _HOST_NAME, "path_prefix": prefix, **common}
-    services = [{"name": name, "connection_limit": 40} for name in names]
-    limits = {"idle_timeout_ms": idle_timeout_ms}
-    value = {
-        "version": version,
-        "routes": routes,
-        "services": services,
-        "limits": limits,
-    }
-    return orjson.dumps(value)
+    table = RouteTable(
+        version=version,
+        routes=(query, read, order),
+        services={name: ServiceSettings(name, "/health", 40) for name in names},
+        max_header_bytes=16_384,
+        max_body_bytes=262_144,
+        header_timeout_ms=3_000,
+        idle_timeout_ms=idle_timeout_ms,
+    )
+    return encode_document(table)
 
 
 class Callers:
@@ -74,8 +91,9 @@
         kind = self._random.choice(("query", "query", "read", "order"))
         asked = Asked(f"try-{number}", kind)
         headers = (
-            f"Host: {_HOST_NAME}\r\nAttempt-Id: {asked.attempt_id}\r\n"
-            f"Deadline-Milliseconds: {_TIMEOUT_MS}\r\n"
+            f"Host: {_HOST_NAME}\r\n"
+            f"{HEADER_NAMES.attempt_id.decode()}: {asked.attempt_id}\r\n"
+            f"{HEADER_NAMES.deadline_ms.decode()}: {_TIMEOUT_MS}\r\n"
         )
         method = "POST" if kind == "order" else "GET"
         host = self._random.choice(self._hosts)
@@ -109,7 +127,7 @@
             host = self._random.choice(self._hosts)
             with contextlib.suppress(PeerFailed):
                 response = await call(
-                    host.control, "PUT", "/v1/configuration", body, follow=True
+                    host.control, "PUT", DOCUMENT_PATH, body, follow=True
                 )
                 if response.status == 200:
                     newest = max(self._judge.newest_acknowledged, version)
@@ -126,7 +144,7 @@
         before = self._judge.newest_acknowledged
         host = self._random.choice(self._hosts)
         with contextlib.suppress(PeerFailed):
-            response = await call(host.control, "GET", "/v1/configuration", follow=True)
+            response = await call(host.control, "GET", DOCUMENT_PATH, follow=True)
             if response.status == 200:
                 version = orjson.loads(response.body)["version"]
                 self._judge.read_back(version, before)
--- a/tests/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of the platform's formats."""
--- a/tests/platform/test_formats.py
+++ b/tests/platform_formats/test_formats.py
@@ -13,6 +13,8 @@
     decode_document,
     decode_settings,
     decode_statement,
+    encode_document,
+    encode_statement,
 )
 
 STATEMENT: dict[str, Any] = {
@@ -154,4 +156,14 @@
     settings = decode_settings(json.dumps(SETTINGS | {"new": 1}).encode())
     assert settings.data_folder is None
     assert settings.allowance.fixed == 60
-    assert settings.drain_ms < settings.grace_ms
+    assert settings.grace_ms == 6_000
+
+
+def test_formats_survive_encoding():
+    """Guards against stand-ins that speak another format than the hosts read."""
+    record = decode_statement("i-1", json.dumps(STATEMENT).encode())
+    assert decode_statement("i-1", encode_statement(record)) == record
+    query = ROUTE | {"name": "q", "path_prefix": "/q/", "service": None}
+    query |= {"fanout_services": ["s", "t"], "top_k": 5, "minimum": 0.5}
+    table = decode_document(_document(routes=[ROUTE, query]))
+    assert decode_document(encode_document(table)) == table
