Answer 504 to a query that ran out of time; ignore deadlines of absurd length

A query's status compared the deadline with the time at its beginning, so it was always 502; a deadline of thousands of digits raised an error and ended in 500.

--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -33,6 +33,7 @@
 
 _MS_PER_S = 1_000
 _FIRST_ERROR = 400
+_LONGEST_DIGITS = 12  # A longer number of milliseconds is no deadline.
 # One-way trips between a caller's start and its answer if it connects first: the
 # connection's set-up, the request and the answer.
 _TRIPS = 4
@@ -222,7 +223,8 @@
             pools[0].turnstile.leave(places(pools[0].slots, self._hosts))
         merged = scatter.merged(route.top_records, self._names.seal.lower())
         if merged is None:
-            status = 504 if now >= rule.final_at else 502
+            late = asyncio.get_running_loop().time() >= rule.final_at
+            status = 504 if late else 502
             response = error_response(status, "too few shards answered")
             return self._end(request, route, response, *scatter.calls)
         headers: Headers = [
@@ -272,7 +274,7 @@
     def _deadline_at(self, request: Request, wait_ms: int) -> float:
         """Return when the caller or the route's time is over."""
         given = request.header(self._names.deadline_ms.lower())
-        if given is not None and given.isdigit():
+        if given is not None and given.isdigit() and len(given) <= _LONGEST_DIGITS:
             wait_ms = min(wait_ms, int(given))
         return request.received_at + wait_ms / _MS_PER_S
 
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -232,6 +232,20 @@
     assert asyncio.run(run()).status == 504
 
 
+@pytest.mark.parametrize("deadline", ["", "soon", "-5", "1e3", "9" * 5_000])
+def test_unreadable_deadline_is_the_routes_timeout(open_world, deadline):
+    """Guards against an internal error by a caller's malformed header."""
+
+    async def run() -> Request:
+        async with open_world() as world:
+            server = await world.add("stock", _good)
+            world.adopt(make_route(timeout_ms=700))
+            assert (await world.ask(left_ms=deadline)).status == 200
+            return world.asked[server][0]
+
+    assert 0 < int(asyncio.run(run()).header(b"left-ms")) <= 700
+
+
 def test_no_more_servers_than_allowed_get_a_request(open_world):
     """Guards against retries beyond the route's number of attempts."""
 
--- a/tests/gateway/test_scatter.py
+++ b/tests/gateway/test_scatter.py
@@ -77,6 +77,13 @@
     assert response.status == 502
 
 
+def test_query_that_ran_out_of_time_ends_in_504(open_world):
+    """Guards against a status that hides whether time or servers were missing."""
+    scripts = [_part("a"), _silent, _silent, _part("b")]
+    response = _ask(open_world, scripts, minimum_coverage=0.75, timeout_ms=150)
+    assert response.status == 504
+
+
 def test_query_is_refused_at_once_if_too_many_shards_have_no_server(open_world):
     """Guards against work on a query that cannot reach its minimum."""
 
