--- a/packages/soak/src/kingcuplug_soak/_load.py
+++ b/packages/soak/src/kingcuplug_soak/_load.py
@@ -22,6 +22,7 @@
 _TARGET_MS = 300
 _PAUSE_S = 0.02
 TOP = 5
+ORDERS = "orders"
 
 
 def document(version: int, shards: Sequence[str], idle_timeout_ms: int) -> bytes:
@@ -51,9 +52,9 @@
         "read", repeatable=True, services=(WeightedService("reads", 1.0),), shards=()
     )
     order = route(
-        "order", repeatable=False, services=(WeightedService("orders", 1.0),), shards=()
+        "order", repeatable=False, services=(WeightedService(ORDERS, 1.0),), shards=()
     )
-    names = (*shards, "reads", "orders")
+    names = (*shards, "reads", ORDERS)
     table = RouteTable(
         version=version,
         routes=(query, read, order),
--- a/packages/soak/src/kingcuplug_soak/_troubles.py
+++ b/packages/soak/src/kingcuplug_soak/_troubles.py
@@ -7,7 +7,7 @@
 
 from kingcuplug_soak._backends import Backend, Backends
 from kingcuplug_soak._hosts import HostProcess, Hosts
-from kingcuplug_soak._load import Operator
+from kingcuplug_soak._load import ORDERS, Operator
 
 __all__ = ["Troubles"]
 
@@ -55,6 +55,8 @@
             self._kill_many,
             self._server_crash,
             self._server_fault,
+            self._server_fault,
+            self._server_fault,
             self._server_drain,
             self._changes,
             self._changes,
@@ -75,6 +77,9 @@
     def _host(self) -> HostProcess:
         return self._random.choice(self._hosts.all)
 
+    def _odd(self) -> bool:
+        return self._random.random() < 0.5
+
     def _server(self) -> Backend:
         return self._random.choice(self._backends.servers)
 
@@ -157,7 +162,10 @@
         return f"drained {server.name}"
 
     async def _server_fault(self) -> str:
-        server = self._server()
+        # Orders are the only requests that must not be repeated, so they get half of
+        # the faults after which a repetition would be wrong.
+        orders = [s for s in self._backends.servers if s.service == ORDERS]
+        server = self._random.choice(orders) if self._odd() else self._server()
         server.fault = self._random.choice(("full", "errors", "lost"))
         server.slow_s = self._random.choice((0.0, 0.0, 0.2))
         await asyncio.sleep(self._random.uniform(0.5, 3.0))
