Make serving without control a setting of the host

Cause: the product's daemon refuses when its lease is over, the users' platform wants hosts that are cut off to serve on; which holds was not a setting. Change: serve_without_control and control_lease_ms, both ways tested.

--- a/packages/fleet/src/kingcuplug_fleet/_teaching.py
+++ b/packages/fleet/src/kingcuplug_fleet/_teaching.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import math
 import random as random_module
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -110,6 +111,14 @@
         Control addresses of the settings, which may change.
     skip : callable
         Whether this host knows everything at first hand now.
+
+    Attributes
+    ----------
+    teacher : str or None
+        The control host that is polled.
+    confirmed_at : float
+        When the last poll was sent that a control host in touch with the leader
+        answered, in event loop time.
     """
 
     def __init__(
@@ -135,6 +144,7 @@
         self._avoided: dict[str, float] = {}
         self._random = random_module.Random()
         self.teacher: str | None = None
+        self.confirmed_at = -math.inf
 
     async def run(self) -> None:
         """Learn for ever."""
@@ -196,6 +206,7 @@
             # The first answer comes at once: it shows that the host is alive.
             "wait": self.teacher == address,
         }
+        asked_at = asyncio.get_running_loop().time()
         timeout_s = _ANSWER_S + (_WAIT_S if self.teacher == address else 0)
         try:
             reply = await self._peers.call(address, LEARN_PATH, value, timeout_s)
@@ -211,6 +222,8 @@
         self._cursors[address] = _Cursor(reply["epoch"], reply["cursor"])
         if not reply["connected"]:
             return False
+        # Counted from the question, as the answer may have been long on its way.
+        self.confirmed_at = asked_at
         zones = knowledge.zones
         if zones.get(address) != self._zone and self._zone in zones.values():
             # Bytes between availability zones are priced.
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -121,7 +121,7 @@
             log,
             self._metrics,
         )
-        self._front = Listener(self._gateway.handle, self._gateway.limits)
+        self._front = Listener(self._serve, self._gateway.limits)
         self._core = self._make_core()
         self._file: DirectoryFile | None = None
         if settings.data_folder is not None:
@@ -153,7 +153,8 @@
     @property
     def ready(self) -> bool:
         """Whether callers should come here."""
-        return self._gateway.table is not None and not self._stopping
+        known = self._gateway.table is not None and self._may_serve()
+        return known and not self._stopping
 
     async def announce(self, record: ServerRecord) -> None:
         """Take a backend server's statement about itself.
@@ -319,6 +320,19 @@
             "unexpected_error", {"message": context["message"], "error": repr(error)}
         )
 
+    def _may_serve(self) -> bool:
+        """Return whether the routes that are held may be served."""
+        if self._settings.serve_without_control or self._knows_all():
+            return True
+        age_s = asyncio.get_running_loop().time() - self._learner.confirmed_at
+        return age_s * _MS_PER_S < self._settings.control_lease_ms
+
+    async def _serve(self, request: Request) -> Response:
+        if not self._may_serve():
+            self._metrics.count("requests.without_control")
+            return error_response(503, "cut off from control", retry_after_s=1.0)
+        return await self._gateway.handle(request)
+
     def _on_routes(self) -> None:
         self._knowledge.learn_routes(self._register.version, self._register.document)
 
--- a/packages/node/src/kingcuplug_node/_settings.py
+++ b/packages/node/src/kingcuplug_node/_settings.py
@@ -29,6 +29,13 @@
         Interval at which backend servers announce themselves.
     grace_ms : int
         From SIGTERM to SIGKILL.
+    serve_without_control : bool
+        Whether a host that is cut off from control serves by what it holds. If not,
+        it refuses callers once its lease is over, so that no superseded routes are
+        in force anywhere.
+    control_lease_ms : int
+        How long after its last confirmed word from control a host may serve in the
+        second case.
     processor_cores : float
         Share of processor cores that the host may use.
     """
@@ -47,3 +54,5 @@
     allowance: AllowanceSettings
     processor_cores: float = 1.0
     control_bind_address: str | None = None
+    serve_without_control: bool = True
+    control_lease_ms: int = 3_000
