--- a/packages/soak/src/kingcuplug_soak/_run.py
+++ b/packages/soak/src/kingcuplug_soak/_run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random as random_module
+import socket
 import tempfile
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -23,6 +24,7 @@
 _BASE_PORT = 21_000
 _PORTS_EACH = 5
 _PORT_SETS = 1_000
+_PLACES_APART = 7
 
 
 @dataclass(frozen=True)
@@ -65,7 +67,7 @@
 
 async def _soak(settings: SoakSettings, folder: Path) -> Outcome:
     random = random_module.Random(settings.seed)
-    base_port = _BASE_PORT + settings.seed % _PORT_SETS * _PORTS_EACH
+    base_port = _free_base(settings)
     hosts = Hosts(folder, settings.hosts, settings.disks, base_port)
     backends = Backends([host.control for host in hosts.all], random)
     judge = Judge(backends, _allowed(), TOP)
@@ -93,6 +95,33 @@
     )
 
 
+def _free_base(settings: SoakSettings) -> int:
+    """Return the first of ports that are free at all hosts' addresses.
+
+    Begins at a place of the seed's own, so that soaks side by side rarely meet.
+    """
+    for attempt in range(_PORT_SETS):
+        place = (settings.seed * _PLACES_APART + attempt) % _PORT_SETS
+        base = _BASE_PORT + place * _PORTS_EACH
+        if all(
+            _is_free(f"127.0.0.{number + 1}", base + port)
+            for number in range(settings.hosts)
+            for port in range(_PORTS_EACH)
+        ):
+            return base
+    raise OSError(f"no {_PORTS_EACH} free ports from {_BASE_PORT} on")
+
+
+def _is_free(address: str, port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((address, port))
+        except OSError:
+            return False
+    return True
+
+
 def _allowed() -> dict[str, set[str]]:
     shards = {shard for shards in _SHARD_SETS for shard in shards}
     return {"query": shards, "read": {"reads"}, "order": {"orders"}}
