--- a/packages/soak/src/kingcuplug_soak/_run.py
+++ b/packages/soak/src/kingcuplug_soak/_run.py
@@ -1,6 +1,7 @@
 """One soak: start everything, make trouble, calm down, judge."""
 
 import asyncio
+import os
 import random as random_module
 import socket
 import tempfile
@@ -24,7 +25,7 @@
 _BASE_PORT = 21_000
 _PORTS_EACH = 5
 _PORT_SETS = 1_000
-_PLACES_APART = 7
+_PLACES_APART = 37
 
 
 @dataclass(frozen=True)
@@ -98,10 +99,11 @@
 def _free_base(settings: SoakSettings) -> int:
     """Return the first of ports that are free at all hosts' addresses.
 
-    Begins at a place of the seed's own, so that soaks side by side rarely meet.
+    Begins at a place of the process's own: two soaks that start at the same moment
+    would else find the same ports free.
     """
     for attempt in range(_PORT_SETS):
-        place = (settings.seed * _PLACES_APART + attempt) % _PORT_SETS
+        place = (os.getpid() * _PLACES_APART + settings.seed + attempt) % _PORT_SETS
         base = _BASE_PORT + place * _PORTS_EACH
         if all(
             _is_free(f"127.0.0.{number + 1}", base + port)
