--- a/packages/fleet/src/kingcuplug_fleet/_teaching.py
+++ b/packages/fleet/src/kingcuplug_fleet/_teaching.py
@@ -265,7 +265,6 @@
         self._knowledge = knowledge
         self._peers = peers
         self._own = own
-        self._heard: dict[str, tuple[int, int]] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._pending: dict[str, dict[str, tuple[int, int]]] = {}
         self._samples: Samples = {}
