Give hosts parts of the retries by their requests; round them at random

Every host had an equal part of the fixed number, while callers spread unevenly, and a host with two requests in the window rounded its part down to none.

Change: hosts report their requests with their samples; the leader tells the total, and a host's part follows its share (equal parts while the total is unknown). The part is rounded up or down at random, so that the sum stays within the bound. The log line of a query now shows denied attempts and its slowest call.

--- a/packages/fleet/src/kingcuplug_fleet/_knowledge.py
+++ b/packages/fleet/src/kingcuplug_fleet/_knowledge.py
@@ -4,7 +4,7 @@
 from zlib import crc32
 
 from kingcuplug_common import Signal, identifier
-from kingcuplug_routing import PaceBoard
+from kingcuplug_routing import PaceBoard, WindowCount
 
 from kingcuplug_fleet._directory import Directory
 from kingcuplug_fleet._records import ServerRecord
@@ -13,6 +13,10 @@
 
 # A host asks its control host at least once a second.
 _HOST_KEPT_S = 3.5
+# Hosts divide what all of them share by their requests in this window.
+_REQUESTS_WINDOW_S = 10.0
+# Smaller changes of the number of requests are not told.
+_REQUESTS_STEP = 0.1
 
 
 class Knowledge:
@@ -43,6 +47,8 @@
         Availability zones of control hosts, by address.
     reachable : tuple of str
         Addresses of control hosts that the leader has heard lately.
+    requests : int
+        Requests of all hosts in the last ten seconds, 0 if unknown.
     paces : PaceBoard
         What hosts have reported here; used at control hosts only.
     """
@@ -65,6 +71,9 @@
         self.paces = PaceBoard()
         self.zones: dict[str, str] = {}
         self.reachable: tuple[str, ...] = ()
+        self.requests = 0
+        self._counted = WindowCount(_REQUESTS_WINDOW_S)
+        self._counted_since = self._begun_at
 
     def learn_routes(self, version: int, document: str) -> None:
         """Take a route document if it is newer."""
@@ -137,6 +146,28 @@
             self.hosts = count
             self.changed.notify()
 
+    def learn_requests(self, count: int) -> None:
+        """Take the number of requests of all hosts in the last ten seconds."""
+        if count != self.requests:
+            self.requests = count
+            self.changed.notify()
+
+    def begin_counting_requests(self) -> None:
+        """Forget what was counted; until a whole window has passed it is unknown."""
+        self._counted = WindowCount(_REQUESTS_WINDOW_S)
+        self._counted_since = self._loop.time()
+        self.learn_requests(0)
+
+    def count_requests(self, reported: int) -> None:
+        """Take the number of requests that a host has reported."""
+        now = self._loop.time()
+        self._counted.add(now, reported)
+        if now - self._counted_since < _REQUESTS_WINDOW_S:
+            return
+        total = self._counted.total(now)
+        if abs(total - self.requests) > self.requests * _REQUESTS_STEP:
+            self.learn_requests(total)
+
     def meet_host(self, name: str) -> None:
         """Count a host as live that has asked here."""
         self._met[name] = self._loop.time()
--- a/packages/fleet/src/kingcuplug_fleet/_learning.py
+++ b/packages/fleet/src/kingcuplug_fleet/_learning.py
@@ -14,10 +14,10 @@
 from typing import Any
 
 from kingcuplug_common import EventLog
-from kingcuplug_routing import Samples
 
 from kingcuplug_fleet._knowledge import Knowledge
 from kingcuplug_fleet._mesh import REPORT_PATH
+from kingcuplug_fleet._mesh_messages import Report
 from kingcuplug_fleet._peers import PeerFailed, Peers
 from kingcuplug_fleet._records import ServerRecord
 
@@ -89,6 +89,7 @@
     reply["routes"] = knowledge.routes_version if newer else 0
     reply["document"] = knowledge.routes_document if newer else ""
     reply["hosts"] = knowledge.hosts
+    reply["requests"] = knowledge.requests
     return reply
 
 
@@ -175,12 +176,12 @@
             failures += 1
             await asyncio.sleep(min(_RETRY_S * failures, _LONGEST_RETRY_S))
 
-    async def report(self, samples: Samples) -> None:
-        """Tell the control host what was seen of servers' pace; loss is harmless."""
-        if self.teacher is not None and samples:
+    async def report(self, report: Report) -> None:
+        """Tell the control host what this host has seen; loss is harmless."""
+        if self.teacher is not None and report != Report():
             with contextlib.suppress(PeerFailed):
                 await self._peers.call(
-                    self.teacher, REPORT_PATH, samples, _REPORT_TIMEOUT_S
+                    self.teacher, REPORT_PATH, report.to_json(), _REPORT_TIMEOUT_S
                 )
 
     def _choose(self) -> str | None:
@@ -209,6 +210,8 @@
             self._avoided[address] = asyncio.get_running_loop().time()
         if self.teacher is not None:
             self._log.write("control_host_lost", {"address": address}, always=True)
+            # Without reports the number of requests grows old; equal parts are safe.
+            self._knowledge.learn_requests(0)
         self.teacher = None
 
     async def _poll(self, address: str) -> bool:
@@ -274,5 +277,6 @@
             knowledge.zones = reply["zones"]
             knowledge.learn_control(reply["control"])
             knowledge.learn_hosts(reply["hosts"])
+            knowledge.learn_requests(reply["requests"])
             knowledge.learn_silent(set(reply["silent"]))
             knowledge.learn_slow(reply["slow"])
--- a/packages/fleet/src/kingcuplug_fleet/_mesh.py
+++ b/packages/fleet/src/kingcuplug_fleet/_mesh.py
@@ -14,10 +14,9 @@
 from typing import Any
 
 from kingcuplug_common import EventLog
-from kingcuplug_routing import Samples
 
 from kingcuplug_fleet._knowledge import Knowledge
-from kingcuplug_fleet._mesh_messages import Heard, ShareMessage, Summary
+from kingcuplug_fleet._mesh_messages import Heard, Report, ShareMessage, Summary
 from kingcuplug_fleet._peers import PeerFailed, Peers
 from kingcuplug_fleet._records import ServerRecord
 
@@ -121,7 +120,7 @@
         self._log = log
         self._peers: dict[str, _Peer] = {}
         self._heard: Heard = {}
-        self._samples: Samples = {}
+        self._report = Report()
         self._followed: str | None = None
 
     async def run(self) -> None:
@@ -131,7 +130,7 @@
             while True:
                 self._follow_members()
                 self._age(self._loop.time())
-                await asyncio.gather(asyncio.sleep(_UPKEEP_S), self._forward_samples())
+                await asyncio.gather(asyncio.sleep(_UPKEEP_S), self._forward_report())
         finally:
             for peer in self._peers.values():
                 peer.task.cancel()
@@ -140,18 +139,17 @@
         """Note that a server has spoken to this host."""
         self._heard[record.id] = (record.born_ms, record.sequence)
 
-    def take_samples(self, samples: Samples) -> None:
-        """Take what a host, perhaps this one, has seen of servers' pace.
+    def take_report(self, report: Report) -> None:
+        """Take what a host, perhaps this one, has seen.
 
-        The leader alone sums the samples up, as all to all would cost more bytes
+        The leader alone sums the reports up, as all to all would cost more bytes
         than the queries.
         """
-        if self._leader() == self._own:
-            self._knowledge.paces.add(samples, self._loop.time())
+        if self._leader() != self._own:
+            self._report.add(report)
             return
-        for server, (count, total) in samples.items():
-            known = self._samples.get(server, (0, 0.0))
-            self._samples[server] = (known[0] + count, known[1] + total)
+        self._knowledge.paces.add(report.samples, self._loop.time())
+        self._knowledge.count_requests(report.requests)
 
     async def tell(self, record: ServerRecord) -> bool:
         """Return once one other control host knows a record, or in vain."""
@@ -205,6 +203,7 @@
         knowledge.directory.refresh(now, knowledge.silent)
         knowledge.learn_slow(summary.slow)
         knowledge.learn_hosts(summary.hosts)
+        knowledge.learn_requests(summary.requests)
         knowledge.zones.update(summary.reachable)
         knowledge.learn_reachable(tuple(summary.reachable))
 
@@ -224,13 +223,15 @@
         self._log.write("push_failed", {"error": repr(task.exception())})
         self._peers = {a: p for a, p in self._peers.items() if p.task is not task}
 
-    async def _forward_samples(self) -> None:
+    async def _forward_report(self) -> None:
         leader = self._leader()
-        if leader is None or leader == self._own or not self._samples:
+        if leader is None or leader == self._own or self._report == Report():
             return
-        samples, self._samples = self._samples, {}
+        report, self._report = self._report, Report()
         with contextlib.suppress(PeerFailed):
-            await self._calls.call(leader, REPORT_PATH, samples, _REPORT_TIMEOUT_S)
+            await self._calls.call(
+                leader, REPORT_PATH, report.to_json(), _REPORT_TIMEOUT_S
+            )
 
     def _age(self, now: float) -> None:
         """Find who is gone; only the leader hears enough for that."""
@@ -244,6 +245,7 @@
                 # Reports went to another leader until now.
                 knowledge.directory.refresh(now, knowledge.silent)
                 knowledge.expect_hosts(knowledge.hosts)
+                knowledge.begin_counting_requests()
             knowledge.changed.notify()
         if leader == self._own:
             knowledge.learn_silent(knowledge.directory.silent(now))
@@ -254,6 +256,8 @@
             knowledge.learn_reachable((self._own, *sorted(heard)))
         elif leader is None:
             knowledge.learn_slow({})
+            # Without reports the number of requests grows old; equal parts are safe.
+            knowledge.learn_requests(0)
 
     async def _push_to(self, address: str) -> None:
         while True:
@@ -318,6 +322,7 @@
             sorted(knowledge.silent),
             knowledge.slow,
             knowledge.hosts,
+            knowledge.requests,
             {a: knowledge.zones[a] for a in knowledge.reachable},
         )
 
--- a/packages/fleet/src/kingcuplug_fleet/_mesh_messages.py
+++ b/packages/fleet/src/kingcuplug_fleet/_mesh_messages.py
@@ -3,14 +3,49 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from kingcuplug_routing import Samples
+
 from kingcuplug_fleet._records import ServerRecord
 
-__all__ = ["Heard", "ShareMessage", "Summary"]
+__all__ = ["Heard", "Report", "ShareMessage", "Summary"]
 
 # Start time and sequence of the last statement of each server, by id.
 Heard = dict[str, tuple[int, int]]
 
 
+@dataclass(slots=True)
+class Report:
+    """What hosts have seen since their last report.
+
+    Attributes
+    ----------
+    samples : dict
+        Number and sum of the relative durations of answers, by server id.
+    requests : int
+        Callers' requests.
+    """
+
+    samples: Samples = field(default_factory=dict)
+    requests: int = 0
+
+    def add(self, other: "Report") -> None:
+        """Add another report to this one."""
+        for server, (count, total) in other.samples.items():
+            known = self.samples.get(server, (0, 0.0))
+            self.samples[server] = (known[0] + count, known[1] + total)
+        self.requests += other.requests
+
+    def to_json(self) -> list[Any]:
+        """Return the fields as a JSON array."""
+        return [self.samples, self.requests]
+
+    @classmethod
+    def from_json(cls, value: list[Any]) -> "Report":
+        """Return the report described by a JSON array of another host."""
+        samples, requests = value
+        return cls(samples, requests)
+
+
 @dataclass(frozen=True, slots=True)
 class Summary:
     """What the leader has found from the reports of all control hosts.
@@ -23,6 +58,8 @@
         Pace of the servers that all hosts together find slow, by id.
     hosts : int
         Number of live hosts.
+    requests : int
+        Requests of all hosts in the last ten seconds, 0 if unknown.
     reachable : dict
         Availability zones of the control hosts that the leader hears, by address.
     """
@@ -30,8 +67,13 @@
     silent: list[str]
     slow: dict[str, float]
     hosts: int
+    requests: int
     reachable: dict[str, str]
 
+    def to_json(self) -> list[Any]:
+        """Return the fields as a JSON array."""
+        return [self.silent, self.slow, self.hosts, self.requests, self.reachable]
+
 
 @dataclass(frozen=True, slots=True)
 class ShareMessage:
@@ -69,9 +111,7 @@
             [record.to_json() for record in self.servers],
             self.heard,
             self.hosts,
-            [summary.silent, summary.slow, summary.hosts, summary.reachable]
-            if summary is not None
-            else None,
+            summary.to_json() if summary is not None else None,
         ]
 
     @classmethod
--- a/packages/gateway/src/kingcuplug_gateway/_call.py
+++ b/packages/gateway/src/kingcuplug_gateway/_call.py
@@ -269,8 +269,8 @@
             self._send("hedge")
 
     def _allowed(self, why: str, now: float) -> bool:
-        hosts = self._table.hosts
-        if self._pool.allowance.take(now, hosts, hedge=why == "hedge"):
+        part = self._table.retry_part(now)
+        if self._pool.allowance.take(now, part, hedge=why == "hedge"):
             return True
         self.ending.denied.append(why)
         return False
--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -107,7 +107,9 @@
         self._started_at = asyncio.get_running_loop().time()
         self._changed = Signal()
         self.table: RouteTable | None = None
-        self.servers = ServerTable(settings.availability_zone, settings.allowance)
+        self.servers = ServerTable(
+            settings.availability_zone, settings.allowance, self._random
+        )
 
     def adopt(self, table: RouteTable) -> bool:
         """Take a route table if it is newer than the one in force."""
@@ -121,9 +123,12 @@
         self._changed.notify()
         return True
 
-    def use(self, servers: list[KnownServer], hosts: int) -> None:
-        """Take the usable servers, and the number of live hosts or 0."""
+    def use(
+        self, servers: list[KnownServer], hosts: int, requests_of_all: int = 0
+    ) -> None:
+        """Take the usable servers, and the numbers of live hosts and requests or 0."""
         self.servers.replace(servers)
+        self.servers.requests_of_all = requests_of_all
         if hosts != self._hosts:
             self._hosts = hosts
             self._limit_connections()
@@ -153,6 +158,7 @@
         route = table.find(host, path)
         if route is None:
             return self._end(request, None, error_response(404, "no such route"))
+        self.servers.count_request(asyncio.get_running_loop().time())
         if route.shards:
             return await self._query(request, route)
         return await self._forward(request, route)
@@ -404,6 +410,7 @@
         if not self._log.admits(kind):
             return
         attempt_id = request.header(self._names.attempt_id.lower()) or b""
+        last = max(calls, key=_ended_at, default=None)
         self._log.write(
             kind,
             {
@@ -416,21 +423,29 @@
                 "hosts": self._hosts,
                 "missing": [c.service for c in calls if not c.ending.good],
                 "calls": [
-                    note for call in calls for note in _notes(call, request, kind)
+                    note
+                    for call in calls
+                    if kind != "request" or call is last or not _is_plain(call)
+                    for note in _notes(call, request)
                 ],
             },
             always=True,
         )
 
 
-def _notes(
-    call: ServiceCall, request: Request, kind: str
-) -> list[dict[str, str | float | None]]:
-    """Return what the line says of one call: all attempts if the request failed."""
+def _is_plain(call: ServiceCall) -> bool:
+    """Return whether the first attempt succeeded and no other one was wanted."""
+    ending = call.ending
+    return ending.good and len(ending.attempts) == 1 and not ending.denied
+
+
+def _ended_at(call: ServiceCall) -> float:
+    return max((note.ended_at for note in call.ending.attempts), default=0.0)
+
+
+def _notes(call: ServiceCall, request: Request) -> list[dict[str, str | float | None]]:
+    """Return what the line says of one call's attempts."""
     ending = call.ending
-    plain = kind == "request" and ending.good and len(ending.attempts) == 1
-    if plain:
-        return []
     notes: list[dict[str, str | float | None]] = [
         {
             "service": call.service,
--- a/packages/gateway/src/kingcuplug_gateway/_servers.py
+++ b/packages/gateway/src/kingcuplug_gateway/_servers.py
@@ -1,6 +1,7 @@
 """The backend servers of each service, as this host may use them."""
 
 import asyncio
+import random as random_module
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -10,6 +11,8 @@
     RetryAllowance,
     Samples,
     Turnstile,
+    WindowCount,
+    fixed_part,
 )
 
 from kingcuplug_gateway._pool import ServerConnections
@@ -61,10 +64,12 @@
 class ServicePool:
     """Servers of one service, and the retries that it bears."""
 
-    def __init__(self, name: str, allowance: AllowanceSettings) -> None:
+    def __init__(
+        self, name: str, allowance: AllowanceSettings, random: random_module.Random
+    ) -> None:
         self.name = name
         self.servers: dict[str, Server] = {}
-        self.allowance = RetryAllowance(allowance)
+        self.allowance = RetryAllowance(allowance, random)
         self.turnstile = Turnstile()
 
     @property
@@ -90,20 +95,53 @@
     ----------
     availability_zone : str
         The host's own.
+
+    Attributes
+    ----------
+    hosts : int
+        Live hosts, 0 if unknown.
+    requests_of_all : int
+        Requests of all hosts in the last window, 0 if unknown.
     """
 
-    def __init__(self, availability_zone: str, allowance: AllowanceSettings) -> None:
+    def __init__(
+        self,
+        availability_zone: str,
+        allowance: AllowanceSettings,
+        random: random_module.Random,
+    ) -> None:
+        self._random = random
         self._zone = availability_zone
         self._allowance = allowance
         self._pools: dict[str, ServicePool] = {}
         self._limits: dict[str, int] = {}
+        self._requests = WindowCount(allowance.window_s)
+        self._reported = 0
         self.hosts = 0
+        self.requests_of_all = 0
+
+    def count_request(self, now: float) -> None:
+        """Count a caller's request."""
+        self._requests.add(now)
+        self._reported += 1
+
+    def retry_part(self, now: float) -> float:
+        """Return this host's part of the retries that all hosts share."""
+        own = self._requests.total(now)
+        return fixed_part(own, self.requests_of_all, self.hosts)
+
+    def take_requests(self) -> int:
+        """Return the number of requests since the last call."""
+        taken, self._reported = self._reported, 0
+        return taken
 
     def pool(self, service: str) -> ServicePool:
         """Return the pool of a service, which may have no servers."""
         pool = self._pools.get(service)
         if pool is None:
-            pool = self._pools[service] = ServicePool(service, self._allowance)
+            pool = self._pools[service] = ServicePool(
+                service, self._allowance, self._random
+            )
         return pool
 
     def limit_connections(self, limits: dict[str, int], hosts: int) -> None:
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -27,6 +27,7 @@
     Mesh,
     PeerFailed,
     Peers,
+    Report,
     RouteRegister,
     ServerRecord,
     ServerState,
@@ -383,7 +384,7 @@
             own = self._settings.control_address
             return await teach(self._knowledge, self._knows_all, own, value)
         if path == REPORT_PATH:
-            self._mesh.take_samples(value)
+            self._mesh.take_report(Report.from_json(value))
             return {}
         if path == SHARE_PATH:
             return self._mesh.take(value)
@@ -428,6 +429,7 @@
                 frozenset(knowledge.silent),
                 frozenset(knowledge.slow.items()),
                 knowledge.hosts,
+                knowledge.requests,
             )
 
         while True:
@@ -465,7 +467,7 @@
             )
             for record in knowledge.directory.usable()
         ]
-        self._gateway.use(known, knowledge.hosts)
+        self._gateway.use(known, knowledge.hosts, knowledge.requests)
 
     async def _follow_core(self, core: Core) -> None:
         while True:
@@ -474,14 +476,15 @@
             await asyncio.sleep(_UPKEEP_S)
 
     async def _report(self) -> None:
-        """Share what this host sees of the servers' pace."""
+        """Share what this host sees of the servers' pace, and its load."""
         while True:
             await asyncio.sleep(_REPORT_S)
-            samples = self._gateway.servers.take_samples()
+            servers = self._gateway.servers
+            report = Report(servers.take_samples(), servers.take_requests())
             if self._knows_all():
-                self._mesh.take_samples(samples)
+                self._mesh.take_report(report)
             else:
-                await self._learner.report(samples)
+                await self._learner.report(report)
 
     async def _prune(self) -> None:
         loop = asyncio.get_running_loop()
--- a/packages/routing/src/kingcuplug_routing/__init__.py
+++ b/packages/routing/src/kingcuplug_routing/__init__.py
@@ -1,7 +1,12 @@
 """Replica choice, limits, hedging, retry budgets and the crash guard."""
 
 from kingcuplug_routing._admission import Admission, Admitted
-from kingcuplug_routing._allowance import AllowanceSettings, RetryAllowance
+from kingcuplug_routing._allowance import (
+    AllowanceSettings,
+    RetryAllowance,
+    WindowCount,
+    fixed_part,
+)
 from kingcuplug_routing._blames import Blame, CrashGuardSettings
 from kingcuplug_routing._completeness import AnswerRule
 from kingcuplug_routing._crash_guard import CrashGuard
@@ -53,8 +58,10 @@
     "Ticket",
     "Timing",
     "Turnstile",
+    "WindowCount",
     "baseline_policy",
     "choose_replica",
+    "fixed_part",
     "least_expected_time",
     "least_in_flight",
     "places",
--- a/tests/fleet/test_mesh.py
+++ b/tests/fleet/test_mesh.py
@@ -11,6 +11,7 @@
     SHARE_PATH,
     Knowledge,
     Mesh,
+    Report,
     ServerState,
     teach,
 )
@@ -43,7 +44,7 @@
     def _answer(self, name: str) -> Answer:
         async def answer(path, value):
             if path == REPORT_PATH:
-                return self.meshes[name].take_samples(value)
+                return self.meshes[name].take_report(Report.from_json(value))
             assert path == SHARE_PATH
             self.pushes.append((name, len(value[3])))
             return self.meshes[name].take(value)
@@ -112,7 +113,7 @@
         with world.running():
             for _ in range(8):
                 for mesh in world.meshes.values():
-                    mesh.take_samples({"slow": (1, 3.0), "sound": (1, 1.0)})
+                    mesh.take_report(Report({"slow": (1, 3.0), "sound": (1, 1.0)}))
                 await asyncio.sleep(0.25)
             await asyncio.sleep(1.0)
             assert world.all(lambda known: set(known.slow) == {"slow"})
@@ -293,3 +294,25 @@
             assert not far["nearer"]
 
     run_virtual(run())
+
+
+def test_requests_of_all_hosts_are_told_once_they_were_counted_for_a_window():
+    """Guards against parts of a total that a new leader has hardly begun to count."""
+
+    async def run() -> None:
+        world = World()
+        with world.running():
+            told = set()
+            for step in range(80):
+                if step == 60:
+                    world.leader = "c"
+                for mesh in world.meshes.values():
+                    mesh.take_report(Report({}, 5))
+                await asyncio.sleep(0.5)
+                told |= {known.requests for known in world.knowledge.values()}
+            # 30 requests a second, in a window of up to 11 s, and one more report each.
+            assert all(known == 0 or 200 < known <= 345 for known in told)
+            assert len(told) > 1
+            assert world.all(lambda known: known.requests == 0)
+
+    run_virtual(run())
