Sum up who is slow on each side of a cut; compare digests before teaching

A server that turned slow was known everywhere after 1.2 s.

Change: the least address on each side coordinates without a leader; it judges who is slow, not who is silent. Hosts keep the last part of the retries. Polls carry digests of the directory and of the state. Attempts that are late are shared before they end, and reports go every 0.3 s.

--- a/packages/fleet/src/kingcuplug_fleet/_knowledge.py
+++ b/packages/fleet/src/kingcuplug_fleet/_knowledge.py
@@ -1,8 +1,11 @@
 """What one host knows of the fleet, and the signal that wakes whoever waits for it."""
 
 import asyncio
+import hashlib
+from typing import Any
 from zlib import crc32
 
+import orjson
 from kingcuplug_common import Signal, identifier
 from kingcuplug_routing import PaceBoard, WindowCount
 
@@ -17,6 +20,7 @@
 _REQUESTS_WINDOW_S = 10.0
 # Smaller changes of the number of requests are not told.
 _REQUESTS_STEP = 0.1
+_KEY_BYTES = 8  # Two states share a key once in 2**64 changes.
 
 
 class Knowledge:
@@ -74,6 +78,28 @@
         self.requests = 0
         self._counted = WindowCount(_REQUESTS_WINDOW_S)
         self._counted_since = self._begun_at
+        self._state_data = b""
+        self._state_key = ""
+
+    def state(self) -> list[Any]:
+        """Return what hosts take over from their control host beside the servers."""
+        return [
+            sorted(self.silent),
+            dict(sorted(self.slow.items())),
+            list(self.control),
+            dict(sorted(self.zones.items())),
+            self.hosts,
+            self.requests,
+        ]
+
+    def state_key(self) -> str:
+        """Return what is equal only where `state` is equal."""
+        data = orjson.dumps(self.state())
+        if data != self._state_data:
+            self._state_data = data
+            hashed = hashlib.blake2b(data, digest_size=_KEY_BYTES)
+            self._state_key = hashed.hexdigest()
+        return self._state_key
 
     def learn_routes(self, version: int, document: str) -> None:
         """Take a route document if it is newer."""
--- a/packages/fleet/src/kingcuplug_fleet/_learning.py
+++ b/packages/fleet/src/kingcuplug_fleet/_learning.py
@@ -55,58 +55,59 @@
     """
     if _is_far(knowledge, own, value["zone"]):
         # The whole directory stays in the zone that the host is in.
-        return _reply(knowledge, connected(), nearer=True)
+        return {"nearer": knowledge.zones}
+    if not connected() and _has_other(knowledge, own, value["zone"]):
+        # Nobody leads; the host only looks for one who does.
+        return {"connected": False, "slow": knowledge.slow}
     knowledge.meet_host(value["host"])
     knowledge.learn_servers([ServerRecord.from_json(r) for r in value["servers"]])
-    same_epoch = value["epoch"] == knowledge.epoch
-    cursor = int(value["cursor"]) if same_epoch else 0
     directory = knowledge.directory
-    seen = (set(value["silent"]), value["control"], value["hosts"], value["slow"])
+    cursor = 0
+    if value["epoch"] == knowledge.epoch:
+        cursor = int(value["cursor"])
+    elif value["digest"] == directory.digest:
+        # The host has come from another control host that knows the same.
+        cursor = directory.version
 
     def news() -> bool:
-        current = (
-            knowledge.silent,
-            list(knowledge.control),
-            knowledge.hosts,
-            knowledge.slow,
-        )
         return (
             directory.version > cursor
             or knowledge.routes_version > value["routes"]
-            or current != seen
+            or knowledge.state_key() != value["state_key"]
         )
 
     if connected() and value["wait"]:
         await knowledge.changed.until(news, _WAIT_S)
         await asyncio.sleep(_GATHER_S)
-    newer = knowledge.routes_version > value["routes"]
-    reply = _reply(knowledge, connected(), nearer=False)
-    reply["epoch"] = knowledge.epoch
-    reply["cursor"] = directory.version
-    reply["servers"] = [record.to_json() for record in directory.since(cursor)]
-    reply["silent"] = sorted(knowledge.silent)
-    reply["slow"] = knowledge.slow
-    reply["routes"] = knowledge.routes_version if newer else 0
-    reply["document"] = knowledge.routes_document if newer else ""
-    reply["hosts"] = knowledge.hosts
-    reply["requests"] = knowledge.requests
+    reply: dict[str, Any] = {
+        "epoch": knowledge.epoch,
+        "cursor": directory.version,
+        "servers": [record.to_json() for record in directory.since(cursor)],
+        "connected": connected(),
+    }
+    if knowledge.routes_version > value["routes"]:
+        reply["routes"] = knowledge.routes_version
+        reply["document"] = knowledge.routes_document
+    if not connected():
+        reply["slow"] = knowledge.slow
+    elif knowledge.state_key() != value["state_key"]:
+        reply["state"] = knowledge.state()
+        reply["state_key"] = knowledge.state_key()
     return reply
 
 
 def _is_far(knowledge: Knowledge, own: str, zone: str | None) -> bool:
-    """Return whether another control host is nearer to the host that asks."""
-    if zone is None or knowledge.zones.get(own) == zone:
+    """Return whether a reachable control host is nearer to the host that asks."""
+    if not _has_other(knowledge, own, zone):
         return False
-    return knowledge.near(zone, own) is not None
+    return zone is not None and knowledge.near(zone, own) is not None
 
 
-def _reply(knowledge: Knowledge, connected: bool, nearer: bool) -> dict[str, Any]:
-    return {
-        "nearer": nearer,
-        "zones": knowledge.zones,
-        "control": knowledge.control,
-        "connected": connected,
-    }
+def _has_other(knowledge: Knowledge, own: str, zone: str | None) -> bool:
+    """Return whether a zone other than the own one has control hosts."""
+    if zone is None or knowledge.zones.get(own) == zone:
+        return False
+    return zone in knowledge.zones.values()
 
 
 @dataclass(slots=True)
@@ -157,7 +158,11 @@
         self._log = log
         self._cursors: dict[str, _Cursor] = {}
         self._avoided: dict[str, float] = {}
+        self._failed: dict[str, float] = {}
         self._random = random_module.Random()
+        # Takes reports while no control host is in touch with a leader.
+        self._answered: str | None = None
+        self._state_key = ""
         self.teacher: str | None = None
         self.confirmed_at = -math.inf
 
@@ -178,10 +183,11 @@
 
     async def report(self, report: Report) -> None:
         """Tell the control host what this host has seen; loss is harmless."""
-        if self.teacher is not None and report != Report():
+        address = self.teacher or self._answered
+        if address is not None and report != Report():
             with contextlib.suppress(PeerFailed):
                 await self._peers.call(
-                    self.teacher, REPORT_PATH, report.to_json(), _REPORT_TIMEOUT_S
+                    address, REPORT_PATH, report.to_json(), _REPORT_TIMEOUT_S
                 )
 
     def _choose(self) -> str | None:
@@ -201,17 +207,18 @@
         return self._knowledge.zones.get(address) == self._zone
 
     def _near_failed(self) -> bool:
-        """Return whether a control host in the own zone has failed lately."""
+        """Return whether a control host in the own zone did not answer lately."""
         limit = asyncio.get_running_loop().time() - _AVOIDED_S
-        return any(self._is_near(a) and at > limit for a, at in self._avoided.items())
+        return any(self._is_near(a) and at > limit for a, at in self._failed.items())
 
     def _leave(self, address: str | None) -> None:
         if address is not None:
             self._avoided[address] = asyncio.get_running_loop().time()
         if self.teacher is not None:
             self._log.write("control_host_lost", {"address": address}, always=True)
-            # Without reports the number of requests grows old; equal parts are safe.
+            # Without reports the number of requests grows old.
             self._knowledge.learn_requests(0)
+            self._state_key = ""
         self.teacher = None
 
     async def _poll(self, address: str) -> bool:
@@ -227,10 +234,9 @@
             "servers": []
             if begun
             else [record.to_json() for record in knowledge.directory.leaving()],
-            "silent": sorted(knowledge.silent),
-            "slow": knowledge.slow,
-            "control": list(knowledge.control),
-            "hosts": knowledge.hosts,
+            # Control hosts that know the same need not tell it again.
+            "digest": knowledge.directory.digest,
+            "state_key": self._state_key,
             # A far control host that knows a nearer one tells only of that.
             "zone": None if self._near_failed() else self._zone,
             # The first answer comes at once: it shows that the host is alive.
@@ -241,14 +247,18 @@
         try:
             reply = await self._peers.call(address, LEARN_PATH, value, timeout_s)
         except PeerFailed:
-            cursor.version = 0
+            self._failed[address] = asyncio.get_running_loop().time()
+            return False
+        if "epoch" not in reply and "slow" in reply:
+            self._take_slow(reply["slow"])
             return False
-        if reply["nearer"]:
-            self._knowledge.zones = reply["zones"]
-            self._knowledge.learn_control(reply["control"])
+        if "nearer" in reply:
+            knowledge.zones = reply["nearer"]
+            knowledge.learn_control(list(reply["nearer"]))
             self.teacher = None
             return self._is_near(self._choose() or "")
         self._take(reply)
+        self._answered = address
         if reply["epoch"] != cursor.epoch:
             # A control host that has restarted must hear who is leaving.
             self._cursors[address] = _Cursor(reply["epoch"], 0)
@@ -270,13 +280,27 @@
 
     def _take(self, reply: Any) -> None:
         knowledge = self._knowledge
-        if reply["routes"]:
+        if "document" in reply:
             knowledge.learn_routes(reply["routes"], reply["document"])
         knowledge.learn_servers([ServerRecord.from_json(r) for r in reply["servers"]])
-        if reply["connected"]:
-            knowledge.zones = reply["zones"]
-            knowledge.learn_control(reply["control"])
-            knowledge.learn_hosts(reply["hosts"])
-            knowledge.learn_requests(reply["requests"])
-            knowledge.learn_silent(set(reply["silent"]))
-            knowledge.learn_slow(reply["slow"])
+        if "state" in reply:
+            self._take_state(reply["state"])
+            self._state_key = reply["state_key"]
+        elif "slow" in reply:
+            self._take_slow(reply["slow"])
+
+    def _take_slow(self, slow: dict[str, float]) -> None:
+        """Take who is slow from a control host that nobody leads."""
+        if self.teacher is None:
+            self._knowledge.learn_slow(slow)
+            self._state_key = ""
+
+    def _take_state(self, state: Any) -> None:
+        knowledge = self._knowledge
+        silent, slow, control, zones, hosts, requests = state
+        knowledge.learn_silent(set(silent))
+        knowledge.learn_slow(slow)
+        knowledge.learn_control(control)
+        knowledge.zones = zones
+        knowledge.learn_hosts(hosts)
+        knowledge.learn_requests(requests)
--- a/packages/fleet/src/kingcuplug_fleet/_mesh.py
+++ b/packages/fleet/src/kingcuplug_fleet/_mesh.py
@@ -3,9 +3,14 @@
 Answers this load pattern: many control hosts in several availability zones, where
 bytes are priced, and most statements of servers repeat the last one. A control host
 pushes only what servers themselves told it, to all others at once. Who has spoken and
-who has asked goes to the leader alone, and the leader tells all others what follows
-from it. Digests of the directories show what got lost; without a leader, every control
-host compares its digest with every other one.
+who has asked goes to one coordinator alone, which tells all others what follows from
+it. Digests of the directories show what got lost.
+
+The coordinator is the leader of the log. While there is none, each side of a cut has
+its own, the control host with the least address among those that hear each other: what
+it sums up needs no agreement. It hears only a part of the servers then, so it judges
+who is slow, but not who is silent. Without a leader, every control host compares its
+digest with every other one.
 """
 
 import asyncio
@@ -36,7 +41,8 @@
 _SHARE_TIMEOUT_S = 0.6
 _RETRY_S = 0.9
 _REPORT_TIMEOUT_S = 0.5
-_UPKEEP_S = 0.3
+# Each stage on the way of a report to all hosts delays it by half of this on average.
+_UPKEEP_S = 0.15
 # Acknowledging a leaving server waits for one other control host this long, so that
 # the news survives the loss of this one.
 _TELL_TIMEOUT_S = 0.35
@@ -60,7 +66,7 @@
     told : Summary or None
         The last summary that it took.
     under : str or None
-        The leader at the last push.
+        The coordinator at the last push.
     """
 
     def __init__(self, task: asyncio.Task[None]) -> None:
@@ -121,7 +127,8 @@
         self._peers: dict[str, _Peer] = {}
         self._heard: Heard = {}
         self._report = Report()
-        self._followed: str | None = None
+        self._followed = ""
+        self._led = False
 
     async def run(self) -> None:
         """Keep one task for each other control host, and what ages."""
@@ -142,10 +149,10 @@
     def take_report(self, report: Report) -> None:
         """Take what a host, perhaps this one, has seen.
 
-        The leader alone sums the reports up, as all to all would cost more bytes
+        The coordinator alone sums the reports up, as all to all would cost more bytes
         than the queries.
         """
-        if self._leader() != self._own:
+        if self._coordinator() != self._own:
             self._report.add(report)
             return
         self._knowledge.paces.add(report.samples, self._loop.time())
@@ -180,12 +187,12 @@
         for host in message.hosts:
             knowledge.hear_of_host(host)
         knowledge.zones[message.address] = message.availability_zone
-        if message.summary is not None and self._leader() in (None, message.address):
-            self._take_summary(message.summary, now)
         peer = self._peers.get(message.address)
         if peer is not None:
             peer.heard_at = now
             self._compare(message.address, peer, message.digest)
+        if message.summary is not None and self._coordinator() == message.address:
+            self._take_summary(message.summary, now)
         return {"epoch": knowledge.epoch, "digest": knowledge.directory.digest}
 
     def _compare(self, address: str, peer: _Peer, digest: int) -> None:
@@ -199,14 +206,26 @@
 
     def _take_summary(self, summary: Summary, now: float) -> None:
         knowledge = self._knowledge
+        knowledge.learn_slow(summary.slow)
+        if self._leader() is None:
+            return
         knowledge.learn_silent(set(summary.silent))
         knowledge.directory.refresh(now, knowledge.silent)
-        knowledge.learn_slow(summary.slow)
         knowledge.learn_hosts(summary.hosts)
         knowledge.learn_requests(summary.requests)
         knowledge.zones.update(summary.reachable)
         knowledge.learn_reachable(tuple(summary.reachable))
 
+    def _coordinator(self) -> str:
+        leader = self._leader()
+        if leader is not None:
+            return leader
+        return min((self._own, *self._heard_peers()))
+
+    def _heard_peers(self) -> list[str]:
+        oldest = self._loop.time() - _REACHABLE_S
+        return [a for a, peer in self._peers.items() if peer.heard_at > oldest]
+
     def _follow_members(self) -> None:
         wanted = set(self._knowledge.control) - {self._own}
         for address in self._peers.keys() - wanted:
@@ -224,39 +243,38 @@
         self._peers = {a: p for a, p in self._peers.items() if p.task is not task}
 
     async def _forward_report(self) -> None:
-        leader = self._leader()
-        if leader is None or leader == self._own or self._report == Report():
+        coordinator = self._coordinator()
+        if coordinator == self._own or self._report == Report():
             return
         report, self._report = self._report, Report()
         with contextlib.suppress(PeerFailed):
             await self._calls.call(
-                leader, REPORT_PATH, report.to_json(), _REPORT_TIMEOUT_S
+                coordinator, REPORT_PATH, report.to_json(), _REPORT_TIMEOUT_S
             )
 
     def _age(self, now: float) -> None:
-        """Find who is gone; only the leader hears enough for that."""
+        """Find who is gone, and who is slow; only the coordinator hears enough."""
         knowledge = self._knowledge
         knowledge.meet_host(self._host)
         knowledge.directory.forget(now)
-        leader = self._leader()
-        if leader != self._followed:
-            self._followed = leader
-            if leader == self._own:
-                # Reports went to another leader until now.
-                knowledge.directory.refresh(now, knowledge.silent)
-                knowledge.expect_hosts(knowledge.hosts)
-                knowledge.begin_counting_requests()
+        coordinator, leads = self._coordinator(), self._leader() == self._own
+        if leads and not self._led:
+            # Reports went to another leader until now.
+            knowledge.directory.refresh(now, knowledge.silent)
+            knowledge.expect_hosts(knowledge.hosts)
+            knowledge.begin_counting_requests()
+        self._led = leads
+        if coordinator != self._followed:
+            self._followed = coordinator
             knowledge.changed.notify()
-        if leader == self._own:
-            knowledge.learn_silent(knowledge.directory.silent(now))
+        if coordinator == self._own:
             knowledge.learn_slow(knowledge.paces.slow(now))
+        if leads:
+            knowledge.learn_silent(knowledge.directory.silent(now))
             knowledge.count_hosts()
-            oldest = now - _REACHABLE_S
-            heard = [a for a, p in self._peers.items() if p.heard_at > oldest]
-            knowledge.learn_reachable((self._own, *sorted(heard)))
-        elif leader is None:
-            knowledge.learn_slow({})
-            # Without reports the number of requests grows old; equal parts are safe.
+            knowledge.learn_reachable((self._own, *sorted(self._heard_peers())))
+        elif self._leader() is None:
+            # Without reports the number of requests grows old.
             knowledge.learn_requests(0)
 
     async def _push_to(self, address: str) -> None:
@@ -276,8 +294,8 @@
         version, summary = directory.version, self._summary()
         whole = peer.lacks(self._loop.time())
         records = directory.since(0 if whole else peer.sent, first_hand=not whole)
-        leader = self._leader()
-        reports = leader in (None, address)
+        coordinator = self._coordinator()
+        reports = self._leader() is None or coordinator == address
         heard = {}
         if reports:
             heard, self._heard = self._heard, {}
@@ -299,12 +317,12 @@
         else:
             peer.sent = 0
         peer.epoch = reply["epoch"]
-        peer.told, peer.under = summary, leader
+        peer.told, peer.under = summary, coordinator
         return True
 
     def _has_news(self, peer: _Peer) -> bool:
         newer = self._knowledge.directory.first_hand_version > peer.sent
-        moved = self._leader() != peer.under
+        moved = self._coordinator() != peer.under
         lacks = peer.lacks(self._loop.time())
         return newer or moved or lacks or self._summary() != peer.told
 
@@ -315,7 +333,7 @@
         return _SUMMARY_INTERVAL_S if leader == self._own else _QUIET_INTERVAL_S
 
     def _summary(self) -> Summary | None:
-        if self._leader() != self._own:
+        if self._coordinator() != self._own:
             return None
         knowledge = self._knowledge
         return Summary(
@@ -323,7 +341,7 @@
             knowledge.slow,
             knowledge.hosts,
             knowledge.requests,
-            {a: knowledge.zones[a] for a in knowledge.reachable},
+            {a: knowledge.zones.get(a, "") for a in knowledge.reachable},
         )
 
     def _message(
--- a/packages/fleet/src/kingcuplug_fleet/_mesh_messages.py
+++ b/packages/fleet/src/kingcuplug_fleet/_mesh_messages.py
@@ -48,7 +48,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Summary:
-    """What the leader has found from the reports of all control hosts.
+    """What the coordinator has found from the reports of control hosts.
 
     Attributes
     ----------
@@ -90,7 +90,7 @@
     hosts : list of str
         Hosts that have asked the sender lately.
     summary : Summary or None
-        From the leader only.
+        From the coordinator only.
     """
 
     address: str
--- a/packages/gateway/src/kingcuplug_gateway/_call.py
+++ b/packages/gateway/src/kingcuplug_gateway/_call.py
@@ -265,8 +265,12 @@
 
     def _hedge(self) -> None:
         self._timer = None
-        if not self.over:
-            self._send("hedge")
+        if self.over:
+            return
+        now = self._loop.time()
+        for attempt in self._open:
+            attempt.server.state.late(attempt, now)
+        self._send("hedge")
 
     def _allowed(self, why: str, now: float) -> bool:
         part = self._table.retry_part(now)
--- a/packages/gateway/src/kingcuplug_gateway/_servers.py
+++ b/packages/gateway/src/kingcuplug_gateway/_servers.py
@@ -117,6 +117,7 @@
         self._limits: dict[str, int] = {}
         self._requests = WindowCount(allowance.window_s)
         self._reported = 0
+        self._part = 0.0
         self.hosts = 0
         self.requests_of_all = 0
 
@@ -127,8 +128,13 @@
 
     def retry_part(self, now: float) -> float:
         """Return this host's part of the retries that all hosts share."""
-        own = self._requests.total(now)
-        return fixed_part(own, self.requests_of_all, self.hosts)
+        if self.requests_of_all > 0:
+            own = self._requests.total(now)
+            self._part = fixed_part(own, self.requests_of_all, self.hosts)
+        elif self._part == 0:
+            return fixed_part(0, 0, self.hosts)
+        # While the total is unknown, the last parts still add up to the whole.
+        return self._part
 
     def take_requests(self) -> int:
         """Return the number of requests since the last call."""
@@ -168,7 +174,7 @@
         for pool in self._pools.values():
             for identifier, server in pool.servers.items():
                 taken = server.state.take_samples()
-                if taken[0]:
+                if taken != (0, 0.0):
                     samples[identifier] = taken
         return samples
 
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -54,7 +54,8 @@
 # Statements that are missing for this many intervals make a server silent.
 _SILENT_INTERVALS = 3.5
 _UPKEEP_S = 0.25
-_REPORT_S = 0.5
+# A server that turns slow delays a query of each host until all have heard of it.
+_REPORT_S = 0.3
 # Timers fire late, and an answer takes a moment on the host's link; merging and
 # writing the answer of a query over 36 shards takes some time of a whole core.
 _MARGIN_MS = 4.0
--- a/packages/routing/src/kingcuplug_routing/_replicas.py
+++ b/packages/routing/src/kingcuplug_routing/_replicas.py
@@ -65,6 +65,8 @@
         Whether its heartbeats have stopped.
     shared_pace : float
         The pace that all hosts together find, 1 unless it is slow.
+    shared : dict
+        The sample that was counted of an attempt that is still open.
     """
 
     slots: int
@@ -81,6 +83,7 @@
     samples: int = 0
     samples_total: float = 0.0
     open: dict[object, tuple[float, float]] = field(default_factory=dict)
+    shared: dict[object, float] = field(default_factory=dict)
 
     def begin(self, attempt: object, now: float, typical_s: float) -> None:
         """Record that an attempt was sent."""
@@ -91,16 +94,26 @@
         begun_at, typical_s = self.open.pop(attempt, (now, 0.0))
         duration_s = now - begun_at
         if typical_s > 0:
-            self._sample(duration_s / typical_s, now)
+            self._sample(attempt, duration_s / typical_s, now)
         self.errors = self._errors(now) * (1 - _ERROR_WEIGHT)
         self.errors_at = now
         self.failures_in_row = 0
         self.paused_until = 0.0
         return duration_s
 
+    def late(self, attempt: object, now: float) -> None:
+        """Share at once that an attempt is late, before it has ended.
+
+        When a server turns slow its answers come too late to warn other hosts.
+        """
+        begun_at, typical_s = self.open.get(attempt, (now, 0.0))
+        if typical_s > 0 and attempt not in self.shared:
+            self._share(attempt, (now - begun_at) / typical_s)
+
     def reject(self, attempt: object, now: float) -> None:
         """Record that the server had no room; it is alive, but busy."""
         self.open.pop(attempt, None)
+        self.shared.pop(attempt, None)
         self.pace = min(self._own_pace(now) + 1.0, _PACE_RANGE[1])
         self.pace_at = now
 
@@ -113,7 +126,8 @@
             No connection could be made, so every other attempt would fail too.
         """
         self.open.pop(attempt, None)
-        self._share(_PACE_RANGE[1])
+        self._share(attempt, _PACE_RANGE[1])
+        self.shared.pop(attempt, None)
         self.errors = self._errors(now) * (1 - _ERROR_WEIGHT) + _ERROR_WEIGHT
         self.errors_at = now
         if unreachable:
@@ -125,7 +139,8 @@
         """Record that an attempt was abandoned; its age so far is a sample."""
         begun_at, typical_s = self.open.pop(attempt, (now, 0.0))
         if typical_s > 0 and now - begun_at > typical_s * self._pace(now):
-            self._sample((now - begun_at) / typical_s, now)
+            self._sample(attempt, (now - begun_at) / typical_s, now)
+        self.shared.pop(attempt, None)
 
     def take_samples(self) -> tuple[int, float]:
         """Return number and sum of the samples since the last call."""
@@ -149,15 +164,20 @@
             expected_s += _SILENT_COST_S
         return expected_s
 
-    def _sample(self, ratio: float, now: float) -> None:
+    def _sample(self, attempt: object, ratio: float, now: float) -> None:
         sample = min(max(ratio, _PACE_RANGE[0]), _PACE_RANGE[1])
         self.pace = self._own_pace(now) * (1 - _PACE_WEIGHT) + sample * _PACE_WEIGHT
         self.pace_at = now
-        self._share(sample)
+        self._share(attempt, ratio)
+        self.shared.pop(attempt, None)
 
-    def _share(self, sample: float) -> None:
-        self.samples += 1
-        self.samples_total += sample
+    def _share(self, attempt: object, ratio: float) -> None:
+        """Count an attempt once, and later only by what it has become slower."""
+        sample = min(max(ratio, _PACE_RANGE[0]), _PACE_RANGE[1])
+        before = self.shared.get(attempt)
+        self.samples += before is None
+        self.samples_total += sample - (before or 0.0)
+        self.shared[attempt] = sample
 
     def _pace(self, now: float) -> float:
         return max(self._own_pace(now), self.shared_pace)
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -47,3 +47,17 @@
                 return reply
         except TimeoutError as error:
             raise PeerFailed("no answer", "ask another") from error
+
+    def between(self, caller: str, sides: dict[str, str]) -> "FakePeers":
+        """Return calls of one host that reach only its side of a cut."""
+        limited = FakePeers()
+        limited.answers = self.answers
+
+        async def call(address: str, path: str, value: Any, timeout_s: float) -> Any:
+            if address not in sides[caller]:
+                await asyncio.sleep(timeout_s)
+                raise PeerFailed("no answer", "ask another")
+            return await self.call(address, path, value, timeout_s)
+
+        limited.call = call
+        return limited
--- a/tests/routing/test_paces.py
+++ b/tests/routing/test_paces.py
@@ -1,5 +1,6 @@
 """Replays of slow and pausing servers against what all hosts together find."""
 
+import pytest
 from kingcuplug_routing import PaceBoard, ReplicaState, Timing
 
 
@@ -67,3 +68,21 @@
 def test_estimates_start_from_the_target():
     """Guards against a host that hedges everything before its first answers."""
     assert Timing(target_ms=180).hedge_after_s > 0.05
+
+
+def test_late_attempt_is_shared_before_it_ends_and_counted_once():
+    """Guards against slow servers that all hosts learn of only by their answers.
+
+    An attempt at a server that turned slow is shared when it is late; its end only
+    adds what it has become slower, so a pause does not weigh twice.
+    """
+    state = ReplicaState(slots=3)
+    attempt = object()
+    state.begin(attempt, 0.0, 0.02)
+    state.late(attempt, 0.04)
+    assert state.take_samples() == (1, pytest.approx(2.0))
+    state.late(attempt, 0.05)
+    assert state.take_samples() == (0, 0.0)
+    state.answer(attempt, 0.056)
+    assert state.take_samples() == (0, pytest.approx(0.8))
+    assert state.shared == {}
