Have control hosts gather parts for hosts with narrow links

Cause: on the grown sites the 36 parts of a query fill a 7 Mbit/s link for 23 to 50 ms, every small host sees each server only every few seconds and so learns late who is slow, a quarter of the parts comes from another zone, and each host's share of the retries is a fraction of one attempt.

Change: a host with a link below 50 Mbit/s has a control host in its own zone gather the shards that have a replica there, and one in another zone the rest. The gatherer sends first attempts, answers by the time of a second one at the latest, and sends that when it is asked for the rest. If it does not answer at first, the host asks the shards itself, once each. Gatherers share 0.7 of the retries evenly, the others keep 0.3.

--- a/packages/fleet/src/kingcuplug_fleet/_knowledge.py
+++ b/packages/fleet/src/kingcuplug_fleet/_knowledge.py
@@ -90,6 +90,7 @@
             dict(sorted(self.zones.items())),
             self.hosts,
             self.requests,
+            list(self.reachable),
         ]
 
     def state_key(self) -> str:
--- a/packages/fleet/src/kingcuplug_fleet/_learning.py
+++ b/packages/fleet/src/kingcuplug_fleet/_learning.py
@@ -297,10 +297,11 @@
 
     def _take_state(self, state: Any) -> None:
         knowledge = self._knowledge
-        silent, slow, control, zones, hosts, requests = state
+        silent, slow, control, zones, hosts, requests, reachable = state
         knowledge.learn_silent(set(silent))
         knowledge.learn_slow(slow)
         knowledge.learn_control(control)
         knowledge.zones = zones
         knowledge.learn_hosts(hosts)
         knowledge.learn_requests(requests)
+        knowledge.learn_reachable(tuple(reachable))
--- a/packages/gateway/src/kingcuplug_gateway/__init__.py
+++ b/packages/gateway/src/kingcuplug_gateway/__init__.py
@@ -1,6 +1,6 @@
 """Routes, and the way of a caller's request through backend servers."""
 
-from kingcuplug_gateway._gateway import Gateway, GatewaySettings
+from kingcuplug_gateway._gateway import Gateway, GatewaySettings, NotGathering
 from kingcuplug_gateway._protocol import HeaderNames
 from kingcuplug_gateway._routes import (
     Route,
@@ -17,6 +17,7 @@
     "GatewaySettings",
     "HeaderNames",
     "KnownServer",
+    "NotGathering",
     "Route",
     "RouteTable",
     "ServiceSettings",
--- a/packages/gateway/src/kingcuplug_gateway/_call.py
+++ b/packages/gateway/src/kingcuplug_gateway/_call.py
@@ -114,6 +114,11 @@
     ----------
     done : callable
         Called once, with this call, when `ending` is final.
+    first : str
+        Why the first attempt goes out; any but ``first`` needs the retry allowance.
+    gathered : bool
+        Whether this host gathers the part for another one, which says when a second
+        attempt may go out to save time.
     """
 
     def __init__(
@@ -127,7 +132,13 @@
         max_attempts: int,
         random: random_module.Random,
         done: Callable[["ServiceCall"], None],
+        first: str = "first",
+        gathered: bool = False,
     ) -> None:
+        self._first = first
+        self._gathered = gathered
+        self._allowance = pool.gather_allowance if gathered else pool.allowance
+        self._held = gathered
         self._loop = asyncio.get_running_loop()
         self._table = table
         self._pool = pool
@@ -151,10 +162,37 @@
         """Name of the service."""
         return self._pool.name
 
+    @property
+    def plain(self) -> bool:
+        """Whether the first attempt succeeded and no other one was wanted."""
+        ending = self.ending
+        return ending.good and len(ending.attempts) == 1 and not ending.denied
+
+    def notes(self, begun_at: float) -> list[dict[str, str | float | None]]:
+        """Return what a log line says of the attempts, with times since `begun_at`."""
+        notes: list[dict[str, str | float | None]] = [
+            {
+                "service": self.service,
+                "server": note.server,
+                "why": note.why,
+                "sent_ms": _ms(note.sent_at - begun_at),
+                "expected_ms": _ms(note.expected_s),
+                "took_ms": _ms(note.ended_at - note.sent_at) if note.ended_at else None,
+                "outcome": note.outcome,
+            }
+            for note in self.ending.attempts
+        ]
+        for why in self.ending.denied:
+            notes.append(
+                {"service": self.service, "why": why, "outcome": "no_allowance"}
+            )
+        return notes
+
     def start(self) -> None:
         """Send the first attempt."""
-        self._pool.allowance.request(self._loop.time())
-        if not self._send():
+        if self._first == "first":
+            self._allowance.request(self._loop.time())
+        if not self._send(self._first):
             self._end()
 
     def hurry(self, at: float) -> None:
@@ -163,6 +201,13 @@
             self._timer.cancel()
             self._timer = self._loop.call_at(at, self._hedge)
 
+    def release(self) -> None:
+        """Allow a second attempt, and send it if the first is still open."""
+        if self._held:
+            self._held = False
+            if not self.over and self._counted < self._max_attempts:
+                self._hedge()
+
     def cancel(self, linger: bool = False) -> None:
         """Give up; attempts in progress are dropped.
 
@@ -257,7 +302,8 @@
         self._open.append(attempt)
         self._counted += 1
         server.state.begin(attempt, now, typical_s)
-        if self.outgoing.repeatable and self._counted < self._max_attempts:
+        more = self.outgoing.repeatable and self._counted < self._max_attempts
+        if more and not self._held:
             self._stop_timer()
             self._timer = self._loop.call_later(self._timing.hedge_after_s, self._hedge)
         server.connections.submit(attempt, fresh=not self.outgoing.repeatable)
@@ -273,8 +319,8 @@
         self._send("hedge")
 
     def _allowed(self, why: str, now: float) -> bool:
-        part = self._table.retry_part(now)
-        if self._pool.allowance.take(now, part, hedge=why == "hedge"):
+        part = self._table.retry_part(now, self._gathered)
+        if self._allowance.take(now, part, hedge=why == "hedge"):
             return True
         self.ending.denied.append(why)
         return False
@@ -354,6 +400,10 @@
             self.server.connections.release(connection)
 
 
+def _ms(seconds: float) -> float:
+    return round(seconds * _MS_PER_S, 1)
+
+
 def _judge(response: Response, names: HeaderNames) -> Verdict:
     if (
         response.header(names.not_run.lower()) is not None
--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -1,11 +1,14 @@
 """The way of one caller's request: route, servers, answer."""
 
 import asyncio
+import math
 import random as random_module
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine, Mapping, Sequence
 from dataclasses import dataclass
+from types import MappingProxyType
+from typing import Any
 
-from kingcuplug_common import EventLog, Metrics, Signal
+from kingcuplug_common import EventLog, KingcuplugError, Metrics, Signal
 from kingcuplug_http import (
     Headers,
     Limits,
@@ -17,19 +20,23 @@
 from kingcuplug_routing import (
     AllowanceSettings,
     AnswerRule,
+    Delegation,
     Timing,
+    delegate,
     places,
     wait_until,
 )
 
 from kingcuplug_gateway._call import Outgoing, ServiceCall
+from kingcuplug_gateway._gatherer import Gatherer
+from kingcuplug_gateway._gathering import AskPeer, Gatherers, GatherNote, gather
 from kingcuplug_gateway._protocol import HeaderNames
 from kingcuplug_gateway._routes import Route, RouteTable
 from kingcuplug_gateway._scatter import Scatter
 from kingcuplug_gateway._servers import KnownServer, ServerTable, ServicePool
 from kingcuplug_gateway._split import WeightedTurn
 
-__all__ = ["Gateway", "GatewaySettings"]
+__all__ = ["Gateway", "GatewaySettings", "NotGathering"]
 
 _MS_PER_S = 1_000
 _FIRST_ERROR = 400
@@ -44,6 +51,8 @@
 # known.
 _LONGEST_WAIT_MS = 10_000
 _DEFAULT_ALLOWANCE = AllowanceSettings()
+# Thirty-six parts of 1.2 KB take 7 ms at 50 Mbit/s, about the margin of an answer.
+_NARROW_LINK_MBPS = 50.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +67,9 @@
         One way between callers and this host; an answer must leave earlier by it.
     answer_margin_ms : float
         Time to merge and write an answer, kept free before a deadline.
+    link_mbps : float
+        Of this host. A narrow link has other hosts gather the parts of queries, a
+        wide one lets this host gather for others.
     """
 
     availability_zone: str
@@ -65,6 +77,19 @@
     allowance: AllowanceSettings = _DEFAULT_ALLOWANCE
     caller_delay_ms: float = 3.0
     answer_margin_ms: float = 4.0
+    link_mbps: float = math.inf
+
+    @property
+    def narrow(self) -> bool:
+        """Whether the parts of one query fill the link for long."""
+        return self.link_mbps < _NARROW_LINK_MBPS
+
+
+class NotGathering(KingcuplugError):
+    """A host with a narrow link does not gather parts for others."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason, "ask another host, or the shards themselves")
 
 
 class Gateway:
@@ -84,8 +109,12 @@
         log: EventLog,
         metrics: Metrics,
         random: random_module.Random | None = None,
+        ask_peer: AskPeer | None = None,
     ) -> None:
         self._settings = settings
+        self._ask_peer = ask_peer if settings.narrow else None
+        self._gatherers = Gatherers(log)
+        self._gathers = False
         self._names = settings.names
         self._log = log
         self._metrics = metrics
@@ -108,7 +137,13 @@
         self._changed = Signal()
         self.table: RouteTable | None = None
         self.servers = ServerTable(
-            settings.availability_zone, settings.allowance, self._random
+            settings.availability_zone,
+            settings.allowance,
+            self._random,
+            delegates=self._ask_peer is not None,
+        )
+        self._gatherer = Gatherer(
+            self._gathered_call, self._timing, self._names.seal.lower(), log
         )
 
     def adopt(self, table: RouteTable) -> bool:
@@ -124,9 +159,26 @@
         return True
 
     def use(
-        self, servers: list[KnownServer], hosts: int, requests_of_all: int = 0
+        self,
+        servers: list[KnownServer],
+        hosts: int,
+        requests_of_all: int = 0,
+        gatherers: Mapping[str, Sequence[str]] = MappingProxyType({}),
     ) -> None:
-        """Take the usable servers, and the numbers of live hosts and requests or 0."""
+        """Take what is known of the fleet.
+
+        Parameters
+        ----------
+        servers : list of KnownServer
+            Those that may be used.
+        hosts, requests_of_all : int
+            Live hosts and their requests in the last window; 0 if unknown.
+        gatherers : mapping
+            Addresses of hosts that gather parts of queries, by availability zone.
+        """
+        if gatherers != self._gatherers.zones:
+            self._gatherers.zones = gatherers
+            self._limit_connections()
         self.servers.replace(servers)
         self.servers.requests_of_all = requests_of_all
         if hosts != self._hosts:
@@ -146,6 +198,23 @@
             idle_timeout_ms=table.idle_timeout_ms,
         )
 
+    async def gather(self, value: Any) -> Any:
+        """Answer another host for which this one gathers parts.
+
+        Raises
+        ------
+        NotGathering
+            If this host's link is narrow, too.
+        ValueError
+            If the question cannot be read or comes too late.
+        """
+        if self._settings.narrow:
+            raise NotGathering(f"the link has {self._settings.link_mbps} Mbit/s")
+        if not self._gathers:
+            self._gathers = True
+            self._limit_connections()
+        return await self._gatherer.answer(value)
+
     async def handle(self, request: Request) -> Response:
         """Answer one caller's request."""
         await self._warm(request, _LONGEST_WAIT_MS, lambda: self.table is not None)
@@ -215,31 +284,82 @@
             return self._refuse(request, route, "shards_unreachable")
         if not await self._enter(pools[0], route, outgoing):
             return self._refuse(request, route, "no_turn")
-        scatter = Scatter(rule)
-
-        def make_call(shard: str) -> ServiceCall:
-            return self._call(route, shard, outgoing, scatter.part_done)
-
+        scatter = Scatter(rule, self._names.seal.lower())
+        notes: list[GatherNote] = []
         try:
-            await scatter.run(make_call, route.shards)
+            await scatter.run(lambda: self._ask(route, outgoing, scatter, rule, notes))
         except asyncio.CancelledError:
-            self._gone(request, route, *scatter.calls)
+            self._gone(request, route, *scatter.calls, notes=notes)
             raise
         finally:
             pools[0].turnstile.leave(places(pools[0].slots, self._hosts))
-        merged = scatter.merged(route.top_records, self._names.seal.lower())
+        merged = scatter.merged(route.top_records)
         if merged is None:
             late = asyncio.get_running_loop().time() >= rule.final_at
             status = 504 if late else 502
             response = error_response(status, "too few shards answered")
-            return self._end(request, route, response, *scatter.calls)
+            return self._end(request, route, response, *scatter.calls, notes=notes)
         headers: Headers = [
             (self._names.part_seals, b", ".join(merged.seals)),
-            (self._names.missing_parts, b"%d" % len(merged.missing)),
+            (self._names.missing_parts, b"%d" % merged.missing),
             (b"Content-Type", b"application/octet-stream"),
         ]
         response = Response(200, headers, merged.body)
-        return self._end(request, route, response, *scatter.calls)
+        return self._end(request, route, response, *scatter.calls, notes=notes)
+
+    def _ask(
+        self,
+        route: Route,
+        outgoing: Outgoing,
+        scatter: Scatter,
+        rule: AnswerRule,
+        notes: list[GatherNote],
+    ) -> list[Coroutine[Any, Any, None]]:
+        """Ask shards, and return what has other hosts gather parts."""
+        delegations = self._delegations(route)
+        delegated = {shard for d in delegations for shard in d.shards}
+        now = asyncio.get_running_loop().time()
+        for shard in delegated:
+            self.servers.pool(shard).allowance.request(now)
+
+        def ask(shard: str) -> ServiceCall:
+            return self._call(route, shard, outgoing, scatter.part_done)
+
+        def ask_again(shard: str) -> ServiceCall:
+            # The gatherer may have sent a first attempt.
+            attempts = max(1, route.max_attempts - 1)
+            return self._call(
+                route, shard, outgoing, scatter.part_done, "fallback", attempts
+            )
+
+        scatter.ask_shards(ask, [s for s in route.shards if s not in delegated])
+        notes += [GatherNote(d.gatherer, len(d.shards), now) for d in delegations]
+        if self._ask_peer is None:
+            return []
+        return [
+            gather(
+                self._ask_peer,
+                self._gatherers,
+                delegation,
+                route,
+                outgoing,
+                self._timing(route.name, route.target_ms),
+                scatter,
+                rule,
+                note,
+                lambda shards: scatter.ask_shards(ask_again, shards),
+            )
+            for delegation, note in zip(delegations, notes, strict=True)
+        ]
+
+    def _delegations(self, route: Route) -> list[Delegation]:
+        now = asyncio.get_running_loop().time()
+        gatherers = self._gatherers.usable(now)
+        if self._ask_peer is None or not gatherers:
+            return []
+        zones = {s: self.servers.pool(s).good_zones(now) for s in route.shards}
+        own_zone = self._settings.availability_zone
+        return delegate(zones, own_zone, gatherers, self._random)
 
     async def _warm(
         self, request: Request, wait_ms: int, known: Callable[[], bool]
@@ -298,23 +418,47 @@
         service: str,
         outgoing: Outgoing,
         done: Callable[[ServiceCall], None],
+        first: str = "first",
+        max_attempts: int | None = None,
     ) -> ServiceCall:
         return ServiceCall(
             table=self.servers,
             pool=self.servers.pool(service),
             outgoing=outgoing,
             names=self._names,
-            timing=self._timing(route),
+            timing=self._timing(route.name, route.target_ms),
+            metrics=self._metrics,
+            max_attempts=max_attempts or route.max_attempts,
+            random=self._random,
+            done=done,
+            first=first,
+        )
+
+    def _gathered_call(
+        self,
+        shard: str,
+        outgoing: Outgoing,
+        timing: Timing,
+        max_attempts: int,
+        done: Callable[[ServiceCall], None],
+    ) -> ServiceCall:
+        return ServiceCall(
+            table=self.servers,
+            pool=self.servers.pool(shard),
+            outgoing=outgoing,
+            names=self._names,
+            timing=timing,
             metrics=self._metrics,
-            max_attempts=route.max_attempts,
+            max_attempts=max_attempts,
             random=self._random,
             done=done,
+            gathered=True,
         )
 
-    def _timing(self, route: Route) -> Timing:
-        timing = self._timings.get(route.name)
+    def _timing(self, route: str, target_ms: int) -> Timing:
+        timing = self._timings.get(route)
         if timing is None:
-            timing = self._timings[route.name] = Timing(route.target_ms)
+            timing = self._timings[route] = Timing(target_ms)
         return timing
 
     def _rule(self, request: Request, route: Route, outgoing: Outgoing) -> AnswerRule:
@@ -367,7 +511,10 @@
         if self.table is not None:
             services = self.table.services
             limits = {name: s.connection_limit for name, s in services.items()}
-            self.servers.limit_connections(limits, self._hosts)
+            gatherers = 0
+            if self._gathers:
+                gatherers = sum(map(len, self._gatherers.zones.values()))
+            self.servers.limit_connections(limits, self._hosts, gatherers)
 
     def _refuse(
         self, request: Request, route: Route | None, reason: str, *calls: ServiceCall
@@ -377,8 +524,14 @@
         response = error_response(503, reason, retry_after_s=pause_s)
         return self._end(request, route, response, *calls)
 
-    def _gone(self, request: Request, route: Route, *calls: ServiceCall) -> None:
-        self._observe(request, route, "caller_left", b"", calls)
+    def _gone(
+        self,
+        request: Request,
+        route: Route,
+        *calls: ServiceCall,
+        notes: Sequence[GatherNote] = (),
+    ) -> None:
+        self._observe(request, route, "caller_left", b"", calls, notes)
 
     def _end(
         self,
@@ -386,10 +539,11 @@
         route: Route | None,
         response: Response,
         *calls: ServiceCall,
+        notes: Sequence[GatherNote] = (),
     ) -> Response:
         own = response.header(self._names.seal.lower()) is None
         reason = response.body if own and response.status >= _FIRST_ERROR else b""
-        self._observe(request, route, str(response.status), reason, calls)
+        self._observe(request, route, str(response.status), reason, calls, notes)
         return response
 
     def _observe(
@@ -399,6 +553,7 @@
         outcome: str,
         reason: bytes,
         calls: tuple[ServiceCall, ...],
+        notes: Sequence[GatherNote],
     ) -> None:
         """Count the request, and write its line if its kind is within its rate."""
         now = asyncio.get_running_loop().time()
@@ -425,44 +580,19 @@
                 "calls": [
                     note
                     for call in calls
-                    if kind != "request" or call is last or not _is_plain(call)
-                    for note in _notes(call, request)
+                    if kind != "request" or call is last or not call.plain
+                    for note in call.notes(request.received_at)
                 ],
+                "gathered": [note.fields(request.received_at) for note in notes],
             },
             always=True,
         )
 
 
-def _is_plain(call: ServiceCall) -> bool:
-    """Return whether the first attempt succeeded and no other one was wanted."""
-    ending = call.ending
-    return ending.good and len(ending.attempts) == 1 and not ending.denied
-
-
 def _ended_at(call: ServiceCall) -> float:
     return max((note.ended_at for note in call.ending.attempts), default=0.0)
 
 
-def _notes(call: ServiceCall, request: Request) -> list[dict[str, str | float | None]]:
-    """Return what the line says of one call's attempts."""
-    ending = call.ending
-    notes: list[dict[str, str | float | None]] = [
-        {
-            "service": call.service,
-            "server": note.server,
-            "why": note.why,
-            "sent_ms": _ms(note.sent_at - request.received_at),
-            "expected_ms": _ms(note.expected_s),
-            "took_ms": _ms(note.ended_at - note.sent_at) if note.ended_at else None,
-            "outcome": note.outcome,
-        }
-        for note in ending.attempts
-    ]
-    for why in ending.denied:
-        notes.append({"service": call.service, "why": why, "outcome": "no_allowance"})
-    return notes
-
-
 def _ms(seconds: float) -> float:
     return round(seconds * _MS_PER_S, 1)
 
--- a/packages/gateway/src/kingcuplug_gateway/_scatter.py
+++ b/packages/gateway/src/kingcuplug_gateway/_scatter.py
@@ -1,9 +1,10 @@
 """One query over all shards of a route, merged into one answer."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine, Iterable, Sequence
 from dataclasses import dataclass
 from heapq import nlargest
+from typing import Any
 
 from kingcuplug_routing import AnswerRule
 
@@ -22,12 +23,12 @@
     ----------
     seals : list of bytes
         Signatures of the parts.
-    missing : list of str
-        Shards that are left out.
+    missing : int
+        Number of shards that are left out.
     """
 
     seals: list[bytes]
-    missing: list[str]
+    missing: int
     body: bytes
 
 
@@ -45,38 +46,43 @@
 
 
 class Scatter:
-    """Asks every shard and decides when the answer is complete enough.
+    """Takes the parts of one query and decides when the answer is complete enough.
 
     Parameters
     ----------
+    seal_name : bytes
+        Header of a part's signature, in lower case.
+
+    Attributes
+    ----------
     calls : list of ServiceCall
-        One for each shard, not yet started.
+        To the shards that this host asks itself.
     """
 
-    def __init__(self, rule: AnswerRule) -> None:
+    def __init__(self, rule: AnswerRule, seal_name: bytes) -> None:
+        self._seal_name = seal_name
         self._loop = asyncio.get_running_loop()
         self._rule = rule
         self._finished: asyncio.Future[None] = self._loop.create_future()
         self._timers: list[asyncio.TimerHandle] = []
+        self._tasks: list[asyncio.Task[None]] = []
         self._open = rule.total
         self._included = 0
+        self._seals: list[bytes] = []
+        self._bodies: list[bytes] = []
         self._hurried = False
         self.calls: list[ServiceCall] = []
 
-    async def run(
-        self, make_call: Callable[[str], ServiceCall], shards: tuple[str, ...]
-    ) -> None:
+    async def run(self, ask: Callable[[], list[Coroutine[Any, Any, None]]]) -> None:
         """Return when the query is to be answered with what is in.
 
         Parameters
         ----------
-        make_call : callable
-            Makes the call to one shard; its `done` must be `part_done`.
+        ask : callable
+            Starts the calls of `ask_shards`, and returns what gathers other parts.
         """
-        self.calls = [make_call(shard) for shard in shards]
         try:
-            for call in self.calls:
-                call.start()
+            self._tasks = [asyncio.ensure_future(work) for work in ask()]
             self._arm()
             await self._finished
         finally:
@@ -84,27 +90,44 @@
                 cancelled=not self._finished.done() or self._finished.cancelled()
             )
 
+    def ask_shards(
+        self, make_call: Callable[[str], ServiceCall], shards: Iterable[str]
+    ) -> None:
+        """Ask shards for their parts; the calls' `done` must be `part_done`."""
+        calls = [make_call(shard) for shard in shards]
+        self.calls += calls
+        for call in calls:
+            call.start()
+
     def part_done(self, call: ServiceCall) -> None:
         """Take the end of one shard's call."""
-        self._open -= 1
-        self._included += call.ending.good
-        self._check()
+        response = call.ending.response
+        if call.ending.good and response is not None:
+            self.add([response.fields[self._seal_name]], response.body)
+        else:
+            self.lose(1)
         if not self._hurried and 0 < self._open <= self._rule.stragglers:
             self._hurry()
 
-    def merged(self, top: int, seal_name: bytes) -> Merged | None:
+    def add(self, seals: Sequence[bytes], body: bytes) -> None:
+        """Take parts that have come in: their signatures and their best records."""
+        self._seals += seals
+        self._bodies.append(body)
+        self._included += len(seals)
+        self._open -= len(seals)
+        self._check()
+
+    def lose(self, shards: int) -> None:
+        """Take the news that some shards will not answer."""
+        self._open -= shards
+        self._check()
+
+    def merged(self, top: int) -> Merged | None:
         """Return the merged answer, or ``None`` if too few shards are in."""
         if self._included < self._rule.needed:
             return None
-        seals, bodies, missing = [], [], []
-        for call in self.calls:
-            response = call.ending.response
-            if not call.ending.good or response is None:
-                missing.append(call.service)
-                continue
-            seals.append(response.fields[seal_name])
-            bodies.append(response.body)
-        return Merged(seals, missing, merge_records(bodies, top))
+        missing = self._rule.total - self._included
+        return Merged(self._seals, missing, merge_records(self._bodies, top))
 
     def _hurry(self) -> None:
         """Ask the last shards again soon, now that most of them have answered."""
@@ -132,6 +155,8 @@
     def _stop(self, cancelled: bool) -> None:
         for timer in self._timers:
             timer.cancel()
+        for task in self._tasks:
+            task.cancel()
         for call in self.calls:
             if not call.over:
                 call.cancel(linger=not cancelled)
--- a/packages/gateway/src/kingcuplug_gateway/_servers.py
+++ b/packages/gateway/src/kingcuplug_gateway/_servers.py
@@ -25,6 +25,12 @@
 # Assumed until a control host says how many there are: too many connections at once
 # are reset by the servers.
 _UNKNOWN_HOSTS = 100
+# Of the common bound on retries, what gatherers use; the hosts that they gather for
+# keep the rest for gatherers that do not answer.
+_GATHER_SHARE = 0.7
+# Of a server's connections, what all gatherers use together; other hosts hold at most
+# one each, and only while gatherers do not answer.
+_GATHER_CONNECTIONS = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,11 +71,16 @@
     """Servers of one service, and the retries that it bears."""
 
     def __init__(
-        self, name: str, allowance: AllowanceSettings, random: random_module.Random
+        self,
+        name: str,
+        allowance: AllowanceSettings,
+        random: random_module.Random,
+        share: float,
     ) -> None:
         self.name = name
         self.servers: dict[str, Server] = {}
-        self.allowance = RetryAllowance(allowance, random)
+        self.allowance = RetryAllowance(allowance, random, share)
+        self.gather_allowance = RetryAllowance(allowance, random, _GATHER_SHARE)
         self.turnstile = Turnstile()
 
     @property
@@ -83,6 +94,16 @@
             s for identifier, s in self.servers.items() if identifier not in excluded
         ]
 
+    def good_zones(self, now: float) -> set[str]:
+        """Return the availability zones in which a server is not known to be bad."""
+        return {
+            server.known.availability_zone
+            for server in self.servers.values()
+            if not server.known.silent
+            and server.known.pace <= 1.0
+            and now >= server.state.paused_until
+        }
+
     def reachable(self, now: float) -> bool:
         """Return whether some server is not known to refuse connections."""
         return any(now >= s.state.paused_until for s in self.servers.values())
@@ -95,6 +116,8 @@
     ----------
     availability_zone : str
         The host's own.
+    delegates : bool
+        Whether other hosts gather the parts of queries for this one.
 
     Attributes
     ----------
@@ -109,8 +132,10 @@
         availability_zone: str,
         allowance: AllowanceSettings,
         random: random_module.Random,
+        delegates: bool = False,
     ) -> None:
         self._random = random
+        self._share = 1 - _GATHER_SHARE if delegates else 1.0
         self._zone = availability_zone
         self._allowance = allowance
         self._pools: dict[str, ServicePool] = {}
@@ -118,6 +143,7 @@
         self._requests = WindowCount(allowance.window_s)
         self._reported = 0
         self._part = 0.0
+        self._gatherers = 0
         self.hosts = 0
         self.requests_of_all = 0
 
@@ -126,8 +152,17 @@
         self._requests.add(now)
         self._reported += 1
 
-    def retry_part(self, now: float) -> float:
-        """Return this host's part of the retries that all hosts share."""
+    def retry_part(self, now: float, gathered: bool = False) -> float:
+        """Return this host's part of the retries that all hosts share.
+
+        Parameters
+        ----------
+        gathered : bool
+            Of the retries for queries of other hosts, which spread evenly over the
+            gatherers.
+        """
+        if gathered:
+            return 1 / self._gatherers if self._gatherers else 0.0
         if self.requests_of_all > 0:
             own = self._requests.total(now)
             self._part = fixed_part(own, self.requests_of_all, self.hosts)
@@ -146,13 +181,22 @@
         pool = self._pools.get(service)
         if pool is None:
             pool = self._pools[service] = ServicePool(
-                service, self._allowance, self._random
+                service, self._allowance, self._random, self._share
             )
         return pool
 
-    def limit_connections(self, limits: dict[str, int], hosts: int) -> None:
-        """Take the services' connection limits and the number of hosts."""
+    def limit_connections(
+        self, limits: dict[str, int], hosts: int, gatherers: int = 0
+    ) -> None:
+        """Take the services' connection limits and the number of hosts.
+
+        Parameters
+        ----------
+        gatherers : int
+            Number of gatherers if this host is one.
+        """
         self.hosts = hosts
+        self._gatherers = gatherers
         self._limits = limits
         for pool in self._pools.values():
             limit = self._limit(pool.name)
@@ -211,4 +255,7 @@
         total = self._limits.get(service)
         if total is None:
             return 1
-        return max(1, int(total * _LIMIT_SHARE / (self.hosts or _UNKNOWN_HOSTS)))
+        even = int(total * _LIMIT_SHARE / (self.hosts or _UNKNOWN_HOSTS))
+        if self._gatherers:
+            even = max(even, int(total * _GATHER_CONNECTIONS / self._gatherers))
+        return max(1, even)
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -40,6 +40,7 @@
     GatewaySettings,
     HeaderNames,
     KnownServer,
+    NotGathering,
     RouteTable,
 )
 from kingcuplug_http import Limits, Listener, Request, Response, error_response
@@ -50,6 +51,7 @@
 __all__ = ["Elsewhere", "Host"]
 
 _PEER_PREFIX = b"/peer/"
+_GATHER_PATH = "/peer/v2/gather"
 _MS_PER_S = 1_000
 # Statements that are missing for this many intervals make a server silent.
 _SILENT_INTERVALS = 3.5
@@ -120,9 +122,11 @@
                 names,
                 settings.allowance,
                 answer_margin_ms=_MARGIN_MS + _MERGE_CORE_MS / settings.processor_cores,
+                link_mbps=settings.link_mbps,
             ),
             log,
             self._metrics,
+            ask_peer=self._ask_gatherer,
         )
         self._front = Listener(self._serve, self._gateway.limits)
         self._core = self._make_core()
@@ -366,6 +370,9 @@
 
         return handle
 
+    async def _ask_gatherer(self, address: str, value: Any, timeout_s: float) -> Any:
+        return await self._peers.call(address, _GATHER_PATH, value, timeout_s)
+
     async def _answer_peer(self, request: Request) -> Response:
         path = request.target.decode("latin-1")
         try:
@@ -374,7 +381,13 @@
             reply = await self._peer_reply(path, value)
         except (KeyError, TypeError, ValueError) as error:
             return error_response(400, f"malformed call: {error!r}")
-        except (CoreUnavailable, PeerFailed, NotLeader, LostLeadership) as error:
+        except (
+            CoreUnavailable,
+            NotGathering,
+            PeerFailed,
+            NotLeader,
+            LostLeadership,
+        ) as error:
             return error_response(503, str(error))
         except (StorageFailed, TimeoutError) as error:
             return error_response(503, repr(error))
@@ -384,6 +397,8 @@
         if path == LEARN_PATH:
             own = self._settings.control_address
             return await teach(self._knowledge, self._knows_all, own, value)
+        if path == _GATHER_PATH:
+            return await self._gateway.gather(value)
         if path == REPORT_PATH:
             self._mesh.take_report(Report.from_json(value))
             return {}
@@ -431,6 +446,7 @@
                 frozenset(knowledge.slow.items()),
                 knowledge.hosts,
                 knowledge.requests,
+                knowledge.reachable,
             )
 
         while True:
@@ -468,7 +484,12 @@
             )
             for record in knowledge.directory.usable()
         ]
-        self._gateway.use(known, knowledge.hosts, knowledge.requests)
+        # Control hosts gather parts for hosts with narrow links.
+        gatherers: dict[str, list[str]] = {}
+        for address in knowledge.reachable:
+            zone = knowledge.zones.get(address, "")
+            gatherers.setdefault(zone, []).append(address)
+        self._gateway.use(known, knowledge.hosts, knowledge.requests, gatherers)
 
     async def _follow_core(self, core: Core) -> None:
         while True:
--- a/packages/node/src/kingcuplug_node/_settings.py
+++ b/packages/node/src/kingcuplug_node/_settings.py
@@ -1,5 +1,6 @@
 """Settings of a host that serves callers and control at once."""
 
+import math
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -38,6 +39,8 @@
         second case.
     processor_cores : float
         Share of processor cores that the host may use.
+    link_mbps : float
+        Bandwidth of the host's link, infinite if nothing limits it.
     """
 
     host: str
@@ -53,6 +56,7 @@
     grace_ms: int
     allowance: AllowanceSettings
     processor_cores: float = 1.0
+    link_mbps: float = math.inf
     control_bind_address: str | None = None
     serve_without_control: bool = True
     control_lease_ms: int = 3_000
--- a/packages/routing/src/kingcuplug_routing/__init__.py
+++ b/packages/routing/src/kingcuplug_routing/__init__.py
@@ -10,6 +10,7 @@
 from kingcuplug_routing._blames import Blame, CrashGuardSettings
 from kingcuplug_routing._completeness import AnswerRule
 from kingcuplug_routing._crash_guard import CrashGuard
+from kingcuplug_routing._delegation import Delegation, delegate
 from kingcuplug_routing._paces import PaceBoard, Samples
 from kingcuplug_routing._policy import RoutingPolicy, baseline_policy
 from kingcuplug_routing._replicas import ReplicaState, choose_replica
@@ -44,6 +45,7 @@
     "Blame",
     "CrashGuard",
     "CrashGuardSettings",
+    "Delegation",
     "Holding",
     "HoldingView",
     "PaceBoard",
@@ -61,6 +63,7 @@
     "WindowCount",
     "baseline_policy",
     "choose_replica",
+    "delegate",
     "fixed_part",
     "least_expected_time",
     "least_in_flight",
--- a/packages/routing/src/kingcuplug_routing/_allowance.py
+++ b/packages/routing/src/kingcuplug_routing/_allowance.py
@@ -101,15 +101,22 @@
 
     Parameters
     ----------
+    share : float
+        Share of the common bound from which this one is taken. Where hosts gather
+        for others, both the gatherer and the host that asks count a request.
     random : Random
         Rounds what a host may add, which is often less than one attempt, up at some
         hosts and down at others, so that the sum over all hosts stays the same.
     """
 
     def __init__(
-        self, settings: AllowanceSettings, random: random_module.Random
+        self,
+        settings: AllowanceSettings,
+        random: random_module.Random,
+        share: float = 1.0,
     ) -> None:
         self._settings = settings
+        self._share = share
         self._rounding = random.random()
         self._requests = WindowCount(settings.window_s)
         self._extra = WindowCount(settings.window_s)
@@ -130,7 +137,7 @@
         """
         settings = self._settings
         allowed = self._requests.total(now) * settings.ratio + settings.fixed * part
-        allowed *= _SAFE_SHARE * (_HEDGE_SHARE if hedge else 1.0)
+        allowed *= self._share * _SAFE_SHARE * (_HEDGE_SHARE if hedge else 1.0)
         if self._extra.total(now) + 1 > allowed + self._rounding:
             return False
         self._extra.add(now)
--- a/packages/routing/src/kingcuplug_routing/_timing.py
+++ b/packages/routing/src/kingcuplug_routing/_timing.py
@@ -42,8 +42,13 @@
         else:
             self._late_s *= 1 - _QUANTILE_STEP * (1 - _QUANTILE)
 
+    @property
+    def latest_hedge_after_s(self) -> float:
+        """Greatest value of `hedge_after_s`, here and at other hosts."""
+        return self._target_s * _LATEST_SHARE_OF_TARGET
+
     @property
     def hedge_after_s(self) -> float:
         """Age of an attempt at which a second one goes out."""
         late_s = max(self._late_s * _LATE_FACTOR, _SHORTEST_HEDGE_S)
-        return min(late_s, self._target_s * _LATEST_SHARE_OF_TARGET)
+        return min(late_s, self.latest_hedge_after_s)
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import os
 import random
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -126,11 +127,17 @@
 
 @asynccontextmanager
 async def _world(
-    allowance: AllowanceSettings | None = None, warm: bool = True
+    allowance: AllowanceSettings | None = None,
+    warm: bool = True,
+    link_mbps: float = math.inf,
 ) -> AsyncIterator[World]:
     reader, writer = os.pipe()
     settings = GatewaySettings(
-        "z", NAMES, allowance or AllowanceSettings(), caller_delay_ms=0
+        "z",
+        NAMES,
+        allowance or AllowanceSettings(),
+        caller_delay_ms=0,
+        link_mbps=link_mbps,
     )
     log = EventLog(writer, "host")
     gateway = Gateway(settings, log, Metrics(), random.Random(3))
