--- a/packages/cli/src/kingcuplug_cli/_explain.py
+++ b/packages/cli/src/kingcuplug_cli/_explain.py
@@ -20,7 +20,7 @@
 _US_PER_S = 1_000_000
 # Beliefs older than this are shown only if nothing newer replaced them.
 _RECENT_US = 30 * _US_PER_S
-_REQUEST_EVENTS = frozenset(("request", "request_failed"))
+_REQUEST_EVENTS = frozenset(("request", "request_failed", "gathered"))
 # The newest line of each of these before a request is what its host believed.
 _BELIEFS = (
     "started",
@@ -32,9 +32,12 @@
     "members_changed",
     "storage_unusable",
     "settings_reloaded",
+    "gatherer_left",
 )
 _SERVER_EVENT = "server_learnt"
-_META = frozenset(("event", "host", "time_us", "monotonic_us", "id", "calls"))
+_META = frozenset(
+    ("event", "host", "time_us", "monotonic_us", "id", "calls", "gathered")
+)
 
 Line = dict[str, Any]
 
@@ -70,6 +73,8 @@
             yield f"{line['host']}: {line['event']} {_fields(line)}"
             for call in line.get("calls", ()):
                 yield f"  attempt {_fields(call)}"
+            for gathering in line.get("gathered", ()):
+                yield f"  gathering {_fields(gathering)}"
             for belief in step.beliefs:
                 known = f"{belief.line['host']} {belief.line['event']}"
                 age = f"known for {belief.age_ms:.0f} ms"
--- a/packages/fleet/src/kingcuplug_fleet/_peers.py
+++ b/packages/fleet/src/kingcuplug_fleet/_peers.py
@@ -78,6 +78,9 @@
                 raise ConnectionError(f"status {response.status}")
             return decode_body(response.header(b"content-encoding"), response.body)
         except (OSError, ValueError) as error:
+            # A call that got no answer may show that all connections are dead.
+            for connection in self._idle.pop(address, []):
+                connection.close()
             reason = str(error) or type(error).__name__
             raise PeerFailed(
                 f"{address}{path}: {reason}", "another host will be asked"
@@ -103,10 +106,7 @@
         try:
             response = await reply.response
         except BaseException:
-            # A call that got no answer may show that all connections are dead.
             connection.abandon()
-            for other in self._idle.pop(address, []):
-                other.close()
             raise
         if connection.usable:
             self._idle.setdefault(address, []).append(connection)
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -71,3 +71,22 @@
     run = program("explain", "nobody", *log_files)
     assert run.code == 1
     assert "suppressed" in run.err
+
+
+def test_story_follows_a_request_to_the_host_that_gathered_for_it(
+    program: Any, tmp_path: Path
+):
+    """Guards against a late part whose cause stands in another host's line."""
+    gathering = {"gatherer": "b:1", "shards": 9, "outcome": "gathered"}
+    call = {"service": "s", "server": "i-1", "why": "hedge", "outcome": "open"}
+    lines = [
+        _line("b", "gathered", 900, id="q", calls=[call], ended="left"),
+        _line("a", "gatherer_left", 800, address="c:1"),
+        _line("a", "request", 1_000, id="q", calls=[], gathered=[gathering]),
+    ]
+    path = tmp_path / "all.log"
+    path.write_text("\n".join(lines))
+    out = program("explain", "q", str(path)).out
+    assert "gathering gatherer=b:1 shards=9" in out
+    assert "attempt service=s server=i-1 why=hedge" in out
+    assert "gatherer_left address=c:1" in out
