--- a/packages/gateway/src/kingcuplug_gateway/_call.py
+++ b/packages/gateway/src/kingcuplug_gateway/_call.py
@@ -343,7 +343,15 @@
 class _Attempt:
     """One request at one server."""
 
-    __slots__ = ("_call", "_connection", "_names", "note", "server", "wanted")
+    __slots__ = (
+        "_call",
+        "_connection",
+        "_names",
+        "bodiless",
+        "note",
+        "server",
+        "wanted",
+    )
 
     def __init__(
         self, call: ServiceCall, server: Server, names: HeaderNames, note: AttemptNote
@@ -354,6 +362,7 @@
         self.note = note
         self.server = server
         self.wanted = True
+        self.bodiless = call.outgoing.bodiless
 
     def encode(self) -> bytes:
         outgoing, names = self._call.outgoing, self._names
--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -609,4 +609,5 @@
 
 def _relayed(response: Response) -> Response:
     """Return a server's response as it goes to the caller."""
-    return Response(response.status, end_to_end(response.headers), response.body)
+    headers = end_to_end(response.headers)
+    return Response(response.status, headers, response.body, response.fields)
--- a/packages/gateway/src/kingcuplug_gateway/_pool.py
+++ b/packages/gateway/src/kingcuplug_gateway/_pool.py
@@ -26,9 +26,12 @@
     ----------
     wanted : bool
         Whether it is still to be sent once there is a connection.
+    bodiless : bool
+        Whether the response has no body whatever its headers say.
     """
 
     wanted: bool
+    bodiless: bool
 
     def encode(self) -> bytes:
         """Return the bytes of the request, made when they are sent."""
@@ -125,7 +128,7 @@
             self.release(connection)
             return
         pending.sent(connection)
-        connection.send(pending.encode(), pending)
+        connection.send(pending.encode(), pending, pending.bodiless)
 
     def _open(self, pending: Pending) -> None:
         self._busy += 1
--- a/packages/http/src/kingcuplug_http/_messages.py
+++ b/packages/http/src/kingcuplug_http/_messages.py
@@ -109,7 +109,11 @@
     lines = [b"HTTP/1.1 %d %s\r\n" % (response.status, reason)]
     lines += [b"%s: %s\r\n" % pair for pair in response.headers]
     if response.status not in _BODILESS_STATUS:
-        lines.append(b"Content-Length: %d\r\n" % len(response.body))
+        length = b"%d" % len(response.body)
+        if head:
+            # What a GET would have been answered with, as the server says.
+            length = response.fields.get(b"content-length", length)
+        lines.append(b"Content-Length: %s\r\n" % length)
     if close:
         lines.append(b"Connection: close\r\n")
     lines.append(b"\r\n")
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -5,7 +5,7 @@
 from socket import SO_LINGER, SOL_SOCKET
 
 import pytest
-from kingcuplug_http import Request, Response
+from kingcuplug_http import Request, Response, encode_response
 
 from .conftest import make_route, sealed
 
@@ -302,3 +302,24 @@
     first, second = asyncio.run(run())
     assert abs(first - 30) <= 1
     assert abs(second - 10) <= 1
+
+
+def test_answer_to_head_has_a_length_but_no_body(open_world):
+    """Guards against waiting until the deadline for a body that never comes."""
+
+    async def run() -> None:
+        async with open_world() as world:
+
+            async def stock(request: Request) -> Response:
+                return sealed(b"0123456789")
+
+            await world.add("stock", stock)
+            world.adopt(make_route(timeout_ms=1_500))
+            response = await world.ask(method="HEAD")
+            assert response.status == 200
+            assert response.body == b""
+            sent = encode_response(response, close=False, head=True)
+            assert b"Content-Length: 10\r\n" in sent
+            assert sent.endswith(b"\r\n\r\n")
+
+    asyncio.run(run())
