--- a/tests/platform_formats/test_formats.py
+++ b/tests/platform_formats/test_formats.py
@@ -1,5 +1,6 @@
 """What the platform's messages mean, and which of them are refused."""
 
+import contextlib
 import json
 from typing import Any
 
@@ -167,3 +168,35 @@
     query |= {"fanout_services": ["s", "t"], "top_k": 5, "minimum": 0.5}
     table = decode_document(_document(routes=[ROUTE, query]))
     assert decode_document(encode_document(table)) == table
+
+
+_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=3),
+    lambda children: (
+        st.lists(children, max_size=2)
+        | st.dictionaries(st.sampled_from(("name", "weight", "service")), children)
+    ),
+    max_leaves=4,
+)
+_QUERY = {**ROUTE, "fanout_services": ["s", "t"], "top_k": 5, "minimum": 0.75}
+
+
+@given(st.sampled_from(sorted(_QUERY)), _JSON)
+def test_document_with_any_odd_field_is_taken_or_refused(name, value):
+    """Guards against a document that ends in an internal error.
+
+    An operator who gets no clear answer sends the same document for ever.
+    """
+    document = _document(routes=[{**_QUERY, name: value}])
+    with contextlib.suppress(DocumentInvalid):
+        assert decode_document(document).version == 7
+
+
+@given(
+    st.sampled_from(("routes", "services", "limits", "version")),
+    _JSON,
+)
+def test_document_with_any_odd_section_is_taken_or_refused(name, value):
+    """Guards against a section of another type that ends in an internal error."""
+    with contextlib.suppress(DocumentInvalid):
+        decode_document(_document(**{name: value}))
