--- a/packages/fleet/src/kingcuplug_fleet/__init__.py
+++ b/packages/fleet/src/kingcuplug_fleet/__init__.py
@@ -6,7 +6,7 @@
 from kingcuplug_fleet._knowledge import Knowledge
 from kingcuplug_fleet._learning import LEARN_PATH, Learner, teach
 from kingcuplug_fleet._mesh import REPORT_PATH, SHARE_PATH, Mesh
-from kingcuplug_fleet._mesh_messages import Report
+from kingcuplug_fleet._mesh_messages import Report, ShareMessage
 from kingcuplug_fleet._peers import PeerFailed, Peers, decode_body, encode_body
 from kingcuplug_fleet._records import ServerRecord, ServerState
 from kingcuplug_fleet._register import RouteRegister
@@ -31,6 +31,7 @@
     "RouteRegister",
     "ServerRecord",
     "ServerState",
+    "ShareMessage",
     "decode_body",
     "encode_body",
     "next_change",
--- a/packages/soak/src/kingcuplug_soak/_hosts.py
+++ b/packages/soak/src/kingcuplug_soak/_hosts.py
@@ -123,6 +123,8 @@
                 "first_start": True,
                 "data_directory": str(folder / name) if number < disks else None,
                 "heartbeat_interval_ms": 800,
+                # Hosts without a disk have control hosts gather for them.
+                "limits": {"link_mbps": 1_000.0 if number < disks else 7.0},
                 "bounds": {
                     "grace_s": 6,
                     "retry_budget_ratio": 0.2,
--- a/tools/measure_fleet.py
+++ b/tools/measure_fleet.py
@@ -1,14 +1,24 @@
 """Sizes and processor time of the fleet's control messages, in one process."""
 
 import asyncio
+import random
 import time
 
 import orjson
-from kingcuplug_fleet import Directory, Knowledge, ServerRecord, ServerState, teach
+from kingcuplug_fleet import (
+    Directory,
+    Knowledge,
+    ServerRecord,
+    ServerState,
+    ShareMessage,
+    encode_body,
+    teach,
+)
 from kingcuplug_platform import decode_statement
 from kingcuplug_routing import PaceBoard
 
 SERVERS = (1_000, 10_000, 57_000)
+HEARD = 1_839  # 57,000 servers over 31 control hosts.
 STATEMENT = orjson.dumps(
     {
         "service": "service-1",
@@ -26,7 +36,7 @@
 
 def record(number: int, sequence: int = 1) -> ServerRecord:
     """Return the statement of one of many servers."""
-    address = f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:8080"
+    address = f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}:8080"
     return ServerRecord(
         f"i-{number:010x}",
         1_787_052_846_096,
@@ -86,16 +96,32 @@
         "cursor": 0,
         "routes": 0,
         "servers": [],
-        "silent": [],
-        "slow": {},
-        "control": list(knowledge.control),
-        "hosts": 0,
+        "digest": 0,
+        "state_key": knowledge.state_key(),
+        "zone": "zone-a",
         "wait": False,
     }
     begun = time.process_time()
     for _ in range(2_000):
-        reply = await teach(knowledge, bool, poll)
+        reply = await teach(knowledge, lambda: True, "10.1.0.1:8224", poll)
     spent = time.process_time() - begun
+    # Ids are random, and start times spread, or the bytes would deflate too well.
+    source = random.Random(1)
+    heard = {
+        f"i-{source.getrandbits(40):010x}": (
+            1_787_052_846_096 + source.randrange(10**9),
+            source.randrange(10**4),
+        )
+        for _ in range(HEARD)
+    }
+    report = ShareMessage("10.1.0.1:8224", "zone-a", 2**63, heard=heard)
+    begun = time.process_time()
+    _, body = encode_body(report.to_json())
+    spent_ms = (time.process_time() - begun) * 1e3
+    print(f"report {HEARD} heard servers: {len(body)} B, {spent_ms:.1f} ms to encode")
+    records = [record(source.getrandbits(40)).to_json() for _ in range(1_000)]
+    plain, deflated = len(orjson.dumps(records)), len(encode_body(records)[1])
+    print(f"1,000 records: {plain} B, deflated {deflated} B")
     print(
         f"answer a poll: {spent / 2_000 * 1e6:.0f} us, "
         f"{len(orjson.dumps(poll))} B and {len(orjson.dumps(reply))} B"
