--- a/packages/gateway/src/kingcuplug_gateway/__init__.py
+++ b/packages/gateway/src/kingcuplug_gateway/__init__.py
@@ -1,6 +1,6 @@
 """Routes, and the way of a caller's request through backend servers."""
 
-from kingcuplug_gateway._gateway import Gateway, GatewaySettings, NotGathering
+from kingcuplug_gateway._gateway import Gateway, NotGathering
 from kingcuplug_gateway._protocol import HeaderNames
 from kingcuplug_gateway._routes import (
     Route,
@@ -10,6 +10,7 @@
 )
 from kingcuplug_gateway._scatter import RECORD_BYTES, merge_records
 from kingcuplug_gateway._servers import KnownServer
+from kingcuplug_gateway._settings import GatewaySettings
 
 __all__ = [
     "RECORD_BYTES",
--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -1,10 +1,8 @@
 """The way of one caller's request: route, servers, answer."""
 
 import asyncio
-import math
 import random as random_module
 from collections.abc import Callable, Coroutine, Mapping, Sequence
-from dataclasses import dataclass
 from types import MappingProxyType
 from typing import Any
 
@@ -18,7 +16,6 @@
     error_response,
 )
 from kingcuplug_routing import (
-    AllowanceSettings,
     AnswerRule,
     Delegation,
     Timing,
@@ -30,13 +27,14 @@
 from kingcuplug_gateway._call import Outgoing, ServiceCall
 from kingcuplug_gateway._gatherer import Gatherer
 from kingcuplug_gateway._gathering import AskPeer, Gatherers, GatherNote, gather
-from kingcuplug_gateway._protocol import HeaderNames
+from kingcuplug_gateway._request_log import Ended, RequestLog
 from kingcuplug_gateway._routes import Route, RouteTable
 from kingcuplug_gateway._scatter import Scatter
 from kingcuplug_gateway._servers import KnownServer, ServerTable, ServicePool
+from kingcuplug_gateway._settings import GatewaySettings
 from kingcuplug_gateway._split import WeightedTurn
 
-__all__ = ["Gateway", "GatewaySettings", "NotGathering"]
+__all__ = ["Gateway", "NotGathering"]
 
 _MS_PER_S = 1_000
 _FIRST_ERROR = 400
@@ -50,39 +48,6 @@
 # Bounds the wait of requests that come before the routes, with their timeouts, are
 # known.
 _LONGEST_WAIT_MS = 10_000
-_DEFAULT_ALLOWANCE = AllowanceSettings()
-# Thirty-six parts of 1.2 KB take 7 ms at 50 Mbit/s, about the margin of an answer.
-_NARROW_LINK_MBPS = 50.0
-
-
-@dataclass(frozen=True, slots=True)
-class GatewaySettings:
-    """Settings of the request path.
-
-    Attributes
-    ----------
-    availability_zone : str
-        The host's own.
-    caller_delay_ms : float
-        One way between callers and this host; an answer must leave earlier by it.
-    answer_margin_ms : float
-        Time to merge and write an answer, kept free before a deadline.
-    link_mbps : float
-        Of this host. A narrow link has other hosts gather the parts of queries, a
-        wide one lets this host gather for others.
-    """
-
-    availability_zone: str
-    names: HeaderNames
-    allowance: AllowanceSettings = _DEFAULT_ALLOWANCE
-    caller_delay_ms: float = 3.0
-    answer_margin_ms: float = 4.0
-    link_mbps: float = math.inf
-
-    @property
-    def narrow(self) -> bool:
-        """Whether the parts of one query fill the link for long."""
-        return self.link_mbps < _NARROW_LINK_MBPS
 
 
 class NotGathering(KingcuplugError):
@@ -116,8 +81,8 @@
         self._gatherers = Gatherers(log)
         self._gathers = False
         self._names = settings.names
-        self._log = log
         self._metrics = metrics
+        self._request_log = RequestLog(self._names.attempt_id.lower(), log, metrics)
         self._random = random or random_module.Random()
         self._timings: dict[str, Timing] = {}
         self._turns: dict[str, WeightedTurn] = {}
@@ -143,7 +108,10 @@
             delegates=self._ask_peer is not None,
         )
         self._gatherer = Gatherer(
-            self._gathered_call, self._timing, self._names.seal.lower(), log
+            partial(self._call, gathered=True),
+            self._timing,
+            self._names.seal.lower(),
+            log,
         )
 
     def adopt(self, table: RouteTable) -> bool:
@@ -247,7 +215,8 @@
                 finished.set_result(None)
 
         outgoing = self._outgoing(request, route)
-        call = self._call(route, service, outgoing, done)
+        timing = self._timing(route.name, route.target_ms)
+        call = self._call(service, outgoing, timing, route.max_attempts, done)
         if not await self._enter(pool, route, outgoing):
             return self._refuse(request, route, "no_turn")
         call.start()
@@ -322,14 +291,18 @@
         for shard in delegated:
             self.servers.pool(shard).allowance.request(now)
 
+        timing = self._timing(route.name, route.target_ms)
+
         def ask(shard: str) -> ServiceCall:
-            return self._call(route, shard, outgoing, scatter.part_done)
+            return self._call(
+                shard, outgoing, timing, route.max_attempts, scatter.part_done
+            )
 
         def ask_again(shard: str) -> ServiceCall:
             # The gatherer may have sent a first attempt.
             attempts = max(1, route.max_attempts - 1)
             return self._call(
-                route, shard, outgoing, scatter.part_done, "fallback", attempts
+                shard, outgoing, timing, attempts, scatter.part_done, "fallback"
             )
 
         scatter.ask_shards(ask, [s for s in route.shards if s not in delegated])
@@ -343,7 +316,7 @@
                 delegation,
                 route,
                 outgoing,
-                self._timing(route.name, route.target_ms),
+                timing,
                 scatter,
                 rule,
                 note,
@@ -414,37 +387,17 @@
 
     def _call(
         self,
-        route: Route,
         service: str,
         outgoing: Outgoing,
-        done: Callable[[ServiceCall], None],
-        first: str = "first",
-        max_attempts: int | None = None,
-    ) -> ServiceCall:
-        return ServiceCall(
-            table=self.servers,
-            pool=self.servers.pool(service),
-            outgoing=outgoing,
-            names=self._names,
-            timing=self._timing(route.name, route.target_ms),
-            metrics=self._metrics,
-            max_attempts=max_attempts or route.max_attempts,
-            random=self._random,
-            done=done,
-            first=first,
-        )
-
-    def _gathered_call(
-        self,
-        shard: str,
-        outgoing: Outgoing,
         timing: Timing,
         max_attempts: int,
         done: Callable[[ServiceCall], None],
+        first: str = "first",
+        gathered: bool = False,
     ) -> ServiceCall:
         return ServiceCall(
             table=self.servers,
-            pool=self.servers.pool(shard),
+            pool=self.servers.pool(service),
             outgoing=outgoing,
             names=self._names,
             timing=timing,
@@ -452,7 +405,8 @@
             max_attempts=max_attempts,
             random=self._random,
             done=done,
-            gathered=True,
+            first=first,
+            gathered=gathered,
         )
 
     def _timing(self, route: str, target_ms: int) -> Timing:
@@ -555,46 +509,9 @@
         calls: tuple[ServiceCall, ...],
         notes: Sequence[GatherNote],
     ) -> None:
-        """Count the request, and write its line if its kind is within its rate."""
-        now = asyncio.get_running_loop().time()
-        elapsed_s = now - request.received_at
-        rank = route.rank if route else -1
-        self._metrics.count(f"requests.{outcome}")
-        self._metrics.observe("request", (str(rank), outcome), elapsed_s)
-        kind = "request" if outcome.startswith("2") else "request_failed"
-        if not self._log.admits(kind):
-            return
-        attempt_id = request.header(self._names.attempt_id.lower()) or b""
-        last = max(calls, key=_ended_at, default=None)
-        self._log.write(
-            kind,
-            {
-                "id": attempt_id.decode("latin-1"),
-                "route": route.name if route else None,
-                "routes_version": self.table.version if self.table else None,
-                "outcome": outcome,
-                "reason": reason.decode("latin-1"),
-                "elapsed_ms": _ms(elapsed_s),
-                "hosts": self._hosts,
-                "missing": [c.service for c in calls if not c.ending.good],
-                "calls": [
-                    note
-                    for call in calls
-                    if kind != "request" or call is last or not call.plain
-                    for note in call.notes(request.received_at)
-                ],
-                "gathered": [note.fields(request.received_at) for note in notes],
-            },
-            always=True,
-        )
-
-
-def _ended_at(call: ServiceCall) -> float:
-    return max((note.ended_at for note in call.ending.attempts), default=0.0)
-
-
-def _ms(seconds: float) -> float:
-    return round(seconds * _MS_PER_S, 1)
+        version = self.table.version if self.table else None
+        ended = Ended(outcome, reason, version, self._hosts, calls, notes)
+        self._request_log.write(request, route, ended)
 
 
 def _place(request: Request) -> tuple[str | None, str | None]:
