--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -3,6 +3,7 @@
 import asyncio
 import random as random_module
 from collections.abc import Callable, Coroutine, Mapping, Sequence
+from functools import partial
 from types import MappingProxyType
 from typing import Any
 
