--- a/packages/gateway/src/kingcuplug_gateway/_gatherer.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gatherer.py
@@ -16,6 +16,9 @@
 _MS_PER_S = 1_000
 # The host that asks comes back for the rest at once, or has answered its caller.
 _KEPT_S = 0.05
+# After a suspension of this host, the end of the question's connection may have come,
+# too. The loop reads it one round after the question, and cancels in the next.
+_WITHDRAWAL_ROUNDS = 3
 _RESOLUTION_S = 0.001  # Timers of the loop may fire early by less than this.
 
 MakeCall = Callable[
@@ -65,6 +68,8 @@
             If the question cannot be read.
         """
         question = decode_question(value)
+        for _ in range(_WITHDRAWAL_ROUNDS):
+            await asyncio.sleep(0)
         gathering = self._begin(question)
         loop = asyncio.get_running_loop()
         try:
--- a/tests/gateway/test_gathering.py
+++ b/tests/gateway/test_gathering.py
@@ -1,12 +1,15 @@
 """Queries whose parts another host gathers."""
 
 import asyncio
+import json
+import socket
 from contextlib import asynccontextmanager
 
 import pytest
 from kingcuplug_common import KingcuplugError
 from kingcuplug_gateway import RECORD_BYTES, NotGathering
-from kingcuplug_http import Request, Response
+from kingcuplug_gateway._gather_messages import Begin
+from kingcuplug_http import Limits, Listener, Request, Response
 
 from .conftest import make_route, sealed
 
@@ -229,3 +232,39 @@
                 await narrow.gateway.gather(["rest", "x", 1.0])
 
     asyncio.run(run())
+
+
+def test_question_withdrawn_before_it_is_read_reaches_no_server(open_world):
+    """Guards against a gatherer that was suspended and then works for nobody.
+
+    The question and the end of its connection lie in the socket when the gatherer
+    goes on, as the host that asked gave up long ago.
+    """
+
+    async def run() -> None:
+        async with open_world() as wide:
+            for shard in SHARDS:
+                await wide.add(shard, _part("a"))
+            wide.adopt(make_route(**FIELDS))
+            wide.gateway.use(wide.known, hosts=1, gatherers={"z": ["wide"]})
+            begin = Begin(
+                "g", "r", SHARDS, b"GET /x HTTP/1.1\r\n", b"", b"t1", 900, 400, 2, 5
+            )
+
+            async def answer(request: Request) -> Response:
+                reply = await wide.gateway.gather(json.loads(request.body))
+                return Response(200, [], json.dumps(reply).encode())
+
+            made = []
+            wide.gateway._gatherer._make_call = lambda *fields: made.append(fields)
+            listener = Listener(answer, Limits)
+            host, _, port = (await listener.start("127.0.0.1:0")).rpartition(":")
+            body = json.dumps(begin.to_json()).encode()
+            with socket.create_connection((host, int(port))) as withdrawn:
+                head = f"POST /g HTTP/1.1\r\nContent-Length: {len(body)}\r\n\r\n"
+                withdrawn.sendall(head.encode() + body)
+            await asyncio.sleep(0.3)
+            await listener.stop()
+            assert made == []
+
+    asyncio.run(run())
