Tell refusals of gatherers from silence; leave no failed calls behind

Mesh.tell returned with the first answer and left the other calls' failures to the event loop, which logged each as an unexpected error (10 lines at one stop).

Change: a refusal is a type of its own and costs no attempt; calls that tell of a leaving server end in a value. A gatherer that is a moment late with the rest is not left. Both have tests that were red before.

--- a/packages/fleet/src/kingcuplug_fleet/__init__.py
+++ b/packages/fleet/src/kingcuplug_fleet/__init__.py
@@ -7,7 +7,13 @@
 from kingcuplug_fleet._learning import LEARN_PATH, Learner, teach
 from kingcuplug_fleet._mesh import REPORT_PATH, SHARE_PATH, Mesh
 from kingcuplug_fleet._mesh_messages import Report, ShareMessage
-from kingcuplug_fleet._peers import PeerFailed, Peers, decode_body, encode_body
+from kingcuplug_fleet._peers import (
+    PeerFailed,
+    PeerRefused,
+    Peers,
+    decode_body,
+    encode_body,
+)
 from kingcuplug_fleet._records import ServerRecord, ServerState
 from kingcuplug_fleet._register import RouteRegister
 from kingcuplug_fleet._succession import Joiner, next_change
@@ -26,6 +32,7 @@
     "Learner",
     "Mesh",
     "PeerFailed",
+    "PeerRefused",
     "Peers",
     "Report",
     "RouteRegister",
--- a/packages/fleet/src/kingcuplug_fleet/_mesh.py
+++ b/packages/fleet/src/kingcuplug_fleet/_mesh.py
@@ -164,19 +164,21 @@
         if not others:
             return True
         value = self._message([record]).to_json()
-        calls = [
-            asyncio.ensure_future(
-                self._calls.call(other, SHARE_PATH, value, _TELL_TIMEOUT_S)
-            )
-            for other in others
-        ]
+        calls = [asyncio.ensure_future(self._knows(other, value)) for other in others]
         for call in asyncio.as_completed(calls):
-            with contextlib.suppress(PeerFailed):
-                await call
+            if await call:
                 return True
         self._log.write("leaving_server_untold", {"server": record.id})
         return False
 
+    async def _knows(self, other: str, value: Any) -> bool:
+        """Return whether another control host has taken a push."""
+        try:
+            await self._calls.call(other, SHARE_PATH, value, _TELL_TIMEOUT_S)
+        except PeerFailed:
+            return False
+        return True
+
     def take(self, value: Any) -> dict[str, Any]:
         """Take what another control host pushes."""
         message = ShareMessage.from_json(value)
--- a/packages/fleet/src/kingcuplug_fleet/_peers.py
+++ b/packages/fleet/src/kingcuplug_fleet/_peers.py
@@ -13,7 +13,7 @@
 from kingcuplug_common import KingcuplugError
 from kingcuplug_http import Headers, OutboundConnection, Reply, Response, connect
 
-__all__ = ["PeerFailed", "Peers", "decode_body", "encode_body"]
+__all__ = ["PeerFailed", "PeerRefused", "Peers", "decode_body", "encode_body"]
 
 _IDLE_S = 8.0  # Shorter than the idle time-out of the listeners of other hosts.
 _OK = 200
@@ -57,6 +57,10 @@
     """Another host did not answer, or refused."""
 
 
+class PeerRefused(PeerFailed):
+    """Another host answered that it does not serve the call."""
+
+
 class Peers:
     """Keeps connections to other hosts."""
 
@@ -74,9 +78,8 @@
         try:
             async with asyncio.timeout(timeout_s):
                 response = await self._post(address, path, value)
-            if response.status != _OK:
-                raise ConnectionError(f"status {response.status}")
-            return decode_body(response.header(b"content-encoding"), response.body)
+            if response.status == _OK:
+                return decode_body(response.header(b"content-encoding"), response.body)
         except (OSError, ValueError) as error:
             # A call that got no answer may show that all connections are dead.
             for connection in self._idle.pop(address, []):
@@ -85,6 +88,9 @@
             raise PeerFailed(
                 f"{address}{path}: {reason}", "another host will be asked"
             ) from error
+        raise PeerRefused(
+            f"{address}{path}: status {response.status}", "another host will be asked"
+        )
 
     def close(self) -> None:
         """Close all idle connections."""
--- a/packages/gateway/src/kingcuplug_gateway/__init__.py
+++ b/packages/gateway/src/kingcuplug_gateway/__init__.py
@@ -1,6 +1,7 @@
 """Routes, and the way of a caller's request through backend servers."""
 
-from kingcuplug_gateway._gateway import Gateway, NotGathering
+from kingcuplug_gateway._gateway import Gateway
+from kingcuplug_gateway._gathering import NotGathering
 from kingcuplug_gateway._protocol import HeaderNames
 from kingcuplug_gateway._routes import (
     Route,
--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -7,7 +7,7 @@
 from types import MappingProxyType
 from typing import Any
 
-from kingcuplug_common import EventLog, KingcuplugError, Metrics, Signal
+from kingcuplug_common import EventLog, Metrics, Signal
 from kingcuplug_http import (
     Headers,
     Limits,
@@ -27,7 +27,13 @@
 
 from kingcuplug_gateway._call import Outgoing, ServiceCall
 from kingcuplug_gateway._gatherer import Gatherer
-from kingcuplug_gateway._gathering import AskPeer, Gatherers, GatherNote, gather
+from kingcuplug_gateway._gathering import (
+    AskPeer,
+    Gatherers,
+    GatherNote,
+    NotGathering,
+    gather,
+)
 from kingcuplug_gateway._request_log import Ended, RequestLog
 from kingcuplug_gateway._routes import Route, RouteTable
 from kingcuplug_gateway._scatter import Scatter
@@ -35,7 +41,7 @@
 from kingcuplug_gateway._settings import GatewaySettings
 from kingcuplug_gateway._split import WeightedTurn
 
-__all__ = ["Gateway", "NotGathering"]
+__all__ = ["Gateway"]
 
 _MS_PER_S = 1_000
 _FIRST_ERROR = 400
@@ -51,13 +57,6 @@
 _LONGEST_WAIT_MS = 10_000
 
 
-class NotGathering(KingcuplugError):
-    """A host with a narrow link does not gather parts for others."""
-
-    def __init__(self, reason: str) -> None:
-        super().__init__(reason, "ask another host, or the shards themselves")
-
-
 class Gateway:
     """Serves callers by the newest route table that the host has learnt.
 
@@ -306,6 +305,9 @@
                 shard, outgoing, timing, attempts, scatter.part_done, "fallback"
             )
 
+        def fall_back(shards: Sequence[str], sent: bool) -> None:
+            scatter.ask_shards(ask_again if sent else ask, shards)
+
         scatter.ask_shards(ask, [s for s in route.shards if s not in delegated])
         notes += [GatherNote(d.gatherer, len(d.shards), now) for d in delegations]
         if self._ask_peer is None:
@@ -321,7 +323,7 @@
                 scatter,
                 rule,
                 note,
-                lambda shards: scatter.ask_shards(ask_again, shards),
+                fall_back,
             )
             for delegation, note in zip(delegations, notes, strict=True)
         ]
--- a/packages/gateway/src/kingcuplug_gateway/_gathering.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gathering.py
@@ -13,7 +13,7 @@
 from kingcuplug_gateway._routes import Route
 from kingcuplug_gateway._scatter import Scatter
 
-__all__ = ["AskPeer", "GatherNote", "Gatherers", "gather"]
+__all__ = ["AskPeer", "GatherNote", "Gatherers", "NotGathering", "gather"]
 
 _MS_PER_S = 1_000
 # A round trip between availability zones, and the time of a busy gatherer, beyond the
@@ -26,10 +26,22 @@
 _FIRST_PAUSE_S = 1.0
 _LONGEST_PAUSE_S = 8.0
 
-# Calls another host: address, value and time limit in seconds.
+# The host answers its caller in time whatever the gatherer does after its first answer,
+# so a gatherer that is a moment late then is not left.
+_REST_ANSWER_S = 0.1
+
+# Calls another host: address, value and time limit in seconds. Raises `NotGathering` if
+# that host refuses, and another `KingcuplugError` if it does not answer.
 AskPeer = Callable[[str, Any, float], Awaitable[Any]]
 
 
+class NotGathering(KingcuplugError):
+    """A host does not gather parts for others, at least not now."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason, "ask another host, or the shards themselves")
+
+
 @dataclass(slots=True)
 class GatherNote:
     """One gathering, for the log.
@@ -108,7 +120,7 @@
     scatter: Scatter,
     rule: AnswerRule,
     note: GatherNote,
-    fall_back: Callable[[Sequence[str]], None],
+    fall_back: Callable[[Sequence[str], bool], None],
 ) -> None:
     """Have one host gather some shards' parts, and take them.
 
@@ -118,7 +130,7 @@
     Parameters
     ----------
     fall_back : callable
-        Asks shards without the gatherer.
+        Asks shards without the gatherer, which may have sent first attempts or not.
     """
     loop = asyncio.get_running_loop()
     address, query = delegation.gatherer, identifier()
@@ -139,9 +151,10 @@
             address, begin.to_json(), timing.latest_hedge_after_s + _ANSWER_S
         )
     except KingcuplugError as error:
+        refused = isinstance(error, NotGathering)
         gatherers.fail(address, loop.time(), str(error))
-        note.end("fell_back", loop.time())
-        fall_back(delegation.shards)
+        note.end("refused" if refused else "fell_back", loop.time())
+        fall_back(delegation.shards, not refused)
         return
     gatherers.succeed(address)
     gathered = _take(Gathered.from_json(value), scatter, note)
@@ -154,7 +167,7 @@
         within_s = max(0.0, until - loop.time())
         try:
             rest = Rest(query, within_s * _MS_PER_S)
-            value = await ask(address, rest.to_json(), within_s + _ANSWER_S)
+            value = await ask(address, rest.to_json(), within_s + _REST_ANSWER_S)
         except KingcuplugError as error:
             gatherers.fail(address, loop.time(), str(error))
             note.end("lost", loop.time())
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -26,6 +26,7 @@
     Learner,
     Mesh,
     PeerFailed,
+    PeerRefused,
     Peers,
     Report,
     RouteRegister,
@@ -371,7 +372,10 @@
         return handle
 
     async def _ask_gatherer(self, address: str, value: Any, timeout_s: float) -> Any:
-        return await self._peers.call(address, _GATHER_PATH, value, timeout_s)
+        try:
+            return await self._peers.call(address, _GATHER_PATH, value, timeout_s)
+        except PeerRefused as error:
+            raise NotGathering(str(error)) from error
 
     async def _answer_peer(self, request: Request) -> Response:
         path = request.target.decode("latin-1")
--- a/tests/fleet/test_mesh.py
+++ b/tests/fleet/test_mesh.py
@@ -1,6 +1,7 @@
 """How control hosts share what servers and hosts tell them."""
 
 import asyncio
+import gc
 import os
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -357,3 +358,24 @@
             assert world.all(lambda known: known.silent == set())
 
     run_virtual(run())
+
+
+def test_telling_of_a_leaving_server_leaves_no_failed_calls_behind():
+    """Guards against alarms for unexpected errors on each loss of a control host."""
+
+    async def run() -> None:
+        world = World()
+        unexpected = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, context: unexpected.append(context)
+        )
+        with world.running():
+            await asyncio.sleep(1.5)
+            world.peers.frozen.add("c")
+            record = make_record(state=ServerState.DRAINING)
+            assert await world.meshes["a"].tell(record)
+            await asyncio.sleep(2.0)
+            gc.collect()
+        assert unexpected == []
+
+    run_virtual(run())
--- a/tests/gateway/test_gathering.py
+++ b/tests/gateway/test_gathering.py
@@ -151,6 +151,28 @@
     asyncio.run(run())
 
 
+def test_refusal_of_a_gatherer_costs_no_attempt(open_world):
+    """Guards against a stopping gatherer that leaves each shard one attempt less."""
+
+    async def run() -> None:
+        async with _pair(open_world) as narrow:
+            for shard in SHARDS[1:]:
+                await _add(narrow, shard, _part("a"))
+            await _add(narrow, "s0", _broken)
+            await _add(narrow, "s0", _part("k"))
+            _adopt(narrow, minimum_coverage=1.0)
+
+            async def refuse(value):
+                raise NotGathering("the host is stopping")
+
+            narrow.wide.gateway.gather = refuse
+            assert (await narrow.ask()).status == 200
+            assert (await narrow.ask()).status == 200
+            assert narrow.calls == ["begin"]
+
+    asyncio.run(run())
+
+
 def test_gatherer_that_is_lost_before_the_rest_leaves_a_true_partial_answer(
     open_world,
 ):
