--- a/packages/gateway/src/kingcuplug_gateway/_gathering.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gathering.py
@@ -159,12 +159,13 @@
     gatherers.succeed(address)
     gathered = _take(Gathered.from_json(value), scatter, note)
     lost = 0
-    for until in (rule.target_at - _MARGIN_S, rule.late_at - _MARGIN_S):
+    # At each of these moments the parts that are in may be enough.
+    for due_at in (rule.target_at, rule.late_at, rule.final_at):
         scatter.lose(len(gathered.failed) - lost)
         lost = len(gathered.failed)
         if not gathered.open:
             break
-        within_s = max(0.0, until - loop.time())
+        within_s = max(0.0, due_at - _MARGIN_S - loop.time())
         try:
             rest = Rest(query, within_s * _MS_PER_S)
             value = await ask(address, rest.to_json(), within_s + _REST_ANSWER_S)
--- a/tests/gateway/test_gathering.py
+++ b/tests/gateway/test_gathering.py
@@ -200,6 +200,22 @@
     asyncio.run(run())
 
 
+def test_late_gathered_part_is_waited_for_as_long_as_it_is_of_use(open_world):
+    """Guards against failing a query whose last needed part is only late."""
+
+    async def run() -> None:
+        async with _pair(open_world) as narrow:
+            for shard in SHARDS[1:]:
+                await _add(narrow, shard, _part("a"))
+            await _add(narrow, "s0", _part("k", delay_s=0.8))
+            _adopt(narrow, minimum_coverage=1.0, target_ms=100)
+            response = await narrow.ask()
+            assert response.status == 200
+            assert response.body.startswith(record("k"))
+
+    asyncio.run(run())
+
+
 def test_failed_shards_are_told_and_counted(open_world):
     """Guards against a gathered answer that hides a shard that failed."""
 
