End gatherings in progress while stopping; take only 503 for a refusal

Found by reading: a gatherer that got SIGTERM refused the rest of gatherings that it had begun, and an internal error of a gatherer counted as a refusal, although it may have sent first attempts. Both have tests.

--- a/packages/fleet/src/kingcuplug_fleet/_peers.py
+++ b/packages/fleet/src/kingcuplug_fleet/_peers.py
@@ -17,6 +17,7 @@
 
 _IDLE_S = 8.0  # Shorter than the idle time-out of the listeners of other hosts.
 _OK = 200
+_UNAVAILABLE = 503
 # Shorter bodies fit in one packet, and heartbeats are not worth the processor time.
 _DEFLATED_FROM_BYTES = 400
 # The fastest level: higher ones save a tenth of the bytes for twice the time.
@@ -88,7 +89,9 @@
             raise PeerFailed(
                 f"{address}{path}: {reason}", "another host will be asked"
             ) from error
-        raise PeerRefused(
+        # Other statuses do not show that nothing was done.
+        failure = PeerRefused if response.status == _UNAVAILABLE else PeerFailed
+        raise failure(
             f"{address}{path}: status {response.status}", "another host will be asked"
         )
 
--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -166,13 +166,18 @@
             idle_timeout_ms=table.idle_timeout_ms,
         )
 
-    async def gather(self, value: Any) -> Any:
+    async def gather(self, value: Any, begins: bool = True) -> Any:
         """Answer another host for which this one gathers parts.
 
+        Parameters
+        ----------
+        begins : bool
+            Whether new gatherings are taken; those in progress always go on.
+
         Raises
         ------
         NotGathering
-            If this host's link is narrow, too.
+            If no new gatherings are taken, or this host's link is narrow, too.
         ValueError
             If the question cannot be read or comes too late.
         """
@@ -181,7 +186,7 @@
         if not self._gathers:
             self._gathers = True
             self._limit_connections()
-        return await self._gatherer.answer(value)
+        return await self._gatherer.answer(value, begins)
 
     async def handle(self, request: Request) -> Response:
         """Answer one caller's request."""
--- a/packages/gateway/src/kingcuplug_gateway/_gatherer.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gatherer.py
@@ -9,6 +9,7 @@
 
 from kingcuplug_gateway._call import Outgoing, ServiceCall
 from kingcuplug_gateway._gather_messages import Begin, Gathered, Rest, decode_question
+from kingcuplug_gateway._gathering import NotGathering
 from kingcuplug_gateway._scatter import merge_records
 
 __all__ = ["Gatherer", "UnknownGathering"]
@@ -57,17 +58,26 @@
         self._log = log
         self._running: dict[str, _Gathering] = {}
 
-    async def answer(self, value: Any) -> Any:
+    async def answer(self, value: Any, begins: bool) -> Any:
         """Answer one question; leaving it cancels the attempts.
 
+        Parameters
+        ----------
+        begins : bool
+            Whether new gatherings are taken.
+
         Raises
         ------
+        NotGathering
+            If a new gathering is asked for, and none is taken.
         UnknownGathering
             If the rest is asked of a gathering that is over.
         ValueError
             If the question cannot be read.
         """
         question = decode_question(value)
+        if not begins and isinstance(question, Begin):
+            raise NotGathering("the host is stopping")
         for _ in range(_WITHDRAWAL_ROUNDS):
             await asyncio.sleep(0)
         gathering = self._begin(question)
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -402,9 +402,7 @@
             own = self._settings.control_address
             return await teach(self._knowledge, self._knows_all, own, value)
         if path == _GATHER_PATH:
-            if self._stopping:
-                raise NotGathering("the host is stopping")
-            return await self._gateway.gather(value)
+            return await self._gateway.gather(value, begins=not self._stopping)
         if path == REPORT_PATH:
             self._mesh.take_report(Report.from_json(value))
             return {}
--- a/tests/fleet/test_peer_bodies.py
+++ b/tests/fleet/test_peer_bodies.py
@@ -1,7 +1,16 @@
 """The bodies of messages between hosts."""
 
+import asyncio
+
 import pytest
-from kingcuplug_fleet import decode_body, encode_body
+from kingcuplug_fleet import (
+    PeerFailed,
+    PeerRefused,
+    Peers,
+    decode_body,
+    encode_body,
+)
+from kingcuplug_http import Limits, Listener, Request, Response
 
 LONG = {"servers": [["i-1", 1, 2, "stock", "10.0.0.1:80"]] * 200}
 
@@ -33,3 +42,22 @@
     headers, body = encode_body(LONG)
     with pytest.raises(ValueError):
         decode_body(_encoding(headers), damage(body))
+
+
+@pytest.mark.parametrize(("status", "refused"), [(503, True), (500, False)])
+def test_only_a_refusal_shows_that_nothing_was_done(status, refused):
+    """Guards against sending again what a host may have begun before it failed."""
+
+    async def run() -> None:
+        async def answer(request: Request) -> Response:
+            return Response(status, [], b"")
+
+        listener, peers = Listener(answer, Limits), Peers()
+        address = await listener.start("127.0.0.1:0")
+        with pytest.raises(PeerFailed) as caught:
+            await peers.call(address, "/x", {}, 1.0)
+        assert isinstance(caught.value, PeerRefused) is refused
+        peers.close()
+        await listener.stop()
+
+    asyncio.run(run())
--- a/tests/gateway/test_gathering.py
+++ b/tests/gateway/test_gathering.py
@@ -261,6 +261,32 @@
     asyncio.run(run())
 
 
+def test_stopping_gatherer_ends_what_it_has_begun(open_world):
+    """Guards against parts that are lost when their gatherer gets SIGTERM."""
+
+    async def run() -> None:
+        async with _pair(open_world) as narrow:
+            for shard in SHARDS[1:]:
+                await _add(narrow, shard, _part("a"))
+            await _add(narrow, "s0", _part("k", delay_s=0.3))
+            _adopt(narrow, minimum_coverage=1.0)
+            answer = narrow.wide.gateway.gather
+
+            async def stopping(value):
+                return await answer(value, begins=value[0] == "begin")
+
+            narrow.wide.gateway.gather = stopping
+            response = await narrow.ask()
+            assert response.status == 200
+            assert dict(response.headers)[b"Missing"] == b"0"
+            assert len(narrow.asked["s0-3"]) == 1
+            begin = Begin("g", "r", SHARDS, b"", b"", b"t1", 900, 400, 2, 5)
+            with pytest.raises(NotGathering):
+                await answer(begin.to_json(), begins=False)
+
+    asyncio.run(run())
+
+
 def test_host_with_a_narrow_link_gathers_for_nobody(open_world):
     """Guards against small hosts that gather for each other."""
 
