Bound the size of a response, and ignore trailers

Cause: the outbound connection buffered whatever a peer sent until the peer closed: an endless header, an endless series of interim responses, an unframed or chunked body, or trailers. Trailers were appended to the headers of the response, and of requests after the limits had been checked.

Change: at most 64 KiB up to the end of the final response's headers, interim responses included, and 16 MiB of body; beyond it the exchange fails as INVALID, so the server is judged as failing and the connection is closed. Trailers are dropped in both directions.

The tests of responses cut at every byte, and of second copies on a reused connection, guard what held before.

--- a/packages/http/src/kingcuplug_http/_inbound.py
+++ b/packages/http/src/kingcuplug_http/_inbound.py
@@ -188,8 +188,9 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header."""
-        self._headers.append((name, value))
+        """Append a header; trailers are ignored."""
+        if self._in_headers:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Check the limits and handle ``Expect`` before the body is read."""
--- a/packages/http/src/kingcuplug_http/_outbound.py
+++ b/packages/http/src/kingcuplug_http/_outbound.py
@@ -14,6 +14,12 @@
 # Late responses to earlier requests are skipped until the expected one arrives; more
 # than this many mean that the peer is not a conforming HTTP server.
 _MAX_SKIPPED_RESPONSES = 4
+# Bounds of what a peer can make this process buffer for one request. Interim responses
+# count as head, so that an endless series of them is bounded, too.
+_MAX_HEAD_BYTES = 65_536
+_MAX_BODY_BYTES = 16_777_216
+# Received bytes per byte of the largest body: covers chunk sizes and extensions.
+_MAX_FRAMING_RATIO = 2
 
 
 class Failure(Enum):
@@ -46,19 +52,27 @@
 class Reply:
     """Exchange whose response is awaited as a future.
 
+    Parameters
+    ----------
+    id_header, identifier : bytes
+        Name, in lower case, and value of the header that identifies the response. A
+        response without that header is accepted, because older peers do not send it.
+
     Attributes
     ----------
     response : Future
         The response, or `ConnectionError` if the request failed.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, id_header: bytes = b"", identifier: bytes = b"") -> None:
+        self._id_header = id_header
+        self._identifier = identifier
         loop = asyncio.get_running_loop()
         self.response: asyncio.Future[Response] = loop.create_future()
 
     def accepts(self, response: Response) -> bool:
-        """Accept any response, as the connection has no other request."""
-        return True
+        """Return whether the response is not known to belong to another request."""
+        return response.header(self._id_header) in (None, self._identifier)
 
     def answered(self, response: Response) -> None:
         """Set the result of the future."""
@@ -94,6 +108,9 @@
         self._in_response = False
         self._ends_at_close = False
         self._not_reusable = False
+        self._in_body = False
+        self._received_bytes = 0
+        self._body_bytes = 0
         self.usable = False
         self.idle_since = 0.0
         self.keep_alive_s: float | None = None
@@ -120,6 +137,7 @@
         self._exchange = exchange
         self._bodiless = bodiless
         self._skipped_responses = 0
+        self._received_bytes = 0
         self.usable = False
         self._transport.write(data)
 
@@ -139,10 +157,13 @@
             # Unsolicited data must not be mistaken for the next response.
             self.close()
             return
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail(Failure.INVALID)
+        if self._exchange is not None and self._exceeds_limits():
+            self._fail(Failure.INVALID)
 
     def eof_received(self) -> bool:
         """Complete a response whose body is delimited by the end of the connection."""
@@ -168,10 +189,13 @@
         self._status = 0
         self._ends_at_close = False
         self._in_response = True
+        self._in_body = False
+        self._body_bytes = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header."""
-        self._headers.append((name, value))
+        """Append a header; trailers are ignored."""
+        if not self._in_body:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Determine how the end of the body is delimited."""
@@ -182,13 +206,16 @@
         has_length = has_length or b"transfer-encoding" in self._fields
         bodiless = self._status in (204, 304) or self._status < 200
         self._ends_at_close = not has_length and not bodiless
+        self._in_body = self._status >= 200
         if self._bodiless and self._status >= 200:
             self._not_reusable = True
             self._complete()
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
-        self._body.append(body)
+        self._body_bytes += len(body)
+        if self._body_bytes <= _MAX_BODY_BYTES:
+            self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Complete the response, unless it is an interim one (1xx)."""
@@ -197,15 +224,20 @@
 
     def _complete(self) -> None:
         self._in_response = False
+        self._in_body = False
         exchange = self._exchange
         if exchange is None:
             self._not_reusable = True
             return
+        if self._body_bytes > _MAX_BODY_BYTES:
+            self._fail(Failure.INVALID)
+            return
         response = Response(
             self._status, self._headers, b"".join(self._body), self._fields
         )
         if not exchange.accepts(response):
             self._skipped_responses += 1
+            self._received_bytes = 0
             if self._not_reusable or self._skipped_responses > _MAX_SKIPPED_RESPONSES:
                 self._fail(Failure.INVALID)
             return
@@ -213,6 +245,13 @@
         self._update_usable(response)
         exchange.answered(response)
 
+    def _exceeds_limits(self) -> bool:
+        """Return whether the unfinished response is larger than this host accepts."""
+        if not self._in_body:
+            return self._received_bytes > _MAX_HEAD_BYTES
+        max_bytes = _MAX_HEAD_BYTES + _MAX_BODY_BYTES * _MAX_FRAMING_RATIO
+        return self._body_bytes > _MAX_BODY_BYTES or self._received_bytes > max_bytes
+
     def _update_usable(self, response: Response) -> None:
         """Determine whether the connection can be reused, and close it otherwise."""
         self.idle_since = self._loop.time()
--- a/tests/http/test_outbound.py
+++ b/tests/http/test_outbound.py
@@ -1,6 +1,7 @@
 """Tests of matching responses of misbehaving servers to requests."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 from collections.abc import Awaitable, Callable
@@ -126,3 +127,133 @@
     )
     assert isinstance(result, Response)
     assert result.status == 200
+
+
+@pytest.mark.parametrize(
+    ("start", "repeated"),
+    [
+        (b"HTTP/1.1 200 OK\r\nX: ", b"x" * 4_096),
+        (b"HTTP/1.1 200 OK\r\n", b"X-Filler: " + b"y" * 90 + b"\r\n"),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 40),
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"z" * 65_536),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"10000\r\n" + b"z" * 65_536 + b"\r\n",
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+            b"X-Trailer: " + b"t" * 4_000 + b"\r\n",
+        ),
+    ],
+    ids=["header", "headers", "interim", "unframed", "chunked", "trailers"],
+)
+def test_response_without_end_fails_within_a_bounded_size(start, repeated):
+    """Guards against a server that fills this process's memory with one response."""
+    sent_bytes = 0
+
+    async def serve_connection(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        nonlocal sent_bytes
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(start)
+        with contextlib.suppress(ConnectionError):
+            while sent_bytes < 128 * 1024 * 1024:
+                writer.write(repeated)
+                sent_bytes += len(repeated)
+                await writer.drain()
+        writer.close()
+
+    async def run() -> tuple[Response | Failure, bool]:
+        server = await asyncio.start_server(serve_connection, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        connection = await connect(f"127.0.0.1:{port}", 5.0)
+        exchange = RecordingExchange(b"7")
+        connection.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n", exchange)
+        result = await asyncio.wait_for(exchange.result, timeout=30)
+        server.close()
+        return result, connection.usable
+
+    assert asyncio.run(run()) == (Failure.INVALID, False)
+    assert sent_bytes < 64 * 1024 * 1024
+
+
+def test_trailers_are_not_returned_as_headers():
+    """Guards against a signature that a server adds after the body."""
+    result, _ = _run_request(
+        b"HTTP/1.1 200 OK\r\nContent-Type: a/b\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"1\r\nx\r\n0\r\nSeal: forged\r\n\r\n"
+    )
+    assert isinstance(result, Response)
+    assert b"Seal" not in dict(result.headers)
+
+
+@pytest.mark.parametrize(
+    "response",
+    [
+        b"HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 6\r\n\r\nanswer",
+        b"HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"3\r\nans\r\n3\r\nwer\r\n0\r\n\r\n",
+    ],
+    ids=["length", "chunked"],
+)
+def test_response_cut_at_any_byte_is_never_complete(response):
+    """Guards against a response that broke off and is passed on as a success."""
+
+    async def run() -> None:
+        cut_at = 0
+
+        async def serve_connection(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(response[:cut_at])
+            writer.close()
+
+        server = await asyncio.start_server(serve_connection, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        for cut_at in range(len(response)):
+            connection = await connect(f"127.0.0.1:{port}", 5.0)
+            exchange = RecordingExchange(b"7")
+            connection.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n", exchange)
+            result = await asyncio.wait_for(exchange.result, timeout=5)
+            assert result is Failure.LOST, cut_at
+        server.close()
+
+    asyncio.run(run())
+
+
+def test_second_copy_of_a_response_never_answers_the_next_request():
+    """Guards against a copy that arrives at once, or after the next request is sent."""
+
+    async def serve_connection(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        previous = b""
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                request = await reader.readuntil(b"\r\n\r\n")
+                identifier = request.partition(b"Id: ")[2].partition(b"\r\n")[0]
+                response = (
+                    b"HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 1\r\n\r\n%s"
+                    % (identifier, identifier)
+                )
+                writer.write(previous + response)
+                previous = response
+
+    async def run() -> None:
+        server = await asyncio.start_server(serve_connection, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        connection = await connect(f"127.0.0.1:{port}", 5.0)
+        for identifier in (b"1", b"2", b"3"):
+            exchange = RecordingExchange(identifier)
+            connection.send(
+                b"GET / HTTP/1.1\r\nHost: a\r\nId: %s\r\n\r\n" % identifier, exchange
+            )
+            result = await asyncio.wait_for(exchange.result, timeout=5)
+            assert isinstance(result, Response)
+            assert result.body == identifier
+        connection.close()
+        server.close()
+
+    asyncio.run(run())
