Reject malformed messages between hosts, and restart failed background tasks

Cause: messages between hosts were decoded without type checks, and a background task that raised any exception stopped its process. One malformed reply to a poll, or one route document that another version of the program cannot decode, reaches all hosts and stopped every one of them. A malformed reply of a gatherer left its query waiting until the caller's deadline. A late copy of a reply on a connection between hosts was taken as the reply to the next call.

Change: records, reports, summaries, pushes and poll replies are checked by type when they are decoded; a malformed reply makes the poller change to another control host, and a gatherer's counts as none. Tasks are started again after 0.1 to 5 s, counted in `errors.task_failed`. Undecodable routes leave those in force. Calls between hosts carry an id that the reply echoes; replies without one (older builds) are accepted.

--- a/packages/fleet/src/kingcuplug_fleet/__init__.py
+++ b/packages/fleet/src/kingcuplug_fleet/__init__.py
@@ -12,6 +12,7 @@
 from kingcuplug_fleet._mesh import PUSH_PATH, REPORT_PATH, Mesh
 from kingcuplug_fleet._mesh_messages import PushMessage, Report
 from kingcuplug_fleet._peer_client import (
+    CALL_ID_HEADER,
     PeerClient,
     PeerFailed,
     PeerRefused,
@@ -23,6 +24,7 @@
 from kingcuplug_fleet._server_record import ServerRecord, ServerState
 
 __all__ = [
+    "CALL_ID_HEADER",
     "POLL_PATH",
     "PUSH_PATH",
     "REPORT_PATH",
--- a/packages/fleet/src/kingcuplug_fleet/_mesh.py
+++ b/packages/fleet/src/kingcuplug_fleet/_mesh.py
@@ -146,6 +146,7 @@
         finally:
             for peer in self._peers.values():
                 peer.task.cancel()
+            self._peers.clear()
 
     def record_heartbeat(self, record: ServerRecord) -> None:
         """Record a heartbeat of a server for the next report."""
--- a/packages/fleet/src/kingcuplug_fleet/_mesh_messages.py
+++ b/packages/fleet/src/kingcuplug_fleet/_mesh_messages.py
@@ -5,6 +5,13 @@
 
 from kingcuplug_routing import LatencySamples
 
+from kingcuplug_fleet._json_types import (
+    require_integer,
+    require_mapping,
+    require_number,
+    require_string,
+    require_strings,
+)
 from kingcuplug_fleet._server_record import ServerRecord
 
 __all__ = ["Heartbeats", "PushMessage", "Report", "Summary"]
@@ -41,9 +48,19 @@
 
     @classmethod
     def from_json(cls, value: list[Any]) -> "Report":
-        """Return the report described by a JSON array of another host."""
+        """Return the report described by a JSON array of another host.
+
+        Raises
+        ------
+        ValueError
+            If the array does not describe a report.
+        """
         samples, requests = value
-        return cls(samples, requests)
+        decoded = {
+            server: (require_integer(count), require_number(total))
+            for server, (count, total) in require_mapping(samples).items()
+        }
+        return cls(decoded, require_integer(requests))
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +91,24 @@
         """Return the fields as a JSON array."""
         return [self.silent, self.slow, self.hosts, self.requests, self.reachable]
 
+    @classmethod
+    def from_json(cls, value: list[Any]) -> "Summary":
+        """Return the summary described by a JSON array of another host.
+
+        Raises
+        ------
+        ValueError
+            If the array does not describe a summary.
+        """
+        silent, slow, hosts, requests, reachable = value
+        return cls(
+            require_strings(silent),
+            {i: require_number(pace) for i, pace in require_mapping(slow).items()},
+            require_integer(hosts),
+            require_integer(requests),
+            {a: require_string(z) for a, z in require_mapping(reachable).items()},
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class PushMessage:
@@ -116,14 +151,23 @@
 
     @classmethod
     def from_json(cls, value: list[Any]) -> "PushMessage":
-        """Return the message described by a JSON array of another host."""
+        """Return the message described by a JSON array of another host.
+
+        Raises
+        ------
+        ValueError
+            If the array does not describe a push.
+        """
         address, zone, digest, servers, heartbeats, hosts, summary = value
         return cls(
-            address,
-            zone,
-            digest,
+            require_string(address),
+            require_string(zone),
+            require_integer(digest),
             [ServerRecord.from_json(record) for record in servers],
-            {i: (start_ms, sequence) for i, (start_ms, sequence) in heartbeats.items()},
-            hosts,
-            Summary(*summary) if summary is not None else None,
+            {
+                i: (require_integer(start_ms), require_integer(sequence))
+                for i, (start_ms, sequence) in require_mapping(heartbeats).items()
+            },
+            require_strings(hosts),
+            Summary.from_json(summary) if summary is not None else None,
         )
--- a/packages/fleet/src/kingcuplug_fleet/_peer_client.py
+++ b/packages/fleet/src/kingcuplug_fleet/_peer_client.py
@@ -7,13 +7,24 @@
 
 import asyncio
 import zlib
+from itertools import count
 from typing import Any
 
 import orjson
 from kingcuplug_common import KingcuplugError
 from kingcuplug_http import Headers, OutboundConnection, Reply, Response, connect
 
-__all__ = ["PeerClient", "PeerFailed", "PeerRefused", "decode_body", "encode_body"]
+__all__ = [
+    "CALL_ID_HEADER",
+    "PeerClient",
+    "PeerFailed",
+    "PeerRefused",
+    "decode_body",
+    "encode_body",
+]
+
+# Echoed in the response, so that a late response cannot answer the next call.
+CALL_ID_HEADER = b"call-id"
 
 # Shorter than the idle time-out of the listeners of other hosts.
 _IDLE_TIMEOUT_S = 8.0
@@ -69,6 +80,7 @@
 
     def __init__(self) -> None:
         self._idle: dict[str, list[OutboundConnection]] = {}
+        self._call_ids = count(1)
 
     async def call(self, address: str, path: str, value: Any, timeout_s: float) -> Any:
         """Send a JSON value in a POST request and return the value of the response.
@@ -110,9 +122,11 @@
         if connection is None:
             connection = await connect(address, timeout_s=5.0)
         lines = [f"POST {path} HTTP/1.1\r\nHost: {address}\r\n".encode()]
+        call_id = b"%d" % next(self._call_ids)
         lines += [b"%s: %s\r\n" % header for header in headers]
+        lines.append(b"%s: %s\r\n" % (CALL_ID_HEADER, call_id))
         lines += [b"Content-Length: %d\r\n\r\n" % len(body), body]
-        pending = Reply()
+        pending = Reply(CALL_ID_HEADER, call_id)
         connection.send(b"".join(lines), pending)
         try:
             response = await pending.response
--- a/packages/fleet/src/kingcuplug_fleet/_polling.py
+++ b/packages/fleet/src/kingcuplug_fleet/_polling.py
@@ -16,6 +16,13 @@
 from kingcuplug_common import EventLog
 
 from kingcuplug_fleet._fleet_view import FleetView
+from kingcuplug_fleet._json_types import (
+    require_integer,
+    require_mapping,
+    require_number,
+    require_string,
+    require_strings,
+)
 from kingcuplug_fleet._mesh import REPORT_PATH
 from kingcuplug_fleet._mesh_messages import Report
 from kingcuplug_fleet._peer_client import PeerClient, PeerFailed
@@ -266,11 +273,32 @@
         except PeerFailed:
             self._poll_failed_at[address] = asyncio.get_running_loop().time()
             return False
+        try:
+            return self._process_reply(address, reply, cursor, sent_at)
+        except (LookupError, TypeError, ValueError) as error:
+            self._poll_failed_at[address] = asyncio.get_running_loop().time()
+            self._log.write(
+                "poll_reply_malformed", {"address": address, "error": repr(error)}
+            )
+            return False
+
+    def _process_reply(
+        self, address: str, reply: Any, cursor: _Cursor, sent_at: float
+    ) -> bool:
+        """Apply the reply to a poll; return whether to poll the same host again.
+
+        Raises
+        ------
+        LookupError, TypeError, ValueError
+            If the reply is malformed.
+        """
+        view = self._view
+        has_polled = cursor.version > 0
         if "epoch" not in reply and "slow" in reply:
             self._apply_slow_servers(reply["slow"])
             return False
         if "nearer" in reply:
-            view.zones = reply["nearer"]
+            view.zones = _decode_zones(reply["nearer"])
             view.set_control_hosts(list(reply["nearer"]))
             self.control_host = None
             return self._is_near(self._select_control_host() or "")
@@ -302,7 +330,9 @@
     def _apply_reply(self, reply: Any) -> None:
         view = self._view
         if "document" in reply:
-            view.update_routes(reply["routes"], reply["document"])
+            view.update_routes(
+                require_integer(reply["routes"]), require_string(reply["document"])
+            )
         view.merge_servers([ServerRecord.from_json(r) for r in reply["servers"]])
         if "state" in reply:
             self._apply_state(reply["state"])
@@ -310,19 +340,27 @@
         elif "slow" in reply:
             self._apply_slow_servers(reply["slow"])
 
-    def _apply_slow_servers(self, slow: dict[str, float]) -> None:
+    def _apply_slow_servers(self, slow: Any) -> None:
         """Apply the slow servers sent by a control host that has no leader."""
         if self.control_host is None:
-            self._view.set_slow_servers(slow)
+            self._view.set_slow_servers(_decode_paces(slow))
             self._state_digest = ""
 
     def _apply_state(self, state: Any) -> None:
         view = self._view
         silent, slow, control_hosts, zones, host_count, request_count, reachable = state
-        view.set_silent_servers(set(silent))
-        view.set_slow_servers(slow)
-        view.set_control_hosts(control_hosts)
-        view.zones = zones
-        view.set_host_count(host_count)
-        view.set_request_count(request_count)
-        view.set_reachable_control_hosts(tuple(reachable))
+        view.set_silent_servers(set(require_strings(silent)))
+        view.set_slow_servers(_decode_paces(slow))
+        view.set_control_hosts(require_strings(control_hosts))
+        view.zones = _decode_zones(zones)
+        view.set_host_count(require_integer(host_count))
+        view.set_request_count(require_integer(request_count))
+        view.set_reachable_control_hosts(tuple(require_strings(reachable)))
+
+
+def _decode_paces(value: Any) -> dict[str, float]:
+    return {i: require_number(pace) for i, pace in require_mapping(value).items()}
+
+
+def _decode_zones(value: Any) -> dict[str, str]:
+    return {a: require_string(zone) for a, zone in require_mapping(value).items()}
--- a/packages/fleet/src/kingcuplug_fleet/_server_record.py
+++ b/packages/fleet/src/kingcuplug_fleet/_server_record.py
@@ -4,6 +4,8 @@
 from enum import StrEnum
 from typing import Any
 
+from kingcuplug_fleet._json_types import require_integer, require_string
+
 __all__ = ["ServerRecord", "ServerState"]
 
 
@@ -78,18 +80,24 @@
 
     @classmethod
     def from_json(cls, value: list[Any]) -> "ServerRecord":
-        """Return the record described by a JSON array of another host."""
+        """Return the record described by a JSON array of another host.
+
+        Raises
+        ------
+        ValueError
+            If the array does not describe a record.
+        """
         identifier, born_ms, sequence, service, address, zone, slots, state, cold = (
             value
         )
         return cls(
-            identifier,
-            born_ms,
-            sequence,
-            service,
-            address,
-            zone,
-            slots,
+            require_string(identifier),
+            require_integer(born_ms),
+            require_integer(sequence),
+            require_string(service),
+            require_string(address),
+            require_string(zone),
+            require_integer(slots),
             ServerState(state),
-            cold,
+            require_integer(cold),
         )
--- a/packages/gateway/src/kingcuplug_gateway/_gather_client.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gather_client.py
@@ -40,6 +40,9 @@
 # does, so a gatherer that is slightly late then is not excluded.
 _REMAINDER_REPLY_SLACK_S = 0.1
 
+# Raised by decoding a malformed reply.
+MALFORMED = (AttributeError, TypeError, ValueError)
+
 # Calls another host with an address, a JSON value and a time limit in seconds. Raises
 # `NotGathering` if that host refuses, and another `KingcuplugError` if it does not
 # reply.
@@ -166,14 +169,15 @@
             request.to_json(),
             timing.max_hedge_delay_s + _FIRST_REPLY_SLACK_S,
         )
-    except KingcuplugError as error:
+        reply = _decode_reply(value, len(delegation.shards))
+    except (KingcuplugError, *MALFORMED) as error:
         refused = isinstance(error, NotGathering)
-        directory.record_failure(address, loop.time(), str(error))
+        directory.record_failure(address, loop.time(), repr(error))
         record.end("refused" if refused else "fell_back", loop.time())
         call_shards_directly(delegation.shards, not refused)
         return
     directory.record_success(address)
-    reply = _add_reply(GatherReply.from_json(value), scatter, record)
+    reply = _add_reply(reply, scatter, record)
     failed_count = 0
     # At each of these times the parts received by then may be sufficient.
     for due_at in (rule.target_at, rule.late_answer_at, rule.final_at):
@@ -187,18 +191,38 @@
             value = await call_peer(
                 address, remainder.to_json(), reply_within_s + _REMAINDER_REPLY_SLACK_S
             )
-        except KingcuplugError as error:
-            directory.record_failure(address, loop.time(), str(error))
+            next_reply = _decode_reply(
+                value, len(reply.pending_shards) + len(reply.failed_shards)
+            )
+        except (KingcuplugError, *MALFORMED) as error:
+            directory.record_failure(address, loop.time(), repr(error))
             record.end("lost", loop.time())
             scatter.mark_missing(len(reply.pending_shards))
             return
-        reply = _add_reply(GatherReply.from_json(value), scatter, record)
+        reply = _add_reply(next_reply, scatter, record)
     scatter.mark_missing(
         len(reply.failed_shards) - failed_count + len(reply.pending_shards)
     )
     record.end("gathered", loop.time())
 
 
+def _decode_reply(value: Any, shard_count: int) -> GatherReply:
+    """Return the reply, which must account for `shard_count` shards.
+
+    Raises
+    ------
+    AttributeError, TypeError, ValueError
+        If the reply is malformed.
+    """
+    reply = GatherReply.from_json(value)
+    stated_count = (
+        len(reply.signatures) + len(reply.failed_shards) + len(reply.pending_shards)
+    )
+    if stated_count != shard_count:
+        raise ValueError(f"the reply names {stated_count} of {shard_count} shards")
+    return reply
+
+
 def _add_reply(
     reply: GatherReply, scatter: ScatterQuery, record: GatherRecord
 ) -> GatherReply:
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -5,6 +5,7 @@
 import gc
 import signal
 from collections.abc import Awaitable, Callable, Coroutine
+from functools import partial
 from typing import Any
 
 from kingcuplug_common import (
@@ -15,6 +16,7 @@
     set_state_change_sink,
 )
 from kingcuplug_fleet import (
+    CALL_ID_HEADER,
     POLL_PATH,
     PUSH_PATH,
     REPORT_PATH,
@@ -72,12 +74,17 @@
 # Reserved at the end of the grace period to flush the log and exit.
 _EXIT_MARGIN_S = 0.5
 _DRAIN_POLL_INTERVAL_S = 0.02
+# Delay before a background task that failed is started again, doubled by each failure
+# up to the maximum, so that a persistent fault cannot occupy the processor.
+_MIN_TASK_RESTART_S = 0.1
+_MAX_TASK_RESTART_S = 5.0
 # Operators may send large documents, and hosts send complete server directories.
 _CONTROL_HTTP_LIMITS = Limits(
     max_body_bytes=16_777_216, header_timeout_ms=5_000, idle_timeout_ms=20_000
 )
 
 ControlHandler = Callable[[Request], Awaitable[Response]]
+BackgroundTask = Callable[[], Coroutine[Any, Any, None]]
 
 
 class Elsewhere(KingcuplugError):
@@ -283,8 +290,8 @@
         self._log.write("started", {"zone": self._settings.availability_zone}, True)
         gc.freeze()
         tasks = [
-            asyncio.create_task(self._supervise(task))
-            for task in self._background_tasks()
+            asyncio.create_task(self._supervise(start))
+            for start in self._background_tasks()
         ]
         await self._stop_requested.wait()
         await self._drain()
@@ -322,35 +329,51 @@
             self._metrics,
         )
 
-    def _background_tasks(self) -> list[Coroutine[Any, Any, None]]:
-        tasks = [
-            self._log.run(),
-            self._apply_changes(),
-            self._poller.run(),
-            self._watch_settings(),
-            self._prune_servers(),
-            self._send_reports(),
+    def _background_tasks(self) -> list[BackgroundTask]:
+        tasks: list[BackgroundTask] = [
+            self._log.run,
+            self._apply_changes,
+            self._poller.run,
+            self._watch_settings,
+            self._prune_servers,
+            self._send_reports,
         ]
         if self._directory_file is not None:
-            tasks.append(self._directory_file.run())
+            tasks.append(self._directory_file.run)
         if self._replica is not None:
             tasks += [
-                self._replica.run(),
-                self._mesh.run(),
-                self._update_control_hosts(self._replica),
+                self._replica.run,
+                self._mesh.run,
+                partial(self._update_control_hosts, self._replica),
             ]
         return tasks
 
-    async def _supervise(self, task: Coroutine[Any, Any, None]) -> None:
-        """Stop the process if one of its background tasks raises an exception."""
-        try:
-            await task
-        except Exception as error:
-            self._log.write(
-                "task_failed", {"error": repr(error)}, bypass_rate_limit=True
-            )
-            self._stop_requested.set()
-            raise
+    async def _supervise(self, start: BackgroundTask) -> None:
+        """Run a background task, and start it again if it raises an exception.
+
+        One unexpected error must not stop the process: the same message may reach all
+        hosts.
+        """
+        loop = asyncio.get_running_loop()
+        delay_s = _MIN_TASK_RESTART_S
+        while True:
+            started_at = loop.time()
+            try:
+                await start()
+                return
+            except Exception as error:
+                self._metrics.count("errors.task_failed")
+                self._log.write(
+                    "task_failed",
+                    {
+                        "task": getattr(start, "__qualname__", repr(start)),
+                        "error": repr(error),
+                    },
+                )
+            if loop.time() - started_at > _MAX_TASK_RESTART_S:
+                delay_s = _MIN_TASK_RESTART_S
+            await asyncio.sleep(delay_s)
+            delay_s = min(2 * delay_s, _MAX_TASK_RESTART_S)
 
     def _install_handlers(self) -> None:
         loop = asyncio.get_running_loop()
@@ -420,6 +443,13 @@
             raise NotGathering(str(error)) from error
 
     async def _handle_peer_request(self, request: Request) -> Response:
+        response = await self._answer_peer_request(request)
+        call_id = request.header(CALL_ID_HEADER)
+        if call_id is not None:
+            response.headers.append((CALL_ID_HEADER, call_id))
+        return response
+
+    async def _answer_peer_request(self, request: Request) -> Response:
         path = request.target.decode("latin-1")
         try:
             encoding = request.header(b"content-encoding")
@@ -515,7 +545,18 @@
         if fleet_view.routes_version == 0:
             return
         is_first = table is None
-        self._gateway.install_routes(self._decode_routes(fleet_view.routes_document))
+        try:
+            new_table = self._decode_routes(fleet_view.routes_document)
+        except ValueError as error:
+            # Another version of the program may have accepted it. The routes in force
+            # stay, and servers are still applied.
+            self._metrics.count("errors.routes_undecodable")
+            self._log.write(
+                "routes_undecodable",
+                {"version": fleet_view.routes_version, "error": repr(error)},
+            )
+            return
+        self._gateway.install_routes(new_table)
         self._log.write(
             "routes_in_force",
             {"version": fleet_view.routes_version, "first": is_first},
--- a/tests/gateway/test_gathering.py
+++ b/tests/gateway/test_gathering.py
@@ -347,3 +347,35 @@
             assert calls_made == []
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        None,
+        "text",
+        [["a"]],
+        [["a"], "!", [], []],
+        [["a"] * 9, "", [], []],
+        [[], "", [], []],
+    ],
+)
+def test_malformed_reply_of_a_gatherer_is_treated_as_none(open_gateway, reply):
+    """Guards against a query that waits for parts until its caller's deadline."""
+
+    async def run() -> None:
+        async with _open_gateway_pair(open_gateway) as narrow:
+            for shard in SHARDS:
+                await _add_server(narrow, shard, _respond_records("a"))
+            _set_routes(narrow)
+
+            async def reply_malformed(value):
+                return reply
+
+            narrow.wide.gateway.handle_gather = reply_malformed
+            response = await narrow.send()
+            assert response.status == 200
+            assert dict(response.headers)[b"Missing"] == b"0"
+            assert [len(requests) for requests in narrow.received.values()] == [1] * 4
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/node/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the composition of a host."""
--- a/tests/node/test_lease.py
+++ b/tests/node/test_lease.py
@@ -5,31 +5,14 @@
 
 import pytest
 from kingcuplug_common import EventLog
-from kingcuplug_gateway import HeaderNames, RouteTable
 from kingcuplug_http import Request
-from kingcuplug_node import Host, NodeSettings
-from kingcuplug_routing import RetryBudgetSettings
+from kingcuplug_node import Host
 
-HEADER_NAMES = HeaderNames(b"I", b"D", b"E", b"S", b"N", b"P", b"M")
-ROUTE_TABLE = RouteTable(1, (), {}, 8_192, 65_536, 3_000, 15_000)
+from .conftest import HEADER_NAMES, ROUTE_TABLE, make_settings
 
 
 def _make_host(serve_without_control: bool) -> Host:
-    settings = NodeSettings(
-        host="host",
-        availability_zone="z",
-        caller_address="127.0.0.1:0",
-        ready_address="127.0.0.1:0",
-        control_address="127.0.0.1:0",
-        metrics_address="127.0.0.1:0",
-        seeds=("127.0.0.1:1",),
-        first_start=False,
-        data_folder=None,
-        heartbeat_interval_ms=1_000,
-        termination_grace_ms=6_000,
-        retry_budget=RetryBudgetSettings(),
-        serve_without_control=serve_without_control,
-    )
+    settings = make_settings(serve_without_control=serve_without_control)
     log = EventLog(os.open(os.devnull, os.O_WRONLY), "host")
     return Host(settings, HEADER_NAMES, lambda text: ROUTE_TABLE, lambda: settings, log)
 
