Serve from the saved state after a power loss, and find forgotten control hosts

No replica knows what is committed before there is a leader, so every host refused until then. Besides, a server that left within half a second before a power loss was in use again afterwards: its record was not on any disk when its departure was acknowledged.

Change: control hosts save the document that their replica has applied, and the number of hosts, the zones and the gatherers with the directory; they serve by them 50 ms after the start unless newer routes are known. A host that has just started takes routes, servers and these facts from any control host; reads of the configuration still wait for the leader. Files are replaced with a sync of their folder; departures are written at once and their acknowledgement waits up to 0.35 s for it. Control hosts introduce themselves to seeds that are none, and hosts pass on the control hosts that they know.

--- a/packages/fleet/src/kingcuplug_fleet/__init__.py
+++ b/packages/fleet/src/kingcuplug_fleet/__init__.py
@@ -8,6 +8,11 @@
 from kingcuplug_fleet._directory import Directory
 from kingcuplug_fleet._directory_file import DirectoryFile
 from kingcuplug_fleet._fleet_view import FleetView
+from kingcuplug_fleet._introduction import (
+    INTRODUCE_PATH,
+    introduce_control_hosts,
+)
+from kingcuplug_fleet._json_types import require_strings
 from kingcuplug_fleet._membership import JoinRequest, next_membership_change
 from kingcuplug_fleet._mesh import PUSH_PATH, REPORT_PATH, Mesh
 from kingcuplug_fleet._mesh_messages import PushMessage, Report
@@ -21,10 +26,12 @@
 )
 from kingcuplug_fleet._polling import POLL_PATH, ControlHostPoller, answer_poll
 from kingcuplug_fleet._route_register import RouteRegister
+from kingcuplug_fleet._routes_file import RoutesFile
 from kingcuplug_fleet._server_record import ServerRecord, ServerState
 
 __all__ = [
     "CALL_ID_HEADER",
+    "INTRODUCE_PATH",
     "POLL_PATH",
     "PUSH_PATH",
     "REPORT_PATH",
@@ -43,10 +50,13 @@
     "PushMessage",
     "Report",
     "RouteRegister",
+    "RoutesFile",
     "ServerRecord",
     "ServerState",
     "answer_poll",
     "decode_body",
     "encode_body",
+    "introduce_control_hosts",
     "next_membership_change",
+    "require_strings",
 ]
--- a/packages/fleet/src/kingcuplug_fleet/_directory.py
+++ b/packages/fleet/src/kingcuplug_fleet/_directory.py
@@ -40,6 +40,8 @@
         Increases with every change that other hosts must learn.
     direct_version : int
         Version of the last change that this host received directly from a server.
+    departure_version : int
+        Version of the last change to a server that accepts no new requests.
     digest : int
         Equal on hosts that hold the same records, in any order. Ended servers are
         excluded, because hosts drop them at different times.
@@ -51,6 +53,7 @@
         self._newest_by_address: dict[str, str] = {}
         self.version = 0
         self.direct_version = 0
+        self.departure_version = 0
         self.digest = 0
 
     def merge(self, record: ServerRecord, now: float, direct: bool = False) -> bool:
@@ -71,6 +74,8 @@
         self.version += 1
         if direct:
             self.direct_version = self.version
+        if record.state is not ServerState.READY:
+            self.departure_version = self.version
         if entry is not None:
             self.digest ^= _digest(entry.record)
         self.digest ^= _digest(record)
--- a/packages/fleet/src/kingcuplug_fleet/_directory_file.py
+++ b/packages/fleet/src/kingcuplug_fleet/_directory_file.py
@@ -1,24 +1,32 @@
-"""Persistence of the server directory and the number of hosts on a control host.
+"""Persistence of the server directory and of facts about the fleet on a control host.
 
 Covers a power loss of all hosts at once, after which callers return before the servers
-have sent a heartbeat again, which takes one heartbeat interval. The file only provides
-the initial state: every newer record of a server replaces the one from the file.
+have sent a heartbeat again, which takes one heartbeat interval, and before a leader
+has counted the hosts. The file only provides the initial state: every newer record of
+a server, and every summary of a leader, replaces the one from the file.
 """
 
 import asyncio
-import os
 from pathlib import Path
 
 import orjson
-from kingcuplug_common import EventLog
+from kingcuplug_common import Condition, EventLog
 
+from kingcuplug_fleet._durable_file import replace_file
 from kingcuplug_fleet._fleet_view import FleetView
+from kingcuplug_fleet._json_types import (
+    require_integer,
+    require_mapping,
+    require_string,
+    require_strings,
+)
 from kingcuplug_fleet._server_record import ServerRecord
 
 __all__ = ["DirectoryFile"]
 
 _FILE_NAME = "servers.json"
-# Losing the last half second of changes costs one heartbeat interval for a server.
+# Losing the last half second of new servers costs one heartbeat interval for each.
+# Servers that leave are written without this delay.
 _WRITE_INTERVAL_S = 0.5
 _RETRY_DELAY_S = 5.0
 
@@ -30,13 +38,21 @@
         self._path = folder / _FILE_NAME
         self._view = view
         self._log = log
+        self._saved_state = self._state()
+        self._saved_version = 0
+        self._saved = Condition()
 
     def load(self) -> None:
-        """Load the records from the file; ignore a missing or unreadable file."""
+        """Load the state from the file; ignore a missing or unreadable file."""
         try:
-            value = orjson.loads(self._path.read_bytes())
+            value = require_mapping(orjson.loads(self._path.read_bytes()))
             records = [ServerRecord.from_json(entry) for entry in value["servers"]]
-            hosts = int(value["hosts"])
+            hosts = require_integer(value["hosts"])
+            zones = {
+                address: require_string(zone)
+                for address, zone in require_mapping(value.get("zones", {})).items()
+            }
+            reachable = require_strings(value.get("reachable", []))
         except FileNotFoundError:
             return
         except (OSError, ValueError, TypeError, LookupError) as error:
@@ -46,33 +62,61 @@
             return
         self._view.merge_servers(records)
         self._view.assume_host_count(hosts)
+        self._view.zones.update(zones)
+        self._view.set_control_hosts(list(zones))
+        self._view.set_reachable_control_hosts(tuple(reachable))
+        self._saved_state = self._state()
+        self._saved_version = self._view.directory.version
         self._log.write(
-            "directory_loaded", {"servers": len(records)}, bypass_rate_limit=True
+            "directory_loaded",
+            {"servers": len(records), "hosts": hosts, "control_hosts": len(zones)},
+            bypass_rate_limit=True,
         )
 
     async def run(self) -> None:
-        """Write the directory whenever it has changed."""
-        directory, written_version = self._view.directory, 0
+        """Write the state whenever it has changed."""
+        view = self._view
         while True:
-            await self._view.changed.wait_for(
-                lambda old=written_version: directory.version != old  # type: ignore[misc]
-            )
-            version = directory.version
-            records = [record.to_json() for record in directory.changed_since(0)]
-            data = orjson.dumps({"servers": records, "hosts": self._view.host_count})
+            await view.changed.wait_for(lambda: self._state() != self._saved_state)
+            state, version = self._state(), view.directory.version
             try:
-                await asyncio.to_thread(self._write, data)
-                written_version = version
-                await asyncio.sleep(_WRITE_INTERVAL_S)
+                await asyncio.to_thread(replace_file, self._path, self._encode())
             except OSError as error:
                 self._log.write("directory_file_unwritten", {"error": repr(error)})
                 await asyncio.sleep(_RETRY_DELAY_S)
+                continue
+            self._saved_state, self._saved_version = state, version
+            self._saved.notify()
+            await view.changed.wait_for(self._has_unsaved_departure, _WRITE_INTERVAL_S)
 
-    def _write(self, data: bytes) -> None:
-        temporary = self._path.with_suffix(".tmp")
-        self._path.parent.mkdir(parents=True, exist_ok=True)
-        with temporary.open("wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
-        temporary.replace(self._path)
+    async def wait_saved(self, timeout_s: float) -> bool:
+        """Return whether the present directory is on the disk within `timeout_s`."""
+        version = self._view.directory.version
+        return await self._saved.wait_for(
+            lambda: self._saved_version >= version, timeout_s
+        )
+
+    def _state(self) -> tuple[object, ...]:
+        """Return what changes whenever the file's content does."""
+        view = self._view
+        return (
+            view.directory.version,
+            view.host_count,
+            view.control_hosts,
+            view.reachable_control_hosts,
+        )
+
+    def _has_unsaved_departure(self) -> bool:
+        return self._view.directory.departure_version > self._saved_version
+
+    def _encode(self) -> bytes:
+        view = self._view
+        zones = {a: view.zones[a] for a in view.control_hosts if a in view.zones}
+        return orjson.dumps(
+            {
+                "servers": [r.to_json() for r in view.directory.changed_since(0)],
+                "hosts": view.host_count,
+                "zones": zones,
+                "reachable": list(view.reachable_control_hosts),
+            }
+        )
--- /dev/null
+++ b/packages/fleet/src/kingcuplug_fleet/_durable_file.py
@@ -0,0 +1,31 @@
+"""Replacement of a file that is atomic and survives a power loss."""
+
+import os
+from pathlib import Path
+
+__all__ = ["replace_file"]
+
+
+def replace_file(path: Path, data: bytes) -> None:
+    """Replace a file's content, and sync the file and its folder.
+
+    After a power loss the file has either its old or its new content; once this
+    function has returned, it has the new one.
+
+    Raises
+    ------
+    OSError
+        If the file cannot be written, for example on a full disk.
+    """
+    path.parent.mkdir(parents=True, exist_ok=True)
+    temporary = path.with_suffix(".tmp")
+    with temporary.open("wb") as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
+    temporary.replace(path)
+    folder = os.open(path.parent, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(folder)
+    finally:
+        os.close(folder)
--- a/packages/fleet/src/kingcuplug_fleet/_polling.py
+++ b/packages/fleet/src/kingcuplug_fleet/_polling.py
@@ -47,6 +47,8 @@
 # response.
 _BATCH_DELAY_S = 0.02
 _REPORT_TIMEOUT_S = 0.5
+# Bounds what faulty hosts can make this one remember.
+_MAX_SUGGESTED_HOSTS = 64
 
 
 async def answer_poll(
@@ -67,9 +69,13 @@
     if _should_redirect(view, own_address, value["zone"]):
         # Avoids sending the whole directory to another availability zone.
         return {"nearer": view.zones}
-    if not connected() and _zone_has_control_host(view, own_address, value["zone"]):
+    if (
+        not connected()
+        and value["routes"] > 0
+        and _zone_has_control_host(view, own_address, value["zone"])
+    ):
         # Without a leader the polling host goes on to the next control host, so it
-        # gets no records.
+        # gets no records. One that has just started takes what any of them holds.
         return {"connected": False, "slow": view.slow_servers}
     view.record_host_poll(value["host"])
     view.merge_servers([ServerRecord.from_json(r) for r in value["servers"]])
@@ -101,6 +107,8 @@
         reply["routes"] = view.routes_version
         reply["document"] = view.routes_document
     if not connected():
+        reply["control_hosts"] = list(view.control_hosts)
+    if not connected() and (view.host_count == 0 or value.get("hosts", 1) > 0):
         reply["slow"] = view.slow_servers
     elif view.state_digest() != value["state_key"]:
         reply["state"] = view.state()
@@ -172,6 +180,7 @@
         self._cursors: dict[str, _Cursor] = {}
         self._avoided_since: dict[str, float] = {}
         self._poll_failed_at: dict[str, float] = {}
+        self._suggested_hosts: set[str] = set()
         self._random = random_module.Random()
         # Receives reports while no control host is connected to a leader.
         self._last_responder: str | None = None
@@ -203,11 +212,18 @@
                     address, REPORT_PATH, report.to_json(), _REPORT_TIMEOUT_S
                 )
 
+    def suggest_control_hosts(self, addresses: list[str]) -> None:
+        """Add control hosts that another host knows, in case the seeds know none."""
+        room = _MAX_SUGGESTED_HOSTS - len(self._suggested_hosts)
+        new_addresses = [a for a in addresses if a not in self._suggested_hosts]
+        self._suggested_hosts.update(new_addresses[:room])
+
     def _select_control_host(self) -> str | None:
         """Return a control host, preferably one that has not failed recently."""
         now = asyncio.get_running_loop().time()
         # The seeds may be the only reachable ones if all discovered ones are gone.
         candidates = set(self._view.control_hosts) | set(self._seeds())
+        candidates |= self._suggested_hosts
         candidates.discard(self._own_address)
         limit = now - _FAILURE_COOLDOWN_S
         healthy = [a for a in candidates if self._avoided_since.get(a, limit) <= limit]
@@ -252,6 +268,8 @@
             "epoch": cursor.epoch,
             "cursor": cursor.version,
             "routes": view.routes_version,
+            # A host that knows no number of hosts takes it from any control host.
+            "hosts": view.host_count,
             "servers": []
             if has_polled
             else [record.to_json() for record in view.directory.not_ready()],
@@ -311,6 +329,7 @@
                 return True
         self._cursors[address] = _Cursor(reply["epoch"], reply["cursor"])
         if not reply["connected"]:
+            self.suggest_control_hosts(require_strings(reply.get("control_hosts", [])))
             return False
         # The time of sending, because the response may have been delayed in transit.
         self.confirmed_at = sent_at
@@ -322,6 +341,7 @@
             return True
         if self.control_host != address:
             self.control_host = address
+            self._suggested_hosts.clear()
             self._log.write(
                 "control_host_found", {"address": address}, bypass_rate_limit=True
             )
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -17,6 +17,7 @@
 )
 from kingcuplug_fleet import (
     CALL_ID_HEADER,
+    INTRODUCE_PATH,
     POLL_PATH,
     PUSH_PATH,
     REPORT_PATH,
@@ -32,11 +33,14 @@
     PeerRefused,
     Report,
     RouteRegister,
+    RoutesFile,
     ServerRecord,
     ServerState,
     answer_poll,
     decode_body,
     encode_body,
+    introduce_control_hosts,
+    require_strings,
 )
 from kingcuplug_gateway import (
     Gateway,
@@ -78,6 +82,12 @@
 # up to the maximum, so that a persistent fault cannot occupy the processor.
 _MIN_TASK_RESTART_S = 0.1
 _MAX_TASK_RESTART_S = 5.0
+# A control host that answers within this time after the start knows newer routes than
+# the file of this host may hold.
+_SAVED_ROUTES_DELAY_S = 0.05
+# How long the acknowledgement of a leaving server waits for the disk of this host. The
+# server's client tries another host after one second.
+_DEPARTURE_SAVE_TIMEOUT_S = 0.35
 # Operators may send large documents, and hosts send complete server directories.
 _CONTROL_HTTP_LIMITS = Limits(
     max_body_bytes=16_777_216, header_timeout_ms=5_000, idle_timeout_ms=20_000
@@ -147,10 +157,11 @@
         )
         self._replica = self._make_replica()
         self._directory_file: DirectoryFile | None = None
+        self._routes_file: RoutesFile | None = None
         if settings.data_folder is not None:
-            self._directory_file = DirectoryFile(
-                settings.data_folder, self._fleet_view, log
-            )
+            folder = settings.data_folder
+            self._directory_file = DirectoryFile(folder, self._fleet_view, log)
+            self._routes_file = RoutesFile(folder, self._route_register, log)
         self._mesh = Mesh(
             settings.host,
             self._fleet_view,
@@ -215,9 +226,22 @@
             },
         )
         if record.state is not ServerState.READY:
-            await self._mesh.replicate(record)
+            await self._secure_departure(record)
         return next_address
 
+    async def _secure_departure(self, record: ServerRecord) -> None:
+        """Wait until a leaving server is known elsewhere and on this host's disk.
+
+        Neither wait may keep the acknowledgement: a server that gets none leaves
+        anyway.
+        """
+        waits: list[Coroutine[Any, Any, bool]] = [self._mesh.replicate(record)]
+        if self._directory_file is not None:
+            waits.append(self._directory_file.wait_saved(_DEPARTURE_SAVE_TIMEOUT_S))
+        replicated, *saved = await asyncio.gather(*waits)
+        if not replicated and not any(saved):
+            self._log.write("departure_unsecured", {"server": record.id})
+
     async def deregister_server(self, server_id: str, start_ms: int | None) -> None:
         """Mark a backend server as stopped, so that it receives no more requests.
 
@@ -340,11 +364,22 @@
         ]
         if self._directory_file is not None:
             tasks.append(self._directory_file.run)
+        if self._routes_file is not None:
+            use_saved_routes = partial(self._use_saved_routes, self._routes_file)
+            tasks += [use_saved_routes, self._routes_file.run]
         if self._replica is not None:
             tasks += [
                 self._replica.run,
                 self._mesh.run,
                 partial(self._update_control_hosts, self._replica),
+                partial(
+                    introduce_control_hosts,
+                    self._fleet_view,
+                    self._peer_client,
+                    lambda: self._settings.seeds,
+                    self._is_connected_control_host,
+                    self._settings.control_address,
+                ),
             ]
         return tasks
 
@@ -412,7 +447,24 @@
             return error_response(503, "no contact with control", retry_after_s=1.0)
         return await self._gateway.handle(request)
 
+    async def _use_saved_routes(self, routes_file: RoutesFile) -> None:
+        """Serve by the routes on the disk unless newer ones are known soon."""
+        saved = routes_file.load()
+        await asyncio.sleep(_SAVED_ROUTES_DELAY_S)
+        if saved is None:
+            return
+        version, document = saved
+        is_newest = version > self._fleet_view.routes_version
+        self._fleet_view.update_routes(version, document)
+        self._log.write(
+            "saved_routes_loaded",
+            {"version": version, "used": is_newest},
+            bypass_rate_limit=True,
+        )
+
     def _on_routes_changed(self) -> None:
+        if self._routes_file is not None:
+            self._routes_file.on_register_changed()
         self._fleet_view.update_routes(
             self._route_register.version, self._route_register.document
         )
@@ -479,6 +531,9 @@
             return await self._gateway.handle_gather(
                 value, accept_new=not self._stopping
             )
+        if path == INTRODUCE_PATH:
+            self._poller.suggest_control_hosts(require_strings(value))
+            return {}
         if path == REPORT_PATH:
             self._mesh.receive_report(Report.from_json(value))
             return {}
--- a/tests/fleet/test_polling.py
+++ b/tests/fleet/test_polling.py
@@ -8,10 +8,12 @@
 import pytest
 from kingcuplug_common import EventLog
 from kingcuplug_fleet import (
+    INTRODUCE_PATH,
     ControlHostPoller,
     FleetView,
     ServerState,
     answer_poll,
+    introduce_control_hosts,
 )
 from kingcuplug_testkit import run_virtual
 
@@ -140,3 +142,45 @@
         task.cancel()
 
     run_virtual(run())
+
+
+def test_host_finds_control_hosts_that_its_seeds_have_forgotten():
+    """Guards against hosts that stay without routes after a power loss of all.
+
+    The seeds were replaced by hosts without a disk before; only the control host
+    knows its own address and these seeds.
+    """
+
+    async def run() -> None:
+        client, control = FakePeerClient(), FleetView(5.0)
+        control.update_routes(6, "six")
+        control.set_control_hosts(["core"])
+        seeds = ("d1", "d2")
+        pollers, views = {}, {}
+        for name in ("d1", "d2", "other"):
+            view = views[name] = FleetView(5.0)
+            pollers[name] = _make_poller(view, client, seeds)
+            pollers[name]._own_address = name
+
+            async def answer(path: str, value: Any, name: str = name) -> Any:
+                if path == INTRODUCE_PATH:
+                    pollers[name].suggest_control_hosts(value)
+                    return {}
+                return await answer_poll(views[name], lambda: False, name, value)
+
+            client.handlers[name] = answer
+        client.handlers["core"] = _poll_handler(control, address="core")
+        work = [poller.run() for poller in pollers.values()]
+        work.append(
+            introduce_control_hosts(
+                control, client, lambda: seeds, lambda: False, "core"
+            )
+        )
+        tasks = [asyncio.ensure_future(coroutine) for coroutine in work]
+        await _wait_until(
+            lambda: all(view.routes_version == 6 for view in views.values()), 2.0
+        )
+        for task in tasks:
+            task.cancel()
+
+    run_virtual(run())
--- /dev/null
+++ b/tests/fleet/test_routes_file.py
@@ -0,0 +1,236 @@
+"""Tests of saving committed routes, and of using them before there is a leader."""
+
+import asyncio
+import os
+
+import pytest
+from kingcuplug_common import EventLog
+from kingcuplug_fleet import (
+    ControlHostPoller,
+    DirectoryFile,
+    FleetView,
+    RouteRegister,
+    RoutesFile,
+    ServerState,
+    answer_poll,
+)
+from kingcuplug_testkit import run_virtual
+
+from .conftest import FakePeerClient, make_record
+
+
+@pytest.fixture
+def log():
+    descriptor = os.open(os.devnull, os.O_WRONLY)
+    yield EventLog(descriptor, "host")
+    os.close(descriptor)
+
+
+def _open_file(folder, log) -> tuple[RoutesFile, RouteRegister]:
+    register = RouteRegister(lambda: file.on_register_changed())
+    file = RoutesFile(folder, register, log)
+    return file, register
+
+
+async def _wait_for_version(folder, log, version: int) -> None:
+    async with asyncio.timeout(5):
+        while True:
+            saved = RoutesFile(folder, RouteRegister(lambda: None), log).load()
+            if saved is not None and saved[0] == version:
+                return
+            await asyncio.sleep(0.005)
+
+
+def test_applied_document_is_restored_after_a_restart(tmp_path, log):
+    """Guards against hosts that refuse callers until a leader is elected."""
+
+    async def run() -> None:
+        file, register = _open_file(tmp_path, log)
+        task = asyncio.ensure_future(file.run())
+        register.apply(1, {"version": 3, "document": "three"})
+        await _wait_for_version(tmp_path, log, 3)
+        task.cancel()
+
+    asyncio.run(run())
+    assert _open_file(tmp_path, log)[0].load() == (3, "three")
+
+
+def test_replay_of_the_log_does_not_replace_a_newer_saved_document(tmp_path, log):
+    """Guards against a second power loss that reverts the routes."""
+
+    async def run() -> None:
+        (tmp_path / "routes.json").write_text('{"version": 9, "document": "nine"}')
+        file, register = _open_file(tmp_path, log)
+        assert file.load() == (9, "nine")
+        task = asyncio.ensure_future(file.run())
+        for version in (1, 5, 9):
+            register.apply(version, {"version": version, "document": str(version)})
+            await asyncio.sleep(0.02)
+            assert _open_file(tmp_path, log)[0].load() == (9, "nine")
+        register.apply(10, {"version": 10, "document": "ten"})
+        await _wait_for_version(tmp_path, log, 10)
+        task.cancel()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"[]", b"{}", b'{"version": "9", "document": "x"}', b"\x00\xff"]
+)
+def test_corrupt_routes_file_is_ignored(tmp_path, log, data):
+    """Guards against a host that does not start after a power loss."""
+    (tmp_path / "routes.json").write_bytes(data)
+    assert _open_file(tmp_path, log)[0].load() is None
+
+
+def test_full_disk_does_not_end_the_task(tmp_path, log):
+    """Guards against routes that are never saved again after the disk was full."""
+
+    async def run() -> None:
+        folder = tmp_path / "data"
+        folder.write_text("a file in place of the folder")
+        file, register = _open_file(folder, log)
+        task = asyncio.ensure_future(file.run())
+        register.apply(1, {"version": 1, "document": "one"})
+        await asyncio.sleep(0.05)
+        assert not task.done()
+        task.cancel()
+
+    asyncio.run(run())
+
+
+def test_started_host_takes_routes_and_fleet_from_a_control_host_without_leader():
+    """Guards against hosts without a disk that wait for an election.
+
+    All hosts have lost power; the control hosts have loaded their files.
+    """
+
+    async def run() -> None:
+        client, own, restarted = FakePeerClient(), FleetView(5.0), FleetView(5.0)
+        restarted.update_routes(4, "four")
+        restarted.merge_servers([make_record()])
+        restarted.assume_host_count(7)
+        restarted.zones = {"a": "y", "b": "z"}
+        restarted.set_control_hosts(["a", "b"])
+        restarted.set_reachable_control_hosts(("a", "b"))
+
+        async def answer(path, value):
+            return await answer_poll(restarted, lambda: False, "b", value)
+
+        client.handlers = {"a": answer, "b": answer}
+        log = EventLog(os.open(os.devnull, os.O_WRONLY), "host")
+        poller = ControlHostPoller(
+            "host", own, client, lambda: ("a", "b"), lambda: False, "self", "z", log
+        )
+        task = asyncio.ensure_future(poller.run())
+        await asyncio.sleep(0.3)
+        assert own.routes_version == 4
+        assert [r.id for r in own.directory.usable()] == ["i-1"]
+        assert own.host_count == 7
+        assert own.reachable_control_hosts == ("a", "b")
+        assert poller.control_host is None
+        task.cancel()
+
+    run_virtual(run())
+
+
+def test_host_never_takes_older_routes_than_it_holds():
+    """Guards against routes that revert when a restarted control host answers."""
+
+    async def run() -> None:
+        client, own = FakePeerClient(), FleetView(5.0)
+        views = {}
+        for name, version in (("a", 3), ("b", 5), ("c", 4)):
+            views[name] = FleetView(5.0)
+            views[name].update_routes(version, str(version))
+
+            async def answer(path, value, name=name):
+                return await answer_poll(views[name], lambda: False, name, value)
+
+            client.handlers[name] = answer
+        log = EventLog(os.open(os.devnull, os.O_WRONLY), "host")
+        poller = ControlHostPoller(
+            "host",
+            own,
+            client,
+            lambda: ("a", "b", "c"),
+            lambda: False,
+            "self",
+            "z",
+            log,
+        )
+        seen = []
+        own.changed.notify()
+        task = asyncio.ensure_future(poller.run())
+        for _ in range(300):
+            await asyncio.sleep(0.01)
+            seen.append(own.routes_version)
+        assert seen == sorted(seen)
+        assert seen[-1] == 5
+        task.cancel()
+
+    run_virtual(run())
+
+
+def test_departure_is_on_the_disk_before_it_is_acknowledged(tmp_path, log):
+    """Guards against a server that has left and is used again after a power loss."""
+
+    async def run() -> bool:
+        view = FleetView(5.0)
+        file = DirectoryFile(tmp_path, view, log)
+        task = asyncio.ensure_future(file.run())
+        view.merge_servers([make_record()])
+        await file.wait_saved(2.0)
+        view.merge_servers([make_record(sequence=2, state=ServerState.DRAINING)])
+        saved = await file.wait_saved(2.0)
+        task.cancel()
+        return saved
+
+    assert asyncio.run(run())
+
+    async def restart() -> list[str]:
+        view = FleetView(5.0)
+        DirectoryFile(tmp_path, view, log).load()
+        return [record.id for record in view.directory.usable()]
+
+    assert asyncio.run(restart()) == []
+
+
+def test_departure_does_not_wait_for_the_write_interval(tmp_path, log, monkeypatch):
+    """Guards against a power loss between a departure and its delayed write."""
+    module = "kingcuplug_fleet._directory_file._WRITE_INTERVAL_S"
+    monkeypatch.setattr(module, 3_600.0)
+
+    async def run() -> list[bool]:
+        view = FleetView(5.0)
+        file = DirectoryFile(tmp_path, view, log)
+        task = asyncio.ensure_future(file.run())
+        results = []
+        for sequence, state in ((1, ServerState.READY), (2, ServerState.ENDED)):
+            view.merge_servers([make_record(sequence=sequence, state=state)])
+            results.append(await file.wait_saved(5.0))
+        task.cancel()
+        return results
+
+    assert asyncio.run(run()) == [True, True]
+
+
+def test_stalled_disk_does_not_hold_the_acknowledgement(tmp_path, log, monkeypatch):
+    """Guards against a leaving server that gets no answer while a disk stalls."""
+
+    def stall(path, data):
+        raise OSError("no space left on device")
+
+    monkeypatch.setattr("kingcuplug_fleet._directory_file.replace_file", stall)
+
+    async def run() -> bool:
+        view = FleetView(5.0)
+        file = DirectoryFile(tmp_path, view, log)
+        task = asyncio.ensure_future(file.run())
+        view.merge_servers([make_record(state=ServerState.ENDED)])
+        async with asyncio.timeout(2.0):
+            saved = await file.wait_saved(0.05)
+        task.cancel()
+        return saved
+
+    assert not asyncio.run(run())
