Avoid replicas that shed a part of their requests

Change: the choice of a replica adds the recent share of rejected attempts, at the cost of one more attempt; it halves every 2 s without new attempts.

--- a/packages/routing/src/kingcuplug_routing/_replica_scoring.py
+++ b/packages/routing/src/kingcuplug_routing/_replica_scoring.py
@@ -1,10 +1,10 @@
 """Choice of one replica by this host's own recent observations.
 
 Handles these load patterns: replicas of unequal speed, a server that pauses for some
-hundred milliseconds while its queue grows, a server that fails fast and so looks idle,
-cold starts, and many hosts that choose without knowing each other's choices. Each host
-scores replicas by expected latency; a random factor keeps the hosts from all choosing
-the same one.
+hundred milliseconds while its queue grows, a server that fails or sheds requests fast
+and so looks idle, cold starts, and many hosts that choose without knowing each other's
+choices. Each host scores replicas by expected latency; a random factor keeps the hosts
+from all choosing the same one.
 """
 
 import math
@@ -29,6 +29,13 @@
 _ERROR_WEIGHT = 0.3
 # Expected cost of a failed attempt, as time that the caller loses.
 _ERROR_COST_S = 0.5
+# Rejections are frequent on a server that sheds a part of its requests whatever its
+# load, and single on one that is full for a moment.
+_REJECTION_WEIGHT = 0.2
+# A full server has room again soon, and one that sheds keeps rejecting.
+_REJECTION_HALF_LIFE_S = 2.0
+# Expected cost of a rejected attempt: another one, which the retry budget may deny.
+_REJECTION_COST_S = 0.25
 # A server that refused a connection is avoided for this long, doubled by each further
 # failure.
 _FIRST_UNREACHABLE_S = 0.2
@@ -57,6 +64,8 @@
         Latency ratio: duration of its answers relative to the route's typical one.
     error_rate : float
         Recent share of failed attempts.
+    rejection_rate : float
+        Recent share of attempts that the server did not run because it was busy.
     unreachable_until : float
         Event loop time until which it counts as unreachable.
     cold_until : float
@@ -75,6 +84,8 @@
     latency_ratio_at: float = 0.0
     error_rate: float = 0.0
     error_rate_at: float = 0.0
+    rejection_rate: float = 0.0
+    rejection_rate_at: float = 0.0
     consecutive_failures: int = 0
     unreachable_until: float = 0.0
     cold_until: float = 0.0
@@ -97,6 +108,7 @@
             self._add_sample(attempt, duration_s / typical_s, now)
         self.error_rate = self._current_error_rate(now) * (1 - _ERROR_WEIGHT)
         self.error_rate_at = now
+        self._update_rejection_rate(0.0, now)
         self.consecutive_failures = 0
         self.unreachable_until = 0.0
         return duration_s
@@ -114,8 +126,7 @@
         """Record that the server, running but busy, shed an attempt."""
         self.open_attempts.pop(attempt, None)
         self.reported_ratios.pop(attempt, None)
-        self.latency_ratio = min(self._own_ratio(now) + 1.0, _RATIO_RANGE[1])
-        self.latency_ratio_at = now
+        self._update_rejection_rate(1.0, now)
 
     def record_failure(self, attempt: object, now: float, unreachable: bool) -> None:
         """Record a failure.
@@ -163,6 +174,7 @@
             expected_s = expected_s * _REMOTE_FACTOR + _REMOTE_ROUND_TRIP_S
         expected_s += self._overdue_s(now, ratio)
         expected_s += self._current_error_rate(now) * _ERROR_COST_S
+        expected_s += self._current_rejection_rate(now) * _REJECTION_COST_S
         if now < self.unreachable_until:
             expected_s += _UNREACHABLE_COST_S
         if self.heartbeat_lost:
@@ -195,6 +207,15 @@
     def _current_error_rate(self, now: float) -> float:
         return self.error_rate * _decay_factor(now - self.error_rate_at)
 
+    def _current_rejection_rate(self, now: float) -> float:
+        age_s = now - self.rejection_rate_at
+        return self.rejection_rate * math.exp2(-age_s / _REJECTION_HALF_LIFE_S)
+
+    def _update_rejection_rate(self, sample: float, now: float) -> None:
+        rate = self._current_rejection_rate(now)
+        self.rejection_rate = rate + (sample - rate) * _REJECTION_WEIGHT
+        self.rejection_rate_at = now
+
     def _overdue_s(self, now: float, ratio: float) -> float:
         """Return the age of the oldest open attempt if it is overdue, else 0."""
         if not self.open_attempts:
--- a/tests/routing/test_replicas.py
+++ b/tests/routing/test_replicas.py
@@ -89,3 +89,35 @@
     later = [choose_replica([down, up], 60.0, TYPICAL_S, random) for _ in range(50)]
     assert soon.count(0) == 0
     assert later.count(0) > 10
+
+
+def test_replica_that_sheds_a_part_of_its_requests_is_avoided():
+    """Guards against retries that exhaust the budget, for a server that looks idle.
+
+    It rejects six in ten requests at once and answers the others as fast as its peers.
+    """
+    random, now, to_shedding = Random(5), 0.0, 0
+    replicas = [ReplicaState(3) for _ in range(3)]
+    for _ in range(300):
+        now += 0.1
+        chosen = choose_replica(replicas, now, TYPICAL_S, random)
+        key = object()
+        replicas[chosen].record_start(key, now, TYPICAL_S)
+        if chosen == 0:
+            to_shedding += 1
+        if chosen == 0 and random.random() < 0.6:
+            replicas[chosen].record_rejection(key, now + 0.001)
+        else:
+            replicas[chosen].record_answer(key, now + TYPICAL_S)
+    assert to_shedding < 30
+
+
+def test_one_rejection_does_not_keep_a_replica_unused():
+    """Guards against a server that was full for a moment and loses all its load."""
+    random = Random(5)
+    replicas = [ReplicaState(3), ReplicaState(3)]
+    key = object()
+    replicas[0].record_start(key, 0.0, TYPICAL_S)
+    replicas[0].record_rejection(key, 0.001)
+    chosen = [choose_replica(replicas, 8.0, TYPICAL_S, random) for _ in range(200)]
+    assert chosen.count(0) > 20
