Decide on arrival who is sent, waits or is refused under overload

Change: the limiter of a host and a set of shards is one pure decision. Its limit falls with each late answer and grows with answers in time, for the most urgent rank, between the host's share of the slots and the former constant. A request that would wait beyond its target is refused on arrival, with a `Retry-After` of the expected wait; one that waits is refused when it can no longer be in time. Rank goes first, then callers that return (recognised by the time that they have left), then the earliest target; a less urgent rank gets each fifth turn. No hedges are sent at the limit. A request that was held by the start of its host still waits as long as it is of use. `overloaded` replaces the reason `no_turn`.

--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -3,6 +3,7 @@
 import asyncio
 import random as random_module
 from collections.abc import Callable, Coroutine, Mapping, Sequence
+from dataclasses import dataclass
 from functools import partial
 from types import MappingProxyType
 from typing import Any
@@ -17,10 +18,13 @@
     error_response,
 )
 from kingcuplug_routing import (
+    ConcurrencyLimiter,
     Delegation,
     LatencyEstimator,
     PartialAnswerPolicy,
-    concurrency_limit,
+    ReturningCallers,
+    WaitingRequest,
+    concurrency_limits,
     delegate,
     startup_wait_until,
 )
@@ -52,6 +56,8 @@
 # The delay lets a server restart or be announced before the caller retries. It is
 # drawn at random from this range, so that callers do not retry at the same time.
 _RETRY_AFTER_RANGE_S = (0.15, 0.45)
+# Answers that are sent at their target time are in time despite the timer's delay.
+_TARGET_TOLERANCE_S = 0.005
 # Bounds the wait of requests that arrive before the first route table, and thus the
 # routes' timeouts, are known.
 _MAX_STARTUP_WAIT_MS = 10_000
@@ -88,6 +94,7 @@
         self._random = random or random_module.Random()
         self._timings: dict[str, LatencyEstimator] = {}
         self._round_robins: dict[str, WeightedRoundRobin] = {}
+        self._returning_callers: dict[str, ReturningCallers] = {}
         self._reserved_headers = frozenset(
             name.lower()
             for name in (
@@ -123,6 +130,9 @@
         self.table = table
         names = {route.name for route in table.routes}
         self._timings = {n: t for n, t in self._timings.items() if n in names}
+        self._returning_callers = {
+            n: c for n, c in self._returning_callers.items() if n in names
+        }
         self._round_robins.clear()
         self._update_connection_limits()
         self._state_changed.notify()
@@ -237,23 +247,36 @@
         outbound = self._outbound_request(request, route)
         timing = self._route_timing(route.name, route.target_ms)
         call = self._make_call(
-            service, outbound, timing, route.max_attempts, on_finished
+            service,
+            outbound,
+            timing,
+            route.max_attempts,
+            on_finished,
+            limiter=pool.limiter,
         )
-        if not await self._wait_for_admission(pool, route, outbound):
-            return self._refuse(request, route, "no_turn")
+        target_at = self._target_at(request, route)
+        refusal = await self._wait_for_admission(pool, route, outbound, target_at)
+        if refusal is not None:
+            return self._refuse(request, route, "overloaded", wait_s=refusal.wait_s)
+        started_at = loop.time()
+        in_time: bool | None = None
         call.start()
         try:
             async with asyncio.timeout_at(self._answer_due_at(outbound)):
                 await finished
         except TimeoutError:
             call.cancel()
+            in_time = False
             return self._finish(request, route, error_response(504, "timed out"), call)
         except asyncio.CancelledError:
             call.cancel()
             self._record_disconnect(request, route, call)
             raise
         finally:
-            pool.limiter.release(concurrency_limit(pool.slots, self._host_count))
+            if call.result.succeeded:
+                in_time = loop.time() <= target_at + _TARGET_TOLERANCE_S
+            now = loop.time()
+            pool.limiter.release(route.priority, now, now - started_at, in_time)
         result = call.result
         if result.response is not None:
             return self._finish(
@@ -275,25 +298,30 @@
         reachable = sum(pool.has_reachable_server(now) for pool in pools)
         if reachable < rule.required_shards:
             return self._refuse(request, route, "shards_unreachable")
-        if not await self._wait_for_admission(pools[0], route, outbound):
-            return self._refuse(request, route, "no_turn")
+        refusal = await self._wait_for_admission(
+            pools[0], route, outbound, rule.target_at
+        )
+        if refusal is not None:
+            return self._refuse(request, route, "overloaded", wait_s=refusal.wait_s)
+        started_at = asyncio.get_running_loop().time()
         scatter = ScatterQuery(rule, self._header_names.signature.lower())
         gather_records: list[GatherRecord] = []
+        in_time: bool | None = None
         try:
             await scatter.run(
                 lambda: self._start_shard_calls(
                     route, outbound, scatter, rule, gather_records
                 )
             )
+            in_time = scatter.in_time
         except asyncio.CancelledError:
             self._record_disconnect(
                 request, route, *scatter.calls, gather_records=gather_records
             )
             raise
         finally:
-            pools[0].limiter.release(
-                concurrency_limit(pools[0].slots, self._host_count)
-            )
+            now = asyncio.get_running_loop().time()
+            pools[0].limiter.release(route.priority, now, now - started_at, in_time)
         merged = scatter.merge(route.top_records)
         if merged is None:
             past_deadline = asyncio.get_running_loop().time() >= rule.final_at
@@ -328,10 +356,16 @@
             self.servers.pool(shard).caller_retry_budget.record_request(now)
 
         timing = self._route_timing(route.name, route.target_ms)
+        limiter = self.servers.pool(route.shards[0]).limiter
 
         def make_call(shard: str) -> ServiceCall:
             return self._make_call(
-                shard, outbound, timing, route.max_attempts, scatter.on_call_finished
+                shard,
+                outbound,
+                timing,
+                route.max_attempts,
+                scatter.on_call_finished,
+                limiter=limiter,
             )
 
         def make_fallback_call(shard: str) -> ServiceCall:
@@ -344,6 +378,7 @@
                 max_attempts,
                 scatter.on_call_finished,
                 "fallback",
+                limiter=limiter,
             )
 
         def call_shards_directly(shards: Sequence[str], maybe_sent: bool) -> None:
@@ -395,41 +430,66 @@
             await self._state_changed.wait_for(is_ready, until - now)
 
     async def _wait_for_admission(
-        self, pool: ServicePool, route: Route, outbound: OutboundRequest
-    ) -> bool:
-        """Wait for admission by the limiter; return whether it came in time."""
-        if pool.limiter.try_acquire(concurrency_limit(pool.slots, self._host_count)):
-            return True
-        admission: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-
-        def admit() -> bool:
+        self,
+        pool: ServicePool,
+        route: Route,
+        outbound: OutboundRequest,
+        target_at: float,
+    ) -> "_Overloaded | None":
+        """Wait for admission by the limiter; return why it was refused, if it was."""
+        limiter, loop = pool.limiter, asyncio.get_running_loop()
+        limiter.set_bounds(concurrency_limits(pool.slots, self._host_count))
+        rank = route.priority
+        if limiter.try_acquire(rank, loop.time()):
+            return None
+        admission: asyncio.Future[bool] = loop.create_future()
+
+        def settle(admitted: bool) -> bool:
             if admission.done():
                 return False
-            admission.set_result(None)
+            admission.set_result(admitted)
             return True
 
-        pool.limiter.enqueue(route.priority, admit)
+        waiting = WaitingRequest(
+            rank,
+            target_at,
+            self._answer_due_at(outbound),
+            outbound.returning,
+            admit=partial(settle, True),
+            refuse=partial(settle, False),
+        )
+        wait_s = limiter.enqueue(waiting, loop.time())
+        if wait_s is not None:
+            return _Overloaded(wait_s)
+        timer = loop.call_at(waiting.latest_start_at, limiter.expire, waiting)
         try:
-            async with asyncio.timeout_at(self._answer_due_at(outbound)):
-                await admission
-        except TimeoutError:
-            return False
+            admitted = await admission
         except asyncio.CancelledError:
-            if admission.done() and not admission.cancelled():
-                pool.limiter.release(concurrency_limit(pool.slots, self._host_count))
+            limiter.withdraw(waiting)
+            if admission.done() and not admission.cancelled() and admission.result():
+                limiter.release(rank, loop.time(), 0.0, in_time=None)
             raise
-        return True
+        finally:
+            timer.cancel()
+        return None if admitted else _Overloaded(limiter.expected_wait_s(rank))
 
     def _deadline_at(self, request: Request, wait_ms: int) -> float:
         """Return the caller's deadline, bounded by the time limit `wait_ms`."""
+        limit_ms = self._caller_limit_ms(request)
+        if limit_ms is not None:
+            wait_ms = min(wait_ms, limit_ms)
+        return request.received_at + wait_ms / _MS_PER_S
+
+    def _caller_limit_ms(self, request: Request) -> int | None:
+        """Return the caller's own time limit, if it sent a usable one."""
         header_value = request.header(self._header_names.deadline_ms.lower())
         if (
-            header_value is not None
-            and header_value.isdigit()
-            and len(header_value) <= _MAX_DEADLINE_DIGITS
+            header_value is None
+            or not header_value.isdigit()
+            or len(header_value) > _MAX_DEADLINE_DIGITS
         ):
-            wait_ms = min(wait_ms, int(header_value))
-        return request.received_at + wait_ms / _MS_PER_S
+            return None
+        return int(header_value)
 
     def _select_service(self, route: Route) -> str:
         if len(route.services) == 1:
@@ -450,6 +510,7 @@
         on_finished: Callable[[ServiceCall], None],
         first_attempt_kind: str = "first",
         for_peer: bool = False,
+        limiter: ConcurrencyLimiter | None = None,
     ) -> ServiceCall:
         return ServiceCall(
             server_table=self.servers,
@@ -463,6 +524,7 @@
             on_finished=on_finished,
             first_attempt_kind=first_attempt_kind,
             for_peer=for_peer,
+            limiter=limiter,
         )
 
     def _route_timing(self, route: str, target_ms: int) -> LatencyEstimator:
@@ -474,21 +536,24 @@
     def _answer_rule(
         self, request: Request, route: Route, outbound: OutboundRequest
     ) -> PartialAnswerPolicy:
-        # The caller measures from before it connects, so the first request on a
-        # connection includes the TCP handshake.
-        trips = _TRIPS_WITH_CONNECT if request.first_on_connection else 2
-        network_ms = trips * self._settings.caller_delay_ms
-        target_ms = route.target_ms - network_ms - self._settings.answer_margin_ms
         final_at = self._answer_due_at(outbound)
-        target_at = request.received_at + max(target_ms, 1.0) / _MS_PER_S
         return PartialAnswerPolicy(
             shard_count=len(route.shards),
             min_coverage=route.minimum_coverage,
             received_at=request.received_at,
-            target_at=min(target_at, final_at),
+            target_at=min(self._target_at(request, route), final_at),
             final_at=final_at,
         )
 
+    def _target_at(self, request: Request, route: Route) -> float:
+        """Return when the response must be sent to reach the caller in time."""
+        # The caller measures from before it connects, so the first request on a
+        # connection includes the TCP handshake.
+        trips = _TRIPS_WITH_CONNECT if request.first_on_connection else 2
+        network_ms = trips * self._settings.caller_delay_ms
+        target_ms = route.target_ms - network_ms - self._settings.answer_margin_ms
+        return request.received_at + max(target_ms, 1.0) / _MS_PER_S
+
     def _outbound_request(self, request: Request, route: Route) -> OutboundRequest:
         header_names = self._header_names
         lines = [b"%s %s HTTP/1.1\r\n" % (request.method, request.target)]
@@ -512,10 +577,20 @@
             deadline_at=self._deadline_at(request, route.timeout_ms),
             repeatable=route.repeatable,
             no_response_body=request.method == b"HEAD",
+            returning=self._is_returning(request, route),
         )
 
+    def _is_returning(self, request: Request, route: Route) -> bool:
+        """Return whether the caller was refused before, by the time it has left."""
+        limit_ms = self._caller_limit_ms(request)
+        if limit_ms is None:
+            return False
+        return self._returning_callers.setdefault(
+            route.name, ReturningCallers()
+        ).record(limit_ms)
+
     def _answer_due_at(self, outbound: OutboundRequest) -> float:
-        """Return when the response must be sent to reach the caller in time."""
+        """Return when to send the response so that it meets the deadline."""
         settings = self._settings
         reserved_ms = (
             _TRIPS_WITH_CONNECT * settings.caller_delay_ms + settings.answer_margin_ms
@@ -534,10 +609,21 @@
             self.servers.set_connection_limits(limits, self._host_count, gatherers)
 
     def _refuse(
-        self, request: Request, route: Route | None, reason: str, *calls: ServiceCall
+        self,
+        request: Request,
+        route: Route | None,
+        reason: str,
+        *calls: ServiceCall,
+        wait_s: float = 0.0,
     ) -> Response:
-        """Refuse a request that has run at no server, and ask for a later retry."""
-        retry_after_s = self._random.uniform(*_RETRY_AFTER_RANGE_S)
+        """Refuse a request that has run at no server, and ask for a later retry.
+
+        Parameters
+        ----------
+        wait_s : float
+            Time after which there is expected to be room for it.
+        """
+        retry_after_s = max(wait_s, self._random.uniform(*_RETRY_AFTER_RANGE_S))
         response = error_response(503, reason, retry_after_s=retry_after_s)
         return self._finish(request, route, response, *calls)
 
@@ -585,6 +671,13 @@
         self._request_log.write(request, route, result)
 
 
+@dataclass(frozen=True, slots=True)
+class _Overloaded:
+    """Refusal by the limiter: the expected wait, in seconds, was too long."""
+
+    wait_s: float
+
+
 def _host_and_path(request: Request) -> tuple[str | None, str | None]:
     """Return the host name and the path that select the route."""
     host = request.header(b"host")
--- a/packages/gateway/src/kingcuplug_gateway/_scatter.py
+++ b/packages/gateway/src/kingcuplug_gateway/_scatter.py
@@ -13,6 +13,8 @@
 __all__ = ["RECORD_BYTES", "MergedAnswer", "ScatterQuery", "merge_records"]
 
 RECORD_BYTES = 16
+# Answers that are sent at their target time are in time despite the timer's delay.
+_TARGET_TOLERANCE_S = 0.005
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,6 +139,16 @@
             self._signatures, missing, merge_records(self._bodies, record_count)
         )
 
+    @property
+    def in_time(self) -> bool | None:
+        """Whether it was answered by its target time; ``None`` without an answer.
+
+        A query that fails because servers are gone says nothing about the load.
+        """
+        if self._received_count < self._rule.required_shards:
+            return None
+        return self._loop.time() <= self._rule.target_at + _TARGET_TOLERANCE_S
+
     def _hedge_stragglers(self) -> None:
         """Bring forward hedged attempts to the last shards after most have answered."""
         self._hedged_stragglers = True
--- a/packages/gateway/src/kingcuplug_gateway/_service_call.py
+++ b/packages/gateway/src/kingcuplug_gateway/_service_call.py
@@ -8,7 +8,7 @@
 
 from kingcuplug_common import Metrics
 from kingcuplug_http import Failure, OutboundConnection, Response
-from kingcuplug_routing import LatencyEstimator, choose_replica
+from kingcuplug_routing import ConcurrencyLimiter, LatencyEstimator, choose_replica
 
 from kingcuplug_gateway._header_names import HeaderNames
 from kingcuplug_gateway._servers import Server, ServerTable, ServicePool
@@ -48,6 +48,8 @@
         Whether the request may run more than once.
     no_response_body : bool
         Whether the response has no body, as for ``HEAD``.
+    returning : bool
+        Whether the caller was refused before.
     """
 
     head: bytes
@@ -56,6 +58,7 @@
     deadline_at: float
     repeatable: bool
     no_response_body: bool
+    returning: bool = False
 
 
 @dataclass(slots=True)
@@ -121,6 +124,8 @@
     for_peer : bool
         Whether this host gathers the part for another one. Hedging is then blocked
         until that host asks for the remaining parts.
+    limiter : ConcurrencyLimiter or None
+        Limiter that admitted the request. While others wait for it, no hedges are sent.
     """
 
     def __init__(
@@ -136,7 +141,9 @@
         on_finished: Callable[["ServiceCall"], None],
         first_attempt_kind: str = "first",
         for_peer: bool = False,
+        limiter: ConcurrencyLimiter | None = None,
     ) -> None:
+        self._limiter = limiter
         self._first_attempt_kind = first_attempt_kind
         self._for_peer = for_peer
         self._retry_budget = (
@@ -336,7 +343,8 @@
         now = self._loop.time()
         for attempt in self._open_attempts:
             attempt.server.state.report_late(attempt, now)
-        self._send("hedge")
+        if self._limiter is None or not self._limiter.saturated:
+            self._send("hedge")
 
     def _spend_retry_budget(self, kind: str, now: float) -> bool:
         share = self._server_table.retry_share(now, self._for_peer)
--- a/packages/routing/src/kingcuplug_routing/__init__.py
+++ b/packages/routing/src/kingcuplug_routing/__init__.py
@@ -3,7 +3,8 @@
 from kingcuplug_routing._admission import Admission, AdmissionContext
 from kingcuplug_routing._concurrency_limiter import (
     ConcurrencyLimiter,
-    concurrency_limit,
+    WaitingRequest,
+    concurrency_limits,
 )
 from kingcuplug_routing._crash_guard import CrashGuard
 from kingcuplug_routing._crash_history import CrashGuardSettings, CrashSuspect
@@ -18,6 +19,7 @@
     SlidingWindowCounter,
     host_share,
 )
+from kingcuplug_routing._returning_callers import ReturningCallers
 from kingcuplug_routing._router import Router
 from kingcuplug_routing._selection import (
     least_expected_time,
@@ -57,6 +59,7 @@
     "ReplicaState",
     "RetryBudget",
     "RetryBudgetSettings",
+    "ReturningCallers",
     "Router",
     "RoutingPolicy",
     "ServerView",
@@ -64,9 +67,10 @@
     "SlowServerDetector",
     "SnapshotView",
     "Ticket",
+    "WaitingRequest",
     "baseline_policy",
     "choose_replica",
-    "concurrency_limit",
+    "concurrency_limits",
     "delegate",
     "host_share",
     "least_expected_time",
--- a/packages/routing/src/kingcuplug_routing/_concurrency_limiter.py
+++ b/packages/routing/src/kingcuplug_routing/_concurrency_limiter.py
@@ -1,18 +1,27 @@
-"""Limit on the concurrent requests of one host to the servers of a service.
+"""Admission of requests to a service at one host: who is sent, waits, or is refused.
 
-Handles this load pattern: callers wait at hosts that have just started or have lost a
-service for a moment, and then all their requests are sent in the same millisecond. The
-servers' short queues overflow, and retries of the rejected requests exhaust the retry
-budget. So each host sends only its share of the servers' slots and a short queue; other
-requests wait at the host, ordered by rank and then by arrival.
+Handles these load patterns. Callers wait at hosts that have just started, and then all
+their requests are sent in the same millisecond: the servers' short queues overflow,
+and retries of the rejected requests exhaust the retry budget. More requests arrive for
+some seconds than the servers answer in time (a burst, callers that repeat at once,
+slow replicas): if all are sent or held, all answers are late, and the callers that are
+refused in the end have waited for nothing.
+
+So each host sends only as many requests at once as are answered in time. The limit
+starts at the host's share of the servers' slots and of a short queue; it is lowered by
+a constant factor for each late answer and raised by a constant amount for a limit's
+worth of answers in time (additive increase, multiplicative decrease; Chiu and Jain,
+1989). A request that would wait too long is refused on arrival, with the time at which
+there will be room. Among those that wait, the rank decides first; callers that return
+after a refusal go before new ones, and who has waited longest before the others.
 """
 
-import heapq
 import math
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from itertools import count
 
-__all__ = ["ConcurrencyLimiter", "concurrency_limit"]
+__all__ = ["ConcurrencyLimiter", "WaitingRequest", "concurrency_limits"]
 
 # Servers queue about six requests for each slot; the margin allows for uneven shares of
 # the hosts.
@@ -20,48 +29,222 @@
 # A host with few callers must still handle a small burst.
 _MIN_CONCURRENCY = 4
 
+_LATE_FACTOR = 0.85
+_IN_TIME_STEP = 0.2
+# Several requests that were sent together are late together: they count as one.
+_DECREASE_INTERVAL_S = 0.1
+# Only the most urgent rank of the last seconds moves the limit: less urgent requests
+# may have a target that only an idle service meets.
+_RANK_MEMORY_S = 2.0
+_DURATION_WEIGHT = 0.1
+# A less urgent rank gets every n-th turn, so that it does not starve.
+_TURNS_BEFORE_LOWER_RANK = 4
+
 
-def concurrency_limit(slots: int, hosts: int) -> int:
-    """Return the limit on concurrent requests of a host to servers with `slots` in all.
+def concurrency_limits(slots: int, hosts: int) -> tuple[float, float]:
+    """Return the bounds of a host's limit for servers with `slots` in all.
+
+    The lower bound is the host's share of the slots: with fewer requests in flight, a
+    request would be refused that a free server could run.
 
     Parameters
     ----------
     hosts : int
         Live hosts; 0 if unknown.
     """
-    return max(_MIN_CONCURRENCY, math.ceil(slots * _REQUESTS_PER_SLOT / max(1, hosts)))
+    share = slots / max(1, hosts)
+    upper = max(_MIN_CONCURRENCY, math.ceil(share * _REQUESTS_PER_SLOT))
+    return max(1.0, share), float(upper)
+
+
+@dataclass(slots=True)
+class WaitingRequest:
+    """A request that waits for admission.
+
+    Attributes
+    ----------
+    rank : int
+        Rank of the request; 0 is the most urgent.
+    target_at, final_at : float
+        Event loop times by which its answer is in time, and of any use.
+    returning : bool
+        Whether its caller has been refused before.
+    admit : callable
+        Called when it may be sent; returns ``False`` if it has been abandoned.
+    refuse : callable
+        Called when it can no longer be served.
+    latest_start_at : float
+        Event loop time until which it may wait.
+    held_by_start : bool
+        Whether its target time had passed before it was queued.
+    """
+
+    rank: int
+    target_at: float
+    final_at: float
+    returning: bool
+    admit: Callable[[], bool]
+    refuse: Callable[[], object]
+    latest_start_at: float = field(default=0.0, init=False)
+    held_by_start: bool = field(default=False, init=False)
+    sequence: int = field(default=0, init=False)
 
 
 class ConcurrencyLimiter:
-    """Counts the requests in flight and queues the others in order of rank."""
+    """Counts the requests in flight and decides about the others.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    bounds : tuple of float
+        Lower and upper bound of the limit, see `concurrency_limits`.
+    """
+
+    def __init__(self, bounds: tuple[float, float] = (1.0, _MIN_CONCURRENCY)) -> None:
         self._in_flight = 0
-        self._waiting: list[tuple[int, int, Callable[[], bool]]] = []
+        self._min_limit, self._max_limit = bounds
+        self._limit = self._max_limit
+        self._decreased_at = -math.inf
+        self._duration_s = 0.0
+        self._waiting: list[WaitingRequest] = []
         self._sequence = count()
+        self._rank_seen_at: dict[int, float] = {}
+        self._turns_missed: dict[int, int] = {}
+
+    @property
+    def limit(self) -> float:
+        """Number of requests that may be in flight."""
+        return self._limit
 
-    def try_acquire(self, limit: int) -> bool:
+    @property
+    def saturated(self) -> bool:
+        """Whether hedges would displace requests that wait or are refused."""
+        return bool(self._waiting) or self._in_flight >= self._limit
+
+    def set_bounds(self, bounds: tuple[float, float]) -> None:
+        """Set the bounds; the limit follows the upper one if it was not lowered."""
+        if self._limit >= self._max_limit:
+            self._limit = bounds[1]
+        self._min_limit, self._max_limit = bounds
+        self._limit = min(max(self._limit, self._min_limit), self._max_limit)
+
+    def try_acquire(self, rank: int, now: float) -> bool:
         """Return whether a request may be sent at once, and count it if so."""
-        if self._in_flight >= limit or self._waiting:
+        self._rank_seen_at[rank] = now
+        if self._in_flight >= self._limit or self._waiting:
             return False
         self._in_flight += 1
         return True
 
-    def enqueue(self, rank: int, admit: Callable[[], bool]) -> None:
-        """Queue a request.
+    def expected_wait_s(self, rank: int, returning: bool = False) -> float:
+        """Return how long a request that arrives now is expected to wait."""
+        ahead = sum(
+            waiting.rank < rank
+            or (waiting.rank == rank and (waiting.returning or not returning))
+            for waiting in self._waiting
+            if not waiting.held_by_start
+        )
+        return (ahead + 1) * self._duration_s / self._limit
+
+    def enqueue(self, request: WaitingRequest, now: float) -> float | None:
+        """Queue a request, or refuse it if it would wait too long.
+
+        Returns
+        -------
+        float or None
+            ``None`` if it was queued, otherwise the expected wait in seconds.
+        """
+        wait_s = self.expected_wait_s(request.rank, request.returning)
+        # A request that was held by the start of this host is late anyway, and does not
+        # compete with others: it waits for room as long as an answer is of use.
+        request.held_by_start = now > request.target_at
+        end_at = request.final_at if request.held_by_start else request.target_at
+        request.latest_start_at = end_at - self._duration_s
+        if now + wait_s > request.latest_start_at:
+            return wait_s
+        request.sequence = next(self._sequence)
+        self._waiting.append(request)
+        return None
+
+    def expire(self, request: WaitingRequest) -> None:
+        """Refuse a request that is still waiting when its latest start has come."""
+        if request in self._waiting:
+            self._waiting.remove(request)
+            request.refuse()
+
+    def withdraw(self, request: WaitingRequest) -> None:
+        """Remove a request if it is waiting."""
+        if request in self._waiting:
+            self._waiting.remove(request)
+
+    def release(
+        self, rank: int, now: float, duration_s: float, in_time: bool | None
+    ) -> None:
+        """End one request and admit as many waiting ones as the limit allows.
 
         Parameters
         ----------
-        admit : callable
-            Called when the request may be sent; returns ``False`` if it has been
-            abandoned.
+        duration_s : float
+            Time since the request was sent.
+        in_time : bool or None
+            Whether it was answered in time; ``None`` if its end says nothing about the
+            load, as when its caller disconnected.
         """
-        heapq.heappush(self._waiting, (rank, next(self._sequence), admit))
-
-    def release(self, limit: int) -> None:
-        """End one request and admit as many waiting ones as the limit allows."""
         self._in_flight -= 1
-        while self._waiting and self._in_flight < limit:
-            admit = heapq.heappop(self._waiting)[2]
-            if admit():
+        if in_time is not None:
+            self._record(rank, now, duration_s, in_time)
+        self._refuse_expired(now)
+        while self._waiting and self._in_flight < self._limit:
+            if self._pop_next().admit():
                 self._in_flight += 1
+
+    def _record(self, rank: int, now: float, duration_s: float, in_time: bool) -> None:
+        if self._duration_s == 0:
+            self._duration_s = duration_s
+        self._duration_s += (duration_s - self._duration_s) * _DURATION_WEIGHT
+        most_urgent = min(
+            (r for r, at in self._rank_seen_at.items() if now - at < _RANK_MEMORY_S),
+            default=rank,
+        )
+        if rank > most_urgent:
+            return
+        if in_time:
+            raised = self._limit + _IN_TIME_STEP / self._limit
+            self._limit = min(raised, self._max_limit)
+        elif now - self._decreased_at >= _DECREASE_INTERVAL_S:
+            self._limit = max(self._limit * _LATE_FACTOR, self._min_limit)
+            self._decreased_at = now
+
+    def _refuse_expired(self, now: float) -> None:
+        expired = [
+            waiting for waiting in self._waiting if now > waiting.latest_start_at
+        ]
+        for waiting in expired:
+            self._waiting.remove(waiting)
+            waiting.refuse()
+
+    def _pop_next(self) -> WaitingRequest:
+        rank = self._next_rank()
+        chosen = min(
+            (waiting for waiting in self._waiting if waiting.rank == rank),
+            key=lambda waiting: (
+                waiting.held_by_start,
+                not waiting.returning,
+                waiting.target_at,
+                waiting.sequence,
+            ),
+        )
+        self._waiting.remove(chosen)
+        return chosen
+
+    def _next_rank(self) -> int:
+        """Return the most urgent rank, or one that has missed enough turns."""
+        ranks = sorted({waiting.rank for waiting in self._waiting})
+        chosen = ranks[0]
+        for rank in ranks[1:]:
+            missed = self._turns_missed.get(rank, 0)
+            if missed >= _TURNS_BEFORE_LOWER_RANK:
+                chosen = rank
+                break
+            self._turns_missed[rank] = missed + 1
+        self._turns_missed[chosen] = 0
+        return chosen
--- a/packages/testkit/src/kingcuplug_testkit/__init__.py
+++ b/packages/testkit/src/kingcuplug_testkit/__init__.py
@@ -6,6 +6,13 @@
 from kingcuplug_testkit._log_group import Host, LogGroup, RecordingStateMachine
 from kingcuplug_testkit._matrix import CellResult, MatrixCell, run_matrix_cell
 from kingcuplug_testkit._network import FakeNetwork, LinkFaults
+from kingcuplug_testkit._overload import (
+    LoadPattern,
+    OverloadResult,
+    QueryKind,
+    ideal_share,
+    replay_overload,
+)
 from kingcuplug_testkit._processes import HostProcess, ProcessSet
 from kingcuplug_testkit._query_harness import (
     IDEMPOTENCY_KEY,
@@ -35,16 +42,21 @@
     "InvariantChecker",
     "InvariantViolated",
     "LinkFaults",
+    "LoadPattern",
     "LogGroup",
     "MatrixCell",
+    "OverloadResult",
     "ProcessSet",
     "ProtocolStep",
     "QueryHarness",
+    "QueryKind",
     "RecordingStateMachine",
     "VirtualTimeLoop",
+    "ideal_share",
     "make_order",
     "make_query",
     "make_reply",
+    "replay_overload",
     "run_matrix_cell",
     "run_virtual",
 ]
