Import the control replica and the router only where they are used

Cause: after a loss of all hosts the start of the process is a part of the outage. Hosts without a disk imported the replicated log, and every host the router, the admission and the crash guard of the product's own interface, which this path never uses.

Change: both are imported on first use, as in `kingcuplug_common`; the control replica turns the errors of the log into `CoreUnavailable`, so that the node does not import it.

--- a/packages/fleet/src/kingcuplug_fleet/__init__.py
+++ b/packages/fleet/src/kingcuplug_fleet/__init__.py
@@ -1,12 +1,15 @@
-"""Discovery and replication of backend servers, hosts and routes."""
+"""Discovery and replication of backend servers, hosts and routes.
+
+The control replica, with the replicated log, is imported on first use: hosts without
+a disk never need it, and all hosts may have to start at once.
+"""
+
+import importlib
+from typing import TYPE_CHECKING, Any
 
-from kingcuplug_fleet._control_replica import (
-    ControlReplica,
-    ControlReplicaSettings,
-    CoreUnavailable,
-)
 from kingcuplug_fleet._directory import Directory
 from kingcuplug_fleet._directory_file import DirectoryFile
+from kingcuplug_fleet._errors import CoreUnavailable
 from kingcuplug_fleet._fleet_view import FleetView
 from kingcuplug_fleet._introduction import (
     INTRODUCE_PATH,
@@ -29,6 +32,9 @@
 from kingcuplug_fleet._routes_file import RoutesFile
 from kingcuplug_fleet._server_record import ServerRecord, ServerState
 
+if TYPE_CHECKING:
+    from kingcuplug_fleet._control_replica import ControlReplica, ControlReplicaSettings
+
 __all__ = [
     "CALL_ID_HEADER",
     "INTRODUCE_PATH",
@@ -60,3 +66,14 @@
     "next_membership_change",
     "require_strings",
 ]
+
+_LAZY_NAMES = frozenset(("ControlReplica", "ControlReplicaSettings"))
+
+
+def __getattr__(name: str) -> Any:
+    """Import the control replica at its first use."""
+    if name not in _LAZY_NAMES:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    module = importlib.import_module(f"{__name__}._control_replica")
+    value = globals()[name] = getattr(module, name)
+    return value
--- a/packages/fleet/src/kingcuplug_fleet/_control_replica.py
+++ b/packages/fleet/src/kingcuplug_fleet/_control_replica.py
@@ -10,7 +10,6 @@
 
 from kingcuplug_common import (
     EventLog,
-    KingcuplugError,
     Metrics,
     boot_time,
     random_identifier,
@@ -31,11 +30,12 @@
     member_id,
 )
 
+from kingcuplug_fleet._errors import CoreUnavailable
 from kingcuplug_fleet._membership import JoinRequest, next_membership_change
 from kingcuplug_fleet._peer_client import PeerClient, PeerFailed
 from kingcuplug_fleet._route_register import RouteRegister
 
-__all__ = ["ControlReplica", "ControlReplicaSettings", "CoreUnavailable"]
+__all__ = ["ControlReplica", "ControlReplicaSettings"]
 
 LOG_PATH = "/peer/v2/log"
 BARRIER_PATH = "/peer/v2/barrier"
@@ -65,13 +65,6 @@
 _MS_PER_S = 1_000
 
 
-class CoreUnavailable(KingcuplugError):
-    """The control hosts cannot currently confirm a change or a read."""
-
-    def __init__(self, reason: str) -> None:
-        super().__init__(reason, "retry on this control host or on another one")
-
-
 @dataclass(frozen=True)
 class ControlReplicaSettings:
     """Settings of the control part.
@@ -218,10 +211,15 @@
 
         Raises
         ------
-        CoreUnavailable, NotLeader, LostLeadership, StorageFailed, TimeoutError
+        CoreUnavailable
             If this host cannot execute the call.
         """
-        replica = self._require_replica()
+        try:
+            return await self._dispatch_call(self._require_replica(), path, value)
+        except (NotLeader, LostLeadership, StorageFailed, TimeoutError) as error:
+            raise CoreUnavailable(f"call not executed: {error!r}") from error
+
+    async def _dispatch_call(self, replica: Replica, path: str, value: Any) -> Any:
         if path == LOG_PATH:
             return await replica.handle(value)
         if path == JOIN_PATH:
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -6,7 +6,7 @@
 import signal
 from collections.abc import Awaitable, Callable, Coroutine
 from functools import partial
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from kingcuplug_common import (
     EventLog,
@@ -22,8 +22,6 @@
     PUSH_PATH,
     REPORT_PATH,
     ControlHostPoller,
-    ControlReplica,
-    ControlReplicaSettings,
     CoreUnavailable,
     DirectoryFile,
     FleetView,
@@ -51,10 +49,12 @@
     ServerInfo,
 )
 from kingcuplug_http import Limits, Listener, Request, Response, error_response
-from kingcuplug_log import LostLeadership, NotLeader, StorageFailed
 
 from kingcuplug_node._settings import NodeSettings
 
+if TYPE_CHECKING:
+    from kingcuplug_fleet import ControlReplica
+
 __all__ = ["Elsewhere", "Host"]
 
 _PEER_PREFIX = b"/peer/"
@@ -334,10 +334,13 @@
         self._log.write("stopped", {}, bypass_rate_limit=True)
         self._log.flush()
 
-    def _make_replica(self) -> ControlReplica | None:
+    def _make_replica(self) -> "ControlReplica | None":
         settings = self._settings
         if settings.data_folder is None:
             return None
+        # Imported here, because hosts without a disk do not need it to start.
+        from kingcuplug_fleet import ControlReplica, ControlReplicaSettings
+
         return ControlReplica(
             ControlReplicaSettings(
                 settings.host,
@@ -473,7 +476,7 @@
         """Return whether this host has a control replica whose state is current."""
         return self._replica is not None and self._replica.connected()
 
-    def _require_replica(self) -> ControlReplica:
+    def _require_replica(self) -> "ControlReplica":
         if self._replica is not None:
             return self._replica
         if self._poller.control_host is None:
@@ -509,16 +512,8 @@
             reply = await self._dispatch_peer_call(path, value)
         except (KeyError, TypeError, ValueError) as error:
             return error_response(400, f"malformed call: {error!r}")
-        except (
-            CoreUnavailable,
-            NotGathering,
-            PeerFailed,
-            NotLeader,
-            LostLeadership,
-        ) as error:
+        except (CoreUnavailable, NotGathering, PeerFailed) as error:
             return error_response(503, str(error))
-        except (StorageFailed, TimeoutError) as error:
-            return error_response(503, repr(error))
         return Response(200, *encode_body(reply))
 
     async def _dispatch_peer_call(self, path: str, value: Any) -> Any:
@@ -642,7 +637,7 @@
             servers, fleet_view.host_count, fleet_view.request_count, gatherers
         )
 
-    async def _update_control_hosts(self, replica: ControlReplica) -> None:
+    async def _update_control_hosts(self, replica: "ControlReplica") -> None:
         while True:
             if replica.connected():
                 self._fleet_view.set_control_hosts(replica.members())
--- a/packages/routing/src/kingcuplug_routing/__init__.py
+++ b/packages/routing/src/kingcuplug_routing/__init__.py
@@ -1,17 +1,20 @@
-"""Replica choice, limits, hedging, retry budgets and the crash guard."""
+"""Replica choice, limits, hedging, retry budgets and the crash guard.
+
+The router with its admission and its crash guard is imported on first use: the
+gateway does not need it, and all hosts may have to start at once.
+"""
+
+import importlib
+from typing import TYPE_CHECKING, Any
 
-from kingcuplug_routing._admission import Admission, AdmissionContext
 from kingcuplug_routing._concurrency_limiter import (
     ConcurrencyLimiter,
     WaitingRequest,
     concurrency_limits,
 )
-from kingcuplug_routing._crash_guard import CrashGuard
-from kingcuplug_routing._crash_history import CrashGuardSettings, CrashSuspect
 from kingcuplug_routing._delegation import Delegation, delegate
 from kingcuplug_routing._latency_estimator import LatencyEstimator
 from kingcuplug_routing._partial_answer import PartialAnswerPolicy
-from kingcuplug_routing._policy import RoutingPolicy, baseline_policy
 from kingcuplug_routing._replica_scoring import ReplicaState, choose_replica
 from kingcuplug_routing._retry_budget import (
     RetryBudget,
@@ -20,26 +23,32 @@
     host_share,
 )
 from kingcuplug_routing._returning_callers import ReturningCallers
-from kingcuplug_routing._router import Router
-from kingcuplug_routing._selection import (
-    least_expected_time,
-    least_in_flight,
-    power_of_two_choices,
-    random_replica,
-)
 from kingcuplug_routing._slow_servers import LatencySamples, SlowServerDetector
-from kingcuplug_routing._ticket import Ticket
-from kingcuplug_routing._types import (
-    Attempt,
-    AttemptOutcome,
-    Holding,
-    HoldingView,
-    Priority,
-    ServerView,
-    SnapshotView,
-)
 from kingcuplug_routing._warm_up import startup_wait_until
 
+if TYPE_CHECKING:
+    from kingcuplug_routing._admission import Admission, AdmissionContext
+    from kingcuplug_routing._crash_guard import CrashGuard
+    from kingcuplug_routing._crash_history import CrashGuardSettings, CrashSuspect
+    from kingcuplug_routing._policy import RoutingPolicy, baseline_policy
+    from kingcuplug_routing._router import Router
+    from kingcuplug_routing._selection import (
+        least_expected_time,
+        least_in_flight,
+        power_of_two_choices,
+        random_replica,
+    )
+    from kingcuplug_routing._ticket import Ticket
+    from kingcuplug_routing._types import (
+        Attempt,
+        AttemptOutcome,
+        Holding,
+        HoldingView,
+        Priority,
+        ServerView,
+        SnapshotView,
+    )
+
 __all__ = [
     "Admission",
     "AdmissionContext",
@@ -79,3 +88,49 @@
     "random_replica",
     "startup_wait_until",
 ]
+
+_LAZY_NAMES = {
+    "_admission": (
+        "Admission",
+        "AdmissionContext",
+    ),
+    "_crash_guard": ("CrashGuard",),
+    "_crash_history": (
+        "CrashGuardSettings",
+        "CrashSuspect",
+    ),
+    "_policy": (
+        "RoutingPolicy",
+        "baseline_policy",
+    ),
+    "_router": ("Router",),
+    "_selection": (
+        "least_expected_time",
+        "least_in_flight",
+        "power_of_two_choices",
+        "random_replica",
+    ),
+    "_ticket": ("Ticket",),
+    "_types": (
+        "Attempt",
+        "AttemptOutcome",
+        "Holding",
+        "HoldingView",
+        "Priority",
+        "ServerView",
+        "SnapshotView",
+    ),
+}
+_LAZY_MODULES = {
+    name: module for module, names in _LAZY_NAMES.items() for name in names
+}
+
+
+def __getattr__(name: str) -> Any:
+    """Import the module of a name at its first use."""
+    module = _LAZY_MODULES.get(name)
+    if module is None:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    value = getattr(importlib.import_module(f"{__name__}.{module}"), name)
+    globals()[name] = value
+    return value
