Test that a group goes on while a minority of its disks stalls

The large deployment has disks that stall for seconds while connections stay open, the leader's included. They pass without a change of the code, so no cause was to be mended.

--- /dev/null
+++ b/tests/log/test_stalled_disks.py
@@ -0,0 +1,82 @@
+"""Disks that stall for seconds while their hosts and connections stay up."""
+
+import asyncio
+
+import pytest
+from kingcuplug_log import LogSettings
+from kingcuplug_testkit import Host, LogGroup, run_virtual
+
+_STALL_S = 6.0
+# An operator's client repeats a change after a second, so two rounds are an outage.
+_ACKNOWLEDGED_WITHIN_S = 2.0
+_SETTINGS = LogSettings(snapshot_entries=8, retained_entries=2)
+
+
+async def _start_group(name: str) -> LogGroup:
+    group = LogGroup(name, _SETTINGS)
+    await group.start("a", "b", "c", "d", "e")
+    await group.propose({"number": 0})
+    await group.wait_until_converged()
+    return group
+
+
+def _select(group: LogGroup, whose: str) -> list[Host]:
+    leader, followers = group.leader(), group.followers()
+    assert leader is not None
+    return {
+        "leader": [leader],
+        "follower": followers[:1],
+        "leader and follower": [leader, followers[0]],
+        "two followers": followers[:2],
+    }[whose]
+
+
+@pytest.mark.parametrize(
+    "whose", ["leader", "follower", "leader and follower", "two followers"]
+)
+def test_changes_and_reads_go_on_while_a_minority_of_disks_stalls(whose) -> None:
+    # Guards against a group that waits for a disk which takes no entry.
+    async def main() -> None:
+        group = await _start_group(f"stall of {whose}")
+        loop = asyncio.get_running_loop()
+        for host in _select(group, whose):
+            host.disk.sync_s = _STALL_S
+        stalled_until = loop.time() + _STALL_S
+        number = 0
+        while loop.time() < stalled_until:
+            number += 1
+            started_at = loop.time()
+            await group.propose({"number": number}, timeout_s=_ACKNOWLEDGED_WITHIN_S)
+            leader = await group.wait_for_leader(_ACKNOWLEDGED_WITHIN_S)
+            await leader.replica.read_barrier()
+            assert loop.time() - started_at < _ACKNOWLEDGED_WITHIN_S
+            await asyncio.sleep(0.1)
+        for host in group.running_hosts():
+            host.disk.sync_s = 0.001
+        await group.propose({"number": number + 1})
+        await group.wait_until_converged(timeout_s=2 * _STALL_S)
+        await group.stop()
+        group.invariants.raise_if_violated()
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("whose", ["leader", "follower"])
+def test_stall_and_loss_of_another_host_in_the_same_second(whose) -> None:
+    # Guards against a group that cannot elect a leader beside a stalled disk.
+    async def main() -> None:
+        group = await _start_group(f"stall of {whose} and a loss")
+        (stalled,) = _select(group, whose)
+        stalled.disk.sync_s = _STALL_S
+        lost = next(host for host in group.running_hosts() if host is not stalled)
+        lost.disk.crash()
+        for number in range(1, 20):
+            await group.propose({"number": number}, timeout_s=3.0)
+            await asyncio.sleep(0.1)
+        stalled.disk.sync_s = 0.001
+        await lost.start()
+        await group.wait_until_converged(timeout_s=2 * _STALL_S)
+        await group.stop()
+        group.invariants.raise_if_violated()
+
+    run_virtual(main())
