Serve connections that are just established when a host stops

Cause: at the end of its drain a host closed its listening socket, which resets the connections that the kernel has established but the process has not accepted, and closed every connection without a request at once, also one that was accepted a moment before and whose request was on its way.

Change: the established connections are accepted before the socket is closed, and a connection is closed only after 0.4 s without activity.

Before: two tests of the listener fail (the connection is reset, the request cut off). After: they pass. The test of SIGTERM with requests between accept and last byte, on new and on kept connections, did not need the change; it guards what holds.

--- a/packages/http/src/kingcuplug_http/_inbound.py
+++ b/packages/http/src/kingcuplug_http/_inbound.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import contextlib
+import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import Any
 
 import httptools
 
@@ -71,6 +73,7 @@
         self.closing = False
         self.connections: set[InboundConnection] = set()
         self._server: asyncio.Server | None = None
+        self._accept_tasks: set[asyncio.Task[Any]] = set()
 
     async def start(self, address: str) -> str:
         """Listen on ``ip:port`` and return the address with the port in use."""
@@ -85,20 +88,44 @@
         return f"{host}:{self._server.sockets[0].getsockname()[1]}"
 
     def stop_accepting(self) -> None:
-        """Close the listening socket; keep open connections."""
-        if self._server is not None:
-            self._server.close()
+        """Accept the connections that are already established, and no further ones.
 
-    def close_idle(self) -> None:
-        """Close connections on which no request is in progress."""
+        Closing the listening socket resets connections that it has not accepted yet;
+        their callers may have sent a request.
+        """
+        if self._server is None or not self._server.is_serving():
+            return
+        for listening in self._server.sockets:
+            with listening.dup() as duplicate:
+                self._accept_established(duplicate)
+        self._server.close()
+
+    def close_idle(self, min_idle_s: float = 0.0) -> None:
+        """Close connections without a request or activity for at least `min_idle_s`."""
         for connection in tuple(self.connections):
-            connection.close_if_idle()
+            connection.close_if_idle(min_idle_s)
 
     @property
     def busy_connections(self) -> int:
         """Number of connections with a request in progress."""
         return sum(connection.busy for connection in self.connections)
 
+    def _accept_established(self, listening: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                accepted, _ = listening.accept()
+            except OSError:  # None is left.
+                return
+            accepted.setblocking(False)
+            task = loop.create_task(
+                loop.connect_accepted_socket(
+                    lambda: InboundConnection(self, loop), accepted
+                )
+            )
+            self._accept_tasks.add(task)
+            task.add_done_callback(self._accept_tasks.discard)
+
     async def stop(self) -> None:
         """Stop listening and abort all connections."""
         self.stop_accepting()
@@ -243,10 +270,12 @@
         """Whether a request is in progress or queued."""
         return self._handler_task is not None or bool(self._queue)
 
-    def close_if_idle(self) -> None:
-        """Close unless a request is being received or is in progress."""
-        if not self.busy and not self._in_headers and not self._in_body:
-            self._transport.close()
+    def close_if_idle(self, min_idle_s: float) -> None:
+        """Close unless a request is being received, in progress, or was recently."""
+        idle_s = self._loop.time() - self._last_activity_at
+        if self.busy or self._in_headers or self._in_body or idle_s < min_idle_s:
+            return
+        self._transport.close()
 
     def abort(self) -> None:
         """Close the connection without sending buffered data."""
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -78,6 +78,9 @@
 # Reserved at the end of the grace period to flush the log and exit.
 _EXIT_MARGIN_S = 0.5
 _DRAIN_POLL_INTERVAL_S = 0.02
+# A connection that was accepted, or answered, within this time may be about to bring a
+# request; closing it would cut off that request.
+_DRAIN_MIN_IDLE_S = 0.4
 # Delay before a background task that failed is started again, doubled by each failure
 # up to the maximum, so that a persistent fault cannot occupy the processor.
 _MIN_TASK_RESTART_S = 0.1
@@ -692,7 +695,7 @@
         self._caller_listener.stop_accepting()
         deadline_at = started_at + grace_s - _EXIT_MARGIN_S
         while loop.time() < deadline_at:
-            self._caller_listener.close_idle()
+            self._caller_listener.close_idle(_DRAIN_MIN_IDLE_S)
             if not self._caller_listener.connections:
                 break
             await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
