Accept an answer without the request's id only on an unused connection

Cause: an answer without the echoed id was accepted on any connection. A server that sends a second copy of its answer without the id, when the next request is on its way, gave the next caller the answer of another one (the test shows it).

Change: such an answer counts only if its request is the only one on the connection, and the connection is closed afterwards; a server that never echoes ids gets one request for each connection.

Before: the test of copies without an id fails. After: it passes.

--- a/packages/gateway/src/kingcuplug_gateway/_service_call.py
+++ b/packages/gateway/src/kingcuplug_gateway/_service_call.py
@@ -413,13 +413,25 @@
         self._connection = connection
 
     def accepts(self, response: Response) -> bool:
-        echoed_id = response.header(self._header_names.attempt_id.lower())
-        return echoed_id is None or echoed_id == self._call.outbound.attempt_id
+        """Return whether the response is certainly the one to this attempt.
+
+        Without the request's id, it may be a copy of an earlier response unless this
+        is the only request on its connection.
+        """
+        echoed_id = self._echoed_id(response)
+        if echoed_id is None:
+            return self._connection is not None and self._connection.request_count == 1
+        return echoed_id == self._call.outbound.attempt_id
 
     def answered(self, response: Response) -> None:
+        if self._echoed_id(response) is None and self._connection is not None:
+            self._connection.close()
         self._release_connection()
         self._call.on_response(self, response)
 
+    def _echoed_id(self, response: Response) -> bytes | None:
+        return response.header(self._header_names.attempt_id.lower())
+
     def failed(self, failure: Failure) -> None:
         self._release_connection()
         if self.active:
--- a/packages/http/src/kingcuplug_http/_outbound.py
+++ b/packages/http/src/kingcuplug_http/_outbound.py
@@ -92,6 +92,8 @@
     ----------
     usable : bool
         Whether another request may be sent.
+    request_count : int
+        Number of requests that were sent.
     idle_since : float
         Event loop time at which the last response was complete.
     keep_alive_s : float or None
@@ -112,6 +114,7 @@
         self._received_bytes = 0
         self._body_bytes = 0
         self.usable = False
+        self.request_count = 0
         self.idle_since = 0.0
         self.keep_alive_s: float | None = None
         self._headers: Headers = []
@@ -139,6 +142,7 @@
         self._skipped_responses = 0
         self._received_bytes = 0
         self.usable = False
+        self.request_count += 1
         self._transport.write(data)
 
     def abandon(self) -> None:
