Find a control host sooner after a loss of all hosts; check gather messages

Besides, a gather request with a field of the wrong type began an operation that was never ended.

Change: connecting to another host takes at most 0.2 s, and a host without routes asks each 50 ms. Gather messages are checked by type when they are decoded; the checks moved to `kingcuplug_common`, which the fleet and the gateway share.

--- a/packages/common/src/kingcuplug_common/__init__.py
+++ b/packages/common/src/kingcuplug_common/__init__.py
@@ -18,6 +18,13 @@
     not_run_refusal,
 )
 from kingcuplug_common._event_log import EventLog
+from kingcuplug_common._json_types import (
+    require_integer,
+    require_mapping,
+    require_number,
+    require_string,
+    require_strings,
+)
 from kingcuplug_common._metrics import Metrics, log_state_change, set_state_change_sink
 
 if TYPE_CHECKING:
@@ -79,6 +86,11 @@
     "random_identifier",
     "render_metrics",
     "request_span",
+    "require_integer",
+    "require_mapping",
+    "require_number",
+    "require_string",
+    "require_strings",
     "set_state_change_sink",
     "start_hop",
     "traced_entry",
--- a/packages/fleet/src/kingcuplug_fleet/__init__.py
+++ b/packages/fleet/src/kingcuplug_fleet/__init__.py
@@ -15,7 +15,6 @@
     INTRODUCE_PATH,
     introduce_control_hosts,
 )
-from kingcuplug_fleet._json_types import require_strings
 from kingcuplug_fleet._membership import JoinRequest, next_membership_change
 from kingcuplug_fleet._mesh import PUSH_PATH, REPORT_PATH, Mesh
 from kingcuplug_fleet._mesh_messages import PushMessage, Report
@@ -64,7 +63,6 @@
     "encode_body",
     "introduce_control_hosts",
     "next_membership_change",
-    "require_strings",
 ]
 
 _LAZY_NAMES = frozenset(("ControlReplica", "ControlReplicaSettings"))
--- a/packages/fleet/src/kingcuplug_fleet/_directory_file.py
+++ b/packages/fleet/src/kingcuplug_fleet/_directory_file.py
@@ -10,16 +10,17 @@
 from pathlib import Path
 
 import orjson
-from kingcuplug_common import Condition, EventLog
-
-from kingcuplug_fleet._durable_file import replace_file
-from kingcuplug_fleet._fleet_view import FleetView
-from kingcuplug_fleet._json_types import (
+from kingcuplug_common import (
+    Condition,
+    EventLog,
     require_integer,
     require_mapping,
     require_string,
     require_strings,
 )
+
+from kingcuplug_fleet._durable_file import replace_file
+from kingcuplug_fleet._fleet_view import FleetView
 from kingcuplug_fleet._server_record import ServerRecord
 
 __all__ = ["DirectoryFile"]
--- a/packages/fleet/src/kingcuplug_fleet/_mesh_messages.py
+++ b/packages/fleet/src/kingcuplug_fleet/_mesh_messages.py
@@ -3,15 +3,15 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from kingcuplug_routing import LatencySamples
-
-from kingcuplug_fleet._json_types import (
+from kingcuplug_common import (
     require_integer,
     require_mapping,
     require_number,
     require_string,
     require_strings,
 )
+from kingcuplug_routing import LatencySamples
+
 from kingcuplug_fleet._server_record import ServerRecord
 
 __all__ = ["Heartbeats", "PushMessage", "Report", "Summary"]
--- a/packages/fleet/src/kingcuplug_fleet/_peer_client.py
+++ b/packages/fleet/src/kingcuplug_fleet/_peer_client.py
@@ -30,6 +30,9 @@
 _IDLE_TIMEOUT_S = 8.0
 _STATUS_OK = 200
 _STATUS_UNAVAILABLE = 503
+# A running host accepts within a round trip, also while its process is busy. One that
+# has no power yet does not even refuse, and may have started before a longer time-out.
+_CONNECT_TIMEOUT_S = 0.2
 # Shorter bodies, such as heartbeats, fit in one packet anyway; compressing them would
 # only cost processor time.
 _COMPRESSION_THRESHOLD_BYTES = 400
@@ -120,7 +123,7 @@
         headers, body = encode_body(value)
         connection = self._pop_idle(address)
         if connection is None:
-            connection = await connect(address, timeout_s=5.0)
+            connection = await connect(address, _CONNECT_TIMEOUT_S)
         lines = [f"POST {path} HTTP/1.1\r\nHost: {address}\r\n".encode()]
         call_id = b"%d" % next(self._call_ids)
         lines += [b"%s: %s\r\n" % header for header in headers]
--- a/packages/fleet/src/kingcuplug_fleet/_polling.py
+++ b/packages/fleet/src/kingcuplug_fleet/_polling.py
@@ -13,16 +13,16 @@
 from dataclasses import dataclass
 from typing import Any
 
-from kingcuplug_common import EventLog
-
-from kingcuplug_fleet._fleet_view import FleetView
-from kingcuplug_fleet._json_types import (
+from kingcuplug_common import (
+    EventLog,
     require_integer,
     require_mapping,
     require_number,
     require_string,
     require_strings,
 )
+
+from kingcuplug_fleet._fleet_view import FleetView
 from kingcuplug_fleet._mesh import REPORT_PATH
 from kingcuplug_fleet._mesh_messages import Report
 from kingcuplug_fleet._peer_client import PeerClient, PeerFailed
@@ -201,7 +201,11 @@
                 continue
             self._mark_failed(address)
             failures += 1
-            await asyncio.sleep(min(_RETRY_DELAY_S * failures, _MAX_RETRY_DELAY_S))
+            delay_s = min(_RETRY_DELAY_S * failures, _MAX_RETRY_DELAY_S)
+            # A host without routes refuses its callers, so it does not back off.
+            await asyncio.sleep(
+                delay_s if self._view.routes_version else _RETRY_DELAY_S
+            )
 
     async def report(self, report: Report) -> None:
         """Send a report to the control host, without a retry if it is lost."""
--- a/packages/fleet/src/kingcuplug_fleet/_routes_file.py
+++ b/packages/fleet/src/kingcuplug_fleet/_routes_file.py
@@ -10,14 +10,15 @@
 from pathlib import Path
 
 import orjson
-from kingcuplug_common import Condition, EventLog
-
-from kingcuplug_fleet._durable_file import replace_file
-from kingcuplug_fleet._json_types import (
+from kingcuplug_common import (
+    Condition,
+    EventLog,
     require_integer,
     require_mapping,
     require_string,
 )
+
+from kingcuplug_fleet._durable_file import replace_file
 from kingcuplug_fleet._route_register import RouteRegister
 
 __all__ = ["RoutesFile"]
--- a/packages/fleet/src/kingcuplug_fleet/_server_record.py
+++ b/packages/fleet/src/kingcuplug_fleet/_server_record.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 from typing import Any
 
-from kingcuplug_fleet._json_types import require_integer, require_string
+from kingcuplug_common import require_integer, require_string
 
 __all__ = ["ServerRecord", "ServerState"]
 
--- a/packages/gateway/src/kingcuplug_gateway/_gather_client.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gather_client.py
@@ -41,7 +41,7 @@
 _REMAINDER_REPLY_SLACK_S = 0.1
 
 # Raised by decoding a malformed reply.
-MALFORMED = (AttributeError, TypeError, ValueError)
+_MALFORMED = (TypeError, ValueError)
 
 # Calls another host with an address, a JSON value and a time limit in seconds. Raises
 # `NotGathering` if that host refuses, and another `KingcuplugError` if it does not
@@ -170,7 +170,7 @@
             timing.max_hedge_delay_s + _FIRST_REPLY_SLACK_S,
         )
         reply = _decode_reply(value, len(delegation.shards))
-    except (KingcuplugError, *MALFORMED) as error:
+    except (KingcuplugError, *_MALFORMED) as error:
         refused = isinstance(error, NotGathering)
         directory.record_failure(address, loop.time(), repr(error))
         record.end("refused" if refused else "fell_back", loop.time())
@@ -194,7 +194,7 @@
             next_reply = _decode_reply(
                 value, len(reply.pending_shards) + len(reply.failed_shards)
             )
-        except (KingcuplugError, *MALFORMED) as error:
+        except (KingcuplugError, *_MALFORMED) as error:
             directory.record_failure(address, loop.time(), repr(error))
             record.end("lost", loop.time())
             scatter.mark_missing(len(reply.pending_shards))
@@ -211,7 +211,7 @@
 
     Raises
     ------
-    AttributeError, TypeError, ValueError
+    TypeError, ValueError
         If the reply is malformed.
     """
     reply = GatherReply.from_json(value)
--- a/packages/gateway/src/kingcuplug_gateway/_gather_messages.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gather_messages.py
@@ -4,6 +4,13 @@
 from dataclasses import dataclass
 from typing import Any
 
+from kingcuplug_common import (
+    require_integer,
+    require_number,
+    require_string,
+    require_strings,
+)
+
 __all__ = ["GatherReply", "GatherRequest", "RemainderRequest", "decode_request"]
 
 
@@ -42,7 +49,7 @@
             "begin",
             self.gather_id,
             self.route,
-            self.shards,
+            list(self.shards),
             self.head.decode("latin-1"),
             b64encode(self.body).decode(),
             self.attempt_id.decode("latin-1"),
@@ -76,23 +83,30 @@
 
     Raises
     ------
-    ValueError
+    TypeError, ValueError
         If the array holds neither kind of request.
     """
-    kind, *fields = value
+    kind, gather_id, *fields = value
     if kind == "rest":
-        return RemainderRequest(*fields)
+        (reply_within_ms,) = fields
+        return RemainderRequest(
+            require_string(gather_id), require_number(reply_within_ms)
+        )
     if kind != "begin":
         raise ValueError(f"unknown kind of gather request {kind!r}")
-    gather_id, route, shards, head, body, attempt_id, *numbers = fields
+    route, shards, head, body, attempt_id, remaining_ms, *counts = fields
+    target_ms, max_attempts, top_records = counts
     return GatherRequest(
-        gather_id,
-        route,
-        tuple(shards),
-        head.encode("latin-1"),
-        b64decode(body),
-        attempt_id.encode("latin-1"),
-        *numbers,
+        require_string(gather_id),
+        require_string(route),
+        tuple(require_strings(shards)),
+        require_string(head).encode("latin-1"),
+        b64decode(require_string(body)),
+        require_string(attempt_id).encode("latin-1"),
+        require_number(remaining_ms),
+        require_integer(target_ms, minimum=1),
+        require_integer(max_attempts, minimum=1),
+        require_integer(top_records),
     )
 
 
@@ -122,17 +136,23 @@
         return [
             [signature.decode("latin-1") for signature in self.signatures],
             b64encode(self.body).decode(),
-            self.failed_shards,
-            self.pending_shards,
+            list(self.failed_shards),
+            list(self.pending_shards),
         ]
 
     @classmethod
     def from_json(cls, value: list[Any]) -> "GatherReply":
-        """Return the reply decoded from a JSON array."""
+        """Return the reply decoded from a JSON array.
+
+        Raises
+        ------
+        TypeError, ValueError
+            If the array holds no reply.
+        """
         signatures, body, failed_shards, pending_shards = value
         return cls(
-            tuple(signature.encode("latin-1") for signature in signatures),
-            b64decode(body),
-            tuple(failed_shards),
-            tuple(pending_shards),
+            tuple(s.encode("latin-1") for s in require_strings(signatures)),
+            b64decode(require_string(body)),
+            tuple(require_strings(failed_shards)),
+            tuple(require_strings(pending_shards)),
         )
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -13,6 +13,7 @@
     KingcuplugError,
     Metrics,
     render_metrics,
+    require_strings,
     set_state_change_sink,
 )
 from kingcuplug_fleet import (
@@ -38,7 +39,6 @@
     decode_body,
     encode_body,
     introduce_control_hosts,
-    require_strings,
 )
 from kingcuplug_gateway import (
     Gateway,
--- a/tests/fleet/test_polling.py
+++ b/tests/fleet/test_polling.py
@@ -11,6 +11,7 @@
     INTRODUCE_PATH,
     ControlHostPoller,
     FleetView,
+    PeerFailed,
     ServerState,
     answer_poll,
     introduce_control_hosts,
@@ -184,3 +185,29 @@
             task.cancel()
 
     run_virtual(run())
+
+
+def test_host_without_routes_finds_a_control_host_soon_after_it_has_started():
+    """Guards against callers that are refused while a started host backs off.
+
+    All hosts have lost power, and the control hosts start last.
+    """
+
+    async def run() -> float:
+        client, own, remote = FakePeerClient(), FleetView(5.0), FleetView(5.0)
+        remote.update_routes(4, "four")
+
+        async def refuse(path: str, value: Any) -> Any:
+            raise PeerFailed("connection refused", "try another host")
+
+        seeds = ("a", "b", "c")
+        client.handlers = dict.fromkeys(seeds, refuse)
+        task = asyncio.ensure_future(_make_poller(own, client, seeds).run())
+        await asyncio.sleep(1.5)
+        assert own.routes_version == 0
+        client.handlers["b"] = _poll_handler(remote, connected=False, address="b")
+        waited_s = await _wait_until(lambda: own.routes_version == 4, 2.0)
+        task.cancel()
+        return waited_s
+
+    assert run_virtual(run()) < 0.25
--- a/tests/gateway/test_gathering.py
+++ b/tests/gateway/test_gathering.py
@@ -379,3 +379,27 @@
             assert [len(requests) for requests in narrow.received.values()] == [1] * 4
 
     asyncio.run(run())
+
+
+_REQUEST = GatherRequest(
+    "g", "r", ("s0",), b"GET / HTTP/1.1\r\n", b"", b"t", 1e3, 9, 2, 5
+)
+
+
+@pytest.mark.parametrize("position", range(1, len(_REQUEST.to_json())))
+@pytest.mark.parametrize("wrong", [None, {}, [1], -1])
+def test_malformed_gather_request_is_rejected_whole(open_gateway, position, wrong):
+    """Guards against an operation that has begun and is never ended."""
+    message = list(_REQUEST.to_json())
+    message[2 + 1] = list(message[2 + 1])
+    if position == 7 and wrong == -1:
+        return  # A negative time is a deadline that has passed.
+    message[position] = wrong
+
+    async def run() -> None:
+        async with open_gateway() as harness:
+            with pytest.raises((TypeError, ValueError)):
+                await harness.gateway.handle_gather(message)
+            assert not harness.gateway._gather_server._operations
+
+    asyncio.run(run())
