Soak: copies and endless headers of servers, malformed messages, loss of all hosts

The soak's servers now also send copies of earlier answers on any connection, and start headers without end; hosts get messages that no host sends; all hosts are killed at once; a process that has ended by itself is a violation.

--- a/packages/http/src/kingcuplug_http/_inbound.py
+++ b/packages/http/src/kingcuplug_http/_inbound.py
@@ -265,6 +265,11 @@
         self._input_closed = not request.keep_alive
         self._queue.append(request)
 
+    @property
+    def transport(self) -> asyncio.Transport:
+        """The connection's transport, on which fake servers send faulty data."""
+        return self._transport
+
     @property
     def busy(self) -> bool:
         """Whether a request is in progress or queued."""
--- a/packages/soak/src/kingcuplug_soak/_fake_servers.py
+++ b/packages/soak/src/kingcuplug_soak/_fake_servers.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from kingcuplug_fleet import PeerFailed, ServerRecord, ServerState
-from kingcuplug_http import Limits, Listener, Request, Response
+from kingcuplug_http import Limits, Listener, Request, Response, encode_response
 from kingcuplug_platform import HEADER_NAMES, SERVERS_PATH, encode_heartbeat
 
 from kingcuplug_soak._http_client import send_request
@@ -18,6 +18,8 @@
 _DRAIN_DURATION_S = 3.0
 _DRAIN_ACKNOWLEDGEMENT_TIMEOUT_S = 5.0
 _MS_PER_S = 1_000
+_ENDLESS_CHUNK_BYTES = 8_192
+_ENDLESS_INTERVAL_S = 0.01
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,7 +67,8 @@
     ----------
     fault : str
         ``full`` rejects requests as not run, ``errors`` fails half of them, ``lost``
-        aborts connections after execution; empty if there is none.
+        aborts connections after execution, ``copies`` sends earlier answers again on
+        any connection, ``endless`` sends a header without end; empty if there is none.
     """
 
     def __init__(
@@ -85,6 +88,8 @@
         self.name = name
         self.delay_s = 0.0
         self.fault = ""
+        self._last_response = b""
+        self._endless_tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Start listening and sending heartbeats."""
@@ -178,8 +183,32 @@
             for connection in tuple(self._listener.connections):
                 if connection.busy:
                     connection.abort()
-        return Response(
+        if self.fault in ("copies", "endless") and random.random() < 0.3:
+            self._write_unasked_bytes()
+        response = Response(
             200 if succeeded else 500,
             [*echoed_headers, (header_names.signature, seal.encode())],
             body,
         )
+        self._last_response = encode_response(response, close=False)
+        return response
+
+    def _write_unasked_bytes(self) -> None:
+        """Write a copy of the last answer, or the start of an endless header."""
+        connections = sorted(self._listener.connections, key=id)
+        if not connections:
+            return
+        transport = self._pool.random.choice(connections).transport
+        if self.fault == "copies":
+            transport.write(self._last_response)
+            return
+        task = asyncio.ensure_future(_write_endless_header(transport))
+        self._endless_tasks.add(task)
+        task.add_done_callback(self._endless_tasks.discard)
+
+
+async def _write_endless_header(transport: asyncio.Transport) -> None:
+    transport.write(b"HTTP/1.1 200 OK\r\nX: ")
+    while not transport.is_closing():
+        transport.write(b"x" * _ENDLESS_CHUNK_BYTES)
+        await asyncio.sleep(_ENDLESS_INTERVAL_S)
--- a/packages/soak/src/kingcuplug_soak/_fault_injection.py
+++ b/packages/soak/src/kingcuplug_soak/_fault_injection.py
@@ -1,17 +1,38 @@
 """Injection of random faults, which may overlap."""
 
 import asyncio
+import contextlib
 import random as random_module
 import signal
 from collections.abc import Awaitable, Callable
 
+from kingcuplug_fleet import (
+    INTRODUCE_PATH,
+    POLL_PATH,
+    PUSH_PATH,
+    REPORT_PATH,
+    PeerFailed,
+)
+
 from kingcuplug_soak._fake_servers import FakeServer, FakeServerPool
 from kingcuplug_soak._hosts import HostCluster, HostProcess
+from kingcuplug_soak._http_client import send_request
 from kingcuplug_soak._traffic import ORDER_SERVICE, Operator
 
 __all__ = ["FaultInjector"]
 
 _TERMINATION_GRACE_S = 6.0
+_GATHER_PATH = "/peer/v2/gather"
+_MALFORMED_MESSAGES = (
+    b"",
+    b"null",
+    b"[]",
+    b'{"host": 1}',
+    b'["begin", "g", "r", 7, 7, 7, 7, "x", "x", "x", "x"]',
+    b'["10.0.0.1:1", "z", 0, [["i", 1, 1, "s", "a", "z", "x", "ready", 0]], {}, [], 0]',
+    b'[{"i": [1, "slow"]}, -1]',
+    b"\x00\xff" * 40,
+)
 
 
 class FaultInjector:
@@ -53,6 +74,8 @@
             self._delay_host_traffic,
             self._erase_host_disk,
             self._kill_majority,
+            self._kill_all,
+            self._send_malformed_messages,
             self._crash_server,
             self._inject_server_fault,
             self._inject_server_fault,
@@ -102,6 +125,23 @@
             self._start_if_stopped(host)
         return f"killed {[host.name for host in hosts]} at once"
 
+    async def _kill_all(self) -> str:
+        hosts = self._cluster.hosts
+        await asyncio.gather(*(host.kill() for host in hosts))
+        await asyncio.sleep(self._random.uniform(0.1, 1.0))
+        for host in hosts:
+            self._start_if_stopped(host)
+        return "killed all hosts at once"
+
+    async def _send_malformed_messages(self) -> str:
+        """Send messages that no host sends; none may end the process."""
+        host = self._pick_host()
+        for path in (POLL_PATH, PUSH_PATH, REPORT_PATH, INTRODUCE_PATH, _GATHER_PATH):
+            message = self._random.choice(_MALFORMED_MESSAGES)
+            with contextlib.suppress(PeerFailed):
+                await send_request(host.control_address, "POST", path, message)
+        return f"sent malformed messages to {host.name}"
+
     async def _pause_host(self) -> str:
         host = self._pick_host()
         host.send_signal(signal.SIGSTOP)
@@ -175,7 +215,9 @@
         server = (
             self._random.choice(orders) if self._flip_coin() else self._pick_server()
         )
-        server.fault = self._random.choice(("full", "errors", "lost"))
+        server.fault = self._random.choice(
+            ("full", "errors", "lost", "copies", "endless")
+        )
         server.delay_s = self._random.choice((0.0, 0.0, 0.2))
         await asyncio.sleep(self._random.uniform(0.5, 3.0))
         server.fault, server.delay_s = "", 0.0
--- a/packages/soak/src/kingcuplug_soak/_run.py
+++ b/packages/soak/src/kingcuplug_soak/_run.py
@@ -95,6 +95,11 @@
         tasks.append(asyncio.ensure_future(traffic.run()))
         await injector.run(settings.duration_s)
         await _check_recovery(operator, checker)
+        checker.violations += [
+            f"the process of {host.name} has ended by itself"
+            for host in cluster.hosts
+            if not host.is_running
+        ]
     finally:
         for task in tasks:
             task.cancel()
