--- a/packages/configuration/src/kingcuplug_configuration/_commands.py
+++ b/packages/configuration/src/kingcuplug_configuration/_commands.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from kingcuplug_common import KingcuplugError
+from kingcuplug_common import KingcuplugError, canonical
 
 from kingcuplug_configuration._delta import Delta
 from kingcuplug_configuration._faults import ConfigurationFault
@@ -95,6 +95,9 @@
     def from_json(cls, value: Mapping[str, Any]) -> "ApplyConfiguration":
         """Read a command; raise `CommandInvalid` if it is malformed."""
         try:
+            # A lone surrogate in a stored field would fail in the state machine, on
+            # every voter that applies the command.
+            canonical(value)
             fields = {field.name: value[field.name] for field in _COMMAND_FIELDS}
             fields["delta"] = _delta_from_json(value["delta"])
         except (LookupError, TypeError, ValueError, ExceptionGroup) as error:
--- a/packages/ledger/src/kingcuplug_ledger/_codec.py
+++ b/packages/ledger/src/kingcuplug_ledger/_codec.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from typing import Any, Generic, TypeVar
 
-from kingcuplug_common import KingcuplugError
+from kingcuplug_common import KingcuplugError, canonical
 from pydantic import TypeAdapter, ValidationError
 
 __all__ = ["Codec", "MessageInvalid"]
@@ -59,6 +59,14 @@
                 f"{ascii(tag)[:60]} is not a message type",
                 f"use one of {', '.join(self._adapters_by_tag)}",
             )
+        try:
+            canonical(value)
+        except TypeError as error:
+            # A lone surrogate in a stored field would fail in the state machine, on
+            # every voter that applies the command.
+            raise MessageInvalid(
+                f"the {tag} cannot be encoded as JSON", "send valid Unicode text"
+            ) from error
         try:
             return adapter.validate_python(value)
         except ValidationError as error:
--- a/packages/routing/src/kingcuplug_routing/_fleet.py
+++ b/packages/routing/src/kingcuplug_routing/_fleet.py
@@ -32,7 +32,7 @@
     def __init__(self, policy: RoutingPolicy) -> None:
         self._policy = policy
         self._holdings: dict[Server, tuple[HoldingView, ...]] = {}
-        self._servers: dict[str, Server] = {}
+        self._servers: dict[tuple[str, int], Server] = {}
         self._live_entry_hosts = 1
         self._lost_holdings: dict[tuple[str, int], float] = {}
         self._rebuild_at = inf
@@ -55,11 +55,11 @@
             for view in views
             if view.state == "serving"
         }
-        for name, server in list(self._servers.items()):
-            # A server with requests in flight is kept, so that they still count if the
-            # directory lists it again.
+        for key, server in list(self._servers.items()):
+            # An incarnation with requests in flight is kept, so that they still count
+            # if the directory lists it again.
             if server not in self._holdings and not server.in_flight:
-                del self._servers[name]
+                del self._servers[key]
         self._rebuild(now)
         return previous | set(self._holdings)
 
@@ -119,10 +119,10 @@
         return True
 
     def _refreshed_server(self, view: ServerView, mean_ms: float, now: float) -> Server:
-        server = self._servers.get(view.server)
-        if server is None or server.incarnation != view.incarnation:
-            server = Server(view, self._policy, mean_ms, now)
-            self._servers[view.server] = server
+        key = (view.server, view.incarnation)
+        server = self._servers.get(key)
+        if server is None:
+            server = self._servers[key] = Server(view, self._policy, mean_ms, now)
             self.slow_start_until = max(self.slow_start_until, server.slow_start_end)
         server.refresh(view, self._live_entry_hosts)
         return server
--- a/tests/configuration/test_history.py
+++ b/tests/configuration/test_history.py
@@ -186,6 +186,19 @@
     canonical(history.dump())
 
 
+@pytest.mark.parametrize("field", ["author", "change_id", "removed"])
+def test_command_with_a_lone_surrogate_is_rejected(field: str) -> None:
+    # Guards against a log entry that every voter accepts and none can encode.
+    history = ConfigurationHistory()
+    message = history.condense(change("c1", 0, text("a"))).to_json()
+    if field == "removed":
+        message["delta"]["removed"] = ["\ud800"]
+    else:
+        message[field] = "\ud800"
+    assert isinstance(history.apply(message), Rejected)
+    canonical(history.dump())
+
+
 def test_stored_changes_and_deltas_are_bounded(
     history: ConfigurationHistory, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/ledger/test_ledger.py
+++ b/tests/ledger/test_ledger.py
@@ -273,6 +273,19 @@
     canonical(ledger.dump())
 
 
+@pytest.mark.parametrize("field", ["token", "host", "author", "key"])
+def test_command_with_a_lone_surrogate_is_malformed(field: str) -> None:
+    # Guards against a log entry that every voter accepts and none can encode.
+    ledger = OrderLedger()
+    message = command_to_json(claim())
+    if field in message:
+        message[field] = "\ud800"
+    else:
+        message["body"] = {"text": "\ud800"}
+    assert isinstance(ledger.apply(message), MalformedCommand)
+    canonical(ledger.dump())
+
+
 def test_results_round_trip_through_json(ledger: OrderLedger) -> None:
     # Guards against results that change when they are sent to the client.
     ledger.apply(claim())
--- a/tests/routing/test_invariants.py
+++ b/tests/routing/test_invariants.py
@@ -152,10 +152,12 @@
             while self.held:
                 self.held.pop().finish(AttemptOutcome.OK, 5.0)
 
-        while self.held:
+        # Back-offs and lost holdings last less than 6 s; a request that waits may be
+        # granted in any step.
+        for _ in range(len(self.held) + len(self.waiting) + 1):
             self.loop.run_until_complete(all_done())
-            self.step(2.0)
-        self.step(6.0)  # longer than back-offs and lost holdings last
+            self.step(6.0)
+        self.loop.run_until_complete(all_done())
         assert not self.waiting, "a waiting request starves though servers are idle"
         for server in self.live:
             others = {f"server-{i}" for i in range(SERVERS)} - {f"server-{server}"}
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -11,6 +11,7 @@
 from kingcuplug_routing import (
     Attempt,
     AttemptOutcome,
+    Holding,
     Priority,
     Router,
     RoutingPolicy,
@@ -446,3 +447,26 @@
         assert min(counts.values()) > 70
 
     run_virtual(main())
+
+
+def test_incarnation_that_is_listed_again_keeps_its_attempts_in_flight() -> None:
+    # Guards against more attempts than slots when a late entry of the directory lists
+    # the former incarnation of a server, and then the newer one is listed again.
+    async def main() -> None:
+        router = Router("stock", RoutingPolicy(slow_start_s=0.0), Random(5))
+
+        def list_incarnation(number: int) -> None:
+            holding = Holding(1, 1, (0,))
+            view = ServerView(
+                "a", "a:1", "z", 2, 100, "serving", (holding,), number, 0.0
+            )
+            router.update([view], 1)
+
+        taken = 0
+        for incarnation in (0, 1, 0, 1, 0):
+            list_incarnation(incarnation)
+            while router.choose(1, 0) is not None:
+                taken += 1
+        assert taken <= 2 * 2
+
+    run_virtual(main())
