Share the import on first use, and one test of being in time

No change of behaviour. The packages common, routing and fleet each had the same `__getattr__`, and the gateway two copies of the tolerance of the target time.

--- a/packages/common/src/kingcuplug_common/__init__.py
+++ b/packages/common/src/kingcuplug_common/__init__.py
@@ -4,8 +4,7 @@
 imported on first use, so that a process loads only the libraries that it needs.
 """
 
-import importlib
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from kingcuplug_common._clock import boot_time, wall_ms
 from kingcuplug_common._condition import Condition
@@ -25,6 +24,7 @@
     require_string,
     require_strings,
 )
+from kingcuplug_common._lazy_import import import_on_first_use
 from kingcuplug_common._metrics import Metrics, log_state_change, set_state_change_sink
 
 if TYPE_CHECKING:
@@ -76,6 +76,7 @@
     "boot_time",
     "canonical",
     "digest",
+    "import_on_first_use",
     "key_id",
     "load_settings",
     "log_state_change",
@@ -98,23 +99,18 @@
     "wall_ms",
 ]
 
-_LAZY_NAMES = {
-    "_exposition": ("render_metrics",),
-    "_receipts": ("Receipt", "ReceiptInvalid", "Signer", "Verifier", "key_id"),
-    "_settings": ("HostSettings", "SettingsInvalid", "TlsSettings", "load_settings"),
-    "_spans": ("Hop", "traced_entry", "request_span", "start_hop", "traceparent"),
-    "_telemetry": ("TraceFileExporter", "log_to_file", "propagator", "open_tracer"),
-}
-_LAZY_MODULES = {
-    name: module for module, names in _LAZY_NAMES.items() for name in names
-}
-
-
-def __getattr__(name: str) -> Any:
-    """Import the module of a name at its first use."""
-    module = _LAZY_MODULES.get(name)
-    if module is None:
-        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
-    value = getattr(importlib.import_module(f"{__name__}.{module}"), name)
-    globals()[name] = value
-    return value
+__getattr__ = import_on_first_use(
+    __name__,
+    {
+        "_exposition": ("render_metrics",),
+        "_receipts": ("Receipt", "ReceiptInvalid", "Signer", "Verifier", "key_id"),
+        "_settings": (
+            "HostSettings",
+            "SettingsInvalid",
+            "TlsSettings",
+            "load_settings",
+        ),
+        "_spans": ("Hop", "traced_entry", "request_span", "start_hop", "traceparent"),
+        "_telemetry": ("TraceFileExporter", "log_to_file", "propagator", "open_tracer"),
+    },
+)
--- a/packages/fleet/src/kingcuplug_fleet/__init__.py
+++ b/packages/fleet/src/kingcuplug_fleet/__init__.py
@@ -4,8 +4,9 @@
 a disk never need it, and all hosts may have to start at once.
 """
 
-import importlib
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
+
+from kingcuplug_common import import_on_first_use
 
 from kingcuplug_fleet._directory import Directory
 from kingcuplug_fleet._directory_file import DirectoryFile
@@ -65,13 +66,6 @@
     "next_membership_change",
 ]
 
-_LAZY_NAMES = frozenset(("ControlReplica", "ControlReplicaSettings"))
-
-
-def __getattr__(name: str) -> Any:
-    """Import the control replica at its first use."""
-    if name not in _LAZY_NAMES:
-        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
-    module = importlib.import_module(f"{__name__}._control_replica")
-    value = globals()[name] = getattr(module, name)
-    return value
+__getattr__ = import_on_first_use(
+    __name__, {"_control_replica": ("ControlReplica", "ControlReplicaSettings")}
+)
--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -26,6 +26,7 @@
     WaitingRequest,
     concurrency_limits,
     delegate,
+    is_in_time,
     startup_wait_until,
 )
 
@@ -56,8 +57,6 @@
 # The delay lets a server restart or be announced before the caller retries. It is
 # drawn at random from this range, so that callers do not retry at the same time.
 _RETRY_AFTER_RANGE_S = (0.15, 0.45)
-# Answers that are sent at their target time are in time despite the timer's delay.
-_TARGET_TOLERANCE_S = 0.005
 # Bounds the wait of requests that arrive before the first route table, and thus the
 # routes' timeouts, are known.
 _MAX_STARTUP_WAIT_MS = 10_000
@@ -273,9 +272,9 @@
             self._record_disconnect(request, route, call)
             raise
         finally:
-            if call.result.succeeded:
-                in_time = loop.time() <= target_at + _TARGET_TOLERANCE_S
             now = loop.time()
+            if call.result.succeeded:
+                in_time = is_in_time(now, target_at)
             pool.limiter.release(route.priority, now, now - started_at, in_time)
         result = call.result
         if result.response is not None:
--- a/packages/gateway/src/kingcuplug_gateway/_scatter.py
+++ b/packages/gateway/src/kingcuplug_gateway/_scatter.py
@@ -6,15 +6,13 @@
 from heapq import nlargest
 from typing import Any
 
-from kingcuplug_routing import PartialAnswerPolicy
+from kingcuplug_routing import PartialAnswerPolicy, is_in_time
 
 from kingcuplug_gateway._service_call import ServiceCall
 
 __all__ = ["RECORD_BYTES", "MergedAnswer", "ScatterQuery", "merge_records"]
 
 RECORD_BYTES = 16
-# Answers that are sent at their target time are in time despite the timer's delay.
-_TARGET_TOLERANCE_S = 0.005
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,7 +145,7 @@
         """
         if self._received_count < self._rule.required_shards:
             return None
-        return self._loop.time() <= self._rule.target_at + _TARGET_TOLERANCE_S
+        return is_in_time(self._loop.time(), self._rule.target_at)
 
     def _hedge_stragglers(self) -> None:
         """Bring forward hedged attempts to the last shards after most have answered."""
--- a/packages/routing/src/kingcuplug_routing/__init__.py
+++ b/packages/routing/src/kingcuplug_routing/__init__.py
@@ -4,13 +4,15 @@
 gateway does not need it, and all hosts may have to start at once.
 """
 
-import importlib
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
+
+from kingcuplug_common import import_on_first_use
 
 from kingcuplug_routing._concurrency_limiter import (
     ConcurrencyLimiter,
     WaitingRequest,
     concurrency_limits,
+    is_in_time,
 )
 from kingcuplug_routing._delegation import Delegation, delegate
 from kingcuplug_routing._latency_estimator import LatencyEstimator
@@ -82,6 +84,7 @@
     "concurrency_limits",
     "delegate",
     "host_share",
+    "is_in_time",
     "least_expected_time",
     "least_in_flight",
     "power_of_two_choices",
@@ -89,48 +92,38 @@
     "startup_wait_until",
 ]
 
-_LAZY_NAMES = {
-    "_admission": (
-        "Admission",
-        "AdmissionContext",
-    ),
-    "_crash_guard": ("CrashGuard",),
-    "_crash_history": (
-        "CrashGuardSettings",
-        "CrashSuspect",
-    ),
-    "_policy": (
-        "RoutingPolicy",
-        "baseline_policy",
-    ),
-    "_router": ("Router",),
-    "_selection": (
-        "least_expected_time",
-        "least_in_flight",
-        "power_of_two_choices",
-        "random_replica",
-    ),
-    "_ticket": ("Ticket",),
-    "_types": (
-        "Attempt",
-        "AttemptOutcome",
-        "Holding",
-        "HoldingView",
-        "Priority",
-        "ServerView",
-        "SnapshotView",
-    ),
-}
-_LAZY_MODULES = {
-    name: module for module, names in _LAZY_NAMES.items() for name in names
-}
-
-
-def __getattr__(name: str) -> Any:
-    """Import the module of a name at its first use."""
-    module = _LAZY_MODULES.get(name)
-    if module is None:
-        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
-    value = getattr(importlib.import_module(f"{__name__}.{module}"), name)
-    globals()[name] = value
-    return value
+__getattr__ = import_on_first_use(
+    __name__,
+    {
+        "_admission": (
+            "Admission",
+            "AdmissionContext",
+        ),
+        "_crash_guard": ("CrashGuard",),
+        "_crash_history": (
+            "CrashGuardSettings",
+            "CrashSuspect",
+        ),
+        "_policy": (
+            "RoutingPolicy",
+            "baseline_policy",
+        ),
+        "_router": ("Router",),
+        "_selection": (
+            "least_expected_time",
+            "least_in_flight",
+            "power_of_two_choices",
+            "random_replica",
+        ),
+        "_ticket": ("Ticket",),
+        "_types": (
+            "Attempt",
+            "AttemptOutcome",
+            "Holding",
+            "HoldingView",
+            "Priority",
+            "ServerView",
+            "SnapshotView",
+        ),
+    },
+)
--- a/packages/routing/src/kingcuplug_routing/_concurrency_limiter.py
+++ b/packages/routing/src/kingcuplug_routing/_concurrency_limiter.py
@@ -21,7 +21,12 @@
 from dataclasses import dataclass, field
 from itertools import count
 
-__all__ = ["ConcurrencyLimiter", "WaitingRequest", "concurrency_limits"]
+__all__ = [
+    "ConcurrencyLimiter",
+    "WaitingRequest",
+    "concurrency_limits",
+    "is_in_time",
+]
 
 # Servers queue about six requests for each slot; the margin allows for uneven shares of
 # the hosts.
@@ -39,6 +44,13 @@
 _DURATION_WEIGHT = 0.1
 # A less urgent rank gets every n-th turn, so that it does not starve.
 _TURNS_BEFORE_LOWER_RANK = 4
+# Answers that are sent at their target time are in time despite the timer's delay.
+_TARGET_TOLERANCE_S = 0.005
+
+
+def is_in_time(now: float, target_at: float) -> bool:
+    """Return whether an answer that is sent at `now` is in time."""
+    return now <= target_at + _TARGET_TOLERANCE_S
 
 
 def concurrency_limits(slots: int, hosts: int) -> tuple[float, float]:
