Probe a silent gatherer before a query uses it; let hosts use what it leaves

Change: an excluded gatherer is used again after it has answered a probe without a query. The share of the budget of the gatherers that do not answer a host is added to that host's share.

--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -36,6 +36,7 @@
     GatherRecord,
     NotGathering,
     gather_from_peer,
+    probe_gatherers,
 )
 from kingcuplug_gateway._gather_server import GatherServer
 from kingcuplug_gateway._request_log import RequestLog, RequestResult
@@ -114,6 +115,7 @@
             settings.retry_budget,
             self._random,
             uses_gatherers=self._call_peer is not None,
+            silent_gatherer_ratio=self._gatherer_directory.excluded_ratio,
         )
         self._gather_server = GatherServer(
             partial(self._make_call, for_peer=True),
@@ -208,6 +210,11 @@
             self._update_connection_limits()
         return await self._gather_server.handle(message, accept_new)
 
+    async def probe_gatherers(self) -> None:
+        """Probe gatherers that did not answer, to use them again when they do."""
+        if self._call_peer is not None:
+            await probe_gatherers(self._call_peer, self._gatherer_directory)
+
     async def handle(self, request: Request) -> Response:
         """Return the response to a caller's request."""
         await self._wait_for_startup(
@@ -409,7 +416,7 @@
 
     def _delegations(self, route: Route) -> list[Delegation]:
         now = asyncio.get_running_loop().time()
-        gatherers = self._gatherer_directory.available(now)
+        gatherers = self._gatherer_directory.available()
         if self._call_peer is None or not gatherers:
             return []
         zones = {s: self.servers.pool(s).healthy_zones(now) for s in route.shards}
--- a/packages/gateway/src/kingcuplug_gateway/_gather_client.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gather_client.py
@@ -9,6 +9,7 @@
 from kingcuplug_routing import Delegation, LatencyEstimator, PartialAnswerPolicy
 
 from kingcuplug_gateway._gather_messages import (
+    PROBE,
     GatherReply,
     GatherRequest,
     RemainderRequest,
@@ -23,6 +24,7 @@
     "GathererDirectory",
     "NotGathering",
     "gather_from_peer",
+    "probe_gatherers",
 ]
 
 _MS_PER_S = 1_000
@@ -31,10 +33,13 @@
 _FIRST_REPLY_SLACK_S = 0.01
 # A gatherer replies this long before the response of this host is due.
 _REPLY_LEAD_S = 0.004
-# A gatherer that did not reply is excluded for this long, doubled by each further
-# failure up to the maximum.
+# A gatherer that did not reply is probed after this long, doubled by each further
+# failure of a query up to the maximum.
 _MIN_EXCLUSION_S = 1.0
 _MAX_EXCLUSION_S = 8.0
+_PROBE_INTERVAL_S = 1.0
+# One that answers later would delay queries beyond their target.
+_PROBE_TIMEOUT_S = 0.2
 
 # After the first reply, this host answers its caller in time whatever the gatherer
 # does, so a gatherer that is slightly late then is not excluded.
@@ -92,38 +97,101 @@
         }
 
 
+@dataclass(slots=True)
+class _Exclusion:
+    """Failures of one gatherer since its last reply to a query."""
+
+    failures: int = 0
+    excluded: bool = False
+    probe_at: float = 0.0
+
+
 class GathererDirectory:
-    """Addresses of the gatherers, with temporary exclusion of those that failed."""
+    """Addresses of the gatherers, with exclusion of those that failed.
+
+    A gatherer that failed is used again after it has answered a probe. A query must
+    not find out: it would ask all its shards once more, and the retry budget of a host
+    allows that about once in a window.
+    """
 
     def __init__(self, log: EventLog) -> None:
         self._log = log
-        self._failures: dict[str, tuple[int, float]] = {}
+        self._exclusions: dict[str, _Exclusion] = {}
         self.addresses_by_zone: Mapping[str, Sequence[str]] = {}
 
-    def available(self, now: float) -> dict[str, list[str]]:
-        """Return the addresses not excluded at the time `now`, by availability zone."""
+    def available(self) -> dict[str, list[str]]:
+        """Return the addresses that are not excluded, by availability zone."""
         usable = {
-            zone: [a for a in addresses if self._failures.get(a, (0, 0.0))[1] <= now]
+            zone: [a for a in addresses if not self._is_excluded(a)]
             for zone, addresses in self.addresses_by_zone.items()
         }
         return {zone: addresses for zone, addresses in usable.items() if addresses}
 
+    def excluded_ratio(self) -> float:
+        """Return the share of the gatherers that are excluded."""
+        addresses = self._addresses()
+        if not addresses:
+            return 0.0
+        return sum(map(self._is_excluded, addresses)) / len(addresses)
+
+    def due_probes(self, now: float) -> list[str]:
+        """Return the addresses of excluded gatherers to probe at the time `now`."""
+        known = self._addresses()
+        self._exclusions = {a: e for a, e in self._exclusions.items() if a in known}
+        return [
+            address
+            for address, exclusion in self._exclusions.items()
+            if exclusion.excluded and exclusion.probe_at <= now
+        ]
+
+    def record_probe(self, address: str, now: float, answered: bool) -> None:
+        """Use a gatherer again if it has answered a probe, or else probe it later."""
+        exclusion = self._exclusions.get(address)
+        if exclusion is not None:
+            exclusion.excluded = not answered
+            exclusion.probe_at = now + _PROBE_INTERVAL_S
+
     def record_success(self, address: str) -> None:
-        """Record a reply of a gatherer, which clears its earlier failures."""
-        self._failures.pop(address, None)
+        """Record the reply of a gatherer to a query, which clears its failures."""
+        self._exclusions.pop(address, None)
 
     def record_failure(self, address: str, now: float, reason: str) -> None:
         """Exclude a gatherer that failed, for longer after each further failure."""
-        failures, until = self._failures.get(address, (0, 0.0))
-        if until > now:
+        exclusion = self._exclusions.setdefault(address, _Exclusion())
+        if exclusion.excluded:
             return
-        exclusion_s = min(_MIN_EXCLUSION_S * 2**failures, _MAX_EXCLUSION_S)
-        self._failures[address] = (failures + 1, now + exclusion_s)
+        exclusion_s = min(_MIN_EXCLUSION_S * 2**exclusion.failures, _MAX_EXCLUSION_S)
+        exclusion.failures += 1
+        exclusion.excluded = True
+        exclusion.probe_at = now + exclusion_s
         self._log.write(
             "gatherer_left",
             {"address": address, "pause_s": exclusion_s, "reason": reason},
         )
 
+    def _addresses(self) -> set[str]:
+        return {a for group in self.addresses_by_zone.values() for a in group}
+
+    def _is_excluded(self, address: str) -> bool:
+        exclusion = self._exclusions.get(address)
+        return exclusion is not None and exclusion.excluded
+
+
+async def probe_gatherers(call_peer: CallPeer, directory: GathererDirectory) -> None:
+    """Probe the excluded gatherers that are due."""
+    loop = asyncio.get_running_loop()
+
+    async def probe(address: str) -> None:
+        try:
+            await call_peer(address, PROBE, _PROBE_TIMEOUT_S)
+        except KingcuplugError:
+            answered = False
+        else:
+            answered = True
+        directory.record_probe(address, loop.time(), answered)
+
+    await asyncio.gather(*map(probe, directory.due_probes(loop.time())))
+
 
 async def gather_from_peer(
     call_peer: CallPeer,
--- a/packages/gateway/src/kingcuplug_gateway/_gather_messages.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gather_messages.py
@@ -11,7 +11,16 @@
     require_strings,
 )
 
-__all__ = ["GatherReply", "GatherRequest", "RemainderRequest", "decode_request"]
+__all__ = [
+    "PROBE",
+    "GatherReply",
+    "GatherRequest",
+    "RemainderRequest",
+    "decode_request",
+]
+
+# Asks whether a host gathers, without a query; the reply is an empty array.
+PROBE = ["probe"]
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/kingcuplug_gateway/_gather_server.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gather_server.py
@@ -9,6 +9,7 @@
 
 from kingcuplug_gateway._gather_client import NotGathering
 from kingcuplug_gateway._gather_messages import (
+    PROBE,
     GatherReply,
     GatherRequest,
     RemainderRequest,
@@ -90,6 +91,10 @@
         ValueError
             If the request cannot be decoded.
         """
+        if message == PROBE:
+            if not accept_new_operations:
+                raise NotGathering("the host is stopping")
+            return []
         request = decode_request(message)
         if not accept_new_operations and isinstance(request, GatherRequest):
             raise NotGathering("the host is stopping")
--- a/packages/gateway/src/kingcuplug_gateway/_servers.py
+++ b/packages/gateway/src/kingcuplug_gateway/_servers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random as random_module
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from kingcuplug_routing import (
@@ -123,6 +123,9 @@
         Availability zone of the host.
     uses_gatherers : bool
         Whether other hosts gather parts of queries for this one.
+    silent_gatherer_ratio : callable
+        Returns the share of the gatherers that do not answer this host. They use
+        nothing of the retry budget, so their part of it goes to this host's share.
 
     Attributes
     ----------
@@ -138,7 +141,9 @@
         budget_settings: RetryBudgetSettings,
         random: random_module.Random,
         uses_gatherers: bool = False,
+        silent_gatherer_ratio: Callable[[], float] = lambda: 0.0,
     ) -> None:
+        self._silent_gatherer_ratio = silent_gatherer_ratio
         self._random = random
         self._budget_share = 1 - _GATHERER_RETRY_SHARE if uses_gatherers else 1.0
         self._own_zone = availability_zone
@@ -176,6 +181,10 @@
         # While the total is unknown, the last shares of all hosts still add up to 1.
         return self._retry_share
 
+    def retry_share_of_silent_gatherers(self) -> float:
+        """Return the part of the retry budget that silent gatherers leave unused."""
+        return _GATHERER_RETRY_SHARE * self._silent_gatherer_ratio()
+
     def pop_request_count(self) -> int:
         """Return the number of requests since the previous call."""
         count, self._unreported_requests = self._unreported_requests, 0
--- a/packages/gateway/src/kingcuplug_gateway/_service_call.py
+++ b/packages/gateway/src/kingcuplug_gateway/_service_call.py
@@ -347,8 +347,14 @@
             self._send("hedge")
 
     def _spend_retry_budget(self, kind: str, now: float) -> bool:
-        share = self._server_table.retry_share(now, self._for_peer)
-        if self._retry_budget.try_acquire(now, share, hedge=kind == "hedge"):
+        table = self._server_table
+        extra_share = 0.0 if self._for_peer else table.retry_share_of_silent_gatherers()
+        if self._retry_budget.try_acquire(
+            now,
+            table.retry_share(now, self._for_peer),
+            hedge=kind == "hedge",
+            extra_share=extra_share,
+        ):
             return True
         self.result.denied_attempts.append(kind)
         return False
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -366,6 +366,7 @@
             self._poller.run,
             self._watch_settings,
             self._prune_servers,
+            self._probe_gatherers,
             self._send_reports,
         ]
         if self._directory_file is not None:
@@ -663,6 +664,11 @@
             await asyncio.sleep(_UPKEEP_INTERVAL_S)
             self._gateway.servers.prune(loop.time())
 
+    async def _probe_gatherers(self) -> None:
+        while True:
+            await asyncio.sleep(_UPKEEP_INTERVAL_S)
+            await self._gateway.probe_gatherers()
+
     async def _watch_settings(self) -> None:
         while True:
             await asyncio.sleep(_SETTINGS_POLL_INTERVAL_S)
--- a/packages/routing/src/kingcuplug_routing/_retry_budget.py
+++ b/packages/routing/src/kingcuplug_routing/_retry_budget.py
@@ -125,7 +125,9 @@
         """Count a request for the service."""
         self._requests.add(now)
 
-    def try_acquire(self, now: float, fixed_share: float, hedge: bool) -> bool:
+    def try_acquire(
+        self, now: float, fixed_share: float, hedge: bool, extra_share: float = 0.0
+    ) -> bool:
         """Return whether one more attempt may be sent, and count it if so.
 
         Parameters
@@ -134,13 +136,16 @@
             This host's share of the constant number, see `host_share`.
         hedge : bool
             Whether the attempt is a hedge, which replaces no failed attempt.
+        extra_share : float
+            Share of the common bound that others currently leave unused.
         """
         settings = self._settings
         allowed = (
             self._requests.total(now) * settings.ratio
             + settings.fixed_attempts * fixed_share
         )
-        allowed *= self._share * _SAFETY_FACTOR * (_HEDGE_SHARE if hedge else 1.0)
+        allowed *= (self._share + extra_share) * _SAFETY_FACTOR
+        allowed *= _HEDGE_SHARE if hedge else 1.0
         if self._extra_attempts.total(now) + 1 > allowed + self._rounding:
             return False
         self._extra_attempts.add(now)
--- a/packages/soak/src/kingcuplug_soak/_run.py
+++ b/packages/soak/src/kingcuplug_soak/_run.py
@@ -168,8 +168,9 @@
     await asyncio.sleep(max(0.0, deadline_at - loop.time()))
     attempts_before, served_before = checker.attempt_count, checker.served_count
     await asyncio.sleep(_PROBE_DURATION_S)
-    if (
-        checker.served_count - served_before
-        < (checker.attempt_count - attempts_before) / 4
-    ):
-        checker.violations.append("callers were not served again in time")
+    attempts = checker.attempt_count - attempts_before
+    served = checker.served_count - served_before
+    if served < attempts / 4:
+        checker.violations.append(
+            f"callers were not served again in time: {served} of {attempts}"
+        )
--- a/tests/gateway/test_gathering.py
+++ b/tests/gateway/test_gathering.py
@@ -403,3 +403,34 @@
             assert not harness.gateway._gather_server._operations
 
     asyncio.run(run())
+
+
+def test_excluded_gatherer_is_used_again_after_it_has_answered_a_probe(open_gateway):
+    """Guards against a gatherer that is never used again, or tried by a query."""
+
+    async def run() -> None:
+        async with _open_gateway_pair(open_gateway) as narrow:
+            for shard in SHARDS:
+                await _add_server(narrow, shard, _respond_records("a"))
+            _set_routes(narrow)
+            handle_gather = narrow.wide.gateway.handle_gather
+            answering = False
+
+            async def answer_if_thawed(value):
+                if not answering:
+                    await asyncio.sleep(60)
+                return await handle_gather(value)
+
+            narrow.wide.gateway.handle_gather = answer_if_thawed
+            assert (await narrow.send()).status == 200
+            await asyncio.sleep(1.05)
+            await narrow.gateway.probe_gatherers()
+            assert (await narrow.send()).status == 200
+            assert narrow.message_kinds == ["begin", "probe"]
+            answering = True
+            await asyncio.sleep(1.05)
+            await narrow.gateway.probe_gatherers()
+            assert (await narrow.send()).status == 200
+            assert narrow.message_kinds == ["begin", "probe", "probe", "begin"]
+
+    asyncio.run(run())
--- a/tests/routing/test_retry_budget.py
+++ b/tests/routing/test_retry_budget.py
@@ -124,3 +124,23 @@
             host.record_request(now)
             granted += host.try_acquire(now, share, hedge=True)
     assert 50 <= granted <= 180 * 0.2 + 60
+
+
+def test_unused_share_of_silent_gatherers_goes_to_the_hosts():
+    """Guards against fallbacks that are denied while the gatherers' part is unused.
+
+    Two of six gatherers are silent; they would use 0.7 / 6 of the budget each.
+    """
+    settings = RetryBudgetSettings(ratio=0.2, fixed_attempts=194, window_s=10.0)
+    hosts, gatherers, silent, requests = 77, 6, 2, 920
+    granted = 0
+    for number in range(hosts):
+        budget = RetryBudget(settings, random.Random(number), share=0.3)
+        for _ in range(requests // hosts):
+            budget.record_request(1.0)
+        while budget.try_acquire(1.0, 1 / hosts, False, 0.7 * silent / gatherers):
+            granted += 1
+    bound = settings.ratio * requests + settings.fixed_attempts
+    used_by_gatherers = 0.7 * (gatherers - silent) / gatherers * bound
+    assert granted + used_by_gatherers <= bound
+    assert granted > 0.35 * bound
