Refuse to gather for shards without a known server

A control host that had lost its disk had been back for 0.2 s; it knew no servers, accepted to gather 42 shards and reported all of them as failed.

Change: a host that knows no server of a requested shard refuses the gather operation before it starts, so the requesting host asks the shards itself without the loss of an attempt, and probes the gatherer before it uses it again.

Before: the new test gets a 502. After: it gets the whole answer.

--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -121,6 +121,7 @@
             partial(self._make_call, for_peer=True),
             self._route_timing,
             self._header_names.signature.lower(),
+            lambda shard: bool(self.servers.pool(shard).servers),
             log,
         )
 
--- a/packages/gateway/src/kingcuplug_gateway/_gather_server.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gather_server.py
@@ -52,6 +52,8 @@
         milliseconds.
     signature_header : bytes
         Name of the header with a part's signature, in lower case.
+    has_servers : callable
+        Returns whether this host knows a server of a shard.
     """
 
     def __init__(
@@ -59,8 +61,10 @@
         make_call: CallFactory,
         route_timing: Callable[[str, int], LatencyEstimator],
         signature_header: bytes,
+        has_servers: Callable[[str], bool],
         log: EventLog,
     ) -> None:
+        self._has_servers = has_servers
         self._make_call = make_call
         self._route_timing = route_timing
         self._signature_header = signature_header
@@ -85,7 +89,8 @@
         Raises
         ------
         NotGathering
-            If a new operation is requested, and none is accepted.
+            If a new operation is requested, and none is accepted or this host knows no
+            server of a shard.
         UnknownGathering
             If the operation of a request for the remaining parts has ended.
         ValueError
@@ -132,6 +137,11 @@
                 )
             operation.set_expiry_timer(None)
             return operation
+        unknown = sum(not self._has_servers(shard) for shard in request.shards)
+        if unknown:
+            # This host has just started, or has not heard of a new shard yet. It would
+            # report these shards as failed at once.
+            raise NotGathering(f"no server of {unknown} shards is known here")
         timing = self._route_timing(request.route, request.target_ms)
         operation = _GatherOperation(request, timing, self._signature_header)
         self._operations[request.gather_id] = operation
--- a/tests/gateway/test_gathering.py
+++ b/tests/gateway/test_gathering.py
@@ -434,3 +434,23 @@
             assert narrow.message_kinds == ["begin", "probe", "probe", "begin"]
 
     asyncio.run(run())
+
+
+def test_gatherer_without_the_servers_of_a_shard_refuses(open_gateway):
+    """Guards against queries that fail because a gatherer has just started.
+
+    It knows no servers yet, and would report all shards as failed at once.
+    """
+
+    async def run() -> None:
+        async with _open_gateway_pair(open_gateway) as narrow:
+            for shard in SHARDS:
+                await _add_server(narrow, shard, _respond_records("a"))
+            _set_routes(narrow)
+            narrow.wide.gateway.update_fleet([], hosts=1)
+            response = await narrow.send()
+            assert response.status == 200
+            assert dict(response.headers)[b"Missing"] == b"0"
+            assert [len(requests) for requests in narrow.received.values()] == [1] * 4
+
+    asyncio.run(run())
