Drop derived state of the limiter; correct two doc texts

Found by reading the change once more; no change of behaviour. The sequence number of a waiting request repeated the order of the list, whose first smallest element `min` returns, so it is gone; requests compare by identity. The expiry on release repeats `expire` no longer. The doc of `ServiceCall` said that hedges stop while others wait, but they stop while the limiter is saturated; the routes file named the wrong page.

--- a/packages/fleet/src/kingcuplug_fleet/_routes_file.py
+++ b/packages/fleet/src/kingcuplug_fleet/_routes_file.py
@@ -3,7 +3,7 @@
 Covers a power loss of all hosts at once: until a leader is elected no replica knows
 which entries of its log are committed, but callers return at once. The file holds a
 document only after the replica has applied it, so what is loaded was committed. It may
-be older than the newest committed one; `docs/platform.md` weighs this.
+be older than the newest committed one; `docs/decisions/recovery.md` weighs this.
 """
 
 import asyncio
--- a/packages/gateway/src/kingcuplug_gateway/_service_call.py
+++ b/packages/gateway/src/kingcuplug_gateway/_service_call.py
@@ -125,7 +125,7 @@
         Whether this host gathers the part for another one. Hedging is then blocked
         until that host asks for the remaining parts.
     limiter : ConcurrencyLimiter or None
-        Limiter that admitted the request. While others wait for it, no hedges are sent.
+        Limiter that admitted the request. No hedges are sent while it is saturated.
     """
 
     def __init__(
--- a/packages/routing/src/kingcuplug_routing/_concurrency_limiter.py
+++ b/packages/routing/src/kingcuplug_routing/_concurrency_limiter.py
@@ -19,7 +19,6 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from itertools import count
 
 __all__ = [
     "ConcurrencyLimiter",
@@ -69,7 +68,7 @@
     return max(1.0, share), float(upper)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class WaitingRequest:
     """A request that waits for admission.
 
@@ -99,7 +98,6 @@
     refuse: Callable[[], object]
     latest_start_at: float = field(default=0.0, init=False)
     held_by_start: bool = field(default=False, init=False)
-    sequence: int = field(default=0, init=False)
 
 
 class ConcurrencyLimiter:
@@ -118,7 +116,6 @@
         self._decreased_at = -math.inf
         self._duration_s = 0.0
         self._waiting: list[WaitingRequest] = []
-        self._sequence = count()
         self._rank_seen_at: dict[int, float] = {}
         self._turns_missed: dict[int, int] = {}
 
@@ -173,7 +170,6 @@
         request.latest_start_at = end_at - self._duration_s
         if now + wait_s > request.latest_start_at:
             return wait_s
-        request.sequence = next(self._sequence)
         self._waiting.append(request)
         return None
 
@@ -231,10 +227,10 @@
             waiting for waiting in self._waiting if now > waiting.latest_start_at
         ]
         for waiting in expired:
-            self._waiting.remove(waiting)
-            waiting.refuse()
+            self.expire(waiting)
 
     def _pop_next(self) -> WaitingRequest:
+        """Remove and return the next request; of equal ones, the first to arrive."""
         rank = self._next_rank()
         chosen = min(
             (waiting for waiting in self._waiting if waiting.rank == rank),
@@ -242,7 +238,6 @@
                 waiting.held_by_start,
                 not waiting.returning,
                 waiting.target_at,
-                waiting.sequence,
             ),
         )
         self._waiting.remove(chosen)
