Log and measure what the control group can still lose, and how old its state is

Cause of this change: neither logs nor metrics could tell the hypotheses apart. Nothing showed which voters the group has and which of them answer, and nothing showed that a follower has not applied what its leader had committed.

Change: the leader logs `voters_silent` whenever the set of silent voters changes, with the further losses that the group bears; metrics carry the voters, the silent ones, the losses borne and the age of the applied state. No decision uses them yet.

Tests: tests/fleet/test_group_health.py, and the age of the state beside a stalled disk.

--- a/packages/fleet/src/kingcuplug_fleet/_control_replica.py
+++ b/packages/fleet/src/kingcuplug_fleet/_control_replica.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import random as random_module
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -31,6 +32,7 @@
 )
 
 from kingcuplug_fleet._errors import CoreUnavailable
+from kingcuplug_fleet._group_health import GroupHealth, group_health
 from kingcuplug_fleet._membership import JoinRequest, next_membership_change
 from kingcuplug_fleet._peer_client import PeerClient, PeerFailed
 from kingcuplug_fleet._route_register import RouteRegister
@@ -127,6 +129,7 @@
         self._disk_was_empty = False
         self._join_requests: dict[str, tuple[JoinRequest, float]] = {}
         self._replacements = 0
+        self._silent_voters: tuple[str, ...] = ()
         self._random = random_module.Random()
 
     async def run(self) -> None:
@@ -159,6 +162,16 @@
         """Return whether this host is the leader of the group."""
         return self._replica is not None and self._replica.leading
 
+    def health(self) -> GroupHealth | None:
+        """Return the health of the group if this host leads it."""
+        if self._replica is None or not self._replica.leading:
+            return None
+        return group_health(self._replica.status())
+
+    def state_age_s(self) -> float:
+        """Return how old the applied state may be, infinite if nothing is known."""
+        return math.inf if self._replica is None else self._replica.state_age_s()
+
     async def submit(self, version: int, document: str) -> int:
         """Replicate a document durably; return the version held afterwards.
 
@@ -292,10 +305,12 @@
         """Ask to join while this host is no voter; change members while it leads."""
         while not replica.status().storage_failed:
             if replica.leading:
+                self._log_silent_voters(replica.status())
                 await self._change_members(replica)
                 await asyncio.sleep(_MEMBERSHIP_INTERVAL_S)
                 continue
             self._replacements = 0
+            self._silent_voters = ()
             own = replica.find_member(member.id)
             is_voter = own is not None and own.role is MemberRole.VOTER
             if not is_voter or not replica.has_active_leader():
@@ -303,6 +318,26 @@
             await asyncio.sleep(_JOIN_INTERVAL_S)
         raise OSError("log storage failed")
 
+    def _log_silent_voters(self, status: LogStatus) -> None:
+        """Log which voters do not answer the leader, whenever that changes."""
+        health = group_health(status)
+        if health.silent == self._silent_voters:
+            return
+        self._silent_voters = health.silent
+        self._log.write(
+            "voters_silent",
+            {
+                "silent": {
+                    peer.member.id: peer.answered_ms_ago
+                    for peer in status.peers
+                    if peer.member.id in health.silent
+                },
+                "voters": health.voters,
+                "losses_borne": health.losses_borne,
+            },
+            bypass_rate_limit=True,
+        )
+
     async def _request_join(self, member: Member) -> None:
         value = {
             "member": member.to_json(),
--- a/packages/log/src/kingcuplug_log/_applier.py
+++ b/packages/log/src/kingcuplug_log/_applier.py
@@ -60,7 +60,7 @@
         state = self._state
         if snapshot.index > state.applied_index:
             self._machine.load(snapshot.state)
-            state.applied_index = snapshot.index
+            state.record_applied(snapshot.index)
         first = max(self._storage.first_index, snapshot.index + 1)
         state.group.restore(snapshot, self._storage.entries(first))
         state.advance_commit_index(snapshot.index)
@@ -89,7 +89,7 @@
                 result = self._machine.apply(entry.index, entry.data)
             except Exception as raised:  # Goes to the proposer; later entries apply.
                 error = raised
-        self._state.applied_index = entry.index
+        self._state.record_applied(entry.index)
         self._complete_proposal(entry, result, error)
 
     def _complete_proposal(
--- a/packages/log/src/kingcuplug_log/_follower.py
+++ b/packages/log/src/kingcuplug_log/_follower.py
@@ -34,6 +34,7 @@
         """Append entries; the reply acknowledges only entries that are synced."""
         if not self._accept_leader(request.header.term, request.header.sender):
             return await self._reject_append()
+        self._state.record_leader_commit(request.commit_index)
         conflict_index = self._find_conflict_index(request)
         if conflict_index is None:
             self._stage_new_entries(request.entries)
--- a/packages/log/src/kingcuplug_log/_replica.py
+++ b/packages/log/src/kingcuplug_log/_replica.py
@@ -148,6 +148,15 @@
             return self.lease_expires_at() > self._state.clock()
         return self._state.leader is not None and self._state.must_refuse_votes()
 
+    def state_age_s(self) -> float:
+        """Return how old the applied state may be compared with the leader's.
+
+        Infinite before the first contact to a leader.
+        """
+        if self.leading:
+            return max(0.0, self._state.clock() - self.lease_expires_at())
+        return self._state.clock() - self._state.current_at
+
     async def bootstrap(self, cluster_id: str) -> None:
         """Create a cluster whose only member is this replica.
 
--- a/packages/log/src/kingcuplug_log/_replica_state.py
+++ b/packages/log/src/kingcuplug_log/_replica_state.py
@@ -1,6 +1,7 @@
 """State of one replica, shared by elections, replication and the applier."""
 
 import asyncio
+import math
 import random as random_module
 from collections.abc import Coroutine
 from typing import TYPE_CHECKING, Any
@@ -35,6 +36,9 @@
         Time on the replica's clock until which it grants no vote.
     election_due_at : float
         Time on the replica's clock at which the election timer expires.
+    current_at : float
+        Latest time on the replica's clock at which the applied state is known to have
+        included every entry that the leader had committed.
     log_appended, changed : Condition
         Notified when there may be something to replicate, and when any other state
         changes.
@@ -63,6 +67,8 @@
         self.applied_index = 0
         self.votes_refused_until = 0.0
         self.election_due_at = 0.0
+        self.current_at = -math.inf
+        self._unapplied_commit: tuple[int, float] | None = None
         self.log_appended = Condition()
         self.changed = Condition()
         self._transport = transport
@@ -141,6 +147,21 @@
             self.commit_index = index
             self.changed.notify()
 
+    def record_leader_commit(self, index: int) -> None:
+        """Record that the leader has just named `index` as its commit index."""
+        if self.applied_index >= index:
+            self._unapplied_commit = None
+            self.current_at = self.clock()
+        elif self._unapplied_commit is None:
+            self._unapplied_commit = (index, self.clock())
+
+    def record_applied(self, index: int) -> None:
+        """Record that entries up to `index` are applied."""
+        self.applied_index = index
+        if self._unapplied_commit is not None and index >= self._unapplied_commit[0]:
+            self.current_at = self._unapplied_commit[1]
+            self._unapplied_commit = None
+
     def make_header(self, recipient: str, term: int) -> Header:
         """Return the header of a request to another member."""
         return Header(self.group.cluster or "", self.member.id, recipient, term)
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -563,10 +563,23 @@
                 self._replica is not None and self._replica.is_leader()
             ),
             "log_lines_dropped": self._log.dropped,
+            **self._control_gauges(),
         }
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
         return Response(200, headers, render_metrics(self._metrics, gauges))
 
+    def _control_gauges(self) -> dict[str, float]:
+        """Return the gauges of a host that takes part in control."""
+        if self._replica is None:
+            return {}
+        gauges = {"control_state_age_seconds": self._replica.state_age_s()}
+        health = self._replica.health()
+        if health is not None:
+            gauges["control_voters"] = health.voters
+            gauges["control_voters_silent"] = len(health.silent)
+            gauges["control_losses_borne"] = health.losses_borne
+        return gauges
+
     async def _apply_changes(self) -> None:
         """Apply changes of routes, servers and hosts to the gateway."""
         fleet_view = self._fleet_view
--- /dev/null
+++ b/tests/fleet/test_group_health.py
@@ -0,0 +1,55 @@
+"""Tests of the figures that show what the log's group can still lose."""
+
+from typing import Any
+
+import pytest
+from kingcuplug_fleet._group_health import group_health
+from kingcuplug_log import LogStatus, Member, MemberRole, PeerStatus, ReplicaRole
+
+
+def _status(answered_ms_ago: list[float | None]) -> LogStatus:
+    members = [Member(f"{i}/1", str(i), f"{i}:1") for i in range(4)]
+    members = members[: len(answered_ms_ago) + 1]
+    peers = tuple(
+        PeerStatus(member, 5, True, age_ms)
+        for member, age_ms in zip(members[1:], answered_ms_ago, strict=True)
+    )
+    indexes: dict[str, Any] = dict.fromkeys(
+        ("term", "commit_index", "applied_index", "last_index", "snapshot_index"), 5
+    )
+    return LogStatus(
+        member=members[0],
+        role=ReplicaRole.LEADER,
+        leader=members[0],
+        members=tuple(members),
+        peers=peers,
+        lease_valid=True,
+        storage_failed=False,
+        safe_to_lose_one=True,
+        **indexes,
+    )
+
+
+@pytest.mark.parametrize(
+    ("answered_ms_ago", "silent", "losses_borne"),
+    [
+        ([10.0, 10.0], (), 1),
+        ([10.0, 9_000.0], ("2/1",), 0),
+        ([9_000.0, 9_000.0], ("1/1", "2/1"), -1),
+        ([None, 10.0, 10.0], ("1/1",), 0),
+    ],
+)
+def test_health_shows_voters_that_never_answered(answered_ms_ago, silent, losses_borne):
+    """Guards against a group that cannot bear a loss while its figures look fine."""
+    health = group_health(_status(answered_ms_ago))
+    assert health.voters == len(answered_ms_ago) + 1
+    assert (health.silent, health.losses_borne) == (silent, losses_borne)
+
+
+def test_observer_is_no_voter():
+    """Guards against counting members that do not vote."""
+    status = _status([10.0, None])
+    observer = Member("2/1", "2", "2:1", MemberRole.OBSERVER)
+    peers = (status.peers[0], PeerStatus(observer, 0, False, None))
+    fields = vars(status) | {"members": (*status.members[:2], observer), "peers": peers}
+    assert group_health(LogStatus(**fields)).silent == ()
--- a/tests/log/test_stalled_disks.py
+++ b/tests/log/test_stalled_disks.py
@@ -80,3 +80,25 @@
         group.invariants.raise_if_violated()
 
     run_virtual(main())
+
+
+def test_age_of_the_state_grows_while_a_follower_cannot_store_entries() -> None:
+    # Guards against a follower that looks current because its leader answers.
+    async def main() -> None:
+        group = await _start_group("age of the state")
+        (follower,) = _select(group, "follower")
+        follower.disk.sync_s = _STALL_S
+        await group.propose({"number": 1})
+        await asyncio.sleep(2.0)
+        leader = group.leader()
+        assert leader is not None
+        assert group.replica(leader.name).state_age_s() == 0.0
+        assert 1.5 < group.replica(follower.name).state_age_s() < 3.0
+        others = [h for h in group.followers() if h is not follower]
+        assert all(group.replica(h.name).state_age_s() < 0.2 for h in others)
+        follower.disk.sync_s = 0.001
+        await asyncio.sleep(_STALL_S)
+        assert group.replica(follower.name).state_age_s() < 0.2
+        await group.stop()
+
+    run_virtual(main())
