--- a/packages/fleet/src/kingcuplug_fleet/_control_replica.py
+++ b/packages/fleet/src/kingcuplug_fleet/_control_replica.py
@@ -17,8 +17,10 @@
 )
 from kingcuplug_log import (
     ChangeRefused,
+    Clock,
     CorruptLog,
     DiskFileSystem,
+    FileSystem,
     LogSettings,
     LogStatus,
     LostLeadership,
@@ -108,6 +110,10 @@
     ----------
     known_control_hosts : callable
         Return the addresses of the control hosts that this host has discovered.
+    clock : callable
+        Monotonic seconds.
+    open_files : callable
+        Return the files in a folder.
     """
 
     def __init__(
@@ -118,7 +124,11 @@
         known_control_hosts: Callable[[], set[str]],
         log: EventLog,
         metrics: Metrics,
+        clock: Clock = boot_time,
+        open_files: Callable[[Path], FileSystem] = DiskFileSystem,
     ) -> None:
+        self._clock = clock
+        self._open_files = open_files
         self._settings = settings
         self._client = client
         self._register = register
@@ -261,13 +271,13 @@
     def _is_formed(self, status: LogStatus) -> bool:
         """Return whether the group has enough voters to acknowledge changes."""
         voters = sum(m.role is MemberRole.VOTER for m in status.members)
-        waited_s = boot_time() - self._started_at
+        waited_s = self._clock() - self._started_at
         return is_formed(voters, len(self._settings.seeds), waited_s)
 
     async def _run_replica(self) -> None:
         settings = self._settings
-        self._started_at = boot_time()
-        storage = Storage(DiskFileSystem(settings.folder))
+        self._started_at = self._clock()
+        storage = Storage(self._open_files(settings.folder))
         await storage.open()
         self._disk_was_empty = storage.last_index == 0
         name = settings.host
@@ -280,7 +290,7 @@
             self._send,
             self._register,
             LOG_SETTINGS,
-            boot_time,
+            self._clock,
             self._random,
             self._metrics,
         )
@@ -370,11 +380,11 @@
             )
         member = Member.from_json(value["member"])
         request = JoinRequest(member, value["fresh"], value["founding"])
-        self._join_requests[member.id] = (request, boot_time())
+        self._join_requests[member.id] = (request, self._clock())
         return {}
 
     async def _change_members(self, replica: Replica) -> None:
-        now = boot_time()
+        now = self._clock()
         self._join_requests = {
             i: entry
             for i, entry in self._join_requests.items()
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -1,11 +1,26 @@
-"""Factory of server records, and a fake client for calls between hosts."""
+"""Factory of server records, a fake client for calls, and groups of control hosts."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+import contextlib
+import os
+from collections.abc import Awaitable, Callable, Iterator
+from functools import partial
+from pathlib import Path
+from random import Random
 from typing import Any
 
 import pytest
-from kingcuplug_fleet import PeerFailed, ServerRecord, ServerState
+from kingcuplug_common import EventLog, Metrics
+from kingcuplug_fleet import (
+    ControlReplica,
+    ControlReplicaSettings,
+    CoreUnavailable,
+    PeerFailed,
+    RouteRegister,
+    ServerRecord,
+    ServerState,
+)
+from kingcuplug_testkit import FakeDisk
 
 Handler = Callable[[str, Any], Awaitable[Any]]
 
@@ -63,3 +78,161 @@
 
         restricted.call = call
         return restricted
+
+
+class ControlHost:
+    """One control host on a fake disk.
+
+    Attributes
+    ----------
+    replica : ControlReplica or None
+        ``None`` while the host has no power.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.address = f"{name}:1"
+        self.disk = FakeDisk(Random(name))
+        self.replica: ControlReplica | None = None
+        self.register = RouteRegister(lambda: None)
+        self.task: asyncio.Task[None] | None = None
+
+
+class ControlGroup:
+    """Control hosts that form their group by themselves, in virtual time."""
+
+    def __init__(self, log: EventLog) -> None:
+        self._log = log
+        self._client = FakePeerClient()
+        self._seeds: tuple[str, ...] = ()
+        self.hosts: dict[str, ControlHost] = {}
+
+    async def form(self, *names: str) -> None:
+        """Start hosts for the first time, and wait until all of them are voters."""
+        self._seeds = tuple(f"{name}:1" for name in names[:3])
+        for name in names:
+            self.start(name, first_start=True)
+        await self.wait_until(lambda: self.voter_count() == len(names))
+
+    def start(self, name: str, first_start: bool = False) -> None:
+        """Start a host, a new one with an empty disk."""
+        host = self.hosts.setdefault(name, ControlHost(name))
+        host.register = RouteRegister(lambda: None)
+        host.replica = ControlReplica(
+            ControlReplicaSettings(
+                name, host.address, Path(name), self._seeds, first_start
+            ),
+            self._client,  # type: ignore[arg-type]
+            host.register,
+            lambda: {h.address for h in self.hosts.values()},
+            self._log,
+            Metrics(),
+            asyncio.get_running_loop().time,
+            lambda folder: host.disk.mount(),
+        )
+        self._client.handlers[host.address] = partial(_answer, host.replica)
+        host.task = asyncio.ensure_future(host.replica.run())
+
+    def power_off(self, name: str) -> None:
+        """End a host; it does not answer until it is started again."""
+        host = self.hosts[name]
+        self._client.handlers[host.address] = partial(_never_answer, host)
+        host.disk.crash()
+        host.replica = None
+        if host.task is not None:
+            host.task.cancel()
+
+    def running(self) -> list[ControlHost]:
+        """Return the hosts that have power."""
+        return [host for host in self.hosts.values() if host.replica is not None]
+
+    def leader(self) -> str | None:
+        """Return the name of the host that leads with a valid lease."""
+        for host in self.running():
+            if host.replica and host.replica.is_leader() and host.replica.connected():
+                return host.name
+        return None
+
+    def members(self) -> set[str]:
+        """Return the names of the voters and learners as the leader lists them."""
+        replica = self._leading_replica()
+        if replica is None:
+            return set()
+        return {address.partition(":")[0] for address in replica.members()}
+
+    def voter_count(self) -> int:
+        """Return the number of voters, 0 without a leader."""
+        replica = self._leading_replica()
+        health = replica.health() if replica is not None else None
+        return health.voters if health is not None else 0
+
+    def losses_borne(self) -> int | None:
+        """Return how many further voters may be lost, ``None`` without a leader."""
+        replica = self._leading_replica()
+        health = replica.health() if replica is not None else None
+        return health.losses_borne if health is not None else None
+
+    def _leading_replica(self) -> ControlReplica | None:
+        leader = self.leader()
+        return self.hosts[leader].replica if leader is not None else None
+
+    async def submit(self, version: int, timeout_s: float = 5.0) -> None:
+        """Have a document acknowledged, as an operator that tries one after another."""
+        async with asyncio.timeout(timeout_s):
+            while True:
+                for host in self.running():
+                    with contextlib.suppress(CoreUnavailable):
+                        assert host.replica is not None
+                        await host.replica.submit(version, f"document {version}")
+                        return
+                await asyncio.sleep(0.1)
+
+    async def read_version(self, timeout_s: float = 5.0) -> int:
+        """Return the newest acknowledged version as any host reads it."""
+        async with asyncio.timeout(timeout_s):
+            while True:
+                for host in self.running():
+                    with contextlib.suppress(CoreUnavailable):
+                        assert host.replica is not None
+                        return (await host.replica.read()).version
+                await asyncio.sleep(0.1)
+
+    async def wait_until(
+        self, condition: Callable[[], bool], timeout_s: float = 10.0
+    ) -> None:
+        """Wait for a condition; raises `TimeoutError`."""
+        async with asyncio.timeout(timeout_s):
+            while True:
+                if condition():
+                    return
+                await asyncio.sleep(0.02)
+
+    async def stop(self) -> None:
+        """End all hosts."""
+        tasks = [host.task for host in self.hosts.values() if host.task is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def _answer(replica: ControlReplica, path: str, value: Any) -> Any:
+    try:
+        return await replica.handle_call(path, value)
+    except CoreUnavailable as error:
+        raise PeerFailed(str(error), "try another host") from error
+
+
+async def _never_answer(host: ControlHost, path: str, value: Any) -> Any:
+    await asyncio.sleep(3_600)
+
+
+@pytest.fixture
+def log() -> Iterator[EventLog]:
+    descriptor = os.open(os.devnull, os.O_WRONLY)
+    yield EventLog(descriptor, "host")
+    os.close(descriptor)
+
+
+@pytest.fixture
+def make_control_group(log) -> Callable[[], ControlGroup]:
+    return lambda: ControlGroup(log)
--- /dev/null
+++ b/tests/fleet/test_control_group.py
@@ -0,0 +1,106 @@
+"""Groups of control hosts that lose and replace hosts."""
+
+import asyncio
+
+import pytest
+from kingcuplug_testkit import run_virtual
+
+# A host counts as lost until this long after it has started.
+_CATCH_UP_S = 4.0
+
+
+@pytest.mark.parametrize("replaced", ["leader", "follower"])
+def test_replaced_host_is_removed_whoever_leads(make_control_group, replaced):
+    # Guards against a voter that is gone for good but stays in the group because the
+    # leader that added its successor has never heard of it, or has lost its office.
+    async def main() -> None:
+        group = make_control_group()
+        await group.form("a", "b", "c")
+        leader = group.leader()
+        assert leader is not None
+        lost = leader if replaced == "leader" else min({"a", "b", "c"} - {leader})
+        group.power_off(lost)
+        await asyncio.sleep(1.0)
+        group.start("d")
+        await asyncio.sleep(_CATCH_UP_S)
+        assert group.members() == {"a", "b", "c", "d"} - {lost}
+        assert group.losses_borne() == 1
+        await group.stop()
+
+    run_virtual(main())
+
+
+def test_acknowledged_change_survives_a_lost_disk_after_the_leader_was_replaced(
+    make_control_group,
+):
+    # Guards against a group without a quorum: four voters, one gone, one with an empty
+    # disk. Callers were then served by routes older than the acknowledged ones.
+    async def main() -> None:
+        group = make_control_group()
+        await group.form("a", "b", "c")
+        replaced = group.leader()
+        assert replaced is not None
+        group.power_off(replaced)
+        await asyncio.sleep(1.0)
+        group.start("d")
+        await asyncio.sleep(_CATCH_UP_S)
+        await group.submit(7)
+        names = [host.name for host in group.running()]
+        for name in names:
+            group.power_off(name)
+        group.hosts["d"].disk.wipe()
+        for name in names:
+            group.start(name)
+        assert await group.read_version() == 7
+        await group.submit(8)
+        await group.stop()
+
+    run_virtual(main())
+
+
+def test_changes_go_on_when_one_host_is_lost_after_the_leader_was_replaced(
+    make_control_group,
+):
+    # Guards against changes that stay unanswered while one of three hosts is down.
+    async def main() -> None:
+        group = make_control_group()
+        await group.form("a", "b", "c")
+        replaced = group.leader()
+        assert replaced is not None
+        group.power_off(replaced)
+        await asyncio.sleep(1.0)
+        group.start("d")
+        await asyncio.sleep(_CATCH_UP_S)
+        leader = group.leader()
+        assert leader is not None
+        group.power_off(leader)
+        await group.submit(7, timeout_s=4.0)
+        await group.stop()
+
+    run_virtual(main())
+
+
+def test_replaced_host_is_removed_soon_after_the_leader_changes_again(
+    make_control_group,
+):
+    # Guards against a leader that does not know that a successor has joined already,
+    # and so keeps a silent voter for the time that a returning host is given.
+    async def main() -> None:
+        group = make_control_group()
+        await group.form("a", "b", "c")
+        replaced = group.leader()
+        assert replaced is not None
+        group.power_off(replaced)
+        await asyncio.sleep(0.7)
+        group.start("d")
+        await group.wait_until(lambda: group.voter_count() == 4)
+        second = group.leader()
+        assert second is not None
+        group.power_off(second)
+        await asyncio.sleep(0.5)
+        group.start(second)
+        expected = {"a", "b", "c", "d"} - {replaced}
+        await group.wait_until(lambda: group.members() == expected, timeout_s=6.0)
+        await group.stop()
+
+    run_virtual(main())
