Count a voter's silence from the start of the leadership

Cause: a new leader measured a voter's silence from its last answer, and skipped voters that had never answered it. A host that is lost while it leads never answers its successor, so it stayed a voter for good. With its replacement the group had four voters, of which three are a quorum: one further loss stopped all changes, and one lost disk made the quorum impossible.

Change: the status of a member has the time since its last answer, or since the leader began to send to it if that is later.

--- a/Makefile
+++ b/Makefile
@@ -8,9 +8,6 @@
 
 # Tests listed in KNOWN-RED.txt: they run apart, and their result does not count.
 KNOWN_RED := tests/daemon/test_shutdown.py::test_shutdown_finishes_requests_in_flight \
-	tests/fleet/test_control_group.py::test_replaced_host_is_removed_whoever_leads[leader] \
-	tests/fleet/test_control_group.py::test_acknowledged_change_survives_a_lost_disk_after_the_leader_was_replaced \
-	tests/fleet/test_control_group.py::test_changes_go_on_when_one_host_is_lost_after_the_leader_was_replaced \
 	tests/fleet/test_control_group.py::test_replaced_host_is_removed_soon_after_the_leader_changes_again
 
 .PHONY: bench capacity demo check format lint types test system matrix models models-large spin venv
--- a/packages/fleet/src/kingcuplug_fleet/_membership.py
+++ b/packages/fleet/src/kingcuplug_fleet/_membership.py
@@ -82,9 +82,6 @@
     peers = tuple(peers)
     voters = 1 + sum(peer.member.role is MemberRole.VOTER for peer in peers)
     for peer in peers:
-        silent_ms = peer.answered_ms_ago
-        if silent_ms is None:
-            continue
         if peer.member.role is not MemberRole.VOTER:
             limit_ms = _LEARNER_TIMEOUT_MS
         elif voters <= _MIN_VOTERS:
@@ -95,6 +92,6 @@
                 if replacements > 0
                 else _LOST_VOTER_TIMEOUT_MS
             )
-        if silent_ms > limit_ms:
+        if peer.silent_ms > limit_ms:
             return peer.member.id
     return None
--- a/packages/log/src/kingcuplug_log/_progress.py
+++ b/packages/log/src/kingcuplug_log/_progress.py
@@ -37,6 +37,7 @@
         self._storage = state.storage
         self._term = term
         self._reachable = False
+        self._began_at = state.clock()
         self.member = member
         self.next_index = state.storage.last_index + 1
         self.match_index = 0
@@ -63,12 +64,14 @@
 
     def status(self) -> PeerStatus:
         """Return the replication status for operators."""
-        age = self._state.clock() - self.last_contact_at
+        now = self._state.clock()
+        age = now - self.last_contact_at
         return PeerStatus(
             member=self._state.group.find_member(self.member.id) or self.member,
             match_index=self.match_index,
             caught_up=self.caught_up,
             answered_ms_ago=age * _MS_PER_S if math.isfinite(age) else None,
+            silent_ms=(now - max(self.last_contact_at, self._began_at)) * _MS_PER_S,
         )
 
     async def replicate_next(self) -> bool:
--- a/packages/log/src/kingcuplug_log/_types.py
+++ b/packages/log/src/kingcuplug_log/_types.py
@@ -186,12 +186,22 @@
 
 @dataclass(frozen=True)
 class PeerStatus:
-    """Replication status of one other member, as seen by the leader."""
+    """Replication status of one other member, as seen by the leader.
+
+    Attributes
+    ----------
+    answered_ms_ago : float or None
+        Time since the member last answered this leader; ``None`` if it never has.
+    silent_ms : float
+        Time since then, or since the leader began to send to the member. It is thus
+        known of a member that was lost before the leader was elected, too.
+    """
 
     member: Member
     match_index: int
     caught_up: bool
     answered_ms_ago: float | None
+    silent_ms: float
 
 
 @dataclass(frozen=True)
--- a/tests/fleet/test_group_health.py
+++ b/tests/fleet/test_group_health.py
@@ -11,7 +11,7 @@
     members = [Member(f"{i}/1", str(i), f"{i}:1") for i in range(4)]
     members = members[: len(answered_ms_ago) + 1]
     peers = tuple(
-        PeerStatus(member, 5, True, age_ms)
+        PeerStatus(member, 5, True, age_ms, age_ms or 0.0)
         for member, age_ms in zip(members[1:], answered_ms_ago, strict=True)
     )
     indexes: dict[str, Any] = dict.fromkeys(
@@ -50,6 +50,6 @@
     """Guards against counting members that do not vote."""
     status = _status([10.0, None])
     observer = Member("2/1", "2", "2:1", MemberRole.OBSERVER)
-    peers = (status.peers[0], PeerStatus(observer, 0, False, None))
+    peers = (status.peers[0], PeerStatus(observer, 0, False, None, 0.0))
     fields = vars(status) | {"members": (*status.members[:2], observer), "peers": peers}
     assert group_health(LogStatus(**fields)).silent == ()
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -14,7 +14,7 @@
 def _status(silent_ms: dict[str, float], **roles: MemberRole) -> LogStatus:
     members = [_member("a")]
     members += [_member(n, role=roles.get(n, MemberRole.VOTER)) for n in silent_ms]
-    peers = tuple(PeerStatus(m, 5, True, silent_ms[m.name]) for m in members[1:])
+    peers = tuple(PeerStatus(m, 5, True, None, silent_ms[m.name]) for m in members[1:])
     fields: dict[str, Any] = dict.fromkeys(
         ("term", "commit_index", "applied_index", "last_index", "snapshot_index"), 5
     )
