Keep the intended size of the control group in its log

Cause: which voters are surplus, because a successor of a lost one has joined, was known only to the memory of the leader that had added the successor. The next leader gave the lost voter 20 s, in which a further loss left no quorum. The count was also wrong after a host had returned with an empty disk: its removal was subtracted before its return was added, so later silent voters were removed early. The class is that of: a decision of the leader that rests on what only one leader has seen.

The leader removes a silent voter early while there are more voters.

Why this works: the size is committed with the change that it belongs to, so a leader cannot know one without the other.

--- a/packages/fleet/src/kingcuplug_fleet/_control_replica.py
+++ b/packages/fleet/src/kingcuplug_fleet/_control_replica.py
@@ -138,7 +138,6 @@
         self._replica: Replica | None = None
         self._disk_was_empty = False
         self._join_requests: dict[str, tuple[JoinRequest, float]] = {}
-        self._replacements = 0
         self._silent_voters: tuple[str, ...] = ()
         self._random = random_module.Random()
 
@@ -319,7 +318,6 @@
                 await self._change_members(replica)
                 await asyncio.sleep(_MEMBERSHIP_INTERVAL_S)
                 continue
-            self._replacements = 0
             self._silent_voters = ()
             own = replica.find_member(member.id)
             is_voter = own is not None and own.role is MemberRole.VOTER
@@ -391,31 +389,24 @@
             if now - entry[1] < _JOIN_REQUEST_TTL_S
         }
         requests = {i: request for i, (request, _) in self._join_requests.items()}
-        change = next_membership_change(replica.status(), requests, self._replacements)
+        change = next_membership_change(replica.status(), requests)
         if change is None:
             return
         added = change if isinstance(change, Member) else None
         removed = change if isinstance(change, str) else None
+        # A host that joins later takes the place of a lost one.
+        enlarge = added is not None and requests[added.id].first_start
         try:
             async with asyncio.timeout(_CHANGE_TIMEOUT_S):
-                await replica.change_members(add=added, remove=removed)
+                await replica.change_members(added, removed, enlarge)
         except (ChangeRefused, NotLeader, LostLeadership, StorageFailed, TimeoutError):
             return
-        self._update_replacements(added, requests)
         self._log.write(
             "members_changed",
             {"added": added.id if added else None, "removed": removed},
             bypass_rate_limit=True,
         )
 
-    def _update_replacements(
-        self, added: Member | None, requests: dict[str, JoinRequest]
-    ) -> None:
-        if added is None:
-            self._replacements = max(0, self._replacements - 1)
-        elif requests[added.id].empty_disk and not requests[added.id].first_start:
-            self._replacements += 1
-
     async def _send(self, peer: str, message: dict[str, Any]) -> dict[str, Any]:
         replica = self._replica
         member = replica.find_member(peer) if replica is not None else None
--- a/packages/fleet/src/kingcuplug_fleet/_membership.py
+++ b/packages/fleet/src/kingcuplug_fleet/_membership.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from kingcuplug_log import LogStatus, Member, MemberRole, PeerStatus
+from kingcuplug_log import LogStatus, Member, MemberRole
 
 __all__ = ["JoinRequest", "next_membership_change"]
 
@@ -42,7 +42,7 @@
 
 
 def next_membership_change(
-    status: LogStatus, requests: Mapping[str, JoinRequest], replacements: int
+    status: LogStatus, requests: Mapping[str, JoinRequest]
 ) -> Member | str | None:
     """Return the member to add, the id of the one to remove, or ``None``.
 
@@ -52,8 +52,6 @@
         Status of the leader's replica.
     requests : mapping
         Recent join requests, by member id.
-    replacements : int
-        Number of new hosts that have joined and not yet replaced a removed voter.
     """
     members = {member.id: member for member in status.members}
     replaced = _member_with_replaced_disk(members.values(), requests)
@@ -62,7 +60,7 @@
     for identifier, request in requests.items():
         if identifier not in members:
             return request.member
-    return _unresponsive_member(status.peers, replacements)
+    return _unresponsive_member(status)
 
 
 def _member_with_replaced_disk(
@@ -77,21 +75,18 @@
     return None
 
 
-def _unresponsive_member(peers: Iterable[PeerStatus], replacements: int) -> str | None:
+def _unresponsive_member(status: LogStatus) -> str | None:
     """Return the id of a member that has not responded for too long."""
-    peers = tuple(peers)
-    voters = 1 + sum(peer.member.role is MemberRole.VOTER for peer in peers)
-    for peer in peers:
+    voters = sum(member.role is MemberRole.VOTER for member in status.members)
+    for peer in status.peers:
         if peer.member.role is not MemberRole.VOTER:
             limit_ms = _LEARNER_TIMEOUT_MS
         elif voters <= _MIN_VOTERS:
             continue
+        elif 0 < status.intended_size < voters:
+            limit_ms = _REPLACED_VOTER_TIMEOUT_MS
         else:
-            limit_ms = (
-                _REPLACED_VOTER_TIMEOUT_MS
-                if replacements > 0
-                else _LOST_VOTER_TIMEOUT_MS
-            )
+            limit_ms = _LOST_VOTER_TIMEOUT_MS
         if peer.silent_ms > limit_ms:
             return peer.member.id
     return None
--- a/packages/log/src/kingcuplug_log/_applier.py
+++ b/packages/log/src/kingcuplug_log/_applier.py
@@ -118,12 +118,14 @@
     def _make_snapshot(self) -> Snapshot:
         state = self._state
         index = state.applied_index
+        members, intended_size = state.group.at(index)
         return Snapshot(
             index=index,
             term=self._storage.term_at(index) or 0,
             cluster=state.group.cluster or "",
-            members=state.group.members_at(index),
+            members=members,
             state=self._machine.dump(),
+            intended_size=intended_size,
         )
 
     async def _save_snapshot(self, snapshot: Snapshot) -> None:
--- a/packages/log/src/kingcuplug_log/_group_membership.py
+++ b/packages/log/src/kingcuplug_log/_group_membership.py
@@ -1,6 +1,7 @@
 """Membership of the group, as set by the entries of the log."""
 
 from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
 from typing import Any
 
 from kingcuplug_log._snapshot import Snapshot
@@ -14,9 +15,24 @@
     return voter_count // 2 + 1
 
 
-def members_entry_data(cluster: str, members: Iterable[Member]) -> dict[str, Any]:
+def members_entry_data(
+    cluster: str, members: Iterable[Member], intended_size: int = 0
+) -> dict[str, Any]:
     """Return the data of an entry that sets the members."""
-    return {"cluster": cluster, "members": [member.to_json() for member in members]}
+    return {
+        "cluster": cluster,
+        "members": [member.to_json() for member in members],
+        "intended_size": intended_size,
+    }
+
+
+@dataclass(frozen=True, slots=True)
+class _Version:
+    """Membership as set by the entry `index`."""
+
+    index: int
+    members: tuple[Member, ...]
+    intended_size: int
 
 
 class GroupMembership:
@@ -33,29 +49,34 @@
 
     def __init__(self) -> None:
         self.cluster: str | None = None
-        self._versions: list[tuple[int, tuple[Member, ...]]] = []
+        self._versions: list[_Version] = []
 
     @property
     def members(self) -> tuple[Member, ...]:
         """Current members."""
-        return self._versions[-1][1] if self._versions else ()
+        return self._versions[-1].members if self._versions else ()
+
+    @property
+    def intended_size(self) -> int:
+        """Number of voters that the group is meant to have; 0 if unknown."""
+        return self._versions[-1].intended_size if self._versions else 0
 
     @property
     def members_index(self) -> int:
         """Index of the entry that set the current members."""
-        return self._versions[-1][0] if self._versions else 0
+        return self._versions[-1].index if self._versions else 0
 
     @property
     def voters(self) -> tuple[Member, ...]:
         """Current members that vote."""
         return tuple(m for m in self.members if m.role is MemberRole.VOTER)
 
-    def members_at(self, index: int) -> tuple[Member, ...]:
-        """Return the members as of entry `index`."""
-        latest: tuple[Member, ...] = ()
-        for start, members in self._versions:
-            if start <= index:
-                latest = members
+    def at(self, index: int) -> tuple[tuple[Member, ...], int]:
+        """Return the members and the intended size as of entry `index`."""
+        latest: tuple[tuple[Member, ...], int] = ((), 0)
+        for version in self._versions:
+            if version.index <= index:
+                latest = version.members, version.intended_size
         return latest
 
     def find_member(self, identifier: str | None) -> Member | None:
@@ -71,7 +92,9 @@
         """Rebuild the history from a snapshot and the stored entries."""
         if snapshot is not None:
             self.cluster = snapshot.cluster
-            self._versions = [(snapshot.index, snapshot.members)]
+            self._versions = [
+                _Version(snapshot.index, snapshot.members, snapshot.intended_size)
+            ]
         if entries:
             self.append_entries(
                 [e for e in entries if not snapshot or e.index > snapshot.index]
@@ -82,7 +105,7 @@
         if not entries:
             return
         first = entries[0].index
-        self._versions = [v for v in self._versions if v[0] < first]
+        self._versions = [v for v in self._versions if v.index < first]
         for entry in entries:
             if entry.kind is EntryKind.MEMBERS:
                 self._append_version(entry)
@@ -90,4 +113,5 @@
     def _append_version(self, entry: Entry) -> None:
         self.cluster = entry.data["cluster"]
         members = tuple(map(Member.from_json, entry.data["members"]))
-        self._versions.append((entry.index, members))
+        intended_size = entry.data.get("intended_size", 0)
+        self._versions.append(_Version(entry.index, members, intended_size))
--- a/packages/log/src/kingcuplug_log/_membership_changes.py
+++ b/packages/log/src/kingcuplug_log/_membership_changes.py
@@ -25,9 +25,14 @@
         self._state = state
         self._leadership = leadership
 
-    def start(self, add: Member | None, remove: str | None) -> int:
+    def start(self, add: Member | None, remove: str | None, enlarge: bool) -> int:
         """Start a membership change and return the index of its entry.
 
+        Parameters
+        ----------
+        enlarge : bool
+            Whether the group is meant to have as many voters as it then has members.
+
         Raises
         ------
         ChangeRefused
@@ -40,7 +45,7 @@
                 "try again when status() shows the change as committed",
             )
         if add is not None:
-            return self._append_members_entry(self._members_with_addition(add))
+            return self._append_members_entry(self._members_with_addition(add), enlarge)
         return self._append_members_entry(self._members_with_removal(remove or ""))
 
     def is_removed(self) -> bool:
@@ -63,10 +68,16 @@
             and self._state.group.members_index <= self._state.commit_index
         )
 
-    def _append_members_entry(self, members: tuple[Member, ...]) -> int:
-        cluster = self._state.group.cluster or ""
+    def _append_members_entry(
+        self, members: tuple[Member, ...], enlarge: bool = False
+    ) -> int:
+        group = self._state.group
+        # Logs of older versions do not have the size.
+        size = group.intended_size or len(group.voters)
+        if enlarge:
+            size = max(size, len(members))
         return self._leadership.append(
-            EntryKind.MEMBERS, members_entry_data(cluster, members)
+            EntryKind.MEMBERS, members_entry_data(group.cluster or "", members, size)
         )
 
     def _members_with_update(self, member: Member) -> tuple[Member, ...]:
--- a/packages/log/src/kingcuplug_log/_replica.py
+++ b/packages/log/src/kingcuplug_log/_replica.py
@@ -170,7 +170,7 @@
                 f"the data folder belongs to cluster {self._state.group.cluster}",
                 "use an empty data folder, or add this host to that cluster",
             )
-        data = members_entry_data(cluster_id, [self._state.member])
+        data = members_entry_data(cluster_id, [self._state.member], intended_size=1)
         entry = Entry(1, 1, EntryKind.MEMBERS, data)
         self._state.advance_term(1)
         self._storage.stage([entry])
@@ -225,13 +225,22 @@
         await state.changed.wait_for(lambda: state.applied_index >= index)
 
     async def change_members(
-        self, add: Member | None = None, remove: str | None = None
+        self,
+        add: Member | None = None,
+        remove: str | None = None,
+        enlarge: bool = True,
     ) -> None:
         """Add or remove one member and return once the change is committed.
 
         A new voter is added as a learner and promoted automatically once it is
         caught up and synced.
 
+        Parameters
+        ----------
+        enlarge : bool
+            Whether an added member enlarges the group. Otherwise it takes the place of
+            one that is still to be removed, or was.
+
         Raises
         ------
         ChangeRefused
@@ -242,7 +251,7 @@
         if (add is None) == (remove is None):
             raise ValueError("specify exactly one of add and remove")
         leadership = self._current_leadership()
-        index = leadership.membership_changes.start(add, remove)
+        index = leadership.membership_changes.start(add, remove, enlarge)
         await self._applier.wait_result(index, leadership.term)
 
     async def handle(self, message: dict[str, Any]) -> dict[str, Any]:
@@ -282,6 +291,7 @@
             last_index=self._storage.last_index,
             snapshot_index=self._storage.snapshot_index,
             members=state.group.members,
+            intended_size=state.group.intended_size,
             peers=leadership.peer_statuses() if leadership else (),
             lease_valid=leadership is not None and leadership.lease_valid(),
             storage_failed=self._storage.failure is not None,
--- a/packages/log/src/kingcuplug_log/_snapshot.py
+++ b/packages/log/src/kingcuplug_log/_snapshot.py
@@ -10,13 +10,21 @@
 
 @dataclass(frozen=True)
 class Snapshot:
-    """State of the state machine and the group's members as of entry `index`."""
+    """State of the state machine and the group's members as of entry `index`.
+
+    Attributes
+    ----------
+    intended_size : int
+        Number of voters that the group is meant to have; 0 if unknown, as in the
+        snapshots of older versions.
+    """
 
     index: int
     term: int
     cluster: str
     members: tuple[Member, ...]
     state: dict[str, Any]
+    intended_size: int = 0
 
     def to_json(self) -> dict[str, Any]:
         """Return the snapshot as a JSON object."""
--- a/packages/log/src/kingcuplug_log/_types.py
+++ b/packages/log/src/kingcuplug_log/_types.py
@@ -210,6 +210,8 @@
 
     Attributes
     ----------
+    intended_size : int
+        Number of voters that the group is meant to have; 0 if unknown.
     peers : tuple of PeerStatus
         Known on the leader only.
     safe_to_lose_one : bool
@@ -226,6 +228,7 @@
     last_index: int
     snapshot_index: int
     members: tuple[Member, ...]
+    intended_size: int
     peers: tuple[PeerStatus, ...]
     lease_valid: bool
     storage_failed: bool
--- a/tests/fleet/test_group_health.py
+++ b/tests/fleet/test_group_health.py
@@ -22,6 +22,7 @@
         role=ReplicaRole.LEADER,
         leader=members[0],
         members=tuple(members),
+        intended_size=len(members),
         peers=peers,
         lease_valid=True,
         storage_failed=False,
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -11,7 +11,9 @@
     return Member(f"{name}/{disk}", name, f"{name}:1", role)
 
 
-def _status(silent_ms: dict[str, float], **roles: MemberRole) -> LogStatus:
+def _status(
+    silent_ms: dict[str, float], intended_size: int = 3, **roles: MemberRole
+) -> LogStatus:
     members = [_member("a")]
     members += [_member(n, role=roles.get(n, MemberRole.VOTER)) for n in silent_ms]
     peers = tuple(PeerStatus(m, 5, True, None, silent_ms[m.name]) for m in members[1:])
@@ -23,6 +25,7 @@
         role=ReplicaRole.LEADER,
         leader=members[0],
         members=tuple(members),
+        intended_size=intended_size,
         peers=peers,
         lease_valid=True,
         storage_failed=False,
@@ -38,44 +41,46 @@
 def test_new_host_is_added():
     """Guards against a group that stays too small to tolerate a loss."""
     new = _member("d")
-    assert (
-        next_membership_change(_status({"b": 1, "c": 1}), _join_requests(new), 0) == new
-    )
+    assert next_membership_change(_status({"b": 1, "c": 1}), _join_requests(new)) == new
 
 
 def test_member_with_an_emptied_disk_is_removed_before_its_host_joins():
     """Guards against counting a voter that has lost the record of its votes."""
     status = _status({"b": 1, "c": 1, "d": 9_000})
     assert (
-        next_membership_change(status, _join_requests(_member("d", disk="2")), 0)
-        == "d/1"
+        next_membership_change(status, _join_requests(_member("d", disk="2"))) == "d/1"
     )
 
 
 def test_unresponsive_voter_is_kept_without_a_replacement():
     """Guards against shrinking the group whenever a host is partitioned."""
-    assert next_membership_change(_status({"b": 1, "c": 1, "d": 9_000}), {}, 0) is None
+    status = _status({"b": 1, "c": 1, "d": 9_000}, intended_size=4)
+    assert next_membership_change(status, {}) is None
+    # Logs of older versions do not have the size.
+    status = _status({"b": 1, "c": 1, "d": 9_000}, intended_size=0)
+    assert next_membership_change(status, {}) is None
+    status = _status({"b": 1, "c": 1, "d": 21_000}, intended_size=4)
+    assert next_membership_change(status, {}) == "d/1"
 
 
 def test_unresponsive_voter_is_removed_once_a_replacement_has_joined():
     """Guards against a group that keeps a removed host as a voter."""
-    status = _status({"b": 1, "c": 1, "d": 9_000, "e": 1})
-    assert next_membership_change(status, {}, 1) == "d/1"
-    assert (
-        next_membership_change(_status({"b": 1, "c": 1, "d": 900, "e": 1}), {}, 1)
-        is None
-    )
+    status = _status({"b": 1, "c": 1, "d": 9_000, "e": 1}, intended_size=4)
+    assert next_membership_change(status, {}) == "d/1"
+    status = _status({"b": 1, "c": 1, "d": 900, "e": 1}, intended_size=4)
+    assert next_membership_change(status, {}) is None
 
 
 def test_group_of_three_voters_is_never_reduced():
     """Guards against a group of two, which does not tolerate a loss."""
-    assert next_membership_change(_status({"b": 1, "c": 90_000}), {}, 1) is None
+    status = _status({"b": 1, "c": 90_000}, intended_size=2)
+    assert next_membership_change(status, {}) is None
 
 
 def test_unresponsive_learner_is_removed():
     """Guards against a dead learner that blocks its own next join request."""
     status = _status({"b": 1, "c": 5_000}, c=MemberRole.LEARNER)
-    assert next_membership_change(status, {}, 0) == "c/1"
+    assert next_membership_change(status, {}) == "c/1"
 
 
 def test_removed_host_may_rejoin():
@@ -83,7 +88,7 @@
     returning = _member("d")
     assert (
         next_membership_change(
-            _status({"b": 1, "c": 1}), _join_requests(returning, empty_disk=False), 0
+            _status({"b": 1, "c": 1}), _join_requests(returning, empty_disk=False)
         )
         == returning
     )
--- a/tests/log/test_members.py
+++ b/tests/log/test_members.py
@@ -4,7 +4,10 @@
 import dataclasses
 
 import pytest
-from kingcuplug_log import ChangeRefused, MemberRole
+from kingcuplug_log import ChangeRefused, LogSettings, Member, MemberRole
+from kingcuplug_log._group_membership import GroupMembership, members_entry_data
+from kingcuplug_log._snapshot import Snapshot
+from kingcuplug_log._types import Entry, EntryKind
 from kingcuplug_testkit import LogGroup, run_virtual
 
 
@@ -138,3 +141,41 @@
         await group.stop()
 
     run_virtual(main())
+
+
+def test_intended_size_survives_snapshots_and_other_leaders() -> None:
+    # Guards against a new leader that takes a successor for one more voter.
+    async def main() -> None:
+        settings = LogSettings(snapshot_entries=4, retained_entries=1)
+        group = LogGroup("intended size", settings)
+        await group.start("a", "b", "c")
+        new_host = await group.add_host("d")
+        leader = await group.wait_for_leader()
+        await group.replica(leader.name).change_members(
+            add=new_host.member, enlarge=False
+        )
+        await group.wait_until(lambda: group.is_voter(new_host.member.id))
+        for number in range(12):
+            await group.propose({"number": number})
+        leader.disk.crash()
+        await group.wait_until(lambda: group.leader() not in (None, leader))
+        await leader.start()
+        await group.wait_until_converged()
+        for host in group.running_hosts():
+            status = group.replica(host.name).status()
+            assert (status.intended_size, len(status.members)) == (3, 4)
+        await group.stop()
+
+    run_virtual(main())
+
+
+def test_log_of_an_older_version_has_no_intended_size() -> None:
+    # Guards against a group that cannot start, or shrinks, with data of older versions.
+    data = members_entry_data("test", [Member("a/1", "a", "a")], 3)
+    del data["intended_size"]
+    membership = GroupMembership()
+    membership.append_entries([Entry(1, 1, EntryKind.MEMBERS, data)])
+    assert (membership.intended_size, len(membership.members)) == (0, 1)
+    snapshot = Snapshot(2, 1, "test", membership.members, {}, 3).to_json()
+    del snapshot["intended_size"]
+    assert Snapshot.from_json(snapshot).intended_size == 0
