Leave a control host that has no leader, and do not be redirected to it

Cause: a control host whose disk is full takes no part in the group, but it still exchanges records with the other control hosts, which therefore count it as reachable. A host of its zone left it, polled a control host of another zone, and was redirected to the "nearer" one, again and again. The control host itself was redirected to itself.

Change: a poll answered with "not connected" counts as failed, like one that is not answered, so that redirects to this zone are declined for the cooldown. A control host that has no leader asks for no redirect at all.

Evidence: test_host_leaves_the_only_control_host_of_its_zone_when_that_has_no_ leader and test_control_host_without_a_leader_learns_routes_from_another_zone fail without the change.

Conclusion: who can be reached is not who can serve; the poller now decides by the answer.

--- a/packages/fleet/src/kingcuplug_fleet/_polling.py
+++ b/packages/fleet/src/kingcuplug_fleet/_polling.py
@@ -243,6 +243,17 @@
     def _is_near(self, address: str) -> bool:
         return self._view.zones.get(address) == self._zone
 
+    def _zone_for_redirects(self) -> str | None:
+        """Return the zone to whose control hosts this host may be redirected.
+
+        ``None`` if they cannot serve it: a poll of one has failed recently, or this
+        host is one itself and has no leader.
+        """
+        is_control_host = self._own_address in self._view.control_hosts
+        if is_control_host or self._near_poll_failed():
+            return None
+        return self._zone
+
     def _near_poll_failed(self) -> bool:
         """Return whether a poll of a control host in this zone failed recently."""
         limit = asyncio.get_running_loop().time() - _FAILURE_COOLDOWN_S
@@ -280,8 +291,7 @@
             # A control host with an equal directory sends no records.
             "digest": view.directory.digest,
             "state_key": self._state_digest,
-            # A control host in another zone redirects to one in this zone.
-            "zone": None if self._near_poll_failed() else self._zone,
+            "zone": self._zone_for_redirects(),
             # The first response is not delayed, so that it shows at once that the
             # control host is alive.
             "wait": self.control_host == address,
@@ -333,6 +343,8 @@
                 return True
         self._cursors[address] = _Cursor(reply["epoch"], reply["cursor"])
         if not reply["connected"]:
+            # Otherwise the control hosts of other zones redirect back to this one.
+            self._poll_failed_at[address] = asyncio.get_running_loop().time()
             self.suggest_control_hosts(require_strings(reply.get("control_hosts", [])))
             return False
         # The time of sending, because the response may have been delayed in transit.
--- a/tests/fleet/test_polling.py
+++ b/tests/fleet/test_polling.py
@@ -211,3 +211,59 @@
         return waited_s
 
     assert run_virtual(run()) < 0.25
+
+
+def test_host_leaves_the_only_control_host_of_its_zone_when_that_has_no_leader():
+    """Guards against a host that is redirected again and again to the same host.
+
+    The disk of the control host in its zone is full or stalls. That host still
+    exchanges records with the others, so they take it for a working one.
+    """
+
+    async def run() -> None:
+        client, own = FakePeerClient(), FleetView(5.0)
+        near, others = FleetView(5.0), FleetView(5.0)
+        for view in (near, others):
+            view.set_control_hosts(["a", "b", "c"])
+            view.zones = {"a": "y", "b": "z", "c": "x"}
+            view.set_reachable_control_hosts(("a", "b", "c"))
+            view.update_routes(1, "old")
+        client.handlers = {name: _poll_handler(others, address=name) for name in "ac"}
+        client.handlers["b"] = _poll_handler(near, address="b")
+        poller = _make_poller(own, client, ("a", "c"))
+        task = asyncio.ensure_future(poller.run())
+        await _wait_until(lambda: poller.control_host == "b", 2.0)
+        client.handlers["b"] = _poll_handler(near, connected=False, address="b")
+        for version in range(2, 8):
+            others.update_routes(version, "new")
+            await _wait_until(
+                lambda version=version: own.routes_version == version, 3.0
+            )
+            await asyncio.sleep(2.0)
+        client.handlers["b"] = _poll_handler(others, address="b")
+        await _wait_until(lambda: poller.control_host == "b", 6.0)
+        task.cancel()
+
+    run_virtual(run())
+
+
+def test_control_host_without_a_leader_learns_routes_from_another_zone():
+    """Guards against a control host that the others redirect to itself.
+
+    Its own disk is full, so it must poll like a host without a disk.
+    """
+
+    async def run() -> None:
+        client, own, others = FakePeerClient(), FleetView(5.0), FleetView(5.0)
+        for view in (own, others):
+            view.set_control_hosts(["a", "self", "c"])
+            view.zones = {"a": "y", "self": "z", "c": "x"}
+            view.set_reachable_control_hosts(("a", "c", "self"))
+            view.update_routes(1, "old")
+        client.handlers = {name: _poll_handler(others, address=name) for name in "ac"}
+        task = asyncio.ensure_future(_make_poller(own, client, ("a", "c")).run())
+        others.update_routes(2, "new")
+        await _wait_until(lambda: own.routes_version == 2, 3.0)
+        task.cancel()
+
+    run_virtual(run())
