Count a control host whose applied state is old as not connected

What callers saw: while the disk of a control host stalled, all hosts that polled it served by old routes (CONFIG).

Cause: `connected()` asked only whether the replica hears its leader. A replica that cannot store entries hears the leader and applies nothing, so its hosts had no reason to leave it.

Evidence: test_control_host_whose_disk_stalls_does_not_count_as_current fails without the change.

--- a/packages/fleet/src/kingcuplug_fleet/_control_replica.py
+++ b/packages/fleet/src/kingcuplug_fleet/_control_replica.py
@@ -62,6 +62,8 @@
 _MEMBERSHIP_INTERVAL_S = 0.2
 _CHANGE_TIMEOUT_S = 2.0
 _REOPEN_DELAY_S = 0.5
+# Several syncs of a slow disk; beyond it the hosts that poll this one go to another.
+_MAX_STATE_AGE_S = 1.0
 # A new group waits this long for all seeds to join, and then accepts a majority of
 # them. A single voter of several seeds never acknowledges a change, because the loss
 # of its disk would lose the change (models/formation.pml, ACK_WHILE_FORMING).
@@ -151,8 +153,17 @@
             await asyncio.sleep(_REOPEN_DELAY_S)
 
     def connected(self) -> bool:
-        """Return whether the applied state is at most one second old."""
-        return self._replica is not None and self._replica.has_active_leader()
+        """Return whether the applied state is at most one second old.
+
+        A replica that cannot store entries, because its disk stalls, hears its leader
+        but applies nothing.
+        """
+        replica = self._replica
+        return (
+            replica is not None
+            and replica.has_active_leader()
+            and replica.state_age_s() < _MAX_STATE_AGE_S
+        )
 
     def members(self) -> list[str]:
         """Return the addresses of all members of the group."""
@@ -161,7 +172,7 @@
         return [member.address for member in self._replica.status().members]
 
     def leader(self) -> str | None:
-        """Return the leader's address while connected to it, otherwise ``None``."""
+        """Return the leader's address while it is heard, otherwise ``None``."""
         if self._replica is None or not self._replica.has_active_leader():
             return None
         leader = self._replica.status().leader
--- a/packages/log/src/kingcuplug_log/_replica.py
+++ b/packages/log/src/kingcuplug_log/_replica.py
@@ -142,7 +142,7 @@
     def has_active_leader(self) -> bool:
         """Return whether this replica holds the lease or follows an active leader.
 
-        Its applied state is then at most an election timeout behind.
+        A follower whose disk stalls may still be behind, see `state_age_s`.
         """
         if self.leading:
             return self.lease_expires_at() > self._state.clock()
--- a/tests/fleet/test_control_group.py
+++ b/tests/fleet/test_control_group.py
@@ -104,3 +104,30 @@
         await group.stop()
 
     run_virtual(main())
+
+
+def test_control_host_whose_disk_stalls_does_not_count_as_current(make_control_group):
+    # Guards against hosts that stay with a control host whose state is old: it hears
+    # its leader, but cannot store and so not apply what has been committed.
+    async def main() -> None:
+        group = make_control_group()
+        await group.form("a", "b", "c")
+        await group.submit(1)
+        stalled = next(h for h in group.running() if h.name != group.leader())
+        stalled.disk.sync_s = 8.0
+        await group.submit(2)
+        await asyncio.sleep(1.5)
+        assert stalled.register.version == 1
+        connected = {
+            host.name: host.replica is not None and host.replica.connected()
+            for host in group.running()
+        }
+        assert connected == {name: name != stalled.name for name in ("a", "b", "c")}
+        stalled.disk.sync_s = 0.001
+        await group.wait_until(lambda: stalled.register.version == 2)
+        await asyncio.sleep(0.2)
+        assert stalled.replica is not None
+        assert stalled.replica.connected()
+        await group.stop()
+
+    run_virtual(main())
