Log and count the limits that servers name

Cause: nothing in the tree reads the header in which a server names the requests a second that it takes, so the logs can't tell a host that doesn't know the limit from one that doesn't keep it.

Change: hosts read the header of each answer that is certainly the server's (signed, or marked as not run, and no 421), keep the limit that was named last, and drop it with the first answer that names none. Values that are no plain decimal number are ignored and counted; the answer stays valid. New: events `server_limit` and `server_signal_malformed`, gauge `servers_limited`. Requests are routed as before.

--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -42,6 +42,7 @@
 from kingcuplug_gateway._request_log import RequestLog, RequestResult
 from kingcuplug_gateway._routes import Route, RouteTable
 from kingcuplug_gateway._scatter import ScatterQuery
+from kingcuplug_gateway._server_signals import ServerSignals
 from kingcuplug_gateway._servers import ServerInfo, ServerTable, ServicePool
 from kingcuplug_gateway._service_call import OutboundRequest, ServiceCall
 from kingcuplug_gateway._settings import GatewaySettings
@@ -91,6 +92,7 @@
         self._request_log = RequestLog(
             self._header_names.attempt_id.lower(), log, metrics
         )
+        self._signals = ServerSignals(self._header_names, log, metrics)
         self._random = random or random_module.Random()
         self._timings: dict[str, LatencyEstimator] = {}
         self._round_robins: dict[str, WeightedRoundRobin] = {}
@@ -524,6 +526,7 @@
             pool=self.servers.pool(service),
             outbound=outbound,
             header_names=self._header_names,
+            signals=self._signals,
             timing=timing,
             metrics=self._metrics,
             max_attempts=max_attempts,
--- a/packages/gateway/src/kingcuplug_gateway/_header_names.py
+++ b/packages/gateway/src/kingcuplug_gateway/_header_names.py
@@ -25,6 +25,8 @@
         Signatures of the parts of a merged answer.
     missing_parts : bytes
         Number of shards without a part in a merged answer.
+    server_limit : bytes
+        Requests a second that the server takes from all hosts together.
     """
 
     attempt_id: bytes
@@ -34,3 +36,4 @@
     not_run: bytes
     part_signatures: bytes
     missing_parts: bytes
+    server_limit: bytes
--- a/packages/gateway/src/kingcuplug_gateway/_servers.py
+++ b/packages/gateway/src/kingcuplug_gateway/_servers.py
@@ -60,7 +60,13 @@
 
 
 class Server:
-    """One backend server with its connections and its state as observed here."""
+    """One backend server with its connections and its state as observed here.
+
+    Attributes
+    ----------
+    limit_per_s : float or None
+        Requests a second that it takes from all hosts, as named in its last answer.
+    """
 
     def __init__(
         self, info: ServerInfo, in_other_zone: bool, connection_limit: int
@@ -68,6 +74,7 @@
         self.info = info
         self.state = ReplicaState(slots=max(1, info.slots), remote=in_other_zone)
         self.connections = ConnectionPool(info.address, connection_limit)
+        self.limit_per_s: float | None = None
 
 
 class ServicePool:
@@ -236,6 +243,15 @@
                     samples[identifier] = observed
         return samples
 
+    def limited_servers(self) -> list[Server]:
+        """Return the servers that have named a limit in their last answer."""
+        return [
+            server
+            for pool in self._pools.values()
+            for server in pool.servers.values()
+            if server.limit_per_s is not None
+        ]
+
     def prune(self, now: float) -> None:
         """Close connections that have been idle for too long."""
         for pool in self._pools.values():
--- a/packages/gateway/src/kingcuplug_gateway/_service_call.py
+++ b/packages/gateway/src/kingcuplug_gateway/_service_call.py
@@ -11,6 +11,7 @@
 from kingcuplug_routing import ConcurrencyLimiter, LatencyEstimator, choose_replica
 
 from kingcuplug_gateway._header_names import HeaderNames
+from kingcuplug_gateway._server_signals import ServerSignals
 from kingcuplug_gateway._servers import Server, ServerTable, ServicePool
 
 __all__ = ["AttemptRecord", "CallResult", "OutboundRequest", "ServiceCall"]
@@ -134,6 +135,7 @@
         pool: ServicePool,
         outbound: OutboundRequest,
         header_names: HeaderNames,
+        signals: ServerSignals,
         timing: LatencyEstimator,
         metrics: Metrics,
         max_attempts: int,
@@ -154,6 +156,7 @@
         self._server_table = server_table
         self._pool = pool
         self._header_names = header_names
+        self._signals = signals
         self._timing = timing
         self._metrics = metrics
         self._max_attempts = max_attempts
@@ -247,6 +250,11 @@
         now = self._loop.time()
         state = attempt.server.state
         response_class = _classify_response(response, self._header_names)
+        if (
+            response_class is not ResponseClass.UNSIGNED
+            and response.status != _MISDIRECTED_STATUS
+        ):
+            self._signals.record(attempt.server, response)
         if response_class is ResponseClass.SUCCESS:
             self._timing.record(state.record_answer(attempt, now))
         elif response.status == _MISDIRECTED_STATUS:
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -553,6 +553,7 @@
             "routes_version": fleet_view.routes_version,
             "servers_usable": len(fleet_view.directory.usable()),
             "servers_silent": len(fleet_view.silent_servers),
+            "servers_limited": len(self._gateway.servers.limited_servers()),
             "hosts_live": fleet_view.host_count,
             "callers_connected": len(self._caller_listener.connections),
             "control_connected": float(
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -33,6 +33,7 @@
     not_run=b"Unrun",
     part_signatures=b"Seals",
     missing_parts=b"Missing",
+    server_limit=b"Limit",
 )
 ServerHandler = Callable[[Request], Awaitable[Response]]
 
--- a/tools/measure_gateway.py
+++ b/tools/measure_gateway.py
@@ -29,7 +29,14 @@
 ROUNDS = 4
 REPLY_BYTES = 1_000
 HEADER_NAMES = HeaderNames(
-    b"Try-Id", b"Left-Ms", b"Only-At", b"Seal", b"Unrun", b"Seals", b"Missing"
+    attempt_id=b"Try-Id",
+    deadline_ms=b"Left-Ms",
+    expected_server=b"Only-At",
+    signature=b"Seal",
+    not_run=b"Unrun",
+    part_signatures=b"Seals",
+    missing_parts=b"Missing",
+    server_limit=b"Limit",
 )
 
 
