Divide the limit that a server names among the hosts, and keep it

What servers saw: a server that names the requests a second that it takes from all hosts together got up to 18% more than the rule allows, because no host obeyed.

Cause: nothing read the header. Obeying alone would not do: three or four hosts share a replica, and in larger deployments a limit of six a second is shared by 200 hosts, of which a few gather for all others.

Change: each host meters its requests to a limited server (ServerLimit) at its share of the limit. Hosts report how often they would have chosen the server; the coordinator adds that up (DemandTotals) and the hosts take the share of the total that is theirs, or an equal one while the total is unknown. What doesn't fit goes to other replicas, then a query lacks a part, else the request is refused at once with the time of the next room. Retries and hedges leave one request for a first attempt. A limit of 0 is probed every ten seconds, as only an answer ends it. Messages without demand keep their form, for hosts of earlier versions.

Conclusion: a limit that is shared needs a count that is shared.

--- a/packages/fleet/src/kingcuplug_fleet/_fleet_view.py
+++ b/packages/fleet/src/kingcuplug_fleet/_fleet_view.py
@@ -9,6 +9,7 @@
 from kingcuplug_common import Condition, random_identifier
 from kingcuplug_routing import SlidingWindowCounter, SlowServerDetector
 
+from kingcuplug_fleet._demand_totals import DemandTotals
 from kingcuplug_fleet._directory import Directory
 from kingcuplug_fleet._server_record import ServerRecord
 
@@ -57,6 +58,9 @@
         Addresses of control hosts from which the leader has recently received a push.
     request_count : int
         Requests of all hosts in the last ten seconds, 0 if unknown.
+    demand : dict
+        Requests of all hosts for each server that has named a limit, by server id;
+        without an entry unknown.
     paces : SlowServerDetector
         Response time samples reported by hosts; used on control hosts only.
     """
@@ -80,13 +84,19 @@
         self.zones: dict[str, str] = {}
         self.reachable_control_hosts: tuple[str, ...] = ()
         self.request_count = 0
+        self.demand: dict[str, int] = {}
+        self._demand_totals = DemandTotals(self._started_at)
         self._request_window = SlidingWindowCounter(_REQUESTS_WINDOW_S)
         self._request_window_started_at = self._started_at
         self._encoded_state = b""
         self._state_digest = ""
 
     def state(self) -> list[Any]:
-        """Return the state that hosts copy from their control host, without servers."""
+        """Return the state that hosts copy from their control host, without servers.
+
+        Without demand it has the form that hosts of earlier versions read.
+        """
+        demand = [dict(sorted(self.demand.items()))] if self.demand else []
         return [
             sorted(self.silent_servers),
             dict(sorted(self.slow_servers.items())),
@@ -95,6 +105,7 @@
             self.host_count,
             self.request_count,
             list(self.reachable_control_hosts),
+            *demand,
         ]
 
     def state_digest(self) -> str:
@@ -189,8 +200,24 @@
             self.request_count = count
             self.changed.notify()
 
-    def restart_request_count(self) -> None:
-        """Restart the request window; the count is unknown until it has passed."""
+    def set_demand(self, demand: dict[str, int]) -> None:
+        """Set the requests of all hosts for servers that have named a limit."""
+        if demand != self.demand:
+            self.demand = demand
+            self.changed.notify()
+
+    def add_demand(self, reported: dict[str, int]) -> None:
+        """Add the reported demand for servers that have named a limit."""
+        self._demand_totals.record(reported, self._loop.time())
+
+    def update_demand(self) -> None:
+        """Publish the totals of the reported demand."""
+        self.set_demand(self._demand_totals.totals(self._loop.time()))
+
+    def restart_totals(self) -> None:
+        """Restart the windows of reports; totals are unknown until they have passed."""
+        self._demand_totals = DemandTotals(self._loop.time())
+        self.set_demand({})
         self._request_window = SlidingWindowCounter(_REQUESTS_WINDOW_S)
         self._request_window_started_at = self._loop.time()
         self.set_request_count(0)
--- a/packages/fleet/src/kingcuplug_fleet/_mesh.py
+++ b/packages/fleet/src/kingcuplug_fleet/_mesh.py
@@ -163,6 +163,7 @@
             return
         self._view.paces.record(report.samples, self._loop.time())
         self._view.add_requests(report.requests)
+        self._view.add_demand(report.demand)
 
     async def replicate(self, record: ServerRecord) -> bool:
         """Push a record until one other control host has acknowledged it.
@@ -230,6 +231,7 @@
         view.directory.reset_heartbeat_times(now, view.silent_servers)
         view.set_host_count(summary.hosts)
         view.set_request_count(summary.requests)
+        view.set_demand(summary.demand)
         view.zones.update(summary.reachable)
         view.set_reachable_control_hosts(tuple(summary.reachable))
 
@@ -283,7 +285,7 @@
             # heartbeats and polls are out of date.
             view.directory.reset_heartbeat_times(now, view.silent_servers)
             view.assume_host_count(view.host_count)
-            view.restart_request_count()
+            view.restart_totals()
         self._was_leader = is_leader
         if coordinator != self._last_coordinator:
             self._last_coordinator = coordinator
@@ -293,12 +295,14 @@
         if is_leader:
             view.set_silent_servers(view.directory.silent(now))
             view.update_host_count()
+            view.update_demand()
             view.set_reachable_control_hosts(
                 (self._own_address, *sorted(self._reachable_peers()))
             )
         elif self._leader() is None:
             # Without reports the number of requests is out of date.
             view.set_request_count(0)
+            view.set_demand({})
 
     async def _push_to(self, address: str) -> None:
         while True:
@@ -378,6 +382,7 @@
             view.host_count,
             view.request_count,
             {a: view.zones.get(a, "") for a in view.reachable_control_hosts},
+            view.demand,
         )
 
     def _message(
--- a/packages/fleet/src/kingcuplug_fleet/_mesh_messages.py
+++ b/packages/fleet/src/kingcuplug_fleet/_mesh_messages.py
@@ -14,12 +14,23 @@
 
 from kingcuplug_fleet._server_record import ServerRecord
 
-__all__ = ["Heartbeats", "PushMessage", "Report", "Summary"]
+__all__ = ["Heartbeats", "PushMessage", "Report", "Summary", "decode_demand"]
 
 # Start time and sequence of each server's last heartbeat, by server id.
 Heartbeats = dict[str, tuple[int, int]]
 
 
+def decode_demand(value: Any) -> dict[str, int]:
+    """Return the demand by server id.
+
+    Raises
+    ------
+    ValueError
+        If the value does not describe it.
+    """
+    return {s: require_integer(count) for s, count in require_mapping(value).items()}
+
+
 @dataclass(slots=True)
 class Report:
     """Measurements of one or more hosts since their last report.
@@ -30,10 +41,13 @@
         Number and sum of the relative response times, by server id.
     requests : int
         Number of callers' requests.
+    demand : dict
+        Number of requests for each server that has named a limit, by server id.
     """
 
     samples: LatencySamples = field(default_factory=dict)
     requests: int = 0
+    demand: dict[str, int] = field(default_factory=dict)
 
     def add(self, other: "Report") -> None:
         """Add another report to this one."""
@@ -41,10 +55,16 @@
             previous = self.samples.get(server, (0, 0.0))
             self.samples[server] = (previous[0] + count, previous[1] + total)
         self.requests += other.requests
+        for server, count in other.demand.items():
+            self.demand[server] = self.demand.get(server, 0) + count
 
     def to_json(self) -> list[Any]:
-        """Return the fields as a JSON array."""
-        return [self.samples, self.requests]
+        """Return the fields as a JSON array.
+
+        Without demand it has the form that hosts of earlier versions read.
+        """
+        demand = [self.demand] if self.demand else []
+        return [self.samples, self.requests, *demand]
 
     @classmethod
     def from_json(cls, value: list[Any]) -> "Report":
@@ -55,12 +75,13 @@
         ValueError
             If the array does not describe a report.
         """
-        samples, requests = value
+        samples, requests, *optional = value
         decoded = {
             server: (require_integer(count), require_number(total))
             for server, (count, total) in require_mapping(samples).items()
         }
-        return cls(decoded, require_integer(requests))
+        demand = decode_demand(optional[0]) if optional else {}
+        return cls(decoded, require_integer(requests), demand)
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +100,8 @@
         Requests of all hosts in the last ten seconds, 0 if unknown.
     reachable : dict
         Availability zones of the control hosts that the leader can reach, by address.
+    demand : dict
+        Requests of all hosts for each server that has named a limit, by server id.
     """
 
     silent: list[str]
@@ -86,10 +109,22 @@
     hosts: int
     requests: int
     reachable: dict[str, str]
+    demand: dict[str, int] = field(default_factory=dict)
 
     def to_json(self) -> list[Any]:
-        """Return the fields as a JSON array."""
-        return [self.silent, self.slow, self.hosts, self.requests, self.reachable]
+        """Return the fields as a JSON array.
+
+        Without demand it has the form that hosts of earlier versions read.
+        """
+        demand = [self.demand] if self.demand else []
+        return [
+            self.silent,
+            self.slow,
+            self.hosts,
+            self.requests,
+            self.reachable,
+            *demand,
+        ]
 
     @classmethod
     def from_json(cls, value: list[Any]) -> "Summary":
@@ -100,13 +135,14 @@
         ValueError
             If the array does not describe a summary.
         """
-        silent, slow, hosts, requests, reachable = value
+        silent, slow, hosts, requests, reachable, *optional = value
         return cls(
             require_strings(silent),
             {i: require_number(pace) for i, pace in require_mapping(slow).items()},
             require_integer(hosts),
             require_integer(requests),
             {a: require_string(z) for a, z in require_mapping(reachable).items()},
+            decode_demand(optional[0]) if optional else {},
         )
 
 
--- a/packages/fleet/src/kingcuplug_fleet/_polling.py
+++ b/packages/fleet/src/kingcuplug_fleet/_polling.py
@@ -24,7 +24,7 @@
 
 from kingcuplug_fleet._fleet_view import FleetView
 from kingcuplug_fleet._mesh import REPORT_PATH
-from kingcuplug_fleet._mesh_messages import Report
+from kingcuplug_fleet._mesh_messages import Report, decode_demand
 from kingcuplug_fleet._peer_client import PeerClient, PeerFailed
 from kingcuplug_fleet._server_record import ServerRecord
 
@@ -270,6 +270,7 @@
             )
             # Without reports the number of requests is out of date.
             self._view.set_request_count(0)
+            self._view.set_demand({})
             self._state_digest = ""
         self.control_host = None
 
@@ -384,7 +385,8 @@
 
     def _apply_state(self, state: Any) -> None:
         view = self._view
-        silent, slow, control_hosts, zones, host_count, request_count, reachable = state
+        silent, slow, control_hosts, zones, host_count, *counts = state
+        request_count, reachable, *demand = counts
         view.set_silent_servers(set(require_strings(silent)))
         view.set_slow_servers(_decode_paces(slow))
         view.set_control_hosts(require_strings(control_hosts))
@@ -392,6 +394,7 @@
         view.set_host_count(require_integer(host_count))
         view.set_request_count(require_integer(request_count))
         view.set_reachable_control_hosts(tuple(require_strings(reachable)))
+        view.set_demand(decode_demand(demand[0]) if demand else {})
 
 
 def _decode_paces(value: Any) -> dict[str, float]:
--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -92,7 +92,6 @@
         self._request_log = RequestLog(
             self._header_names.attempt_id.lower(), log, metrics
         )
-        self._signals = ServerSignals(self._header_names, log, metrics)
         self._random = random or random_module.Random()
         self._timings: dict[str, LatencyEstimator] = {}
         self._round_robins: dict[str, WeightedRoundRobin] = {}
@@ -119,6 +118,7 @@
             uses_gatherers=self._call_peer is not None,
             silent_gatherer_ratio=self._gatherer_directory.excluded_ratio,
         )
+        self._signals = ServerSignals(self.servers, self._header_names, log, metrics)
         self._gather_server = GatherServer(
             partial(self._make_call, for_peer=True),
             self._route_timing,
@@ -148,6 +148,7 @@
         hosts: int,
         fleet_requests: int = 0,
         gatherers: Mapping[str, Sequence[str]] = MappingProxyType({}),
+        demand: Mapping[str, int] = MappingProxyType({}),
     ) -> None:
         """Update the state of the fleet.
 
@@ -160,12 +161,16 @@
             unknown.
         gatherers : mapping
             Addresses of the hosts that gather parts of queries, by availability zone.
+        demand : mapping
+            Requests of all hosts for servers that have named a limit, by server id;
+            without an entry unknown.
         """
         if gatherers != self._gatherer_directory.addresses_by_zone:
             self._gatherer_directory.addresses_by_zone = gatherers
             self._update_connection_limits()
         self.servers.replace_servers(servers)
         self.servers.fleet_requests = fleet_requests
+        self.servers.fleet_demand = demand
         if hosts != self._host_count:
             self._host_count = hosts
             self._update_connection_limits()
@@ -247,6 +252,9 @@
         if not pool.servers:
             return self._refuse(request, route, "no_servers")
         loop = asyncio.get_running_loop()
+        wait_s = pool.room_at(loop.time()) - loop.time()
+        if wait_s > 0:
+            return self._refuse(request, route, "servers_limited", wait_s=wait_s)
         finished: asyncio.Future[None] = loop.create_future()
 
         def on_finished(call: ServiceCall) -> None:
@@ -292,7 +300,8 @@
                 request, route, _relayed_response(result.response), call
             )
         if not result.may_have_run:
-            return self._refuse(request, route, "no_room", call)
+            wait_s = pool.room_at(loop.time()) - loop.time()
+            return self._refuse(request, route, "no_room", call, wait_s=wait_s)
         return self._finish(request, route, error_response(502, "no answer"), call)
 
     async def _scatter_query(self, request: Request, route: Route) -> Response:
@@ -307,6 +316,12 @@
         reachable = sum(pool.has_reachable_server(now) for pool in pools)
         if reachable < rule.required_shards:
             return self._refuse(request, route, "shards_unreachable")
+        if self._call_peer is None:
+            # Gatherers have limits of their own.
+            room_at = sorted(pool.room_at(now) for pool in pools)
+            wait_s = room_at[rule.required_shards - 1] - now
+            if wait_s > 0:
+                return self._refuse(request, route, "servers_limited", wait_s=wait_s)
         refusal = await self._wait_for_admission(
             pools[0], route, outbound, rule.target_at
         )
--- a/packages/gateway/src/kingcuplug_gateway/_server_signals.py
+++ b/packages/gateway/src/kingcuplug_gateway/_server_signals.py
@@ -6,7 +6,7 @@
 from kingcuplug_http import Response
 
 from kingcuplug_gateway._header_names import HeaderNames
-from kingcuplug_gateway._servers import Server
+from kingcuplug_gateway._servers import Server, ServerTable
 
 __all__ = ["ServerSignals", "parse_decimal"]
 
@@ -18,8 +18,13 @@
     """Reads the signals of servers, and logs their changes."""
 
     def __init__(
-        self, header_names: HeaderNames, log: EventLog, metrics: Metrics
+        self,
+        servers: ServerTable,
+        header_names: HeaderNames,
+        log: EventLog,
+        metrics: Metrics,
     ) -> None:
+        self._servers = servers
         self._limit_header = header_names.server_limit.lower()
         self._log = log
         self._metrics = metrics
@@ -33,7 +38,7 @@
             An answer that this server has certainly given; one without a limit ends
             the limit of the server.
         """
-        if self._limit_header in response.fields or server.limit_per_s is not None:
+        if self._limit_header in response.fields or server.limit is not None:
             self._record_limit(server, response)
 
     def _record_limit(self, server: Server, response: Response) -> None:
@@ -44,8 +49,7 @@
             if limit_per_s is None:
                 self._report_malformed(server, values)
                 return
-        if limit_per_s != server.limit_per_s:
-            server.limit_per_s = limit_per_s
+        if self._servers.set_limit(server, limit_per_s):
             self._log.write(
                 "server_limit",
                 {
--- a/packages/gateway/src/kingcuplug_gateway/_servers.py
+++ b/packages/gateway/src/kingcuplug_gateway/_servers.py
@@ -1,8 +1,9 @@
 """Backend servers of each service, with this host's state and limits for them."""
 
 import asyncio
+import math
 import random as random_module
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from kingcuplug_routing import (
@@ -11,6 +12,7 @@
     ReplicaState,
     RetryBudget,
     RetryBudgetSettings,
+    ServerLimit,
     SlidingWindowCounter,
     host_share,
 )
@@ -64,8 +66,8 @@
 
     Attributes
     ----------
-    limit_per_s : float or None
-        Requests a second that it takes from all hosts, as named in its last answer.
+    limit : ServerLimit or None
+        Set while its answers name the requests a second that it takes.
     """
 
     def __init__(
@@ -74,7 +76,11 @@
         self.info = info
         self.state = ReplicaState(slots=max(1, info.slots), remote=in_other_zone)
         self.connections = ConnectionPool(info.address, connection_limit)
-        self.limit_per_s: float | None = None
+        self.limit: ServerLimit | None = None
+
+    def has_room(self, now: float, requests: int = 1) -> bool:
+        """Return whether its limit lets this host send a number of requests now."""
+        return self.limit is None or self.limit.available(now) >= requests
 
 
 class ServicePool:
@@ -120,6 +126,15 @@
         """Return whether some server is not known to refuse connections."""
         return any(now >= s.state.unreachable_until for s in self.servers.values())
 
+    def room_at(self, now: float) -> float:
+        """Return when some server's limit lets this host send the next request."""
+        earliest = math.inf
+        for server in self.servers.values():
+            if server.limit is None:
+                return now
+            earliest = min(earliest, server.limit.room_at(now))
+        return earliest if self.servers else now
+
 
 class ServerTable:
     """Server pools of all services.
@@ -140,6 +155,8 @@
         Number of live hosts; 0 if unknown.
     fleet_requests : int
         Requests of all hosts in the last window; 0 if unknown.
+    fleet_demand : mapping
+        Requests of all hosts for servers that have named a limit, by server id.
     """
 
     def __init__(
@@ -163,6 +180,7 @@
         self._gatherer_count = 0
         self.hosts = 0
         self.fleet_requests = 0
+        self.fleet_demand: Mapping[str, int] = {}
 
     def count_request(self, now: float) -> None:
         """Count a caller's request."""
@@ -249,9 +267,36 @@
             server
             for pool in self._pools.values()
             for server in pool.servers.values()
-            if server.limit_per_s is not None
+            if server.limit is not None
         ]
 
+    def set_limit(self, server: Server, limit_per_s: float | None) -> bool:
+        """Set or end the limit that a server names; return whether it has changed."""
+        limit = server.limit
+        if limit_per_s is None:
+            server.limit = None
+            return limit is not None
+        if limit is not None and limit.limit_per_s == limit_per_s:
+            return False
+        now = asyncio.get_running_loop().time()
+        if limit is None:
+            limit = server.limit = ServerLimit(limit_per_s, self._random.random(), now)
+        limit.limit_per_s = limit_per_s
+        self._share_limit(server, now)
+        return True
+
+    def share_limits(self, now: float) -> None:
+        """Divide the limits of servers anew; to be called several times a second."""
+        for server in self.limited_servers():
+            self._share_limit(server, now)
+
+    def pop_demand(self) -> dict[str, int]:
+        """Return the demand for limited servers since the previous call, by id."""
+        demand = {
+            s.info.id: s.limit.pop_demand() for s in self.limited_servers() if s.limit
+        }
+        return {server: count for server, count in demand.items() if count}
+
     def prune(self, now: float) -> None:
         """Close connections that have been idle for too long."""
         for pool in self._pools.values():
@@ -283,6 +328,11 @@
             server.state.heartbeat_lost = info.heartbeats_missing
             server.state.shared_latency_ratio = info.latency_factor
 
+    def _share_limit(self, server: Server, now: float) -> None:
+        if server.limit is not None:
+            total = self.fleet_demand.get(server.info.id, 0)
+            server.limit.set_fleet(total, self.hosts, now)
+
     def _host_connection_limit(self, service: str) -> int:
         total = self._connection_limits.get(service)
         if total is None:
--- a/packages/gateway/src/kingcuplug_gateway/_service_call.py
+++ b/packages/gateway/src/kingcuplug_gateway/_service_call.py
@@ -18,6 +18,8 @@
 
 _MS_PER_S = 1_000
 _MISDIRECTED_STATUS = 421  # Another server than the expected one got the request.
+# Attempts that are the first one of a part at any host.
+_FIRST_KINDS = ("first", "fallback")
 # Rejections by servers without a free slot do not count as attempts. The bound keeps
 # a request from visiting every server of an overloaded service.
 _MAX_REJECTIONS = 2
@@ -317,14 +319,14 @@
             or now >= self.outbound.deadline_at
         ):
             return False
-        servers = self._pool.servers_except(self._tried_server_ids)
-        if not servers:
+        typical_s = self._timing.typical_s
+        server = self._choose_server(kind, now, typical_s)
+        if server is None:
             return False
         if kind != "first" and not self._spend_retry_budget(kind, now):
             return False
-        states = [server.state for server in servers]
-        typical_s = self._timing.typical_s
-        server = servers[choose_replica(states, now, typical_s, self._random)]
+        if server.limit is not None:
+            server.limit.take(now)
         expected_s = server.state.expected_latency_s(now, typical_s)
         record = AttemptRecord(server.info.id, kind, now, expected_s)
         self.result.attempts.append(record)
@@ -344,6 +346,31 @@
         server.connections.submit(attempt, new_connection=not self.outbound.repeatable)
         return True
 
+    def _choose_server(self, kind: str, now: float, typical_s: float) -> Server | None:
+        """Return the server for the next attempt, if one has room for it."""
+        servers = self._pool.servers_except(self._tried_server_ids)
+        if not servers:
+            return None
+        server = self._best_server(servers, now, typical_s)
+        if server.limit is None:
+            return server
+        replaces_first = kind in _FIRST_KINDS
+        if replaces_first:
+            server.limit.record_demand(now)
+        # Further attempts leave room for a first one.
+        requests = 1 if replaces_first else 2
+        if server.has_room(now, requests):
+            return server
+        self._metrics.count("server_limit.diverted")
+        servers = [s for s in servers if s.has_room(now, requests)]
+        return self._best_server(servers, now, typical_s) if servers else None
+
+    def _best_server(
+        self, servers: list[Server], now: float, typical_s: float
+    ) -> Server:
+        states = [server.state for server in servers]
+        return servers[choose_replica(states, now, typical_s, self._random)]
+
     def _hedge(self) -> None:
         self._hedge_timer = None
         if self.finished:
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -598,6 +598,7 @@
                 fleet_view.host_count,
                 fleet_view.request_count,
                 fleet_view.reachable_control_hosts,
+                frozenset(fleet_view.demand.items()),
             )
 
         while True:
@@ -652,7 +653,11 @@
             zone = fleet_view.zones.get(address, "")
             gatherers.setdefault(zone, []).append(address)
         self._gateway.update_fleet(
-            servers, fleet_view.host_count, fleet_view.request_count, gatherers
+            servers,
+            fleet_view.host_count,
+            fleet_view.request_count,
+            gatherers,
+            fleet_view.demand,
         )
 
     async def _update_control_hosts(self, replica: "ControlReplica") -> None:
@@ -662,11 +667,14 @@
             await asyncio.sleep(_UPKEEP_INTERVAL_S)
 
     async def _send_reports(self) -> None:
-        """Send latency samples of servers and the request count of this host."""
+        """Send this host's latency samples, its requests, and its demand."""
+        loop, servers = asyncio.get_running_loop(), self._gateway.servers
         while True:
             await asyncio.sleep(_REPORT_INTERVAL_S)
-            servers = self._gateway.servers
-            report = Report(servers.pop_samples(), servers.pop_request_count())
+            servers.share_limits(loop.time())
+            report = Report(
+                servers.pop_samples(), servers.pop_request_count(), servers.pop_demand()
+            )
             if self._is_connected_control_host():
                 self._mesh.receive_report(report)
             else:
--- a/packages/routing/src/kingcuplug_routing/__init__.py
+++ b/packages/routing/src/kingcuplug_routing/__init__.py
@@ -25,6 +25,12 @@
     host_share,
 )
 from kingcuplug_routing._returning_callers import ReturningCallers
+from kingcuplug_routing._server_limit import (
+    DEMAND_WINDOW_S,
+    ServerLimit,
+    limit_share,
+    limited_rate,
+)
 from kingcuplug_routing._slow_servers import LatencySamples, SlowServerDetector
 from kingcuplug_routing._warm_up import startup_wait_until
 
@@ -52,6 +58,7 @@
     )
 
 __all__ = [
+    "DEMAND_WINDOW_S",
     "Admission",
     "AdmissionContext",
     "Attempt",
@@ -73,6 +80,7 @@
     "ReturningCallers",
     "Router",
     "RoutingPolicy",
+    "ServerLimit",
     "ServerView",
     "SlidingWindowCounter",
     "SlowServerDetector",
@@ -87,6 +95,8 @@
     "is_in_time",
     "least_expected_time",
     "least_in_flight",
+    "limit_share",
+    "limited_rate",
     "power_of_two_choices",
     "random_replica",
     "startup_wait_until",
--- /dev/null
+++ b/packages/routing/src/kingcuplug_routing/_server_limit.py
@@ -0,0 +1,165 @@
+"""One host's part of the requests a second that a backend server takes.
+
+Handles these load patterns: a server in need asks all hosts together for fewer
+requests, while no host sees what the others send; hundreds of hosts share a limit of a
+few requests a second, so that the part of each is less than one; hosts that were idle
+receive a burst at the same moment; most requests come from a few hosts that gather for
+the others.
+"""
+
+import math
+from collections import deque
+
+from kingcuplug_routing._retry_budget import SlidingWindowCounter
+
+__all__ = ["DEMAND_WINDOW_S", "ServerLimit", "limit_share", "limited_rate"]
+
+# A server that names a limit takes this many times the limit in any window of this
+# length, and some requests more.
+_WINDOW_S = 4.0
+_WINDOW_FACTOR = 1.5
+_WINDOW_EXTRA_REQUESTS = 5
+# Hosts divide the limit in proportion to their demand in this window.
+DEMAND_WINDOW_S = 10.0
+# Unused requests expire, so that hosts that were idle cannot send them all at once.
+_UNUSED_TTL_S = 1.5
+# The hosts send independently of each other, so the requests in a window vary like a
+# Poisson variable; the bound lies this many standard deviations above the mean.
+_BOUND_DEVIATIONS = 3.0
+# A server is probed at least this often, because only its answers end the limit.
+_MIN_RATE_PER_S = 0.1
+# Requests assumed of each host beyond those counted, so that a host whose callers have
+# just arrived has a part of the limit.
+_PRIOR_REQUESTS = 0.1
+# Requests are counted at once here, and with this delay at most in the total of all
+# hosts. The lowest share of this time is used: in a burst, the own count rises first.
+_TOTAL_DELAY_S = 2.0
+_SHARE_INTERVAL_S = 0.1
+# Assumed until a control host reports the number of hosts.
+_ASSUMED_HOSTS = 100
+
+
+def limited_rate(limit_per_s: float) -> float:
+    """Return the requests a second that all hosts together may send to a server.
+
+    Parameters
+    ----------
+    limit_per_s : float
+        Limit that the server has named.
+    """
+    bound = limit_per_s * _WINDOW_FACTOR * _WINDOW_S + _WINDOW_EXTRA_REQUESTS
+    # Solves mean + deviations * sqrt(mean) = bound for the mean.
+    root = (math.sqrt(_BOUND_DEVIATIONS**2 + 4 * bound) - _BOUND_DEVIATIONS) / 2
+    rate_per_s = min(limit_per_s, root * root / (_WINDOW_S + _UNUSED_TTL_S))
+    return max(rate_per_s, _MIN_RATE_PER_S)
+
+
+def limit_share(own: int, total: int, hosts: int) -> float:
+    """Return a host's share of a server's limit, between 0 and 1.
+
+    The shares of all hosts add up to 1 when they use the same totals.
+
+    Parameters
+    ----------
+    own, total : int
+        Requests that this host and that all hosts have had for the server recently; a
+        total of 0 means unknown and makes the shares equal.
+    hosts : int
+        Live hosts; 0 if unknown.
+    """
+    hosts = hosts if hosts > 0 else _ASSUMED_HOSTS
+    if total <= 0:
+        return 1 / hosts
+    prior = _PRIOR_REQUESTS
+    return (own + prior) / (max(own, total) + prior * hosts)
+
+
+class ServerLimit:
+    """Meters this host's requests to one server that has named a limit.
+
+    Requests become available at an even pace, and expire if they are not used.
+
+    Parameters
+    ----------
+    limit_per_s : float
+        Requests a second that the server takes from all hosts together.
+    phase : float
+        Part of the first request that is available at once, from 0 to 1. Random phases
+        keep the hosts from sending at the same moment.
+
+    Attributes
+    ----------
+    limit_per_s : float
+        Limit that the server named last.
+    """
+
+    def __init__(self, limit_per_s: float, phase: float, now: float) -> None:
+        self.limit_per_s = limit_per_s
+        self._rate_per_s = 0.0
+        self._issued = phase
+        self._issued_at = now
+        self._used = 0
+        self._shares: deque[tuple[float, float]] = deque()
+        self._demand = SlidingWindowCounter(DEMAND_WINDOW_S)
+        self._unreported_demand = 0
+
+    def record_demand(self, now: float) -> None:
+        """Count a request that this host would send to the server without the limit."""
+        self._demand.add(now)
+        self._unreported_demand += 1
+
+    def pop_demand(self) -> int:
+        """Return the demand since the previous call."""
+        demand, self._unreported_demand = self._unreported_demand, 0
+        return demand
+
+    def set_fleet(self, total_demand: int, hosts: int, now: float) -> None:
+        """Set the demand of all hosts, 0 if unknown, and the number of hosts.
+
+        While the demand is unknown, the last shares of the hosts that have demand still
+        add up to 1.
+        Call it several times a second.
+        """
+        self._advance(now)
+        shares = self._shares
+        is_first = not shares
+        if shares and now < shares[-1][0] + _SHARE_INTERVAL_S:
+            return
+        own = self._demand.total(now)
+        if total_demand > 0 or own == 0 or not shares:
+            shares.append((now, limit_share(own, total_demand, hosts)))
+        else:
+            shares.append((now, shares[-1][1]))
+        while shares[0][0] < now - _TOTAL_DELAY_S:
+            shares.popleft()
+        share = min(share for _, share in shares)
+        self._rate_per_s = limited_rate(self.limit_per_s) * share
+        if is_first:
+            # As if the limit had applied before, so that requests go on.
+            self._issued += self._rate_per_s * _UNUSED_TTL_S
+
+    def available(self, now: float) -> int:
+        """Return the number of requests that may be sent now."""
+        self._advance(now)
+        return int(self._issued) - self._first_unused()
+
+    def room_at(self, now: float) -> float:
+        """Return when the next request may be sent, in event loop time."""
+        if self.available(now) > 0:
+            return now
+        if self._rate_per_s <= 0:
+            return math.inf
+        return now + (int(self._issued) + 1 - self._issued) / self._rate_per_s
+
+    def take(self, now: float) -> None:
+        """Count a request that is sent now."""
+        self._advance(now)
+        self._used = self._first_unused() + 1
+
+    def _advance(self, now: float) -> None:
+        self._issued += max(0.0, now - self._issued_at) * self._rate_per_s
+        self._issued_at = now
+
+    def _first_unused(self) -> int:
+        expired = int(max(0.0, self._issued - self._rate_per_s * _UNUSED_TTL_S))
+        return max(self._used, expired)
