Answer requests at the end of a planned stop, and refuse those too late for it

Reported by operators of similar systems: in a planned stop, requests that came late in the grace period were passed on, and their connections ended without an answer (LOST).

Cause: here too. The host closed all connections half a second before the end of the grace period, whatever was in progress, and accepted requests until then whose deadline lay after it; one that may not be repeated was then neither known to have run nor not to.

Change: at the end, requests in progress are answered with 504, which promises nothing, and requests that wait behind them on their connection with 503. Once the host accepts no connections, a request whose deadline lies after the end is refused at once with `Retry-After: 0`, so that its caller sends it to another host.

Evidence: test_request_at_a_server_at_the_end_of_the_grace_period_is_answered (before: the connection ended) and test_request_too_late_to_finish_in_the_ grace_period_is_not_sent_to_a_server (before: one request at the server) failed before.

--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -1,6 +1,7 @@
 """Handling of callers' requests: routing, forwarding and scatter-gather queries."""
 
 import asyncio
+import math
 import random as random_module
 from collections.abc import Callable, Coroutine, Mapping, Sequence
 from dataclasses import dataclass
@@ -73,6 +74,9 @@
         Route table in force; ``None`` until the first one is installed.
     servers : ServerTable
         Backend servers by service.
+    stops_at : float
+        Event loop time at which the host ends the requests in progress. Requests that
+        may take longer are refused, so that their callers send them to another host.
     """
 
     def __init__(
@@ -111,6 +115,7 @@
         self._started_at = asyncio.get_running_loop().time()
         self._state_changed = Condition()
         self.table: RouteTable | None = None
+        self.stops_at = math.inf
         self.servers = ServerTable(
             settings.availability_zone,
             settings.retry_budget,
@@ -237,6 +242,9 @@
         route = table.find(host, path)
         if route is None:
             return self._finish(request, None, error_response(404, "no such route"))
+        if self._deadline_at(request, route.timeout_ms) > self.stops_at:
+            response = error_response(503, "stopping", retry_after_s=0.0)
+            return self._finish(request, route, response)
         self.servers.count_request(asyncio.get_running_loop().time())
         if route.shards:
             return await self._scatter_query(request, route)
--- a/packages/http/src/kingcuplug_http/_inbound.py
+++ b/packages/http/src/kingcuplug_http/_inbound.py
@@ -105,6 +105,18 @@
         for connection in tuple(self.connections):
             connection.close_if_idle(min_idle_s)
 
+    def expire_requests(self, in_progress: Response, waiting: Response) -> None:
+        """End all requests with a response, and close their connections.
+
+        Parameters
+        ----------
+        in_progress, waiting : Response
+            Response to the requests that the handler has begun, and that wait behind
+            one of them.
+        """
+        for connection in tuple(self.connections):
+            connection.expire(in_progress, waiting)
+
     @property
     def busy_connections(self) -> int:
         """Number of connections with a request in progress."""
@@ -150,6 +162,7 @@
         self._closed = False
         self._input_closed = False
         self._error_response: Response | None = None
+        self._expired: tuple[Response, Response] | None = None
         self._last_activity_at = loop.time()
         self._headers_started_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
@@ -282,6 +295,12 @@
             return
         self._transport.close()
 
+    def expire(self, in_progress: Response, waiting: Response) -> None:
+        """End the request in progress, and those that wait, with a response each."""
+        self._expired = (in_progress, waiting)
+        if self._handler_task is not None:
+            self._handler_task.cancel()
+
     def abort(self) -> None:
         """Close the connection without sending buffered data."""
         self._transport.abort()
@@ -311,7 +330,14 @@
 
     async def _serve(self, request: Request) -> None:
         try:
-            response = await self._listener.handler(request)
+            if self._expired is not None:
+                response = self._expired[1]
+            else:
+                response = await self._listener.handler(request)
+        except asyncio.CancelledError:
+            if self._closed or self._expired is None:
+                raise
+            response = self._expired[0]
         except Exception as error:
             # The request may have been executed, so the status must not be one that
             # marks it as not executed, such as 503.
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -78,6 +78,7 @@
 # Reserved at the end of the grace period to flush the log and exit.
 _EXIT_MARGIN_S = 0.5
 _DRAIN_POLL_INTERVAL_S = 0.02
+_EXPIRY_FLUSH_S = 0.1  # Time to send the last responses before the connections close.
 # A connection that was accepted, or answered, within this time may be about to bring a
 # request; closing it would cut off that request.
 _DRAIN_MIN_IDLE_S = 0.4
@@ -722,11 +723,18 @@
         await asyncio.sleep(min(_MAX_DRAIN_S, grace_s * _DRAIN_GRACE_RATIO))
         self._caller_listener.stop_accepting()
         deadline_at = started_at + grace_s - _EXIT_MARGIN_S
+        self._gateway.stops_at = deadline_at
         while loop.time() < deadline_at:
             self._caller_listener.close_idle(_DRAIN_MIN_IDLE_S)
             if not self._caller_listener.connections:
                 break
             await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
+        if self._caller_listener.busy_connections:
+            self._caller_listener.expire_requests(
+                in_progress=error_response(504, "stopping"),
+                waiting=error_response(503, "stopping", retry_after_s=0.0),
+            )
+            await asyncio.sleep(_EXPIRY_FLUSH_S)
         self._log.write(
             "drained",
             {"busy": self._caller_listener.busy_connections},
--- a/tests/node/test_planned_stop.py
+++ b/tests/node/test_planned_stop.py
@@ -23,9 +23,11 @@
 }
 
 
-async def _start_host() -> tuple[Host, asyncio.Task[None], Listener, str]:
+async def _start_host(
+    delay_s: float = 0.3,
+) -> tuple[Host, asyncio.Task[None], Listener, str]:
     async def answer(request: Request) -> Response:
-        await asyncio.sleep(0.3)
+        await asyncio.sleep(delay_s)
         return Response(200, [(b"S", b"seal"), (b"I", b"1")], request.body * 500)
 
     server = Listener(answer, Limits)
@@ -86,3 +88,50 @@
         assert data.count(b"HTTP/1.1 200 OK") == expected, stage
         assert data.endswith(b"body" * 500), stage
         assert b"Connection: close" in data, stage
+
+
+async def _stop_and_read(delay_s: float, sent_after_s: float) -> tuple[bytes, int]:
+    """Return what a caller gets, and the number of requests that the server got.
+
+    Parameters
+    ----------
+    delay_s : float
+        Time in which the server answers.
+    sent_after_s : float
+        When the last bytes of the request are sent after the stop.
+    """
+    host, task, server, port = await _start_host(delay_s)
+    received: list[Request] = []
+    answer = server.handler
+
+    async def record(request: Request) -> Response:
+        received.append(request)
+        return await answer(request)
+
+    server.handler = record
+    reader, writer = await asyncio.open_connection("127.0.0.1", int(port))
+    writer.write(REQUEST[:-2])
+    await asyncio.sleep(0.1)
+    host._stop_requested.set()
+    await asyncio.sleep(sent_after_s)
+    writer.write(REQUEST[-2:])
+    data = await asyncio.wait_for(reader.read(), timeout=8)
+    await asyncio.wait_for(task, timeout=8)
+    await server.stop()
+    return data, len(received)
+
+
+def test_request_at_a_server_at_the_end_of_the_grace_period_is_answered():
+    """Guards against a connection that ends without an answer."""
+    data, received_count = asyncio.run(_stop_and_read(delay_s=6, sent_after_s=0.0))
+    assert received_count == 1
+    assert data.startswith(b"HTTP/1.1 504 ")
+    assert b"Content-Length: " in data
+
+
+def test_request_too_late_to_finish_in_the_grace_period_is_not_sent_to_a_server():
+    """Guards against a request that may not be repeated, and whose end is unknown."""
+    data, received_count = asyncio.run(_stop_and_read(delay_s=6, sent_after_s=2.0))
+    assert received_count == 0
+    assert data.startswith(b"HTTP/1.1 503 ")
+    assert b"Retry-After: 0" in data
