Test that an answer without a length, cut in its headers, is not complete

Reported by operators of similar systems: a server stopped in the middle of its answer's headers, and clients got a 200 with an empty or short body. It doesn't happen here: the cut at every byte of a framed response was tested, and the headers of a response without a length now are, too. Each cut gives a lost connection; the tests pass on the code as it was.

--- a/tests/http/test_outbound.py
+++ b/tests/http/test_outbound.py
@@ -191,11 +191,13 @@
 @pytest.mark.parametrize(
     "response",
     [
+        # Without a length, only the end of the headers can be missed.
+        b"HTTP/1.1 200 OK\r\nId: 7\r\nSeal: 1\r\n\r\n",
         b"HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 6\r\n\r\nanswer",
         b"HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n"
         b"3\r\nans\r\n3\r\nwer\r\n0\r\n\r\n",
     ],
-    ids=["length", "chunked"],
+    ids=["headers", "length", "chunked"],
 )
 def test_response_cut_at_any_byte_is_never_complete(response):
     """Guards against a response that broke off and is passed on as a success."""
