--- a/packages/testkit/src/kingcuplug_testkit/_disk.py
+++ b/packages/testkit/src/kingcuplug_testkit/_disk.py
@@ -93,6 +93,8 @@
         Every call that took effect, as (method, file name).
     crash_after_calls : int, optional
         Number of calls after which the host crashes.
+    full : bool
+        Whether writes fail for lack of space, each after a random part of its data.
     """
 
     def __init__(self, random: Random, sync_s: float = _SYNC_DURATION_S) -> None:
@@ -104,6 +106,7 @@
         self.on_crash: Callable[[], None] = lambda: None
         self.calls: list[tuple[str, str]] = []
         self.crash_after_calls: int | None = None
+        self.full = False
         self.files: dict[str, _File] = {}
         self.durable_files: dict[str, _File] = {}
         self.unsynced_name_changes: list[tuple[str, str | None, _File | None]] = []
@@ -284,6 +287,8 @@
 
     def _before_call(self, method: str, name: str) -> None:
         self._raise_if_crashed()
+        if self._disk.full and method == "write":
+            raise OSError(errno.ENOSPC, "no space left", name)
         self._trigger_failpoint(method, name, "before")
 
     def _after_call(self, method: str, name: str) -> None:
--- a/tests/fleet/test_control_group.py
+++ b/tests/fleet/test_control_group.py
@@ -131,3 +131,35 @@
         await group.stop()
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("with_changes", [False, True])
+def test_changes_are_accepted_after_the_disks_were_full_in_turn(
+    make_control_group, with_changes
+):
+    # Guards against a group that stays without a quorum, or with a leader that cannot
+    # store, after each disk has room again.
+    async def main() -> None:
+        group = make_control_group()
+        await group.form("a", "b", "c")
+        version = 1
+        await group.submit(version)
+        for name in ("a", "b", "c", "a", "c", "b"):
+            group.hosts[name].disk.full = True
+            for _ in range(5):
+                await asyncio.sleep(0.6)
+                if with_changes:
+                    version += 1
+                    await group.submit(version, timeout_s=4.0)
+            group.hosts[name].disk.full = False
+            await asyncio.sleep(0.8)
+        version += 1
+        await group.submit(version, timeout_s=1.0)
+        await group.wait_until(
+            lambda: all(h.register.version == version for h in group.running()), 2.0
+        )
+        assert group.members() == {"a", "b", "c"}
+        assert group.losses_borne() == 1
+        await group.stop()
+
+    run_virtual(main())
