Send no requests to servers that leave, or that want none for some time

New rules of the users: a leaving server says so in its answers (DRAIN), and a server's 503 may say for how long it wants no requests (BUDGET).

Cause: hosts read neither header; they learnt that a server leaves from control only, which a host that is cut off doesn't hear, and asked a server without room again as soon as its score allowed.

Change: ServerSignals (routing) holds what one incarnation of a server has last said, also its limit; SignalReader (gateway) reads it before the connection is used again. Requests that wait for a connection to such a server are sent elsewhere. Leaving holds until the next incarnation, also when the directory loses the server for a moment; ServerInfo therefore states the start.

Evidence: the new tests of tests/gateway/test_server_signals.py; one of them found that the next request was sent on the connection before the answer on it had been read.

--- a/packages/gateway/src/kingcuplug_gateway/_connection_pool.py
+++ b/packages/gateway/src/kingcuplug_gateway/_connection_pool.py
@@ -146,11 +146,12 @@
         except OSError:
             self._busy_count -= 1
             pending.failed(Failure.CONNECT)
-            self._fail_waiting()
+            self.fail_waiting()
             return
         self._send(connection, pending)
 
-    def _fail_waiting(self) -> None:
+    def fail_waiting(self) -> None:
+        """Fail the requests that wait for a connection; none of them has been sent."""
         waiting, self._waiting = self._waiting, deque()
         for pending, _ in waiting:
             pending.failed(Failure.CONNECT)
--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -43,10 +43,10 @@
 from kingcuplug_gateway._request_log import RequestLog, RequestResult
 from kingcuplug_gateway._routes import Route, RouteTable
 from kingcuplug_gateway._scatter import ScatterQuery
-from kingcuplug_gateway._server_signals import ServerSignals
 from kingcuplug_gateway._servers import ServerInfo, ServerTable, ServicePool
 from kingcuplug_gateway._service_call import OutboundRequest, ServiceCall
 from kingcuplug_gateway._settings import GatewaySettings
+from kingcuplug_gateway._signal_reader import SignalReader
 from kingcuplug_gateway._weighted_round_robin import WeightedRoundRobin
 
 __all__ = ["Gateway"]
@@ -123,7 +123,7 @@
             uses_gatherers=self._call_peer is not None,
             silent_gatherer_ratio=self._gatherer_directory.excluded_ratio,
         )
-        self._signals = ServerSignals(self.servers, self._header_names, log, metrics)
+        self._signals = SignalReader(self.servers, self._header_names, log, metrics)
         self._gather_server = GatherServer(
             partial(self._make_call, for_peer=True),
             self._route_timing,
@@ -262,7 +262,7 @@
         loop = asyncio.get_running_loop()
         wait_s = pool.room_at(loop.time()) - loop.time()
         if wait_s > 0:
-            return self._refuse(request, route, "servers_limited", wait_s=wait_s)
+            return self._refuse(request, route, "no_willing_server", wait_s=wait_s)
         finished: asyncio.Future[None] = loop.create_future()
 
         def on_finished(call: ServiceCall) -> None:
@@ -329,7 +329,7 @@
             room_at = sorted(pool.room_at(now) for pool in pools)
             wait_s = room_at[rule.required_shards - 1] - now
             if wait_s > 0:
-                return self._refuse(request, route, "servers_limited", wait_s=wait_s)
+                return self._refuse(request, route, "no_willing_server", wait_s=wait_s)
         refusal = await self._wait_for_admission(
             pools[0], route, outbound, rule.target_at
         )
@@ -654,9 +654,11 @@
         Parameters
         ----------
         wait_s : float
-            Time after which there is expected to be room for it.
+            Time after which there is expected to be room for it; ``inf`` if unknown.
         """
-        retry_after_s = max(wait_s, self._random.uniform(*_RETRY_AFTER_RANGE_S))
+        retry_after_s = self._random.uniform(*_RETRY_AFTER_RANGE_S)
+        if wait_s < math.inf:
+            retry_after_s = max(wait_s, retry_after_s)
         response = error_response(503, reason, retry_after_s=retry_after_s)
         return self._finish(request, route, response, *calls)
 
--- a/packages/gateway/src/kingcuplug_gateway/_header_names.py
+++ b/packages/gateway/src/kingcuplug_gateway/_header_names.py
@@ -27,6 +27,8 @@
         Number of shards without a part in a merged answer.
     server_limit : bytes
         Requests a second that the server takes from all hosts together.
+    server_leaving : bytes
+        ``1`` if the server leaves and must get no more requests.
     """
 
     attempt_id: bytes
@@ -37,3 +39,4 @@
     part_signatures: bytes
     missing_parts: bytes
     server_limit: bytes
+    server_leaving: bytes
--- a/packages/gateway/src/kingcuplug_gateway/_servers.py
+++ b/packages/gateway/src/kingcuplug_gateway/_servers.py
@@ -13,6 +13,7 @@
     RetryBudget,
     RetryBudgetSettings,
     ServerLimit,
+    ServerSignals,
     SlidingWindowCounter,
     host_share,
 )
@@ -34,6 +35,8 @@
 # Share of a server's connection limit that all gatherers use together. Other hosts
 # hold at most one connection each, and only while gatherers do not reply.
 _GATHERER_CONNECTION_SHARE = 0.4
+# More servers than leave in the time that the directory keeps them.
+_MAX_DEPARTED_SIGNALS = 4_096
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +49,8 @@
         Remaining time of the server's slow start, when this host was informed.
     heartbeats_missing : bool
         Whether the heartbeats of the server have stopped.
+    start_ms : int
+        Start of the server's incarnation.
     latency_factor : float
         Response time of the server relative to the typical one if the samples of all
         hosts show it as slow; otherwise 1.
@@ -59,6 +64,7 @@
     slow_start_ms: int
     heartbeats_missing: bool
     latency_factor: float = 1.0
+    start_ms: int = 0
 
 
 class Server:
@@ -66,21 +72,34 @@
 
     Attributes
     ----------
-    limit : ServerLimit or None
-        Set while its answers name the requests a second that it takes.
+    signals : ServerSignals
+        What the server has said of itself.
     """
 
     def __init__(
-        self, info: ServerInfo, in_other_zone: bool, connection_limit: int
+        self,
+        info: ServerInfo,
+        in_other_zone: bool,
+        connection_limit: int,
+        signals: ServerSignals,
     ) -> None:
         self.info = info
         self.state = ReplicaState(slots=max(1, info.slots), remote=in_other_zone)
         self.connections = ConnectionPool(info.address, connection_limit)
-        self.limit: ServerLimit | None = None
+        self.signals = signals
 
-    def has_room(self, now: float, requests: int = 1) -> bool:
-        """Return whether its limit lets this host send a number of requests now."""
-        return self.limit is None or self.limit.available(now) >= requests
+    def set_leaving(self) -> None:
+        """Send no more requests, not even those that wait for a connection."""
+        self.signals.leaving = True
+        self.connections.fail_waiting()
+
+    def pause_until(self, at: float) -> bool:
+        """Send no requests before the time `at`; return whether that is later."""
+        if at <= self.signals.not_before:
+            return False
+        self.signals.not_before = at
+        self.connections.fail_waiting()
+        return True
 
 
 class ServicePool:
@@ -118,21 +137,25 @@
             server.info.availability_zone
             for server in self.servers.values()
             if not server.info.heartbeats_missing
+            and server.signals.wants_requests(now)
             and server.info.latency_factor <= 1.0
             and now >= server.state.unreachable_until
         }
 
     def has_reachable_server(self, now: float) -> bool:
-        """Return whether some server is not known to refuse connections."""
-        return any(now >= s.state.unreachable_until for s in self.servers.values())
+        """Return whether some server may accept connections, and wants requests."""
+        return any(
+            now >= s.state.unreachable_until and s.signals.wants_requests(now)
+            for s in self.servers.values()
+        )
 
     def room_at(self, now: float) -> float:
-        """Return when some server's limit lets this host send the next request."""
+        """Return when this host may send some server the next request."""
         earliest = math.inf
         for server in self.servers.values():
-            if server.limit is None:
+            if server.signals.silent:
                 return now
-            earliest = min(earliest, server.limit.room_at(now))
+            earliest = min(earliest, server.signals.room_at(now))
         return earliest if self.servers else now
 
 
@@ -178,6 +201,7 @@
         self._unreported_requests = 0
         self._retry_share = 0.0
         self._gatherer_count = 0
+        self._departed_signals: dict[str, ServerSignals] = {}
         self.hosts = 0
         self.fleet_requests = 0
         self.fleet_demand: Mapping[str, int] = {}
@@ -267,33 +291,37 @@
             server
             for pool in self._pools.values()
             for server in pool.servers.values()
-            if server.limit is not None
+            if server.signals.limit is not None
         ]
 
     def set_limit(self, server: Server, limit_per_s: float | None) -> bool:
         """Set or end the limit that a server names; return whether it has changed."""
-        limit = server.limit
+        limit = server.signals.limit
         if limit_per_s is None:
-            server.limit = None
+            server.signals.limit = None
             return limit is not None
         if limit is not None and limit.limit_per_s == limit_per_s:
             return False
         now = asyncio.get_running_loop().time()
         if limit is None:
-            limit = server.limit = ServerLimit(limit_per_s, self._random.random(), now)
+            limit = ServerLimit(limit_per_s, self._random.random(), now)
+            server.signals.limit = limit
         limit.limit_per_s = limit_per_s
-        self._share_limit(server, now)
+        self._share_limit(server, limit, now)
         return True
 
     def share_limits(self, now: float) -> None:
         """Divide the limits of servers anew; to be called several times a second."""
         for server in self.limited_servers():
-            self._share_limit(server, now)
+            if server.signals.limit is not None:
+                self._share_limit(server, server.signals.limit, now)
 
     def pop_demand(self) -> dict[str, int]:
         """Return the demand for limited servers since the previous call, by id."""
         demand = {
-            s.info.id: s.limit.pop_demand() for s in self.limited_servers() if s.limit
+            server.info.id: server.signals.limit.pop_demand()
+            for server in self.limited_servers()
+            if server.signals.limit is not None
         }
         return {server: count for server, count in demand.items() if count}
 
@@ -313,7 +341,9 @@
         self, pool: ServicePool, wanted: dict[str, ServerInfo], now: float
     ) -> None:
         for identifier in pool.servers.keys() - wanted.keys():
-            pool.servers.pop(identifier).connections.close()
+            removed = pool.servers.pop(identifier)
+            removed.connections.close()
+            self._keep_signals(removed)
         for identifier, info in wanted.items():
             server = pool.servers.get(identifier)
             if server is None or server.info.address != info.address:
@@ -321,17 +351,35 @@
                     server.connections.close()
                 in_other_zone = info.availability_zone != self._own_zone
                 server = Server(
-                    info, in_other_zone, self._host_connection_limit(pool.name)
+                    info,
+                    in_other_zone,
+                    self._host_connection_limit(pool.name),
+                    self._signals_of(info),
                 )
                 server.state.cold_until = now + info.slow_start_ms / _MS_PER_S
                 pool.servers[identifier] = server
+            if server.signals.start_ms != info.start_ms:
+                server.signals = self._signals_of(info)
             server.state.heartbeat_lost = info.heartbeats_missing
             server.state.shared_latency_ratio = info.latency_factor
 
-    def _share_limit(self, server: Server, now: float) -> None:
-        if server.limit is not None:
-            total = self.fleet_demand.get(server.info.id, 0)
-            server.limit.set_fleet(total, self.hosts, now)
+    def _keep_signals(self, server: Server) -> None:
+        """Keep what a removed server has said, in case it is announced again."""
+        if server.signals.silent:
+            return
+        self._departed_signals[server.info.id] = server.signals
+        if len(self._departed_signals) > _MAX_DEPARTED_SIGNALS:
+            self._departed_signals.pop(next(iter(self._departed_signals)))
+
+    def _signals_of(self, info: ServerInfo) -> ServerSignals:
+        """Return what a server has said, also before it was last removed."""
+        signals = self._departed_signals.pop(info.id, None)
+        if signals is None or signals.start_ms != info.start_ms:
+            signals = ServerSignals(info.start_ms)
+        return signals
+
+    def _share_limit(self, server: Server, limit: ServerLimit, now: float) -> None:
+        limit.set_fleet(self.fleet_demand.get(server.info.id, 0), self.hosts, now)
 
     def _host_connection_limit(self, service: str) -> int:
         total = self._connection_limits.get(service)
--- a/packages/gateway/src/kingcuplug_gateway/_service_call.py
+++ b/packages/gateway/src/kingcuplug_gateway/_service_call.py
@@ -11,8 +11,8 @@
 from kingcuplug_routing import ConcurrencyLimiter, LatencyEstimator, choose_replica
 
 from kingcuplug_gateway._header_names import HeaderNames
-from kingcuplug_gateway._server_signals import ServerSignals
 from kingcuplug_gateway._servers import Server, ServerTable, ServicePool
+from kingcuplug_gateway._signal_reader import SignalReader
 
 __all__ = ["AttemptRecord", "CallResult", "OutboundRequest", "ServiceCall"]
 
@@ -137,7 +137,7 @@
         pool: ServicePool,
         outbound: OutboundRequest,
         header_names: HeaderNames,
-        signals: ServerSignals,
+        signals: SignalReader,
         timing: LatencyEstimator,
         metrics: Metrics,
         max_attempts: int,
@@ -246,17 +246,19 @@
         else:
             self._abandon_open_attempts()
 
+    def read_signals(self, server: Server, response: Response) -> None:
+        """Read what a server says of itself in its response."""
+        if response.status != _MISDIRECTED_STATUS:
+            response_class = _classify_response(response, self._header_names)
+            is_authentic = response_class is not ResponseClass.UNSIGNED
+            self._signals.record(server, response, is_authentic)
+
     def on_response(self, attempt: "_Attempt", response: Response) -> None:
         """Process the response to an attempt."""
         self._open_attempts.remove(attempt)
         now = self._loop.time()
         state = attempt.server.state
         response_class = _classify_response(response, self._header_names)
-        if (
-            response_class is not ResponseClass.UNSIGNED
-            and response.status != _MISDIRECTED_STATUS
-        ):
-            self._signals.record(attempt.server, response)
         if response_class is ResponseClass.SUCCESS:
             self._timing.record(state.record_answer(attempt, now))
         elif response.status == _MISDIRECTED_STATUS:
@@ -325,8 +327,8 @@
             return False
         if kind != "first" and not self._spend_retry_budget(kind, now):
             return False
-        if server.limit is not None:
-            server.limit.take(now)
+        if server.signals.limit is not None:
+            server.signals.limit.take(now)
         expected_s = server.state.expected_latency_s(now, typical_s)
         record = AttemptRecord(server.info.id, kind, now, expected_s)
         self.result.attempts.append(record)
@@ -348,21 +350,25 @@
 
     def _choose_server(self, kind: str, now: float, typical_s: float) -> Server | None:
         """Return the server for the next attempt, if one has room for it."""
-        servers = self._pool.servers_except(self._tried_server_ids)
+        servers = [
+            server
+            for server in self._pool.servers_except(self._tried_server_ids)
+            if server.signals.silent or server.signals.wants_requests(now)
+        ]
         if not servers:
             return None
         server = self._best_server(servers, now, typical_s)
-        if server.limit is None:
+        if server.signals.limit is None:
             return server
         replaces_first = kind in _FIRST_KINDS
         if replaces_first:
-            server.limit.record_demand(now)
+            server.signals.limit.record_demand(now)
         # Further attempts leave room for a first one.
         requests = 1 if replaces_first else 2
-        if server.has_room(now, requests):
+        if server.signals.has_room(now, requests):
             return server
         self._metrics.count("server_limit.diverted")
-        servers = [s for s in servers if s.has_room(now, requests)]
+        servers = [s for s in servers if s.signals.has_room(now, requests)]
         return self._best_server(servers, now, typical_s) if servers else None
 
     def _best_server(
@@ -467,6 +473,8 @@
     def answered(self, response: Response) -> None:
         if self._echoed_id(response) is None and self._connection is not None:
             self._connection.close()
+        # Before the connection is released, as the next request may be waiting for it.
+        self._call.read_signals(self.server, response)
         self._release_connection()
         self._call.on_response(self, response)
 
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -644,6 +644,7 @@
                 slots=record.slots,
                 slow_start_ms=record.cold_ms,
                 heartbeats_missing=record.id in fleet_view.silent_servers,
+                start_ms=record.start_ms,
                 latency_factor=fleet_view.slow_servers.get(record.id, 1.0),
             )
             for record in fleet_view.directory.usable()
--- a/packages/routing/src/kingcuplug_routing/__init__.py
+++ b/packages/routing/src/kingcuplug_routing/__init__.py
@@ -31,6 +31,7 @@
     limit_share,
     limited_rate,
 )
+from kingcuplug_routing._server_signals import ServerSignals
 from kingcuplug_routing._slow_servers import LatencySamples, SlowServerDetector
 from kingcuplug_routing._warm_up import startup_wait_until
 
@@ -81,6 +82,7 @@
     "Router",
     "RoutingPolicy",
     "ServerLimit",
+    "ServerSignals",
     "ServerView",
     "SlidingWindowCounter",
     "SlowServerDetector",
--- /dev/null
+++ b/packages/routing/src/kingcuplug_routing/_server_signals.py
@@ -0,0 +1,57 @@
+"""What a backend server has said of itself to this host.
+
+Handles these load patterns: a server leaves while its host has no contact to control; a
+server without room asks to be left alone for some time; a server in need names the
+requests a second that it takes.
+"""
+
+import math
+from dataclasses import dataclass
+
+from kingcuplug_routing._server_limit import ServerLimit
+
+__all__ = ["ServerSignals"]
+
+
+@dataclass(slots=True)
+class ServerSignals:
+    """Signals of one incarnation of a server; its next one starts without any.
+
+    Attributes
+    ----------
+    start_ms : int
+        Start of the incarnation.
+    leaving : bool
+        Whether it has said that it leaves. It does not take that back.
+    not_before : float
+        Event loop time before which it wants no requests.
+    limit : ServerLimit or None
+        Set while its answers name the requests a second that it takes.
+    """
+
+    start_ms: int = 0
+    leaving: bool = False
+    not_before: float = 0.0
+    limit: ServerLimit | None = None
+
+    @property
+    def silent(self) -> bool:
+        """Whether the server has said nothing that holds requests back."""
+        return not self.leaving and self.limit is None and self.not_before == 0.0
+
+    def wants_requests(self, now: float) -> bool:
+        """Return whether requests may be sent as far as the limit allows them."""
+        return not self.leaving and now >= self.not_before
+
+    def has_room(self, now: float, requests: int = 1) -> bool:
+        """Return whether this host may send a number of requests now."""
+        if not self.wants_requests(now):
+            return False
+        return self.limit is None or self.limit.available(now) >= requests
+
+    def room_at(self, now: float) -> float:
+        """Return when this host may send the next request, ``inf`` if never."""
+        if self.leaving:
+            return math.inf
+        limited_until = self.limit.room_at(now) if self.limit is not None else now
+        return max(limited_until, self.not_before, now)
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -34,6 +34,7 @@
     part_signatures=b"Seals",
     missing_parts=b"Missing",
     server_limit=b"Limit",
+    server_leaving=b"Leaving",
 )
 ServerHandler = Callable[[Request], Awaitable[Response]]
 
--- a/tools/measure_gateway.py
+++ b/tools/measure_gateway.py
@@ -37,6 +37,7 @@
     part_signatures=b"Seals",
     missing_parts=b"Missing",
     server_limit=b"Limit",
+    server_leaving=b"Leaving",
 )
 
 
