Keep a shared limit while the coordinator changes

Cause: a new coordinator's total was unknown for ten seconds. Meanwhile hosts kept their shares while hosts that were just told took equal ones, so the sum exceeded 1; demand in reports that failed was lost, so totals were lower than what the hosts counted.

Change: a coordinator continues the totals that were published last. A host whose total is unknown keeps the lowest of its recent shares, after three seconds at most an equal one. Demand that could not be reported is reported later.

--- a/packages/fleet/src/kingcuplug_fleet/_demand_totals.py
+++ b/packages/fleet/src/kingcuplug_fleet/_demand_totals.py
@@ -22,13 +22,19 @@
     Parameters
     ----------
     now : float
-        Since when reports arrive. Hosts may have had demand before, so totals are
-        unknown for one window.
+        Since when reports arrive. Hosts may have had demand before, so other totals
+        than inherited ones are unknown for one window.
+    inherited : dict
+        Totals of the previous coordinator. The part of the window before `now` is
+        assumed to be like them.
     """
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, inherited: dict[str, int] | None = None) -> None:
         self._complete_at = now + DEMAND_WINDOW_S
         self._windows: dict[str, tuple[float, SlidingWindowCounter]] = {}
+        self._inherited = inherited or {}
+        for server in self._inherited:
+            self._windows[server] = (now, SlidingWindowCounter(DEMAND_WINDOW_S))
         self._published: dict[str, int] = {}
         self._published_at = -math.inf
 
@@ -47,7 +53,7 @@
             return self._published
         published = {}
         for server, (known_at, window) in list(self._windows.items()):
-            total = window.total(now)
+            total = window.total(now) + self._inherited_total(server, now)
             if total == 0:
                 del self._windows[server]
                 continue
@@ -60,3 +66,11 @@
             )
         self._published, self._published_at = published, now
         return published
+
+    def _inherited_total(self, server: str, now: float) -> int:
+        """Return the demand in the part of the window before the first report."""
+        remaining_s = self._complete_at - now
+        if remaining_s <= 0:
+            return 0
+        inherited = self._inherited.get(server, 0)
+        return math.ceil(inherited * remaining_s / DEMAND_WINDOW_S)
--- a/packages/fleet/src/kingcuplug_fleet/_fleet_view.py
+++ b/packages/fleet/src/kingcuplug_fleet/_fleet_view.py
@@ -7,7 +7,7 @@
 
 import orjson
 from kingcuplug_common import Condition, random_identifier
-from kingcuplug_routing import SlidingWindowCounter, SlowServerDetector
+from kingcuplug_routing import DEMAND_WINDOW_S, SlidingWindowCounter, SlowServerDetector
 
 from kingcuplug_fleet._demand_totals import DemandTotals
 from kingcuplug_fleet._directory import Directory
@@ -85,6 +85,7 @@
         self.reachable_control_hosts: tuple[str, ...] = ()
         self.request_count = 0
         self.demand: dict[str, int] = {}
+        self._known_demand: tuple[float, dict[str, int]] = (self._started_at, {})
         self._demand_totals = DemandTotals(self._started_at)
         self._request_window = SlidingWindowCounter(_REQUESTS_WINDOW_S)
         self._request_window_started_at = self._started_at
@@ -202,6 +203,8 @@
 
     def set_demand(self, demand: dict[str, int]) -> None:
         """Set the requests of all hosts for servers that have named a limit."""
+        if demand:
+            self._known_demand = (self._loop.time(), demand)
         if demand != self.demand:
             self.demand = demand
             self.changed.notify()
@@ -215,8 +218,15 @@
         self.set_demand(self._demand_totals.totals(self._loop.time()))
 
     def restart_totals(self) -> None:
-        """Restart the windows of reports; totals are unknown until they have passed."""
-        self._demand_totals = DemandTotals(self._loop.time())
+        """Restart the windows of reports; the number of requests is unknown for one.
+
+        The demand for limited servers continues from the totals of the last coordinator
+        unless these are too old.
+        """
+        now = self._loop.time()
+        known_at, demand = self._known_demand
+        inherited = demand if now < known_at + DEMAND_WINDOW_S else {}
+        self._demand_totals = DemandTotals(now, inherited)
         self.set_demand({})
         self._request_window = SlidingWindowCounter(_REQUESTS_WINDOW_S)
         self._request_window_started_at = self._loop.time()
--- a/packages/fleet/src/kingcuplug_fleet/_mesh.py
+++ b/packages/fleet/src/kingcuplug_fleet/_mesh.py
@@ -15,7 +15,6 @@
 """
 
 import asyncio
-import contextlib
 from collections.abc import Callable
 from typing import Any
 
@@ -266,10 +265,13 @@
         if coordinator == self._own_address or self._report == Report():
             return
         report, self._report = self._report, Report()
-        with contextlib.suppress(PeerFailed):
+        try:
             await self._client.call(
                 coordinator, REPORT_PATH, report.to_json(), _REPORT_TIMEOUT_S
             )
+        except PeerFailed:
+            # Samples are soon out of date; a total without this demand is too low.
+            self._report.add(Report(demand=report.demand))
 
     def _update_liveness(self, now: float) -> None:
         """Expire old entries; as coordinator, detect slow and silent servers."""
--- a/packages/fleet/src/kingcuplug_fleet/_polling.py
+++ b/packages/fleet/src/kingcuplug_fleet/_polling.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import contextlib
 import math
 import random as random_module
 from collections.abc import Callable
@@ -207,14 +206,20 @@
                 delay_s if self._view.routes_version else _RETRY_DELAY_S
             )
 
-    async def report(self, report: Report) -> None:
-        """Send a report to the control host, without a retry if it is lost."""
+    async def report(self, report: Report) -> bool:
+        """Send a report to the control host; return whether it was received."""
         address = self.control_host or self._last_responder
-        if address is not None and report != Report():
-            with contextlib.suppress(PeerFailed):
-                await self._client.call(
-                    address, REPORT_PATH, report.to_json(), _REPORT_TIMEOUT_S
-                )
+        if report == Report():
+            return True
+        if address is None:
+            return False
+        try:
+            await self._client.call(
+                address, REPORT_PATH, report.to_json(), _REPORT_TIMEOUT_S
+            )
+        except PeerFailed:
+            return False
+        return True
 
     def suggest_control_hosts(self, addresses: list[str]) -> None:
         """Add control hosts that another host knows, in case the seeds know none."""
--- a/packages/gateway/src/kingcuplug_gateway/_servers.py
+++ b/packages/gateway/src/kingcuplug_gateway/_servers.py
@@ -325,6 +325,12 @@
         }
         return {server: count for server, count in demand.items() if count}
 
+    def restore_demand(self, demand: Mapping[str, int]) -> None:
+        """Return demand that could not be reported, to be reported later."""
+        for server in self.limited_servers():
+            if server.signals.limit is not None:
+                server.signals.limit.restore_demand(demand.get(server.info.id, 0))
+
     def prune(self, now: float) -> None:
         """Close connections that have been idle for too long."""
         for pool in self._pools.values():
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -679,8 +679,8 @@
             )
             if self._is_connected_control_host():
                 self._mesh.receive_report(report)
-            else:
-                await self._poller.report(report)
+            elif not await self._poller.report(report):
+                servers.restore_demand(report.demand)
 
     async def _prune_servers(self) -> None:
         loop = asyncio.get_running_loop()
--- a/packages/routing/src/kingcuplug_routing/_server_limit.py
+++ b/packages/routing/src/kingcuplug_routing/_server_limit.py
@@ -35,6 +35,8 @@
 # hosts. The lowest share of this time is used: in a burst, the own count rises first.
 _TOTAL_DELAY_S = 2.0
 _SHARE_INTERVAL_S = 0.1
+# Covers the election of a new leader, which continues the totals of the last one.
+_UNKNOWN_TOTAL_S = 3.0
 # Assumed until a control host reports the number of hosts.
 _ASSUMED_HOSTS = 100
 
@@ -102,6 +104,7 @@
         self._shares: deque[tuple[float, float]] = deque()
         self._demand = SlidingWindowCounter(DEMAND_WINDOW_S)
         self._unreported_demand = 0
+        self._total_known_at = -math.inf
 
     def record_demand(self, now: float) -> None:
         """Count a request that this host would send to the server without the limit."""
@@ -113,12 +116,16 @@
         demand, self._unreported_demand = self._unreported_demand, 0
         return demand
 
+    def restore_demand(self, demand: int) -> None:
+        """Add demand that could not be reported to the next `pop_demand`."""
+        self._unreported_demand += demand
+
     def set_fleet(self, total_demand: int, hosts: int, now: float) -> None:
         """Set the demand of all hosts, 0 if unknown, and the number of hosts.
 
-        While the demand is unknown, the last shares of the hosts that have demand still
-        add up to 1.
-        Call it several times a second.
+        While the demand is unknown, the last share is used for a short time only: hosts
+        that are told of the limit meanwhile take equal shares. Call it several times a
+        second.
         """
         self._advance(now)
         shares = self._shares
@@ -126,10 +133,14 @@
         if shares and now < shares[-1][0] + _SHARE_INTERVAL_S:
             return
         own = self._demand.total(now)
-        if total_demand > 0 or own == 0 or not shares:
-            shares.append((now, limit_share(own, total_demand, hosts)))
-        else:
-            shares.append((now, shares[-1][1]))
+        share = limit_share(own, total_demand, hosts)
+        if total_demand > 0:
+            self._total_known_at = now
+        elif own > 0 and shares:
+            used = min(share for _, share in shares)
+            is_short = now < self._total_known_at + _UNKNOWN_TOTAL_S
+            share = used if is_short else min(share, used)
+        shares.append((now, share))
         while shares[0][0] < now - _TOTAL_DELAY_S:
             shares.popleft()
         share = min(share for _, share in shares)
--- a/tests/fleet/test_demand_totals.py
+++ b/tests/fleet/test_demand_totals.py
@@ -51,3 +51,13 @@
     assert Report.from_json([{}, 3]).demand == {}
     report.add(Report(demand={"s": 2, "t": 1}))
     assert report.demand == {"s": 6, "t": 1}
+
+
+def test_new_coordinator_continues_the_totals_of_the_last_one():
+    # Guards against totals that begin with nothing while hosts count all their demand.
+    totals = DemandTotals(100.0, {"s": 200})
+    assert 200 <= totals.totals(100.0)["s"] <= 225
+    for step in range(1, 120):
+        now = 100.0 + step * 0.1
+        totals.record({"s": 2}, now)
+        assert 190 <= totals.totals(now)["s"] <= 260
