Let the soak's servers leave, pause and limit in their answers

The soak checks each refusal against the executions that the servers recorded, so it now also covers the refusals that follow from these signals. It does not check the three rules, because its servers can't tell which host sends.

--- a/packages/soak/src/kingcuplug_soak/_fake_servers.py
+++ b/packages/soak/src/kingcuplug_soak/_fake_servers.py
@@ -66,7 +66,8 @@
     Attributes
     ----------
     fault : str
-        ``full`` rejects requests as not run, ``errors`` fails half of them, ``lost``
+        ``full`` rejects requests as not run, ``paused`` also asks for none for some
+        time, ``limited`` names a limit, ``errors`` fails half of the requests, ``lost``
         aborts connections after execution, ``copies`` sends earlier answers again on
         any connection, ``endless`` sends a header without end; empty if there is none.
     """
@@ -167,7 +168,15 @@
         ):
             self._pool.requests_after_drain.append(f"{attempt_id} at {self.name}")
         random = self._pool.random
-        if self.fault == "full":
+        if self._state is ServerState.DRAINING:
+            echoed_headers.append((header_names.server_leaving, b"1"))
+        if self.fault == "limited":
+            limit = f"{random.choice((0.0, 0.5, 4.0)):.1f}".encode()
+            echoed_headers.append((header_names.server_limit, limit))
+        if self.fault in ("full", "paused"):
+            if self.fault == "paused":
+                pause = f"{random.uniform(0.1, 2.0):.2f}".encode()
+                echoed_headers.append((b"Retry-After", pause))
             return Response(503, [*echoed_headers, (header_names.not_run, b"1")], b"")
         succeeded = self.fault != "errors" or random.random() < 0.5
         records = [random.randbytes(16) for _ in range(3)]
--- a/packages/soak/src/kingcuplug_soak/_fault_injection.py
+++ b/packages/soak/src/kingcuplug_soak/_fault_injection.py
@@ -216,7 +216,7 @@
             self._random.choice(orders) if self._flip_coin() else self._pick_server()
         )
         server.fault = self._random.choice(
-            ("full", "errors", "lost", "copies", "endless")
+            ("full", "paused", "limited", "errors", "lost", "copies", "endless")
         )
         server.delay_s = self._random.choice((0.0, 0.0, 0.2))
         await asyncio.sleep(self._random.uniform(0.5, 3.0))
