Keep an index of limited servers, and signals of servers just removed

Cause: the limited servers were found by a pass over all servers, up to four times every 0.3 s; a host of the design size knows 57,000. And a signal in an answer that arrived after the directory had dropped the server was lost, so the server got requests again once it was listed again.

Change: the table keeps the limited servers by id, and takes notice of each change of a signal, also of a removed server.

Evidence: test_signal_of_a_server_that_was_just_removed_is_kept failed before (the signals of the server that was listed again were empty).

--- a/packages/gateway/src/kingcuplug_gateway/_servers.py
+++ b/packages/gateway/src/kingcuplug_gateway/_servers.py
@@ -202,6 +202,8 @@
         self._retry_share = 0.0
         self._gatherer_count = 0
         self._departed_signals: dict[str, ServerSignals] = {}
+        # A host may know tens of thousands of servers, of which few are limited.
+        self._limited_servers: dict[str, Server] = {}
         self.hosts = 0
         self.fleet_requests = 0
         self.fleet_demand: Mapping[str, int] = {}
@@ -287,18 +289,14 @@
 
     def limited_servers(self) -> list[Server]:
         """Return the servers that have named a limit in their last answer."""
-        return [
-            server
-            for pool in self._pools.values()
-            for server in pool.servers.values()
-            if server.signals.limit is not None
-        ]
+        return list(self._limited_servers.values())
 
     def set_limit(self, server: Server, limit_per_s: float | None) -> bool:
         """Set or end the limit that a server names; return whether it has changed."""
         limit = server.signals.limit
         if limit_per_s is None:
             server.signals.limit = None
+            self.index_signals(server)
             return limit is not None
         if limit is not None and limit.limit_per_s == limit_per_s:
             return False
@@ -308,8 +306,19 @@
             server.signals.limit = limit
         limit.limit_per_s = limit_per_s
         self._share_limit(server, limit, now)
+        self.index_signals(server)
         return True
 
+    def index_signals(self, server: Server) -> None:
+        """Take notice that the signals of a server, or of a removed one, changed."""
+        current = self.pool(server.info.service).servers.get(server.info.id)
+        if current is None:
+            self._keep_signals(server)
+        elif current is server and server.signals.limit is not None:
+            self._limited_servers[server.info.id] = server
+        elif current is server:
+            self._limited_servers.pop(server.info.id, None)
+
     def share_limits(self, now: float) -> None:
         """Divide the limits of servers anew; to be called several times a second."""
         for server in self.limited_servers():
@@ -348,6 +357,7 @@
     ) -> None:
         for identifier in pool.servers.keys() - wanted.keys():
             removed = pool.servers.pop(identifier)
+            self._limited_servers.pop(identifier, None)
             removed.connections.close()
             self._keep_signals(removed)
         for identifier, info in wanted.items():
@@ -366,6 +376,8 @@
                 pool.servers[identifier] = server
             if server.signals.start_ms != info.start_ms:
                 server.signals = self._signals_of(info)
+            if identifier in self._limited_servers or not server.signals.silent:
+                self.index_signals(server)
             server.state.heartbeat_lost = info.heartbeats_missing
             server.state.shared_latency_ratio = info.latency_factor
 
--- a/tests/gateway/test_server_signals.py
+++ b/tests/gateway/test_server_signals.py
@@ -327,3 +327,34 @@
             assert (len(harness.received[slow]) >= 4) == asked
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("header", ["leaving", "limit"])
+def test_signal_of_a_server_that_was_just_removed_is_kept(open_gateway, header):
+    # Guards against a signal that is lost because its answer arrives while the
+    # directory does not list the server.
+    async def respond(request: Request) -> Response:
+        await asyncio.sleep(0.1)
+        return signed_response(b"ok", **{header: "1"})
+
+    async def main() -> None:
+        async with open_gateway() as harness:
+            harness.set_routes(make_route())
+            server_id = await harness.add_server("stock", respond)
+            sent = asyncio.ensure_future(harness.send())
+            await asyncio.sleep(0.05)
+            harness.gateway.update_fleet([], hosts=1)
+            assert (await sent).status == 200
+            assert harness.gateway.servers.limited_servers() == []
+            harness.gateway.update_fleet(harness.server_infos, hosts=1)
+            servers = harness.gateway.servers
+            signals = servers.pool("stock").servers[server_id].signals
+            assert signals.leaving == (header == "leaving")
+            assert (signals.limit is not None) == (header == "limit")
+            assert len(servers.limited_servers()) == (header == "limit")
+            restarted = dataclasses.replace(harness.server_infos[0], start_ms=9)
+            harness.gateway.update_fleet([restarted], hosts=1)
+            assert servers.pool("stock").servers[server_id].signals.silent
+            assert servers.limited_servers() == []
+
+    asyncio.run(main())
