--- a/packages/gateway/src/kingcuplug_gateway/_service_call.py
+++ b/packages/gateway/src/kingcuplug_gateway/_service_call.py
@@ -106,6 +106,9 @@
         All attempts, in the order in which they were sent.
     denied_attempts : list of str
         Kinds of the further attempts that the retry budget did not allow.
+    withheld_attempts : list of tuple
+        Kind and reason of the attempts that were not sent because of what servers have
+        said: ``unwilling``, ``limited``, or ``too_slow`` for servers with room.
     """
 
     response: Response | None = None
@@ -113,6 +116,7 @@
     may_have_run: bool = False
     attempts: list[AttemptRecord] = field(default_factory=list)
     denied_attempts: list[str] = field(default_factory=list)
+    withheld_attempts: list[tuple[str, str]] = field(default_factory=list)
 
 
 class ServiceCall:
@@ -213,6 +217,8 @@
             entries.append(
                 {"service": self.service, "why": kind, "outcome": "no_allowance"}
             )
+        for kind, reason in self.result.withheld_attempts:
+            entries.append({"service": self.service, "why": kind, "outcome": reason})
         return entries
 
     def start(self) -> None:
@@ -355,12 +361,15 @@
 
     def _choose_server(self, kind: str, now: float, typical_s: float) -> Server | None:
         """Return the server for the next attempt, if one has room for it."""
+        untried = self._pool.servers_except(self._tried_server_ids)
         servers = [
             server
-            for server in self._pool.servers_except(self._tried_server_ids)
+            for server in untried
             if server.signals.silent or server.signals.wants_requests(now)
         ]
         if not servers:
+            if untried:
+                self._record_withheld(kind, "unwilling")
             return None
         server = self._best_server(servers, now, typical_s)
         if server.signals.limit is None:
@@ -375,14 +384,19 @@
         self._metrics.count("server_limit.diverted")
         servers = [s for s in servers if s.signals.has_room(now, requests)]
         if not servers:
+            self._record_withheld(kind, "limited")
             return None
         server = self._best_server(servers, now, typical_s)
         expected_at = now + server.state.expected_latency_s(now, typical_s)
         if self._may_skip is not None and self._may_skip(expected_at):
-            self._metrics.count("server_limit.skipped")
+            self._record_withheld(kind, "too_slow")
             return None
         return server
 
+    def _record_withheld(self, kind: str, reason: str) -> None:
+        self._metrics.count(f"attempts_withheld.{reason}")
+        self.result.withheld_attempts.append((kind, reason))
+
     def _best_server(
         self, servers: list[Server], now: float, typical_s: float
     ) -> Server:
--- a/tests/gateway/test_server_signals.py
+++ b/tests/gateway/test_server_signals.py
@@ -324,6 +324,8 @@
             assert {response.status for response in responses} == {200}
             missing = [dict(r.headers)[b"Missing"] for r in responses]
             assert (missing.count(b"1") >= 4) != asked
+            metrics = harness.gateway._metrics.counts
+            assert (metrics["attempts_withheld.too_slow"] >= 4) != asked
             assert (len(harness.received[slow]) >= 4) == asked
 
     asyncio.run(main())
