Apply the demand for limited servers without replacing the list of servers

Cause: each publication of totals, up to two a second, made every host apply the whole list of usable servers again; at 57,000 servers that costs 45 ms of CPU each time (docs/CAPACITY.md), for a change that concerns a few servers.

Change: hosts read the totals when they divide the limits, before each report. `ServerSignals.silent` is renamed `is_empty`, because silent servers are those without heartbeats.

--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -153,7 +153,6 @@
         hosts: int,
         fleet_requests: int = 0,
         gatherers: Mapping[str, Sequence[str]] = MappingProxyType({}),
-        demand: Mapping[str, int] = MappingProxyType({}),
     ) -> None:
         """Update the state of the fleet.
 
@@ -166,16 +165,12 @@
             unknown.
         gatherers : mapping
             Addresses of the hosts that gather parts of queries, by availability zone.
-        demand : mapping
-            Requests of all hosts for servers that have named a limit, by server id;
-            without an entry unknown.
         """
         if gatherers != self._gatherer_directory.addresses_by_zone:
             self._gatherer_directory.addresses_by_zone = gatherers
             self._update_connection_limits()
         self.servers.replace_servers(servers)
         self.servers.fleet_requests = fleet_requests
-        self.servers.fleet_demand = demand
         if hosts != self._host_count:
             self._host_count = hosts
             self._update_connection_limits()
--- a/packages/gateway/src/kingcuplug_gateway/_servers.py
+++ b/packages/gateway/src/kingcuplug_gateway/_servers.py
@@ -153,7 +153,7 @@
         """Return when this host may send some server the next request."""
         earliest = math.inf
         for server in self.servers.values():
-            if server.signals.silent:
+            if server.signals.is_empty:
                 return now
             earliest = min(earliest, server.signals.room_at(now))
         return earliest if self.servers else now
@@ -178,8 +178,6 @@
         Number of live hosts; 0 if unknown.
     fleet_requests : int
         Requests of all hosts in the last window; 0 if unknown.
-    fleet_demand : mapping
-        Requests of all hosts for servers that have named a limit, by server id.
     """
 
     def __init__(
@@ -206,7 +204,7 @@
         self._limited_servers: dict[str, Server] = {}
         self.hosts = 0
         self.fleet_requests = 0
-        self.fleet_demand: Mapping[str, int] = {}
+        self._fleet_demand: Mapping[str, int] = {}
 
     def count_request(self, now: float) -> None:
         """Count a caller's request."""
@@ -319,8 +317,15 @@
         elif current is server:
             self._limited_servers.pop(server.info.id, None)
 
-    def share_limits(self, now: float) -> None:
-        """Divide the limits of servers anew; to be called several times a second."""
+    def share_limits(self, fleet_demand: Mapping[str, int], now: float) -> None:
+        """Divide the limits of servers anew; to be called several times a second.
+
+        Parameters
+        ----------
+        fleet_demand : mapping
+            Requests of all hosts for these servers, by id; without an entry unknown.
+        """
+        self._fleet_demand = fleet_demand
         for server in self.limited_servers():
             if server.signals.limit is not None:
                 self._share_limit(server, server.signals.limit, now)
@@ -376,14 +381,14 @@
                 pool.servers[identifier] = server
             if server.signals.start_ms != info.start_ms:
                 server.signals = self._signals_of(info)
-            if identifier in self._limited_servers or not server.signals.silent:
+            if identifier in self._limited_servers or not server.signals.is_empty:
                 self.index_signals(server)
             server.state.heartbeat_lost = info.heartbeats_missing
             server.state.shared_latency_ratio = info.latency_factor
 
     def _keep_signals(self, server: Server) -> None:
         """Keep what a removed server has said, in case it is announced again."""
-        if server.signals.silent:
+        if server.signals.is_empty:
             return
         self._departed_signals[server.info.id] = server.signals
         if len(self._departed_signals) > _MAX_DEPARTED_SIGNALS:
@@ -397,7 +402,7 @@
         return signals
 
     def _share_limit(self, server: Server, limit: ServerLimit, now: float) -> None:
-        limit.set_fleet(self.fleet_demand.get(server.info.id, 0), self.hosts, now)
+        limit.set_fleet(self._fleet_demand.get(server.info.id, 0), self.hosts, now)
 
     def _host_connection_limit(self, service: str) -> int:
         total = self._connection_limits.get(service)
--- a/packages/gateway/src/kingcuplug_gateway/_service_call.py
+++ b/packages/gateway/src/kingcuplug_gateway/_service_call.py
@@ -365,7 +365,7 @@
         servers = [
             server
             for server in untried
-            if server.signals.silent or server.signals.wants_requests(now)
+            if server.signals.is_empty or server.signals.wants_requests(now)
         ]
         if not servers:
             if untried:
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -599,7 +599,6 @@
                 fleet_view.host_count,
                 fleet_view.request_count,
                 fleet_view.reachable_control_hosts,
-                frozenset(fleet_view.demand.items()),
             )
 
         while True:
@@ -655,11 +654,7 @@
             zone = fleet_view.zones.get(address, "")
             gatherers.setdefault(zone, []).append(address)
         self._gateway.update_fleet(
-            servers,
-            fleet_view.host_count,
-            fleet_view.request_count,
-            gatherers,
-            fleet_view.demand,
+            servers, fleet_view.host_count, fleet_view.request_count, gatherers
         )
 
     async def _update_control_hosts(self, replica: "ControlReplica") -> None:
@@ -673,7 +668,7 @@
         loop, servers = asyncio.get_running_loop(), self._gateway.servers
         while True:
             await asyncio.sleep(_REPORT_INTERVAL_S)
-            servers.share_limits(loop.time())
+            servers.share_limits(self._fleet_view.demand, loop.time())
             report = Report(
                 servers.pop_samples(), servers.pop_request_count(), servers.pop_demand()
             )
--- a/packages/routing/src/kingcuplug_routing/_server_signals.py
+++ b/packages/routing/src/kingcuplug_routing/_server_signals.py
@@ -35,7 +35,7 @@
     limit: ServerLimit | None = None
 
     @property
-    def silent(self) -> bool:
+    def is_empty(self) -> bool:
         """Whether the server has said nothing that holds requests back."""
         return not self.leaving and self.limit is None and self.not_before == 0.0
 
--- a/tests/gateway/test_server_signals.py
+++ b/tests/gateway/test_server_signals.py
@@ -356,7 +356,7 @@
             assert len(servers.limited_servers()) == (header == "limit")
             restarted = dataclasses.replace(harness.server_infos[0], start_ms=9)
             harness.gateway.update_fleet([restarted], hosts=1)
-            assert servers.pool("stock").servers[server_id].signals.silent
+            assert servers.pool("stock").servers[server_id].signals.is_empty
             assert servers.limited_servers() == []
 
     asyncio.run(main())
