--- a/tests/fleet/test_mesh.py
+++ b/tests/fleet/test_mesh.py
@@ -12,6 +12,7 @@
     REPORT_PATH,
     FleetView,
     Mesh,
+    PeerFailed,
     Report,
     ServerState,
     answer_poll,
@@ -396,3 +397,57 @@
         assert unexpected == []
 
     run_virtual(run())
+
+
+def test_demand_for_limited_servers_is_added_up_also_by_a_new_leader():
+    """Guards against hosts whose shares of a limit add up to more than 1.
+
+    A new leader that begins with nothing publishes totals that are too low.
+    """
+
+    async def run() -> None:
+        cluster = Cluster()
+        with cluster.running():
+            await asyncio.sleep(11.0)
+            for step in range(120):
+                for name in cluster.names:
+                    cluster.meshes[name].receive_report(Report(demand={"s": 2}))
+                await asyncio.sleep(0.1)
+                if step == 100:
+                    cluster.leader = "c"
+                if step == 60:
+                    totals = [
+                        view.demand.get("s", 0) for view in cluster.views.values()
+                    ]
+                    assert min(totals) > 300
+            await asyncio.sleep(0.5)
+            totals = [view.demand.get("s", 0) for view in cluster.views.values()]
+            assert min(totals) > 500
+            assert max(totals) < 900
+
+    run_virtual(run())
+
+
+def test_demand_of_a_report_that_failed_is_reported_again():
+    """Guards against totals that lack what the hosts count."""
+
+    async def run() -> None:
+        cluster = Cluster()
+        received = []
+
+        async def refuse(path, value):
+            if path == REPORT_PATH and not received:
+                received.append(value)
+                raise PeerFailed("refused", "try again")
+            return await handler(path, value)
+
+        handler = cluster.client.handlers["a"]
+        cluster.client.handlers["a"] = refuse
+        with cluster.running():
+            await asyncio.sleep(11.0)
+            cluster.meshes["b"].receive_report(Report(demand={"s": 50}))
+            await asyncio.sleep(3.0)
+            assert received
+            assert 50 <= cluster.views["a"].demand["s"] <= 60
+
+    run_virtual(run())
--- a/tests/fleet/test_polling.py
+++ b/tests/fleet/test_polling.py
@@ -267,3 +267,25 @@
         task.cancel()
 
     run_virtual(run())
+
+
+def test_demand_for_limited_servers_reaches_a_host_and_is_unknown_without_control():
+    """Guards against shares of a limit by totals that are long out of date."""
+
+    async def run() -> None:
+        client, own, remote = FakePeerClient(), FleetView(5.0), FleetView(5.0)
+        remote.set_control_hosts(["a"])
+        client.handlers["a"] = _poll_handler(remote)
+        task = asyncio.ensure_future(_make_poller(own, client, ("a",)).run())
+        await asyncio.sleep(0.5)
+        remote.set_demand({"s": 40})
+        await _wait_until(lambda: own.demand == {"s": 40}, 1.0)
+        remote.set_demand({})
+        await _wait_until(lambda: own.demand == {}, 1.0)
+        remote.set_demand({"s": 50})
+        await _wait_until(lambda: own.demand == {"s": 50}, 1.0)
+        client.frozen.add("a")
+        await _wait_until(lambda: own.demand == {}, 6.0)
+        task.cancel()
+
+    run_virtual(run())
