Count the voters of a group, and its quorum, in one place

Change: `LogStatus.voter_count`; `kingcuplug_log` exports `quorum_size`; one status serves a round. Nothing is awaited between the places where it was asked for and its use, so behaviour stays.

Evidence: tests/fleet and tests/log pass unchanged.

--- a/packages/fleet/src/kingcuplug_fleet/_control_replica.py
+++ b/packages/fleet/src/kingcuplug_fleet/_control_replica.py
@@ -280,9 +280,8 @@
 
     def _is_formed(self, status: LogStatus) -> bool:
         """Return whether the group has enough voters to acknowledge changes."""
-        voters = sum(m.role is MemberRole.VOTER for m in status.members)
         waited_s = self._clock() - self._started_at
-        return is_formed(voters, len(self._settings.seeds), waited_s)
+        return is_formed(status.voter_count, len(self._settings.seeds), waited_s)
 
     async def _run_replica(self) -> None:
         settings = self._settings
@@ -323,10 +322,10 @@
 
     async def _maintain_membership(self, replica: Replica, member: Member) -> None:
         """Ask to join while this host is no voter; change members while it leads."""
-        while not replica.status().storage_failed:
+        while not (status := replica.status()).storage_failed:
             if replica.leading:
-                self._log_silent_voters(replica.status())
-                await self._change_members(replica)
+                self._log_silent_voters(status)
+                await self._change_members(replica, status)
                 await asyncio.sleep(_MEMBERSHIP_INTERVAL_S)
                 continue
             self._silent_voters = ()
@@ -392,7 +391,7 @@
         self._join_requests[member.id] = (request, self._clock())
         return {}
 
-    async def _change_members(self, replica: Replica) -> None:
+    async def _change_members(self, replica: Replica, status: LogStatus) -> None:
         now = self._clock()
         self._join_requests = {
             i: entry
@@ -400,7 +399,7 @@
             if now - entry[1] < _JOIN_REQUEST_TTL_S
         }
         requests = {i: request for i, (request, _) in self._join_requests.items()}
-        change = next_membership_change(replica.status(), requests)
+        change = next_membership_change(status, requests)
         if change is None:
             return
         added = change if isinstance(change, Member) else None
--- a/packages/fleet/src/kingcuplug_fleet/_group_health.py
+++ b/packages/fleet/src/kingcuplug_fleet/_group_health.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from kingcuplug_log import LogStatus, MemberRole
+from kingcuplug_log import LogStatus, MemberRole, quorum_size
 
 __all__ = ["GroupHealth", "group_health"]
 
@@ -30,12 +30,12 @@
 
 def group_health(status: LogStatus) -> GroupHealth:
     """Return the health of the group, from the status of its leader's replica."""
-    voters = sum(member.role is MemberRole.VOTER for member in status.members)
+    voters = status.voter_count
     silent = tuple(
         peer.member.id
         for peer in status.peers
         if peer.member.role is MemberRole.VOTER
         and (peer.answered_ms_ago is None or peer.answered_ms_ago > _SILENT_AFTER_MS)
     )
-    quorum = voters // 2 + 1
-    return GroupHealth(voters, silent, voters - len(silent) - quorum)
+    losses_borne = voters - len(silent) - quorum_size(voters)
+    return GroupHealth(voters, silent, losses_borne)
--- a/packages/fleet/src/kingcuplug_fleet/_membership.py
+++ b/packages/fleet/src/kingcuplug_fleet/_membership.py
@@ -77,7 +77,7 @@
 
 def _unresponsive_member(status: LogStatus) -> str | None:
     """Return the id of a member that has not responded for too long."""
-    voters = sum(member.role is MemberRole.VOTER for member in status.members)
+    voters = status.voter_count
     for peer in status.peers:
         if peer.member.role is not MemberRole.VOTER:
             limit_ms = _LEARNER_TIMEOUT_MS
--- a/packages/log/src/kingcuplug_log/__init__.py
+++ b/packages/log/src/kingcuplug_log/__init__.py
@@ -10,6 +10,7 @@
     WrongIdentity,
 )
 from kingcuplug_log._file_system import DiskFileSystem, FileSystem
+from kingcuplug_log._group_membership import quorum_size
 from kingcuplug_log._replica import Replica
 from kingcuplug_log._storage import Storage
 from kingcuplug_log._types import (
@@ -47,4 +48,5 @@
     "Transport",
     "WrongIdentity",
     "member_id",
+    "quorum_size",
 ]
--- a/packages/log/src/kingcuplug_log/_types.py
+++ b/packages/log/src/kingcuplug_log/_types.py
@@ -233,3 +233,8 @@
     lease_valid: bool
     storage_failed: bool
     safe_to_lose_one: bool
+
+    @property
+    def voter_count(self) -> int:
+        """Number of voters among the members."""
+        return sum(member.role is MemberRole.VOTER for member in self.members)
