Build the status of a leader's replica in one place of the tests

tests/fleet: two files built the same `LogStatus`, and three tests of control groups began with the same replacement of a host. They share a function each now; the assertions are the same.

--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import os
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterable, Iterator, Sequence
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -20,6 +20,7 @@
     ServerRecord,
     ServerState,
 )
+from kingcuplug_log import LogStatus, Member, PeerStatus, ReplicaRole
 from kingcuplug_testkit import FakeDisk
 
 Handler = Callable[[str, Any], Awaitable[Any]]
@@ -40,6 +41,27 @@
     return ServerRecord(**(defaults | fields))
 
 
+def make_leader_status(
+    members: Sequence[Member], peers: Iterable[PeerStatus], intended_size: int
+) -> LogStatus:
+    """Return the status of a leader's replica; the first member is the leader."""
+    indexes: dict[str, Any] = dict.fromkeys(
+        ("term", "commit_index", "applied_index", "last_index", "snapshot_index"), 5
+    )
+    return LogStatus(
+        member=members[0],
+        role=ReplicaRole.LEADER,
+        leader=members[0],
+        members=tuple(members),
+        intended_size=intended_size,
+        peers=tuple(peers),
+        lease_valid=True,
+        storage_failed=False,
+        safe_to_lose_one=True,
+        **indexes,
+    )
+
+
 @pytest.fixture
 def record() -> Callable[..., ServerRecord]:
     return make_record
--- a/tests/fleet/test_control_group.py
+++ b/tests/fleet/test_control_group.py
@@ -9,20 +9,26 @@
 _CATCH_UP_S = 4.0
 
 
+async def _form_with_replaced_host(group, replaced: str = "leader") -> str:
+    """Form a group of three, replace one host for good by d, and return its name."""
+    await group.form("a", "b", "c")
+    leader = group.leader()
+    assert leader is not None
+    lost = leader if replaced == "leader" else min({"a", "b", "c"} - {leader})
+    group.power_off(lost)
+    await asyncio.sleep(1.0)
+    group.start("d")
+    await asyncio.sleep(_CATCH_UP_S)
+    return lost
+
+
 @pytest.mark.parametrize("replaced", ["leader", "follower"])
 def test_replaced_host_is_removed_whoever_leads(make_control_group, replaced):
     # Guards against a voter that is gone for good but stays in the group because the
     # leader that added its successor has never heard of it, or has lost its office.
     async def main() -> None:
         group = make_control_group()
-        await group.form("a", "b", "c")
-        leader = group.leader()
-        assert leader is not None
-        lost = leader if replaced == "leader" else min({"a", "b", "c"} - {leader})
-        group.power_off(lost)
-        await asyncio.sleep(1.0)
-        group.start("d")
-        await asyncio.sleep(_CATCH_UP_S)
+        lost = await _form_with_replaced_host(group, replaced)
         assert group.members() == {"a", "b", "c", "d"} - {lost}
         assert group.losses_borne() == 1
         await group.stop()
@@ -37,13 +43,7 @@
     # disk. Callers were then served by routes older than the acknowledged ones.
     async def main() -> None:
         group = make_control_group()
-        await group.form("a", "b", "c")
-        replaced = group.leader()
-        assert replaced is not None
-        group.power_off(replaced)
-        await asyncio.sleep(1.0)
-        group.start("d")
-        await asyncio.sleep(_CATCH_UP_S)
+        await _form_with_replaced_host(group)
         await group.submit(7)
         names = [host.name for host in group.running()]
         for name in names:
@@ -64,13 +64,7 @@
     # Guards against changes that stay unanswered while one of three hosts is down.
     async def main() -> None:
         group = make_control_group()
-        await group.form("a", "b", "c")
-        replaced = group.leader()
-        assert replaced is not None
-        group.power_off(replaced)
-        await asyncio.sleep(1.0)
-        group.start("d")
-        await asyncio.sleep(_CATCH_UP_S)
+        await _form_with_replaced_host(group)
         leader = group.leader()
         assert leader is not None
         group.power_off(leader)
--- a/tests/fleet/test_group_health.py
+++ b/tests/fleet/test_group_health.py
@@ -1,34 +1,20 @@
 """Tests of the figures that show what the log's group can still lose."""
 
-from typing import Any
-
 import pytest
 from kingcuplug_fleet._group_health import group_health
-from kingcuplug_log import LogStatus, Member, MemberRole, PeerStatus, ReplicaRole
+from kingcuplug_log import LogStatus, Member, MemberRole, PeerStatus
+
+from .conftest import make_leader_status
 
 
 def _status(answered_ms_ago: list[float | None]) -> LogStatus:
     members = [Member(f"{i}/1", str(i), f"{i}:1") for i in range(4)]
     members = members[: len(answered_ms_ago) + 1]
-    peers = tuple(
+    peers = [
         PeerStatus(member, 5, True, age_ms, age_ms or 0.0)
         for member, age_ms in zip(members[1:], answered_ms_ago, strict=True)
-    )
-    indexes: dict[str, Any] = dict.fromkeys(
-        ("term", "commit_index", "applied_index", "last_index", "snapshot_index"), 5
-    )
-    return LogStatus(
-        member=members[0],
-        role=ReplicaRole.LEADER,
-        leader=members[0],
-        members=tuple(members),
-        intended_size=len(members),
-        peers=peers,
-        lease_valid=True,
-        storage_failed=False,
-        safe_to_lose_one=True,
-        **indexes,
-    )
+    ]
+    return make_leader_status(members, peers, intended_size=len(members))
 
 
 @pytest.mark.parametrize(
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -1,10 +1,10 @@
 """Tests of the automatic membership changes of the log's group."""
 
-from typing import Any
-
 from kingcuplug_fleet import JoinRequest, next_membership_change
 from kingcuplug_fleet._control_replica import is_formed
-from kingcuplug_log import LogStatus, Member, MemberRole, PeerStatus, ReplicaRole
+from kingcuplug_log import LogStatus, Member, MemberRole, PeerStatus
+
+from .conftest import make_leader_status
 
 
 def _member(name: str, disk: str = "1", role: MemberRole = MemberRole.VOTER) -> Member:
@@ -16,22 +16,8 @@
 ) -> LogStatus:
     members = [_member("a")]
     members += [_member(n, role=roles.get(n, MemberRole.VOTER)) for n in silent_ms]
-    peers = tuple(PeerStatus(m, 5, True, None, silent_ms[m.name]) for m in members[1:])
-    fields: dict[str, Any] = dict.fromkeys(
-        ("term", "commit_index", "applied_index", "last_index", "snapshot_index"), 5
-    )
-    return LogStatus(
-        member=members[0],
-        role=ReplicaRole.LEADER,
-        leader=members[0],
-        members=tuple(members),
-        intended_size=intended_size,
-        peers=peers,
-        lease_valid=True,
-        storage_failed=False,
-        safe_to_lose_one=True,
-        **fields,
-    )
+    peers = [PeerStatus(m, 5, True, None, silent_ms[m.name]) for m in members[1:]]
+    return make_leader_status(members, peers, intended_size)
 
 
 def _join_requests(*members: Member, empty_disk: bool = True) -> dict[str, JoinRequest]:
