Encode the demand for limited servers in one place, and forget totals in one

Found when the change since was read again: reports, summaries and the state each decided by themselves that a message without demand keeps its earlier form, and decoded its optional end; three places forgot the requests and the demand of all hosts together.

Change: `encode_demand` and `decode_demand` serve the three messages, `FleetView.forget_totals` the three places. Messages and behaviour stay.

Evidence: tests/fleet, with the forms of the messages, pass unchanged.

--- a/packages/fleet/src/kingcuplug_fleet/_fleet_view.py
+++ b/packages/fleet/src/kingcuplug_fleet/_fleet_view.py
@@ -11,6 +11,7 @@
 
 from kingcuplug_fleet._demand_totals import DemandTotals
 from kingcuplug_fleet._directory import Directory
+from kingcuplug_fleet._mesh_messages import encode_demand
 from kingcuplug_fleet._server_record import ServerRecord
 
 __all__ = ["FleetView"]
@@ -93,11 +94,7 @@
         self._state_digest = ""
 
     def state(self) -> list[Any]:
-        """Return the state that hosts copy from their control host, without servers.
-
-        Without demand it has the form that hosts of earlier versions read.
-        """
-        demand = [dict(sorted(self.demand.items()))] if self.demand else []
+        """Return the state that hosts copy from their control host, without servers."""
         return [
             sorted(self.silent_servers),
             dict(sorted(self.slow_servers.items())),
@@ -106,7 +103,7 @@
             self.host_count,
             self.request_count,
             list(self.reachable_control_hosts),
-            *demand,
+            *encode_demand(self.demand),
         ]
 
     def state_digest(self) -> str:
@@ -217,6 +214,11 @@
         """Publish the totals of the reported demand."""
         self.set_demand(self._demand_totals.totals(self._loop.time()))
 
+    def forget_totals(self) -> None:
+        """Forget the totals over all hosts, which are out of date without reports."""
+        self.set_request_count(0)
+        self.set_demand({})
+
     def restart_totals(self) -> None:
         """Restart the windows of reports; the number of requests is unknown for one.
 
@@ -227,10 +229,9 @@
         known_at, demand = self._known_demand
         inherited = demand if now < known_at + DEMAND_WINDOW_S else {}
         self._demand_totals = DemandTotals(now, inherited)
-        self.set_demand({})
         self._request_window = SlidingWindowCounter(_REQUESTS_WINDOW_S)
-        self._request_window_started_at = self._loop.time()
-        self.set_request_count(0)
+        self._request_window_started_at = now
+        self.forget_totals()
 
     def add_requests(self, reported: int) -> None:
         """Add a reported number of requests, and publish the total if it changed."""
--- a/packages/fleet/src/kingcuplug_fleet/_mesh.py
+++ b/packages/fleet/src/kingcuplug_fleet/_mesh.py
@@ -302,9 +302,7 @@
                 (self._own_address, *sorted(self._reachable_peers()))
             )
         elif self._leader() is None:
-            # Without reports the number of requests is out of date.
-            view.set_request_count(0)
-            view.set_demand({})
+            view.forget_totals()
 
     async def _push_to(self, address: str) -> None:
         while True:
--- a/packages/fleet/src/kingcuplug_fleet/_mesh_messages.py
+++ b/packages/fleet/src/kingcuplug_fleet/_mesh_messages.py
@@ -14,21 +14,39 @@
 
 from kingcuplug_fleet._server_record import ServerRecord
 
-__all__ = ["Heartbeats", "PushMessage", "Report", "Summary", "decode_demand"]
+__all__ = [
+    "Heartbeats",
+    "PushMessage",
+    "Report",
+    "Summary",
+    "decode_demand",
+    "encode_demand",
+]
 
 # Start time and sequence of each server's last heartbeat, by server id.
 Heartbeats = dict[str, tuple[int, int]]
 
 
-def decode_demand(value: Any) -> dict[str, int]:
-    """Return the demand by server id.
+def encode_demand(demand: dict[str, int]) -> list[Any]:
+    """Return the end of a message with the demand by server id.
+
+    It is empty without demand, so that the message then has the form that hosts of
+    earlier versions read.
+    """
+    return [dict(sorted(demand.items()))] if demand else []
+
+
+def decode_demand(end: list[Any]) -> dict[str, int]:
+    """Return the demand by server id from the end of a message.
 
     Raises
     ------
     ValueError
-        If the value does not describe it.
+        If it does not describe the demand.
     """
-    return {s: require_integer(count) for s, count in require_mapping(value).items()}
+    if not end:
+        return {}
+    return {s: require_integer(n) for s, n in require_mapping(end[0]).items()}
 
 
 @dataclass(slots=True)
@@ -59,12 +77,8 @@
             self.demand[server] = self.demand.get(server, 0) + count
 
     def to_json(self) -> list[Any]:
-        """Return the fields as a JSON array.
-
-        Without demand it has the form that hosts of earlier versions read.
-        """
-        demand = [self.demand] if self.demand else []
-        return [self.samples, self.requests, *demand]
+        """Return the fields as a JSON array."""
+        return [self.samples, self.requests, *encode_demand(self.demand)]
 
     @classmethod
     def from_json(cls, value: list[Any]) -> "Report":
@@ -75,13 +89,12 @@
         ValueError
             If the array does not describe a report.
         """
-        samples, requests, *optional = value
+        samples, requests, *end = value
         decoded = {
             server: (require_integer(count), require_number(total))
             for server, (count, total) in require_mapping(samples).items()
         }
-        demand = decode_demand(optional[0]) if optional else {}
-        return cls(decoded, require_integer(requests), demand)
+        return cls(decoded, require_integer(requests), decode_demand(end))
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,18 +125,14 @@
     demand: dict[str, int] = field(default_factory=dict)
 
     def to_json(self) -> list[Any]:
-        """Return the fields as a JSON array.
-
-        Without demand it has the form that hosts of earlier versions read.
-        """
-        demand = [self.demand] if self.demand else []
+        """Return the fields as a JSON array."""
         return [
             self.silent,
             self.slow,
             self.hosts,
             self.requests,
             self.reachable,
-            *demand,
+            *encode_demand(self.demand),
         ]
 
     @classmethod
@@ -135,14 +144,14 @@
         ValueError
             If the array does not describe a summary.
         """
-        silent, slow, hosts, requests, reachable, *optional = value
+        silent, slow, hosts, requests, reachable, *end = value
         return cls(
             require_strings(silent),
             {i: require_number(pace) for i, pace in require_mapping(slow).items()},
             require_integer(hosts),
             require_integer(requests),
             {a: require_string(z) for a, z in require_mapping(reachable).items()},
-            decode_demand(optional[0]) if optional else {},
+            decode_demand(end),
         )
 
 
--- a/packages/fleet/src/kingcuplug_fleet/_polling.py
+++ b/packages/fleet/src/kingcuplug_fleet/_polling.py
@@ -273,9 +273,7 @@
             self._log.write(
                 "control_host_lost", {"address": address}, bypass_rate_limit=True
             )
-            # Without reports the number of requests is out of date.
-            self._view.set_request_count(0)
-            self._view.set_demand({})
+            self._view.forget_totals()
             self._state_digest = ""
         self.control_host = None
 
@@ -391,7 +389,7 @@
     def _apply_state(self, state: Any) -> None:
         view = self._view
         silent, slow, control_hosts, zones, host_count, *counts = state
-        request_count, reachable, *demand = counts
+        request_count, reachable, *end = counts
         view.set_silent_servers(set(require_strings(silent)))
         view.set_slow_servers(_decode_paces(slow))
         view.set_control_hosts(require_strings(control_hosts))
@@ -399,7 +397,7 @@
         view.set_host_count(require_integer(host_count))
         view.set_request_count(require_integer(request_count))
         view.set_reachable_control_hosts(tuple(require_strings(reachable)))
-        view.set_demand(decode_demand(demand[0]) if demand else {})
+        view.set_demand(decode_demand(end))
 
 
 def _decode_paces(value: Any) -> dict[str, float]:
