Change the signals of a server in one place, and classify each answer once

Found when the change since was read again: of the three signals, the limit was set by the server table and the others by the server, followed by a call that each place had to remember; the limits were looked up in three loops with the same check; every answer was classified twice on the path of a request; servers were asked whether they had said nothing before being asked what they had said; the number of hosts that is assumed stood in two modules.

Change: the table sets all three and keeps its index by itself, when a signal or an incarnation changes. `ServicePool.wait_s` replaces `room_at` minus the time. The attempt classifies an answer once. `limit_share` takes at least one host.

Evidence: tests/gateway, tests/routing, tests/fleet and tests/node pass unchanged.

--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -255,7 +255,7 @@
         if not pool.servers:
             return self._refuse(request, route, "no_servers")
         loop = asyncio.get_running_loop()
-        wait_s = pool.room_at(loop.time()) - loop.time()
+        wait_s = pool.wait_s(loop.time())
         if wait_s > 0:
             return self._refuse(request, route, "no_willing_server", wait_s=wait_s)
         finished: asyncio.Future[None] = loop.create_future()
@@ -303,7 +303,7 @@
                 request, route, _relayed_response(result.response), call
             )
         if not result.may_have_run:
-            wait_s = pool.room_at(loop.time()) - loop.time()
+            wait_s = pool.wait_s(loop.time())
             return self._refuse(request, route, "no_room", call, wait_s=wait_s)
         return self._finish(request, route, error_response(502, "no answer"), call)
 
@@ -321,8 +321,8 @@
             return self._refuse(request, route, "shards_unreachable")
         if self._call_peer is None:
             # Gatherers have limits of their own.
-            room_at = sorted(pool.room_at(now) for pool in pools)
-            wait_s = room_at[rule.required_shards - 1] - now
+            waits_s = sorted(pool.wait_s(now) for pool in pools)
+            wait_s = waits_s[rule.required_shards - 1]
             if wait_s > 0:
                 return self._refuse(request, route, "no_willing_server", wait_s=wait_s)
         refusal = await self._wait_for_admission(
--- a/packages/gateway/src/kingcuplug_gateway/_servers.py
+++ b/packages/gateway/src/kingcuplug_gateway/_servers.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 import random as random_module
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass
 
 from kingcuplug_routing import (
@@ -88,19 +88,6 @@
         self.connections = ConnectionPool(info.address, connection_limit)
         self.signals = signals
 
-    def set_leaving(self) -> None:
-        """Send no more requests, not even those that wait for a connection."""
-        self.signals.leaving = True
-        self.connections.fail_waiting()
-
-    def pause_until(self, at: float) -> bool:
-        """Send no requests before the time `at`; return whether that is later."""
-        if at <= self.signals.not_before:
-            return False
-        self.signals.not_before = at
-        self.connections.fail_waiting()
-        return True
-
 
 class ServicePool:
     """Servers of one service, with its retry budgets and concurrency limiter."""
@@ -149,14 +136,17 @@
             for s in self.servers.values()
         )
 
-    def room_at(self, now: float) -> float:
-        """Return when this host may send some server the next request."""
-        earliest = math.inf
+    def wait_s(self, now: float) -> float:
+        """Return how long until this host may send some server a request.
+
+        Infinite if all of them leave; 0 without servers.
+        """
+        earliest = math.inf if self.servers else now
         for server in self.servers.values():
-            if server.signals.is_empty:
-                return now
             earliest = min(earliest, server.signals.room_at(now))
-        return earliest if self.servers else now
+            if earliest <= now:
+                break
+        return earliest - now
 
 
 class ServerTable:
@@ -294,7 +284,7 @@
         limit = server.signals.limit
         if limit_per_s is None:
             server.signals.limit = None
-            self.index_signals(server)
+            self._index_signals(server)
             return limit is not None
         if limit is not None and limit.limit_per_s == limit_per_s:
             return False
@@ -303,19 +293,24 @@
             limit = ServerLimit(limit_per_s, self._random.random(), now)
             server.signals.limit = limit
         limit.limit_per_s = limit_per_s
-        self._share_limit(server, limit, now)
-        self.index_signals(server)
+        self._share_limit(server.info.id, limit, now)
+        self._index_signals(server)
         return True
 
-    def index_signals(self, server: Server) -> None:
-        """Take notice that the signals of a server, or of a removed one, changed."""
-        current = self.pool(server.info.service).servers.get(server.info.id)
-        if current is None:
-            self._keep_signals(server)
-        elif current is server and server.signals.limit is not None:
-            self._limited_servers[server.info.id] = server
-        elif current is server:
-            self._limited_servers.pop(server.info.id, None)
+    def set_leaving(self, server: Server) -> None:
+        """Send a server no more requests, not even those that wait for a connection."""
+        server.signals.leaving = True
+        server.connections.fail_waiting()
+        self._index_signals(server)
+
+    def pause_until(self, server: Server, at: float) -> bool:
+        """Send a server no requests before a time; return whether that is later."""
+        if at <= server.signals.not_before:
+            return False
+        server.signals.not_before = at
+        server.connections.fail_waiting()
+        self._index_signals(server)
+        return True
 
     def share_limits(self, fleet_demand: Mapping[str, int], now: float) -> None:
         """Divide the limits of servers anew; to be called several times a second.
@@ -326,24 +321,20 @@
             Requests of all hosts for these servers, by id; without an entry unknown.
         """
         self._fleet_demand = fleet_demand
-        for server in self.limited_servers():
-            if server.signals.limit is not None:
-                self._share_limit(server, server.signals.limit, now)
+        for identifier, limit in self._limits():
+            self._share_limit(identifier, limit, now)
 
     def pop_demand(self) -> dict[str, int]:
         """Return the demand for limited servers since the previous call, by id."""
         demand = {
-            server.info.id: server.signals.limit.pop_demand()
-            for server in self.limited_servers()
-            if server.signals.limit is not None
+            identifier: limit.pop_demand() for identifier, limit in self._limits()
         }
-        return {server: count for server, count in demand.items() if count}
+        return {identifier: count for identifier, count in demand.items() if count}
 
     def restore_demand(self, demand: Mapping[str, int]) -> None:
         """Return demand that could not be reported, to be reported later."""
-        for server in self.limited_servers():
-            if server.signals.limit is not None:
-                server.signals.limit.restore_demand(demand.get(server.info.id, 0))
+        for identifier, limit in self._limits():
+            limit.restore_demand(demand.get(identifier, 0))
 
     def prune(self, now: float) -> None:
         """Close connections that have been idle for too long."""
@@ -379,10 +370,10 @@
                 )
                 server.state.cold_until = now + info.slow_start_ms / _MS_PER_S
                 pool.servers[identifier] = server
-            if server.signals.start_ms != info.start_ms:
+                self._index_signals(server)
+            elif server.signals.start_ms != info.start_ms:
                 server.signals = self._signals_of(info)
-            if identifier in self._limited_servers or not server.signals.is_empty:
-                self.index_signals(server)
+                self._index_signals(server)
             server.state.heartbeat_lost = info.heartbeats_missing
             server.state.shared_latency_ratio = info.latency_factor
 
@@ -401,8 +392,25 @@
             signals = ServerSignals(info.start_ms)
         return signals
 
-    def _share_limit(self, server: Server, limit: ServerLimit, now: float) -> None:
-        limit.set_fleet(self._fleet_demand.get(server.info.id, 0), self.hosts, now)
+    def _index_signals(self, server: Server) -> None:
+        """Take notice that the signals of a server, or of a removed one, changed."""
+        current = self.pool(server.info.service).servers.get(server.info.id)
+        if current is None:
+            self._keep_signals(server)
+        elif current is server and server.signals.limit is not None:
+            self._limited_servers[server.info.id] = server
+        elif current is server:
+            self._limited_servers.pop(server.info.id, None)
+
+    def _limits(self) -> Iterator[tuple[str, ServerLimit]]:
+        """Yield the ids of the limited servers with their limits."""
+        for identifier, server in self._limited_servers.items():
+            if server.signals.limit is not None:
+                yield identifier, server.signals.limit
+
+    def _share_limit(self, identifier: str, limit: ServerLimit, now: float) -> None:
+        total = self._fleet_demand.get(identifier, 0)
+        limit.set_fleet(total, self.hosts or _ASSUMED_HOSTS, now)
 
     def _host_connection_limit(self, service: str) -> int:
         total = self._connection_limits.get(service)
--- a/packages/gateway/src/kingcuplug_gateway/_service_call.py
+++ b/packages/gateway/src/kingcuplug_gateway/_service_call.py
@@ -257,19 +257,21 @@
         else:
             self._abandon_open_attempts()
 
-    def read_signals(self, server: Server, response: Response) -> None:
+    def read_signals(
+        self, server: Server, response: Response, response_class: ResponseClass
+    ) -> None:
         """Read what a server says of itself in its response."""
         if response.status != _MISDIRECTED_STATUS:
-            response_class = _classify_response(response, self._header_names)
             is_authentic = response_class is not ResponseClass.UNSIGNED
             self._signals.record(server, response, is_authentic)
 
-    def on_response(self, attempt: "_Attempt", response: Response) -> None:
+    def on_response(
+        self, attempt: "_Attempt", response: Response, response_class: ResponseClass
+    ) -> None:
         """Process the response to an attempt."""
         self._open_attempts.remove(attempt)
         now = self._loop.time()
         state = attempt.server.state
-        response_class = _classify_response(response, self._header_names)
         if response_class is ResponseClass.SUCCESS:
             self._timing.record(state.record_answer(attempt, now))
         elif response.status == _MISDIRECTED_STATUS:
@@ -362,11 +364,7 @@
     def _choose_server(self, kind: str, now: float, typical_s: float) -> Server | None:
         """Return the server for the next attempt, if one has room for it."""
         untried = self._pool.servers_except(self._tried_server_ids)
-        servers = [
-            server
-            for server in untried
-            if server.signals.is_empty or server.signals.wants_requests(now)
-        ]
+        servers = [server for server in untried if server.signals.wants_requests(now)]
         if not servers:
             if untried:
                 self._record_withheld(kind, "unwilling")
@@ -499,10 +497,11 @@
     def answered(self, response: Response) -> None:
         if self._echoed_id(response) is None and self._connection is not None:
             self._connection.close()
+        response_class = _classify_response(response, self._header_names)
         # Before the connection is released, as the next request may be waiting for it.
-        self._call.read_signals(self.server, response)
+        self._call.read_signals(self.server, response, response_class)
         self._release_connection()
-        self._call.on_response(self, response)
+        self._call.on_response(self, response, response_class)
 
     def _echoed_id(self, response: Response) -> bytes | None:
         return response.header(self._header_names.attempt_id.lower())
--- a/packages/gateway/src/kingcuplug_gateway/_signal_reader.py
+++ b/packages/gateway/src/kingcuplug_gateway/_signal_reader.py
@@ -86,15 +86,13 @@
 
     def _set_leaving(self, server: Server, value: float | None) -> None:
         if value == _YES:
-            server.set_leaving()
-            self._servers.index_signals(server)
+            self._servers.set_leaving(server)
             self._write(server, "server_leaving", "state", "leaving")
 
     def _set_not_before(self, server: Server, delay_s: float | None) -> None:
         if delay_s:
             now = asyncio.get_running_loop().time()
-            if server.pause_until(now + delay_s):
-                self._servers.index_signals(server)
+            if self._servers.pause_until(server, now + delay_s):
                 self._write(server, "server_paused", "pause_s", delay_s)
 
     def _write(self, server: Server, event: str, name: str, value: object) -> None:
--- a/packages/routing/src/kingcuplug_routing/_server_limit.py
+++ b/packages/routing/src/kingcuplug_routing/_server_limit.py
@@ -37,8 +37,6 @@
 _SHARE_INTERVAL_S = 0.1
 # Covers the election of a new leader, which continues the totals of the last one.
 _UNKNOWN_TOTAL_S = 3.0
-# Assumed until a control host reports the number of hosts.
-_ASSUMED_HOSTS = 100
 
 
 def limited_rate(limit_per_s: float) -> float:
@@ -67,9 +65,8 @@
         Requests that this host and that all hosts have had for the server recently; a
         total of 0 means unknown and makes the shares equal.
     hosts : int
-        Live hosts; 0 if unknown.
+        Live hosts, at least 1.
     """
-    hosts = hosts if hosts > 0 else _ASSUMED_HOSTS
     if total <= 0:
         return 1 / hosts
     prior = _PRIOR_REQUESTS
