--- a/packages/testkit/src/kingcuplug_testkit/__init__.py
+++ b/packages/testkit/src/kingcuplug_testkit/__init__.py
@@ -1,5 +1,6 @@
 """Test support: virtual-time event loop and fakes for network and disk."""
 
+from kingcuplug_testkit._arrivals import most_in_window, poisson_count
 from kingcuplug_testkit._disk import Failpoint, FakeDisk, FakeFileSystem, HostCrashed
 from kingcuplug_testkit._faults import FAULTS, Fault
 from kingcuplug_testkit._invariants import InvariantChecker, InvariantViolated
@@ -56,6 +57,8 @@
     "make_order",
     "make_query",
     "make_reply",
+    "most_in_window",
+    "poisson_count",
     "replay_overload",
     "run_matrix_cell",
     "run_virtual",
--- a/tests/fleet/test_limit_division.py
+++ b/tests/fleet/test_limit_division.py
@@ -8,6 +8,7 @@
 from kingcuplug_fleet import _demand_totals
 from kingcuplug_fleet._demand_totals import DemandTotals
 from kingcuplug_routing import ServerLimit, _server_limit
+from kingcuplug_testkit import most_in_window, poisson_count
 
 _STEP_S = 0.1
 _END_S = 60.0
@@ -101,10 +102,7 @@
             self.unknown_until = now + self.draw.uniform(0.3, 2.0)
 
     def _send(self, host: _Host, now: float) -> None:
-        count, elapsed = 0, self.draw.expovariate(1.0)
-        while elapsed < host.rate_per_s * _STEP_S:
-            count, elapsed = count + 1, elapsed + self.draw.expovariate(1.0)
-        for _ in range(count):
+        for _ in range(poisson_count(self.draw, host.rate_per_s * _STEP_S)):
             if host.limit is None:
                 # The answer to the first request names the limit.
                 host.limit = ServerLimit(self.limit_per_s, self.draw.random(), now)
@@ -138,15 +136,10 @@
 
     def excess(self) -> float:
         """Return the most requests in a window over what is allowed."""
-        window, most = deque(), 0
-        for at in self.sent:
-            if at < _WINDOW_S:
-                continue
-            window.append(at)
-            while window[0] <= at - _WINDOW_S:
-                window.popleft()
-            most = max(most, len(window))
-        return most / (1.5 * self.limit_per_s * _WINDOW_S + 5)
+        counted = (at for at in self.sent if at >= _WINDOW_S)
+        return most_in_window(counted, _WINDOW_S) / (
+            1.5 * self.limit_per_s * _WINDOW_S + 5
+        )
 
 
 def _excess(seed: int) -> float:
--- a/tests/gateway/test_server_signals.py
+++ b/tests/gateway/test_server_signals.py
@@ -12,6 +12,23 @@
 _MALFORMED = ["", "-1", "+2", "nan", "inf", "1e3", "0x10", "1,5", "4 5", "9" * 400]
 
 
+def _responder(status: int = 200, **headers: str):
+    async def respond(request: Request) -> Response:
+        if status == 503:
+            pairs = [
+                (n.replace("_", "-").encode(), v.encode()) for n, v in headers.items()
+            ]
+            return Response(503, [(b"Unrun", b"1"), *pairs], b"")
+        return signed_response(b"ok", status, **headers)
+
+    return respond
+
+
+_respond = _responder()
+_respond_limited = _responder(limit="4")
+_respond_leaving = _responder(leaving="1")
+
+
 @pytest.mark.parametrize(
     ("text", "value"), [("0", 0.0), ("14.8", 14.8), ("250", 250.0), ("0.05", 0.05)]
 )
@@ -66,14 +83,6 @@
     asyncio.run(main())
 
 
-async def _respond(request: Request) -> Response:
-    return signed_response(b"ok")
-
-
-async def _respond_limited(request: Request) -> Response:
-    return signed_response(b"ok", limit="4")
-
-
 def _add_hosts(harness, hosts: int) -> None:
     harness.gateway.update_fleet(harness.server_infos, hosts=hosts)
 
@@ -134,16 +143,13 @@
 
 def test_retries_leave_the_room_of_a_limited_server_to_first_attempts(open_gateway):
     # Guards against retries that use up what a limited server takes.
-    async def reject(request: Request) -> Response:
-        return Response(503, [(b"Unrun", b"1")], b"")
-
     async def main() -> None:
         async with open_gateway() as harness:
             harness.set_routes(make_route())
             limited = await harness.add_server("stock", _respond_limited)
             _add_hosts(harness, 10)
             await harness.send("/first")
-            rejecting = await harness.add_server("stock", reject)
+            rejecting = await harness.add_server("stock", _responder(503))
             _add_hosts(harness, 10)
             state = harness.gateway.servers.pool("stock").servers[limited].state
             state.heartbeat_lost = True  # The rejecting one is preferred.
@@ -156,22 +162,6 @@
     asyncio.run(main())
 
 
-async def _respond_leaving(request: Request) -> Response:
-    return signed_response(b"ok", leaving="1")
-
-
-def _responder(status: int = 200, **headers: str):
-    async def respond(request: Request) -> Response:
-        if status == 503:
-            pairs = [
-                (n.replace("_", "-").encode(), v.encode()) for n, v in headers.items()
-            ]
-            return Response(503, [(b"Unrun", b"1"), *pairs], b"")
-        return signed_response(b"ok", status, **headers)
-
-    return respond
-
-
 def test_leaving_server_gets_no_more_requests(open_gateway):
     # Guards against requests to a server that leaves while control is out of reach.
     async def main() -> None:
--- a/tests/routing/test_server_limit.py
+++ b/tests/routing/test_server_limit.py
@@ -10,6 +10,7 @@
     SlidingWindowCounter,
     limit_share,
 )
+from kingcuplug_testkit import most_in_window, poisson_count
 
 _WINDOW_S = 4.0
 _REPORT_DELAY_S = 1.0
@@ -27,7 +28,7 @@
     limits = [ServerLimit(limit_per_s, draw.random(), 0.0) for _ in range(hosts)]
     window = SlidingWindowCounter(DEMAND_WINDOW_S)
     totals = deque()
-    sent, demand = [], []
+    sent = []
     now = 0.0
     while now < end_s:
         totals.append((now, window.total(now)))
@@ -36,34 +37,15 @@
         total = totals[0][1] if now > 2 + _REPORT_DELAY_S else 0
         for limit, rate_per_s in zip(limits, rates_per_s(now), strict=True):
             limit.set_fleet(total, hosts, now)
-            count = _draw_count(draw, rate_per_s * _ROUND_S)
+            count = poisson_count(draw, rate_per_s * _ROUND_S)
             for _ in range(count):
                 limit.record_demand(now)
                 window.add(now)
-                demand.append(now)
                 if limit.available(now) > 0:
                     limit.take(now)
                     sent.append(now)
         now += _ROUND_S
-    return sent, demand
-
-
-def _draw_count(draw, mean):
-    """Return a Poisson variable with a small mean."""
-    count, elapsed = 0, draw.expovariate(1.0)
-    while elapsed < mean:
-        count, elapsed = count + 1, elapsed + draw.expovariate(1.0)
-    return count
-
-
-def _most_in_window(times):
-    window, most = deque(), 0
-    for at in times:
-        window.append(at)
-        while window[0] <= at - _WINDOW_S:
-            window.popleft()
-        most = max(most, len(window))
-    return most
+    return sent
 
 
 @pytest.mark.parametrize("seed", range(3))
@@ -73,8 +55,8 @@
 )
 def test_hosts_together_keep_the_limit(hosts, limit_per_s, rate_per_s, seed):
     # Guards against hosts that each keep the limit, while their sum exceeds it.
-    sent, _ = _replay(limit_per_s, lambda _now: [rate_per_s] * hosts, seed=seed)
-    assert _most_in_window(sent) <= 1.5 * limit_per_s * _WINDOW_S + 5
+    sent = _replay(limit_per_s, lambda _now: [rate_per_s] * hosts, seed=seed)
+    assert most_in_window(sent, _WINDOW_S) <= 1.5 * limit_per_s * _WINDOW_S + 5
 
 
 @pytest.mark.parametrize("seed", range(3))
@@ -83,8 +65,8 @@
     def rates(now):
         return [0.02 if now < 20 or now > 24 else 5.0] * 200
 
-    sent, _ = _replay(6.0, rates, seed=seed)
-    assert _most_in_window(sent) <= 1.5 * 6.0 * _WINDOW_S + 5
+    sent = _replay(6.0, rates, seed=seed)
+    assert most_in_window(sent, _WINDOW_S) <= 1.5 * 6.0 * _WINDOW_S + 5
 
 
 @pytest.mark.parametrize("seed", range(3))
@@ -94,8 +76,8 @@
         busy, idle = [3.0] * 3, [0.0] * 27
         return busy + idle if now < 20 else idle + busy
 
-    sent, _ = _replay(10.0, rates, seed=seed)
-    assert _most_in_window(sent) <= 1.5 * 10.0 * _WINDOW_S + 5
+    sent = _replay(10.0, rates, seed=seed)
+    assert most_in_window(sent, _WINDOW_S) <= 1.5 * 10.0 * _WINDOW_S + 5
     for start_s in (10.0, 30.0):
         count = sum(start_s <= at < start_s + 10 for at in sent)
         assert count >= 50
