--- a/packages/soak/src/kingcuplug_soak/_fake_servers.py
+++ b/packages/soak/src/kingcuplug_soak/_fake_servers.py
@@ -20,6 +20,7 @@
 _MS_PER_S = 1_000
 _ENDLESS_CHUNK_BYTES = 8_192
 _ENDLESS_INTERVAL_S = 0.01
+_RESTART_DELAY_S = 2.5  # of a server that crashed under a request
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,14 +38,25 @@
 
 @dataclass
 class FakeServerPool:
-    """All simulated servers, and their executions by the caller's attempt id."""
+    """All simulated servers, and their executions by the caller's attempt id.
+
+    Attributes
+    ----------
+    crashing_target : str
+        Request target that crashes each server that executes it; empty if none does.
+    crashed_at : list of float
+        Event loop times at which servers crashed under that target.
+    """
 
     control_addresses: list[str]
     random: random_module.Random
     executions: dict[str, list[Execution]] = field(default_factory=dict)
     requests_after_drain: list[str] = field(default_factory=list)
     servers: list["FakeServer"] = field(default_factory=list)
+    crashing_target: str = ""
+    crashed_at: list[float] = field(default_factory=list)
     _started_count: int = 0
+    _restart_tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     async def add(self, service: str, zone: str) -> "FakeServer":
         """Start a server of a service in an availability zone."""
@@ -54,8 +66,26 @@
         self.servers.append(server)
         return server
 
+    async def crash_and_replace(self, server: "FakeServer", after_s: float) -> None:
+        """Crash a server, and start another one in its place after some time."""
+        if server not in self.servers:
+            return
+        self.servers.remove(server)
+        await server.crash()
+        await asyncio.sleep(after_s)
+        await self.add(server.service, server.zone)
+
+    def run_crashing_request(self, server: "FakeServer") -> None:
+        """Let a server crash under the request that it executes."""
+        self.crashed_at.append(asyncio.get_running_loop().time())
+        task = asyncio.ensure_future(self.crash_and_replace(server, _RESTART_DELAY_S))
+        self._restart_tasks.add(task)
+        task.add_done_callback(self._restart_tasks.discard)
+
     async def stop(self) -> None:
         """Stop all servers."""
+        for task in self._restart_tasks:
+            task.cancel()
         for server in self.servers:
             await server.crash()
 
@@ -187,6 +217,8 @@
             attempt_id, self.service, self.name, target, body, seal, succeeded
         )
         self._pool.executions.setdefault(attempt_id, []).append(execution)
+        if target == self._pool.crashing_target:
+            self._pool.run_crashing_request(self)
         await asyncio.sleep(random.uniform(0.002, 0.02) + self.delay_s)
         if self.fault == "lost" and random.random() < 0.3:
             for connection in tuple(self._listener.connections):
--- a/packages/soak/src/kingcuplug_soak/_fault_injection.py
+++ b/packages/soak/src/kingcuplug_soak/_fault_injection.py
@@ -195,10 +195,7 @@
 
     async def _crash_server(self) -> str:
         server = self._pick_server()
-        self._backends.servers.remove(server)
-        await server.crash()
-        await asyncio.sleep(self._random.uniform(0.2, 2.0))
-        await self._backends.add(server.service, server.zone)
+        await self._backends.crash_and_replace(server, self._random.uniform(0.2, 2.0))
         return f"crashed {server.name}"
 
     async def _drain_server(self) -> str:
--- a/packages/soak/src/kingcuplug_soak/_run.py
+++ b/packages/soak/src/kingcuplug_soak/_run.py
@@ -1,10 +1,12 @@
 """One soak: start hosts and backend servers, inject faults, check results."""
 
 import asyncio
+import contextlib
 import os
 import random as random_module
 import socket
 import tempfile
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -14,7 +16,13 @@
 from kingcuplug_soak._hosts import HostCluster
 from kingcuplug_soak._traffic import TOP_RECORDS, CallerTraffic, Operator
 
-__all__ = ["SoakResult", "SoakSettings", "soak"]
+__all__ = [
+    "SoakEnvironment",
+    "SoakResult",
+    "SoakSettings",
+    "soak",
+    "soak_environment",
+]
 
 _SHARD_SETS = [("s0", "s1", "s2"), ("s1", "s2", "s3"), ("s0", "s1", "s2", "s3")]
 _SERVERS_PER_SERVICE = 3
@@ -74,16 +82,28 @@
         return await _run_in_folder(settings, Path(folder))
 
 
-async def _run_in_folder(settings: SoakSettings, folder: Path) -> SoakResult:
+@dataclass(frozen=True)
+class SoakEnvironment:
+    """Running hosts with their backend servers, operator and checker."""
+
+    cluster: HostCluster
+    backends: FakeServerPool
+    checker: ConsistencyChecker
+    operator: Operator
+    random: random_module.Random
+
+
+@contextlib.asynccontextmanager
+async def soak_environment(
+    settings: SoakSettings, folder: Path
+) -> AsyncIterator[SoakEnvironment]:
+    """Start hosts and backend servers with a first configuration; stop them later."""
     random = random_module.Random(settings.seed)
     base_port = _find_base_port(settings)
     cluster = HostCluster(folder, settings.hosts, settings.disks, base_port)
     backends = FakeServerPool([host.control_address for host in cluster.hosts], random)
     checker = ConsistencyChecker(backends, _allowed_services(), TOP_RECORDS)
     operator = Operator(cluster.hosts, checker, random)
-    injector = FaultInjector(cluster, backends, operator, _SHARD_SETS, random)
-    traffic = CallerTraffic(cluster.hosts, checker, random)
-    tasks: list[asyncio.Task[None]] = []
     try:
         await cluster.start()
         await _start_servers(backends)
@@ -92,19 +112,31 @@
                 "the first configuration was not acknowledged in time"
             )
         await asyncio.sleep(_PROBE_DURATION_S)
-        tasks.append(asyncio.ensure_future(traffic.run()))
-        await injector.run(settings.duration_s)
-        await _check_recovery(operator, checker)
-        checker.violations += [
-            f"the process of {host.name} has ended by itself"
-            for host in cluster.hosts
-            if not host.is_running
-        ]
+        yield SoakEnvironment(cluster, backends, checker, operator, random)
     finally:
-        for task in tasks:
-            task.cancel()
         await cluster.stop()
         await backends.stop()
+
+
+async def _run_in_folder(settings: SoakSettings, folder: Path) -> SoakResult:
+    async with soak_environment(settings, folder) as env:
+        checker, cluster = env.checker, env.cluster
+        injector = FaultInjector(
+            cluster, env.backends, env.operator, _SHARD_SETS, env.random
+        )
+        traffic = asyncio.ensure_future(
+            CallerTraffic(cluster.hosts, checker, env.random).run()
+        )
+        try:
+            await injector.run(settings.duration_s)
+            await _check_recovery(env.operator, checker)
+            checker.violations += [
+                f"the process of {host.name} has ended by itself"
+                for host in cluster.hosts
+                if not host.is_running
+            ]
+        finally:
+            traffic.cancel()
     violations = checker.check_executions()
     return SoakResult(
         settings.seed,
--- /dev/null
+++ b/tests/soak/test_crashing_requests.py
@@ -0,0 +1,60 @@
+"""A request that crashes each server that runs it, at real hosts."""
+
+import asyncio
+import contextlib
+from pathlib import Path
+
+import pytest
+from kingcuplug_fleet import PeerFailed
+from kingcuplug_platform import HEADER_NAMES
+from kingcuplug_soak import SoakSettings
+from kingcuplug_soak._http_client import send_request
+from kingcuplug_soak._run import SoakEnvironment, soak_environment
+from kingcuplug_soak._traffic import CallerTraffic
+
+_REPEAT_INTERVAL_S = 0.5
+_STABILITY_WINDOW_S = 5.0
+_MAX_LATE_RETRIES = 3
+_DURATION_S = 12.0
+
+
+async def _repeat_request(env: SoakEnvironment, target: str, until: float) -> None:
+    """Send a request again and again, each time at any host."""
+    loop = asyncio.get_running_loop()
+    env.backends.crashing_target = target
+    number = 0
+    while loop.time() < until:
+        number += 1
+        attempt_id = HEADER_NAMES.attempt_id.decode()
+        headers = f"Host: soak.example\r\n{attempt_id}: crash-{number}\r\n"
+        host = env.random.choice(env.cluster.hosts)
+        with contextlib.suppress(PeerFailed):
+            await send_request(host.caller_address, "GET", target, headers=headers)
+        await asyncio.sleep(_REPEAT_INTERVAL_S)
+
+
+async def _run(target: str, folder: Path) -> tuple[list[float], float, list[str]]:
+    """Return the crash times, the share of other requests served, and violations."""
+    async with soak_environment(SoakSettings(seed=1), folder) as env:
+        traffic = asyncio.ensure_future(
+            CallerTraffic(env.cluster.hosts, env.checker, env.random).run()
+        )
+        try:
+            until = asyncio.get_running_loop().time() + _DURATION_S
+            await _repeat_request(env, target, until)
+        finally:
+            traffic.cancel()
+        env.checker.order_ids.clear()
+        served = env.checker.served_count / env.checker.attempt_count
+    return env.backends.crashed_at, served, env.checker.violations
+
+
+@pytest.mark.system
+@pytest.mark.parametrize("kind", ["read", "query"])
+def test_request_that_crashes_servers_is_soon_sent_to_none(kind, tmp_path):
+    """Guards against sending a request on after three servers crashed under it."""
+    crashed_at, served, violations = asyncio.run(_run(f"/{kind}/crash", tmp_path))
+    print(f"{len(crashed_at)} crashes, {served:.3f} of other requests served")
+    late = [at for at in crashed_at if at > crashed_at[2] + _STABILITY_WINDOW_S]
+    assert len(late) <= _MAX_LATE_RETRIES
+    assert violations == []
