Log that servers crashed under a request, with the request's fingerprint

The request log could not show that two attempts were the same request, nor that a lost attempt had ended a server, so "no host recognises the request" and "each host does so alone" looked alike.

A request that ended without any answer, with connections lost, is reviewed: a lost server must refuse a connection, while another server accepts one. Nothing is decided by it yet. Requests that are answered cost one pass over their calls.

--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -31,6 +31,7 @@
     startup_wait_until,
 )
 
+from kingcuplug_gateway._crash_witness import CrashWitness
 from kingcuplug_gateway._gather_client import (
     CallPeer,
     GathererDirectory,
@@ -124,11 +125,15 @@
             silent_gatherer_ratio=self._gatherer_directory.excluded_ratio,
         )
         self._signals = SignalReader(self.servers, self._header_names, log, metrics)
+        self._crash_witness = CrashWitness(
+            self.servers, self._record_crash, log, metrics
+        )
         self._gather_server = GatherServer(
             partial(self._make_call, for_peer=True),
             self._route_timing,
             self._header_names.signature.lower(),
             lambda shard: bool(self.servers.pool(shard).servers),
+            self._crash_witness.review,
             log,
         )
 
@@ -660,6 +665,9 @@
         response = error_response(503, reason, retry_after_s=retry_after_s)
         return self._finish(request, route, response, *calls)
 
+    def _record_crash(self, fingerprint: str, attempt_id: str) -> None:
+        """Record that servers crashed under a request."""
+
     def _record_disconnect(
         self,
         request: Request,
@@ -697,6 +705,8 @@
         calls: tuple[ServiceCall, ...],
         gather_records: Sequence[GatherRecord],
     ) -> None:
+        if not any(record.parts for record in gather_records):
+            self._crash_witness.review(calls)
         version = self.table.version if self.table else None
         result = RequestResult(
             outcome, reason, version, self._host_count, calls, gather_records
--- a/packages/gateway/src/kingcuplug_gateway/_gather_server.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gather_server.py
@@ -1,7 +1,7 @@
 """Server side of gathering: queries shards on behalf of other hosts."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from kingcuplug_common import EventLog
@@ -54,6 +54,8 @@
         Name of the header with a part's signature, in lower case.
     has_servers : callable
         Returns whether this host knows a server of a shard.
+    on_finished : callable
+        Called with the calls of an operation that has ended.
     """
 
     def __init__(
@@ -62,8 +64,10 @@
         route_timing: Callable[[str, int], LatencyEstimator],
         signature_header: bytes,
         has_servers: Callable[[str], bool],
+        on_finished: Callable[[Sequence[ServiceCall]], None],
         log: EventLog,
     ) -> None:
+        self._on_finished = on_finished
         self._has_servers = has_servers
         self._make_call = make_call
         self._route_timing = route_timing
@@ -151,6 +155,7 @@
     def _finish(self, operation: "_GatherOperation", reason: str) -> None:
         self._operations.pop(operation.request.gather_id, None)
         operation.cancel(linger=reason != "caller_left")
+        self._on_finished(operation.calls)
         if not self._log.try_acquire("gathered"):
             return
         request, calls = operation.request, operation.calls
--- a/packages/gateway/src/kingcuplug_gateway/_servers.py
+++ b/packages/gateway/src/kingcuplug_gateway/_servers.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 import random as random_module
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Container, Iterable, Iterator, Mapping
 from dataclasses import dataclass
 
 from kingcuplug_routing import (
@@ -238,6 +238,26 @@
             )
         return pool
 
+    def sample(self, count: int, excluded: Container[str] = ()) -> list[Server]:
+        """Return up to `count` servers of any services, one of each service.
+
+        Servers whose heartbeats are missing, or whose id is excluded, are left out.
+        """
+        pools = list(self._pools.values())
+        self._random.shuffle(pools)
+        found: list[Server] = []
+        for pool in pools:
+            if len(found) == count:
+                break
+            candidates = [
+                server
+                for identifier, server in pool.servers.items()
+                if identifier not in excluded and not server.info.heartbeats_missing
+            ]
+            if candidates:
+                found.append(self._random.choice(candidates))
+        return found
+
     def set_connection_limits(
         self, limits: dict[str, int], hosts: int, gatherers: int = 0
     ) -> None:
--- a/packages/gateway/src/kingcuplug_gateway/_service_call.py
+++ b/packages/gateway/src/kingcuplug_gateway/_service_call.py
@@ -102,6 +102,10 @@
         Whether the response is a success.
     may_have_run : bool
         Whether any server may have run the request.
+    answered : bool
+        Whether any server has answered after it may have run the request.
+    lost_servers : list of Server
+        Servers whose connection ended without an answer.
     attempts : list of AttemptRecord
         All attempts, in the order in which they were sent.
     denied_attempts : list of str
@@ -114,6 +118,8 @@
     response: Response | None = None
     succeeded: bool = False
     may_have_run: bool = False
+    answered: bool = False
+    lost_servers: list[Server] = field(default_factory=list)
     attempts: list[AttemptRecord] = field(default_factory=list)
     denied_attempts: list[str] = field(default_factory=list)
     withheld_attempts: list[tuple[str, str]] = field(default_factory=list)
@@ -282,6 +288,8 @@
         else:
             state.record_failure(attempt, now, unreachable=False)
         attempt.record.end(response_class.value, now)
+        if response_class is not ResponseClass.NOT_RUN:
+            self.result.answered = True
         self._metrics.observe(
             "attempt",
             (self.service, response_class.value),
@@ -309,6 +317,8 @@
         now = self._loop.time()
         attempt.server.state.record_failure(attempt, now, unreachable)
         attempt.record.end(failure.name.lower(), now)
+        if failure is Failure.LOST:
+            self.result.lost_servers.append(attempt.server)
         if self.finished:
             return
         if unreachable:
