Refuse requests that have crashed servers in three executions, at all hosts

Cause: nothing on the platform's path recognises such a request. The class: a decision that needs what several hosts have seen, made by each for each attempt.

Change: a request that ends without any answer, while a lost server refuses connections and another one accepts them, is reported with its fingerprint and attempt id to the coordinator, which sends all hosts the list. A suspect goes to one server at a time; after three executions it is refused for ten minutes. An answer ends the suspicion everywhere.

The first execution of a query still ends one server of each shard, and the retries of its parts another one.

--- a/packages/fleet/src/kingcuplug_fleet/_fleet_view.py
+++ b/packages/fleet/src/kingcuplug_fleet/_fleet_view.py
@@ -7,11 +7,17 @@
 
 import orjson
 from kingcuplug_common import Condition, random_identifier
-from kingcuplug_routing import DEMAND_WINDOW_S, SlidingWindowCounter, SlowServerDetector
+from kingcuplug_routing import (
+    DEMAND_WINDOW_S,
+    SlidingWindowCounter,
+    SlowServerDetector,
+    SuspectRecords,
+    SuspectRegister,
+)
 
 from kingcuplug_fleet._demand_totals import DemandTotals
 from kingcuplug_fleet._directory import Directory
-from kingcuplug_fleet._mesh_messages import encode_demand
+from kingcuplug_fleet._mesh_messages import SharedFields
 from kingcuplug_fleet._server_record import ServerRecord
 
 __all__ = ["FleetView"]
@@ -62,6 +68,8 @@
     demand : dict
         Requests of all hosts for each server that has named a limit, by server id;
         without an entry unknown.
+    suspects : mapping
+        Requests under which servers crashed at any host, by fingerprint.
     paces : SlowServerDetector
         Response time samples reported by hosts; used on control hosts only.
     """
@@ -88,6 +96,8 @@
         self.demand: dict[str, int] = {}
         self._known_demand: tuple[float, dict[str, int]] = (self._started_at, {})
         self._demand_totals = DemandTotals(self._started_at)
+        self.suspects: SuspectRecords = {}
+        self._suspect_register = SuspectRegister()
         self._request_window = SlidingWindowCounter(_REQUESTS_WINDOW_S)
         self._request_window_started_at = self._started_at
         self._encoded_state = b""
@@ -103,7 +113,7 @@
             self.host_count,
             self.request_count,
             list(self.reachable_control_hosts),
-            *encode_demand(self.demand),
+            *SharedFields(self.demand, self.suspects).to_json(),
         ]
 
     def state_digest(self) -> str:
@@ -214,6 +224,23 @@
         """Publish the totals of the reported demand."""
         self.set_demand(self._demand_totals.totals(self._loop.time()))
 
+    def set_suspects(self, suspects: SuspectRecords) -> None:
+        """Set the requests under which servers crashed at any host."""
+        if suspects != self.suspects:
+            self.suspects = suspects
+            self.changed.notify()
+
+    def update_suspects(self, reported: SuspectRecords, answered: list[str]) -> None:
+        """Add reported suspects, end those that were answered, and publish the rest.
+
+        A new coordinator goes on from what the last one has published.
+        """
+        now = self._loop.time()
+        self._suspect_register.add(self.suspects, now)
+        self._suspect_register.add(reported, now)
+        self._suspect_register.discard(answered)
+        self.set_suspects(self._suspect_register.records(now))
+
     def forget_totals(self) -> None:
         """Forget the totals over all hosts, which are out of date without reports."""
         self.set_request_count(0)
--- a/packages/fleet/src/kingcuplug_fleet/_mesh.py
+++ b/packages/fleet/src/kingcuplug_fleet/_mesh.py
@@ -163,6 +163,8 @@
         self._view.paces.record(report.samples, self._loop.time())
         self._view.add_requests(report.requests)
         self._view.add_demand(report.demand)
+        if report.suspects or report.answered:
+            self._view.update_suspects(report.suspects, report.answered)
 
     async def replicate(self, record: ServerRecord) -> bool:
         """Push a record until one other control host has acknowledged it.
@@ -224,6 +226,7 @@
     def _apply_summary(self, summary: Summary, now: float) -> None:
         view = self._view
         view.set_slow_servers(summary.slow)
+        view.set_suspects(summary.suspects)
         if self._leader() is None:
             return
         view.set_silent_servers(set(summary.silent))
@@ -271,7 +274,13 @@
             )
         except PeerFailed:
             # Samples are soon out of date; a total without this demand is too low.
-            self._report.add(Report(demand=report.demand))
+            self._report.add(
+                Report(
+                    demand=report.demand,
+                    suspects=report.suspects,
+                    answered=report.answered,
+                )
+            )
 
     def _update_liveness(self, now: float) -> None:
         """Expire old entries; as coordinator, detect slow and silent servers."""
@@ -294,6 +303,7 @@
             view.changed.notify()
         if coordinator == self._own_address:
             view.set_slow_servers(view.paces.slow_servers(now))
+            view.update_suspects({}, [])
         if is_leader:
             view.set_silent_servers(view.directory.silent(now))
             view.update_host_count()
@@ -383,6 +393,7 @@
             view.request_count,
             {a: view.zones.get(a, "") for a in view.reachable_control_hosts},
             view.demand,
+            view.suspects,
         )
 
     def _message(
--- a/packages/fleet/src/kingcuplug_fleet/_mesh_messages.py
+++ b/packages/fleet/src/kingcuplug_fleet/_mesh_messages.py
@@ -10,7 +10,7 @@
     require_string,
     require_strings,
 )
-from kingcuplug_routing import LatencySamples
+from kingcuplug_routing import LatencySamples, SuspectRecord, SuspectRecords
 
 from kingcuplug_fleet._server_record import ServerRecord
 
@@ -18,35 +18,69 @@
     "Heartbeats",
     "PushMessage",
     "Report",
+    "SharedFields",
     "Summary",
-    "decode_demand",
-    "encode_demand",
 ]
 
 # Start time and sequence of each server's last heartbeat, by server id.
 Heartbeats = dict[str, tuple[int, int]]
 
 
-def encode_demand(demand: dict[str, int]) -> list[Any]:
-    """Return the end of a message with the demand by server id.
+@dataclass(frozen=True, slots=True)
+class SharedFields:
+    """Fields at the end of a message, left out as far as they are empty.
+
+    The message then has the form that hosts of earlier versions read.
 
-    It is empty without demand, so that the message then has the form that hosts of
-    earlier versions read.
+    Attributes
+    ----------
+    demand : dict
+        Number of requests for each server that has named a limit, by server id.
+    suspects : mapping
+        Requests under which servers crashed, by fingerprint.
+    answered : list of str
+        Fingerprints of the suspects that were answered since.
     """
-    return [dict(sorted(demand.items()))] if demand else []
 
+    demand: dict[str, int] = field(default_factory=dict)
+    suspects: SuspectRecords = field(default_factory=dict)
+    answered: list[str] = field(default_factory=list)
 
-def decode_demand(end: list[Any]) -> dict[str, int]:
-    """Return the demand by server id from the end of a message.
+    def to_json(self) -> list[Any]:
+        """Return the end of a message."""
+        suspects = {
+            fingerprint: [record.minutes_left, *sorted(record.executions)]
+            for fingerprint, record in sorted(self.suspects.items())
+        }
+        end: list[Any] = [dict(sorted(self.demand.items())), suspects, self.answered]
+        while end and not end[-1]:
+            end.pop()
+        return end
 
-    Raises
-    ------
-    ValueError
-        If it does not describe the demand.
-    """
-    if not end:
-        return {}
-    return {s: require_integer(n) for s, n in require_mapping(end[0]).items()}
+    @classmethod
+    def from_json(cls, end: list[Any]) -> "SharedFields":
+        """Return the fields from the end of a message.
+
+        Raises
+        ------
+        ValueError
+            If it does not describe them.
+        """
+        defaults: list[Any] = [{}, {}, []]
+        demand, suspects, answered = [*end, *defaults[len(end) :]][: len(defaults)]
+        return cls(
+            {s: require_integer(n) for s, n in require_mapping(demand).items()},
+            {
+                fingerprint: SuspectRecord(
+                    require_integer(minutes_left),
+                    frozenset(require_strings(executions)),
+                )
+                for fingerprint, (minutes_left, *executions) in require_mapping(
+                    suspects
+                ).items()
+            },
+            require_strings(answered),
+        )
 
 
 @dataclass(slots=True)
@@ -61,11 +95,17 @@
         Number of callers' requests.
     demand : dict
         Number of requests for each server that has named a limit, by server id.
+    suspects : dict
+        Requests under which servers crashed, by fingerprint.
+    answered : list of str
+        Fingerprints of the suspects that were answered since.
     """
 
     samples: LatencySamples = field(default_factory=dict)
     requests: int = 0
     demand: dict[str, int] = field(default_factory=dict)
+    suspects: dict[str, SuspectRecord] = field(default_factory=dict)
+    answered: list[str] = field(default_factory=list)
 
     def add(self, other: "Report") -> None:
         """Add another report to this one."""
@@ -75,10 +115,18 @@
         self.requests += other.requests
         for server, count in other.demand.items():
             self.demand[server] = self.demand.get(server, 0) + count
+        for fingerprint, record in other.suspects.items():
+            held = self.suspects.get(fingerprint, record)
+            self.suspects[fingerprint] = SuspectRecord(
+                max(record.minutes_left, held.minutes_left),
+                record.executions | held.executions,
+            )
+        self.answered += [f for f in other.answered if f not in self.answered]
 
     def to_json(self) -> list[Any]:
         """Return the fields as a JSON array."""
-        return [self.samples, self.requests, *encode_demand(self.demand)]
+        end = SharedFields(self.demand, self.suspects, self.answered)
+        return [self.samples, self.requests, *end.to_json()]
 
     @classmethod
     def from_json(cls, value: list[Any]) -> "Report":
@@ -94,7 +142,14 @@
             server: (require_integer(count), require_number(total))
             for server, (count, total) in require_mapping(samples).items()
         }
-        return cls(decoded, require_integer(requests), decode_demand(end))
+        shared = SharedFields.from_json(end)
+        return cls(
+            decoded,
+            require_integer(requests),
+            shared.demand,
+            dict(shared.suspects),
+            shared.answered,
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,6 +170,8 @@
         Availability zones of the control hosts that the leader can reach, by address.
     demand : dict
         Requests of all hosts for each server that has named a limit, by server id.
+    suspects : mapping
+        Requests under which servers crashed at any host, by fingerprint.
     """
 
     silent: list[str]
@@ -123,6 +180,7 @@
     requests: int
     reachable: dict[str, str]
     demand: dict[str, int] = field(default_factory=dict)
+    suspects: SuspectRecords = field(default_factory=dict)
 
     def to_json(self) -> list[Any]:
         """Return the fields as a JSON array."""
@@ -132,7 +190,7 @@
             self.hosts,
             self.requests,
             self.reachable,
-            *encode_demand(self.demand),
+            *SharedFields(self.demand, self.suspects).to_json(),
         ]
 
     @classmethod
@@ -145,13 +203,15 @@
             If the array does not describe a summary.
         """
         silent, slow, hosts, requests, reachable, *end = value
+        shared = SharedFields.from_json(end)
         return cls(
             require_strings(silent),
             {i: require_number(pace) for i, pace in require_mapping(slow).items()},
             require_integer(hosts),
             require_integer(requests),
             {a: require_string(z) for a, z in require_mapping(reachable).items()},
-            decode_demand(end),
+            shared.demand,
+            shared.suspects,
         )
 
 
--- a/packages/fleet/src/kingcuplug_fleet/_polling.py
+++ b/packages/fleet/src/kingcuplug_fleet/_polling.py
@@ -23,7 +23,7 @@
 
 from kingcuplug_fleet._fleet_view import FleetView
 from kingcuplug_fleet._mesh import REPORT_PATH
-from kingcuplug_fleet._mesh_messages import Report, decode_demand
+from kingcuplug_fleet._mesh_messages import Report, SharedFields
 from kingcuplug_fleet._peer_client import PeerClient, PeerFailed
 from kingcuplug_fleet._server_record import ServerRecord
 
@@ -397,7 +397,9 @@
         view.set_host_count(require_integer(host_count))
         view.set_request_count(require_integer(request_count))
         view.set_reachable_control_hosts(tuple(require_strings(reachable)))
-        view.set_demand(decode_demand(end))
+        shared = SharedFields.from_json(end)
+        view.set_demand(shared.demand)
+        view.set_suspects(shared.suspects)
 
 
 def _decode_paces(value: Any) -> dict[str, float]:
--- a/packages/gateway/src/kingcuplug_gateway/_crash_witness.py
+++ b/packages/gateway/src/kingcuplug_gateway/_crash_witness.py
@@ -102,7 +102,8 @@
     async def _reaches_other_server(self, lost: list[Server]) -> bool:
         """Return whether this host can connect to any of a few other servers."""
         excluded = {server.info.id for server in lost}
-        others = self._servers.sample(_MAX_CHECKED_SERVERS, excluded)
+        now = asyncio.get_running_loop().time()
+        others = self._servers.sample(_MAX_CHECKED_SERVERS, now, excluded)
         results = await asyncio.gather(*(_accepts(s.info.address) for s in others))
         return any(results)
 
--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -23,6 +23,7 @@
     Delegation,
     LatencyEstimator,
     PartialAnswerPolicy,
+    RequestQuarantine,
     ReturningCallers,
     WaitingRequest,
     concurrency_limits,
@@ -31,7 +32,7 @@
     startup_wait_until,
 )
 
-from kingcuplug_gateway._crash_witness import CrashWitness
+from kingcuplug_gateway._crash_witness import CrashWitness, request_fingerprint
 from kingcuplug_gateway._gather_client import (
     CallPeer,
     GathererDirectory,
@@ -75,6 +76,8 @@
         Route table in force; ``None`` until the first one is installed.
     servers : ServerTable
         Backend servers by service.
+    quarantine : RequestQuarantine
+        Requests under which servers crashed.
     stops_at : float
         Event loop time at which the host ends the requests in progress. Requests that
         may take longer are refused, so that their callers send them to another host.
@@ -94,6 +97,7 @@
         self._is_gatherer = False
         self._header_names = settings.names
         self._metrics = metrics
+        self._log = log
         self._request_log = RequestLog(
             self._header_names.attempt_id.lower(), log, metrics
         )
@@ -117,6 +121,7 @@
         self._state_changed = Condition()
         self.table: RouteTable | None = None
         self.stops_at = math.inf
+        self.quarantine = RequestQuarantine()
         self.servers = ServerTable(
             settings.availability_zone,
             settings.retry_budget,
@@ -126,14 +131,15 @@
         )
         self._signals = SignalReader(self.servers, self._header_names, log, metrics)
         self._crash_witness = CrashWitness(
-            self.servers, self._record_crash, log, metrics
+            self.servers, self._on_servers_crashed, log, metrics
         )
         self._gather_server = GatherServer(
             partial(self._make_call, for_peer=True),
             self._route_timing,
             self._header_names.signature.lower(),
             lambda shard: bool(self.servers.pool(shard).servers),
-            self._crash_witness.review,
+            self._review_calls,
+            self._quarantined_s,
             log,
         )
 
@@ -270,12 +276,15 @@
                 finished.set_result(None)
 
         outbound = self._outbound_request(request, route)
+        quarantined_s = self._quarantined_s(outbound)
+        if quarantined_s > 0:
+            return self._refuse(request, route, "quarantined", wait_s=quarantined_s)
         timing = self._route_timing(route.name, route.target_ms)
         call = self._make_call(
             service,
             outbound,
             timing,
-            route.max_attempts,
+            1 if self._is_suspect(outbound) else route.max_attempts,
             on_finished,
             limiter=pool.limiter,
         )
@@ -302,6 +311,7 @@
             if call.result.succeeded:
                 in_time = is_in_time(now, target_at)
             pool.limiter.release(route.priority, now, now - started_at, in_time)
+            self._review_calls((call,))
         result = call.result
         if result.response is not None:
             return self._finish(
@@ -315,6 +325,9 @@
     async def _scatter_query(self, request: Request, route: Route) -> Response:
         """Send a request to one server of each shard and merge their responses."""
         outbound = self._outbound_request(request, route)
+        quarantined_s = self._quarantined_s(outbound)
+        if quarantined_s > 0:
+            return self._refuse(request, route, "quarantined", wait_s=quarantined_s)
         rule = self._answer_rule(request, route, outbound)
         pools = [self.servers.pool(shard) for shard in route.shards]
         await self._wait_for_startup(
@@ -354,6 +367,10 @@
         finally:
             now = asyncio.get_running_loop().time()
             pools[0].limiter.release(route.priority, now, now - started_at, in_time)
+            if scatter.has_parts:
+                self._record_answer(outbound)
+            else:
+                self._review_calls(scatter.calls)
         merged = scatter.merge(route.top_records)
         if merged is None:
             past_deadline = asyncio.get_running_loop().time() >= rule.final_at
@@ -381,6 +398,8 @@
         gather_records: list[GatherRecord],
     ) -> list[Coroutine[Any, Any, None]]:
         """Start calls to shards, and return the coroutines that delegate the others."""
+        if self._is_suspect(outbound):
+            return [self._call_shards_in_turn(route, outbound, scatter)]
         delegations = self._delegations(route)
         delegated_shards = {shard for d in delegations for shard in d.shards}
         now = asyncio.get_running_loop().time()
@@ -441,6 +460,41 @@
             for delegation, record in zip(delegations, gather_records, strict=True)
         ]
 
+    async def _call_shards_in_turn(
+        self, route: Route, outbound: OutboundRequest, scatter: ScatterQuery
+    ) -> None:
+        """Send a suspect to one shard at a time until a server answers or is lost.
+
+        A query that crashes servers otherwise crashes one of each shard each time.
+        """
+        timing = self._route_timing(route.name, route.target_ms)
+        shards = list(route.shards)
+        self._random.shuffle(shards)
+        while shards:
+            finished = asyncio.get_running_loop().create_future()
+
+            def on_finished(
+                call: ServiceCall, finished: asyncio.Future[None] = finished
+            ) -> None:
+                scatter.on_call_finished(call)
+                if not finished.done():
+                    finished.set_result(None)
+
+            call = self._make_call(shards.pop(), outbound, timing, 1, on_finished)
+            scatter.call_shards(lambda _, call=call: call, (call.service,))  # type: ignore[misc]
+            await finished
+            if call.result.answered:
+                break
+            if call.result.lost_servers:
+                scatter.mark_missing(len(shards))
+                return
+        scatter.call_shards(
+            lambda shard: self._make_call(
+                shard, outbound, timing, route.max_attempts, scatter.on_call_finished
+            ),
+            shards,
+        )
+
     def _delegations(self, route: Route) -> list[Delegation]:
         now = asyncio.get_running_loop().time()
         gatherers = self._gatherer_directory.available()
@@ -665,8 +719,47 @@
         response = error_response(503, reason, retry_after_s=retry_after_s)
         return self._finish(request, route, response, *calls)
 
-    def _record_crash(self, fingerprint: str, attempt_id: str) -> None:
-        """Record that servers crashed under a request."""
+    def _review_calls(self, calls: Sequence[ServiceCall]) -> None:
+        """Record whether the calls of a request crashed servers, or were answered."""
+        self._crash_witness.review(calls)
+        if calls and any(call.result.answered for call in calls):
+            self._record_answer(calls[0].outbound)
+
+    def _record_answer(self, outbound: OutboundRequest) -> None:
+        if not self.quarantine.is_empty:
+            now = asyncio.get_running_loop().time()
+            fingerprint = request_fingerprint(outbound.head, outbound.body)
+            self.quarantine.record_answer(fingerprint, now)
+
+    def _on_servers_crashed(self, fingerprint: str, attempt_id: str) -> None:
+        """Record that servers crashed under a request that none of them answered."""
+        now = asyncio.get_running_loop().time()
+        if self.quarantine.record_crash(fingerprint, attempt_id, now):
+            self._log.write(
+                "request_quarantined",
+                {
+                    "fingerprint": fingerprint,
+                    "id": attempt_id,
+                    "for_s": round(self.quarantine.quarantined_s(fingerprint, now), 1),
+                },
+                bypass_rate_limit=True,
+            )
+
+    def _quarantined_s(self, outbound: OutboundRequest) -> float:
+        """Return for how long a request is still in quarantine, in seconds."""
+        if self.quarantine.is_empty:
+            return 0.0
+        now = asyncio.get_running_loop().time()
+        fingerprint = request_fingerprint(outbound.head, outbound.body)
+        return self.quarantine.quarantined_s(fingerprint, now)
+
+    def _is_suspect(self, outbound: OutboundRequest) -> bool:
+        """Return whether a request may crash the servers that run it."""
+        if self.quarantine.is_empty:
+            return False
+        now = asyncio.get_running_loop().time()
+        fingerprint = request_fingerprint(outbound.head, outbound.body)
+        return self.quarantine.is_suspect(fingerprint, now)
 
     def _record_disconnect(
         self,
@@ -705,8 +798,6 @@
         calls: tuple[ServiceCall, ...],
         gather_records: Sequence[GatherRecord],
     ) -> None:
-        if not any(record.parts for record in gather_records):
-            self._crash_witness.review(calls)
         version = self.table.version if self.table else None
         result = RequestResult(
             outcome, reason, version, self._host_count, calls, gather_records
--- a/packages/gateway/src/kingcuplug_gateway/_gather_server.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gather_server.py
@@ -56,6 +56,8 @@
         Returns whether this host knows a server of a shard.
     on_finished : callable
         Called with the calls of an operation that has ended.
+    quarantined_s : callable
+        Returns for how long a request is still in quarantine; 0 if it is not.
     """
 
     def __init__(
@@ -65,8 +67,10 @@
         signature_header: bytes,
         has_servers: Callable[[str], bool],
         on_finished: Callable[[Sequence[ServiceCall]], None],
+        quarantined_s: Callable[[OutboundRequest], float],
         log: EventLog,
     ) -> None:
+        self._quarantined_s = quarantined_s
         self._on_finished = on_finished
         self._has_servers = has_servers
         self._make_call = make_call
@@ -149,7 +153,7 @@
         timing = self._route_timing(request.route, request.target_ms)
         operation = _GatherOperation(request, timing, self._signature_header)
         self._operations[request.gather_id] = operation
-        operation.start(self._make_call)
+        operation.start(self._make_call, self._quarantined_s(operation.outbound) > 0)
         return operation
 
     def _finish(self, operation: "_GatherOperation", reason: str) -> None:
@@ -201,7 +205,7 @@
         self.started_at = self._loop.time()
         self.calls: list[ServiceCall] = []
         deadline_at = self.started_at + request.remaining_ms / _MS_PER_S
-        self._outbound = OutboundRequest(
+        self.outbound = OutboundRequest(
             request.head,
             request.body,
             request.attempt_id,
@@ -213,13 +217,13 @@
             len(request.shards), 1.0, self.started_at, deadline_at, deadline_at
         )
 
-    def start(self, make_call: CallFactory) -> None:
-        """Send the first attempts."""
+    def start(self, make_call: CallFactory, quarantined: bool) -> None:
+        """Send the first attempts, unless the request is in quarantine."""
         request = self.request
         self.calls = [
             make_call(
                 shard,
-                self._outbound,
+                self.outbound,
                 self.timing,
                 request.max_attempts,
                 self._on_call_finished,
@@ -227,7 +231,11 @@
             for shard in request.shards
         ]
         for call in self.calls:
-            call.start()
+            if quarantined:
+                call.cancel()
+                self._on_call_finished(call)
+            else:
+                call.start()
 
     def allow_hedging(self) -> None:
         """Allow hedging in all unfinished calls."""
--- a/packages/gateway/src/kingcuplug_gateway/_scatter.py
+++ b/packages/gateway/src/kingcuplug_gateway/_scatter.py
@@ -151,6 +151,11 @@
             self._signatures, missing, merge_records(self._bodies, record_count)
         )
 
+    @property
+    def has_parts(self) -> bool:
+        """Whether any part was received."""
+        return self._received_count > 0
+
     @property
     def in_time(self) -> bool | None:
         """Whether it was answered by its target time; ``None`` without an answer.
--- a/packages/gateway/src/kingcuplug_gateway/_servers.py
+++ b/packages/gateway/src/kingcuplug_gateway/_servers.py
@@ -238,25 +238,31 @@
             )
         return pool
 
-    def sample(self, count: int, excluded: Container[str] = ()) -> list[Server]:
-        """Return up to `count` servers of any services, one of each service.
+    def sample(
+        self, count: int, now: float, excluded: Container[str] = ()
+    ) -> list[Server]:
+        """Return up to `count` servers, of different services if there are enough.
 
-        Servers whose heartbeats are missing, or whose id is excluded, are left out.
+        Servers that are known to be unreachable, or whose id is excluded, are left out.
         """
+        found: dict[str, Server] = {}
         pools = list(self._pools.values())
         self._random.shuffle(pools)
-        found: list[Server] = []
-        for pool in pools:
+        for pool in pools * count:
             if len(found) == count:
                 break
             candidates = [
                 server
                 for identifier, server in pool.servers.items()
-                if identifier not in excluded and not server.info.heartbeats_missing
+                if identifier not in excluded
+                and identifier not in found
+                and not server.info.heartbeats_missing
+                and now >= server.state.unreachable_until
             ]
             if candidates:
-                found.append(self._random.choice(candidates))
-        return found
+                server = self._random.choice(candidates)
+                found[server.info.id] = server
+        return list(found.values())
 
     def set_connection_limits(
         self, limits: dict[str, int], hosts: int, gatherers: int = 0
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -555,6 +555,9 @@
             "servers_usable": len(fleet_view.directory.usable()),
             "servers_silent": len(fleet_view.silent_servers),
             "servers_limited": len(self._gateway.servers.limited_servers()),
+            "requests_quarantined": self._gateway.quarantine.count_quarantined(
+                asyncio.get_running_loop().time()
+            ),
             "hosts_live": fleet_view.host_count,
             "callers_connected": len(self._caller_listener.connections),
             "control_connected": float(
@@ -664,18 +667,25 @@
             await asyncio.sleep(_UPKEEP_INTERVAL_S)
 
     async def _send_reports(self) -> None:
-        """Send this host's latency samples, its requests, and its demand."""
+        """Send this host's latency samples, its requests, its demand and suspects."""
         loop, servers = asyncio.get_running_loop(), self._gateway.servers
+        quarantine = self._gateway.quarantine
         while True:
             await asyncio.sleep(_REPORT_INTERVAL_S)
-            servers.share_limits(self._fleet_view.demand, loop.time())
+            now = loop.time()
+            servers.share_limits(self._fleet_view.demand, now)
+            quarantine.apply(self._fleet_view.suspects, now)
             report = Report(
-                servers.pop_samples(), servers.pop_request_count(), servers.pop_demand()
+                servers.pop_samples(),
+                servers.pop_request_count(),
+                servers.pop_demand(),
+                *quarantine.pop_report(now),
             )
             if self._is_connected_control_host():
                 self._mesh.receive_report(report)
             elif not await self._poller.report(report):
                 servers.restore_demand(report.demand)
+                quarantine.restore_report(report.suspects, report.answered, now)
 
     async def _prune_servers(self) -> None:
         loop = asyncio.get_running_loop()
--- a/packages/routing/src/kingcuplug_routing/__init__.py
+++ b/packages/routing/src/kingcuplug_routing/__init__.py
@@ -18,6 +18,12 @@
 from kingcuplug_routing._latency_estimator import LatencyEstimator
 from kingcuplug_routing._partial_answer import PartialAnswerPolicy
 from kingcuplug_routing._replica_scoring import ReplicaState, choose_replica
+from kingcuplug_routing._request_quarantine import (
+    RequestQuarantine,
+    SuspectRecord,
+    SuspectRecords,
+    SuspectRegister,
+)
 from kingcuplug_routing._retry_budget import (
     RetryBudget,
     RetryBudgetSettings,
@@ -76,6 +82,7 @@
     "PartialAnswerPolicy",
     "Priority",
     "ReplicaState",
+    "RequestQuarantine",
     "RetryBudget",
     "RetryBudgetSettings",
     "ReturningCallers",
@@ -87,6 +94,9 @@
     "SlidingWindowCounter",
     "SlowServerDetector",
     "SnapshotView",
+    "SuspectRecord",
+    "SuspectRecords",
+    "SuspectRegister",
     "Ticket",
     "WaitingRequest",
     "baseline_policy",
--- a/tests/fleet/test_demand_totals.py
+++ b/tests/fleet/test_demand_totals.py
@@ -2,6 +2,7 @@
 
 from kingcuplug_fleet._demand_totals import DemandTotals
 from kingcuplug_fleet._mesh_messages import Report, Summary
+from kingcuplug_routing import SuspectRecord
 
 
 def test_total_follows_the_reports_and_is_never_below_them():
@@ -53,6 +54,18 @@
     assert report.demand == {"s": 6, "t": 1}
 
 
+def test_messages_carry_suspects():
+    # Guards against suspects that are lost between hosts, or mixed up with the demand.
+    suspects = {"f1": SuspectRecord(10, frozenset(("e1", "e2")))}
+    report = Report(suspects=suspects, answered=["f2"])
+    summary = Summary([], {}, 2, 9, {}, {}, suspects)
+    assert Report.from_json(report.to_json()) == report
+    assert Summary.from_json(summary.to_json()) == summary
+    report.add(Report(suspects={"f1": SuspectRecord(3, frozenset(("e3",)))}))
+    assert report.suspects["f1"] == SuspectRecord(10, frozenset(("e1", "e2", "e3")))
+    assert Summary.from_json([[], {}, 2, 9, {}, {"s": 1}]).suspects == {}
+
+
 def test_new_coordinator_continues_the_totals_of_the_last_one():
     # Guards against totals that begin with nothing while hosts count all their demand.
     totals = DemandTotals(100.0, {"s": 200})
