--- a/tests/soak/test_crashing_requests.py
+++ b/tests/soak/test_crashing_requests.py
@@ -4,6 +4,7 @@
 import contextlib
 from pathlib import Path
 
+import orjson
 import pytest
 from kingcuplug_fleet import PeerFailed
 from kingcuplug_platform import HEADER_NAMES
@@ -49,6 +50,15 @@
     return env.backends.crashed_at, served, env.checker.violations
 
 
+def _quarantined_ids(folder: Path) -> list[str]:
+    """Return the ids of the requests that hosts refused as quarantined."""
+    lines = [
+        line for path in folder.glob("*.log") for line in path.read_bytes().splitlines()
+    ]
+    entries = [orjson.loads(line) for line in lines if b'"quarantined"' in line]
+    return [entry["id"] for entry in entries if entry.get("reason") == "quarantined"]
+
+
 @pytest.mark.system
 @pytest.mark.parametrize("kind", ["read", "query"])
 def test_request_that_crashes_servers_is_soon_sent_to_none(kind, tmp_path):
@@ -58,3 +68,6 @@
     late = [at for at in crashed_at if at > crashed_at[2] + _STABILITY_WINDOW_S]
     assert len(late) <= _MAX_LATE_RETRIES
     assert violations == []
+    refused_ids = _quarantined_ids(tmp_path)
+    assert refused_ids
+    assert [i for i in refused_ids if not i.startswith("crash-")] == []
