Log and measure that a host is cut off from all servers

The logs named the servers of single requests, so a host that reached no server looked like a host whose requests met servers that were down.

Two servers that fail without any sign of life in between lead to a check: three servers of different services are tried at once. The result is logged and measured; while it is bad the check is repeated every 0.25 s. Afterwards failures that the cut caused are forgotten.

--- a/packages/gateway/src/kingcuplug_gateway/_crash_witness.py
+++ b/packages/gateway/src/kingcuplug_gateway/_crash_witness.py
@@ -5,8 +5,11 @@
 from collections.abc import Callable, Sequence
 
 from kingcuplug_common import EventLog, Metrics
-from kingcuplug_http import connect
 
+from kingcuplug_gateway._reachability import (
+    accepts_connections,
+    refuses_connections,
+)
 from kingcuplug_gateway._servers import Server, ServerTable
 from kingcuplug_gateway._service_call import ServiceCall
 
@@ -17,7 +20,6 @@
 _FINGERPRINT_BYTES = 8
 # A server that crashes closes its listening socket and its connections in any order.
 _CLOSE_DELAY_S = 0.05
-_CONNECT_TIMEOUT_S = 0.3
 # A query is in flight at a server of every shard; a few of them are enough.
 _MAX_CHECKED_SERVERS = 3
 _MAX_CONCURRENT_CHECKS = 16
@@ -86,7 +88,9 @@
     ) -> None:
         await asyncio.sleep(_CLOSE_DELAY_S)
         checked = lost[:_MAX_CHECKED_SERVERS]
-        refusals = await asyncio.gather(*(_refuses(s.info.address) for s in checked))
+        refusals = await asyncio.gather(
+            *(refuses_connections(s.info.address) for s in checked)
+        )
         crashed = [
             s.info.id for s, refuses in zip(checked, refusals, strict=True) if refuses
         ]
@@ -104,26 +108,7 @@
         excluded = {server.info.id for server in lost}
         now = asyncio.get_running_loop().time()
         others = self._servers.sample(_MAX_CHECKED_SERVERS, now, excluded)
-        results = await asyncio.gather(*(_accepts(s.info.address) for s in others))
+        results = await asyncio.gather(
+            *(accepts_connections(s.info.address) for s in others)
+        )
         return any(results)
-
-
-async def _refuses(address: str) -> bool:
-    """Return whether nothing listens at an address."""
-    try:
-        connection = await connect(address, _CONNECT_TIMEOUT_S)
-    except (ConnectionRefusedError, ConnectionResetError):
-        return True
-    except OSError:
-        return False
-    connection.close()
-    return False
-
-
-async def _accepts(address: str) -> bool:
-    try:
-        connection = await connect(address, _CONNECT_TIMEOUT_S)
-    except OSError:
-        return False
-    connection.close()
-    return True
--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -42,6 +42,7 @@
     probe_gatherers,
 )
 from kingcuplug_gateway._gather_server import GatherServer
+from kingcuplug_gateway._isolation_monitor import IsolationMonitor
 from kingcuplug_gateway._request_log import RequestLog, RequestResult
 from kingcuplug_gateway._routes import Route, RouteTable
 from kingcuplug_gateway._scatter import ScatterQuery
@@ -130,6 +131,9 @@
             silent_gatherer_ratio=self._gatherer_directory.excluded_ratio,
         )
         self._signals = SignalReader(self.servers, self._header_names, log, metrics)
+        self._isolation = IsolationMonitor(
+            self.servers, self._on_isolation_changed, log, metrics
+        )
         self._crash_witness = CrashWitness(
             self.servers, self._on_servers_crashed, log, metrics
         )
@@ -229,6 +233,16 @@
             self._update_connection_limits()
         return await self._gather_server.handle(message, accept_new)
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether this host is cut off from all servers."""
+        return self._isolation.isolated
+
+    def close(self) -> None:
+        """Close the connections to servers."""
+        self._isolation.close()
+        self.servers.close()
+
     async def probe_gatherers(self) -> None:
         """Probe gatherers that did not answer, to use them again when they do."""
         if self._call_peer is not None:
@@ -299,6 +313,7 @@
             async with asyncio.timeout_at(self._answer_due_at(outbound)):
                 await finished
         except TimeoutError:
+            call.record_silence()
             call.cancel()
             in_time = False
             return self._finish(request, route, error_response(504, "timed out"), call)
@@ -373,6 +388,8 @@
                 self._review_calls(scatter.calls)
         merged = scatter.merge(route.top_records)
         if merged is None:
+            for call in scatter.calls:
+                call.record_silence()
             past_deadline = asyncio.get_running_loop().time() >= rule.final_at
             status = 504 if past_deadline else 502
             response = error_response(status, "too few shards answered")
@@ -611,6 +628,7 @@
             max_attempts=max_attempts,
             random=self._random,
             on_finished=on_finished,
+            isolation=self._isolation,
             first_attempt_kind=first_attempt_kind,
             for_peer=for_peer,
             limiter=limiter,
@@ -719,6 +737,10 @@
         response = error_response(503, reason, retry_after_s=retry_after_s)
         return self._finish(request, route, response, *calls)
 
+    def _on_isolation_changed(self) -> None:
+        """Judge servers anew, as failures were on this host's side."""
+        self.servers.forget_failures()
+
     def _review_calls(self, calls: Sequence[ServiceCall]) -> None:
         """Record whether the calls of a request crashed servers, or were answered."""
         self._crash_witness.review(calls)
--- /dev/null
+++ b/packages/gateway/src/kingcuplug_gateway/_isolation_monitor.py
@@ -0,0 +1,111 @@
+"""Checks whether this host is cut off from all backend servers."""
+
+import asyncio
+from collections.abc import Callable
+
+from kingcuplug_common import EventLog, Metrics
+from kingcuplug_routing import IsolationDetector
+
+from kingcuplug_gateway._reachability import accepts_connections
+from kingcuplug_gateway._servers import ServerTable
+
+__all__ = ["IsolationMonitor"]
+
+_CHECKED_SERVERS = 3
+_CHECK_INTERVAL_S = 0.25
+
+
+class IsolationMonitor:
+    """Follows the signs of life of servers, and tries some when these are missing.
+
+    Parameters
+    ----------
+    on_change : callable
+        Called when this host is cut off from all servers, and when it is not any more.
+    """
+
+    def __init__(
+        self,
+        servers: ServerTable,
+        on_change: Callable[[], None],
+        log: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        self._servers = servers
+        self._on_change = on_change
+        self._log = log
+        self._metrics = metrics
+        self._detector = IsolationDetector()
+        self._loop = asyncio.get_running_loop()
+        self._checks: asyncio.Task[None] | None = None
+        self._isolated_since = 0.0
+
+    @property
+    def isolated(self) -> bool:
+        """Whether no server can be reached from this host."""
+        return self._detector.isolated
+
+    def record_connection(self) -> None:
+        """Record that a server has accepted a connection."""
+        self._detector.record_connection()
+
+    def record_answer(self) -> None:
+        """Record the answer of a server."""
+        self._detector.record_answer()
+
+    def record_unconnected(self, server: str) -> None:
+        """Record that a connection to a server could not be made."""
+        self._detector.record_unconnected(server)
+        self._start_checks()
+
+    def record_silence(self, server: str) -> None:
+        """Record that a server was lost, or is later than usual."""
+        self._detector.record_silence(server)
+        self._start_checks()
+
+    async def wait_for_check(self) -> None:
+        """Wait until a check in progress has ended, unless it has found a cut."""
+        if self._checks is not None and not self.isolated:
+            await asyncio.wait([self._checks], timeout=_CHECK_INTERVAL_S)
+
+    def close(self) -> None:
+        """End the checks."""
+        if self._checks is not None:
+            self._checks.cancel()
+
+    def _start_checks(self) -> None:
+        if self._checks is None and self._detector.check_is_due(self._loop.time()):
+            self._checks = asyncio.ensure_future(self._check_until_reached())
+            self._checks.add_done_callback(self._on_checks_ended)
+
+    def _on_checks_ended(self, checks: asyncio.Task[None]) -> None:
+        self._checks = None
+
+    async def _check_until_reached(self) -> None:
+        while True:
+            await self._check()
+            if not self.isolated:
+                return
+            await asyncio.sleep(_CHECK_INTERVAL_S)
+
+    async def _check(self) -> None:
+        now = self._loop.time()
+        self._detector.record_check_start(now)
+        servers = self._servers.sample(_CHECKED_SERVERS, now)
+        results = await asyncio.gather(
+            *(accepts_connections(server.info.address) for server in servers)
+        )
+        self._metrics.count("server_checks")
+        if not self._detector.record_check(sum(results), len(results)):
+            return
+        now = self._loop.time()
+        tried = [server.info.id for server in servers]
+        if self.isolated:
+            self._isolated_since = now
+            self._log.write("servers_unreachable", {"tried": tried}, True)
+        else:
+            after_s = round(now - self._isolated_since, 1)
+            self._log.write(
+                "servers_reachable", {"tried": tried, "after_s": after_s}, True
+            )
+        self._on_change()
--- a/packages/gateway/src/kingcuplug_gateway/_servers.py
+++ b/packages/gateway/src/kingcuplug_gateway/_servers.py
@@ -244,7 +244,14 @@
         """Return up to `count` servers, of different services if there are enough.
 
         Servers that are known to be unreachable, or whose id is excluded, are left out.
+        If all of them are unreachable, any are returned.
         """
+        found = self._sample(count, excluded, now)
+        return found or self._sample(count, excluded, math.inf)
+
+    def _sample(
+        self, count: int, excluded: Container[str], reachable_at: float
+    ) -> list[Server]:
         found: dict[str, Server] = {}
         pools = list(self._pools.values())
         self._random.shuffle(pools)
@@ -257,7 +264,7 @@
                 if identifier not in excluded
                 and identifier not in found
                 and not server.info.heartbeats_missing
-                and now >= server.state.unreachable_until
+                and reachable_at >= server.state.unreachable_until
             ]
             if candidates:
                 server = self._random.choice(candidates)
@@ -301,6 +308,12 @@
                     samples[identifier] = observed
         return samples
 
+    def forget_failures(self) -> None:
+        """Forget which servers failed, because the fault was on this host's side."""
+        for pool in self._pools.values():
+            for server in pool.servers.values():
+                server.state.forget_failures()
+
     def limited_servers(self) -> list[Server]:
         """Return the servers that have named a limit in their last answer."""
         return list(self._limited_servers.values())
--- a/packages/gateway/src/kingcuplug_gateway/_service_call.py
+++ b/packages/gateway/src/kingcuplug_gateway/_service_call.py
@@ -11,6 +11,7 @@
 from kingcuplug_routing import ConcurrencyLimiter, LatencyEstimator, choose_replica
 
 from kingcuplug_gateway._header_names import HeaderNames
+from kingcuplug_gateway._isolation_monitor import IsolationMonitor
 from kingcuplug_gateway._servers import Server, ServerTable, ServicePool
 from kingcuplug_gateway._signal_reader import SignalReader
 
@@ -156,11 +157,13 @@
         max_attempts: int,
         random: random_module.Random,
         on_finished: Callable[["ServiceCall"], None],
+        isolation: IsolationMonitor,
         first_attempt_kind: str = "first",
         for_peer: bool = False,
         limiter: ConcurrencyLimiter | None = None,
         may_skip: Callable[[float], bool] | None = None,
     ) -> None:
+        self._isolation = isolation
         self._limiter = limiter
         self._may_skip = may_skip
         self._first_attempt_kind = first_attempt_kind
@@ -247,6 +250,15 @@
             if not self.finished and self._attempt_count < self._max_attempts:
                 self._hedge()
 
+    def record_silence(self) -> None:
+        """Record that the servers of the attempts in progress are late."""
+        for attempt in self._open_attempts:
+            self._isolation.record_silence(attempt.server.info.id)
+
+    def on_connected(self) -> None:
+        """Process that a server has accepted a new connection."""
+        self._isolation.record_connection()
+
     def cancel(self, linger: bool = False) -> None:
         """End the call and cancel its attempts in progress.
 
@@ -288,6 +300,7 @@
         else:
             state.record_failure(attempt, now, unreachable=False)
         attempt.record.end(response_class.value, now)
+        self._isolation.record_answer()
         if response_class is not ResponseClass.NOT_RUN:
             self.result.answered = True
         self._metrics.observe(
@@ -319,6 +332,10 @@
         attempt.record.end(failure.name.lower(), now)
         if failure is Failure.LOST:
             self.result.lost_servers.append(attempt.server)
+        if unreachable:
+            self._isolation.record_unconnected(attempt.server.info.id)
+        else:
+            self._isolation.record_silence(attempt.server.info.id)
         if self.finished:
             return
         if unreachable:
@@ -418,6 +435,7 @@
         now = self._loop.time()
         for attempt in self._open_attempts:
             attempt.server.state.report_late(attempt, now)
+        self.record_silence()
         if self._limiter is None or not self._limiter.saturated:
             self._send("hedge")
 
@@ -492,6 +510,8 @@
 
     def on_sent(self, connection: OutboundConnection) -> None:
         self._connection = connection
+        if connection.request_count == 0:
+            self._call.on_connected()
 
     def accepts(self, response: Response) -> bool:
         """Return whether the response is certainly the one to this attempt.
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -333,7 +333,7 @@
             self._caller_listener,
         ):
             await listener.stop()
-        self._gateway.servers.close()
+        self._gateway.close()
         self._peer_client.close()
         self._log.write("stopped", {}, bypass_rate_limit=True)
         self._log.flush()
@@ -559,6 +559,7 @@
                 asyncio.get_running_loop().time()
             ),
             "hosts_live": fleet_view.host_count,
+            "servers_unreachable": float(self._gateway.is_isolated),
             "callers_connected": len(self._caller_listener.connections),
             "control_connected": float(
                 self._is_connected_control_host()
--- a/packages/routing/src/kingcuplug_routing/__init__.py
+++ b/packages/routing/src/kingcuplug_routing/__init__.py
@@ -15,6 +15,7 @@
     is_in_time,
 )
 from kingcuplug_routing._delegation import Delegation, delegate
+from kingcuplug_routing._isolation import IsolationDetector
 from kingcuplug_routing._latency_estimator import LatencyEstimator
 from kingcuplug_routing._partial_answer import PartialAnswerPolicy
 from kingcuplug_routing._replica_scoring import ReplicaState, choose_replica
@@ -77,6 +78,7 @@
     "Delegation",
     "Holding",
     "HoldingView",
+    "IsolationDetector",
     "LatencyEstimator",
     "LatencySamples",
     "PartialAnswerPolicy",
--- a/packages/routing/src/kingcuplug_routing/_replica_scoring.py
+++ b/packages/routing/src/kingcuplug_routing/_replica_scoring.py
@@ -151,6 +151,14 @@
             self.consecutive_failures += 1
             self.unreachable_until = max(self.unreachable_until, now + unreachable_s)
 
+    def forget_failures(self) -> None:
+        """Forget failures and late answers that were not the server's fault."""
+        self.latency_ratio = 1.0
+        self.error_rate = 0.0
+        self.consecutive_failures = 0
+        self.unreachable_until = 0.0
+        self.sample_count, self.sample_sum = 0, 0.0
+
     def record_abandonment(self, attempt: object, now: float) -> None:
         """Record that an attempt was abandoned, with its age as a sample."""
         started_at, typical_s = self.open_attempts.pop(attempt, (now, 0.0))
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -153,7 +153,7 @@
     try:
         yield harness
     finally:
-        gateway.servers.close()
+        gateway.close()
         for listener in harness.listeners:
             await listener.stop()
         with contextlib.suppress(OSError):
