Count the requests of all hosts at a leader only

Cause: while there is no leader, the control host that aggregates reports published the few requests that it had just received as the number of all requests in a window (11 in place of 250). Hosts divide the fixed part of the retry budget by that number and keep the last share when it becomes unknown, so seven of ten hosts held six times an even share for ten seconds.

Change: only a leader counts requests and demand; it starts its windows when it becomes one, also if a report arrives before its next periodic update. Without a leader the number is unknown, as the design says.

The test failed before: a number below a whole window was published. Ruled out: attempts that bypass the budget (hosts' and servers' counts agree).

--- a/packages/fleet/src/kingcuplug_fleet/_mesh.py
+++ b/packages/fleet/src/kingcuplug_fleet/_mesh.py
@@ -130,7 +130,7 @@
         self._heartbeats: Heartbeats = {}
         self._report = Report()
         self._last_coordinator = ""
-        self._was_leader = False
+        self._is_leader = False
 
     async def run(self) -> None:
         """Run one push task per other control host, and expire old state."""
@@ -161,8 +161,11 @@
             self._report.add(report)
             return
         self._view.paces.record(report.samples, self._loop.time())
-        self._view.add_requests(report.requests)
-        self._view.add_demand(report.demand)
+        self._update_leadership()
+        if self._is_leader:
+            # Without a leader there are several coordinators, and none has all reports.
+            self._view.add_requests(report.requests)
+            self._view.add_demand(report.demand)
         if report.suspects or report.answered:
             self._view.update_suspects(report.suspects, report.answered)
 
@@ -287,24 +290,15 @@
         view = self._view
         view.record_host_poll(self._host)
         view.directory.evict_expired(now)
-        coordinator, is_leader = (
-            self._coordinator(),
-            self._leader() == self._own_address,
-        )
-        if is_leader and not self._was_leader:
-            # Reports were sent to another leader until now, so the local times of
-            # heartbeats and polls are out of date.
-            view.directory.reset_heartbeat_times(now, view.silent_servers)
-            view.assume_host_count(view.host_count)
-            view.restart_totals()
-        self._was_leader = is_leader
+        coordinator = self._coordinator()
+        self._update_leadership()
         if coordinator != self._last_coordinator:
             self._last_coordinator = coordinator
             view.changed.notify()
         if coordinator == self._own_address:
             view.set_slow_servers(view.paces.slow_servers(now))
             view.update_suspects({}, [])
-        if is_leader:
+        if self._is_leader:
             view.set_silent_servers(view.directory.silent(now))
             view.update_host_count()
             view.update_demand()
@@ -314,6 +308,22 @@
         elif self._leader() is None:
             view.forget_totals()
 
+    def _update_leadership(self) -> None:
+        """Start anew what only a leader counts, if this host has just become one.
+
+        Reports were sent to another leader until now, so the local times of heartbeats
+        and polls are out of date, and so are the totals of requests.
+        """
+        was_leader, self._is_leader = (
+            self._is_leader,
+            self._leader() == self._own_address,
+        )
+        if self._is_leader and not was_leader:
+            view = self._view
+            view.directory.reset_heartbeat_times(self._loop.time(), view.silent_servers)
+            view.assume_host_count(view.host_count)
+            view.restart_totals()
+
     async def _push_to(self, address: str) -> None:
         while True:
             peer = self._peers[address]
--- a/tests/fleet/test_mesh.py
+++ b/tests/fleet/test_mesh.py
@@ -339,6 +339,35 @@
     run_virtual(run())
 
 
+def test_no_partial_request_count_is_published_while_the_leader_changes():
+    """Guards against a coordinator that takes its first reports for those of all hosts.
+
+    Hosts would take their share of that number, and keep it when the number is unknown:
+    all of them together then retry several times as often as allowed.
+    """
+
+    async def run() -> None:
+        cluster = Cluster()
+        published = set()
+
+        async def report_all() -> None:
+            for mesh in cluster.meshes.values():
+                mesh.receive_report(Report({}, 5))
+                published.update(view.request_count for view in cluster.views.values())
+            await asyncio.sleep(0.1)
+
+        with cluster.running():
+            for leader, reports in (("a", 150), (None, 20), ("b", 20), ("c", 150)):
+                cluster.leader = leader
+                for _ in range(reports):
+                    await report_all()
+            # 150 requests per second, in a window of up to 11 s.
+            assert all(count == 0 or 1_200 < count <= 1_725 for count in published)
+            assert len(published) > 1
+
+    run_virtual(run())
+
+
 def test_each_side_of_a_partition_aggregates_its_reports():
     """Guards against hosts that detect slow servers alone while there is no leader.
 
