Compare a host's requests with a total that can hold them

All shares of the fixed part of the budget are then too large together, and if the leader stands still they go on growing against the same total, and are kept once it is unknown.

Change: the share is taken when a total arrives, from requests that it can hold already (without the newest one to two tenths of the window). Until the next total it may fall, but rises above an even share no further.

--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -185,10 +185,12 @@
             self._gatherer_directory.addresses_by_zone = gatherers
             self._update_connection_limits()
         self.servers.replace_servers(servers)
-        self.servers.fleet_requests = fleet_requests
         if hosts != self._host_count:
             self._host_count = hosts
             self._update_connection_limits()
+        self.servers.set_fleet_requests(
+            fleet_requests, asyncio.get_running_loop().time()
+        )
         self._state_changed.notify()
 
     def limits(self) -> Limits:
--- a/packages/gateway/src/kingcuplug_gateway/_servers.py
+++ b/packages/gateway/src/kingcuplug_gateway/_servers.py
@@ -187,7 +187,7 @@
         self._connection_limits: dict[str, int] = {}
         self._request_window = SlidingWindowCounter(budget_settings.window_s)
         self._unreported_requests = 0
-        self._retry_share = 0.0
+        self._received_share = 0.0
         self._gatherer_count = 0
         self._departed_signals: dict[str, ServerSignals] = {}
         # A host may know tens of thousands of servers, of which few are limited.
@@ -196,6 +196,15 @@
         self.fleet_requests = 0
         self._fleet_demand: Mapping[str, int] = {}
 
+    def set_fleet_requests(self, fleet_requests: int, now: float) -> None:
+        """Set the number of requests of all hosts in the last window, 0 if unknown."""
+        if fleet_requests == self.fleet_requests:
+            return
+        self.fleet_requests = fleet_requests
+        if fleet_requests > 0:
+            own = self._request_window.settled_total(now)
+            self._received_share = host_share(own, fleet_requests, self.hosts)
+
     def count_request(self, now: float) -> None:
         """Count a caller's request."""
         self._request_window.add(now)
@@ -212,13 +221,16 @@
         """
         if for_peer:
             return 1 / self._gatherer_count if self._gatherer_count else 0.0
-        if self.fleet_requests > 0:
-            own = self._request_window.total(now)
-            self._retry_share = host_share(own, self.fleet_requests, self.hosts)
-        elif self._retry_share == 0:
-            return host_share(0, 0, self.hosts)
-        # While the total is unknown, the last shares of all hosts still add up to 1.
-        return self._retry_share
+        even_share = host_share(0, 0, self.hosts)
+        if self._received_share == 0:
+            return even_share
+        # The requests of all hosts may have grown since the number was received, as
+        # those of this host have: more than the share of then would be taken twice.
+        bound = max(self._received_share, even_share)
+        if self.fleet_requests == 0:
+            return bound
+        own = self._request_window.total(now)
+        return min(host_share(own, self.fleet_requests, self.hosts), bound)
 
     def retry_share_of_silent_gatherers(self) -> float:
         """Return the part of the retry budget that silent gatherers leave unused."""
--- a/packages/routing/src/kingcuplug_routing/_retry_budget.py
+++ b/packages/routing/src/kingcuplug_routing/_retry_budget.py
@@ -15,6 +15,7 @@
 __all__ = ["RetryBudget", "RetryBudgetSettings", "SlidingWindowCounter", "host_share"]
 
 _BUCKET_COUNT = 10
+_SETTLING_BUCKETS = 2
 # Bounds of a host's share, in multiples of an even share. The minimum serves a host
 # whose callers have just arrived or whose requests are not in the total yet; the
 # maximum limits the error while the total of all requests lags.
@@ -69,6 +70,15 @@
         self._advance(now)
         return sum(self._counts)
 
+    def settled_total(self, now: float) -> int:
+        """Return the number without the newest events, which other hosts don't know.
+
+        It leaves out between one and two tenths of the window.
+        """
+        total, size = self.total(now), len(self._counts)
+        newest = range(self._bucket, self._bucket - _SETTLING_BUCKETS, -1)
+        return total - sum(self._counts[bucket % size] for bucket in newest)
+
     def _advance(self, now: float) -> None:
         bucket = int(now / self._width_s)
         size = len(self._counts)
