Have another host serve the requests of a host cut off from its servers

Cause: such a host could only try by itself; its requests hung until their deadline at first, and were then refused. The class is a dependency lost by one host that is treated like one lost for all.

Change: while it is cut off, a host learns other hosts from control hosts, asks them whether they reach servers, and passes requests on with their age and the attempts that are left. Requests in progress that may be repeated are interrupted. Polls of control hosts now name the address and zone of the polling host.

--- a/packages/fleet/src/kingcuplug_fleet/__init__.py
+++ b/packages/fleet/src/kingcuplug_fleet/__init__.py
@@ -24,6 +24,7 @@
     PeerClient,
     PeerFailed,
     PeerRefused,
+    PeerUnreachable,
     decode_body,
     encode_body,
 )
@@ -53,6 +54,7 @@
     "PeerClient",
     "PeerFailed",
     "PeerRefused",
+    "PeerUnreachable",
     "PushMessage",
     "Report",
     "RouteRegister",
--- a/packages/fleet/src/kingcuplug_fleet/_fleet_view.py
+++ b/packages/fleet/src/kingcuplug_fleet/_fleet_view.py
@@ -80,6 +80,7 @@
         self._assumed_host_count = 0
         self._local_polls: dict[str, float] = {}
         self._remote_polls: dict[str, float] = {}
+        self._local_addresses: dict[str, tuple[str, str]] = {}
         self.epoch = random_identifier()
         self.changed = Condition()
         self.directory = Directory(silent_after_s)
@@ -273,9 +274,29 @@
         ):
             self.set_request_count(total)
 
-    def record_host_poll(self, name: str) -> None:
-        """Record a host's poll of this control host."""
+    def record_host_poll(
+        self, name: str, address: str = "", availability_zone: str = ""
+    ) -> None:
+        """Record a host's poll of this control host.
+
+        Parameters
+        ----------
+        address, availability_zone : str
+            Control address and zone of the host; empty if it does not state them.
+        """
         self._local_polls[name] = self._loop.time()
+        if address:
+            self._local_addresses[name] = (address, availability_zone)
+
+    def local_host_addresses(self) -> list[tuple[str, str]]:
+        """Return address and zone of the hosts that have polled this one recently."""
+        names = self.local_hosts()
+        self._local_addresses = {
+            name: self._local_addresses[name]
+            for name in names
+            if name in self._local_addresses
+        }
+        return list(self._local_addresses.values())
 
     def record_remote_host_poll(self, name: str) -> None:
         """Record a host's poll of another control host."""
--- a/packages/fleet/src/kingcuplug_fleet/_peer_client.py
+++ b/packages/fleet/src/kingcuplug_fleet/_peer_client.py
@@ -19,6 +19,7 @@
     "PeerClient",
     "PeerFailed",
     "PeerRefused",
+    "PeerUnreachable",
     "decode_body",
     "encode_body",
 ]
@@ -78,6 +79,10 @@
     """Another host responded that it did not execute the call."""
 
 
+class PeerUnreachable(PeerFailed):
+    """No connection to another host could be made, so it did not get the call."""
+
+
 class PeerClient:
     """Client for calls to other hosts, with a pool of idle connections."""
 
@@ -92,6 +97,8 @@
         ------
         PeerFailed
             If there is no response in time, or its status is an error.
+        PeerUnreachable
+            If no connection could be made.
         """
         try:
             async with asyncio.timeout(timeout_s):
@@ -123,7 +130,12 @@
         headers, body = encode_body(value)
         connection = self._pop_idle(address)
         if connection is None:
-            connection = await connect(address, _CONNECT_TIMEOUT_S)
+            try:
+                connection = await connect(address, _CONNECT_TIMEOUT_S)
+            except OSError as error:
+                raise PeerUnreachable(
+                    f"{address}: {error!r}", "another host will be tried"
+                ) from error
         lines = [f"POST {path} HTTP/1.1\r\nHost: {address}\r\n".encode()]
         call_id = b"%d" % next(self._call_ids)
         lines += [b"%s: %s\r\n" % header for header in headers]
--- a/packages/fleet/src/kingcuplug_fleet/_polling.py
+++ b/packages/fleet/src/kingcuplug_fleet/_polling.py
@@ -76,7 +76,11 @@
         # Without a leader the polling host goes on to the next control host, so it
         # gets no records. One that has just started takes what any of them holds.
         return {"connected": False, "slow": view.slow_servers}
-    view.record_host_poll(value["host"])
+    view.record_host_poll(
+        value["host"],
+        require_string(value.get("address", "")),
+        require_string(value.get("home", "")),
+    )
     view.merge_servers([ServerRecord.from_json(r) for r in value["servers"]])
     directory = view.directory
     cursor = 0
@@ -284,6 +288,8 @@
         has_polled = cursor.version > 0
         value = {
             "host": self._host,
+            "address": self._own_address,
+            "home": self._zone,
             "epoch": cursor.epoch,
             "cursor": cursor.version,
             "routes": view.routes_version,
--- a/packages/gateway/src/kingcuplug_gateway/__init__.py
+++ b/packages/gateway/src/kingcuplug_gateway/__init__.py
@@ -3,6 +3,7 @@
 from kingcuplug_gateway._gateway import Gateway
 from kingcuplug_gateway._gather_client import NotGathering
 from kingcuplug_gateway._header_names import HeaderNames
+from kingcuplug_gateway._relay import HostAddress, NotRelaying, RelayPeers
 from kingcuplug_gateway._routes import (
     Route,
     RouteTable,
@@ -18,7 +19,10 @@
     "Gateway",
     "GatewaySettings",
     "HeaderNames",
+    "HostAddress",
     "NotGathering",
+    "NotRelaying",
+    "RelayPeers",
     "Route",
     "RouteTable",
     "ServerInfo",
--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -1,6 +1,7 @@
 """Handling of callers' requests: routing, forwarding and scatter-gather queries."""
 
 import asyncio
+import dataclasses
 import math
 import random as random_module
 from collections.abc import Callable, Coroutine, Mapping, Sequence
@@ -43,6 +44,14 @@
 )
 from kingcuplug_gateway._gather_server import GatherServer
 from kingcuplug_gateway._isolation_monitor import IsolationMonitor
+from kingcuplug_gateway._relay import (
+    PROBE,
+    NotRelaying,
+    RelayClient,
+    RelayedRequest,
+    RelayPeers,
+    encode_relayed_response,
+)
 from kingcuplug_gateway._request_log import RequestLog, RequestResult
 from kingcuplug_gateway._routes import Route, RouteTable
 from kingcuplug_gateway._scatter import ScatterQuery
@@ -91,6 +100,7 @@
         metrics: Metrics,
         random: random_module.Random | None = None,
         call_peer: CallPeer | None = None,
+        relay_peers: RelayPeers | None = None,
     ) -> None:
         self._settings = settings
         self._call_peer = call_peer if settings.has_narrow_link else None
@@ -131,6 +141,12 @@
             silent_gatherer_ratio=self._gatherer_directory.excluded_ratio,
         )
         self._signals = SignalReader(self.servers, self._header_names, log, metrics)
+        self._relay = (
+            RelayClient(relay_peers, settings.availability_zone, self._random, metrics)
+            if relay_peers is not None
+            else None
+        )
+        self._interrupts: set[Callable[[], None]] = set()
         self._isolation = IsolationMonitor(
             self.servers, self._on_isolation_changed, log, metrics
         )
@@ -240,9 +256,65 @@
         """Whether this host is cut off from all servers."""
         return self._isolation.isolated
 
+    @property
+    def can_serve(self) -> bool:
+        """Whether this host, or another one for it, reaches servers."""
+        return not self._isolation.isolated or (
+            self._relay is not None and self._relay.has_helper
+        )
+
+    async def handle_relay(self, message: Any, accept_new: bool = True) -> Any:
+        """Serve a request for a host that is cut off from all servers.
+
+        Parameters
+        ----------
+        message : Any
+            JSON value of the message.
+        accept_new : bool
+            Whether requests of other hosts are accepted.
+
+        Returns
+        -------
+        Any
+            JSON value of the reply.
+
+        Raises
+        ------
+        NotRelaying
+            If this host cannot serve requests either.
+        TypeError, ValueError
+            If the message cannot be decoded.
+        """
+        if not accept_new or self.table is None or self._isolation.isolated:
+            raise NotRelaying("the host is stopping, or cannot serve requests itself")
+        if message == PROBE:
+            if not await self._isolation.reaches_servers():
+                raise NotRelaying("the host reaches no servers itself")
+            return []
+        relayed = RelayedRequest.from_json(message)
+        fields: dict[bytes, bytes] = {}
+        for name, value in relayed.headers:
+            fields.setdefault(name.lower(), value)
+        request = Request(
+            relayed.method,
+            relayed.target,
+            relayed.headers,
+            relayed.body,
+            keep_alive=True,
+            received_at=asyncio.get_running_loop().time()
+            - relayed.elapsed_ms / _MS_PER_S,
+            first_on_connection=relayed.first_on_connection,
+            fields=fields,
+        )
+        self._metrics.count("relays_served")
+        response = await self.handle(request, relayed.max_attempts)
+        return encode_relayed_response(response)
+
     def close(self) -> None:
         """Close the connections to servers."""
         self._isolation.close()
+        if self._relay is not None:
+            self._relay.stop()
         self.servers.close()
 
     async def probe_gatherers(self) -> None:
@@ -250,8 +322,18 @@
         if self._call_peer is not None:
             await probe_gatherers(self._call_peer, self._gatherer_directory)
 
-    async def handle(self, request: Request) -> Response:
-        """Return the response to a caller's request."""
+    async def handle(
+        self, request: Request, peer_max_attempts: int | None = None
+    ) -> Response:
+        """Return the response to a caller's request.
+
+        Parameters
+        ----------
+        peer_max_attempts : int or None
+            Number of servers to which it may be sent if another host has relayed it;
+            otherwise ``None``.
+        """
+        for_peer = peer_max_attempts is not None
         await self._wait_for_startup(
             request, _MAX_STARTUP_WAIT_MS, lambda: self.table is not None
         )
@@ -264,15 +346,73 @@
         route = table.find(host, path)
         if route is None:
             return self._finish(request, None, error_response(404, "no such route"))
+        if peer_max_attempts is not None and peer_max_attempts < route.max_attempts:
+            route = dataclasses.replace(route, max_attempts=peer_max_attempts)
         if self._deadline_at(request, route.timeout_ms) > self.stops_at:
             response = error_response(503, "stopping", retry_after_s=0.0)
             return self._finish(request, route, response)
+        if self._isolation.isolated and not for_peer and not self._can_delegate(route):
+            elsewhere = await self._serve_elsewhere(request, route)
+            return elsewhere or self._refuse(request, route, "no_reachable_server")
         self.servers.count_request(asyncio.get_running_loop().time())
         if route.shards:
-            return await self._scatter_query(request, route)
-        return await self._forward(request, route)
+            return await self._scatter_query(request, route, for_peer)
+        return await self._forward(request, route, for_peer)
+
+    def _can_delegate(self, route: Route) -> bool:
+        """Return whether other hosts gather the parts of the route's queries."""
+        return bool(
+            route.shards
+            and self._call_peer is not None
+            and self._gatherer_directory.available()
+        )
+
+    async def _serve_elsewhere(
+        self, request: Request, route: Route, *calls: ServiceCall
+    ) -> Response | None:
+        """Have another host serve a request while this one reaches no server.
+
+        Parameters
+        ----------
+        calls : ServiceCall
+            What this host has tried itself.
+
+        Returns
+        -------
+        Response or None
+            ``None`` if this host reaches servers, the request may have run and must
+            not be repeated, or no other host serves it.
+        """
+        await self._isolation.wait_for_check()
+        may_have_run = any(call.possible_runs for call in calls)
+        if (
+            self._relay is None
+            or not self._isolation.isolated
+            or (may_have_run and not route.repeatable)
+        ):
+            return None
+        until = self._deadline_at(request, route.timeout_ms) - self._reserved_s()
+        tried = max((call.possible_runs for call in calls), default=0)
+        # What was sent to servers that are cut off does not use up the last attempt.
+        max_attempts = max(1, route.max_attempts - tried)
+        result = await self._relay.send(request, max_attempts, until)
+        if result.response is not None:
+            return self._finish(
+                request, route, result.response, *calls, relayed_to=result.helper
+            )
+        if result.may_have_run:
+            return self._finish(
+                request,
+                route,
+                error_response(502, "no answer of the host that it was relayed to"),
+                *calls,
+                relayed_to=result.helper,
+            )
+        return None
 
-    async def _forward(self, request: Request, route: Route) -> Response:
+    async def _forward(
+        self, request: Request, route: Route, for_peer: bool
+    ) -> Response:
         """Send a request to one server of the route's service."""
         service = self._select_service(route)
         pool = self.servers.pool(service)
@@ -311,6 +451,9 @@
         started_at = loop.time()
         in_time: bool | None = None
         call.start()
+        interrupt = partial(on_finished, call)
+        if route.repeatable and not for_peer:
+            self._interrupts.add(interrupt)
         try:
             async with asyncio.timeout_at(self._answer_due_at(outbound)):
                 await finished
@@ -324,12 +467,21 @@
             self._record_disconnect(request, route, call)
             raise
         finally:
+            self._interrupts.discard(interrupt)
             now = loop.time()
             if call.result.succeeded:
                 in_time = is_in_time(now, target_at)
+            elif self._isolation.isolated:
+                in_time = None
             pool.limiter.release(route.priority, now, now - started_at, in_time)
             self._review_calls((call,))
         result = call.result
+        if not call.finished:
+            call.cancel()
+        if not result.succeeded and not for_peer:
+            elsewhere = await self._serve_elsewhere(request, route, call)
+            if elsewhere is not None:
+                return elsewhere
         if result.response is not None:
             return self._finish(
                 request, route, _relayed_response(result.response), call
@@ -339,7 +491,9 @@
             return self._refuse(request, route, "no_room", call, wait_s=wait_s)
         return self._finish(request, route, error_response(502, "no answer"), call)
 
-    async def _scatter_query(self, request: Request, route: Route) -> Response:
+    async def _scatter_query(
+        self, request: Request, route: Route, for_peer: bool
+    ) -> Response:
         """Send a request to one server of each shard and merge their responses."""
         outbound = self._outbound_request(request, route)
         quarantined_s = self._quarantined_s(outbound)
@@ -353,7 +507,12 @@
         now = asyncio.get_running_loop().time()
         reachable = sum(pool.has_reachable_server(now) for pool in pools)
         if reachable < rule.required_shards:
-            return self._refuse(request, route, "shards_unreachable")
+            if not for_peer:
+                elsewhere = await self._serve_elsewhere(request, route)
+                if elsewhere is not None:
+                    return elsewhere
+            if not (self._isolation.isolated and self._can_delegate(route)):
+                return self._refuse(request, route, "shards_unreachable")
         if self._call_peer is None:
             # Gatherers have limits of their own.
             waits_s = sorted(pool.wait_s(now) for pool in pools)
@@ -369,6 +528,8 @@
         scatter = ScatterQuery(rule, self._header_names.signature.lower())
         gather_records: list[GatherRecord] = []
         in_time: bool | None = None
+        if not for_peer:
+            self._interrupts.add(scatter.interrupt)
         try:
             await scatter.run(
                 lambda: self._start_shard_calls(
@@ -382,7 +543,10 @@
             )
             raise
         finally:
+            self._interrupts.discard(scatter.interrupt)
             now = asyncio.get_running_loop().time()
+            if self._isolation.isolated and not in_time:
+                in_time = None
             pools[0].limiter.release(route.priority, now, now - started_at, in_time)
             if scatter.has_parts:
                 self._record_answer(outbound)
@@ -392,6 +556,10 @@
         if merged is None:
             for call in scatter.calls:
                 call.record_silence()
+            if not for_peer:
+                elsewhere = await self._serve_elsewhere(request, route, *scatter.calls)
+                if elsewhere is not None:
+                    return elsewhere
             past_deadline = asyncio.get_running_loop().time() >= rule.final_at
             status = 504 if past_deadline else 502
             response = error_response(status, "too few shards answered")
@@ -701,11 +869,15 @@
 
     def _answer_due_at(self, outbound: OutboundRequest) -> float:
         """Return when to send the response so that it meets the deadline."""
+        return outbound.deadline_at - self._reserved_s()
+
+    def _reserved_s(self) -> float:
+        """Return the time before a deadline at which to send the response."""
         settings = self._settings
         reserved_ms = (
             _TRIPS_WITH_CONNECT * settings.caller_delay_ms + settings.answer_margin_ms
         )
-        return outbound.deadline_at - reserved_ms / _MS_PER_S
+        return reserved_ms / _MS_PER_S
 
     def _update_connection_limits(self) -> None:
         if self.table is not None:
@@ -742,6 +914,15 @@
     def _on_isolation_changed(self) -> None:
         """Judge servers anew, as failures were on this host's side."""
         self.servers.forget_failures()
+        if self._relay is None:
+            return
+        if not self._isolation.isolated:
+            self._relay.stop()
+            return
+        self._relay.start()
+        # These requests would otherwise wait for servers until their deadline.
+        for interrupt in tuple(self._interrupts):
+            interrupt()
 
     def _review_calls(self, calls: Sequence[ServiceCall]) -> None:
         """Record whether the calls of a request crashed servers, or were answered."""
@@ -801,6 +982,7 @@
         response: Response,
         *calls: ServiceCall,
         gather_records: Sequence[GatherRecord] = (),
+        relayed_to: str = "",
     ) -> Response:
         is_own_response = response.header(self._header_names.signature.lower()) is None
         reason = (
@@ -809,7 +991,13 @@
             else b""
         )
         self._record_outcome(
-            request, route, str(response.status), reason, calls, gather_records
+            request,
+            route,
+            str(response.status),
+            reason,
+            calls,
+            gather_records,
+            relayed_to,
         )
         return response
 
@@ -821,10 +1009,17 @@
         reason: bytes,
         calls: tuple[ServiceCall, ...],
         gather_records: Sequence[GatherRecord],
+        relayed_to: str = "",
     ) -> None:
         version = self.table.version if self.table else None
         result = RequestResult(
-            outcome, reason, version, self._host_count, calls, gather_records
+            outcome,
+            reason,
+            version,
+            self._host_count,
+            calls,
+            gather_records,
+            relayed_to,
         )
         self._request_log.write(request, route, result)
 
--- a/packages/gateway/src/kingcuplug_gateway/_isolation_monitor.py
+++ b/packages/gateway/src/kingcuplug_gateway/_isolation_monitor.py
@@ -1,6 +1,7 @@
 """Checks whether this host is cut off from all backend servers."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from kingcuplug_common import EventLog, Metrics
@@ -13,6 +14,7 @@
 
 _CHECKED_SERVERS = 3
 _CHECK_INTERVAL_S = 0.25
+_RECENT_ANSWER_S = 0.2
 
 
 class IsolationMonitor:
@@ -39,6 +41,7 @@
         self._loop = asyncio.get_running_loop()
         self._checks: asyncio.Task[None] | None = None
         self._isolated_since = 0.0
+        self._answered_at = -math.inf
 
     @property
     def isolated(self) -> bool:
@@ -51,6 +54,7 @@
 
     def record_answer(self) -> None:
         """Record the answer of a server."""
+        self._answered_at = self._loop.time()
         self._detector.record_answer()
 
     def record_unconnected(self, server: str) -> None:
@@ -63,6 +67,20 @@
         self._detector.record_silence(server)
         self._start_checks()
 
+    async def reaches_servers(self) -> bool:
+        """Return whether servers can be reached, and try some if that is not certain.
+
+        A host that was cut off a moment ago has not noticed it yet.
+        """
+        if self._checks is None and self._answered_at < (
+            self._loop.time() - _RECENT_ANSWER_S
+        ):
+            self._begin_checks()
+        if self._checks is not None and not self.isolated:
+            await asyncio.wait([self._checks], timeout=_CHECK_INTERVAL_S)
+            return self._checks is None
+        return not self.isolated
+
     async def wait_for_check(self) -> None:
         """Wait until a check in progress has ended, unless it has found a cut."""
         if self._checks is not None and not self.isolated:
@@ -75,8 +93,11 @@
 
     def _start_checks(self) -> None:
         if self._checks is None and self._detector.check_is_due(self._loop.time()):
-            self._checks = asyncio.ensure_future(self._check_until_reached())
-            self._checks.add_done_callback(self._on_checks_ended)
+            self._begin_checks()
+
+    def _begin_checks(self) -> None:
+        self._checks = asyncio.ensure_future(self._check_until_reached())
+        self._checks.add_done_callback(self._on_checks_ended)
 
     def _on_checks_ended(self, checks: asyncio.Task[None]) -> None:
         self._checks = None
--- /dev/null
+++ b/packages/gateway/src/kingcuplug_gateway/_relay.py
@@ -0,0 +1,344 @@
+"""Has another host serve callers' requests while this one reaches no server."""
+
+import asyncio
+import random as random_module
+from base64 import b64decode, b64encode
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+from kingcuplug_common import (
+    KingcuplugError,
+    Metrics,
+    require_integer,
+    require_number,
+    require_string,
+)
+from kingcuplug_http import Headers, Request, Response
+
+__all__ = [
+    "PROBE",
+    "HostAddress",
+    "NotRelaying",
+    "RelayClient",
+    "RelayPeers",
+    "RelayResult",
+    "RelayedRequest",
+    "decode_relayed_response",
+    "encode_relayed_response",
+]
+
+_MS_PER_S = 1_000
+# Asks whether a host serves requests for others; the reply is an empty array.
+PROBE = ["probe"]
+# A host that is not certain to reach servers tries some before it replies.
+_PROBE_TIMEOUT_S = 0.35
+_REFRESH_INTERVAL_S = 1.0
+_MAX_HELPERS = 24
+_MAX_REFUSALS = 4
+# A helper in another availability zone is chosen if those in this zone have as many
+# more requests in progress: traffic between zones is billed.
+_REMOTE_COST = 2
+# Raised by decoding a malformed reply.
+_MALFORMED = (TypeError, ValueError)
+
+
+class NotRelaying(KingcuplugError):
+    """The host serves no requests for other hosts, permanently or for now."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason, "ask another host")
+
+
+@dataclass(frozen=True, slots=True)
+class HostAddress:
+    """Control address and availability zone of a host."""
+
+    address: str
+    availability_zone: str
+
+
+@dataclass(frozen=True, slots=True)
+class RelayPeers:
+    """Access to the other hosts.
+
+    Attributes
+    ----------
+    call : callable
+        Calls a host with its address, a JSON value and a time limit in seconds. Raises
+        `NotRelaying` if that host refuses, and another `KingcuplugError` if it does not
+        reply.
+    list_hosts : callable
+        Returns hosts that may be able to serve requests.
+    """
+
+    call: Callable[[str, Any, float], Awaitable[Any]]
+    list_hosts: Callable[[], Awaitable[list[HostAddress]]]
+
+
+@dataclass(frozen=True, slots=True)
+class RelayedRequest:
+    """A caller's request on its way to the host that serves it.
+
+    Attributes
+    ----------
+    elapsed_ms : float
+        Time since the request was received.
+    max_attempts : int
+        Number of servers, of each shard, to which it may still be sent.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    first_on_connection: bool
+    elapsed_ms: float
+    max_attempts: int
+
+    def to_json(self) -> list[Any]:
+        """Return the fields as a JSON array."""
+        return [
+            "serve",
+            self.method.decode("latin-1"),
+            self.target.decode("latin-1"),
+            _encode_headers(self.headers),
+            b64encode(self.body).decode(),
+            int(self.first_on_connection),
+            round(self.elapsed_ms, 1),
+            self.max_attempts,
+        ]
+
+    @classmethod
+    def from_json(cls, value: list[Any]) -> "RelayedRequest":
+        """Return the request described by a JSON array.
+
+        Raises
+        ------
+        TypeError, ValueError
+            If the array does not describe a request.
+        """
+        kind, method, target, headers, body, *counts = value
+        first_on_connection, elapsed_ms, max_attempts = counts
+        if kind != "serve":
+            raise ValueError(f"unknown kind of relay message {kind!r}")
+        return cls(
+            require_string(method).encode("latin-1"),
+            require_string(target).encode("latin-1"),
+            _decode_headers(headers),
+            b64decode(require_string(body)),
+            bool(require_integer(first_on_connection)),
+            max(0.0, require_number(elapsed_ms)),
+            require_integer(max_attempts, minimum=1),
+        )
+
+
+def encode_relayed_response(response: Response) -> list[Any]:
+    """Return a response as a JSON array."""
+    return [
+        response.status,
+        _encode_headers(response.headers),
+        b64encode(response.body).decode(),
+    ]
+
+
+def decode_relayed_response(value: list[Any]) -> Response:
+    """Return the response described by a JSON array.
+
+    Raises
+    ------
+    TypeError, ValueError
+        If the array does not describe a response.
+    """
+    status, headers, body = value
+    decoded = _decode_headers(headers)
+    fields: dict[bytes, bytes] = {}
+    for name, field_value in decoded:
+        fields.setdefault(name.lower(), field_value)
+    return Response(
+        require_integer(status, minimum=200),
+        decoded,
+        b64decode(require_string(body)),
+        fields,
+    )
+
+
+def _encode_headers(headers: Headers) -> list[list[str]]:
+    return [[n.decode("latin-1"), v.decode("latin-1")] for n, v in headers]
+
+
+def _decode_headers(value: Any) -> Headers:
+    return [
+        (require_string(n).encode("latin-1"), require_string(v).encode("latin-1"))
+        for n, v in value
+    ]
+
+
+@dataclass(frozen=True, slots=True)
+class RelayResult:
+    """Result of relaying one request.
+
+    Attributes
+    ----------
+    response : Response or None
+        ``None`` if no host could be found that serves it.
+    helper : str
+        Address of the host that it was last sent to.
+    may_have_run : bool
+        Whether a host that did not reply may have sent it to a server.
+    """
+
+    response: Response | None
+    helper: str = ""
+    may_have_run: bool = False
+
+
+@dataclass(slots=True)
+class _Helper:
+    host: HostAddress
+    in_progress: int = 0
+
+
+class RelayClient:
+    """Hosts that serve requests for this one, and the requests in progress there.
+
+    Parameters
+    ----------
+    peers : RelayPeers
+        Access to the other hosts.
+    availability_zone : str
+        Availability zone of this host.
+    """
+
+    def __init__(
+        self,
+        peers: RelayPeers,
+        availability_zone: str,
+        random: random_module.Random,
+        metrics: Metrics,
+    ) -> None:
+        self._peers = peers
+        self._zone = availability_zone
+        self._random = random
+        self._metrics = metrics
+        self._loop = asyncio.get_running_loop()
+        self._helpers: dict[str, _Helper] = {}
+        self._refreshing: asyncio.Task[None] | None = None
+        self._first_refresh = asyncio.Event()
+
+    @property
+    def has_helper(self) -> bool:
+        """Whether a host is known that serves requests for this one."""
+        return bool(self._helpers)
+
+    def start(self) -> None:
+        """Look for helpers again and again until `stop` is called."""
+        if self._refreshing is None:
+            self._refreshing = asyncio.ensure_future(self._refresh_until_stopped())
+
+    def stop(self) -> None:
+        """Look for no more helpers; requests in progress continue."""
+        if self._refreshing is not None:
+            self._refreshing.cancel()
+            self._refreshing = None
+        self._helpers.clear()
+        self._first_refresh.clear()
+
+    async def send(
+        self, request: Request, max_attempts: int, until: float
+    ) -> RelayResult:
+        """Have another host serve a request.
+
+        It is sent on to a further host only after a refusal: one that does not reply
+        may have used up the attempts that the route allows.
+
+        Parameters
+        ----------
+        max_attempts : int
+            Number of servers to which the other host may send it.
+        until : float
+            Event loop time until which a reply is awaited.
+        """
+        await self._wait_for_helpers(until)
+        for _ in range(_MAX_REFUSALS):
+            helper = self._choose_helper()
+            timeout_s = until - self._loop.time()
+            if helper is None or timeout_s <= 0:
+                break
+            address = helper.host.address
+            try:
+                response = await self._send_to(helper, request, max_attempts, timeout_s)
+            except NotRelaying:
+                self._helpers.pop(address, None)
+            except (KingcuplugError, *_MALFORMED):
+                self._helpers.pop(address, None)
+                return RelayResult(None, address, may_have_run=True)
+            else:
+                self._metrics.count("requests_relayed")
+                return RelayResult(response, address)
+        return RelayResult(None)
+
+    async def _send_to(
+        self,
+        helper: _Helper,
+        request: Request,
+        max_attempts: int,
+        timeout_s: float,
+    ) -> Response:
+        elapsed_s = self._loop.time() - request.received_at
+        message = RelayedRequest(
+            request.method,
+            request.target,
+            request.headers,
+            request.body,
+            request.first_on_connection,
+            elapsed_s * _MS_PER_S,
+            max_attempts,
+        )
+        helper.in_progress += 1
+        try:
+            value = await self._peers.call(
+                helper.host.address, message.to_json(), timeout_s
+            )
+        finally:
+            helper.in_progress -= 1
+        return decode_relayed_response(value)
+
+    def _choose_helper(self) -> _Helper | None:
+        def cost(helper: _Helper) -> float:
+            is_remote = helper.host.availability_zone != self._zone
+            return helper.in_progress + _REMOTE_COST * is_remote + self._random.random()
+
+        return min(self._helpers.values(), key=cost, default=None)
+
+    async def _wait_for_helpers(self, until: float) -> None:
+        """Wait for the first search for helpers, but not beyond a time."""
+        if not self._first_refresh.is_set():
+            try:
+                async with asyncio.timeout_at(until):
+                    await self._first_refresh.wait()
+            except TimeoutError:
+                return
+
+    async def _refresh_until_stopped(self) -> None:
+        while True:
+            await self._refresh()
+            self._first_refresh.set()
+            await asyncio.sleep(_REFRESH_INTERVAL_S)
+
+    async def _refresh(self) -> None:
+        hosts = await self._peers.list_hosts()
+        if len(hosts) > _MAX_HELPERS:
+            hosts = self._random.sample(hosts, _MAX_HELPERS)
+        answered = await asyncio.gather(*(self._probe(host) for host in hosts))
+        previous, self._helpers = self._helpers, {}
+        for host, is_helper in zip(hosts, answered, strict=True):
+            if is_helper:
+                self._helpers[host.address] = previous.get(host.address, _Helper(host))
+
+    async def _probe(self, host: HostAddress) -> bool:
+        try:
+            await self._peers.call(host.address, PROBE, _PROBE_TIMEOUT_S)
+        except KingcuplugError:
+            return False
+        return True
--- a/packages/gateway/src/kingcuplug_gateway/_request_log.py
+++ b/packages/gateway/src/kingcuplug_gateway/_request_log.py
@@ -30,6 +30,8 @@
         Version of the route table in force.
     host_count : int
         Number of live hosts, among which limits are divided.
+    relayed_to : str
+        Address of the host that served the request for this one; empty if none did.
     """
 
     outcome: str
@@ -38,6 +40,7 @@
     host_count: int
     calls: tuple[ServiceCall, ...]
     gather_records: Sequence[GatherRecord]
+    relayed_to: str = ""
 
 
 class RequestLog:
@@ -81,6 +84,7 @@
                 "reason": result.reason.decode("latin-1"),
                 "elapsed_ms": round(elapsed_s * _MS_PER_S, 1),
                 "hosts": result.host_count,
+                **({"relayed_to": result.relayed_to} if result.relayed_to else {}),
                 "missing": [c.service for c in result.calls if not c.result.succeeded],
                 "calls": [
                     entry
--- a/packages/gateway/src/kingcuplug_gateway/_scatter.py
+++ b/packages/gateway/src/kingcuplug_gateway/_scatter.py
@@ -93,6 +93,14 @@
                 cancelled=not self._finished.done() or self._finished.cancelled()
             )
 
+    def interrupt(self) -> None:
+        """End the query unless it has enough parts for an answer."""
+        if (
+            not self._finished.done()
+            and self._received_count < self._rule.required_shards
+        ):
+            self._finished.set_result(None)
+
     def call_shards(
         self, make_call: Callable[[str], ServiceCall], shards: Iterable[str]
     ) -> None:
--- a/packages/gateway/src/kingcuplug_gateway/_service_call.py
+++ b/packages/gateway/src/kingcuplug_gateway/_service_call.py
@@ -206,6 +206,12 @@
             and not result.denied_attempts
         )
 
+    @property
+    def possible_runs(self) -> int:
+        """Number of attempts that a server may have run, or may still run."""
+        not_run = (ResponseClass.NOT_RUN.value, Failure.CONNECT.name.lower())
+        return sum(record.outcome not in not_run for record in self.result.attempts)
+
     def log_entries(self, started_at: float) -> list[dict[str, str | float | None]]:
         """Return log entries of the attempts, with times relative to `started_at`."""
         entries: list[dict[str, str | float | None]] = [
@@ -239,7 +245,11 @@
 
     def hedge_by(self, at: float) -> None:
         """Bring a scheduled hedged attempt forward to the time `at` if it is later."""
-        if self._hedge_timer is not None and at < self._hedge_timer.when():
+        if (
+            self._hedge_timer is not None
+            and self._may_send_another
+            and at < self._hedge_timer.when()
+        ):
             self._hedge_timer.cancel()
             self._hedge_timer = self._loop.call_at(at, self._hedge)
 
@@ -377,13 +387,11 @@
         self._open_attempts.append(attempt)
         self._attempt_count += 1
         server.state.record_start(attempt, now, typical_s)
-        may_send_another = (
-            self.outbound.repeatable and self._attempt_count < self._max_attempts
-        )
-        if may_send_another and not self._hedging_blocked:
+        if not self._hedging_blocked:
             self._cancel_hedge_timer()
+            on_late = self._hedge if self._may_send_another else self.record_silence
             self._hedge_timer = self._loop.call_later(
-                self._timing.hedge_delay_s, self._hedge
+                self._timing.hedge_delay_s, on_late
             )
         server.connections.submit(attempt, new_connection=not self.outbound.repeatable)
         return True
@@ -428,6 +436,10 @@
         states = [server.state for server in servers]
         return servers[choose_replica(states, now, typical_s, self._random)]
 
+    @property
+    def _may_send_another(self) -> bool:
+        return self.outbound.repeatable and self._attempt_count < self._max_attempts
+
     def _hedge(self) -> None:
         self._hedge_timer = None
         if self.finished:
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import gc
+import random as random_module
 import signal
 from collections.abc import Awaitable, Callable, Coroutine
 from functools import partial
@@ -13,6 +14,7 @@
     KingcuplugError,
     Metrics,
     render_metrics,
+    require_string,
     require_strings,
     set_state_change_sink,
 )
@@ -30,6 +32,7 @@
     PeerClient,
     PeerFailed,
     PeerRefused,
+    PeerUnreachable,
     Report,
     RouteRegister,
     RoutesFile,
@@ -44,7 +47,10 @@
     Gateway,
     GatewaySettings,
     HeaderNames,
+    HostAddress,
     NotGathering,
+    NotRelaying,
+    RelayPeers,
     RouteTable,
     ServerInfo,
 )
@@ -59,6 +65,13 @@
 
 _PEER_PREFIX = b"/peer/"
 _GATHER_PATH = "/peer/v2/gather"
+_RELAY_PATH = "/peer/v2/relay"
+_HOSTS_PATH = "/peer/v2/hosts"
+# A host that is cut off from its servers asks so many control hosts for other hosts,
+# each of which names so many.
+_MAX_ASKED_CONTROL_HOSTS = 4
+_MAX_NAMED_HOSTS = 16
+_LIST_HOSTS_TIMEOUT_S = 0.3
 _MS_PER_S = 1_000
 # A server is marked silent after this many heartbeat intervals without a heartbeat.
 _SILENT_AFTER_INTERVALS = 3.5
@@ -138,6 +151,7 @@
         self._peer_client = PeerClient()
         self._stop_requested = asyncio.Event()
         self._stopping = False
+        self._random = random_module.Random()
         silent_after_s = (
             settings.heartbeat_interval_ms * _SILENT_AFTER_INTERVALS / _MS_PER_S
         )
@@ -155,6 +169,7 @@
             log,
             self._metrics,
             call_peer=self._call_gatherer,
+            relay_peers=RelayPeers(self._call_relay, self._list_hosts),
         )
         self._caller_listener = Listener(
             self._handle_caller_request, self._gateway.limits
@@ -189,8 +204,8 @@
     @property
     def ready(self) -> bool:
         """Whether the load balancer should send callers to this host."""
-        can_serve = self._gateway.table is not None and self._may_serve()
-        return can_serve and not self._stopping
+        has_routes = self._gateway.table is not None and self._may_serve()
+        return has_routes and self._gateway.can_serve and not self._stopping
 
     async def receive_heartbeat(self, record: ServerRecord) -> str:
         """Record a heartbeat of a backend server.
@@ -502,6 +517,42 @@
         except PeerRefused as error:
             raise NotGathering(str(error)) from error
 
+    async def _call_relay(self, address: str, value: Any, timeout_s: float) -> Any:
+        try:
+            return await self._peer_client.call(address, _RELAY_PATH, value, timeout_s)
+        except (PeerRefused, PeerUnreachable) as error:
+            raise NotRelaying(str(error)) from error
+
+    async def _list_hosts(self) -> list[HostAddress]:
+        """Return other hosts that serve callers, as control hosts know them."""
+        view, own_address = self._fleet_view, self._settings.control_address
+        known = {address: view.zones.get(address, "") for address in view.control_hosts}
+        asked = [a for a in known if a != own_address]
+        if len(asked) > _MAX_ASKED_CONTROL_HOSTS:
+            asked = self._random.sample(asked, _MAX_ASKED_CONTROL_HOSTS)
+        for reply in await asyncio.gather(*map(self._ask_for_hosts, asked)):
+            known.update(reply)
+        known.update(view.local_host_addresses())
+        known.pop(own_address, None)
+        return [HostAddress(address, zone) for address, zone in known.items()]
+
+    async def _ask_for_hosts(self, address: str) -> list[tuple[str, str]]:
+        try:
+            reply = await self._peer_client.call(
+                address, _HOSTS_PATH, {}, _LIST_HOSTS_TIMEOUT_S
+            )
+            return [(require_string(a), require_string(z)) for a, z in reply]
+        except (PeerFailed, TypeError, ValueError) as error:
+            self._log.write("hosts_unknown", {"address": address, "error": repr(error)})
+            return []
+
+    def _name_hosts(self) -> list[tuple[str, str]]:
+        """Return the hosts that poll this one, or some of them if there are many."""
+        hosts = self._fleet_view.local_host_addresses()
+        if len(hosts) > _MAX_NAMED_HOSTS:
+            hosts = self._random.sample(hosts, _MAX_NAMED_HOSTS)
+        return hosts
+
     async def _handle_peer_request(self, request: Request) -> Response:
         response = await self._answer_peer_request(request)
         call_id = request.header(CALL_ID_HEADER)
@@ -517,7 +568,7 @@
             reply = await self._dispatch_peer_call(path, value)
         except (KeyError, TypeError, ValueError) as error:
             return error_response(400, f"malformed call: {error!r}")
-        except (CoreUnavailable, NotGathering, PeerFailed) as error:
+        except (CoreUnavailable, NotGathering, NotRelaying, PeerFailed) as error:
             return error_response(503, str(error))
         return Response(200, *encode_body(reply))
 
@@ -531,6 +582,12 @@
             return await self._gateway.handle_gather(
                 value, accept_new=not self._stopping
             )
+        if path == _RELAY_PATH:
+            return await self._gateway.handle_relay(
+                value, accept_new=not self._stopping and self._may_serve()
+            )
+        if path == _HOSTS_PATH:
+            return self._name_hosts()
         if path == INTRODUCE_PATH:
             self._poller.suggest_control_hosts(require_strings(value))
             return {}
