--- a/packages/http/src/kingcuplug_http/_outbound.py
+++ b/packages/http/src/kingcuplug_http/_outbound.py
@@ -294,12 +294,16 @@
     Raises
     ------
     OSError
-        If the connection is not established in time.
+        If the connection is not established in time, or the address is unusable.
     """
     loop = asyncio.get_running_loop()
     host, _, port = address.rpartition(":")
-    async with asyncio.timeout(timeout_s):
-        _, protocol = await loop.create_connection(
-            lambda: OutboundConnection(loop), host, int(port)
-        )
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, protocol = await loop.create_connection(
+                lambda: OutboundConnection(loop), host, int(port)
+            )
+    except (OverflowError, ValueError) as error:
+        # Callers handle a server that can't be reached, whatever the reason.
+        raise OSError(f"address {address!r} is unusable: {error}") from error
     return protocol
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -328,3 +328,20 @@
             assert sent.endswith(b"\r\n\r\n")
 
     asyncio.run(run())
+
+
+def test_request_to_a_server_with_a_port_out_of_range_does_not_hang(open_gateway):
+    """Guards against requests held until their deadline by an odd entry.
+
+    The record may come from another host that did not reject it.
+    """
+
+    async def scenario():
+        async with open_gateway() as harness:
+            harness.set_routes(make_route())
+            harness.register_server("odd", "stock", "127.0.0.1:99999")
+            started_at = asyncio.get_running_loop().time()
+            assert (await harness.send()).status == 503
+            assert asyncio.get_running_loop().time() - started_at < 1.0
+
+    asyncio.run(scenario())
--- a/tests/http/test_outbound.py
+++ b/tests/http/test_outbound.py
@@ -259,3 +259,17 @@
         server.close()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    "address",
+    ["127.0.0.1:70000", "127.0.0.1:x", "127.0.0.1:\u00b2", "", "127.0.0.1\0:80"],
+)
+def test_unusable_address_is_a_failed_connection(address):
+    """Guards against an error that callers don't handle, so that requests hang."""
+
+    async def run() -> None:
+        with pytest.raises(OSError, match=r"unusable"):
+            await connect(address, timeout_s=1.0)
+
+    asyncio.run(run())
--- a/tests/platform_formats/test_formats.py
+++ b/tests/platform_formats/test_formats.py
@@ -67,6 +67,50 @@
     return json.dumps(value | fields)
 
 
+@pytest.mark.parametrize(
+    "address",
+    [
+        "10.0.0.1:65536",
+        "10.0.0.1:0",
+        "10.0.0.1:99999999999999999999",
+        "10.0.0.1:\u00b2",
+        "10.0.0.1:-1",
+        "server.example:80",
+        "10.0.0.256:80",
+        "10.0.0.1\u0000:80",
+        "[10.0.0.1]:80",
+    ],
+)
+def test_heartbeat_without_a_usable_address_is_rejected(address):
+    """Guards against a server to which no connection can ever be made."""
+    with pytest.raises(StatementInvalid):
+        decode_heartbeat("i-1", json.dumps(HEARTBEAT | {"address": address}).encode())
+
+
+@pytest.mark.parametrize("field", ["slots", "born", "sequence", "cold_remaining_ms"])
+@pytest.mark.parametrize("number", ["9" * 400, "1e400", str(2**64 - 1), str(2**53)])
+def test_heartbeat_with_a_number_too_large_is_rejected(field, number):
+    """Guards against an entry that outranks all others, or that no host can send on."""
+    body = json.dumps(HEARTBEAT | {field: 0}).replace(
+        f'"{field}": 0', f'"{field}": {number}'
+    )
+    with pytest.raises(StatementInvalid):
+        decode_heartbeat("i-1", body.encode())
+
+
+@pytest.mark.parametrize("depth", [100, 1_000, 100_000])
+def test_deeply_nested_heartbeat_is_decoded_or_rejected(depth):
+    """Guards against an exception type that ends the task which reads heartbeats."""
+    nested = "[" * depth + "]" * depth
+    body = json.dumps(HEARTBEAT | {"version": 0}).replace(
+        '"version": 0', f'"version": {nested}'
+    )
+    with contextlib.suppress(StatementInvalid):
+        assert decode_heartbeat("i-1", body.encode()).service == "s"
+    with pytest.raises(StatementInvalid):
+        decode_heartbeat("i-1", nested.encode())
+
+
 def test_heartbeat_is_decoded():
     """Guards against fields of a heartbeat that are confused with each other."""
     record = decode_heartbeat("i-1", json.dumps(HEARTBEAT).encode())
