--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -5,6 +5,7 @@
 import gc
 import random as random_module
 import signal
+import time
 from collections.abc import Awaitable, Callable, Coroutine
 from functools import partial
 from typing import TYPE_CHECKING, Any
@@ -61,7 +62,7 @@
 if TYPE_CHECKING:
     from kingcuplug_fleet import ControlReplica
 
-__all__ = ["Elsewhere", "Host"]
+__all__ = ["Elsewhere", "Host", "RecordImplausible"]
 
 _PEER_PREFIX = b"/peer/"
 _GATHER_PATH = "/peer/v2/gather"
@@ -84,6 +85,8 @@
 _ANSWER_MARGIN_MS = 4.0
 _MERGE_CPU_MS = 4.0
 _SETTINGS_POLL_INTERVAL_S = 1.0
+# Clocks of hosts and servers differ by far less.
+_MAX_START_AHEAD_MS = 86_400_000
 # The load balancer sends new callers until two readiness checks, one second apart, have
 # failed and it has removed the host; their requests must end within the grace period.
 _MAX_DRAIN_S = 3.2
@@ -124,6 +127,16 @@
         self.address = address
 
 
+class RecordImplausible(KingcuplugError):
+    """A server states that it starts in the future."""
+
+    def __init__(self, record: ServerRecord) -> None:
+        super().__init__(
+            f"server {record.id} starts at {record.start_ms} ms, more than a day ahead",
+            "send the Unix time of the server's start",
+        )
+
+
 class Host:
     """Serves callers, and the control API of backend servers, operators and hosts.
 
@@ -221,7 +234,12 @@
         ------
         Elsewhere, CoreUnavailable
             If this host keeps no state.
+        RecordImplausible
+            If the server's start is too far in the future. It would have the address
+            of any other server for as long, as the one that started last.
         """
+        if record.start_ms > time.time() * _MS_PER_S + _MAX_START_AHEAD_MS:
+            raise RecordImplausible(record)
         self._require_replica()
         changed = self._fleet_view.merge_servers([record], direct=True)
         self._mesh.record_heartbeat(record)
