Refuse to gather while cut off from servers

A host that gathers parts of queries for others went on while it was cut off, and answered the probes of hosts that had excluded it; their next queries waited for it and then asked all shards themselves.

It now refuses new operations, and tries some servers before it answers a probe unless one has answered in the last 0.2 s. test_gatherer_that_is_cut_off_from_servers_refuses failed before.

--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -42,6 +42,7 @@
     gather_from_peer,
     probe_gatherers,
 )
+from kingcuplug_gateway._gather_messages import PROBE as GATHER_PROBE
 from kingcuplug_gateway._gather_server import GatherServer
 from kingcuplug_gateway._isolation_monitor import IsolationMonitor
 from kingcuplug_gateway._relay import (
@@ -240,12 +241,18 @@
         Raises
         ------
         NotGathering
-            If no new operations are accepted, or this host's own link is narrow.
+            If no new operations are accepted, this host's own link is narrow, or it
+            reaches no servers.
         ValueError
             If the message cannot be decoded, or its operation has ended.
         """
         if self._settings.has_narrow_link:
             raise NotGathering(f"the link has {self._settings.link_mbps} Mbit/s")
+        is_probe = message == GATHER_PROBE
+        if self._isolation.isolated or (
+            is_probe and not await self._isolation.reaches_servers()
+        ):
+            raise NotGathering("the host reaches no servers")
         if not self._is_gatherer:
             self._is_gatherer = True
             self._update_connection_limits()
--- a/tests/gateway/test_gathering.py
+++ b/tests/gateway/test_gathering.py
@@ -454,3 +454,25 @@
             assert [len(requests) for requests in narrow.received.values()] == [1] * 4
 
     asyncio.run(run())
+
+
+def test_gatherer_that_is_cut_off_from_servers_refuses(open_gateway):
+    """Guards against a gatherer that answers probes but gets no parts.
+
+    Hosts would use it again after each probe, and ask the shards themselves each time.
+    """
+
+    async def scenario():
+        async with _open_gateway_pair(open_gateway) as narrow:
+            narrow.set_routes(make_route(**ROUTE_FIELDS))
+            for shard in SHARDS:
+                await _add_server(narrow, shard, _respond_records("a"))
+            wide = narrow.wide.gateway
+            assert await wide.handle_gather(["probe"]) == []
+            wide._isolation._detector.record_check(reached=0, tried=3)
+            with pytest.raises(NotGathering):
+                await wide.handle_gather(["probe"])
+            assert (await narrow.send()).status == 200
+            assert narrow.gateway._gatherer_directory.excluded_ratio() > 0
+
+    asyncio.run(scenario())
