Do not relay a query that gatherers may have sent to servers

Cause: a host with a narrow link has its queries gathered by others. When such a query failed while the host was cut off, it was relayed with the attempts of its own calls taken off, but not those of the gatherers, and the noticed cut interrupted queries that were being gathered.

Change: a query is relayed only if all gatherers refused it, and gathered queries are not interrupted. The new case of tests/gateway/test_relay.py failed before.

--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -563,7 +563,9 @@
         if merged is None:
             for call in scatter.calls:
                 call.record_silence()
-            if not for_peer:
+            # Gatherers may have used up the attempts that the route allows.
+            gathered = any(record.may_have_sent for record in gather_records)
+            if not for_peer and not gathered:
                 elsewhere = await self._serve_elsewhere(request, route, *scatter.calls)
                 if elsewhere is not None:
                     return elsewhere
--- a/packages/gateway/src/kingcuplug_gateway/_gather_client.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gather_client.py
@@ -80,6 +80,11 @@
     ended_at: float = 0.0
     outcome: str = "open"
 
+    @property
+    def may_have_sent(self) -> bool:
+        """Whether the gatherer may have sent requests to servers."""
+        return self.outcome != "refused"
+
     def end(self, outcome: str, now: float) -> None:
         """Record how the operation ended."""
         self.outcome, self.ended_at = outcome, now
--- a/packages/gateway/src/kingcuplug_gateway/_scatter.py
+++ b/packages/gateway/src/kingcuplug_gateway/_scatter.py
@@ -94,9 +94,10 @@
             )
 
     def interrupt(self) -> None:
-        """End the query unless it has enough parts for an answer."""
+        """End the query unless it has enough parts, or other hosts gather some."""
         if (
             not self._finished.done()
+            and not self._gather_tasks
             and self._received_count < self._rule.required_shards
         ):
             self._finished.set_result(None)
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -12,6 +12,7 @@
 from kingcuplug_gateway import (
     RECORD_BYTES,
     HostAddress,
+    NotGathering,
     NotRelaying,
     RelayPeers,
     Route,
@@ -296,3 +297,33 @@
             assert pair.received() == 0
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("refuses", [False, True])
+def test_query_that_a_gatherer_may_have_sent_is_not_relayed(open_gateway, refuses):
+    """Guards against a query that a gatherer and another host both send to servers.
+
+    One that refused has sent nothing, so its query may be relayed.
+    """
+
+    async def scenario():
+        async with (
+            _open_pair(open_gateway) as pair,
+            open_gateway(link_mbps=7.0) as narrow,
+        ):
+            narrow.set_routes(make_route(**QUERY))
+
+            async def call_peer(address, value, timeout_s):
+                if refuses:
+                    raise NotGathering("stopping")
+                raise NoReply("no reply in time", "ask the shards")
+
+            narrow.gateway._call_peer = call_peer
+            narrow.gateway._relay = pair.cut_off.gateway._relay
+            infos = pair.cut_off.server_infos
+            narrow.gateway.update_fleet(infos, 2, gatherers={"z": ["g:1", "g:2"]})
+            response = await narrow.send("/q/x", left_ms="900")
+            assert response.status == (200 if refuses else 502)
+            assert len(pair.messages) == int(refuses)
+
+    asyncio.run(scenario())
