--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -33,7 +33,6 @@
     startup_wait_until,
 )
 
-from kingcuplug_gateway._crash_witness import CrashWitness, request_fingerprint
 from kingcuplug_gateway._gather_client import (
     CallPeer,
     GathererDirectory,
@@ -53,6 +52,7 @@
     RelayPeers,
     encode_relayed_response,
 )
+from kingcuplug_gateway._request_guard import RequestGuard
 from kingcuplug_gateway._request_log import RequestLog, RequestResult
 from kingcuplug_gateway._routes import Route, RouteTable
 from kingcuplug_gateway._scatter import ScatterQuery
@@ -60,6 +60,7 @@
 from kingcuplug_gateway._service_call import OutboundRequest, ServiceCall
 from kingcuplug_gateway._settings import GatewaySettings
 from kingcuplug_gateway._signal_reader import SignalReader
+from kingcuplug_gateway._suspect_query import call_shards_in_turn
 from kingcuplug_gateway._weighted_round_robin import WeightedRoundRobin
 
 __all__ = ["Gateway"]
@@ -87,8 +88,6 @@
         Route table in force; ``None`` until the first one is installed.
     servers : ServerTable
         Backend servers by service.
-    quarantine : RequestQuarantine
-        Requests under which servers crashed.
     stops_at : float
         Event loop time at which the host ends the requests in progress. Requests that
         may take longer are refused, so that their callers send them to another host.
@@ -109,7 +108,6 @@
         self._is_gatherer = False
         self._header_names = settings.names
         self._metrics = metrics
-        self._log = log
         self._request_log = RequestLog(
             self._header_names.attempt_id.lower(), log, metrics
         )
@@ -133,7 +131,6 @@
         self._state_changed = Condition()
         self.table: RouteTable | None = None
         self.stops_at = math.inf
-        self.quarantine = RequestQuarantine()
         self.servers = ServerTable(
             settings.availability_zone,
             settings.retry_budget,
@@ -151,16 +148,14 @@
         self._isolation = IsolationMonitor(
             self.servers, self._on_isolation_changed, log, metrics
         )
-        self._crash_witness = CrashWitness(
-            self.servers, self._on_servers_crashed, log, metrics
-        )
+        self._guard = RequestGuard(self.servers, log, metrics)
         self._gather_server = GatherServer(
             partial(self._make_call, for_peer=True),
             self._route_timing,
             self._header_names.signature.lower(),
             lambda shard: bool(self.servers.pool(shard).servers),
-            self._review_calls,
-            self._quarantined_s,
+            self._guard.review,
+            self._guard.quarantined_s,
             log,
         )
 
@@ -258,6 +253,11 @@
             self._update_connection_limits()
         return await self._gather_server.handle(message, accept_new)
 
+    @property
+    def quarantine(self) -> RequestQuarantine:
+        """Requests under which servers crashed."""
+        return self._guard.quarantine
+
     @property
     def is_isolated(self) -> bool:
         """Whether this host is cut off from all servers."""
@@ -299,20 +299,7 @@
                 raise NotRelaying("the host reaches no servers itself")
             return []
         relayed = RelayedRequest.from_json(message)
-        fields: dict[bytes, bytes] = {}
-        for name, value in relayed.headers:
-            fields.setdefault(name.lower(), value)
-        request = Request(
-            relayed.method,
-            relayed.target,
-            relayed.headers,
-            relayed.body,
-            keep_alive=True,
-            received_at=asyncio.get_running_loop().time()
-            - relayed.elapsed_ms / _MS_PER_S,
-            first_on_connection=relayed.first_on_connection,
-            fields=fields,
-        )
+        request = relayed.to_request(asyncio.get_running_loop().time())
         self._metrics.count("relays_served")
         response = await self.handle(request, relayed.max_attempts)
         return encode_relayed_response(response)
@@ -439,7 +426,7 @@
                 finished.set_result(None)
 
         outbound = self._outbound_request(request, route)
-        quarantined_s = self._quarantined_s(outbound)
+        quarantined_s = self._guard.quarantined_s(outbound)
         if quarantined_s > 0:
             return self._refuse(request, route, "quarantined", wait_s=quarantined_s)
         timing = self._route_timing(route.name, route.target_ms)
@@ -447,7 +434,7 @@
             service,
             outbound,
             timing,
-            1 if self._is_suspect(outbound) else route.max_attempts,
+            1 if self._guard.is_suspect(outbound) else route.max_attempts,
             on_finished,
             limiter=pool.limiter,
         )
@@ -481,7 +468,7 @@
             elif self._isolation.isolated:
                 in_time = None
             pool.limiter.release(route.priority, now, now - started_at, in_time)
-            self._review_calls((call,))
+            self._guard.review((call,))
         result = call.result
         if not call.finished:
             call.cancel()
@@ -503,7 +490,7 @@
     ) -> Response:
         """Send a request to one server of each shard and merge their responses."""
         outbound = self._outbound_request(request, route)
-        quarantined_s = self._quarantined_s(outbound)
+        quarantined_s = self._guard.quarantined_s(outbound)
         if quarantined_s > 0:
             return self._refuse(request, route, "quarantined", wait_s=quarantined_s)
         rule = self._answer_rule(request, route, outbound)
@@ -556,9 +543,9 @@
                 in_time = None
             pools[0].limiter.release(route.priority, now, now - started_at, in_time)
             if scatter.has_parts:
-                self._record_answer(outbound)
+                self._guard.record_answer(outbound)
             else:
-                self._review_calls(scatter.calls)
+                self._guard.review(scatter.calls)
         merged = scatter.merge(route.top_records)
         if merged is None:
             for call in scatter.calls:
@@ -594,7 +581,7 @@
         gather_records: list[GatherRecord],
     ) -> list[Coroutine[Any, Any, None]]:
         """Start calls to shards, and return the coroutines that delegate the others."""
-        if self._is_suspect(outbound):
+        if self._guard.is_suspect(outbound):
             return [self._call_shards_in_turn(route, outbound, scatter)]
         delegations = self._delegations(route)
         delegated_shards = {shard for d in delegations for shard in d.shards}
@@ -656,40 +643,17 @@
             for delegation, record in zip(delegations, gather_records, strict=True)
         ]
 
-    async def _call_shards_in_turn(
+    def _call_shards_in_turn(
         self, route: Route, outbound: OutboundRequest, scatter: ScatterQuery
-    ) -> None:
-        """Send a suspect to one shard at a time until a server answers or is lost.
-
-        A query that crashes servers otherwise crashes one of each shard each time.
-        """
+    ) -> Coroutine[Any, Any, None]:
         timing = self._route_timing(route.name, route.target_ms)
-        shards = list(route.shards)
-        self._random.shuffle(shards)
-        while shards:
-            finished = asyncio.get_running_loop().create_future()
-
-            def on_finished(
-                call: ServiceCall, finished: asyncio.Future[None] = finished
-            ) -> None:
-                scatter.on_call_finished(call)
-                if not finished.done():
-                    finished.set_result(None)
-
-            call = self._make_call(shards.pop(), outbound, timing, 1, on_finished)
-            scatter.call_shards(lambda _, call=call: call, (call.service,))  # type: ignore[misc]
-            await finished
-            if call.result.answered:
-                break
-            if call.result.lost_servers:
-                scatter.mark_missing(len(shards))
-                return
-        scatter.call_shards(
-            lambda shard: self._make_call(
-                shard, outbound, timing, route.max_attempts, scatter.on_call_finished
-            ),
-            shards,
-        )
+
+        def make_call(
+            shard: str, max_attempts: int, on_finished: Callable[[ServiceCall], None]
+        ) -> ServiceCall:
+            return self._make_call(shard, outbound, timing, max_attempts, on_finished)
+
+        return call_shards_in_turn(route, scatter, make_call, self._random)
 
     def _delegations(self, route: Route) -> list[Delegation]:
         now = asyncio.get_running_loop().time()
@@ -933,48 +897,6 @@
         for interrupt in tuple(self._interrupts):
             interrupt()
 
-    def _review_calls(self, calls: Sequence[ServiceCall]) -> None:
-        """Record whether the calls of a request crashed servers, or were answered."""
-        self._crash_witness.review(calls)
-        if calls and any(call.result.answered for call in calls):
-            self._record_answer(calls[0].outbound)
-
-    def _record_answer(self, outbound: OutboundRequest) -> None:
-        if not self.quarantine.is_empty:
-            now = asyncio.get_running_loop().time()
-            fingerprint = request_fingerprint(outbound.head, outbound.body)
-            self.quarantine.record_answer(fingerprint, now)
-
-    def _on_servers_crashed(self, fingerprint: str, attempt_id: str) -> None:
-        """Record that servers crashed under a request that none of them answered."""
-        now = asyncio.get_running_loop().time()
-        if self.quarantine.record_crash(fingerprint, attempt_id, now):
-            self._log.write(
-                "request_quarantined",
-                {
-                    "fingerprint": fingerprint,
-                    "id": attempt_id,
-                    "for_s": round(self.quarantine.quarantined_s(fingerprint, now), 1),
-                },
-                bypass_rate_limit=True,
-            )
-
-    def _quarantined_s(self, outbound: OutboundRequest) -> float:
-        """Return for how long a request is still in quarantine, in seconds."""
-        if self.quarantine.is_empty:
-            return 0.0
-        now = asyncio.get_running_loop().time()
-        fingerprint = request_fingerprint(outbound.head, outbound.body)
-        return self.quarantine.quarantined_s(fingerprint, now)
-
-    def _is_suspect(self, outbound: OutboundRequest) -> bool:
-        """Return whether a request may crash the servers that run it."""
-        if self.quarantine.is_empty:
-            return False
-        now = asyncio.get_running_loop().time()
-        fingerprint = request_fingerprint(outbound.head, outbound.body)
-        return self.quarantine.is_suspect(fingerprint, now)
-
     def _record_disconnect(
         self,
         request: Request,
--- a/packages/gateway/src/kingcuplug_gateway/_relay.py
+++ b/packages/gateway/src/kingcuplug_gateway/_relay.py
@@ -96,6 +96,19 @@
     elapsed_ms: float
     max_attempts: int
 
+    def to_request(self, now: float) -> Request:
+        """Return the request as if this host had received it from the caller."""
+        return Request(
+            self.method,
+            self.target,
+            self.headers,
+            self.body,
+            keep_alive=True,
+            received_at=now - self.elapsed_ms / _MS_PER_S,
+            first_on_connection=self.first_on_connection,
+            fields=_first_values(self.headers),
+        )
+
     def to_json(self) -> list[Any]:
         """Return the fields as a JSON array."""
         return [
@@ -152,17 +165,21 @@
     """
     status, headers, body = value
     decoded = _decode_headers(headers)
-    fields: dict[bytes, bytes] = {}
-    for name, field_value in decoded:
-        fields.setdefault(name.lower(), field_value)
     return Response(
         require_integer(status, minimum=200),
         decoded,
         b64decode(require_string(body)),
-        fields,
+        _first_values(decoded),
     )
 
 
+def _first_values(headers: Headers) -> dict[bytes, bytes]:
+    fields: dict[bytes, bytes] = {}
+    for name, value in headers:
+        fields.setdefault(name.lower(), value)
+    return fields
+
+
 def _encode_headers(headers: Headers) -> list[list[str]]:
     return [[n.decode("latin-1"), v.decode("latin-1")] for n, v in headers]
 
