Believe in a cut only after a second sample, and wait for the check alone

And a request that waited for a check waited until a time-out although the check had found a cut in milliseconds.

Change: four further servers are tried, 0.1 s after the first three, before a host believes that it is cut off; whoever waits is woken by the end of the check.

--- a/packages/gateway/src/kingcuplug_gateway/_isolation_monitor.py
+++ b/packages/gateway/src/kingcuplug_gateway/_isolation_monitor.py
@@ -2,19 +2,23 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from kingcuplug_common import EventLog, Metrics
 from kingcuplug_routing import IsolationDetector
 
 from kingcuplug_gateway._reachability import accepts_connections
-from kingcuplug_gateway._servers import ServerTable
+from kingcuplug_gateway._servers import Server, ServerTable
 
 __all__ = ["IsolationMonitor"]
 
 _CHECKED_SERVERS = 3
+_CONFIRMING_SERVERS = 4
+_CONFIRM_AFTER_S = 0.1
 _CHECK_INTERVAL_S = 0.25
 _RECENT_ANSWER_S = 0.2
+_REPLY_WITHIN_S = 0.25  # Below the time-out of a probe by another host.
+_MAX_CHECK_S = 0.45  # until the connections of the second sample time out
 
 
 class IsolationMonitor:
@@ -40,6 +44,7 @@
         self._detector = IsolationDetector()
         self._loop = asyncio.get_running_loop()
         self._checks: asyncio.Task[None] | None = None
+        self._first_check_ended = asyncio.Event()
         self._isolated_since = 0.0
         self._answered_at = -math.inf
 
@@ -76,15 +81,23 @@
             self._loop.time() - _RECENT_ANSWER_S
         ):
             self._begin_checks()
-        if self._checks is not None and not self.isolated:
-            await asyncio.wait([self._checks], timeout=_CHECK_INTERVAL_S)
-            return self._checks is None
-        return not self.isolated
+        checked = await self._wait_for_first_check(_REPLY_WITHIN_S)
+        return checked and not self.isolated
 
     async def wait_for_check(self) -> None:
         """Wait until a check in progress has ended, unless it has found a cut."""
-        if self._checks is not None and not self.isolated:
-            await asyncio.wait([self._checks], timeout=_CHECK_INTERVAL_S)
+        await self._wait_for_first_check(_MAX_CHECK_S)
+
+    async def _wait_for_first_check(self, timeout_s: float) -> bool:
+        """Wait for the first of the checks in progress; return whether it has ended."""
+        if self._checks is None:
+            return True
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._first_check_ended.wait()
+        except TimeoutError:
+            return False
+        return True
 
     def close(self) -> None:
         """End the checks."""
@@ -96,6 +109,7 @@
             self._begin_checks()
 
     def _begin_checks(self) -> None:
+        self._first_check_ended.clear()
         self._checks = asyncio.ensure_future(self._check_until_reached())
         self._checks.add_done_callback(self._on_checks_ended)
 
@@ -105,6 +119,7 @@
     async def _check_until_reached(self) -> None:
         while True:
             await self._check()
+            self._first_check_ended.set()
             if not self.isolated:
                 return
             await asyncio.sleep(_CHECK_INTERVAL_S)
@@ -113,11 +128,18 @@
         now = self._loop.time()
         self._detector.record_check_start(now)
         servers = self._servers.sample(_CHECKED_SERVERS, now)
-        results = await asyncio.gather(
-            *(accepts_connections(server.info.address) for server in servers)
-        )
+        first_sample = asyncio.ensure_future(_count_reachable(servers))
+        await asyncio.wait([first_sample], timeout=_CONFIRM_AFTER_S)
+        confirmed = 0
+        if not self.isolated and not (first_sample.done() and first_sample.result()):
+            # Many servers may be down at once, but hardly all of two samples.
+            excluded = [server.info.id for server in servers]
+            more = self._servers.sample(_CONFIRMING_SERVERS, now, excluded)
+            servers += more
+            confirmed = await _count_reachable(more)
+        reached = confirmed + await first_sample
         self._metrics.count("server_checks")
-        if not self._detector.record_check(sum(results), len(results)):
+        if not self._detector.record_check(reached, len(servers)):
             return
         now = self._loop.time()
         tried = [server.info.id for server in servers]
@@ -130,3 +152,9 @@
                 "servers_reachable", {"tried": tried, "after_s": after_s}, True
             )
         self._on_change()
+
+
+async def _count_reachable(servers: Sequence[Server]) -> int:
+    """Return how many of some servers accept a connection."""
+    addresses = [server.info.address for server in servers]
+    return sum(await asyncio.gather(*map(accepts_connections, addresses)))
