Do not say that an interrupted request has not run

Found when the change was read again: a request that is interrupted because its host is cut off has open attempts, and a server behind the cut may run it. Where no other host could help it got 503 (`no_room`), which states that it has not run; it may only be a request that can be repeated. The answer is now 502. The test failed before (503).

--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -480,7 +480,7 @@
             return self._finish(
                 request, route, _relayed_response(result.response), call
             )
-        if not result.may_have_run:
+        if call.possible_runs == 0:
             wait_s = pool.wait_s(loop.time())
             return self._refuse(request, route, "no_room", call, wait_s=wait_s)
         return self._finish(request, route, error_response(502, "no answer"), call)
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -162,6 +162,20 @@
     asyncio.run(scenario())
 
 
+def test_interrupted_request_is_not_said_to_have_not_run(open_gateway, cut):
+    """Guards against a 503 for a request that a server behind the cut may have run."""
+
+    async def scenario():
+        async with _open_pair(open_gateway) as pair:
+            pair.faults = {"b:1": "refuses", "c:1": "refuses"}
+            pair.cut_off.server_infos.clear()
+            for _ in range(2):
+                await pair.cut_off.add_server("stock", _hang)
+            assert (await pair.cut_off.send("/x")).status == 502
+
+    asyncio.run(scenario())
+
+
 def test_order_that_may_have_run_is_not_sent_to_another_host(open_gateway, cut):
     """Guards against an order that runs here behind the cut, and at another host."""
 
