--- a/packages/soak/src/kingcuplug_soak/_fake_servers.py
+++ b/packages/soak/src/kingcuplug_soak/_fake_servers.py
@@ -3,8 +3,10 @@
 import asyncio
 import contextlib
 import random as random_module
+import socket
 import time
 from dataclasses import dataclass, field
+from enum import Enum
 
 from kingcuplug_fleet import PeerFailed, ServerRecord, ServerState
 from kingcuplug_http import Limits, Listener, Request, Response, encode_response
@@ -12,7 +14,7 @@
 
 from kingcuplug_soak._http_client import send_request
 
-__all__ = ["Execution", "FakeServer", "FakeServerPool"]
+__all__ = ["CrashedAddress", "Execution", "FakeServer", "FakeServerPool"]
 
 _HEARTBEAT_INTERVAL_S = 0.8
 _DRAIN_DURATION_S = 3.0
@@ -21,6 +23,15 @@
 _ENDLESS_CHUNK_BYTES = 8_192
 _ENDLESS_INTERVAL_S = 0.01
 _RESTART_DELAY_S = 2.5  # of a server that crashed under a request
+_MUTE_BACKLOG = 128
+
+
+class CrashedAddress(Enum):
+    """How the address of a server that crashed under a request behaves."""
+
+    REFUSES = "connections are refused"
+    HANGS = "connections are not established"
+    MUTE = "connections are established, and nothing replies"
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,7 +54,10 @@
     Attributes
     ----------
     crashing_target : str
-        Request target that crashes each server that executes it; empty if none does.
+        Path that crashes each server that executes a request for it, with any query
+        string; empty if none does.
+    crashed_address : CrashedAddress
+        How the addresses of these servers behave afterwards.
     crashed_at : list of float
         Event loop times at which servers crashed under that target.
     """
@@ -54,7 +68,9 @@
     requests_after_drain: list[str] = field(default_factory=list)
     servers: list["FakeServer"] = field(default_factory=list)
     crashing_target: str = ""
+    crashed_address: CrashedAddress = CrashedAddress.REFUSES
     crashed_at: list[float] = field(default_factory=list)
+    _occupied_addresses: list[socket.socket] = field(default_factory=list)
     _started_count: int = 0
     _restart_tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -78,16 +94,29 @@
     def run_crashing_request(self, server: "FakeServer") -> None:
         """Let a server crash under the request that it executes."""
         self.crashed_at.append(asyncio.get_running_loop().time())
-        task = asyncio.ensure_future(self.crash_and_replace(server, _RESTART_DELAY_S))
+        task = asyncio.ensure_future(self._crash_under_request(server))
         self._restart_tasks.add(task)
         task.add_done_callback(self._restart_tasks.discard)
 
+    async def _crash_under_request(self, server: "FakeServer") -> None:
+        if server not in self.servers:
+            return
+        self.servers.remove(server)
+        await server.crash()
+        if self.crashed_address is not CrashedAddress.REFUSES:
+            hangs = self.crashed_address is CrashedAddress.HANGS
+            self._occupied_addresses += _occupy_address(server.address, hangs)
+        await asyncio.sleep(_RESTART_DELAY_S)
+        await self.add(server.service, server.zone)
+
     async def stop(self) -> None:
         """Stop all servers."""
         for task in self._restart_tasks:
             task.cancel()
         for server in self.servers:
             await server.crash()
+        for occupied in self._occupied_addresses:
+            occupied.close()
 
 
 class FakeServer:
@@ -109,7 +138,7 @@
         self.service = service
         self.zone = zone
         self._listener = Listener(self._handle_request, Limits)
-        self._address = ""
+        self.address = ""
         self._heartbeat_task: asyncio.Task[None] | None = None
         self._start_ms = int(time.time() * _MS_PER_S)
         self._sequence = 0
@@ -124,7 +153,7 @@
 
     async def start(self) -> None:
         """Start listening and sending heartbeats."""
-        self._address = await self._listener.start("127.0.0.100:0")
+        self.address = await self._listener.start("127.0.0.100:0")
         self._heartbeat_task = asyncio.ensure_future(self._send_heartbeats())
 
     async def crash(self) -> None:
@@ -152,7 +181,7 @@
                 start_ms=self._start_ms,
                 sequence=self._sequence,
                 service=self.service,
-                address=self._address,
+                address=self.address,
                 availability_zone=self.zone,
                 slots=3,
                 state=state,
@@ -217,7 +246,8 @@
             attempt_id, self.service, self.name, target, body, seal, succeeded
         )
         self._pool.executions.setdefault(attempt_id, []).append(execution)
-        if target == self._pool.crashing_target:
+        path = target.partition("?")[0]
+        if path == self._pool.crashing_target:
             self._pool.run_crashing_request(self)
         await asyncio.sleep(random.uniform(0.002, 0.02) + self.delay_s)
         if self.fault == "lost" and random.random() < 0.3:
@@ -253,3 +283,18 @@
     while not transport.is_closing():
         transport.write(b"x" * _ENDLESS_CHUNK_BYTES)
         await asyncio.sleep(_ENDLESS_INTERVAL_S)
+
+
+def _occupy_address(address: str, hangs: bool) -> list[socket.socket]:
+    """Listen at an address without accepting; with a full backlog if it hangs."""
+    host, _, port = address.rpartition(":")
+    listening = socket.socket()
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listening.bind((host, int(port)))
+    listening.listen(0 if hangs else _MUTE_BACKLOG)
+    sockets = [listening]
+    if hangs:
+        filling = socket.socket()
+        filling.connect((host, int(port)))
+        sockets.append(filling)
+    return sockets
