Log which lost servers show no crash, and the path fingerprint of requests

Now no_crash_found names what an attempt to connect showed for each lost server, and both events carry the fingerprint without query string and cookies. No decision is changed.

--- a/packages/gateway/src/kingcuplug_gateway/_crash_witness.py
+++ b/packages/gateway/src/kingcuplug_gateway/_crash_witness.py
@@ -1,23 +1,21 @@
 """Evidence that backend servers crashed while they ran a request."""
 
 import asyncio
-import hashlib
 from collections.abc import Callable, Sequence
 
 from kingcuplug_common import EventLog, Metrics
 
 from kingcuplug_gateway._reachability import (
+    AddressCondition,
     accepts_connections,
-    refuses_connections,
+    check_address,
 )
+from kingcuplug_gateway._request_identity import RequestIdentity, request_identity
 from kingcuplug_gateway._servers import Server, ServerTable
 from kingcuplug_gateway._service_call import ServiceCall
 
-__all__ = ["CrashWitness", "request_fingerprint"]
+__all__ = ["CrashWitness"]
 
-# Headers that belong to a request's identity; others may differ when it comes again.
-_IDENTITY_HEADERS = frozenset((b"host", b"authorization", b"cookie"))
-_FINGERPRINT_BYTES = 8
 # A server that crashes closes its listening socket and its connections in any order.
 _CLOSE_DELAY_S = 0.05
 # A query is in flight at a server of every shard; a few of them are enough.
@@ -25,24 +23,6 @@
 _MAX_CONCURRENT_CHECKS = 16
 
 
-def request_fingerprint(head: bytes, body: bytes) -> str:
-    """Return the identity of a request that a caller may send again.
-
-    Parameters
-    ----------
-    head : bytes
-        Request line and headers as sent to servers.
-    """
-    request_line, *headers = head.split(b"\r\n")
-    identity = [request_line, *(line for line in headers if _is_identity(line)), body]
-    digest = hashlib.blake2b(b"\0".join(identity), digest_size=_FINGERPRINT_BYTES)
-    return digest.hexdigest()
-
-
-def _is_identity(header: bytes) -> bool:
-    return header.partition(b":")[0].lower() in _IDENTITY_HEADERS
-
-
 class CrashWitness:
     """Finds out whether servers crashed under a request that none of them answered.
 
@@ -77,31 +57,41 @@
             self._metrics.count("crash_checks_skipped")
             return
         outbound = calls[0].outbound
-        fingerprint = request_fingerprint(outbound.head, outbound.body)
+        identity = request_identity(outbound.head, outbound.body)
         attempt_id = outbound.attempt_id.decode("latin-1")
-        check = asyncio.ensure_future(self._check(fingerprint, attempt_id, lost))
+        check = asyncio.ensure_future(self._check(identity, attempt_id, lost))
         self._checks.add(check)
         check.add_done_callback(self._checks.discard)
 
     async def _check(
-        self, fingerprint: str, attempt_id: str, lost: list[Server]
+        self, identity: RequestIdentity, attempt_id: str, lost: list[Server]
     ) -> None:
         await asyncio.sleep(_CLOSE_DELAY_S)
         checked = lost[:_MAX_CHECKED_SERVERS]
-        refusals = await asyncio.gather(
-            *(refuses_connections(s.info.address) for s in checked)
+        conditions = await asyncio.gather(
+            *(check_address(server.info.address) for server in checked)
         )
         crashed = [
-            s.info.id for s, refuses in zip(checked, refusals, strict=True) if refuses
+            server.info.id
+            for server, condition in zip(checked, conditions, strict=True)
+            if condition is AddressCondition.REFUSES
         ]
-        if not crashed or not await self._reaches_other_server(lost):
+        reaches_other = await self._reaches_other_server(lost)
+        fields = {
+            "fingerprint": identity.fingerprint,
+            "path_fingerprint": identity.path_fingerprint,
+            "id": attempt_id,
+            "servers": {
+                server.info.id: condition.value
+                for server, condition in zip(checked, conditions, strict=True)
+            },
+        }
+        if not crashed or not reaches_other:
+            self._log.write("no_crash_found", fields | {"reaches_other": reaches_other})
             return
         self._metrics.count("servers_crashed_under_request")
-        self._log.write(
-            "servers_crashed_under_request",
-            {"fingerprint": fingerprint, "id": attempt_id, "servers": crashed},
-        )
-        self._on_crash(fingerprint, attempt_id)
+        self._log.write("servers_crashed_under_request", fields)
+        self._on_crash(identity.fingerprint, attempt_id)
 
     async def _reaches_other_server(self, lost: list[Server]) -> bool:
         """Return whether this host can connect to any of a few other servers."""
--- a/packages/gateway/src/kingcuplug_gateway/_reachability.py
+++ b/packages/gateway/src/kingcuplug_gateway/_reachability.py
@@ -1,30 +1,35 @@
 """Whether something listens at a server's address."""
 
+from enum import Enum
+
 from kingcuplug_http import connect
 
-__all__ = ["accepts_connections", "refuses_connections"]
+__all__ = ["AddressCondition", "accepts_connections", "check_address"]
 
 # A running server accepts within a round trip.
 _CONNECT_TIMEOUT_S = 0.3
 
 
-async def accepts_connections(address: str) -> bool:
-    """Return whether a connection to ``ip:port`` can be made."""
-    try:
-        connection = await connect(address, _CONNECT_TIMEOUT_S)
-    except OSError:
-        return False
-    connection.close()
-    return True
+class AddressCondition(Enum):
+    """What an attempt to connect to a server's address shows."""
+
+    ACCEPTS = "accepts"
+    REFUSES = "refuses"
+    SILENT = "silent"
 
 
-async def refuses_connections(address: str) -> bool:
-    """Return whether nothing listens at ``ip:port``; not known without any reply."""
+async def check_address(address: str) -> AddressCondition:
+    """Try to connect to ``ip:port``."""
     try:
         connection = await connect(address, _CONNECT_TIMEOUT_S)
     except (ConnectionRefusedError, ConnectionResetError):
-        return True
+        return AddressCondition.REFUSES
     except OSError:
-        return False
+        return AddressCondition.SILENT
     connection.close()
-    return False
+    return AddressCondition.ACCEPTS
+
+
+async def accepts_connections(address: str) -> bool:
+    """Return whether a connection to ``ip:port`` can be made."""
+    return await check_address(address) is AddressCondition.ACCEPTS
--- a/packages/gateway/src/kingcuplug_gateway/_request_guard.py
+++ b/packages/gateway/src/kingcuplug_gateway/_request_guard.py
@@ -6,7 +6,8 @@
 from kingcuplug_common import EventLog, Metrics
 from kingcuplug_routing import RequestQuarantine
 
-from kingcuplug_gateway._crash_witness import CrashWitness, request_fingerprint
+from kingcuplug_gateway._crash_witness import CrashWitness
+from kingcuplug_gateway._request_identity import request_identity
 from kingcuplug_gateway._servers import ServerTable
 from kingcuplug_gateway._service_call import OutboundRequest, ServiceCall
 
@@ -63,4 +64,4 @@
 
 
 def _fingerprint(outbound: OutboundRequest) -> str:
-    return request_fingerprint(outbound.head, outbound.body)
+    return request_identity(outbound.head, outbound.body).fingerprint
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from kingcuplug_gateway._crash_witness import request_fingerprint
+from kingcuplug_gateway._request_identity import request_identity
 
 from .conftest import make_route, signed_response
 
@@ -87,9 +87,9 @@
             harness.set_routes(make_route(services=(), shards=shards))
             for shard in shards:
                 await _add_crashing_servers(harness, shard, 1)
-            fingerprint = request_fingerprint(
+            fingerprint = request_identity(
                 b"GET /x HTTP/1.1\r\nhost: shop.example\r\n", b""
-            )
+            ).fingerprint
             now = asyncio.get_running_loop().time()
             harness.gateway.quarantine.record_crash(fingerprint, "earlier", now)
             response = await harness.send("/x")
@@ -137,9 +137,10 @@
         b"GET /a?b=1 HTTP/1.1\r\nHost: h\r\nAuthorization: me\r\n"
         b"Attempt-Id: 1\r\nUser-Agent: x\r\n"
     )
-    fingerprint = request_fingerprint(head, b"body")
+    fingerprint = request_identity(head, b"body").fingerprint
     again = head.replace(b"Attempt-Id: 1", b"Attempt-Id: 2").replace(b"x\r\n", b"y\r\n")
-    assert request_fingerprint(again, b"body") == fingerprint
+    assert request_identity(again, b"body").fingerprint == fingerprint
     for old, new in ((b"b=1", b"b=2"), (b"me", b"you"), (b"GET", b"PUT")):
-        assert request_fingerprint(head.replace(old, new), b"body") != fingerprint
-    assert request_fingerprint(head, b"bodx") != fingerprint
+        other = request_identity(head.replace(old, new), b"body")
+        assert other.fingerprint != fingerprint
+    assert request_identity(head, b"bodx").fingerprint != fingerprint
