Count crashes of servers whose addresses reply to nothing

Cause: a lost server counted as crashed only if it refused connections. A machine that is gone replies to nothing, and a load balancer or a stopped process accepts and stays silent. The class: evidence of one form of a fault taken for the fault.

Change: the host sends the lost server a health check. Refused, not connected in 0.3 s and no reply in 0.5 s all show a crash, if another server can be reached. A reply shows none, and a closed connection neither, as the server may have too many.

--- a/packages/gateway/src/kingcuplug_gateway/_crash_witness.py
+++ b/packages/gateway/src/kingcuplug_gateway/_crash_witness.py
@@ -5,11 +5,7 @@
 
 from kingcuplug_common import EventLog, Metrics
 
-from kingcuplug_gateway._reachability import (
-    AddressCondition,
-    accepts_connections,
-    check_address,
-)
+from kingcuplug_gateway._reachability import accepts_connections, check_server
 from kingcuplug_gateway._request_identity import RequestIdentity, request_identity
 from kingcuplug_gateway._servers import Server, ServerTable
 from kingcuplug_gateway._service_call import ServiceCall
@@ -26,11 +22,13 @@
 class CrashWitness:
     """Finds out whether servers crashed under a request that none of them answered.
 
-    A lost connection alone shows no crash. The server must also refuse connections,
-    while this host reaches another one.
+    A lost connection alone shows no crash. The server must also refuse connections, or
+    reply to nothing, while this host reaches another one.
 
     Parameters
     ----------
+    health_path : callable
+        Returns the path of the health checks of a service.
     on_crash : callable
         Called with the fingerprint and the attempt id of such a request.
     """
@@ -38,11 +36,13 @@
     def __init__(
         self,
         servers: ServerTable,
+        health_path: Callable[[str], str],
         on_crash: Callable[[str, str], None],
         log: EventLog,
         metrics: Metrics,
     ) -> None:
         self._servers = servers
+        self._health_path = health_path
         self._on_crash = on_crash
         self._log = log
         self._metrics = metrics
@@ -69,12 +69,15 @@
         await asyncio.sleep(_CLOSE_DELAY_S)
         checked = lost[:_MAX_CHECKED_SERVERS]
         conditions = await asyncio.gather(
-            *(check_address(server.info.address) for server in checked)
+            *(
+                check_server(s.info.address, self._health_path(s.info.service))
+                for s in checked
+            )
         )
         crashed = [
             server.info.id
             for server, condition in zip(checked, conditions, strict=True)
-            if condition is AddressCondition.REFUSES
+            if condition.is_down
         ]
         reaches_other = await self._reaches_other_server(lost)
         fields = {
--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -148,7 +148,7 @@
         self._isolation = IsolationMonitor(
             self.servers, self._on_isolation_changed, log, metrics
         )
-        self._guard = RequestGuard(self.servers, log, metrics)
+        self._guard = RequestGuard(self.servers, self._health_path, log, metrics)
         self._gather_server = GatherServer(
             partial(self._make_call, for_peer=True),
             self._route_timing,
@@ -738,6 +738,10 @@
             return None
         return int(header_value)
 
+    def _health_path(self, service: str) -> str:
+        settings = self.table.services.get(service) if self.table is not None else None
+        return settings.health_path if settings is not None else "/"
+
     def _select_service(self, route: Route) -> str:
         if len(route.services) == 1:
             return route.services[0].service
--- a/packages/gateway/src/kingcuplug_gateway/_reachability.py
+++ b/packages/gateway/src/kingcuplug_gateway/_reachability.py
@@ -1,35 +1,63 @@
-"""Whether something listens at a server's address."""
+"""Whether a server can be reached at its address, and replies."""
 
+import asyncio
 from enum import Enum
 
-from kingcuplug_http import connect
+from kingcuplug_http import Reply, connect
 
-__all__ = ["AddressCondition", "accepts_connections", "check_address"]
+__all__ = ["ServerCondition", "accepts_connections", "check_server"]
 
 # A running server accepts within a round trip.
 _CONNECT_TIMEOUT_S = 0.3
+# A health check waits for a slot of the server, like any other request.
+_REPLY_TIMEOUT_S = 0.5
 
 
-class AddressCondition(Enum):
-    """What an attempt to connect to a server's address shows."""
+class ServerCondition(Enum):
+    """What a health check of a server shows."""
 
-    ACCEPTS = "accepts"
+    REPLIES = "replies"
     REFUSES = "refuses"
+    CLOSES = "closes"
     SILENT = "silent"
 
+    @property
+    def is_down(self) -> bool:
+        """Whether a server that was lost under a request is not back.
 
-async def check_address(address: str) -> AddressCondition:
-    """Try to connect to ``ip:port``."""
+        One that closes the connection may have too many of them.
+        """
+        return self in (ServerCondition.REFUSES, ServerCondition.SILENT)
+
+
+async def check_server(address: str, health_path: str) -> ServerCondition:
+    """Send a health check to ``ip:port``."""
     try:
         connection = await connect(address, _CONNECT_TIMEOUT_S)
     except (ConnectionRefusedError, ConnectionResetError):
-        return AddressCondition.REFUSES
+        return ServerCondition.REFUSES
     except OSError:
-        return AddressCondition.SILENT
-    connection.close()
-    return AddressCondition.ACCEPTS
+        return ServerCondition.SILENT
+    reply = Reply()
+    head = f"GET {health_path} HTTP/1.1\r\nHost: {address}\r\n\r\n"
+    connection.send(head.encode(), reply)
+    try:
+        async with asyncio.timeout(_REPLY_TIMEOUT_S):
+            await reply.response
+    except TimeoutError:
+        return ServerCondition.SILENT
+    except ConnectionError:
+        return ServerCondition.CLOSES
+    finally:
+        connection.abandon()
+    return ServerCondition.REPLIES
 
 
 async def accepts_connections(address: str) -> bool:
     """Return whether a connection to ``ip:port`` can be made."""
-    return await check_address(address) is AddressCondition.ACCEPTS
+    try:
+        connection = await connect(address, _CONNECT_TIMEOUT_S)
+    except OSError:
+        return False
+    connection.close()
+    return True
--- a/packages/gateway/src/kingcuplug_gateway/_request_guard.py
+++ b/packages/gateway/src/kingcuplug_gateway/_request_guard.py
@@ -1,7 +1,7 @@
 """Recognition of requests that crash the servers that run them."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from kingcuplug_common import EventLog, Metrics
 from kingcuplug_routing import RequestQuarantine
@@ -17,16 +17,29 @@
 class RequestGuard:
     """Reviews requests that have ended, and knows those to be refused.
 
+    Parameters
+    ----------
+    health_path : callable
+        Returns the path of the health checks of a service.
+
     Attributes
     ----------
     quarantine : RequestQuarantine
         Requests under which servers crashed, here and at other hosts.
     """
 
-    def __init__(self, servers: ServerTable, log: EventLog, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        servers: ServerTable,
+        health_path: Callable[[str], str],
+        log: EventLog,
+        metrics: Metrics,
+    ) -> None:
         self._log = log
         self._loop = asyncio.get_running_loop()
-        self._witness = CrashWitness(servers, self._on_servers_crashed, log, metrics)
+        self._witness = CrashWitness(
+            servers, health_path, self._on_servers_crashed, log, metrics
+        )
         self.quarantine = RequestQuarantine()
 
     def review(self, calls: Sequence[ServiceCall]) -> None:
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -8,17 +8,36 @@
 from .conftest import make_route, signed_response
 
 _CHECK_S = 0.3  # A little longer than the check of a lost server takes.
+_REPLY_TIMEOUT_S = 0.5  # How long the check waits for a server that does not reply.
 
 
-async def _add_crashing_servers(harness, service: str, count: int) -> list[str]:
-    """Start servers that stop when they receive the target ``/crash``."""
+async def _answer(request):
+    return signed_response(b"0123456789abcdef")
+
+
+async def _add_crashing_servers(
+    harness, service: str, count: int, mute: bool = False
+) -> list[str]:
+    """Start servers that stop when they receive the path ``/crash``.
+
+    A mute one still accepts connections, and replies to nothing.
+    """
 
     async def add_server() -> str:
         number = len(harness.listeners)
+        crashed = False
 
         async def handle(request):
-            if request.target == b"/crash":
-                await harness.listeners[number].stop()
+            nonlocal crashed
+            if crashed:
+                await asyncio.sleep(60)
+            if request.target.partition(b"?")[0] == b"/crash":
+                crashed = True
+                listener = harness.listeners[number]
+                if not mute:
+                    listener.stop_accepting()
+                for connection in tuple(listener.connections):
+                    connection.abort()
                 await asyncio.sleep(1)
             return signed_response(b"0123456789abcdef")
 
@@ -52,6 +71,24 @@
     asyncio.run(scenario())
 
 
+def test_crash_is_counted_if_the_server_accepts_but_does_not_reply(open_gateway):
+    """Guards against counting only servers that refuse connections as crashed."""
+
+    async def scenario():
+        async with open_gateway() as harness:
+            harness.set_routes(make_route())
+            await _add_crashing_servers(harness, "stock", 8, mute=True)
+            await harness.add_server("other", _answer)
+            statuses = []
+            for number in range(4):
+                response = await harness.send("/crash", try_id=f"t{number}")
+                statuses.append(response.status)
+                await asyncio.sleep(_CHECK_S + _REPLY_TIMEOUT_S)
+            assert statuses == [502, 502, 502, 503]
+
+    asyncio.run(scenario())
+
+
 def test_query_that_crashes_servers_reaches_one_at_a_time(open_gateway):
     """Guards against losing a server of each shard whenever the query comes again."""
 
