Recognise crashing requests whose query string or cookies differ

Cause: the identity of a request held everything a server sees, so each repeat was a new request with one execution. The class: an identity taken from the form in which a thing came, not from what the other side states to be constant.

Change: a second fingerprint leaves out the query string and cookies. Many callers may share it, so all executions that began before it was suspected count as one, and any answer ends the suspicion.

The replay at 10, 77 and 200 hosts has at most 5 crashes, none late.

--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,7 @@
 PYTHON ?= python3.11
 
 # Tests listed in KNOWN-RED.txt: they run apart, and their result does not count.
-KNOWN_RED := tests/daemon/test_shutdown.py::test_shutdown_finishes_requests_in_flight \
-	tests/soak/test_crashing_requests.py::test_crashing_request_is_known_by_path_caller_and_body
+KNOWN_RED := tests/daemon/test_shutdown.py::test_shutdown_finishes_requests_in_flight
 
 .PHONY: bench capacity demo check format lint types test system matrix models models-large spin venv
 
--- a/packages/gateway/src/kingcuplug_gateway/_crash_witness.py
+++ b/packages/gateway/src/kingcuplug_gateway/_crash_witness.py
@@ -30,14 +30,14 @@
     health_path : callable
         Returns the path of the health checks of a service.
     on_crash : callable
-        Called with the fingerprint and the attempt id of such a request.
+        Called with the identity, the attempt id and the start of such a request.
     """
 
     def __init__(
         self,
         servers: ServerTable,
         health_path: Callable[[str], str],
-        on_crash: Callable[[str, str], None],
+        on_crash: Callable[[RequestIdentity, str, float], None],
         log: EventLog,
         metrics: Metrics,
     ) -> None:
@@ -59,12 +59,19 @@
         outbound = calls[0].outbound
         identity = request_identity(outbound.head, outbound.body)
         attempt_id = outbound.attempt_id.decode("latin-1")
-        check = asyncio.ensure_future(self._check(identity, attempt_id, lost))
+        started_at = min(a.sent_at for call in calls for a in call.result.attempts)
+        check = asyncio.ensure_future(
+            self._check(identity, attempt_id, started_at, lost)
+        )
         self._checks.add(check)
         check.add_done_callback(self._checks.discard)
 
     async def _check(
-        self, identity: RequestIdentity, attempt_id: str, lost: list[Server]
+        self,
+        identity: RequestIdentity,
+        attempt_id: str,
+        started_at: float,
+        lost: list[Server],
     ) -> None:
         await asyncio.sleep(_CLOSE_DELAY_S)
         checked = lost[:_MAX_CHECKED_SERVERS]
@@ -94,7 +101,7 @@
             return
         self._metrics.count("servers_crashed_under_request")
         self._log.write("servers_crashed_under_request", fields)
-        self._on_crash(identity.fingerprint, attempt_id)
+        self._on_crash(identity, attempt_id, started_at)
 
     async def _reaches_other_server(self, lost: list[Server]) -> bool:
         """Return whether this host can connect to any of a few other servers."""
--- a/packages/gateway/src/kingcuplug_gateway/_request_guard.py
+++ b/packages/gateway/src/kingcuplug_gateway/_request_guard.py
@@ -7,7 +7,7 @@
 from kingcuplug_routing import RequestQuarantine
 
 from kingcuplug_gateway._crash_witness import CrashWitness
-from kingcuplug_gateway._request_identity import request_identity
+from kingcuplug_gateway._request_identity import RequestIdentity, request_identity
 from kingcuplug_gateway._servers import ServerTable
 from kingcuplug_gateway._service_call import OutboundRequest, ServiceCall
 
@@ -50,31 +50,50 @@
 
     def record_answer(self, outbound: OutboundRequest) -> None:
         """Record that a server has answered a request."""
-        if not self.quarantine.is_empty:
-            self.quarantine.record_answer(_fingerprint(outbound), self._loop.time())
+        now = self._loop.time()
+        for fingerprint in self._fingerprints(outbound):
+            self.quarantine.record_answer(fingerprint, now)
 
     def quarantined_s(self, outbound: OutboundRequest) -> float:
         """Return for how long a request is to be refused; 0 if it is not."""
-        if self.quarantine.is_empty:
-            return 0.0
-        return self.quarantine.quarantined_s(_fingerprint(outbound), self._loop.time())
+        now = self._loop.time()
+        return max(
+            (
+                self.quarantine.quarantined_s(fingerprint, now)
+                for fingerprint in self._fingerprints(outbound)
+            ),
+            default=0.0,
+        )
 
     def is_suspect(self, outbound: OutboundRequest) -> bool:
         """Return whether a request may crash the servers that run it."""
-        if self.quarantine.is_empty:
-            return False
-        return self.quarantine.is_suspect(_fingerprint(outbound), self._loop.time())
-
-    def _on_servers_crashed(self, fingerprint: str, attempt_id: str) -> None:
         now = self._loop.time()
-        if self.quarantine.record_crash(fingerprint, attempt_id, now):
-            for_s = round(self.quarantine.quarantined_s(fingerprint, now), 1)
-            self._log.write(
-                "request_quarantined",
-                {"fingerprint": fingerprint, "id": attempt_id, "for_s": for_s},
-                bypass_rate_limit=True,
-            )
+        return any(
+            self.quarantine.is_suspect(fingerprint, now)
+            for fingerprint in self._fingerprints(outbound)
+        )
 
+    def _fingerprints(self, outbound: OutboundRequest) -> tuple[str, ...]:
+        """Return the fingerprints of a request if any request is suspected."""
+        if self.quarantine.is_empty:
+            return ()
+        return request_identity(outbound.head, outbound.body).fingerprints
 
-def _fingerprint(outbound: OutboundRequest) -> str:
-    return request_identity(outbound.head, outbound.body).fingerprint
+    def _on_servers_crashed(
+        self, identity: RequestIdentity, attempt_id: str, started_at: float
+    ) -> None:
+        now = self._loop.time()
+        quarantine = self.quarantine
+        if quarantine.record_crash(identity.fingerprint, attempt_id, now):
+            self._log_quarantine(identity.fingerprint, attempt_id)
+        path_fingerprint = identity.path_fingerprint
+        if quarantine.record_path_crash(path_fingerprint, attempt_id, started_at, now):
+            self._log_quarantine(path_fingerprint, attempt_id)
+
+    def _log_quarantine(self, fingerprint: str, attempt_id: str) -> None:
+        for_s = self.quarantine.quarantined_s(fingerprint, self._loop.time())
+        self._log.write(
+            "request_quarantined",
+            {"fingerprint": fingerprint, "id": attempt_id, "for_s": round(for_s, 1)},
+            bypass_rate_limit=True,
+        )
--- a/packages/gateway/src/kingcuplug_gateway/_request_identity.py
+++ b/packages/gateway/src/kingcuplug_gateway/_request_identity.py
@@ -28,6 +28,11 @@
     fingerprint: str
     path_fingerprint: str
 
+    @property
+    def fingerprints(self) -> tuple[str, str]:
+        """Both fingerprints."""
+        return self.fingerprint, self.path_fingerprint
+
 
 def request_identity(head: bytes, body: bytes) -> RequestIdentity:
     """Return the identity of a request.
@@ -38,10 +43,11 @@
         Request line and headers as sent to servers.
     """
     request_line, *headers = head.split(b"\r\n")
-    path_line = request_line.partition(b"?")[0]
+    method, target = request_line.split(b" ")[:2]
+    path = target.partition(b"?")[0]
     return RequestIdentity(
         _digest([request_line, *_select(headers, _ALL_IDENTITY_HEADERS), body]),
-        _digest([path_line, *_select(headers, _CALLER_HEADERS), body]),
+        _digest([method, path, *_select(headers, _CALLER_HEADERS), body]),
     )
 
 
--- a/packages/routing/src/kingcuplug_routing/_request_quarantine.py
+++ b/packages/routing/src/kingcuplug_routing/_request_quarantine.py
@@ -21,6 +21,9 @@
 # Bounds what is sent to every host; requests in quarantine are kept first.
 _MAX_SUSPECTS = 64
 _EXECUTION_BYTES = 4
+# Stands for all executions that began before the suspicion was known: requests to one
+# path may be in flight at several servers when these crash for another reason.
+_UNSUSPECTED_EXECUTION = "0" * (2 * _EXECUTION_BYTES)
 # The coordinator publishes a report to all hosts well within this time.
 _PUBLISH_TIMEOUT_S = 3.0
 
@@ -48,6 +51,7 @@
 
 @dataclass(slots=True)
 class _Suspect:
+    since: float
     until: float
     executions: set[str] = field(default_factory=set)
 
@@ -68,7 +72,9 @@
     def add(self, records: SuspectRecords, now: float) -> None:
         """Add the executions of records; new ones extend the suspicion."""
         for fingerprint, record in records.items():
-            suspect = self._suspects.setdefault(fingerprint, _Suspect(until=now))
+            suspect = self._suspects.setdefault(
+                fingerprint, _Suspect(since=now, until=now)
+            )
             if record.executions <= suspect.executions:
                 continue
             suspect.executions |= record.executions
@@ -103,6 +109,12 @@
         suspect = self._suspects.get(fingerprint)
         return suspect is not None and suspect.until > now
 
+    def suspected_since(self, fingerprint: str, now: float) -> float:
+        """Return when a request became known as suspected; ``inf`` if it is not."""
+        if not self.is_suspect(fingerprint, now):
+            return math.inf
+        return self._suspects[fingerprint].since
+
     def quarantined_s(self, fingerprint: str, now: float) -> float:
         """Return for how long a request is still in quarantine; 0 if it is not."""
         suspect = self._suspects.get(fingerprint)
@@ -199,10 +211,30 @@
         bool
             Whether the request is in quarantine from now on.
         """
-        was_quarantined = self.quarantined_s(fingerprint, now) > 0
         digest = hashlib.blake2b(attempt_id.encode(), digest_size=_EXECUTION_BYTES)
+        return self._record_crash(fingerprint, digest.hexdigest(), now)
+
+    def record_path_crash(
+        self, path_fingerprint: str, attempt_id: str, started_at: float, now: float
+    ) -> bool:
+        """Record that servers crashed under a request that may differ in its query.
+
+        Other requests to the same path may have been lost in the same crash. So only
+        executions that began under suspicion count one by one.
+
+        Returns
+        -------
+        bool
+            Whether requests to the path are in quarantine from now on.
+        """
+        if started_at > self._register.suspected_since(path_fingerprint, now):
+            return self.record_crash(path_fingerprint, attempt_id, now)
+        return self._record_crash(path_fingerprint, _UNSUSPECTED_EXECUTION, now)
+
+    def _record_crash(self, fingerprint: str, execution: str, now: float) -> bool:
+        was_quarantined = self.quarantined_s(fingerprint, now) > 0
         for register in (self._register, self._new):
-            register.record_crash(fingerprint, digest.hexdigest(), now)
+            register.record_crash(fingerprint, execution, now)
         self._unpublished[fingerprint] = now
         self._answered.discard(fingerprint)
         return not was_quarantined and self.quarantined_s(fingerprint, now) > 0
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -137,6 +137,33 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("differing", ["query string", "cookie"])
+def test_repeat_is_recognised_by_path_caller_and_body(open_gateway, differing):
+    """Guards against an identity that differs each time such a request comes again."""
+
+    async def scenario():
+        async with open_gateway() as harness:
+            harness.set_routes(make_route(repeatable=False))
+            await _add_crashing_servers(harness, "stock", 8)
+            statuses = []
+            for number in range(5):
+                target, cookie = "/crash", ""
+                if differing == "cookie":
+                    cookie = f"visit={number}"
+                else:
+                    target = f"/crash?page={number}"
+                response = await harness.send(
+                    target, "POST", b"order", try_id=f"t{number}", cookie=cookie
+                )
+                statuses.append(response.status)
+                await asyncio.sleep(_CHECK_S)
+            assert statuses == [502, 502, 502, 503, 503]
+            response = await harness.send("/crash?page=1", "POST", b"other")
+            assert response.status == 502
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("cut", ["connections", "all servers"])
 def test_lost_connections_alone_are_no_crash(open_gateway, cut):
     """Guards against suspecting requests under resets, or when the host is cut off.
@@ -181,3 +208,16 @@
         other = request_identity(head.replace(old, new), b"body")
         assert other.fingerprint != fingerprint
     assert request_identity(head, b"bodx").fingerprint != fingerprint
+
+
+def test_path_fingerprint_leaves_out_what_a_caller_may_vary():
+    """Guards against identities that differ with query string or cookie only."""
+    head = b"GET /a HTTP/1.1\r\nHost: h\r\nAuthorization: me\r\n"
+    expected = request_identity(head, b"body").path_fingerprint
+    with_query = head.replace(b"/a", b"/a?b=1")
+    for same in (with_query, head + b"Cookie: c=1\r\n"):
+        assert request_identity(same, b"body").path_fingerprint == expected
+    for old, new in ((b"/a", b"/b"), (b"me", b"you"), (b"GET", b"PUT")):
+        other = request_identity(head.replace(old, new), b"body")
+        assert other.path_fingerprint != expected
+    assert request_identity(head, b"bodx").path_fingerprint != expected
--- a/tests/routing/test_request_quarantine.py
+++ b/tests/routing/test_request_quarantine.py
@@ -66,6 +66,46 @@
     assert late == []
 
 
+@pytest.mark.parametrize("hosts", [10, 77, 200])
+@pytest.mark.parametrize("seed", range(5))
+def test_path_is_refused_if_all_its_requests_crash_servers(hosts, seed):
+    """Guards against a request with another query string each time it comes again."""
+    fleet, crashes = Fleet(hosts, seed), []
+    while fleet.now < 30.0:
+        host = fleet.random.choice(fleet.hosts)
+        if host.quarantined_s("path", fleet.now) == 0:
+            crashes.append(fleet.now)
+            attempt_id = f"{fleet.now:.1f}"
+            host.record_crash(f"query-{attempt_id}", attempt_id, fleet.now)
+            host.record_path_crash("path", attempt_id, fleet.now - 0.05, fleet.now)
+        fleet.advance(_REPEAT_S)
+    late = [at for at in crashes if at > crashes[2] + _STABILITY_WINDOW_S]
+    assert len(crashes) <= 5
+    assert late == []
+
+
+def test_path_is_not_refused_after_one_crash_of_all_servers():
+    """Guards against adding up requests to one path that were lost in one crash."""
+    fleet = Fleet(10)
+    for number, host in enumerate(fleet.hosts):
+        host.record_path_crash("path", f"try-{number}", -0.1, fleet.now)
+    fleet.advance(1.0)
+    assert all(host.is_suspect("path", fleet.now) for host in fleet.hosts)
+    assert all(host.quarantined_s("path", fleet.now) == 0 for host in fleet.hosts)
+
+
+def test_path_is_not_refused_if_other_requests_to_it_are_answered():
+    """Guards against refusing a path because some requests to it crash servers."""
+    fleet = Fleet(10)
+    for number in range(6):
+        lost_at, answered_at = fleet.random.sample(fleet.hosts, 2)
+        lost_at.record_path_crash("path", f"try-{number}", fleet.now, fleet.now)
+        fleet.advance(1.0)
+        answered_at.record_answer("path", fleet.now)
+        fleet.advance(1.0)
+        assert not any(host.is_suspect("path", fleet.now) for host in fleet.hosts)
+
+
 def test_quarantine_outlives_restarts_and_the_coordinator():
     """Guards against a quarantine that is forgotten with a process."""
     fleet = Fleet(10)
