Bound the unfinished answers of all servers together

The class: a bound for each of many where the sum is what is limited.

Change: the unfinished bodies of all connections of a process hold at most 64 MiB together. Beyond that the largest one fails as an invalid answer, and its request is retried as usual. The test fails with the bound taken out (the sum exceeds the 1 MiB that it sets).

--- a/packages/http/src/kingcuplug_http/_outbound.py
+++ b/packages/http/src/kingcuplug_http/_outbound.py
@@ -20,6 +20,9 @@
 _MAX_BODY_BYTES = 16_777_216
 # Received bytes per byte of the largest body: covers chunk sizes and extensions.
 _MAX_FRAMING_RATIO = 2
+# Bounds the unfinished bodies of all connections together, as many peers may fail at
+# the same time.
+_MAX_BUFFERED_BYTES = 67_108_864
 
 
 class Failure(Enum):
@@ -30,6 +33,37 @@
     INVALID = "the peer sent data that is not a valid HTTP response"
 
 
+class BodyBuffers:
+    """Received bytes of all unfinished response bodies of this process.
+
+    Parameters
+    ----------
+    max_bytes : int
+        Bound of their sum. Beyond it, the largest one is given up.
+    """
+
+    def __init__(self, max_bytes: int = _MAX_BUFFERED_BYTES) -> None:
+        self.max_bytes = max_bytes
+        self.total_bytes = 0
+        self._sizes: dict[OutboundConnection, int] = {}
+
+    def add(self, connection: "OutboundConnection", size: int) -> None:
+        """Count bytes that a connection has received, and keep the sum bounded."""
+        self._sizes[connection] = self._sizes.get(connection, 0) + size
+        self.total_bytes += size
+        while self.total_bytes > self.max_bytes:
+            largest = max(self._sizes, key=lambda c: self._sizes[c])
+            self.release(largest)
+            largest.give_up()
+
+    def release(self, connection: "OutboundConnection") -> None:
+        """Forget the bytes of a connection whose response has ended."""
+        self.total_bytes -= self._sizes.pop(connection, 0)
+
+
+_body_buffers = BodyBuffers()
+
+
 class Exchange(Protocol):
     """Receiver of the response to one request.
 
@@ -88,6 +122,11 @@
 class OutboundConnection(asyncio.Protocol):
     """Client side of an HTTP/1.1 connection, with one request at a time.
 
+    Parameters
+    ----------
+    buffers : BodyBuffers
+        Bounds the unfinished bodies of several connections together.
+
     Attributes
     ----------
     usable : bool
@@ -100,8 +139,11 @@
         Idle time-out announced by the peer, if any.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, buffers: BodyBuffers = _body_buffers
+    ) -> None:
         self._loop = loop
+        self._buffers = buffers
         self._transport: asyncio.Transport
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
@@ -145,6 +187,10 @@
         self.request_count += 1
         self._transport.write(data)
 
+    def give_up(self) -> None:
+        """Fail the request in progress because its response is too large."""
+        self._fail(Failure.INVALID)
+
     def abandon(self) -> None:
         """Close the connection without reporting a failure of its request."""
         self._exchange = None
@@ -153,6 +199,7 @@
     def close(self) -> None:
         """Close the connection."""
         self.usable = False
+        self._discard_body()
         self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
@@ -189,7 +236,7 @@
             self._transport.close()
         self._headers = []
         self._fields = {}
-        self._body = []
+        self._discard_body()
         self._status = 0
         self._ends_at_close = False
         self._in_response = True
@@ -218,14 +265,19 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
         self._body_bytes += len(body)
-        if self._body_bytes <= _MAX_BODY_BYTES:
+        if self._exchange is not None and self._body_bytes <= _MAX_BODY_BYTES:
             self._body.append(body)
+            self._buffers.add(self, len(body))
 
     def on_message_complete(self) -> None:
         """Complete the response, unless it is an interim one (1xx)."""
         if self._status >= 200 and self._in_response:
             self._complete()
 
+    def _discard_body(self) -> None:
+        self._body = []
+        self._buffers.release(self)
+
     def _complete(self) -> None:
         self._in_response = False
         self._in_body = False
@@ -236,9 +288,9 @@
         if self._body_bytes > _MAX_BODY_BYTES:
             self._fail(Failure.INVALID)
             return
-        response = Response(
-            self._status, self._headers, b"".join(self._body), self._fields
-        )
+        body = b"".join(self._body)
+        self._discard_body()
+        response = Response(self._status, self._headers, body, self._fields)
         if not exchange.accepts(response):
             self._skipped_responses += 1
             self._received_bytes = 0
--- a/tests/http/test_outbound.py
+++ b/tests/http/test_outbound.py
@@ -8,6 +8,7 @@
 
 import pytest
 from kingcuplug_http import Failure, OutboundConnection, Response, connect
+from kingcuplug_http._outbound import BodyBuffers
 
 ConnectionHandler = Callable[
     [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
@@ -273,3 +274,57 @@
             await connect(address, timeout_s=1.0)
 
     asyncio.run(run())
+
+
+class DiscardingTransport(asyncio.Transport):
+    """Transport that discards what is written; the test feeds the connection itself."""
+
+    def write(self, data: bytes) -> None:
+        """Discard data."""
+
+    def get_write_buffer_size(self) -> int:
+        """Return 0, as nothing is kept."""
+        return 0
+
+    def abort(self) -> None:
+        """Do nothing."""
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+def test_bodies_without_end_are_bounded_over_all_connections():
+    """Guards against running out of memory when many servers fail at the same time."""
+    chunk_bytes, max_bytes = 65_536, 1_048_576
+
+    async def run() -> None:
+        buffers = BodyBuffers(max_bytes)
+
+        def send_request(head: bytes) -> tuple[OutboundConnection, RecordingExchange]:
+            connection = OutboundConnection(asyncio.get_running_loop(), buffers)
+            connection.connection_made(DiscardingTransport())
+            exchange = RecordingExchange(b"1")
+            connection.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n", exchange)
+            connection.data_received(head)
+            return connection, exchange
+
+        sound, sound_exchange = send_request(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nabc"
+        )
+        faulty = [send_request(b"HTTP/1.1 200 OK\r\n\r\n") for _ in range(8)]
+        for _ in range(4 * max_bytes // chunk_bytes // len(faulty)):
+            for connection, _ in faulty:
+                connection.data_received(b"x" * chunk_bytes)
+                assert buffers.total_bytes <= max_bytes
+        failed = [e for _, e in faulty if e.result.done()]
+        assert failed
+        assert all(e.result.result() is Failure.INVALID for e in failed)
+        sound.data_received(b"def")
+        response = sound_exchange.result.result()
+        assert isinstance(response, Response)
+        assert response.body == b"abcdef"
+        for connection, _ in faulty:
+            connection.close()
+        assert buffers.total_bytes == 0
+
+    asyncio.run(run())
