Acknowledge a new group's first change on enough disks for the tolerated losses

Cause: the group acknowledged as soon as it had as many voters as there are seeds, three. Nothing read how many losses are to be tolerated; three voters bear one. The class: a constant that equals a setting in the deployment at hand.

Change: the setting reaches the control part, and 2 f + 1 voters are needed for the first acknowledgement. Where fewer control hosts exist, all known ones are enough after 6 s, and a majority of the seeds after 12 s; group_formed_too_small says so.

Not run: the time to the first acknowledgement at 3, 8 and 200 hosts.

--- a/packages/fleet/src/kingcuplug_fleet/_control_replica.py
+++ b/packages/fleet/src/kingcuplug_fleet/_control_replica.py
@@ -35,7 +35,12 @@
 
 from kingcuplug_fleet._errors import CoreUnavailable
 from kingcuplug_fleet._group_health import GroupHealth, group_health
-from kingcuplug_fleet._membership import JoinRequest, next_membership_change
+from kingcuplug_fleet._membership import (
+    JoinRequest,
+    is_formed,
+    next_membership_change,
+    required_voters,
+)
 from kingcuplug_fleet._peer_client import PeerClient, PeerFailed
 from kingcuplug_fleet._route_register import RouteRegister
 
@@ -64,10 +69,6 @@
 _REOPEN_DELAY_S = 0.5
 # Several syncs of a slow disk; beyond it the hosts that poll this one go to another.
 _MAX_STATE_AGE_S = 1.0
-# A new group waits this long for all seeds to join, and then accepts a majority of
-# them. A single voter of several seeds never acknowledges a change, because the loss
-# of its disk would lose the change (models/formation.pml, ACK_WHILE_FORMING).
-_FORMATION_TIMEOUT_S = 6.0
 _MS_PER_S = 1_000
 
 
@@ -83,6 +84,8 @@
         Addresses of control hosts; the first one bootstraps the group.
     first_start : bool
         Whether the whole system starts for the first time.
+    tolerated_losses : int
+        Number of disks that may be lost at the same time.
     """
 
     host: str
@@ -90,19 +93,7 @@
     folder: Path
     seeds: tuple[str, ...]
     first_start: bool
-
-
-def is_formed(voters: int, seeds: int, waited_s: float) -> bool:
-    """Return whether a new group has enough voters to acknowledge changes.
-
-    Parameters
-    ----------
-    waited_s : float
-        Time since this host's replica was opened.
-    """
-    if voters >= seeds:
-        return True
-    return waited_s > _FORMATION_TIMEOUT_S and voters > seeds // 2
+    tolerated_losses: int = 1
 
 
 class ControlReplica:
@@ -279,9 +270,32 @@
         return int(await replica.propose(command))
 
     def _is_formed(self, status: LogStatus) -> bool:
-        """Return whether the group has enough voters to acknowledge changes."""
-        waited_s = self._clock() - self._started_at
-        return is_formed(status.voter_count, len(self._settings.seeds), waited_s)
+        """Return whether the group has enough voters to acknowledge changes.
+
+        A group that has acknowledged one goes on while a lost voter is replaced.
+        """
+        if self._register.version > 0:
+            return True
+        settings = self._settings
+        known_ids = {
+            member.id for member in status.members
+        } | self._join_requests.keys()
+        voters = status.voter_count
+        formed = is_formed(
+            voters,
+            len(settings.seeds),
+            settings.tolerated_losses,
+            len(known_ids),
+            self._clock() - self._started_at,
+        )
+        required = required_voters(settings.tolerated_losses)
+        if formed and voters < required and len(settings.seeds) > 1:
+            self._log.write(
+                "group_formed_too_small",
+                {"voters": voters, "required": required},
+                bypass_rate_limit=True,
+            )
+        return formed
 
     async def _run_replica(self) -> None:
         settings = self._settings
@@ -399,7 +413,9 @@
             if now - entry[1] < _JOIN_REQUEST_TTL_S
         }
         requests = {i: request for i, (request, _) in self._join_requests.items()}
-        change = next_membership_change(status, requests)
+        change = next_membership_change(
+            status, requests, self._settings.tolerated_losses
+        )
         if change is None:
             return
         added = change if isinstance(change, Member) else None
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -385,6 +385,7 @@
                 settings.data_folder,
                 settings.seeds,
                 settings.first_start,
+                settings.tolerated_losses,
             ),
             self._peer_client,
             self._route_register,
--- a/packages/node/src/kingcuplug_node/_settings.py
+++ b/packages/node/src/kingcuplug_node/_settings.py
@@ -40,6 +40,8 @@
         `serve_without_control` is false.
     processor_cores : float
         Share of processor cores that the host may use.
+    tolerated_losses : int
+        Number of control hosts that may lose their disks at the same time.
     link_mbps : float
         Bandwidth of the host's link, infinite if nothing limits it.
     """
@@ -61,3 +63,4 @@
     control_bind_address: str | None = None
     serve_without_control: bool = True
     control_lease_ms: int = 3_000
+    tolerated_losses: int = 1
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -123,18 +123,23 @@
 class ControlGroup:
     """Control hosts that form their group by themselves, in virtual time."""
 
-    def __init__(self, log: EventLog) -> None:
+    def __init__(self, log: EventLog, tolerated_losses: int) -> None:
         self._log = log
+        self._tolerated_losses = tolerated_losses
         self._client = FakePeerClient()
         self._seeds: tuple[str, ...] = ()
         self.hosts: dict[str, ControlHost] = {}
 
     async def form(self, *names: str) -> None:
         """Start hosts for the first time, and wait until all of them are voters."""
+        self.begin(*names)
+        await self.wait_until(lambda: self.voter_count() == len(names))
+
+    def begin(self, *names: str) -> None:
+        """Start hosts for the first time; the first one founds the group."""
         self._seeds = tuple(f"{name}:1" for name in names[:3])
         for name in names:
             self.start(name, first_start=True)
-        await self.wait_until(lambda: self.voter_count() == len(names))
 
     def start(self, name: str, first_start: bool = False) -> None:
         """Start a host, a new one with an empty disk."""
@@ -142,7 +147,12 @@
         host.register = RouteRegister(lambda: None)
         host.replica = ControlReplica(
             ControlReplicaSettings(
-                name, host.address, Path(name), self._seeds, first_start
+                name,
+                host.address,
+                Path(name),
+                self._seeds,
+                first_start,
+                self._tolerated_losses,
             ),
             self._client,  # type: ignore[arg-type]
             host.register,
@@ -256,5 +266,5 @@
 
 
 @pytest.fixture
-def make_control_group(log) -> Callable[[], ControlGroup]:
-    return lambda: ControlGroup(log)
+def make_control_group(log) -> Callable[..., ControlGroup]:
+    return lambda tolerated_losses=1: ControlGroup(log, tolerated_losses)
--- a/tests/fleet/test_control_group.py
+++ b/tests/fleet/test_control_group.py
@@ -1,6 +1,7 @@
 """Groups of control hosts that lose and replace hosts."""
 
 import asyncio
+from collections.abc import Iterable
 
 import pytest
 from kingcuplug_testkit import run_virtual
@@ -58,6 +59,48 @@
     run_virtual(main())
 
 
+def _restart_with_lost_disks(group, names: Iterable[str], lost: set[str]) -> None:
+    """Restart hosts after a loss of power, some of them with empty disks."""
+    for name in names:
+        group.power_off(name)
+    for name in lost:
+        group.hosts[name].disk.wipe()
+    for name in names:
+        group.start(name)
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.1, 0.3, 0.6, 1.0])
+def test_first_acknowledged_change_survives_the_loss_of_two_disks(
+    make_control_group, delay_s
+):
+    # Guards against acknowledging changes before the new group has as many voters as
+    # the losses to be tolerated require.
+    async def main() -> None:
+        names = tuple("abcdefgh")
+        group = make_control_group(tolerated_losses=2)
+        group.begin(*names)
+        await group.submit(7, timeout_s=8.0)
+        await asyncio.sleep(delay_s)
+        voters = [m for m in names if m in group.members()]
+        _restart_with_lost_disks(group, names, {"a", voters[1]})
+        assert await group.read_version(timeout_s=10.0) == 7
+        await group.stop()
+
+    run_virtual(main())
+
+
+def test_group_of_too_few_disks_still_serves(make_control_group):
+    # Guards against a small deployment that accepts no change because its settings name
+    # more losses than its disks can bear.
+    async def main() -> None:
+        group = make_control_group(tolerated_losses=2)
+        group.begin("a", "b", "c")
+        await group.submit(7, timeout_s=8.0)
+        await group.stop()
+
+    run_virtual(main())
+
+
 def test_changes_go_on_when_one_host_is_lost_after_the_leader_was_replaced(
     make_control_group,
 ):
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -1,7 +1,7 @@
 """Tests of the automatic membership changes of the log's group."""
 
 from kingcuplug_fleet import JoinRequest, next_membership_change
-from kingcuplug_fleet._control_replica import is_formed
+from kingcuplug_fleet._membership import is_formed, required_voters
 from kingcuplug_log import LogStatus, Member, MemberRole, PeerStatus
 
 from .conftest import make_leader_status
@@ -80,13 +80,38 @@
     )
 
 
+def _is_formed(voters: int, waited_s: float, seeds: int = 3, **fields: int) -> bool:
+    values = {"tolerated_losses": 1, "known_hosts": 3} | fields
+    return is_formed(voters=voters, seeds=seeds, waited_s=waited_s, **values)
+
+
 def test_single_voter_of_three_seeds_never_acknowledges():
     """Guards against losing an acknowledged document with the founder's disk.
 
     The model checker found this loss in a group that had waited for a long time.
     """
-    assert not is_formed(voters=1, seeds=3, waited_s=1_000.0)
-    assert not is_formed(voters=2, seeds=3, waited_s=1.0)
-    assert is_formed(voters=2, seeds=3, waited_s=7.0)
-    assert is_formed(voters=3, seeds=3, waited_s=0.0)
-    assert is_formed(voters=1, seeds=1, waited_s=0.0)
+    assert not _is_formed(voters=1, waited_s=1_000.0)
+    assert not _is_formed(voters=2, waited_s=1.0)
+    assert _is_formed(voters=2, waited_s=7.0, known_hosts=2)
+    assert _is_formed(voters=2, waited_s=13.0)
+    assert _is_formed(voters=3, waited_s=0.0)
+    assert _is_formed(voters=1, waited_s=0.0, seeds=1)
+
+
+def test_group_waits_for_as_many_voters_as_tolerated_losses_require():
+    """Guards against an acknowledged document that is lost with two disks."""
+    for voters in (3, 4):
+        assert not _is_formed(voters, 5.0, tolerated_losses=2, known_hosts=8)
+        # Some control hosts that asked to join are no voters yet.
+        assert not _is_formed(voters, 11.0, tolerated_losses=2, known_hosts=8)
+    assert _is_formed(5, 0.0, tolerated_losses=2, known_hosts=8)
+    assert _is_formed(3, 7.0, tolerated_losses=2, known_hosts=3)
+
+
+def test_quorum_survives_any_tolerated_losses():
+    """Guards against a formula that leaves too few voters for a majority."""
+    for losses in range(1, 6):
+        smallest = required_voters(losses)
+        for voters in range(smallest, smallest + 6):
+            assert voters - losses >= voters // 2 + 1
+        assert smallest - 1 - losses < (smallest - 1) // 2 + 1
