Keep silent voters whose disks the tolerated losses need

Cause: voters that are silent for 20 s were removed from any group of more than three. Six shrank to four, which bears one loss.

Change: a silent voter is removed only while as many others remain as the tolerated losses require, or once another host has joined in its place.

The tests of replaced hosts pass unchanged.

--- a/packages/fleet/src/kingcuplug_fleet/_membership.py
+++ b/packages/fleet/src/kingcuplug_fleet/_membership.py
@@ -101,7 +101,7 @@
     for identifier, request in requests.items():
         if identifier not in members:
             return request.member
-    return _unresponsive_member(status, required_voters(1))
+    return _unresponsive_member(status, required_voters(tolerated_losses))
 
 
 def _member_with_replaced_disk(
--- a/tests/fleet/test_control_group.py
+++ b/tests/fleet/test_control_group.py
@@ -89,6 +89,30 @@
     run_virtual(main())
 
 
+def test_acknowledged_change_survives_lost_disks_after_silent_voters(
+    make_control_group,
+):
+    # Guards against a group that shrinks below what the losses to be tolerated require
+    # because some of its hosts are down for long.
+    async def main() -> None:
+        names = tuple("abcdef")
+        group = make_control_group(tolerated_losses=2)
+        await group.form(*names)
+        down = [name for name in names if name != group.leader()][:2]
+        for name in down:
+            group.power_off(name)
+        await asyncio.sleep(45.0)
+        await group.submit(7)
+        up = [name for name in names if name not in down]
+        _restart_with_lost_disks(group, up, set(up[:2]))
+        for name in down:
+            group.start(name)
+        assert await group.read_version(timeout_s=10.0) == 7
+        await group.stop()
+
+    run_virtual(main())
+
+
 def test_group_of_too_few_disks_still_serves(make_control_group):
     # Guards against a small deployment that accepts no change because its settings name
     # more losses than its disks can bear.
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -115,3 +115,17 @@
         for voters in range(smallest, smallest + 6):
             assert voters - losses >= voters // 2 + 1
         assert smallest - 1 - losses < (smallest - 1) // 2 + 1
+
+
+def test_silent_voters_are_kept_if_their_disks_are_needed():
+    """Guards against losing a document with two disks after silent voters left."""
+    silent = {"b": 1, "c": 1, "d": 1, "e": 30_000, "f": 30_000}
+    status = _status(silent, intended_size=6)
+    assert next_membership_change(status, {}, tolerated_losses=2) == "e/1"
+    del silent["e"]
+    status = _status(silent, intended_size=6)
+    assert next_membership_change(status, {}, tolerated_losses=2) is None
+    assert next_membership_change(status, {}, tolerated_losses=1) == "f/1"
+    # A replacement has joined.
+    status = _status(silent | {"g": 1}, intended_size=5)
+    assert next_membership_change(status, {}, tolerated_losses=2) == "f/1"
