Read the body of requests that offer an upgrade

Cause: the parser ends such a request after its headers, and what follows was taken for another protocol. The class: two readers of the same bytes disagree.

--- a/packages/http/src/kingcuplug_http/_inbound.py
+++ b/packages/http/src/kingcuplug_http/_inbound.py
@@ -26,6 +26,8 @@
 # Closing with unread bytes would reset the connection before the peer has read it.
 _LINGER_S = 1.0
 _ACCEPT_BACKLOG = 1_024  # Unaccepted connections during a burst.
+_TUNNEL_METHOD = b"CONNECT"
+_UPGRADE = b"upgrade"
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -186,11 +188,7 @@
         if self._in_headers or not self._in_body:
             self._header_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # The request is served without the upgrade. Data after it is not HTTP/1.1
-            # and is ignored.
-            self._input_closed = True
+            self._parse(data)
         except httptools.HttpParserError:
             self._reject(error_response(400, "the request is not valid HTTP/1.1"))
         if (
@@ -202,6 +200,45 @@
             self._transport.pause_reading()
         self._start_next()
 
+    def _parse(self, data: bytes) -> None:
+        while True:
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as error:
+                unread = data[error.args[0] :]
+                if not self._offers_upgrade():
+                    # What follows CONNECT is not HTTP/1.1.
+                    self._input_closed = True
+                    return
+                # The parser ends the request after its headers. It is read again as
+                # one without the offer, because its body follows as usual.
+                data = self._head_without_upgrade() + unread
+                self._parser = httptools.HttpRequestParser(self)
+                continue
+            return
+
+    def _offers_upgrade(self) -> bool:
+        """Return whether the request just read offers another protocol."""
+        return (
+            self._parser.should_upgrade()
+            and self._parser.get_method() != _TUNNEL_METHOD
+        )
+
+    def _head_without_upgrade(self) -> bytes:
+        """Return the head of the request just read, without its offer."""
+        version = self._parser.get_http_version().encode()
+        lines = [self._parser.get_method(), b" ", bytes(self._target), b" HTTP/"]
+        lines += [version, b"\r\n"]
+        for name, value in self._headers:
+            lower = name.lower()
+            if lower == b"connection":
+                value = _without_option(value, _UPGRADE)
+            if lower != _UPGRADE:
+                # Folded values may hold line breaks, which stand for spaces.
+                value = value.replace(b"\r", b" ").replace(b"\n", b" ")
+                lines += [name, b": ", value, b"\r\n"]
+        return b"".join([*lines, b"\r\n"])
+
     def eof_received(self) -> bool:
         """Close the connection when the peer has shut down its sending side."""
         return False
@@ -234,6 +271,8 @@
 
     def on_headers_complete(self) -> None:
         """Check the limits and handle ``Expect`` before the body is read."""
+        if self._offers_upgrade():
+            return
         self._in_headers = False
         self._in_body = True
         limits = self._listener.limits()
@@ -261,6 +300,8 @@
 
     def on_message_complete(self) -> None:
         """Queue the complete request."""
+        if self._offers_upgrade():
+            return
         self._in_body = False
         self._header_bytes = 0
         if self._input_closed:
@@ -384,3 +425,9 @@
             self._start_next()
         else:
             self._transport.close()
+
+
+def _without_option(value: bytes, option: bytes) -> bytes:
+    """Return the value of a header that lists options without one of them."""
+    options = [item.strip() for item in value.split(b",")]
+    return b", ".join(item for item in options if item.lower() != option)
--- a/tests/http/test_inbound.py
+++ b/tests/http/test_inbound.py
@@ -147,3 +147,36 @@
             )
 
     assert _status_codes(asyncio.run(run())) == [500]
+
+
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+def test_body_of_a_request_that_offers_an_upgrade_arrives_whole(
+    serve, send_raw, framing
+):
+    """Guards against running a request without its body, and skipping the next one."""
+    body = b"5\r\nhello\r\n0\r\n\r\n" if framing == "chunked" else b"hello"
+    header = b"Transfer-Encoding: chunked"
+    if framing == "length":
+        header = b"Content-Length: 5"
+
+    upgrade = b"Connection: Upgrade, X-Hop\r\nX-Hop: 1\r\nUpgrade: h2c\r\n"
+
+    async def run() -> tuple[bytes, list[Request]]:
+        async with serve() as server:
+            data = await send_raw(
+                server.address,
+                b"POST /1 HTTP/1.1\r\nHost: a\r\n" + upgrade + header + b"\r\n\r\n"
+                b"" + body + b"GET /2 HTTP/1.1\r\nHost: a\r\n" + upgrade + b"\r\n"
+                b"GET /3 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+            )
+            return data, server.requests
+
+    data, requests = asyncio.run(run())
+    assert data.count(b"HTTP/1.1 200 OK") == 3
+    received = [(r.method, r.target, r.body) for r in requests]
+    assert received == [
+        (b"POST", b"/1", b"hello"),
+        (b"GET", b"/2", b""),
+        (b"GET", b"/3", b""),
+    ]
+    assert requests[0].header(b"connection") == b"X-Hop"
