Do not pass on a server's status that says a request has not run

Cause: a server's failure was passed on with its status. 408, 421, 429 and 503 state more to callers than the server said, as it did not send the not-run header. The class: a word that means more to the receiver than to the sender.

--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -44,6 +44,7 @@
 from kingcuplug_gateway._gather_messages import PROBE as GATHER_PROBE
 from kingcuplug_gateway._gather_server import GatherServer
 from kingcuplug_gateway._isolation_monitor import IsolationMonitor
+from kingcuplug_gateway._outcome import callers_response
 from kingcuplug_gateway._relay import (
     PROBE,
     NotRelaying,
@@ -391,8 +392,11 @@
         max_attempts = max(1, route.max_attempts - tried)
         result = await self._relay.send(request, max_attempts, until)
         if result.response is not None:
+            response = result.response
+            if self._is_signed(response):
+                response = callers_response(response)
             return self._finish(
-                request, route, result.response, *calls, relayed_to=result.helper
+                request, route, response, *calls, relayed_to=result.helper
             )
         if result.may_have_run:
             return self._finish(
@@ -477,9 +481,7 @@
             if elsewhere is not None:
                 return elsewhere
         if result.response is not None:
-            return self._finish(
-                request, route, _relayed_response(result.response), call
-            )
+            return self._finish(request, route, callers_response(result.response), call)
         if call.possible_runs == 0:
             wait_s = pool.wait_s(loop.time())
             return self._refuse(request, route, "no_room", call, wait_s=wait_s)
@@ -919,12 +921,10 @@
         gather_records: Sequence[GatherRecord] = (),
         relayed_to: str = "",
     ) -> Response:
-        is_own_response = response.header(self._header_names.signature.lower()) is None
-        reason = (
-            response.body
-            if is_own_response and response.status >= _MIN_ERROR_STATUS
-            else b""
+        is_own_error = (
+            not self._is_signed(response) and response.status >= _MIN_ERROR_STATUS
         )
+        reason = response.body if is_own_error else b""
         self._record_outcome(
             request,
             route,
@@ -936,6 +936,10 @@
         )
         return response
 
+    def _is_signed(self, response: Response) -> bool:
+        """Return whether a response is that of a server."""
+        return response.header(self._header_names.signature.lower()) is not None
+
     def _record_outcome(
         self,
         request: Request,
@@ -974,9 +978,3 @@
         return None, None
     name = host.decode("latin-1").lower().partition(":")[0]
     return name, path.decode("latin-1")
-
-
-def _relayed_response(response: Response) -> Response:
-    """Return a server's response without its hop-by-hop headers."""
-    headers = end_to_end_headers(response.headers)
-    return Response(response.status, headers, response.body, response.fields)
