Share one budget of attempts between a host and its gatherer

Cause: a host without a reply of its gatherer sent max(1, max_attempts - 1) attempts to each shard, while the gatherer could use all of them. The class: two parties that draw on one budget, each by its own count.

Change: a gatherer keeps one of several attempts in reserve until it is asked for the remaining parts; a host sends it only if it got no reply to its first request, and none if the route allows one.

--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -606,20 +606,24 @@
             )
 
         def make_fallback_call(shard: str) -> ServiceCall:
-            # The gatherer may have sent a first attempt, which counts as one.
-            max_attempts = max(1, route.max_attempts - 1)
             return self._make_call(
                 shard,
                 outbound,
                 timing,
-                max_attempts,
+                1,
                 scatter.on_call_finished,
                 "fallback",
                 limiter=limiter,
             )
 
         def call_shards_directly(shards: Sequence[str], maybe_sent: bool) -> None:
-            scatter.call_shards(make_fallback_call if maybe_sent else make_call, shards)
+            if not maybe_sent:
+                scatter.call_shards(make_call, shards)
+            elif route.max_attempts > 1:
+                # The attempt that the gatherer has kept in reserve.
+                scatter.call_shards(make_fallback_call, shards)
+            else:
+                scatter.mark_missing(len(shards))
 
         scatter.call_shards(
             make_call, [s for s in route.shards if s not in delegated_shards]
--- a/packages/gateway/src/kingcuplug_gateway/_gather_client.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gather_client.py
@@ -212,9 +212,9 @@
 ) -> None:
     """Have one host gather the parts of some shards, and add them to the query.
 
-    The gatherer sends no hedged attempts before it is asked for the remaining parts.
-    If it does not reply to the first request, this host may therefore still send one
-    attempt to each shard itself.
+    The gatherer sends no hedged attempts before it is asked for the remaining parts,
+    and keeps one of several attempts to each shard in reserve. If it does not reply to
+    the first request, this host may send that attempt itself.
 
     Parameters
     ----------
--- a/packages/gateway/src/kingcuplug_gateway/_gather_messages.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gather_messages.py
@@ -71,7 +71,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RemainderRequest:
-    """Request for the parts missing from earlier replies, which allows hedging.
+    """Request for the parts missing from earlier replies, which allows all attempts.
 
     Attributes
     ----------
--- a/packages/gateway/src/kingcuplug_gateway/_gather_server.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gather_server.py
@@ -117,7 +117,7 @@
         loop = asyncio.get_running_loop()
         try:
             if isinstance(request, RemainderRequest):
-                operation.allow_hedging()
+                operation.allow_all_attempts()
                 until = loop.time() + request.reply_within_ms / _MS_PER_S
                 reply = await operation.wait_for_parts(until, stop_at_stragglers=False)
             else:
@@ -237,11 +237,11 @@
             else:
                 call.start()
 
-    def allow_hedging(self) -> None:
-        """Allow hedging in all unfinished calls."""
+    def allow_all_attempts(self) -> None:
+        """Allow hedging and the reserved attempts in all unfinished calls."""
         for call in self.calls:
             if not call.finished:
-                call.allow_hedging()
+                call.allow_all_attempts()
 
     def set_expiry_timer(self, timer: asyncio.TimerHandle | None) -> None:
         """Replace the timer that ends an operation without further requests."""
--- a/packages/gateway/src/kingcuplug_gateway/_service_call.py
+++ b/packages/gateway/src/kingcuplug_gateway/_service_call.py
@@ -136,8 +136,9 @@
     first_attempt_kind : str
         Kind of the first attempt; any but ``first`` draws on the retry budget.
     for_peer : bool
-        Whether this host gathers the part for another one. Hedging is then blocked
-        until that host asks for the remaining parts.
+        Whether this host gathers the part for another one. Until that host asks for the
+        remaining parts, hedging is blocked and the last of several attempts is
+        reserved, because that host sends it itself if it gets no reply.
     limiter : ConcurrencyLimiter or None
         Limiter that admitted the request. No hedges are sent while it is saturated.
     may_skip : callable or None
@@ -172,6 +173,8 @@
             pool.peer_retry_budget if for_peer else pool.caller_retry_budget
         )
         self._hedging_blocked = for_peer
+        self._reserved_attempts = 1 if for_peer and max_attempts > 1 else 0
+        self._awaits_reserved_attempt = False
         self._loop = asyncio.get_running_loop()
         self._server_table = server_table
         self._pool = pool
@@ -253,12 +256,19 @@
             self._hedge_timer.cancel()
             self._hedge_timer = self._loop.call_at(at, self._hedge)
 
-    def allow_hedging(self) -> None:
-        """Allow hedging, and send a hedged attempt now if the call is unfinished."""
-        if self._hedging_blocked:
-            self._hedging_blocked = False
-            if not self.finished and self._attempt_count < self._max_attempts:
-                self._hedge()
+    def allow_all_attempts(self) -> None:
+        """Allow all attempts, and send another one now if the call is unfinished."""
+        if not self._hedging_blocked:
+            return
+        self._hedging_blocked = False
+        self._reserved_attempts = 0
+        if self.finished:
+            return
+        if self._awaits_reserved_attempt:
+            self._awaits_reserved_attempt = False
+            self._retry(may_have_run=True)
+        elif self._attempt_count < self._max_attempts:
+            self._hedge()
 
     def record_silence(self) -> None:
         """Record that the servers of the attempts in progress are late."""
@@ -359,15 +369,22 @@
         if may_have_run and not self.outbound.repeatable:
             self._finish()
             return
-        if self._rejection_count <= _MAX_REJECTIONS and self._send("retry"):
+        may_send = self._rejection_count <= _MAX_REJECTIONS
+        if may_send and self._send("retry"):
             return
-        if not self._open_attempts:
-            self._finish()
+        if self._open_attempts:
+            return
+        if may_send and self._attempt_count < self._max_attempts <= (
+            self._attempt_count + self._reserved_attempts
+        ):
+            self._awaits_reserved_attempt = True
+            return
+        self._finish()
 
     def _send(self, kind: str = "first") -> bool:
         now = self._loop.time()
         if (
-            self._attempt_count >= self._max_attempts
+            self._attempt_count >= self._max_attempts - self._reserved_attempts
             or now >= self.outbound.deadline_at
         ):
             return False
--- a/tests/gateway/test_gathering.py
+++ b/tests/gateway/test_gathering.py
@@ -160,6 +160,63 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("max_attempts", [1, 2, 3])
+@pytest.mark.parametrize("failing", [False, True])
+def test_shard_gets_no_more_requests_than_the_route_allows(
+    open_gateway, max_attempts, failing
+):
+    """Guards against a host and a silent gatherer that use the attempts twice."""
+
+    async def run() -> None:
+        async with _open_gateway_pair(open_gateway) as narrow:
+            for shard in SHARDS:
+                for _ in range(4):
+                    handler = _respond_error if failing else _respond_records("a")
+                    await _add_server(narrow, shard, handler)
+            _set_routes(narrow, max_attempts=max_attempts, minimum_coverage=1.0)
+            handle_gather = narrow.wide.gateway.handle_gather
+
+            async def handle_without_reply(value):
+                await handle_gather(value)
+                await asyncio.sleep(60)
+
+            narrow.wide.gateway.handle_gather = handle_without_reply
+            response = await narrow.send()
+            assert (response.status == 200) == (max_attempts > 1 and not failing)
+            for shard in SHARDS:
+                counts = [len(v) for k, v in narrow.received.items() if shard in k]
+                assert sum(counts) <= max_attempts
+
+    asyncio.run(run())
+
+
+def test_gatherer_sends_the_reserved_attempt_when_asked_for_the_rest(open_gateway):
+    """Guards against parts that are given up after one failed attempt."""
+
+    async def run() -> None:
+        async with _open_gateway_pair(open_gateway) as narrow:
+            first = True
+
+            async def fail_once(request: Request) -> Response:
+                nonlocal first
+                was_first, first = first, False
+                if was_first:
+                    return signed_response(status=500)
+                return signed_response(record("k"))
+
+            for shard in SHARDS[1:]:
+                await _add_server(narrow, shard, _respond_records("a"))
+            for _ in range(2):
+                await _add_server(narrow, "s0", fail_once)
+            _set_routes(narrow, minimum_coverage=1.0)
+            response = await narrow.send()
+            assert response.status == 200
+            assert dict(response.headers)[b"Missing"] == b"0"
+            assert narrow.message_kinds == ["begin", "rest"]
+
+    asyncio.run(run())
+
+
 def test_refusal_by_a_gatherer_does_not_count_as_an_attempt(open_gateway):
     """Guards against a stopping gatherer that costs each shard one attempt."""
 
