--- a/packages/fleet/src/kingcuplug_fleet/_membership.py
+++ b/packages/fleet/src/kingcuplug_fleet/_membership.py
@@ -69,9 +69,7 @@
         Time since this host's replica was opened.
     """
     required = max(seeds, required_voters(tolerated_losses))
-    if seeds == 1:
-        required = 1
-    if voters >= required:
+    if voters >= required or seeds == 1:
         return True
     if waited_s <= _FORMATION_TIMEOUT_S or voters <= seeds // 2:
         return False
