Lose two disks at once in the soak, also while the group forms

The soak takes the number of tolerated losses; with more than one it kills all hosts and erases that many disks, in half of the seeds right after the first acknowledgement. Soaks with one tolerated loss draw the same faults as before.

--- a/packages/cli/src/kingcuplug_cli/_soak.py
+++ b/packages/cli/src/kingcuplug_cli/_soak.py
@@ -4,9 +4,13 @@
 import dataclasses
 import sys
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import orjson
 
+if TYPE_CHECKING:
+    from kingcuplug_soak import SoakSettings
+
 __all__ = ["Soak"]
 
 _RESULTS_FILE = Path("soak-results.jsonl")
@@ -28,24 +32,35 @@
         duration_s: float = 12.0,
         hosts: int = 5,
         disks: int = 3,
+        losses: int = 1,
         results: str = str(_RESULTS_FILE),
     ) -> None:
-        """Run consecutive seeds, three at a time."""
-        failed = asyncio.run(
-            _run_seeds(
-                range(first, first + seeds), duration_s, hosts, disks, Path(results)
-            )
-        )
+        """Run consecutive seeds, three at a time; up to `losses` disks are lost."""
+        from kingcuplug_soak import SoakSettings
+
+        runs = [
+            SoakSettings(seed, duration_s, hosts, disks, tolerated_losses=losses)
+            for seed in range(first, first + seeds)
+        ]
+        failed = asyncio.run(_run_soaks(runs, Path(results)))
         sys.exit(1 if failed else 0)
 
     def replay(
-        self, seed: int, folder: str, duration_s: float = 12.0, hosts: int = 5
+        self,
+        seed: int,
+        folder: str,
+        duration_s: float = 12.0,
+        hosts: int = 5,
+        disks: int = 3,
+        losses: int = 1,
     ) -> None:
         """Run one seed again and keep logs and disks in a folder."""
         from kingcuplug_soak import SoakSettings, soak
 
         Path(folder).mkdir(parents=True, exist_ok=True)
-        settings = SoakSettings(seed, duration_s, hosts, folder=Path(folder))
+        settings = SoakSettings(
+            seed, duration_s, hosts, disks, Path(folder), tolerated_losses=losses
+        )
         outcome = asyncio.run(soak(settings))
         _print_run(dataclasses.asdict(outcome))
         print("\n".join(outcome.troubles))
@@ -63,25 +78,24 @@
             _print_run(run)
 
 
-async def _run_seeds(
-    seeds: range, duration_s: float, hosts: int, disks: int, results: Path
-) -> int:
-    from kingcuplug_soak import SoakSettings, soak
+async def _run_soaks(runs: "list[SoakSettings]", results: Path) -> int:
+    """Run soaks, some at a time, and return how many had violations."""
+    from kingcuplug_soak import soak
 
     run_slots = asyncio.Semaphore(_PARALLEL_RUNS)
     failed = 0
 
-    async def run_seed(seed: int) -> None:
+    async def run_one(settings: "SoakSettings") -> None:
         nonlocal failed
         async with run_slots:
-            outcome = await soak(SoakSettings(seed, duration_s, hosts, disks))
+            outcome = await soak(settings)
         line = dataclasses.asdict(outcome)
         failed += bool(outcome.violations)
         with results.open("ab") as file:
             file.write(orjson.dumps(line, option=orjson.OPT_APPEND_NEWLINE))
         _print_run(line)
 
-    await asyncio.gather(*map(run_seed, seeds))
+    await asyncio.gather(*map(run_one, runs))
     return failed
 
 
--- a/packages/soak/src/kingcuplug_soak/_fault_injection.py
+++ b/packages/soak/src/kingcuplug_soak/_fault_injection.py
@@ -42,6 +42,10 @@
     ----------
     fault_log : list of str
         Time and description of each fault, for the report.
+    tolerated_losses : int
+        Number of disks that may be lost at once.
+    disks_lost : bool
+        Whether so many were lost already.
     """
 
     def __init__(
@@ -57,7 +61,8 @@
         self._operator = operator
         self._shard_sets = shard_sets
         self._random = random
-        self._disk_erased = False
+        self.tolerated_losses = 1
+        self.disks_lost = False
         self._tasks: set[asyncio.Task[None]] = set()
         self.fault_log: list[str] = []
 
@@ -179,13 +184,13 @@
         return f"delayed control traffic of {host.name}"
 
     async def _erase_host_disk(self) -> str:
-        """Erase the disk of one host, once in a soak.
-
-        The replication group tolerates the loss of one disk at a time.
-        """
-        if self._disk_erased:
+        """Erase as many disks as may be lost at once, once in a soak."""
+        if self.disks_lost:
             return "skipped a second disk loss"
-        self._disk_erased = True
+        self.disks_lost = True
+        if self.tolerated_losses > 1:
+            names = await self._cluster.lose_disks(self.tolerated_losses, self._random)
+            return f"killed all hosts and erased the disks of {names}"
         host = self._random.choice([h for h in self._cluster.hosts if h.has_disk])
         await host.kill()
         host.erase_disk()
--- a/packages/soak/src/kingcuplug_soak/_hosts.py
+++ b/packages/soak/src/kingcuplug_soak/_hosts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random as random_module
 import shutil
 import signal
 import subprocess
@@ -103,9 +104,18 @@
     base_port : int
         First of five consecutive ports, which each host uses on its own loopback
         address.
+    tolerated_losses : int
+        Number of disks that may be lost at once, as the settings of the hosts name it.
     """
 
-    def __init__(self, folder: Path, count: int, disks: int, base_port: int) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        count: int,
+        disks: int,
+        base_port: int,
+        tolerated_losses: int = 1,
+    ) -> None:
         self.hosts: list[HostProcess] = []
         addresses = [f"{_LOOPBACK_PREFIX}{number + 1}" for number in range(count)]
         seeds = [
@@ -130,6 +140,7 @@
                 "control_bind": address_at(_CONTROL_BIND_PORT_OFFSET),
                 "metrics": address_at(_METRICS_PORT_OFFSET),
                 "seeds": seeds,
+                "fault_tolerance": {"machines": tolerated_losses},
                 "first_start": True,
                 "data_directory": str(folder / name) if number < disks else None,
                 "heartbeat_interval_ms": 800,
@@ -151,6 +162,21 @@
             await host.proxy.start(host.control_address)
             host.start()
 
+    async def lose_disks(self, count: int, random: random_module.Random) -> list[str]:
+        """Kill all hosts, erase some disks and start all again; return whose disks."""
+        lost = random.sample([host for host in self.hosts if host.has_disk], count)
+        await asyncio.gather(*(host.kill() for host in self.hosts))
+        for host in lost:
+            # Another fault may have started the host meanwhile.
+            while host.is_running:
+                await host.kill()
+            host.erase_disk()
+        await asyncio.sleep(random.uniform(0.1, 1.0))
+        for host in self.hosts:
+            if not host.is_running:
+                host.start()
+        return [host.name for host in lost]
+
     async def stop(self) -> None:
         """Kill all processes and stop the proxies."""
         for host in self.hosts:
--- a/packages/soak/src/kingcuplug_soak/_run.py
+++ b/packages/soak/src/kingcuplug_soak/_run.py
@@ -30,6 +30,7 @@
 # The users' recovery bound: callers must be served again so long after the last fault.
 _RECOVERY_TIMEOUT_S = 12.0
 _PROBE_DURATION_S = 2.0
+_FORMING_S = 0.3  # The group grows for about so long after it has accepted a change.
 _BASE_PORT = 21_000
 _PORTS_PER_HOST = 5
 _PORT_RANGES = 1_000
@@ -44,6 +45,9 @@
     ----------
     disks : int
         Number of hosts with a disk, which are the control hosts.
+    tolerated_losses : int
+        Number of disks that may be lost at once. With more than one, some soaks lose
+        them right after the first configuration was acknowledged.
     folder : Path or None
         Folder of logs and disks; a temporary folder if not given.
     """
@@ -53,6 +57,7 @@
     hosts: int = 5
     disks: int = 3
     folder: Path | None = None
+    tolerated_losses: int = 1
 
 
 @dataclass
@@ -84,13 +89,20 @@
 
 @dataclass(frozen=True)
 class SoakEnvironment:
-    """Running hosts with their backend servers, operator and checker."""
+    """Running hosts with their backend servers, operator and checker.
+
+    Attributes
+    ----------
+    disks_lost : bool
+        Whether as many disks were lost already as may be lost.
+    """
 
     cluster: HostCluster
     backends: FakeServerPool
     checker: ConsistencyChecker
     operator: Operator
     random: random_module.Random
+    disks_lost: bool = False
 
 
 @contextlib.asynccontextmanager
@@ -100,7 +112,13 @@
     """Start hosts and backend servers with a first configuration; stop them later."""
     random = random_module.Random(settings.seed)
     base_port = _find_base_port(settings)
-    cluster = HostCluster(folder, settings.hosts, settings.disks, base_port)
+    cluster = HostCluster(
+        folder,
+        settings.hosts,
+        settings.disks,
+        base_port,
+        settings.tolerated_losses,
+    )
     backends = FakeServerPool([host.control_address for host in cluster.hosts], random)
     checker = ConsistencyChecker(backends, _allowed_services(), TOP_RECORDS)
     operator = Operator(cluster.hosts, checker, random)
@@ -111,8 +129,12 @@
             checker.violations.append(
                 "the first configuration was not acknowledged in time"
             )
+        disks_lost = settings.tolerated_losses > 1 and random.random() < 0.5
+        if disks_lost:
+            await asyncio.sleep(random.uniform(0.0, _FORMING_S))
+            await cluster.lose_disks(settings.tolerated_losses, random)
         await asyncio.sleep(_PROBE_DURATION_S)
-        yield SoakEnvironment(cluster, backends, checker, operator, random)
+        yield SoakEnvironment(cluster, backends, checker, operator, random, disks_lost)
     finally:
         await cluster.stop()
         await backends.stop()
@@ -124,6 +146,8 @@
         injector = FaultInjector(
             cluster, env.backends, env.operator, _SHARD_SETS, env.random
         )
+        injector.disks_lost = env.disks_lost
+        injector.tolerated_losses = settings.tolerated_losses
         traffic = asyncio.ensure_future(
             CallerTraffic(cluster.hosts, checker, env.random).run()
         )
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,6 +10,8 @@
 from kingcuplug_soak._consistency import CallerAttempt, ConsistencyChecker
 from kingcuplug_soak._fake_servers import Execution, FakeServerPool
 
+_FORMING_SEED = 2
+
 
 @pytest.mark.system
 @pytest.mark.parametrize("seed", [1])
@@ -20,6 +22,16 @@
     assert result.served > 0
 
 
+@pytest.mark.system
+def test_acknowledged_configuration_survives_two_lost_disks_while_forming():
+    """Guards against acknowledging changes on fewer disks than may be lost.
+
+    With this seed the disks are lost right after the first acknowledgement.
+    """
+    settings = SoakSettings(_FORMING_SEED, 2.0, disks=5, tolerated_losses=2)
+    assert asyncio.run(soak(settings)).violations == []
+
+
 @pytest.fixture
 def checker() -> ConsistencyChecker:
     allowed_services = {"query": {"s0", "s1"}, "read": {"reads"}, "order": {"orders"}}
