Share the crash of a stand-in server and the silent gatherer among the tests

Found when the change was read again: the soak's crash under a request repeated crash_and_replace, and two tests of gathering set up the same gatherer without replies. One piece serves both now.

--- a/packages/soak/src/kingcuplug_soak/_fake_servers.py
+++ b/packages/soak/src/kingcuplug_soak/_fake_servers.py
@@ -82,33 +82,32 @@
         self.servers.append(server)
         return server
 
-    async def crash_and_replace(self, server: "FakeServer", after_s: float) -> None:
+    async def crash_and_replace(
+        self,
+        server: "FakeServer",
+        after_s: float,
+        address: CrashedAddress = CrashedAddress.REFUSES,
+    ) -> None:
         """Crash a server, and start another one in its place after some time."""
         if server not in self.servers:
             return
         self.servers.remove(server)
         await server.crash()
+        if address is not CrashedAddress.REFUSES:
+            hangs = address is CrashedAddress.HANGS
+            self._occupied_addresses += _occupy_address(server.address, hangs)
         await asyncio.sleep(after_s)
         await self.add(server.service, server.zone)
 
     def run_crashing_request(self, server: "FakeServer") -> None:
         """Let a server crash under the request that it executes."""
         self.crashed_at.append(asyncio.get_running_loop().time())
-        task = asyncio.ensure_future(self._crash_under_request(server))
+        task = asyncio.ensure_future(
+            self.crash_and_replace(server, _RESTART_DELAY_S, self.crashed_address)
+        )
         self._restart_tasks.add(task)
         task.add_done_callback(self._restart_tasks.discard)
 
-    async def _crash_under_request(self, server: "FakeServer") -> None:
-        if server not in self.servers:
-            return
-        self.servers.remove(server)
-        await server.crash()
-        if self.crashed_address is not CrashedAddress.REFUSES:
-            hangs = self.crashed_address is CrashedAddress.HANGS
-            self._occupied_addresses += _occupy_address(server.address, hangs)
-        await asyncio.sleep(_RESTART_DELAY_S)
-        await self.add(server.service, server.zone)
-
     async def stop(self) -> None:
         """Stop all servers."""
         for task in self._restart_tasks:
--- a/tests/gateway/test_gathering.py
+++ b/tests/gateway/test_gathering.py
@@ -74,6 +74,17 @@
         harness.set_routes(make_route(**(ROUTE_FIELDS | fields)))
 
 
+def _withhold_replies(gateway):
+    """Have a gatherer handle requests without replying to them."""
+    handle_gather = gateway.handle_gather
+
+    async def handle_without_reply(value):
+        await handle_gather(value)
+        await asyncio.sleep(60)
+
+    gateway.handle_gather = handle_without_reply
+
+
 def test_gathered_answer_merges_all_parts(open_gateway):
     """Guards against records or signatures that are lost between the hosts."""
 
@@ -142,13 +153,7 @@
             for shard in SHARDS:
                 await _add_server(narrow, shard, _respond_records("a"))
             _set_routes(narrow)
-            handle_gather = narrow.wide.gateway.handle_gather
-
-            async def handle_without_reply(value):
-                await handle_gather(value)
-                await asyncio.sleep(60)
-
-            narrow.wide.gateway.handle_gather = handle_without_reply
+            _withhold_replies(narrow.wide.gateway)
             response = await narrow.send()
             assert response.status == 200
             assert dict(response.headers)[b"Missing"] == b"0"
@@ -174,13 +179,7 @@
                     handler = _respond_error if failing else _respond_records("a")
                     await _add_server(narrow, shard, handler)
             _set_routes(narrow, max_attempts=max_attempts, minimum_coverage=1.0)
-            handle_gather = narrow.wide.gateway.handle_gather
-
-            async def handle_without_reply(value):
-                await handle_gather(value)
-                await asyncio.sleep(60)
-
-            narrow.wide.gateway.handle_gather = handle_without_reply
+            _withhold_replies(narrow.wide.gateway)
             response = await narrow.send()
             assert (response.status == 200) == (max_attempts > 1 and not failing)
             for shard in SHARDS:
