Keep the addresses of dead test servers reserved for as long as a test uses them

Cause: the test bound a port, freed it and used it as the address of a dead server. The kernel gave the same port to a live server that the test started afterwards. The host that should have been cut off then reached one server, so it did not relay.

Change: refusing_address in the testkit keeps a bound socket that does not listen, so that connections are refused and no server can get the port; the tests of relaying and of the command line use it. No assertion is changed; product code is untouched.

--- a/packages/testkit/src/kingcuplug_testkit/__init__.py
+++ b/packages/testkit/src/kingcuplug_testkit/__init__.py
@@ -1,5 +1,6 @@
 """Test support: virtual-time event loop and fakes for network and disk."""
 
+from kingcuplug_testkit._addresses import refusing_address
 from kingcuplug_testkit._arrivals import most_in_window, poisson_count
 from kingcuplug_testkit._disk import Failpoint, FakeDisk, FakeFileSystem, HostCrashed
 from kingcuplug_testkit._faults import FAULTS, Fault
@@ -59,6 +60,7 @@
     "make_reply",
     "most_in_window",
     "poisson_count",
+    "refusing_address",
     "replay_overload",
     "run_matrix_cell",
     "run_virtual",
--- a/tests/cli/test_usage.py
+++ b/tests/cli/test_usage.py
@@ -1,20 +1,20 @@
 """Tests of wrong usage and of hosts that cannot be reached."""
 
 import json
-import socket
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
 import pytest
 from kingcuplug_cli import main
+from kingcuplug_testkit import refusing_address
 
 
 @pytest.fixture
-def closed_address() -> str:
+def closed_address() -> Iterator[str]:
     """Return an address on which nothing listens."""
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{listener.getsockname()[1]}"
+    with refusing_address() as address:
+        yield address
 
 
 @pytest.mark.parametrize("arguments", [(), ("--help",)])
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -3,8 +3,7 @@
 import asyncio
 import dataclasses
 import random
-import socket
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -19,6 +18,7 @@
     Route,
 )
 from kingcuplug_gateway._relay import RelayClient
+from kingcuplug_testkit import refusing_address
 
 from .conftest import GatewayHarness, make_route, signed_response
 
@@ -71,16 +71,13 @@
     return signed_response(b"r" * RECORD_BYTES)
 
 
-def _closed_address() -> str:
-    """Return an address at which nothing listens."""
-    with socket.socket() as closed:
-        closed.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{closed.getsockname()[1]}"
-
-
 @asynccontextmanager
 async def _open_pair(open_gateway):
-    async with open_gateway() as helper, open_gateway() as cut_off:
+    async with (
+        open_gateway() as helper,
+        open_gateway() as cut_off,
+        AsyncExitStack() as refusing,
+    ):
         pair = HostPair(cut_off, helper)
         addresses = [HostAddress("b:1", "z"), HostAddress("c:1", "z")]
 
@@ -94,9 +91,8 @@
         for service in ("stock", *SHARDS):
             for number in range(2):
                 await helper.add_server(service, _respond)
-                cut_off.register_server(
-                    f"{service}-dead-{number}", service, _closed_address()
-                )
+                address = refusing.enter_context(refusing_address())
+                cut_off.register_server(f"{service}-dead-{number}", service, address)
         yield pair
 
 
