Close the connections of the stand-in servers in the tests of answers

`pytest tests/http/test_outbound.py` alone ended with a SystemError of ast.parse after all tests had passed, and whole runs printed "Exception ignored in StreamWriter.__del__".

Cause: handlers of the stand-in servers left connections open. Their writers were collected after their event loop was closed, and their __del__ raised; CPython 3.11.6 reports an exception of a __del__ that runs during ast.parse as "recursion depth mismatch".

Change: the handlers close their connections, also when they are cancelled.

--- a/tests/http/test_outbound.py
+++ b/tests/http/test_outbound.py
@@ -43,17 +43,18 @@
     async def serve_connection(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        await reader.readuntil(b"\r\n\r\n")
-        writer.write(response_data)
-        await writer.drain()
-        if reset:
-            linger = struct.pack("ii", 1, 0)  # Closing resets the connection.
-            writer.get_extra_info("socket").setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, linger
-            )
-            writer.transport.abort()
-        elif b"Content-Length" not in response_data:
-            writer.close()
+        with contextlib.closing(writer), contextlib.suppress(ConnectionError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(response_data)
+            await writer.drain()
+            if reset:
+                linger = struct.pack("ii", 1, 0)  # Closing resets the connection.
+                writer.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, linger
+                )
+                writer.transport.abort()
+            elif b"Content-Length" in response_data:
+                await reader.read()  # Stays open until the other side closes.
 
     async def run() -> tuple[Response | Failure, bool]:
         server = await asyncio.start_server(serve_connection, "127.0.0.1", 0)
@@ -157,13 +158,13 @@
     ) -> None:
         nonlocal sent_bytes
         await reader.readuntil(b"\r\n\r\n")
-        writer.write(start)
-        with contextlib.suppress(ConnectionError):
+        # Closed even when the loop ends first, or a later test reports the writer.
+        with contextlib.closing(writer), contextlib.suppress(ConnectionError):
+            writer.write(start)
             while sent_bytes < 128 * 1024 * 1024:
                 writer.write(repeated)
                 sent_bytes += len(repeated)
                 await writer.drain()
-        writer.close()
 
     async def run() -> tuple[Response | Failure, bool]:
         server = await asyncio.start_server(serve_connection, "127.0.0.1", 0)
@@ -233,7 +234,10 @@
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         previous = b""
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        with (
+            contextlib.closing(writer),
+            contextlib.suppress(asyncio.IncompleteReadError, ConnectionError),
+        ):
             while True:
                 request = await reader.readuntil(b"\r\n\r\n")
                 identifier = request.partition(b"Id: ")[2].partition(b"\r\n")[0]
