--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -457,6 +457,8 @@
         loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGINT, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
+        # One that arrived during the start is pending.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         loop.set_exception_handler(self._on_exception)
         set_state_change_sink(
             lambda subject, state, fields: self._log.write(
--- a/packages/soak/src/kingcuplug_soak/_consistency.py
+++ b/packages/soak/src/kingcuplug_soak/_consistency.py
@@ -7,7 +7,7 @@
 
 from kingcuplug_gateway import merge_records
 from kingcuplug_http import Response
-from kingcuplug_platform import HEADER_NAMES
+from kingcuplug_platform.formats import HEADER_NAMES
 
 from kingcuplug_soak._fake_servers import Execution, FakeServerPool
 
--- a/packages/soak/src/kingcuplug_soak/_fake_servers.py
+++ b/packages/soak/src/kingcuplug_soak/_fake_servers.py
@@ -10,7 +10,7 @@
 
 from kingcuplug_fleet import PeerFailed, ServerRecord, ServerState
 from kingcuplug_http import Limits, Listener, Request, Response, encode_response
-from kingcuplug_platform import HEADER_NAMES, SERVERS_PATH, encode_heartbeat
+from kingcuplug_platform.formats import HEADER_NAMES, SERVERS_PATH, encode_heartbeat
 
 from kingcuplug_soak._http_client import send_request
 
--- a/packages/soak/src/kingcuplug_soak/_host_process.py
+++ b/packages/soak/src/kingcuplug_soak/_host_process.py
@@ -13,7 +13,7 @@
 import orjson
 from kingcuplug_common import EventLog
 from kingcuplug_node import Host
-from kingcuplug_platform import (
+from kingcuplug_platform.formats import (
     HEADER_NAMES,
     decode_document,
     decode_settings,
--- a/packages/soak/src/kingcuplug_soak/_traffic.py
+++ b/packages/soak/src/kingcuplug_soak/_traffic.py
@@ -9,7 +9,7 @@
 import orjson
 from kingcuplug_fleet import PeerFailed
 from kingcuplug_gateway import Route, RouteTable, ServiceSettings, WeightedService
-from kingcuplug_platform import DOCUMENT_PATH, HEADER_NAMES, encode_document
+from kingcuplug_platform.formats import DOCUMENT_PATH, HEADER_NAMES, encode_document
 
 from kingcuplug_soak._consistency import CallerAttempt, ConsistencyChecker
 from kingcuplug_soak._hosts import HostProcess
--- a/tests/platform_formats/test_formats.py
+++ b/tests/platform_formats/test_formats.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from kingcuplug_fleet import ServerState
-from kingcuplug_platform import (
+from kingcuplug_platform.formats import (
     DocumentInvalid,
     StatementInvalid,
     decode_document,
--- /dev/null
+++ b/tests/platform_formats/test_start.py
@@ -0,0 +1,55 @@
+"""Signals that a host process gets while it starts."""
+
+import contextlib
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+_EXIT_TIMEOUT_S = 20
+# Stands for the modules of the host, whose imports take most of the start.
+_SLOW_IMPORT = """
+import signal
+def main():
+    print(signal.Signals.SIGHUP in signal.pthread_sigmask(signal.SIG_BLOCK, ()))
+"""
+
+
+@pytest.mark.parametrize("count", [1, 3])
+def test_reload_before_the_settings_are_read_does_not_end_the_process(tmp_path, count):
+    """Guards against SIGHUP ending a host that has not installed its handlers yet."""
+    settings = tmp_path / "settings.json"
+    os.mkfifo(settings)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "kingcuplug_platform"],
+        env=os.environ | {"KINGCUPLUG_CONFIG": str(settings)},
+        stderr=subprocess.DEVNULL,
+    )
+    with contextlib.suppress(BrokenPipeError), settings.open("wb") as writer:
+        # The process has opened the file and waits for its content.
+        for _ in range(count):
+            process.send_signal(signal.SIGHUP)
+        writer.write(b"not settings")
+    assert process.wait(_EXIT_TIMEOUT_S) == 1  # because of the settings
+
+
+def test_reload_is_held_back_before_the_modules_of_the_host_are_imported(tmp_path):
+    """Guards against SIGHUP ending a host in the first tenths of a second."""
+    package = Path(tmp_path, "kingcuplug_platform")
+    package.mkdir()
+    source = Path(__file__).parents[2] / "platform/src/kingcuplug_platform"
+    for name in ("__init__.py", "__main__.py"):
+        (package / name).write_bytes((source / name).read_bytes())
+    (package / "_main.py").write_text(_SLOW_IMPORT)
+    run = subprocess.run(
+        [sys.executable, "-m", "kingcuplug_platform"],
+        cwd=tmp_path,
+        env=os.environ | {"PYTHONPATH": str(tmp_path)},
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert (run.stdout, run.stderr) == ("True\n", "")
--- a/tests/soak/test_crashing_requests.py
+++ b/tests/soak/test_crashing_requests.py
@@ -8,7 +8,7 @@
 import orjson
 import pytest
 from kingcuplug_fleet import PeerFailed
-from kingcuplug_platform import HEADER_NAMES
+from kingcuplug_platform.formats import HEADER_NAMES
 from kingcuplug_soak import SoakSettings
 from kingcuplug_soak._fake_servers import CrashedAddress
 from kingcuplug_soak._http_client import send_request
--- a/tools/measure_fleet.py
+++ b/tools/measure_fleet.py
@@ -14,7 +14,7 @@
     answer_poll,
     encode_body,
 )
-from kingcuplug_platform import decode_heartbeat
+from kingcuplug_platform.formats import decode_heartbeat
 from kingcuplug_routing import SlowServerDetector
 
 SERVER_COUNTS = (1_000, 10_000, 57_000)
