--- a/tests/http/test_inbound.py
+++ b/tests/http/test_inbound.py
@@ -116,6 +116,37 @@
     asyncio.run(run())
 
 
+def test_caller_that_shuts_down_its_sending_side_has_gone(serve):
+    """Guards against work for callers that have closed their connection.
+
+    A closed connection and one that is only shut down for sending look the same until
+    an answer is sent.
+    """
+    started, cancelled = asyncio.Event(), asyncio.Event()
+
+    async def endless(request: Request) -> Response:
+        started.set()
+        try:
+            await asyncio.sleep(60)
+        finally:
+            cancelled.set()
+        return Response(200, [], b"")
+
+    async def run() -> bytes:
+        async with serve(endless) as server:
+            host, _, port = server.address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            await started.wait()
+            writer.write_eof()
+            await asyncio.wait_for(cancelled.wait(), timeout=5)
+            data = await asyncio.wait_for(reader.read(), timeout=5)
+            writer.close()
+            return data
+
+    assert asyncio.run(run()) == b""
+
+
 def test_closing_listener_serves_received_requests(serve, send_raw):
     """Guards against a shutdown that drops requests that were already received."""
 
--- a/tests/node/test_lease.py
+++ b/tests/node/test_lease.py
@@ -1,6 +1,7 @@
 """Serving without contact to control."""
 
 import asyncio
+import json
 import os
 
 import pytest
@@ -40,3 +41,25 @@
         return (await host._handle_caller_request(request)).status, host.ready
 
     assert asyncio.run(run()) == (status, status != 503)
+
+
+@pytest.mark.parametrize(
+    ("serve_without_control", "since_contact_s", "status"),
+    [(True, 100.0, 200), (False, 1.0, 200), (False, 4.0, 503)],
+)
+def test_host_past_its_lease_serves_no_requests_of_other_hosts(
+    serve_without_control, since_contact_s, status
+):
+    """Guards against an order of a stranded host served by superseded routes."""
+    relayed = ["serve", "POST", "/x", [["Host", "a"]], "", 0, 0.0, 1]
+
+    async def run() -> int:
+        host = _make_host(serve_without_control)
+        host._gateway.install_routes(ROUTE_TABLE)
+        now = asyncio.get_running_loop().time()
+        host._poller.confirmed_at = now - since_contact_s
+        body = json.dumps(relayed).encode()
+        request = Request(b"POST", b"/peer/v2/relay", [], body, True, now, False, {})
+        return (await host._answer_peer_request(request)).status
+
+    assert asyncio.run(run()) == status
