--- a/packages/http/src/kingcuplug_http/_inbound.py
+++ b/packages/http/src/kingcuplug_http/_inbound.py
@@ -16,6 +16,7 @@
     Response,
     encode_response,
     error_response,
+    has_unknown_coding,
 )
 
 __all__ = ["Handler", "InboundConnection", "Limits", "Listener"]
@@ -288,6 +289,10 @@
         length = self._fields.get(b"content-length")
         if length is not None and int(length) > limits.max_body_bytes:
             self._reject(error_response(413, "the body is too large"))
+        elif b"transfer-encoding" in self._fields and has_unknown_coding(self._headers):
+            self._reject(
+                error_response(501, "only the transfer coding chunked is read")
+            )
         elif self._fields.get(b"expect", b"").lower() == b"100-continue":
             self._transport.write(_CONTINUE_RESPONSE)
 
--- a/packages/http/src/kingcuplug_http/_messages.py
+++ b/packages/http/src/kingcuplug_http/_messages.py
@@ -10,6 +10,7 @@
     "encode_response",
     "end_to_end_headers",
     "error_response",
+    "has_unknown_coding",
 ]
 
 Headers = list[tuple[bytes, bytes]]
@@ -32,6 +33,7 @@
     )
 )
 _REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
+_TRANSFER_ENCODING = b"transfer-encoding"
 _BODILESS_STATUSES = frozenset((204, 304))
 
 
@@ -136,3 +138,12 @@
     if retry_after_s is not None:
         headers.append((b"Retry-After", b"%.3f" % retry_after_s))
     return Response(status, headers, message.encode())
+
+
+def has_unknown_coding(headers: Headers) -> bool:
+    """Return whether a body is encoded for the hop in another way than in chunks.
+
+    Such a body would be passed on encoded, without the header that says so.
+    """
+    codings = [value for name, value in headers if name.lower() == _TRANSFER_ENCODING]
+    return bool(codings) and [c.strip().lower() for c in codings] != [b"chunked"]
--- a/packages/http/src/kingcuplug_http/_outbound.py
+++ b/packages/http/src/kingcuplug_http/_outbound.py
@@ -6,7 +6,7 @@
 
 import httptools
 
-from kingcuplug_http._messages import Headers, Response
+from kingcuplug_http._messages import Headers, Response, has_unknown_coding
 
 __all__ = ["Exchange", "Failure", "OutboundConnection", "Reply", "connect"]
 
@@ -254,7 +254,11 @@
             self._fields.setdefault(name.lower(), value)
         self._status = self._parser.get_status_code()
         has_length = b"content-length" in self._fields
-        has_length = has_length or b"transfer-encoding" in self._fields
+        if b"transfer-encoding" in self._fields:
+            has_length = True
+            if has_unknown_coding(self._headers):
+                self._fail(Failure.INVALID)
+                return
         bodiless = self._status in (204, 304) or self._status < 200
         self._ends_at_close = not has_length and not bodiless
         self._in_body = self._status >= 200
--- a/packages/testkit/src/kingcuplug_testkit/__init__.py
+++ b/packages/testkit/src/kingcuplug_testkit/__init__.py
@@ -25,6 +25,7 @@
     make_reply,
 )
 from kingcuplug_testkit._steps import PROTOCOL_STEPS, ProtocolStep
+from kingcuplug_testkit._transport import RecordingTransport
 from kingcuplug_testkit._virtual_time import VirtualTimeLoop, run_virtual
 
 __all__ = [
@@ -53,6 +54,7 @@
     "QueryHarness",
     "QueryKind",
     "RecordingStateMachine",
+    "RecordingTransport",
     "VirtualTimeLoop",
     "ideal_share",
     "make_order",
--- a/tests/http/test_inbound.py
+++ b/tests/http/test_inbound.py
@@ -54,6 +54,16 @@
         (b"GET / HTTP/1.1\r\nLong: " + b"x" * 600 + b"\r\n\r\n", 431),
         (b"GET / HTTP/1.1\r\nLong: " + b"x" * 600, 431),
         (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1001\r\n\r\n", 413),
+        (
+            b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+            b"4\r\nbody\r\n0\r\n\r\n",
+            501,
+        ),
+        (
+            b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding:\r\n chunked\r\n\r\n"
+            b"4\r\nbody\r\n0\r\n\r\n",
+            400,
+        ),
         (
             b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
             b"7d0\r\n" + b"x" * 2_000 + b"\r\n",
--- a/tests/http/test_inbound_differential.py
+++ b/tests/http/test_inbound_differential.py
@@ -8,6 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from kingcuplug_http import InboundConnection, Limits, Listener, Request, Response
+from kingcuplug_testkit import RecordingTransport
 
 _EXAMPLES = int(os.environ.get("KINGCUPLUG_FUZZ_EXAMPLES", "300"))
 _OFFERS = (
@@ -17,32 +18,19 @@
     b"Upgrade: h2c\r\n",
     b"Connection: Upgrade\r\n",
 )
+_CODINGS = (
+    b"CHUNKED",
+    b"gzip, chunked",
+    b"chunked, chunked",
+    b"gzip\r\nTransfer-Encoding: chunked",
+    b"chunked\r\nTransfer-Encoding: identity",
+    b"identity",
+)
 _EXTENSIONS = (b"", b";a=b", b';q="x y"')
 
 Decoded = tuple[bytes, bytes, bytes]  # Method, target and body.
 
 
-class RecordingTransport(asyncio.Transport):
-    """Transport that keeps what is written."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.written = b""
-
-    def write(self, data: bytes) -> None:
-        """Keep data."""
-        self.written += data
-
-    def close(self) -> None:
-        """Do nothing."""
-
-    def pause_reading(self) -> None:
-        """Do nothing."""
-
-    def resume_reading(self) -> None:
-        """Do nothing."""
-
-
 @st.composite
 def _chunked(draw: st.DrawFn, body: bytes) -> bytes:
     size = draw(st.integers(1, 7))
@@ -62,7 +50,7 @@
     )
     target = draw(st.sampled_from((b"/", b"/a?b=1", b"/a/%2F", b"*")))
     body = draw(st.binary(max_size=20))
-    framing = draw(st.sampled_from(("none", "length", "chunked")))
+    framing = draw(st.sampled_from(("none", "length", "chunked", "coded")))
     headers = b"Host: a\r\n" + draw(st.sampled_from(_OFFERS))
     data = b""
     if framing == "length":
@@ -71,6 +59,9 @@
     elif framing == "chunked":
         headers += b"Transfer-Encoding: chunked\r\n"
         data = draw(_chunked(body))
+    elif framing == "coded":
+        headers += b"Transfer-Encoding: " + draw(st.sampled_from(_CODINGS)) + b"\r\n"
+        data = draw(_chunked(body))
     return b"%s %s HTTP/1.1\r\n%s\r\n%s" % (method, target, headers, data)
 
 
@@ -80,7 +71,10 @@
     decoded: list[Decoded] = []
     head, body = None, b""
     while True:
-        event = connection.next_event()
+        try:
+            event = connection.next_event()
+        except h11.RemoteProtocolError:
+            return decoded
         if event is h11.PAUSED:
             # A request that offers an upgrade ends in this state until it is refused.
             connection.send(h11.Response(status_code=200, headers=[]))
