--- a/packages/soak/src/kingcuplug_soak/_consistency.py
+++ b/packages/soak/src/kingcuplug_soak/_consistency.py
@@ -3,6 +3,7 @@
 The checks compare them with the executions that the simulated servers recorded.
 """
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 from kingcuplug_gateway import merge_records
@@ -15,6 +16,9 @@
 
 # Statuses by which a host states that the request has not run and never will.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+# Requests that may run on more servers than their route allows (BUDGET).
+_MAX_EXCEEDING_ATTEMPTS = 3
+_NAMED_REQUESTS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +45,8 @@
         Services that may execute requests, by the kind of request.
     top_records : int
         Number of records in the merged response of a query.
+    max_attempts : dict
+        Number of servers that may run one request, of each shard, by its kind.
     shards_by_version : dict
         Shards of the query route, by configuration version.
     acknowledged_version : int
@@ -50,6 +56,7 @@
     backends: FakeServerPool
     allowed_services: dict[str, set[str]]
     top_records: int
+    max_attempts: dict[str, int]
     shards_by_version: dict[int, frozenset[str]] = field(default_factory=dict)
     refused_order_ids: set[str] = field(default_factory=set)
     order_ids: set[str] = field(default_factory=set)
@@ -105,10 +112,28 @@
                     self.violations.append(
                         f"{execution.target} ran at {execution.service}"
                     )
+        exceeding = [
+            attempt_id
+            for attempt_id, executions in self.backends.executions.items()
+            if self._exceeds_attempts(executions)
+        ]
+        if len(exceeding) > _MAX_EXCEEDING_ATTEMPTS:
+            self.violations.append(
+                f"{len(exceeding)} requests ran on more servers than max_attempts: "
+                f"{exceeding[:_NAMED_REQUESTS]}"
+            )
         for request in self.backends.requests_after_drain:
             self.violations.append(f"request to a drained server: {request}")
         return self.violations
 
+    def _exceeds_attempts(self, executions: list[Execution]) -> bool:
+        """Return whether too many servers of a service that still run ran a request."""
+        running = {server.name for server in self.backends.servers}
+        servers = {(e.service, e.server_id) for e in executions}
+        counts = Counter(service for service, name in servers if name in running)
+        kind = executions[0].target.split("/")[1]
+        return any(count > self.max_attempts[kind] for count in counts.values())
+
     def _check_single_response(
         self, attempt: CallerAttempt, response: Response
     ) -> None:
--- a/packages/soak/src/kingcuplug_soak/_run.py
+++ b/packages/soak/src/kingcuplug_soak/_run.py
@@ -26,6 +26,7 @@
 
 _SHARD_SETS = [("s0", "s1", "s2"), ("s1", "s2", "s3"), ("s0", "s1", "s2", "s3")]
 _SERVERS_PER_SERVICE = 3
+_MAX_ATTEMPTS = 3
 _FORMATION_TIMEOUT_S = 15.0
 # The users' recovery bound: callers must be served again so long after the last fault.
 _RECOVERY_TIMEOUT_S = 12.0
@@ -48,6 +49,9 @@
     tolerated_losses : int
         Number of disks that may be lost at once. With more than one, some soaks lose
         them right after the first configuration was acknowledged.
+    max_attempts : dict or None
+        ``max_attempts`` of the routes, by the kind of request; drawn from the seed if
+        not given.
     folder : Path or None
         Folder of logs and disks; a temporary folder if not given.
     """
@@ -58,6 +62,7 @@
     disks: int = 3
     folder: Path | None = None
     tolerated_losses: int = 1
+    max_attempts: dict[str, int] | None = None
 
 
 @dataclass
@@ -120,7 +125,12 @@
         settings.tolerated_losses,
     )
     backends = FakeServerPool([host.control_address for host in cluster.hosts], random)
-    checker = ConsistencyChecker(backends, _allowed_services(), TOP_RECORDS)
+    checker = ConsistencyChecker(
+        backends,
+        _allowed_services(),
+        TOP_RECORDS,
+        settings.max_attempts or _draw_attempts(settings.seed),
+    )
     operator = Operator(cluster.hosts, checker, random)
     try:
         await cluster.start()
@@ -206,6 +216,13 @@
     return {"query": shards, "read": {"reads"}, "order": {"orders"}}
 
 
+def _draw_attempts(seed: int) -> dict[str, int]:
+    """Draw from a generator of its own, so that the faults of a seed stay the same."""
+    random = random_module.Random(f"attempts {seed}")
+    kinds = sorted(_allowed_services())
+    return {kind: random.randint(1, _MAX_ATTEMPTS) for kind in kinds}
+
+
 async def _start_servers(backends: FakeServerPool) -> None:
     for service in sorted(set().union(*_allowed_services().values())):
         for number in range(_SERVERS_PER_SERVICE):
--- a/packages/soak/src/kingcuplug_soak/_traffic.py
+++ b/packages/soak/src/kingcuplug_soak/_traffic.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import random as random_module
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 import orjson
@@ -26,7 +26,10 @@
 
 
 def encode_soak_document(
-    version: int, shards: Sequence[str], idle_timeout_ms: int
+    version: int,
+    shards: Sequence[str],
+    idle_timeout_ms: int,
+    max_attempts: Mapping[str, int],
 ) -> bytes:
     """Return a configuration document with one route of each kind."""
 
@@ -35,7 +38,7 @@
             name=name,
             host=_HOST_NAME,
             prefix=f"/{name}/",
-            max_attempts=2,
+            max_attempts=max_attempts[name],
             timeout_ms=_REQUEST_TIMEOUT_MS,
             target_ms=_TARGET_LATENCY_MS,
             priority=1,
@@ -134,7 +137,10 @@
         version = self._last_version
         self._checker.shards_by_version[version] = frozenset(shards)
         body = encode_soak_document(
-            version, shards, self._random.randint(5, 15) * 1_000
+            version,
+            shards,
+            self._random.randint(5, 15) * 1_000,
+            self._checker.max_attempts,
         )
         deadline_at = asyncio.get_running_loop().time() + timeout_s
         while asyncio.get_running_loop().time() < deadline_at:
--- a/tests/soak/test_crashing_requests.py
+++ b/tests/soak/test_crashing_requests.py
@@ -19,6 +19,7 @@
 _STABILITY_WINDOW_S = 5.0
 _MAX_LATE_RETRIES = 3
 _DURATION_S = 12.0
+_SETTINGS = SoakSettings(seed=1, max_attempts={"query": 2, "read": 2, "order": 2})
 
 
 @dataclass(frozen=True)
@@ -67,7 +68,7 @@
     repetition: Repetition, folder: Path
 ) -> tuple[list[float], float, list[str]]:
     """Return the crash times, the share of other requests served, and violations."""
-    async with soak_environment(SoakSettings(seed=1), folder) as env:
+    async with soak_environment(_SETTINGS, folder) as env:
         traffic = asyncio.ensure_future(
             CallerTraffic(env.cluster.hosts, env.checker, env.random).run()
         )
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,7 +8,7 @@
 from kingcuplug_http import Response
 from kingcuplug_soak import SoakSettings, soak
 from kingcuplug_soak._consistency import CallerAttempt, ConsistencyChecker
-from kingcuplug_soak._fake_servers import Execution, FakeServerPool
+from kingcuplug_soak._fake_servers import Execution, FakeServer, FakeServerPool
 
 _FORMING_SEED = 2
 
@@ -36,7 +36,10 @@
 def checker() -> ConsistencyChecker:
     allowed_services = {"query": {"s0", "s1"}, "read": {"reads"}, "order": {"orders"}}
     checker = ConsistencyChecker(
-        FakeServerPool([], random.Random(1)), allowed_services, top_records=5
+        FakeServerPool([], random.Random(1)),
+        allowed_services,
+        top_records=5,
+        max_attempts={"query": 1, "read": 2, "order": 3},
     )
     checker.shards_by_version[1] = frozenset(("s0", "s1"))
     return checker
@@ -66,6 +69,32 @@
     assert any("ran 2 times" in violation for violation in checker.check_executions())
 
 
+@pytest.mark.parametrize(("count", "is_reported"), [(3, False), (4, True)])
+def test_checker_reports_requests_that_ran_on_too_many_servers(
+    checker, count, is_reported
+):
+    """Guards against a checker that misses attempts beyond ``max_attempts``.
+
+    A second run by the same server, or by one that has ended, doesn't count.
+    """
+    checker.backends.servers = [
+        FakeServer(checker.backends, name, "s0", "z") for name in ("s0-1", "s0-2")
+    ]
+
+    def record(attempt_id: str, *servers: str) -> None:
+        checker.backends.executions[attempt_id] = [
+            Execution(attempt_id, "s0", server, "/query/1", b"", server, True)
+            for server in servers
+        ]
+
+    for number in range(count):
+        record(f"q{number}", "s0-1", "s0-2")
+    record("same server", "s0-1", "s0-1")
+    record("ended server", "s0-1", "s0-3")
+    violations = checker.check_executions()
+    assert any("max_attempts" in v for v in violations) is is_reported
+
+
 def test_checker_reports_refused_order_that_ran(checker):
     """Guards against a checker that takes each refusal for an order that never ran."""
     attempt = CallerAttempt("a", "order")
