--- a/packages/common/src/kingcuplug_common/__init__.py
+++ b/packages/common/src/kingcuplug_common/__init__.py
@@ -18,6 +18,8 @@
 )
 from kingcuplug_common._event_log import EventLog
 from kingcuplug_common._json_types import (
+    require_amount,
+    require_count,
     require_integer,
     require_mapping,
     require_number,
@@ -87,6 +89,8 @@
     "random_identifier",
     "render_metrics",
     "request_span",
+    "require_amount",
+    "require_count",
     "require_integer",
     "require_mapping",
     "require_number",
--- a/packages/common/src/kingcuplug_common/_json_types.py
+++ b/packages/common/src/kingcuplug_common/_json_types.py
@@ -8,6 +8,8 @@
 from typing import Any
 
 __all__ = [
+    "require_amount",
+    "require_count",
     "require_integer",
     "require_mapping",
     "require_number",
@@ -15,6 +17,10 @@
     "require_strings",
 ]
 
+# Sums of many values up to this one can be computed and encoded. Servers' heartbeats,
+# which control hosts pass on, have the same bound.
+_MAX_AMOUNT = 2**53 - 1
+
 
 def require_integer(value: Any, minimum: int = 0) -> int:
     """Return an integer of at least `minimum`.
@@ -46,6 +52,34 @@
     return value
 
 
+def require_count(value: Any) -> int:
+    """Return an integer of at least 0 that can be added to others.
+
+    Raises
+    ------
+    ValueError
+        If the value is anything else, or too large.
+    """
+    count = require_integer(value)
+    if count > _MAX_AMOUNT:
+        raise ValueError(f"{value!r} is above {_MAX_AMOUNT}")
+    return count
+
+
+def require_amount(value: Any) -> float:
+    """Return a number that can be added to others.
+
+    Raises
+    ------
+    ValueError
+        If the value is anything else, or too large.
+    """
+    amount = require_number(value)
+    if abs(amount) > _MAX_AMOUNT:
+        raise ValueError(f"{value!r} is above {_MAX_AMOUNT}")
+    return amount
+
+
 def require_string(value: Any) -> str:
     """Return a string.
 
--- a/packages/fleet/src/kingcuplug_fleet/_mesh_messages.py
+++ b/packages/fleet/src/kingcuplug_fleet/_mesh_messages.py
@@ -4,9 +4,10 @@
 from typing import Any
 
 from kingcuplug_common import (
+    require_amount,
+    require_count,
     require_integer,
     require_mapping,
-    require_number,
     require_string,
     require_strings,
 )
@@ -69,10 +70,10 @@
         defaults: list[Any] = [{}, {}, []]
         demand, suspects, answered = [*end, *defaults[len(end) :]][: len(defaults)]
         return cls(
-            {s: require_integer(n) for s, n in require_mapping(demand).items()},
+            {s: require_count(n) for s, n in require_mapping(demand).items()},
             {
                 fingerprint: SuspectRecord(
-                    require_integer(minutes_left),
+                    require_count(minutes_left),
                     frozenset(require_strings(executions)),
                 )
                 for fingerprint, (minutes_left, *executions) in require_mapping(
@@ -139,13 +140,13 @@
         """
         samples, requests, *end = value
         decoded = {
-            server: (require_integer(count), require_number(total))
+            server: (require_count(count), require_amount(total))
             for server, (count, total) in require_mapping(samples).items()
         }
         shared = SharedFields.from_json(end)
         return cls(
             decoded,
-            require_integer(requests),
+            require_count(requests),
             shared.demand,
             dict(shared.suspects),
             shared.answered,
@@ -206,9 +207,9 @@
         shared = SharedFields.from_json(end)
         return cls(
             require_strings(silent),
-            {i: require_number(pace) for i, pace in require_mapping(slow).items()},
-            require_integer(hosts),
-            require_integer(requests),
+            {i: require_amount(pace) for i, pace in require_mapping(slow).items()},
+            require_count(hosts),
+            require_count(requests),
             {a: require_string(z) for a, z in require_mapping(reachable).items()},
             shared.demand,
             shared.suspects,
--- a/packages/fleet/src/kingcuplug_fleet/_polling.py
+++ b/packages/fleet/src/kingcuplug_fleet/_polling.py
@@ -14,9 +14,10 @@
 
 from kingcuplug_common import (
     EventLog,
+    require_amount,
+    require_count,
     require_integer,
     require_mapping,
-    require_number,
     require_string,
     require_strings,
 )
@@ -400,8 +401,8 @@
         view.set_slow_servers(_decode_paces(slow))
         view.set_control_hosts(require_strings(control_hosts))
         view.zones = _decode_zones(zones)
-        view.set_host_count(require_integer(host_count))
-        view.set_request_count(require_integer(request_count))
+        view.set_host_count(require_count(host_count))
+        view.set_request_count(require_count(request_count))
         view.set_reachable_control_hosts(tuple(require_strings(reachable)))
         shared = SharedFields.from_json(end)
         view.set_demand(shared.demand)
@@ -409,7 +410,7 @@
 
 
 def _decode_paces(value: Any) -> dict[str, float]:
-    return {i: require_number(pace) for i, pace in require_mapping(value).items()}
+    return {i: require_amount(pace) for i, pace in require_mapping(value).items()}
 
 
 def _decode_zones(value: Any) -> dict[str, str]:
--- a/packages/fleet/src/kingcuplug_fleet/_server_record.py
+++ b/packages/fleet/src/kingcuplug_fleet/_server_record.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 from typing import Any
 
-from kingcuplug_common import require_integer, require_string
+from kingcuplug_common import require_count, require_integer, require_string
 
 __all__ = ["ServerRecord", "ServerState"]
 
@@ -97,7 +97,7 @@
             require_string(service),
             require_string(address),
             require_string(zone),
-            require_integer(slots),
+            require_count(slots),
             ServerState(state),
-            require_integer(cold),
+            require_count(cold),
         )
