--- a/tests/node/test_peer_fuzz.py
+++ b/tests/node/test_peer_fuzz.py
@@ -118,7 +118,9 @@
         return (await host._answer_peer_request(request)).status
 
 
-async def _check_after(messages: list[tuple[str, Any]], leads: bool) -> None:
+async def _check_after(
+    messages: list[tuple[str, Any]], leads: bool, pause_s: float
+) -> None:
     """Send messages to a new host and check that it works on."""
     settings = make_settings()
     descriptor = os.open(os.devnull, os.O_WRONLY)
@@ -133,7 +135,7 @@
             status = await _call(host, path, orjson.dumps(value))
             assert status in (200, 400, 503), path
             # Totals are published after the window in which they are counted.
-            await asyncio.sleep(_WINDOW_S)
+            await asyncio.sleep(pause_s)
             mesh._update_liveness(asyncio.get_running_loop().time())
             encode_body(mesh._message([]).to_json())
             view.state_digest()
@@ -153,9 +155,15 @@
 
 
 @settings(max_examples=_EXAMPLES, derandomize=True, deadline=None)
-@given(st.lists(_message(), min_size=1, max_size=4), st.booleans())
-@example([(REPORT_PATH, [{}, 7, {"i-1": 2**64 - 1}])], True)
-@example([(REPORT_PATH, [{"i-1": [2**63, 1e308]}, 7])] * 2, False)
-def test_host_works_on_after_malformed_messages_of_other_hosts(messages, leads):
+@given(
+    st.lists(_message(), min_size=1, max_size=4),
+    st.booleans(),
+    st.sampled_from((0.0, _WINDOW_S)),
+)
+@example([(REPORT_PATH, [{}, 7, {"i-1": 2**64 - 1}])] * 2, True, _WINDOW_S)
+@example([(REPORT_PATH, [{"i-1": [2**63, 1e308]}, 7])] * 2, False, 0.0)
+def test_host_works_on_after_malformed_messages_of_other_hosts(
+    messages, leads, pause_s
+):
     """Guards against a message that is accepted, and stops tasks or replies later."""
-    run_virtual(_check_after(messages, leads))
+    run_virtual(_check_after(messages, leads, pause_s))
