--- a/packages/soak/src/kingcuplug_soak/_fake_servers.py
+++ b/packages/soak/src/kingcuplug_soak/_fake_servers.py
@@ -13,6 +13,7 @@
 from kingcuplug_platform.formats import HEADER_NAMES, SERVERS_PATH, encode_heartbeat
 
 from kingcuplug_soak._http_client import send_request
+from kingcuplug_soak._signal_checks import Arrival
 
 __all__ = ["CrashedAddress", "Execution", "FakeServer", "FakeServerPool"]
 
@@ -60,6 +61,8 @@
         How the addresses of these servers behave afterwards.
     crashed_at : list of float
         Event loop times at which servers crashed under that target.
+    hosts_by_attempt : dict
+        Host that a caller asked, by the caller's attempt id.
     """
 
     control_addresses: list[str]
@@ -70,6 +73,7 @@
     crashing_target: str = ""
     crashed_address: CrashedAddress = CrashedAddress.REFUSES
     crashed_at: list[float] = field(default_factory=list)
+    hosts_by_attempt: dict[str, str] = field(default_factory=dict)
     _occupied_addresses: list[socket.socket] = field(default_factory=list)
     _started_count: int = 0
     _restart_tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -128,6 +132,14 @@
         time, ``limited`` names a limit, ``errors`` fails half of the requests, ``lost``
         aborts connections after execution, ``copies`` sends earlier answers again on
         any connection, ``endless`` sends a header without end; empty if there is none.
+    limit_per_s : float or None
+        Limit that all its answers name.
+    retry_after_s : float
+        Time for which it asks for no requests; it then runs none. 0 if it does not.
+    says_leaving : bool
+        Whether all its answers say that it leaves.
+    arrivals : list of Arrival
+        Requests that reached it.
     """
 
     def __init__(
@@ -147,6 +159,10 @@
         self.name = name
         self.delay_s = 0.0
         self.fault = ""
+        self.limit_per_s: float | None = None
+        self.retry_after_s = 0.0
+        self.says_leaving = False
+        self.arrivals: list[Arrival] = []
         self._last_response = b""
         self._endless_tasks: set[asyncio.Task[None]] = set()
 
@@ -225,8 +241,23 @@
             and now - self._drain_acknowledged_at > _DRAIN_DURATION_S + 0.5
         ):
             self._pool.requests_after_drain.append(f"{attempt_id} at {self.name}")
+        self.arrivals.append(
+            Arrival(
+                now,
+                self._pool.hosts_by_attempt.get(attempt_id, ""),
+                self.retry_after_s,
+                self.says_leaving,
+            )
+        )
+        if self.limit_per_s is not None:
+            limit = f"{self.limit_per_s:.1f}".encode()
+            echoed_headers.append((header_names.server_limit, limit))
+        if self.retry_after_s:
+            seconds = f"{self.retry_after_s:.2f}".encode()
+            echoed_headers += [(b"Retry-After", seconds), (header_names.not_run, b"1")]
+            return Response(503, echoed_headers, b"")
         random = self._pool.random
-        if self._state is ServerState.DRAINING:
+        if self._state is ServerState.DRAINING or self.says_leaving:
             echoed_headers.append((header_names.server_leaving, b"1"))
         if self.fault == "limited":
             limit = f"{random.choice((0.0, 0.5, 4.0)):.1f}".encode()
--- a/packages/soak/src/kingcuplug_soak/_traffic.py
+++ b/packages/soak/src/kingcuplug_soak/_traffic.py
@@ -110,6 +110,7 @@
         method = "POST" if kind == "order" else "GET"
         host = self._random.choice(self._hosts)
         self._checker.record_attempt(attempt)
+        self._checker.backends.hosts_by_attempt[attempt.attempt_id] = host.name
         with contextlib.suppress(PeerFailed):
             response = await send_request(
                 host.caller_address, method, f"/{kind}/{number}", b"", headers, 3.0
