Send the test's SIGHUP to the test's own thread

Cause: the new test of a pending SIGHUP blocks it in its own thread and sent it to the process; a thread left by an earlier test has not blocked it, so the kernel delivered it there and its default action ended pytest. Hosts block it before any thread starts, so their threads inherit the mask.

Change: signal.raise_signal sends it to this thread. With another thread running, the test ended the process before (exit code 129) and passes now.

--- a/tests/node/test_signals.py
+++ b/tests/node/test_signals.py
@@ -23,7 +23,8 @@
             settings, HEADER_NAMES, lambda text: ROUTE_TABLE, lambda: replaced, log
         )
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
-        os.kill(os.getpid(), signal.SIGHUP)
+        # To this thread: others, of earlier tests, have not blocked the signal.
+        signal.raise_signal(signal.SIGHUP)
         host._install_handlers()
         await asyncio.sleep(0.05)
         return host._settings.seeds
