Use one piece where the tests and the soak of this change repeated another

Found by reading the whole change again; no assertion, bound or seed is changed.

- Two tests of callers that leave share the request that they leave.
- The exchange that records a result, and the chunk encoder, served two files each: both are in the testkit now, beside the transport.
- The check of a limit counted windows as the testkit's most_in_window does, and uses it now; it moved to its test, so that hosts of the soak don't import the testkit.
- Three places ran callers' traffic beside a scenario (caller_traffic), three named the same max_attempts (DEFAULT_ATTEMPTS).
- FaultInjector gets the lost disks by its parameters; two attributes were set afterwards.

--- a/packages/soak/src/kingcuplug_soak/_fault_injection.py
+++ b/packages/soak/src/kingcuplug_soak/_fault_injection.py
@@ -38,14 +38,17 @@
 class FaultInjector:
     """Injects random faults at random times and logs them.
 
-    Attributes
+    Parameters
     ----------
-    fault_log : list of str
-        Time and description of each fault, for the report.
     tolerated_losses : int
         Number of disks that may be lost at once.
     disks_lost : bool
         Whether so many were lost already.
+
+    Attributes
+    ----------
+    fault_log : list of str
+        Time and description of each fault, for the report.
     """
 
     def __init__(
@@ -55,14 +58,16 @@
         operator: Operator,
         shard_sets: list[tuple[str, ...]],
         random: random_module.Random,
+        tolerated_losses: int = 1,
+        disks_lost: bool = False,
     ) -> None:
         self._cluster = cluster
         self._backends = backends
         self._operator = operator
         self._shard_sets = shard_sets
         self._random = random
-        self.tolerated_losses = 1
-        self.disks_lost = False
+        self._tolerated_losses = tolerated_losses
+        self._disks_lost = disks_lost
         self._tasks: set[asyncio.Task[None]] = set()
         self.fault_log: list[str] = []
 
@@ -185,11 +190,11 @@
 
     async def _erase_host_disk(self) -> str:
         """Erase as many disks as may be lost at once, once in a soak."""
-        if self.disks_lost:
+        if self._disks_lost:
             return "skipped a second disk loss"
-        self.disks_lost = True
-        if self.tolerated_losses > 1:
-            names = await self._cluster.lose_disks(self.tolerated_losses, self._random)
+        self._disks_lost = True
+        if self._tolerated_losses > 1:
+            names = await self._cluster.lose_disks(self._tolerated_losses, self._random)
             return f"killed all hosts and erased the disks of {names}"
         host = self._random.choice([h for h in self._cluster.hosts if h.has_disk])
         await host.kill()
--- a/packages/soak/src/kingcuplug_soak/_run.py
+++ b/packages/soak/src/kingcuplug_soak/_run.py
@@ -20,6 +20,7 @@
     "SoakEnvironment",
     "SoakResult",
     "SoakSettings",
+    "caller_traffic",
     "soak",
     "soak_environment",
 ]
@@ -150,18 +151,31 @@
         await backends.stop()
 
 
+@contextlib.asynccontextmanager
+async def caller_traffic(env: SoakEnvironment) -> AsyncIterator[None]:
+    """Send callers' requests until the block ends."""
+    traffic = asyncio.ensure_future(
+        CallerTraffic(env.cluster.hosts, env.checker, env.random).run()
+    )
+    try:
+        yield
+    finally:
+        traffic.cancel()
+
+
 async def _run_in_folder(settings: SoakSettings, folder: Path) -> SoakResult:
     async with soak_environment(settings, folder) as env:
         checker, cluster = env.checker, env.cluster
         injector = FaultInjector(
-            cluster, env.backends, env.operator, _SHARD_SETS, env.random
+            cluster,
+            env.backends,
+            env.operator,
+            _SHARD_SETS,
+            env.random,
+            settings.tolerated_losses,
+            env.disks_lost,
         )
-        injector.disks_lost = env.disks_lost
-        injector.tolerated_losses = settings.tolerated_losses
-        traffic = asyncio.ensure_future(
-            CallerTraffic(cluster.hosts, checker, env.random).run()
-        )
-        try:
+        async with caller_traffic(env):
             await injector.run(settings.duration_s)
             await _check_recovery(env.operator, checker)
             checker.violations += [
@@ -169,8 +183,6 @@
                 for host in cluster.hosts
                 if not host.is_running
             ]
-        finally:
-            traffic.cancel()
     violations = checker.check_executions()
     return SoakResult(
         settings.seed,
--- a/packages/soak/src/kingcuplug_soak/_signal_checks.py
+++ b/packages/soak/src/kingcuplug_soak/_signal_checks.py
@@ -1,11 +1,9 @@
 """Checks of what servers say of themselves, from what these servers see.
 
-A server's statement binds the host to which it was made, a limit binds all hosts
-together. The host of an arrival is the one that the caller asked, so the checks of
-single hosts hold for requests that no other host gathers or relays.
+A statement binds the host to which it was made. The host of an arrival is the one that
+the caller asked, so the checks hold for requests that no other host gathers or relays.
 """
 
-from bisect import bisect_left
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -13,13 +11,8 @@
     "Arrival",
     "arrivals_after_leaving",
     "arrivals_while_pushed_back",
-    "most_over_limit",
 ]
 
-_LIMIT_WINDOW_S = 4.0
-_LIMIT_RATIO = 1.5
-_LIMIT_SLACK = 5
-_STABILITY_WINDOW_S = 5.0
 _DRAIN_S = 3.0
 _PUSH_BACK_DELAY_S = 0.5
 
@@ -42,23 +35,6 @@
     says_leaving: bool = False
 
 
-def most_over_limit(
-    arrivals: Sequence[Arrival], limit_per_s: float, limited_at_s: float
-) -> float:
-    """Return the most arrivals in a window, divided by the number that is allowed.
-
-    Windows count from the time at which all hosts have heard of the limit.
-    """
-    from_s = limited_at_s + _STABILITY_WINDOW_S
-    times_s = sorted(a.at_s for a in arrivals if a.at_s >= from_s)
-    allowed = _LIMIT_RATIO * limit_per_s * _LIMIT_WINDOW_S + _LIMIT_SLACK
-    counts = [
-        bisect_left(times_s, start_s + _LIMIT_WINDOW_S) - index
-        for index, start_s in enumerate(times_s)
-    ]
-    return max(counts, default=0) / allowed
-
-
 def arrivals_after_leaving(arrivals: Sequence[Arrival]) -> int:
     """Return how many requests hosts sent after they were told of the leaving."""
     told_at_s: dict[str, float] = {}
--- a/packages/soak/src/kingcuplug_soak/_traffic.py
+++ b/packages/soak/src/kingcuplug_soak/_traffic.py
@@ -15,13 +15,14 @@
 from kingcuplug_soak._hosts import HostProcess
 from kingcuplug_soak._http_client import send_request
 
-__all__ = ["CallerTraffic", "Operator", "encode_soak_document"]
+__all__ = ["DEFAULT_ATTEMPTS", "CallerTraffic", "Operator", "encode_soak_document"]
 
 _HOST_NAME = "soak.example"
 _REQUEST_TIMEOUT_MS = 1_500
 _TARGET_LATENCY_MS = 300
 _REQUEST_INTERVAL_S = 0.02
 TOP_RECORDS = 5
+DEFAULT_ATTEMPTS = {"query": 2, "read": 2, "order": 2}
 ORDER_SERVICE = "orders"
 
 
--- a/packages/testkit/src/kingcuplug_testkit/__init__.py
+++ b/packages/testkit/src/kingcuplug_testkit/__init__.py
@@ -4,6 +4,11 @@
 from kingcuplug_testkit._arrivals import most_in_window, poisson_count
 from kingcuplug_testkit._disk import Failpoint, FakeDisk, FakeFileSystem, HostCrashed
 from kingcuplug_testkit._faults import FAULTS, Fault
+from kingcuplug_testkit._http_protocol import (
+    RecordingExchange,
+    RecordingTransport,
+    encode_chunks,
+)
 from kingcuplug_testkit._invariants import InvariantChecker, InvariantViolated
 from kingcuplug_testkit._log_group import Host, LogGroup, RecordingStateMachine
 from kingcuplug_testkit._matrix import CellResult, MatrixCell, run_matrix_cell
@@ -25,7 +30,6 @@
     make_reply,
 )
 from kingcuplug_testkit._steps import PROTOCOL_STEPS, ProtocolStep
-from kingcuplug_testkit._transport import RecordingTransport
 from kingcuplug_testkit._virtual_time import VirtualTimeLoop, run_virtual
 
 __all__ = [
@@ -53,9 +57,11 @@
     "ProtocolStep",
     "QueryHarness",
     "QueryKind",
+    "RecordingExchange",
     "RecordingStateMachine",
     "RecordingTransport",
     "VirtualTimeLoop",
+    "encode_chunks",
     "ideal_share",
     "make_order",
     "make_query",
--- a/tests/http/test_inbound.py
+++ b/tests/http/test_inbound.py
@@ -1,6 +1,9 @@
 """Tests of inbound connections: limits, time-outs and disconnects of callers."""
 
 import asyncio
+import contextlib
+from collections.abc import Callable
+from typing import Any
 
 import pytest
 from kingcuplug_http import Request, Response
@@ -101,8 +104,10 @@
     assert b"/inner" not in asyncio.run(run())
 
 
-def test_handler_is_cancelled_when_the_caller_disconnects(serve):
-    """Guards against work for callers that have disconnected."""
+async def _leave_during_request(
+    serve: Any, leave: Callable[[asyncio.StreamWriter], None]
+) -> bytes:
+    """Leave while a request is served; return what comes until it is cancelled."""
     started, cancelled = asyncio.Event(), asyncio.Event()
 
     async def endless(request: Request) -> Response:
@@ -114,16 +119,20 @@
             raise
         return Response(200, [], b"")
 
-    async def run() -> None:
-        async with serve(endless) as server:
-            host, _, port = server.address.rpartition(":")
-            _, writer = await asyncio.open_connection(host, int(port))
+    async with serve(endless) as server:
+        host, _, port = server.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        with contextlib.closing(writer):
             writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
             await started.wait()
-            writer.close()
+            leave(writer)
             await asyncio.wait_for(cancelled.wait(), timeout=5)
+            return await asyncio.wait_for(reader.read(), timeout=5)
+
 
-    asyncio.run(run())
+def test_handler_is_cancelled_when_the_caller_disconnects(serve):
+    """Guards against work for callers that have disconnected."""
+    asyncio.run(_leave_during_request(serve, asyncio.StreamWriter.close))
 
 
 def test_caller_that_shuts_down_its_sending_side_has_gone(serve):
@@ -132,29 +141,8 @@
     A closed connection and one that is only shut down for sending look the same until
     an answer is sent.
     """
-    started, cancelled = asyncio.Event(), asyncio.Event()
-
-    async def endless(request: Request) -> Response:
-        started.set()
-        try:
-            await asyncio.sleep(60)
-        finally:
-            cancelled.set()
-        return Response(200, [], b"")
-
-    async def run() -> bytes:
-        async with serve(endless) as server:
-            host, _, port = server.address.rpartition(":")
-            reader, writer = await asyncio.open_connection(host, int(port))
-            writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
-            await started.wait()
-            writer.write_eof()
-            await asyncio.wait_for(cancelled.wait(), timeout=5)
-            data = await asyncio.wait_for(reader.read(), timeout=5)
-            writer.close()
-            return data
-
-    assert asyncio.run(run()) == b""
+    data = asyncio.run(_leave_during_request(serve, asyncio.StreamWriter.write_eof))
+    assert data == b""
 
 
 def test_closing_listener_serves_received_requests(serve, send_raw):
--- a/tests/http/test_inbound_differential.py
+++ b/tests/http/test_inbound_differential.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from kingcuplug_http import InboundConnection, Limits, Listener, Request, Response
-from kingcuplug_testkit import RecordingTransport
+from kingcuplug_testkit import RecordingTransport, encode_chunks
 
 _EXAMPLES = int(os.environ.get("KINGCUPLUG_FUZZ_EXAMPLES", "300"))
 _OFFERS = (
@@ -34,11 +34,9 @@
 @st.composite
 def _chunked(draw: st.DrawFn, body: bytes) -> bytes:
     size = draw(st.integers(1, 7))
-    chunks = [body[i : i + size] for i in range(0, len(body), size)]
     extension = draw(st.sampled_from(_EXTENSIONS))
-    encoded = b"".join(b"%x%s\r\n%s\r\n" % (len(c), extension, c) for c in chunks)
     trailer = draw(st.sampled_from((b"", b"X-Trailer: 1\r\n")))
-    return encoded + b"0\r\n" + trailer + b"\r\n"
+    return encode_chunks(body, size, extension, trailer)
 
 
 @st.composite
--- a/tests/http/test_outbound.py
+++ b/tests/http/test_outbound.py
@@ -9,32 +9,13 @@
 import pytest
 from kingcuplug_http import Failure, OutboundConnection, Response, connect
 from kingcuplug_http._outbound import BodyBuffers
+from kingcuplug_testkit import RecordingExchange
 
 ConnectionHandler = Callable[
     [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
 ]
 
 
-class RecordingExchange:
-    """Exchange that accepts only responses with its id, and records the result."""
-
-    def __init__(self, identifier: bytes) -> None:
-        self.identifier = identifier
-        self.result: asyncio.Future[Response | Failure] = asyncio.Future()
-
-    def accepts(self, response: Response) -> bool:
-        """Accept responses without an id, or with the id of this exchange."""
-        return response.header(b"id") in (None, self.identifier)
-
-    def answered(self, response: Response) -> None:
-        """Record the response."""
-        self.result.set_result(response)
-
-    def failed(self, failure: Failure) -> None:
-        """Record the failure."""
-        self.result.set_result(failure)
-
-
 def _run_request(
     response_data: bytes, reset: bool = False
 ) -> tuple[Response | Failure, bool]:
--- a/tests/http/test_outbound_differential.py
+++ b/tests/http/test_outbound_differential.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from kingcuplug_http import Failure, OutboundConnection, Response
-from kingcuplug_testkit import RecordingTransport
+from kingcuplug_testkit import RecordingExchange, RecordingTransport, encode_chunks
 
 _EXAMPLES = int(os.environ.get("KINGCUPLUG_FUZZ_EXAMPLES", "300"))
 _REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -45,37 +45,14 @@
 Decoded = tuple[int, bytes]  # Status and body.
 
 
-class RecordingExchange:
-    """Exchange that keeps the result of one request."""
-
-    def __init__(self) -> None:
-        self.result: Response | Failure | None = None
-
-    def accepts(self, response: Response) -> bool:
-        """Accept every response."""
-        return True
-
-    def answered(self, response: Response) -> None:
-        """Keep the response."""
-        assert self.result is None
-        self.result = response
-
-    def failed(self, failure: Failure) -> None:
-        """Keep the failure."""
-        assert self.result is None
-        self.result = failure
-
-
 @st.composite
 def _framed_body(draw: st.DrawFn) -> tuple[bytes, bytes]:
     body = draw(st.binary(max_size=20))
     length = b"Content-Length: %d\r\n" % len(body)
     size = draw(st.integers(1, 7))
-    chunks = [body[i : i + size] for i in range(0, len(body), size)]
     extension = draw(st.sampled_from(_EXTENSIONS))
     trailer = draw(st.sampled_from((b"", b"X-Trailer: 1\r\n")))
-    chunked = b"".join(b"%x%s\r\n%s\r\n" % (len(c), extension, c) for c in chunks)
-    chunked += b"0\r\n" + trailer + b"\r\n"
+    chunked = encode_chunks(body, size, extension, trailer)
     coding = b"Transfer-Encoding: chunked\r\n"
     return draw(
         st.sampled_from(
@@ -147,16 +124,16 @@
 ) -> Response | Failure | None:
     connection = OutboundConnection(asyncio.get_running_loop())
     connection.connection_made(RecordingTransport())
-    exchange = RecordingExchange()
+    exchange = RecordingExchange(b"")
     connection.send(_REQUEST, exchange)
     positions = sorted({min(cut, len(data)) for cut in cuts} | {0, len(data)})
     for start, end in itertools.pairwise(positions):
-        if exchange.result is None:
+        if not exchange.result.done():
             connection.data_received(data[start:end])
-    if is_ended and exchange.result is None:
+    if is_ended and not exchange.result.done():
         connection.eof_received()
         connection.connection_lost(None)
-    return exchange.result
+    return exchange.result.result() if exchange.result.done() else None
 
 
 @settings(max_examples=_EXAMPLES, derandomize=True, deadline=None)
--- a/tests/soak/test_crashing_requests.py
+++ b/tests/soak/test_crashing_requests.py
@@ -12,14 +12,14 @@
 from kingcuplug_soak import SoakSettings
 from kingcuplug_soak._fake_servers import CrashedAddress
 from kingcuplug_soak._http_client import send_request
-from kingcuplug_soak._run import SoakEnvironment, soak_environment
-from kingcuplug_soak._traffic import CallerTraffic
+from kingcuplug_soak._run import SoakEnvironment, caller_traffic, soak_environment
+from kingcuplug_soak._traffic import DEFAULT_ATTEMPTS
 
 _REPEAT_INTERVAL_S = 0.5
 _STABILITY_WINDOW_S = 5.0
 _MAX_LATE_RETRIES = 3
 _DURATION_S = 12.0
-_SETTINGS = SoakSettings(seed=1, max_attempts={"query": 2, "read": 2, "order": 2})
+_SETTINGS = SoakSettings(seed=1, max_attempts=DEFAULT_ATTEMPTS)
 
 
 @dataclass(frozen=True)
@@ -69,14 +69,9 @@
 ) -> tuple[list[float], float, list[str]]:
     """Return the crash times, the share of other requests served, and violations."""
     async with soak_environment(_SETTINGS, folder) as env:
-        traffic = asyncio.ensure_future(
-            CallerTraffic(env.cluster.hosts, env.checker, env.random).run()
-        )
-        try:
+        async with caller_traffic(env):
             until = asyncio.get_running_loop().time() + _DURATION_S
             await _repeat_request(env, repetition, until)
-        finally:
-            traffic.cancel()
         env.checker.order_ids.clear()
         served = env.checker.served_count / env.checker.attempt_count
     return env.backends.crashed_at, served, env.checker.violations
--- a/tests/soak/test_server_signals.py
+++ b/tests/soak/test_server_signals.py
@@ -7,18 +7,21 @@
 import pytest
 from kingcuplug_soak import SoakSettings
 from kingcuplug_soak._fake_servers import FakeServer, FakeServerPool
-from kingcuplug_soak._run import soak_environment
+from kingcuplug_soak._run import caller_traffic, soak_environment
 from kingcuplug_soak._signal_checks import (
     Arrival,
     arrivals_after_leaving,
     arrivals_while_pushed_back,
-    most_over_limit,
 )
-from kingcuplug_soak._traffic import CallerTraffic
+from kingcuplug_soak._traffic import DEFAULT_ATTEMPTS
+from kingcuplug_testkit import most_in_window
 
-_SETTINGS = SoakSettings(seed=1, max_attempts={"query": 2, "read": 2, "order": 2})
+_SETTINGS = SoakSettings(seed=1, max_attempts=DEFAULT_ATTEMPTS)
 _DURATION_S = 14.0
 _LIMIT_PER_S = 1.0
+_LIMIT_WINDOW_S = 4.0
+_MAX_IN_WINDOW = 1.5 * _LIMIT_PER_S * _LIMIT_WINDOW_S + 5
+_STABILITY_WINDOW_S = 5.0
 _RETRY_AFTER_S = 6.0
 _MAX_PUSHED_BACK = 2
 _LEAST_SERVED = 0.7  # A quarter of the requests are orders, which no server takes.
@@ -40,6 +43,16 @@
     return [server for server in pool.servers if server.service == service][number]
 
 
+def _most_over_limit(arrivals: list[Arrival], limited_at_s: float) -> float:
+    """Return the most arrivals in a window, divided by the number that is allowed.
+
+    Windows count from the time at which all hosts have heard of the limit.
+    """
+    from_s = limited_at_s + _STABILITY_WINDOW_S
+    times_s = sorted(a.at_s for a in arrivals if a.at_s >= from_s)
+    return most_in_window(times_s, _LIMIT_WINDOW_S) / _MAX_IN_WINDOW
+
+
 async def _run(folder: Path) -> Outcome:
     async with soak_environment(_SETTINGS, folder) as env:
         pool = env.backends
@@ -48,10 +61,7 @@
         leaving = _server_of(pool, "reads", 1)
         # All of a service: a host with other servers asks such ones less anyway.
         pushing_back = [_server_of(pool, "orders", number) for number in range(3)]
-        traffic = asyncio.ensure_future(
-            CallerTraffic(env.cluster.hosts, env.checker, env.random).run()
-        )
-        try:
+        async with caller_traffic(env):
             await asyncio.sleep(2.0)
             limited_at_s = asyncio.get_running_loop().time()
             for server in limited:
@@ -60,8 +70,6 @@
             for server in pushing_back:
                 server.retry_after_s = _RETRY_AFTER_S
             await asyncio.sleep(_DURATION_S)
-        finally:
-            traffic.cancel()
         served = env.checker.served_count / env.checker.attempt_count
         return Outcome(
             limited,
@@ -78,7 +86,7 @@
     """Guards against hosts that overrun a limit, or go on asking after a signal."""
     outcome = asyncio.run(_run(tmp_path))
     over_limit = [
-        most_over_limit(server.arrivals, _LIMIT_PER_S, outcome.limited_at_s)
+        _most_over_limit(server.arrivals, outcome.limited_at_s)
         for server in outcome.limited
     ]
     late = arrivals_after_leaving(outcome.leaving.arrivals)
@@ -101,7 +109,7 @@
     """Guards against a check that misses a burst, or counts before hosts know."""
     early = [Arrival(4.0, "h")] * 40
     arrivals = early + [Arrival(7.0 + 0.1 * number, "h") for number in range(count)]
-    assert (most_over_limit(arrivals, _LIMIT_PER_S, 1.0) > 1) is is_over
+    assert (_most_over_limit(arrivals, 1.0) > 1) is is_over
 
 
 def test_check_counts_requests_of_hosts_that_were_told_of_leaving():
--- a/tools/measure_formation.py
+++ b/tools/measure_formation.py
@@ -16,12 +16,11 @@
 from kingcuplug_platform.formats import DOCUMENT_PATH
 from kingcuplug_soak._hosts import HostCluster
 from kingcuplug_soak._http_client import send_request
-from kingcuplug_soak._traffic import encode_soak_document
+from kingcuplug_soak._traffic import DEFAULT_ATTEMPTS, encode_soak_document
 
 _BASE_PORT = 19_000
 _TIMEOUT_S = 60.0
 _RETRY_S = 0.02
-_MAX_ATTEMPTS = {"query": 2, "read": 2, "order": 2}
 
 
 def measure(
@@ -75,7 +74,7 @@
 
 async def _change_routes(cluster: HostCluster, version: int) -> None:
     """Send a change to one host after another until it is acknowledged."""
-    body = encode_soak_document(version, ("s0",), 5_000, _MAX_ATTEMPTS)
+    body = encode_soak_document(version, ("s0",), 5_000, DEFAULT_ATTEMPTS)
     core = [host for host in cluster.hosts if host.has_disk]
     async with asyncio.timeout(_TIMEOUT_S):
         while True:
