Derive what was kept beside its source in the request path

Found by reading the whole change again; behaviour stays as it is.

- ServiceCall's reserved attempt follows from blocked hedging; it was kept beside it.
- InboundConnection asked the parser for an offered upgrade twice a request; the second answer is whether the headers are still open.
- CrashWitness listed the ids of crashed servers to ask only whether there are any.

--- a/packages/common/src/kingcuplug_common/__init__.py
+++ b/packages/common/src/kingcuplug_common/__init__.py
@@ -18,6 +18,7 @@
 )
 from kingcuplug_common._event_log import EventLog
 from kingcuplug_common._json_types import (
+    MAX_AMOUNT,
     require_amount,
     require_count,
     require_integer,
@@ -59,6 +60,7 @@
     )
 
 __all__ = [
+    "MAX_AMOUNT",
     "Condition",
     "EventLog",
     "Hop",
--- a/packages/common/src/kingcuplug_common/_json_types.py
+++ b/packages/common/src/kingcuplug_common/_json_types.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 __all__ = [
+    "MAX_AMOUNT",
     "require_amount",
     "require_count",
     "require_integer",
@@ -17,9 +18,9 @@
     "require_strings",
 ]
 
-# Sums of many values up to this one can be computed and encoded. Servers' heartbeats,
-# which control hosts pass on, have the same bound.
-_MAX_AMOUNT = 2**53 - 1
+# Greater integers are not the same for all readers of JSON. Sums of many values up to
+# this one can be computed and encoded.
+MAX_AMOUNT = 2**53 - 1
 
 
 def require_integer(value: Any, minimum: int = 0) -> int:
@@ -61,8 +62,8 @@
         If the value is anything else, or too large.
     """
     count = require_integer(value)
-    if count > _MAX_AMOUNT:
-        raise ValueError(f"{value!r} is above {_MAX_AMOUNT}")
+    if count > MAX_AMOUNT:
+        raise ValueError(f"{value!r} is above {MAX_AMOUNT}")
     return count
 
 
@@ -75,8 +76,8 @@
         If the value is anything else, or too large.
     """
     amount = require_number(value)
-    if abs(amount) > _MAX_AMOUNT:
-        raise ValueError(f"{value!r} is above {_MAX_AMOUNT}")
+    if abs(amount) > MAX_AMOUNT:
+        raise ValueError(f"{value!r} is above {MAX_AMOUNT}")
     return amount
 
 
--- a/packages/gateway/src/kingcuplug_gateway/_crash_witness.py
+++ b/packages/gateway/src/kingcuplug_gateway/_crash_witness.py
@@ -81,11 +81,6 @@
                 for s in checked
             )
         )
-        crashed = [
-            server.info.id
-            for server, condition in zip(checked, conditions, strict=True)
-            if condition.is_down
-        ]
         reaches_other = await self._reaches_other_server(lost)
         fields = {
             "fingerprint": identity.fingerprint,
@@ -96,7 +91,8 @@
                 for server, condition in zip(checked, conditions, strict=True)
             },
         }
-        if not crashed or not reaches_other:
+        is_down = any(condition.is_down for condition in conditions)
+        if not is_down or not reaches_other:
             self._log.write("no_crash_found", fields | {"reaches_other": reaches_other})
             return
         self._metrics.count("servers_crashed_under_request")
--- a/packages/gateway/src/kingcuplug_gateway/_service_call.py
+++ b/packages/gateway/src/kingcuplug_gateway/_service_call.py
@@ -173,7 +173,6 @@
             pool.peer_retry_budget if for_peer else pool.caller_retry_budget
         )
         self._hedging_blocked = for_peer
-        self._reserved_attempts = 1 if for_peer and max_attempts > 1 else 0
         self._awaits_reserved_attempt = False
         self._loop = asyncio.get_running_loop()
         self._server_table = server_table
@@ -256,12 +255,15 @@
             self._hedge_timer.cancel()
             self._hedge_timer = self._loop.call_at(at, self._hedge)
 
+    @property
+    def _reserved_attempts(self) -> int:
+        return 1 if self._hedging_blocked and self._max_attempts > 1 else 0
+
     def allow_all_attempts(self) -> None:
         """Allow all attempts, and send another one now if the call is unfinished."""
         if not self._hedging_blocked:
             return
         self._hedging_blocked = False
-        self._reserved_attempts = 0
         if self.finished:
             return
         if self._awaits_reserved_attempt:
--- a/packages/http/src/kingcuplug_http/_inbound.py
+++ b/packages/http/src/kingcuplug_http/_inbound.py
@@ -304,8 +304,8 @@
             self._reject(error_response(413, "the body is too large"))
 
     def on_message_complete(self) -> None:
-        """Queue the complete request."""
-        if self._offers_upgrade():
+        """Queue the complete request, unless it is read again without an offer."""
+        if self._in_headers:
             return
         self._in_body = False
         self._header_bytes = 0
