--- a/packages/common/src/kingcuplug_common/_event_log.py
+++ b/packages/common/src/kingcuplug_common/_event_log.py
@@ -55,17 +55,19 @@
     descriptor : int
         Destination of the lines; set to non-blocking.
     host : str
-        Name of the host, part of each line.
+        Name of the host, part of each line; empty until the settings are known.
 
     Attributes
     ----------
+    host : str
+        Name of the host in the lines that follow.
     dropped : int
         Lines lost because the reader was too slow.
     """
 
     def __init__(self, descriptor: int, host: str) -> None:
         self._descriptor = descriptor
-        self._host = host
+        self.host = host
         self._buckets: dict[str, _TokenBucket] = {}
         self._queued_lines: deque[bytes] = deque()
         self._buffered_bytes = 0
@@ -98,7 +100,7 @@
             return
         line = {
             "event": kind,
-            "host": self._host,
+            "host": self.host,
             "time_us": int(time.time() * _US_PER_S),
             "monotonic_us": int(now * _US_PER_S),
             **fields,
