--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -454,11 +454,15 @@
 
     def _install_handlers(self) -> None:
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
-        loop.add_signal_handler(signal.SIGINT, self._stop_requested.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
-        # One that arrived during the start is pending.
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+        handlers: dict[signal.Signals, Callable[[], None]] = {
+            signal.SIGTERM: self._stop_requested.set,
+            signal.SIGINT: self._stop_requested.set,
+            signal.SIGHUP: self._reload_settings,
+        }
+        for number, handler in handlers.items():
+            loop.add_signal_handler(number, handler)
+        # Those that arrived during the start are pending.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, handlers)
         loop.set_exception_handler(self._on_exception)
         set_state_change_sink(
             lambda subject, state, fields: self._log.write(
--- a/tests/platform_formats/conftest.py
+++ b/tests/platform_formats/conftest.py
@@ -115,12 +115,19 @@
     def start(
         settings: dict[str, Any] | None = None,
         data: bytes | None = None,
+        is_pipe: bool = False,
         **options: Any,
     ) -> HostRun:
-        """Start a process; `data` replaces the content of its settings file."""
+        """Start a process; `data` replaces the content of its settings file.
+
+        With `is_pipe` the test writes the settings, for which the process waits.
+        """
         settings = make_settings() if settings is None else settings
         path = tmp_path / f"settings-{len(runs)}.json"
-        path.write_bytes(orjson.dumps(settings) if data is None else data)
+        if is_pipe:
+            os.mkfifo(path)
+        else:
+            path.write_bytes(orjson.dumps(settings) if data is None else data)
         process = subprocess.Popen(
             [sys.executable, "-m", "kingcuplug_platform"],
             # The sources under test, not an installed copy.
