Wait for usable settings in place of ending without them

Cause: what passes by itself was treated as fatal. Settings that lack a field or hold a value of another type raise SettingsUnusable, also at a reload, where an AttributeError used to reach the event loop.

--- a/packages/node/src/kingcuplug_node/__init__.py
+++ b/packages/node/src/kingcuplug_node/__init__.py
@@ -2,6 +2,13 @@
 
 from kingcuplug_node._host import Elsewhere, Host, RecordImplausible
 from kingcuplug_node._process import run_process
-from kingcuplug_node._settings import NodeSettings
+from kingcuplug_node._settings import NodeSettings, SettingsUnusable
 
-__all__ = ["Elsewhere", "Host", "NodeSettings", "RecordImplausible", "run_process"]
+__all__ = [
+    "Elsewhere",
+    "Host",
+    "NodeSettings",
+    "RecordImplausible",
+    "SettingsUnusable",
+    "run_process",
+]
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -57,7 +57,7 @@
 )
 from kingcuplug_http import Limits, Listener, Request, Response, error_response
 
-from kingcuplug_node._settings import NodeSettings
+from kingcuplug_node._settings import NodeSettings, SettingsUnusable
 
 if TYPE_CHECKING:
     from kingcuplug_fleet import ControlReplica
@@ -144,8 +144,8 @@
     ----------
     decode_routes : callable
         Decodes a committed route document into a route table.
-    load_settings : callable
-        Returns the current settings, or ``None`` if they cannot be read.
+    read_settings : callable
+        Returns the current settings, or raises `SettingsUnusable`.
     """
 
     def __init__(
@@ -153,12 +153,12 @@
         settings: NodeSettings,
         header_names: HeaderNames,
         decode_routes: Callable[[str], RouteTable],
-        load_settings: Callable[[], NodeSettings | None],
+        read_settings: Callable[[], NodeSettings],
         log: EventLog,
     ) -> None:
         self._settings = settings
         self._decode_routes = decode_routes
-        self._load_settings = load_settings
+        self._read_settings = read_settings
         self._log = log
         self._metrics = Metrics()
         self._peer_client = PeerClient()
@@ -788,8 +788,13 @@
 
     def _reload_settings(self) -> None:
         """Apply changed seeds; other settings take effect at the next start."""
-        settings = self._load_settings()
-        if settings is None or settings.seeds == self._settings.seeds:
+        try:
+            settings = self._read_settings()
+        except SettingsUnusable as error:
+            # The file may be in the middle of a replacement.
+            self._log.write("settings_unreadable", {"error": str(error)})
+            return
+        if settings.seeds == self._settings.seeds:
             return
         self._settings = settings
         self._log.write(
--- a/packages/node/src/kingcuplug_node/_settings.py
+++ b/packages/node/src/kingcuplug_node/_settings.py
@@ -4,9 +4,25 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from kingcuplug_common import KingcuplugError
 from kingcuplug_routing import RetryBudgetSettings
 
-__all__ = ["NodeSettings"]
+__all__ = ["NodeSettings", "SettingsUnusable"]
+
+
+class SettingsUnusable(KingcuplugError):
+    """The settings cannot be read, lack a value, or hold an invalid one.
+
+    Parameters
+    ----------
+    cause : str
+        What is wrong with them.
+    """
+
+    def __init__(self, cause: str) -> None:
+        super().__init__(
+            f"the settings are unusable: {cause}", "write a complete settings file"
+        )
 
 
 @dataclass(frozen=True)
