Start with defaults where settings lack a field, and check all others

A value of another type went through and failed later, elsewhere.

Every field is checked, and the error names it.

--- a/tests/platform_formats/test_formats.py
+++ b/tests/platform_formats/test_formats.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from kingcuplug_fleet import ServerState
+from kingcuplug_node import SettingsUnusable
 from kingcuplug_platform.formats import (
     DocumentInvalid,
     StatementInvalid,
@@ -196,6 +197,45 @@
         decode_document(text[: min(length, len(text) - 1)])
 
 
+@pytest.mark.parametrize(
+    "name",
+    [
+        "seeds",
+        "first_start",
+        "heartbeat_interval_ms",
+        "bounds",
+        "limits",
+        "fault_tolerance",
+    ],
+)
+def test_settings_that_lack_a_field_with_a_default_are_used(name):
+    """Guards against a host that never starts because one setting is left out."""
+    fields = {key: field for key, field in SETTINGS.items() if key != name}
+    assert decode_settings(json.dumps(fields).encode()).host == SETTINGS["node_name"]
+
+
+@pytest.mark.parametrize(
+    ("fields", "cause"),
+    [
+        ({"node_name": None}, "node_name is missing"),
+        ({"listen": {}}, "front is missing"),
+        ({"listen": SETTINGS["listen"] | {"front": "10.0.0.1:70000"}}, "front: "),
+        ({"listen": SETTINGS["listen"] | {"control": "8224"}}, "control: "),
+        ({"seeds": "10.0.0.1:8224"}, "seeds: "),
+        ({"first_start": "yes"}, "first_start: "),
+        ({"heartbeat_interval_ms": 0}, "heartbeat_interval_ms: "),
+        ({"bounds": {"grace_s": "6"}}, "grace_s: "),
+        ({"bounds": {"grace_s": 1e308}}, "grace_s: "),
+        ({"limits": {"link_mbps": -1}}, "link_mbps: "),
+        ({"fault_tolerance": []}, "fault_tolerance: "),
+    ],
+)
+def test_invalid_settings_are_rejected_by_the_name_of_the_field(fields, cause):
+    """Guards against an invalid value that ends the process later, elsewhere."""
+    with pytest.raises(SettingsUnusable, match=cause):
+        decode_settings(json.dumps(SETTINGS | fields).encode())
+
+
 def test_settings_without_data_directory_and_with_unknown_fields():
     """Guards against a host that fails to start on unknown settings fields."""
     settings = decode_settings(json.dumps(SETTINGS | {"new": 1}).encode())
