Wait for addresses that are not free in place of ending

Callers were not served for want of a metrics port.

Now each listener tries again every half second, with a line that names address, error and remedy, and the host runs meanwhile. The control address guards the data folder: log, directory and routes are opened only once the host listens there, and it is the last one that a stopping host releases, so two processes never use one folder. A host that listens late keeps the newer facts that it has learnt over those of its file. A host whose callers' port is not free is not ready, and stops without a drain.

tests/platform_formats/test_start.py: the six new cases failed before, with "address already in use" and "cannot assign requested address".

--- a/packages/fleet/src/kingcuplug_fleet/_directory_file.py
+++ b/packages/fleet/src/kingcuplug_fleet/_directory_file.py
@@ -44,7 +44,11 @@
         self._saved = Condition()
 
     def load(self) -> None:
-        """Load the state from the file; ignore a missing or unreadable file."""
+        """Load the state from the file; ignore a missing or unreadable file.
+
+        What control hosts have said since the start is newer than the file's facts
+        about the fleet. Records of servers are merged by their rank.
+        """
         try:
             value = require_mapping(orjson.loads(self._path.read_bytes()))
             records = [ServerRecord.from_json(entry) for entry in value["servers"]]
@@ -62,12 +66,13 @@
             self._log.write("directory_file_unreadable", {"error": repr(error)})
             return
         self._view.merge_servers(records)
-        self._view.assume_host_count(hosts)
-        self._view.zones.update(zones)
-        self._view.set_control_hosts(list(zones))
-        self._view.set_reachable_control_hosts(tuple(reachable))
-        self._saved_state = self._state()
-        self._saved_version = self._view.directory.version
+        if not self._view.control_hosts:
+            self._view.assume_host_count(hosts)
+            self._view.zones.update(zones)
+            self._view.set_control_hosts(list(zones))
+            self._view.set_reachable_control_hosts(tuple(reachable))
+            self._saved_state = self._state()
+            self._saved_version = self._view.directory.version
         self._log.write(
             "directory_loaded",
             {"servers": len(records), "hosts": hosts, "control_hosts": len(zones)},
--- a/packages/http/src/kingcuplug_http/_inbound.py
+++ b/packages/http/src/kingcuplug_http/_inbound.py
@@ -90,6 +90,11 @@
         )
         return f"{host}:{self._server.sockets[0].getsockname()[1]}"
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether new connections are accepted."""
+        return self._server is not None and self._server.is_serving()
+
     def stop_accepting(self) -> None:
         """Accept the connections that are already established, and no further ones.
 
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -7,7 +7,7 @@
 import signal
 import time
 from collections.abc import Awaitable, Callable, Coroutine
-from functools import partial
+from functools import partial, wraps
 from typing import TYPE_CHECKING, Any
 
 from kingcuplug_common import (
@@ -57,6 +57,7 @@
 )
 from kingcuplug_http import Limits, Listener, Request, Response, error_response
 
+from kingcuplug_node._listening import Endpoint, listen_when_free, try_listen
 from kingcuplug_node._settings import NodeSettings, SettingsUnusable
 
 if TYPE_CHECKING:
@@ -164,6 +165,7 @@
         self._peer_client = PeerClient()
         self._stop_requested = asyncio.Event()
         self._stopping = False
+        self._data_opened = asyncio.Event()
         self._random = random_module.Random()
         silent_after_s = (
             settings.heartbeat_interval_ms * _SILENT_AFTER_INTERVALS / _MS_PER_S
@@ -330,47 +332,63 @@
             Handles calls of backend servers and operators.
         """
         self._install_handlers()
-        if self._directory_file is not None:
-            self._directory_file.load()
-        control_listener = Listener(
-            self._make_control_handler(control_handler), lambda: _CONTROL_HTTP_LIMITS
-        )
-        readiness_listener = Listener(
-            self._handle_readiness_probe, lambda: _CONTROL_HTTP_LIMITS
-        )
-        settings = self._settings
-        await control_listener.start(
-            settings.control_bind_address or settings.control_address
-        )
-        await readiness_listener.start(self._settings.ready_address)
-        metrics_listener = Listener(
-            self._handle_metrics_request, lambda: _CONTROL_HTTP_LIMITS
-        )
-        await metrics_listener.start(self._settings.metrics_address)
-        await self._caller_listener.start(self._settings.caller_address)
         self._log.write("started", {"zone": self._settings.availability_zone}, True)
+        endpoints = self._make_endpoints(control_handler)
+        # Other hosts learn of this one only once it listens, if its addresses are free.
+        waiting = [e for e in endpoints if await try_listen(e, self._log) is not None]
         gc.freeze()
-        tasks = [
-            asyncio.create_task(self._supervise(start))
-            for start in self._background_tasks()
+        starts: list[BackgroundTask] = [
+            partial(listen_when_free, endpoint, self._log) for endpoint in waiting
         ]
+        starts += self._background_tasks()
+        tasks = [asyncio.create_task(self._supervise(start)) for start in starts]
         await self._stop_requested.wait()
         await self._drain()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        for listener in (
-            control_listener,
-            readiness_listener,
-            metrics_listener,
-            self._caller_listener,
-        ):
-            await listener.stop()
+        # The control address last: the next process uses the data folder once it is
+        # free.
+        for endpoint in reversed(endpoints):
+            await endpoint.listener.stop()
         self._gateway.close()
         self._peer_client.close()
         self._log.write("stopped", {}, bypass_rate_limit=True)
         self._log.flush()
 
+    def _make_endpoints(self, control_handler: ControlHandler) -> list[Endpoint]:
+        """Return all listeners, that of the control API first."""
+        settings = self._settings
+        control_listener = Listener(
+            self._make_control_handler(control_handler), lambda: _CONTROL_HTTP_LIMITS
+        )
+        readiness_listener = Listener(
+            self._handle_readiness_probe, lambda: _CONTROL_HTTP_LIMITS
+        )
+        metrics_listener = Listener(
+            self._handle_metrics_request, lambda: _CONTROL_HTTP_LIMITS
+        )
+        return [
+            Endpoint(
+                "control",
+                control_listener,
+                settings.control_bind_address or settings.control_address,
+                self._open_data,
+            ),
+            Endpoint("readiness", readiness_listener, settings.ready_address),
+            Endpoint("metrics", metrics_listener, settings.metrics_address),
+            Endpoint("callers", self._caller_listener, settings.caller_address),
+        ]
+
+    def _open_data(self) -> None:
+        """Begin to use the data folder, which the control address guards.
+
+        A process that still listens there, or stops, may write to the folder.
+        """
+        if self._directory_file is not None:
+            self._directory_file.load()
+        self._data_opened.set()
+
     def _make_replica(self) -> "ControlReplica | None":
         settings = self._settings
         if settings.data_folder is None:
@@ -405,13 +423,14 @@
             self._send_reports,
         ]
         if self._directory_file is not None:
-            tasks.append(self._directory_file.run)
+            tasks.append(self._once_data_is_open(self._directory_file.run))
         if self._routes_file is not None:
             use_saved_routes = partial(self._use_saved_routes, self._routes_file)
-            tasks += [use_saved_routes, self._routes_file.run]
+            tasks.append(self._once_data_is_open(use_saved_routes))
+            tasks.append(self._once_data_is_open(self._routes_file.run))
         if self._replica is not None:
             tasks += [
-                self._replica.run,
+                self._once_data_is_open(self._replica.run),
                 self._mesh.run,
                 partial(self._update_control_hosts, self._replica),
                 partial(
@@ -425,6 +444,16 @@
             ]
         return tasks
 
+    def _once_data_is_open(self, start: BackgroundTask) -> BackgroundTask:
+        """Return a task that waits until this process may use the data folder."""
+
+        @wraps(start)
+        async def run() -> None:
+            await self._data_opened.wait()
+            await start()
+
+        return run
+
     async def _supervise(self, start: BackgroundTask) -> None:
         """Run a background task, and start it again if it raises an exception.
 
@@ -626,7 +655,7 @@
         return await self._replica.handle_call(path, value)
 
     async def _handle_readiness_probe(self, request: Request) -> Response:
-        if self.ready:
+        if self.ready and self._caller_listener.is_listening:
             return Response(200, [], b"")
         return error_response(503, "stopping" if self._stopping else "no routes yet")
 
@@ -813,6 +842,8 @@
             {"busy": self._caller_listener.busy_connections},
             bypass_rate_limit=True,
         )
+        if not self._caller_listener.is_listening:
+            return
         grace_s = settings.termination_grace_ms / _MS_PER_S
         await asyncio.sleep(min(_MAX_DRAIN_S, grace_s * _DRAIN_GRACE_RATIO))
         self._caller_listener.stop_accepting()
--- a/tests/platform_formats/test_start.py
+++ b/tests/platform_formats/test_start.py
@@ -2,6 +2,7 @@
 
 import os
 import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -9,6 +10,7 @@
 import orjson
 import pytest
 
+LISTENERS = ("front", "ready", "control")
 # Stands for the modules of the host, whose imports take most of the start.
 _SLOW_IMPORT = """
 import signal
@@ -104,3 +106,52 @@
     run.process.send_signal(signal.SIGTERM)
     run.wait_for_event("stopped")
     assert run.wait_for_exit() == 0
+
+
+@pytest.mark.parametrize("name", ["front", "ready", "control"])
+def test_host_waits_for_a_port_that_is_in_use(start_host, make_settings, name):
+    """Guards against a host that ends because the one before it still stops."""
+    settings = make_settings()
+    host, _, port = settings["listen"][name].rpartition(":")
+    with socket.create_server((host, int(port))):
+        run = start_host(settings)
+        line = run.wait_for_event("address_unavailable")
+        assert line["address"] == settings["listen"][name]
+        assert "end what uses the port" in line["remedy"]
+    run.wait_for_event("listening", count=3)
+    run.wait_for_ready()
+
+
+def test_host_that_waits_for_its_addresses_can_be_stopped(start_host, make_settings):
+    """Guards against a host that holds up its platform until SIGKILL."""
+    settings = make_settings()
+    listen = {name: f"192.0.2.1:{port}" for port, name in enumerate(LISTENERS, 9_001)}
+    run = start_host(settings | {"ip": "192.0.2.1", "listen": listen})
+    run.wait_for_event("address_unavailable", count=4)
+    run.process.send_signal(signal.SIGTERM)
+    run.wait_for_event("stopped")
+    assert run.wait_for_exit() == 0
+
+
+def test_hosts_at_one_address_share_its_metrics_port(start_host):
+    """Guards against callers that are not served because a metrics port is taken."""
+    runs = [start_host(), start_host()]
+    for run in runs:
+        run.wait_for_ready()
+    for run in runs:
+        run.wait_for_event("started")
+
+
+def test_successor_takes_over_while_its_predecessor_is_killed(
+    start_host, make_settings, tmp_path
+):
+    """Guards against a restart that fails because it comes a moment too early."""
+    settings = make_settings(data_directory=str(tmp_path / "data"))
+    first = start_host(settings)
+    first.wait_for_event("replica_started")
+    second = start_host(settings)
+    second.wait_for_event("address_unavailable")
+    first.process.kill()
+    line = second.wait_for_event("replica_started")
+    assert not line["fresh"]
+    second.wait_for_ready()
