Start without standard output, input or error

With a closed input or error it ran, but its first socket got the number, and what is written to standard error, such as a trace of the interpreter, went into a connection.

The class: a resource that the parent process gives is taken for granted.

tests/platform_formats/test_start.py: five cases failed before, those without input or error because /proc shows a socket under their number.

--- a/tests/platform_formats/test_start.py
+++ b/tests/platform_formats/test_start.py
@@ -155,3 +155,18 @@
     line = second.wait_for_event("replica_started")
     assert not line["fresh"]
     second.wait_for_ready()
+
+
+@pytest.mark.parametrize("closed", [(0,), (1,), (2,), (1, 2), (0, 1, 2)])
+def test_host_starts_without_standard_descriptors(start_host, closed):
+    """Guards against a host that needs an output, or logs into one of its sockets."""
+
+    def close() -> None:
+        for descriptor in closed:
+            os.close(descriptor)
+
+    run = start_host(stdout=subprocess.DEVNULL, preexec_fn=close)
+    run.wait_for_ready()
+    for descriptor in closed:
+        target = Path(f"/proc/{run.process.pid}/fd/{descriptor}").readlink()
+        assert target == Path(os.devnull)
