--- a/tests/platform_formats/conftest.py
+++ b/tests/platform_formats/conftest.py
@@ -6,7 +6,8 @@
 import sys
 import threading
 import time
-from collections.abc import Callable, Iterator
+import tomllib
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import IO, Any
@@ -14,6 +15,11 @@
 import orjson
 import pytest
 
+_DEPLOYMENT = Path(__file__).parents[2] / "deploy/system.toml"
+# How the platform starts a host, without the interpreter's name.
+RUN_ARGUMENTS = tomllib.loads(_DEPLOYMENT.read_text())["roles"]["host"]["run"].split()[
+    1:
+]
 _TIMEOUT_S = 30.0
 _POLL_INTERVAL_S = 0.01
 
@@ -116,11 +122,13 @@
         settings: dict[str, Any] | None = None,
         data: bytes | None = None,
         is_pipe: bool = False,
+        first_module_folders: Sequence[Path] = (),
         **options: Any,
     ) -> HostRun:
         """Start a process; `data` replaces the content of its settings file.
 
         With `is_pipe` the test writes the settings, for which the process waits.
+        `first_module_folders` come before those of the sources under test.
         """
         settings = make_settings() if settings is None else settings
         path = tmp_path / f"settings-{len(runs)}.json"
@@ -128,11 +136,15 @@
             os.mkfifo(path)
         else:
             path.write_bytes(orjson.dumps(settings) if data is None else data)
+        folders = [*first_module_folders, *sys.path]
         process = subprocess.Popen(
-            [sys.executable, "-m", "kingcuplug_platform"],
-            # The sources under test, not an installed copy.
+            [sys.executable, *RUN_ARGUMENTS],
             env=os.environ
-            | {"KINGCUPLUG_CONFIG": str(path), "PYTHONPATH": os.pathsep.join(sys.path)},
+            | {
+                "KINGCUPLUG_CONFIG": str(path),
+                # The sources under test, not an installed copy.
+                "PYTHONPATH": os.pathsep.join(map(str, folders)),
+            },
             **({"stdout": subprocess.PIPE, "stderr": subprocess.DEVNULL} | options),
         )
         run = HostRun(settings, path, process)
--- a/tests/platform_formats/test_start.py
+++ b/tests/platform_formats/test_start.py
@@ -170,3 +170,9 @@
     for descriptor in closed:
         target = Path(f"/proc/{run.process.pid}/fd/{descriptor}").readlink()
         assert target == Path(os.devnull)
+
+
+def test_start_does_not_depend_on_the_modules_of_the_machine(start_host, tmp_path):
+    """Guards against a start that a customization of the machine's Python ends."""
+    Path(tmp_path, "sitecustomize.py").write_text("import os\nos._exit(3)\n")
+    start_host(first_module_folders=[tmp_path]).wait_for_ready()
