--- a/tests/deploy/conftest.py
+++ b/tests/deploy/conftest.py
@@ -91,6 +91,21 @@
         path = os.pathsep.join([str(self.interpreter.bin), os.environ["PATH"]])
         return {"PATH": path, "HOME": str(self.root)}
 
+    def replace_copy(self, command: str) -> None:
+        """Have `cp` run a command after each copy; `calls` counts the copies."""
+        copy = self.interpreter.bin / "cp"
+        counter = self.root / "copies"
+        counter.unlink(missing_ok=True)
+        copy.write_text(
+            f"""#!/bin/sh
+{shutil.which("cp")} "$@" || exit
+echo >> {counter}
+calls=$(wc -l < {counter})
+{command}
+"""
+        )
+        copy.chmod(0o755)
+
     def start_build(self, **variables: str) -> subprocess.Popen[str]:
         """Start a build as the deploy file names it."""
         return subprocess.Popen(
--- a/tests/deploy/test_build.py
+++ b/tests/deploy/test_build.py
@@ -106,3 +106,89 @@
     assert status != 0
     assert "Python 3.11" in output
     assert interpreter.count_installs() == 0
+
+
+def _change_source(tree):
+    source = tree.root / "platform/src/kingcuplug_platform/_main.py"
+    source.write_text(source.read_text() + "\n# Changed.\n")
+
+
+def _is_change_in_tree(tree):
+    built = tree.root / "target/deps/kingcuplug_platform/_main.py"
+    return "# Changed." in built.read_text()
+
+
+# The first copy is that of the libraries, the ninth that of the last package.
+@pytest.mark.parametrize("copies", [1, 9])
+@pytest.mark.parametrize("end", ["kill -KILL $PPID", "exit 1"])
+def test_interrupted_build_leaves_a_usable_tree(tree, copies, end):
+    """Guards against a build, killed or on a full disk, that leaves half a tree."""
+    tree.build()
+    _change_source(tree)
+    tree.replace_copy(f'[ "$calls" -ne {copies} ] || {end}')
+    assert tree.build()[0] != 0
+    assert tree.import_host() == ""
+    assert not _is_change_in_tree(tree)
+    # Only a killed build leaves its files behind; they may fill the disk.
+    killed = "KILL" in end
+    assert (tree.root / "target/deps.new").exists() == killed
+    tree.replace_copy("")
+    assert tree.build()[0] == 0
+    assert tree.import_host() == ""
+    assert _is_change_in_tree(tree)
+
+
+def test_build_interrupted_while_it_replaces_the_tree_can_be_repeated(tree):
+    """Guards against a tree that is removed before the new one is whole."""
+    tree.build()
+    deps = tree.root / "target/deps"
+    deps.rename(deps.with_name("deps.old"))
+    tree.replace_copy("exit 1")
+    assert tree.build()[0] != 0
+    assert tree.import_host() == ""
+
+
+def test_hosts_start_during_a_build(tree):
+    """Guards against hosts that find half of a tree and end."""
+    tree.build()
+    _change_source(tree)
+    log = tree.root / "imports"
+    statement = "import kingcuplug_platform._main; print('imported')"
+    tree.replace_copy(
+        f'PYTHONPATH="$PWD/target/deps" python3 -c "{statement}" >> {log} 2>&1'
+    )
+    assert tree.build()[0] == 0
+    outputs = log.read_text().splitlines()
+    assert len(outputs) > 1
+    assert set(outputs) == {"imported"}
+    assert _is_change_in_tree(tree)
+
+
+def test_builds_at_once_do_not_disturb_each_other(tree, interpreter):
+    """Guards against a build that removes what another one has just placed."""
+    builds = [tree.start_build() for _ in range(4)]
+    outputs = [build.communicate(timeout=120)[0] for build in builds]
+    assert [build.returncode for build in builds] == [0] * len(builds), outputs
+    assert tree.import_host() == ""
+    assert interpreter.count_installs() == 1
+
+
+def test_unchanged_tree_is_kept_for_the_hosts_that_run_from_it(tree):
+    """Guards against needless changes below hosts that import a module later."""
+    tree.build()
+    deps = tree.root / "target/deps"
+    before = deps.stat()
+    assert tree.build()[0] == 0
+    after = deps.stat()
+    # A new folder may get the number of a removed one.
+    assert (after.st_ino, after.st_mtime_ns) == (before.st_ino, before.st_mtime_ns)
+
+
+def test_damaged_bytecode_is_replaced(tree):
+    """Guards against hosts that end because a compiled module was cut."""
+    tree.build()
+    for path in tree.root.glob("target/deps/kingcuplug_platform/__pycache__/*.pyc"):
+        path.write_bytes(path.read_bytes()[:100])
+    assert "EOFError" in tree.import_host()
+    assert tree.build()[0] == 0
+    assert tree.import_host() == ""
