Create the environment anew if it is from elsewhere

`make venv` believed its stamp, like the build of the hosts' tree: an environment that was carried over from another kind of machine, or whose folder was moved, was used as it was. Its scripts then start the interpreter of another checkout, and its extension modules do not load.

tools/check_environment.py compares the tags of the installed packages with those of the interpreter, and the path in the scripts with the environment's. If it fails, the environment is created and installed anew. A shared environment named by VENV is used as it is, as before.

After a move and with a package for another machine `make` had nothing to do; with an interpreter that is not there it did nothing either.

--- a/Makefile
+++ b/Makefile
@@ -11,9 +11,17 @@
 
 .PHONY: bench capacity demo check format lint types test system matrix models models-large spin venv
 
-# Only the default environment is installed; a shared one is used as it is.
+# Only the default environment is installed; a shared one is used as it is. One that was
+# carried over from another machine or folder is created anew.
+CHECK_VENV := .venv/bin/python tools/check_environment.py
+ifeq ($(VENV),.venv)
+ifneq ($(shell $(CHECK_VENV) > /dev/null 2>&1 || echo unusable),)
+.PHONY: .venv/.installed
+endif
+endif
+
 .venv/.installed: requirements-dev.txt constraints.txt packages/*/pyproject.toml platform/pyproject.toml
-	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(CHECK_VENV) || $(PYTHON) -m venv --clear $(VENV)
 	$(BIN)/pip install --quiet --requirement requirements-dev.txt
 	touch $@
 
