Check the tree without the packages of the machine, as hosts run

The three cases of a missing library in tests/deploy/test_build.py now install it for the interpreter, too. They failed before: the build returned 0.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -90,8 +90,9 @@
 fi
 "$python" -E -m compileall -q -f "$tree"
 
-# Everything that a host imports, also what it imports only when it is needed.
-run_as_host "$python" -c '
+# Everything that a host imports, also what it imports only when it is needed. Hosts run
+# without the packages of the machine, too.
+run_as_host "$python" -S -c '
 import kingcuplug_platform._main
 from kingcuplug_common import Metrics, render_metrics
 from kingcuplug_fleet import ControlReplica
--- a/tests/deploy/conftest.py
+++ b/tests/deploy/conftest.py
@@ -73,6 +73,10 @@
         plan = {"libraries": libraries, "status": status}
         (self.site_packages / "pip/plan").write_text(json.dumps(plan))
 
+    def add_to_machine(self, library: str) -> None:
+        """Install a library for the interpreter itself, not for hosts."""
+        shutil.copytree(_find_library(library), self.site_packages / library)
+
     def count_installs(self) -> int:
         """Return how often pip was called."""
         calls = self.site_packages / "pip/calls"
@@ -128,6 +132,7 @@
         run = subprocess.run(
             [
                 "python3",
+                "-S",
                 "-c",
                 "import kingcuplug_platform._main, prometheus_client;"
                 "from kingcuplug_fleet import ControlReplica",
--- a/tests/deploy/test_build.py
+++ b/tests/deploy/test_build.py
@@ -75,6 +75,8 @@
 def test_build_fails_if_a_host_would_lack_a_library(tree, interpreter, library):
     """Guards against hosts that end at the start, or fail at a first request."""
     interpreter.plan_installs(without=library)
+    # Hosts do not see the packages that the machine has.
+    interpreter.add_to_machine(library)
     status, output = tree.build()
     assert status != 0
     assert f"No module named '{library}'" in output
@@ -155,7 +157,7 @@
     log = tree.root / "imports"
     statement = "import kingcuplug_platform._main; print('imported')"
     tree.replace_copy(
-        f'PYTHONPATH="$PWD/target/deps" python3 -c "{statement}" >> {log} 2>&1'
+        f'PYTHONPATH="$PWD/target/deps" python3 -S -c "{statement}" >> {log} 2>&1'
     )
     assert tree.build()[0] == 0
     outputs = log.read_text().splitlines()
