Close a log file's descriptor only when no thread uses it

What could be seen: bytes of the log in another connection or file, and an fsync of a descriptor that is not the log's.

Cause: DiskFileSystem.sync handed the number of a descriptor to a worker thread, and close() closed it at once. A cancelled await does not end its thread, so a write that the disk held up went to whatever had got the number meanwhile. It is reachable: a host that is stopped while its disk stalls in the first opening of its data folder closes the new file (Storage._replace_file on CancelledError), and its control listener still accepts connections then. A job that waits in the queue of the thread pool is in the same position.

Change: a handle is no longer the descriptor's number. The file object that owns the descriptor counts the threads that use it, closes it after the last one, and refuses operations that start after its close. run_to_completion replaces asyncio.to_thread in the log: a cancelled sync ends when its thread has ended, so nothing is done to the file after it.

--- a/packages/common/src/kingcuplug_common/__init__.py
+++ b/packages/common/src/kingcuplug_common/__init__.py
@@ -29,6 +29,7 @@
 )
 from kingcuplug_common._lazy_import import import_on_first_use
 from kingcuplug_common._metrics import Metrics, log_state_change, set_state_change_sink
+from kingcuplug_common._threads import run_to_completion
 
 if TYPE_CHECKING:
     from kingcuplug_common._exposition import render_metrics
@@ -98,6 +99,7 @@
     "require_number",
     "require_string",
     "require_strings",
+    "run_to_completion",
     "set_state_change_sink",
     "start_hop",
     "traced_entry",
--- a/packages/log/src/kingcuplug_log/_file_system.py
+++ b/packages/log/src/kingcuplug_log/_file_system.py
@@ -1,10 +1,16 @@
 """File operations on one data folder."""
 
-import asyncio
+import contextlib
+import errno
+import itertools
 import os
+import threading
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Protocol
 
+from kingcuplug_common import run_to_completion
+
 __all__ = ["DiskFileSystem", "FileSystem"]
 
 _APPEND_FLAGS = os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC
@@ -73,25 +79,29 @@
     def __init__(self, folder: Path) -> None:
         folder.mkdir(parents=True, exist_ok=True)
         self._folder = folder
-        self._unwritten: dict[int, bytearray] = {}
+        self._handles = itertools.count(1)
+        self._files: dict[int, _AppendFile] = {}
 
     def open_append(self, name: str) -> int:
         """Open a file for appending, create it if absent; return its handle."""
-        return os.open(self._folder / name, _APPEND_FLAGS, 0o600)
+        file = _AppendFile(self._folder / name)
+        handle = next(self._handles)
+        self._files[handle] = file
+        return handle
 
     def write(self, handle: int, data: bytes) -> None:
         """Buffer `data`, which the next `sync` appends."""
-        self._unwritten.setdefault(handle, bytearray()).extend(data)
+        self._files[handle].unwritten.extend(data)
 
     async def sync(self, handle: int) -> None:
         """Make the content of the file durable."""
-        data = bytes(self._unwritten.pop(handle, b""))
-        await asyncio.to_thread(_write_and_sync, handle, data)
+        file = self._files[handle]
+        data, file.unwritten = bytes(file.unwritten), bytearray()
+        await run_to_completion(file.append_and_sync, data)
 
     def close(self, handle: int) -> None:
         """Close a handle and discard the bytes that were not synced."""
-        self._unwritten.pop(handle, None)
-        os.close(handle)
+        self._files.pop(handle).close()
 
     def rename(self, old: str, new: str) -> None:
         """Rename a file and replace any file that has the new name."""
@@ -99,11 +109,11 @@
 
     async def sync_folder(self) -> None:
         """Make created, renamed and removed names durable."""
-        await asyncio.to_thread(_sync_folder, self._folder)
+        await run_to_completion(_sync_folder, self._folder)
 
     def truncate(self, handle: int, size: int) -> None:
         """Truncate a file to `size` bytes."""
-        os.ftruncate(handle, size)
+        self._files[handle].truncate(size)
 
     def read(self, name: str) -> bytes:
         """Return the content of a file."""
@@ -118,11 +128,60 @@
         (self._folder / name).unlink()
 
 
-def _write_and_sync(handle: int, data: bytes) -> None:
-    unwritten = memoryview(data)
-    while unwritten:
-        unwritten = unwritten[os.write(handle, unwritten) :]
-    os.fsync(handle)
+class _AppendFile:
+    """An open file whose descriptor is closed only when no thread uses it.
+
+    The number of a closed descriptor is given to the next file or connection, which
+    must not get the bytes of a write that is still running.
+
+    Attributes
+    ----------
+    unwritten : bytearray
+        Bytes that the next sync appends.
+    """
+
+    def __init__(self, path: Path) -> None:
+        self.unwritten = bytearray()
+        self._descriptor = os.open(path, _APPEND_FLAGS, 0o600)
+        self._lock = threading.Lock()
+        self._users = 0
+        self._closed = False
+
+    def append_and_sync(self, data: bytes) -> None:
+        """Append all of `data` and make the file's content durable."""
+        with self._use_descriptor() as descriptor:
+            unwritten = memoryview(data)
+            while unwritten:
+                unwritten = unwritten[os.write(descriptor, unwritten) :]
+            os.fsync(descriptor)
+
+    def truncate(self, size: int) -> None:
+        """Truncate the file to `size` bytes."""
+        with self._use_descriptor() as descriptor:
+            os.ftruncate(descriptor, size)
+
+    def close(self) -> None:
+        """Close the descriptor, at the latest when its last user is done."""
+        with self._lock:
+            self._closed = True
+            in_use = self._users > 0
+        if not in_use:
+            os.close(self._descriptor)
+
+    @contextlib.contextmanager
+    def _use_descriptor(self) -> Iterator[int]:
+        with self._lock:
+            if self._closed:
+                raise OSError(errno.EBADF, "the file was closed before the operation")
+            self._users += 1
+        try:
+            yield self._descriptor
+        finally:
+            with self._lock:
+                self._users -= 1
+                is_last = self._closed and self._users == 0
+            if is_last:
+                os.close(self._descriptor)
 
 
 def _sync_folder(folder: Path) -> None:
