Close the log when its data folder cannot be opened

What callers saw: nothing at first; a host whose folder is damaged, or whose disk refuses syncs, opens one descriptor more with each attempt, until it can accept no caller.

Change: a failed or cancelled open closes the log, and the control part closes the storage on every way out.

The fake disk counts open handles for it.

--- a/packages/fleet/src/kingcuplug_fleet/_control_replica.py
+++ b/packages/fleet/src/kingcuplug_fleet/_control_replica.py
@@ -298,10 +298,16 @@
         return formed
 
     async def _run_replica(self) -> None:
-        settings = self._settings
         self._started_at = self._clock()
-        storage = Storage(self._open_files(settings.folder))
+        storage = Storage(self._open_files(self._settings.folder))
         await storage.open()
+        try:
+            await self._run_replica_on(storage)
+        finally:
+            await storage.close()
+
+    async def _run_replica_on(self, storage: Storage) -> None:
+        settings = self._settings
         self._disk_was_empty = storage.last_index == 0
         name = settings.host
         member = Member(
@@ -321,13 +327,17 @@
         if is_founder and self._disk_was_empty:
             await replica.bootstrap(random_identifier())
         self._replica = replica
-        await replica.start()
-        self._log.write(
-            "replica_started",
-            {"member": member.id, "fresh": self._disk_was_empty, "founder": is_founder},
-            bypass_rate_limit=True,
-        )
         try:
+            await replica.start()
+            self._log.write(
+                "replica_started",
+                {
+                    "member": member.id,
+                    "fresh": self._disk_was_empty,
+                    "founder": is_founder,
+                },
+                bypass_rate_limit=True,
+            )
             await self._maintain_membership(replica, member)
         finally:
             self._replica = None
--- a/packages/log/src/kingcuplug_log/_storage.py
+++ b/packages/log/src/kingcuplug_log/_storage.py
@@ -82,8 +82,11 @@
         """
         try:
             await self._load_files()
-        except OSError as error:
-            raise self._executor.record_failure(error) from error
+        except BaseException as error:
+            self._close_log()
+            if isinstance(error, OSError):
+                raise self._executor.record_failure(error) from error
+            raise
 
     async def close(self) -> None:
         """Wait for running operations and release the file handle."""
--- a/packages/testkit/src/kingcuplug_testkit/_disk.py
+++ b/packages/testkit/src/kingcuplug_testkit/_disk.py
@@ -95,6 +95,8 @@
         Number of calls after which the host crashes.
     full : bool
         Whether writes fail for lack of space, each after a random part of its data.
+    open_handles : int
+        Number of handles that the running process has opened and not closed.
     """
 
     def __init__(self, random: Random, sync_s: float = _SYNC_DURATION_S) -> None:
@@ -107,6 +109,7 @@
         self.calls: list[tuple[str, str]] = []
         self.crash_after_calls: int | None = None
         self.full = False
+        self.open_handles = 0
         self.files: dict[str, _File] = {}
         self.durable_files: dict[str, _File] = {}
         self.unsynced_name_changes: list[tuple[str, str | None, _File | None]] = []
@@ -117,7 +120,7 @@
 
     def crash(self) -> None:
         """Drop a random part of the unsynced data and end the process."""
-        self.generation += 1
+        self._end_process()
         for change in self.unsynced_name_changes[
             : self.random.randint(0, len(self.unsynced_name_changes))
         ]:
@@ -130,14 +133,14 @@
 
     def kill_process(self) -> None:
         """End the process only; the operating system keeps the unsynced data."""
-        self.generation += 1
+        self._end_process()
         self.on_crash()
 
     def wipe(self) -> None:
         """Erase all data, as if an empty disk replaced this one."""
         self.unsynced_name_changes.clear()
         self.files, self.durable_files = {}, {}
-        self.generation += 1
+        self._end_process()
         self.on_crash()
 
     def sync_name_changes(self) -> None:
@@ -173,6 +176,10 @@
         file.current[offset] ^= 0xFF
         file.durable = bytes(file.current)
 
+    def _end_process(self) -> None:
+        self.generation += 1
+        self.open_handles = 0
+
     def _apply_name_change(self, change: tuple[str, str | None, _File | None]) -> None:
         new, old, file = change
         if old is not None:
@@ -202,6 +209,7 @@
             )
         handle, self._next_handle = self._next_handle, self._next_handle + 1
         self._open_files[handle] = (name, self._disk.files[name])
+        self._disk.open_handles += 1
         self._after_call("open_append", name)
         return handle
 
@@ -235,6 +243,8 @@
     def close(self, handle: int) -> None:
         """Close a handle."""
         del self._open_files[handle]
+        if self._generation == self._disk.generation:
+            self._disk.open_handles -= 1
 
     def rename(self, old: str, new: str) -> None:
         """Rename a file and replace any file that has the new name."""
--- a/tests/fleet/test_control_group.py
+++ b/tests/fleet/test_control_group.py
@@ -1,10 +1,11 @@
 """Groups of control hosts that lose and replace hosts."""
 
 import asyncio
+import errno
 from collections.abc import Iterable
 
 import pytest
-from kingcuplug_testkit import run_virtual
+from kingcuplug_testkit import Failpoint, run_virtual
 
 # A host counts as lost until this long after it has started.
 _CATCH_UP_S = 4.0
@@ -224,3 +225,32 @@
         await group.stop()
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("failing_call", [("sync", "log"), ("rename", "state")])
+def test_replica_that_cannot_be_opened_leaves_no_file_open(
+    make_control_group, failing_call
+):
+    # Guards against a host that uses up its descriptors while its disk refuses calls.
+    async def main() -> None:
+        group = make_control_group()
+        await group.form("a", "b", "c")
+        name = next(
+            host.name for host in group.running() if host.name != group.leader()
+        )
+        disk = group.hosts[name].disk
+        group.power_off(name)
+        if failing_call[1] == "state":
+            disk.wipe()
+        disk.failpoints += [
+            Failpoint(*failing_call, error=errno.EIO) for _ in range(20)
+        ]
+        group.start(name)
+        await group.wait_until(lambda: len(disk.triggered) == 20, timeout_s=20.0)
+        assert disk.open_handles <= 1
+        replica = group.hosts[name].replica
+        await group.wait_until(replica.connected)
+        assert disk.open_handles == 1
+        await group.stop()
+
+    run_virtual(main())
--- a/tests/log/test_file_system.py
+++ b/tests/log/test_file_system.py
@@ -9,7 +9,9 @@
 from pathlib import Path
 
 import pytest
-from kingcuplug_log import DiskFileSystem, Storage
+from kingcuplug_log import CorruptLog, DiskFileSystem, Storage
+from kingcuplug_log._snapshot import Snapshot
+from kingcuplug_log._types import Entry, EntryKind
 
 _WAIT_S = 5.0
 
@@ -130,6 +132,10 @@
     assert (tmp_path / "log").read_bytes() == b""
 
 
+def _count_descriptors() -> int:
+    return len(list(Path("/proc/self/fd").iterdir()))
+
+
 def test_no_descriptor_stays_open(tmp_path: Path) -> None:
     # Guards against a file that is left open because a thread used it at its close.
     async def main() -> None:
@@ -142,6 +148,29 @@
             files.close(handle)
             await asyncio.gather(sync, return_exceptions=True)
 
-    before = len(os.listdir("/proc/self/fd"))  # noqa: PTH208
+    before = _count_descriptors()
     asyncio.run(main())
-    assert len(os.listdir("/proc/self/fd")) == before  # noqa: PTH208
+    assert _count_descriptors() == before
+
+
+def test_failed_opening_of_a_folder_leaves_no_descriptor_open(tmp_path: Path) -> None:
+    # Guards against a host whose replica tries again and again until the process has
+    # no descriptor left for callers.
+    async def create_compacted_log() -> None:
+        storage = Storage(DiskFileSystem(tmp_path))
+        await storage.open()
+        storage.stage([Entry(i, 1, EntryKind.NOOP, None) for i in range(1, 6)])
+        await storage.flush()
+        await storage.save_snapshot(Snapshot(4, 1, "test", (), {}), retained=1)
+        await storage.close()
+
+    async def open_repeatedly() -> None:
+        for _ in range(10):
+            with pytest.raises(CorruptLog):
+                await Storage(DiskFileSystem(tmp_path)).open()
+
+    asyncio.run(create_compacted_log())
+    (tmp_path / "snapshot").unlink()
+    before = _count_descriptors()
+    asyncio.run(open_repeatedly())
+    assert _count_descriptors() == before
