--- a/packages/fleet/src/kingcuplug_fleet/_directory_file.py
+++ b/packages/fleet/src/kingcuplug_fleet/_directory_file.py
@@ -17,6 +17,7 @@
     require_mapping,
     require_string,
     require_strings,
+    run_to_completion,
 )
 
 from kingcuplug_fleet._durable_file import replace_file
@@ -81,7 +82,7 @@
             await view.changed.wait_for(lambda: self._state() != self._saved_state)
             state, version = self._state(), view.directory.version
             try:
-                await asyncio.to_thread(replace_file, self._path, self._encode())
+                await run_to_completion(replace_file, self._path, self._encode())
             except OSError as error:
                 self._log.write("directory_file_unwritten", {"error": repr(error)})
                 await asyncio.sleep(_RETRY_DELAY_S)
--- a/packages/fleet/src/kingcuplug_fleet/_routes_file.py
+++ b/packages/fleet/src/kingcuplug_fleet/_routes_file.py
@@ -16,6 +16,7 @@
     require_integer,
     require_mapping,
     require_string,
+    run_to_completion,
 )
 
 from kingcuplug_fleet._durable_file import replace_file
@@ -67,7 +68,7 @@
             version = register.version
             data = orjson.dumps({"version": version, "document": register.document})
             try:
-                await asyncio.to_thread(replace_file, self._path, data)
+                await run_to_completion(replace_file, self._path, data)
                 self._written_version = version
             except OSError as error:
                 self._log.write("routes_file_unwritten", {"error": repr(error)})
--- a/tests/fleet/test_routes_file.py
+++ b/tests/fleet/test_routes_file.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import threading
 
 import pytest
 from kingcuplug_common import EventLog
@@ -234,3 +235,49 @@
         return saved
 
     assert not asyncio.run(run())
+
+
+def _run_routes_file(folder, log) -> asyncio.Task[None]:
+    file, register = _open_file(folder, log)
+    task = asyncio.ensure_future(file.run())
+    register.apply(1, {"version": 3, "document": "three"})
+    return task
+
+
+def _run_directory_file(folder, log) -> asyncio.Task[None]:
+    view = FleetView(5.0)
+    task = asyncio.ensure_future(DirectoryFile(folder, view, log).run())
+    view.merge_servers([make_record()])
+    return task
+
+
+@pytest.mark.parametrize("run_file", [_run_routes_file, _run_directory_file])
+def test_cancelled_task_ends_after_its_write(tmp_path, log, monkeypatch, run_file):
+    """Guards against a late write beside one of the task that follows.
+
+    Both would write to the same temporary file.
+    """
+    stalled, resumed = threading.Event(), threading.Event()
+
+    def stall(descriptor):
+        stalled.set()
+        assert resumed.wait(5)
+
+    monkeypatch.setattr(os, "fsync", stall)
+
+    async def run() -> None:
+        task = run_file(tmp_path, log)
+        assert await asyncio.to_thread(stalled.wait, 5)
+        task.cancel()
+        await asyncio.wait([task], timeout=0.1)
+        assert not task.done()
+        assert not list(tmp_path.glob("*.json"))
+        resumed.set()
+        await asyncio.wait([task], timeout=5)
+        assert task.cancelled()
+        assert len(list(tmp_path.glob("*.json"))) == 1
+
+    try:
+        asyncio.run(run())
+    finally:
+        resumed.set()
