Refuse operations on a storage that was closed

What could be seen: a control host that has voted, forgets the vote, or finds its log failed, after its replica was reopened in the same process.

Cause: Replica.stop waits for the file operations that run at that moment. A message that is still being handled begins another one afterwards: an append whose sync takes long waits one heartbeat for the entry and then writes the term. That write replaces the state file beside, or after, the replica that was opened in the meantime, with an older term and vote.

Change: close() lets no further operation begin and waits until none runs. A message that is overtaken by the stop is rejected as not_running.

--- a/packages/log/src/kingcuplug_log/_errors.py
+++ b/packages/log/src/kingcuplug_log/_errors.py
@@ -13,6 +13,7 @@
     "CorruptLog",
     "LostLeadership",
     "NotLeader",
+    "StorageClosed",
     "StorageFailed",
     "WrongIdentity",
 ]
@@ -57,6 +58,13 @@
         )
 
 
+class StorageClosed(StorageFailed):
+    """The replica was stopped before the operation began; nothing was written."""
+
+    def __init__(self) -> None:
+        super().__init__(OSError("it was closed"))
+
+
 class CorruptLog(KingcuplugError):
     """A file of the data folder is damaged in a way that a crash cannot cause.
 
--- a/packages/log/src/kingcuplug_log/_fail_stop.py
+++ b/packages/log/src/kingcuplug_log/_fail_stop.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from kingcuplug_log._errors import StorageFailed
+from kingcuplug_log._errors import StorageClosed, StorageFailed
 
 __all__ = ["FailStopExecutor"]
 
@@ -23,6 +23,7 @@
     def __init__(self) -> None:
         self.failure: OSError | None = None
         self._running: set[asyncio.Task[None]] = set()
+        self._closed = False
 
     def raise_if_failed(self) -> None:
         """Raise `StorageFailed` if an operation has failed."""
@@ -37,15 +38,27 @@
     async def run(
         self, lock: asyncio.Lock, operation: Callable[[], Awaitable[None]]
     ) -> None:
-        """Run an operation to completion even if the caller is cancelled."""
+        """Run an operation to completion even if the caller is cancelled.
+
+        Raises
+        ------
+        StorageClosed
+            If `close` was called before the operation could begin.
+        StorageFailed
+            If this or an earlier operation has failed.
+        """
         task = asyncio.ensure_future(self._run_locked(lock, operation))
         self._running.add(task)
         task.add_done_callback(self._discard_task)
         await asyncio.shield(task)
 
-    async def drain(self) -> None:
-        """Wait for running operations."""
-        if self._running:
+    async def close(self) -> None:
+        """Let no further operation begin, and wait for the running ones.
+
+        What follows may use the files at once.
+        """
+        self._closed = True
+        while self._running:
             await asyncio.wait(self._running)
 
     def _discard_task(self, task: asyncio.Task[None]) -> None:
@@ -58,6 +71,8 @@
     ) -> None:
         async with lock:
             self.raise_if_failed()
+            if self._closed:
+                raise StorageClosed
             try:
                 await operation()
             except OSError as error:
--- a/packages/log/src/kingcuplug_log/_replica.py
+++ b/packages/log/src/kingcuplug_log/_replica.py
@@ -14,6 +14,7 @@
 from kingcuplug_log._errors import (
     BootstrapRefused,
     NotLeader,
+    StorageClosed,
     StorageFailed,
     WrongIdentity,
 )
@@ -265,6 +266,8 @@
             return to_json(Rejected(reason))
         try:
             return to_json(await self._dispatch_request(request))
+        except StorageClosed:
+            return to_json(Rejected("not_running"))
         except StorageFailed:
             self._state.handle_storage_failure()
             return to_json(Rejected("storage_failed"))
--- a/packages/log/src/kingcuplug_log/_storage.py
+++ b/packages/log/src/kingcuplug_log/_storage.py
@@ -89,8 +89,11 @@
             raise
 
     async def close(self) -> None:
-        """Wait for running operations and release the file handle."""
-        await self._executor.drain()
+        """Wait for running operations and release the file handle.
+
+        Later operations raise `StorageClosed`.
+        """
+        await self._executor.close()
         self._close_log()
 
     def halt(self, reason: str) -> None:
--- a/tests/log/test_stalled_disks.py
+++ b/tests/log/test_stalled_disks.py
@@ -102,3 +102,42 @@
         await group.stop()
 
     run_virtual(main())
+
+
+def test_stopped_replica_writes_nothing_after_its_stop() -> None:
+    # Guards against a late write beside the replica that is opened after it.
+    async def main() -> None:
+        group = await _start_group("stop during a stall")
+        (follower,) = _select(group, "follower")
+        replica, disk = follower.replica, follower.disk
+        leader = group.leader()
+        assert replica is not None
+        assert leader is not None
+        disk.sync_s = _STALL_S
+        header = {
+            "cluster": "test",
+            "sender": leader.member.id,
+            "to": follower.member.id,
+            "term": replica.status().term + 1,
+        }
+        index = replica.status().last_index
+        message = {
+            "kind": "append",
+            "header": header,
+            "previous_index": index,
+            "previous_term": replica.status().term,
+            "commit_index": index,
+            "entries": [[index + 1, header["term"], "noop", None]],
+        }
+        handling = asyncio.ensure_future(replica.handle(message))
+        # The replica waits for the sync of the entry, then for that of the term.
+        await asyncio.sleep(_SETTINGS.heartbeat_interval / 2)
+        await follower.stop()
+        call_count = len(disk.calls)
+        reply = await handling
+        await asyncio.sleep(5 * _STALL_S)
+        assert len(disk.calls) == call_count
+        assert reply == {"kind": "rejected", "reason": "not_running"}
+        await group.stop()
+
+    run_virtual(main())
--- a/tests/log/test_storage.py
+++ b/tests/log/test_storage.py
@@ -228,3 +228,32 @@
         await reopened.close()
 
     asyncio.run(main())
+
+
+def test_closed_storage_writes_nothing() -> None:
+    # Guards against a vote that is forgotten because a stopped replica, which still
+    # handles a message, replaces the state file of the one that follows it.
+    async def main() -> None:
+        disk = FakeDisk(Random(0))
+        stopped, successor = Storage(disk.mount()), Storage(disk.mount())
+        await stopped.open()
+        stopped.set_term_and_vote(3, None)
+        stopped.stage([_entry(1, 3)])
+        await stopped.close()
+        await successor.open()
+        successor.set_term_and_vote(7, "a")
+        await successor.persist_term_and_vote()
+        for operation in (
+            stopped.persist_term_and_vote,
+            stopped.flush,
+            lambda: stopped.save_snapshot(Snapshot(1, 3, "test", (), {}), retained=0),
+        ):
+            with pytest.raises(StorageFailed, match="closed"):
+                await operation()
+        await successor.close()
+        reopened = Storage(disk.mount())
+        await reopened.open()
+        assert (reopened.term, reopened.vote) == (7, "a")
+        assert (reopened.last_index, reopened.snapshot_index) == (0, 0)
+
+    run_virtual(main())
