Refuse a data folder whose files are older than one another

What could follow: an acknowledged change is lost, or a term gets two leaders, after a file of a data folder was shortened or replaced by an older copy.

Cause: Storage.open checks each file alone. A log that ends early is a valid log, and so is an older state file.

Change: the state file states up to which index entries were known to be committed, the log's header the term, the vote and the folder's identity at the time. Open compares them before it writes anything. Where the log has entries of a later term than the state, no vote is left in that term, as it has its leader.

Formats: the fields are additional and optional.

--- a/packages/log/src/kingcuplug_log/_replica_state.py
+++ b/packages/log/src/kingcuplug_log/_replica_state.py
@@ -144,7 +144,7 @@
     def advance_commit_index(self, index: int) -> None:
         """Record that entries up to `index` are committed."""
         if index > self.commit_index:
-            self.commit_index = index
+            self.commit_index = self.storage.committed_index = index
             self.changed.notify()
 
     def record_leader_commit(self, index: int) -> None:
--- a/packages/log/src/kingcuplug_log/_storage.py
+++ b/packages/log/src/kingcuplug_log/_storage.py
@@ -27,6 +27,7 @@
 _STATE_FILE = "state"
 _SNAPSHOT_FILE = "snapshot"
 _NEW_FILE_SUFFIX = ".new"
+_NO_CANDIDATE = ""  # A vote for nobody, which rules out others in its term.
 
 
 class Storage:
@@ -47,6 +48,9 @@
         Random identifier of the data folder, known after `open`.
     durable_index : int
         Index up to which all entries are synced.
+    committed_index : int
+        Index up to which the replica knows entries to be committed; stored with the
+        term, so that `open` can detect that such entries are missing.
     recovered_snapshot : Snapshot or None
         The snapshot read by `open`, until the replica has loaded it.
     """
@@ -63,6 +67,7 @@
         self._persisted_hard_state: tuple[int, str | None] | None = None
         self._executor = FailStopExecutor()
         self.durable_index = 0
+        self.committed_index = 0
         self.term = 0
         self.vote: str | None = None
         self.disk_id = ""
@@ -208,6 +213,7 @@
             "term": hard_state[0],
             "vote": hard_state[1],
             "disk_id": self.disk_id,
+            "committed": min(self.committed_index, self.durable_index),
         }
         self._files.close(await self._replace_file(_STATE_FILE, encode_record(value)))
         self._persisted_hard_state = hard_state
@@ -253,7 +259,12 @@
         self._end_write(last_index)
 
     def _encode_log(self, entries: Sequence[Entry]) -> bytes:
-        header = {"index": self._log.base_index, "term": self._log.base_term}
+        header = {
+            "index": self._log.base_index,
+            "term": self._log.base_term,
+            "disk_id": self.disk_id,
+            "hard_state": self._persisted_hard_state,
+        }
         data = encode_record(header)
         if entries:
             data += encode_record([entry.to_json() for entry in entries])
@@ -305,6 +316,7 @@
         value = decode_single_record(self._files.read(_STATE_FILE), _STATE_FILE)
         self.term, self.vote = value["term"], value["vote"]
         self.disk_id = value["disk_id"]
+        self.committed_index = value.get("committed", 0)
         self._persisted_hard_state = (self.term, self.vote)
 
     def _read_snapshot(self, names: list[str]) -> None:
@@ -322,6 +334,7 @@
         data = self._files.read(_LOG_FILE)
         values, end = scan_records(data, _LOG_FILE)
         self._load_entries(values)
+        self._check_consistency(values[0], end)
         self._log_handle = self._files.open_append(_LOG_FILE)
         if end < len(data):
             self._files.truncate(self._log_handle, end)
@@ -329,13 +342,34 @@
         await self._files.sync(self._log_handle)
         self._staged_from_index = self.last_index + 1
         self.durable_index = self.last_index
+        if self.term_at(self.snapshot_index) != self.snapshot_term:
+            self._log.compact(self.snapshot_index, self.snapshot_term)
+            await self._rewrite_log()
+
+    def _check_consistency(self, header: dict[str, Any], end: int) -> None:
+        """Check that no file is older than another, or from another folder.
+
+        An older state file has lost a vote, and an older or shortened log has lost
+        entries that the leader counts as stored here.
+        """
         if self._log.base_index > self.snapshot_index:
             raise CorruptLog(
                 _SNAPSHOT_FILE, 0, "entries before the log's first are missing"
             )
-        if self.term_at(self.snapshot_index) != self.snapshot_term:
-            self._log.compact(self.snapshot_index, self.snapshot_term)
-            await self._rewrite_log()
+        last_index = max(self.last_index, self.snapshot_index)
+        if last_index < self.committed_index:
+            raise CorruptLog(
+                _LOG_FILE,
+                end,
+                f"the last entry is {last_index}, but {self.committed_index} was "
+                "committed",
+            )
+        # Files of older versions do not have the fields.
+        if header.get("disk_id", self.disk_id) != self.disk_id:
+            raise CorruptLog(_LOG_FILE, 0, "the file is from another data folder")
+        term, vote = header.get("hard_state") or (0, None)
+        if self.term < term or (self.term == term and vote not in (None, self.vote)):
+            raise CorruptLog(_STATE_FILE, 0, "the file is older than the log")
 
     def _load_entries(self, values: list[Any]) -> None:
         if not values:
@@ -348,7 +382,7 @@
                 raise CorruptLog(_LOG_FILE, 0, str(error)) from error
 
     def _raise_term_to_last_entry(self) -> None:
-        # Entries of a term can be synced before the term itself. In that case no vote
-        # was granted in that term, because a vote waits for its own sync.
+        # Entries of a term can be synced before the term itself. That term has its
+        # leader, so no vote is needed in it.
         if self.last_term > self.term:
-            self.set_term_and_vote(self.last_term, None)
+            self.set_term_and_vote(self.last_term, _NO_CANDIDATE)
--- a/tests/log/test_storage.py
+++ b/tests/log/test_storage.py
@@ -8,6 +8,7 @@
 
 import pytest
 from kingcuplug_log import CorruptLog, DiskFileSystem, Storage, StorageFailed
+from kingcuplug_log._records import encode_record
 from kingcuplug_log._snapshot import Snapshot
 from kingcuplug_log._types import Entry, EntryKind
 from kingcuplug_testkit import Failpoint, FakeDisk, run_virtual
@@ -257,3 +258,93 @@
         assert (reopened.last_index, reopened.snapshot_index) == (0, 0)
 
     run_virtual(main())
+
+
+def _disk_with_history() -> tuple[FakeDisk, dict[str, list[bytes]]]:
+    """Return a disk and all contents that its files had, the present one last."""
+    history: dict[str, list[bytes]] = {"log": [], "state": [], "snapshot": []}
+
+    async def main() -> FakeDisk:
+        disk = FakeDisk(Random(0))
+        storage = Storage(disk.mount())
+        await storage.open()
+        for index in range(1, 9):
+            storage.stage([_entry(index, index)])
+            await storage.flush()
+            storage.committed_index = index
+            storage.set_term_and_vote(index, "a")
+            await storage.persist_term_and_vote()
+            if index == 5:
+                await storage.save_snapshot(Snapshot(5, 5, "t", (), {}), retained=2)
+            for name, contents in history.items():
+                if name in disk.files:
+                    contents.append(disk.files[name].durable)
+        await storage.close()
+        return disk
+
+    return run_virtual(main()), history
+
+
+def _replace_content(disk: FakeDisk, name: str, content: bytes) -> None:
+    disk.files[name].durable = content
+    disk.files[name].current = bytearray(content)
+
+
+def test_log_that_lacks_committed_entries_is_refused() -> None:
+    # Guards against a member that votes for a leader without entries that it has
+    # acknowledged: its log was shortened or is an older copy.
+    disk, history = _disk_with_history()
+    log = history["log"][-1]
+    damaged = [log[:size] for size in range(1, len(log))] + history["log"][:-1]
+    for content in damaged:
+        _replace_content(disk, "log", content)
+        with pytest.raises(CorruptLog):
+            _open(disk)
+        assert disk.files["log"].durable == content
+
+
+def test_changed_byte_in_the_last_committed_entry_is_refused() -> None:
+    # Guards against taking damage of a synced record for a write that was torn.
+    disk, _ = _disk_with_history()
+    disk.corrupt_byte("log", len(disk.files["log"].durable) - 1)
+    with pytest.raises(CorruptLog):
+        _open(disk)
+
+
+def test_state_file_older_than_the_log_is_refused() -> None:
+    # Guards against a second vote in a term because an older copy was restored.
+    disk, history = _disk_with_history()
+    for content in history["state"][:4]:
+        _replace_content(disk, "state", content)
+        with pytest.raises(CorruptLog, match="older"):
+            _open(disk)
+
+
+def test_no_vote_is_left_in_the_terms_of_the_log() -> None:
+    # Guards against the same when the log was not rewritten since.
+    disk, history = _disk_with_history()
+    _replace_content(disk, "state", history["state"][5])
+    storage = _open(disk)
+    assert storage.term == 8
+    assert storage.vote not in (None, "a", "b")
+
+
+def test_log_of_another_folder_is_refused() -> None:
+    # Guards against a member that claims the entries of another one as its own.
+    disk, other = _disk_with_entries(3), _disk_with_entries(5)
+    _replace_content(disk, "log", other.files["log"].durable)
+    with pytest.raises(CorruptLog, match="another data folder"):
+        _open(disk)
+
+
+def test_files_of_earlier_versions_are_read() -> None:
+    # Guards against a host that cannot start after an upgrade.
+    disk = _disk_with_entries(1)
+    state = {"term": 4, "vote": "a", "disk_id": "d"}
+    entries = [_entry(1, 1).to_json(), _entry(2, 4).to_json()]
+    log = encode_record({"index": 0, "term": 0}) + encode_record(entries)
+    _replace_content(disk, "state", encode_record(state))
+    _replace_content(disk, "log", log)
+    storage = _open(disk)
+    assert (storage.disk_id, storage.term, storage.vote) == ("d", 4, "a")
+    assert (storage.last_index, storage.last_term) == (2, 4)
--- a/tests/log/test_votes.py
+++ b/tests/log/test_votes.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import pytest
-from kingcuplug_log import LogSettings
+from kingcuplug_log import CorruptLog, LogSettings
 from kingcuplug_testkit import Host, LogGroup, run_virtual
 
 _VOTE_REFUSAL_S = LogSettings().election_timeout
@@ -113,3 +113,58 @@
             assert (await _send(host, {"kind": "vote"}))["reason"] == "malformed"
 
     run_virtual(main())
+
+
+def test_older_state_file_does_not_give_a_second_vote() -> None:
+    # Guards against two leaders in the term of a leader for whom this host has voted.
+    async def main() -> None:
+        group = LogGroup("older state")
+        await group.start("a", "b", "c")
+        host, *_ = group.followers()
+        older_state = host.disk.files["state"].durable
+        leader = group.leader()
+        assert leader is not None
+        leader.disk.crash()
+        leader = await group.wait_for_leader()
+        await leader.start()
+        await group.propose({"number": 1})
+        await group.wait_until_converged()
+        term = group.replica(leader.name).status().term
+        host = leader if group.replica(host.name).leading else host
+        for other in group.running_hosts():
+            other.disk.crash()
+        host.disk.files["state"].durable = older_state
+        host.disk.files["state"].current = bytearray(older_state)
+        await host.start()
+        await asyncio.sleep(_VOTE_REFUSAL_S)
+        message = _vote_request(host, "x/1", term)
+        assert not (await _send(host, message))["granted"]
+        await group.stop()
+
+    run_virtual(main())
+
+
+def test_host_whose_committed_entries_were_cut_off_does_not_start() -> None:
+    # Guards against electing a leader that lacks entries which this host acknowledged.
+    async def main() -> None:
+        group = LogGroup("shortened log")
+        await group.start("a", "b", "c")
+        host, *_ = group.followers()
+        sizes = [len(host.disk.files["log"].durable)]
+        for number in range(3):
+            await group.propose({"number": number})
+            await group.wait_until_converged()
+            sizes.append(len(host.disk.files["log"].durable))
+        leader = group.leader()
+        assert leader is not None
+        leader.disk.crash()
+        await group.wait_for_leader()
+        host.disk.crash()
+        file = host.disk.files["log"]
+        file.durable = file.durable[: sizes[1]]
+        file.current = bytearray(file.durable)
+        with pytest.raises(CorruptLog):
+            await host.start()
+        await group.stop()
+
+    run_virtual(main())
