Refuse a valid record of another kind in the data folder's files

What an operator would see: KeyError: 'term' and a trace, in place of a message that names the file and the remedy. By reading, not by a run: kingcuplugd ends with it, and a host of the platform logs task_failed and tries again with growing delays.

Cause: a record with the right checksum was taken to have the fields of its file. A file that was copied over another one has not.

Change: Storage.open raises CorruptLog for what it cannot decode.

--- a/packages/log/src/kingcuplug_log/_storage.py
+++ b/packages/log/src/kingcuplug_log/_storage.py
@@ -7,11 +7,12 @@
 """
 
 import asyncio
+import contextlib
 import sys
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from typing import Any
 
-from kingcuplug_common import random_identifier
+from kingcuplug_common import random_identifier, require_integer, require_string
 
 from kingcuplug_log._entry_list import EntryList
 from kingcuplug_log._errors import CorruptLog
@@ -314,9 +315,12 @@
 
     def _read_hard_state(self) -> None:
         value = decode_single_record(self._files.read(_STATE_FILE), _STATE_FILE)
-        self.term, self.vote = value["term"], value["vote"]
-        self.disk_id = value["disk_id"]
-        self.committed_index = value.get("committed", 0)
+        with _refuse_unknown_content(_STATE_FILE):
+            self.term = require_integer(value["term"])
+            vote = value["vote"]
+            self.vote = None if vote is None else require_string(vote)
+            self.disk_id = require_string(value["disk_id"])
+            self.committed_index = require_integer(value.get("committed", 0))
         self._persisted_hard_state = (self.term, self.vote)
 
     def _read_snapshot(self, names: list[str]) -> None:
@@ -324,7 +328,8 @@
             value = decode_single_record(
                 self._files.read(_SNAPSHOT_FILE), _SNAPSHOT_FILE
             )
-            self.recovered_snapshot = Snapshot.from_json(value)
+            with _refuse_unknown_content(_SNAPSHOT_FILE):
+                self.recovered_snapshot = Snapshot.from_json(value)
             self.snapshot_index = self.recovered_snapshot.index
             self.snapshot_term = self.recovered_snapshot.term
 
@@ -374,15 +379,24 @@
     def _load_entries(self, values: list[Any]) -> None:
         if not values:
             raise CorruptLog(_LOG_FILE, 0, "the header is missing")
-        self._log = EntryList(values[0]["index"], values[0]["term"])
-        for value in values[1:]:
-            try:
-                self._log.replace([Entry.from_json(entry) for entry in value])
-            except ValueError as error:
-                raise CorruptLog(_LOG_FILE, 0, str(error)) from error
+        header, *batches = values
+        with _refuse_unknown_content(_LOG_FILE):
+            base = require_integer(header["index"]), require_integer(header["term"])
+            self._log = EntryList(*base)
+            for batch in batches:
+                self._log.replace([Entry.from_json(entry) for entry in batch])
 
     def _raise_term_to_last_entry(self) -> None:
         # Entries of a term can be synced before the term itself. That term has its
         # leader, so no vote is needed in it.
         if self.last_term > self.term:
             self.set_term_and_vote(self.last_term, _NO_CANDIDATE)
+
+
+@contextlib.contextmanager
+def _refuse_unknown_content(file: str) -> Iterator[None]:
+    """Turn the errors of decoding a valid record into `CorruptLog`."""
+    try:
+        yield
+    except (LookupError, TypeError, ValueError) as error:
+        raise CorruptLog(file, 0, f"its content is unknown: {error!r}") from error
--- a/tests/log/test_storage.py
+++ b/tests/log/test_storage.py
@@ -348,3 +348,25 @@
     storage = _open(disk)
     assert (storage.disk_id, storage.term, storage.vote) == ("d", 4, "a")
     assert (storage.last_index, storage.last_term) == (2, 4)
+
+
+@pytest.mark.parametrize("name", ["state", "log", "snapshot"])
+@pytest.mark.parametrize(
+    "value", [[], 7, None, {"index": 1}, [[1]], {"term": "x", "vote": 1, "disk_id": 2}]
+)
+def test_valid_record_of_another_kind_is_refused(name: str, value: object) -> None:
+    # Guards against an error that is not named in place of a refusal.
+    disk, _ = _disk_with_history()
+    _replace_content(disk, name, encode_record(value))
+    with pytest.raises(CorruptLog) as caught:
+        _open(disk)
+    assert caught.value.file == name
+
+
+def test_valid_record_that_holds_no_entries_is_refused() -> None:
+    # Guards against the same within the log.
+    disk, _ = _disk_with_history()
+    content = disk.files["log"].durable + encode_record([[9, 8]])
+    _replace_content(disk, "log", content)
+    with pytest.raises(CorruptLog):
+        _open(disk)
