Found no second group when the founder's folder becomes empty

What callers and operators saw: one host acknowledges and serves changes that no other host ever gets, beside a group of the others that acknowledges its own.

Cause: during the first run of the system the first seed founds the group whenever it opens an empty folder, also when it reopens the folder after a failure of its disk. A volume that is unmounted, or a folder that is removed while the host runs, is empty then. The new group has one voter, and as the host holds a version already, it counts as formed and acknowledges alone.

Change: a host that has had other members in its group founds no other; it asks to join, as any host with a lost disk. One that is still alone founds again, so that a disk that was full at the first start does not keep the system from forming.

Not covered: a founder that starts as a new process with first_start still true and an empty folder founds a group, as it must at the first start.

--- a/packages/fleet/src/kingcuplug_fleet/_control_replica.py
+++ b/packages/fleet/src/kingcuplug_fleet/_control_replica.py
@@ -130,6 +130,7 @@
         self._metrics = metrics
         self._replica: Replica | None = None
         self._disk_was_empty = False
+        self._group_has_others = False
         self._join_requests: dict[str, tuple[JoinRequest, float]] = {}
         self._silent_voters: tuple[str, ...] = ()
         self._random = random_module.Random()
@@ -323,8 +324,8 @@
             self._random,
             self._metrics,
         )
-        is_founder = settings.first_start and settings.seeds[:1] == (settings.address,)
-        if is_founder and self._disk_was_empty:
+        is_founder = self._disk_was_empty and self._may_found_group()
+        if is_founder:
             await replica.bootstrap(random_identifier())
         self._replica = replica
         try:
@@ -344,9 +345,21 @@
             with contextlib.suppress(Exception):
                 await replica.stop()
 
+    def _may_found_group(self) -> bool:
+        """Return whether this host is the one that founds the system's group.
+
+        Its folder can become empty while it runs, for example if the volume is
+        unmounted. The others are then still members of the first group.
+        """
+        settings = self._settings
+        if not settings.first_start or settings.seeds[:1] != (settings.address,):
+            return False
+        return not self._group_has_others
+
     async def _maintain_membership(self, replica: Replica, member: Member) -> None:
         """Ask to join while this host is no voter; change members while it leads."""
         while not (status := replica.status()).storage_failed:
+            self._group_has_others |= len(status.members) > 1
             if replica.leading:
                 self._log_silent_voters(status)
                 await self._change_members(replica, status)
@@ -432,6 +445,7 @@
         removed = change if isinstance(change, str) else None
         # A host that joins later takes the place of a lost one.
         enlarge = added is not None and requests[added.id].first_start
+        self._group_has_others |= added is not None
         try:
             async with asyncio.timeout(_CHANGE_TIMEOUT_S):
                 await replica.change_members(added, removed, enlarge)
--- a/tests/fleet/test_control_group.py
+++ b/tests/fleet/test_control_group.py
@@ -1,12 +1,16 @@
 """Groups of control hosts that lose and replace hosts."""
 
 import asyncio
+import contextlib
 import errno
 from collections.abc import Iterable
 
 import pytest
+from kingcuplug_fleet import CoreUnavailable
 from kingcuplug_testkit import Failpoint, run_virtual
 
+from .conftest import ControlHost
+
 # A host counts as lost until this long after it has started.
 _CATCH_UP_S = 4.0
 
@@ -254,3 +258,47 @@
         await group.stop()
 
     run_virtual(main())
+
+
+def test_founder_that_loses_its_folder_while_it_runs_founds_no_second_group(
+    make_control_group,
+):
+    # Guards against a host that acknowledges changes alone, because its volume was
+    # unmounted or its folder removed during the first run of the system.
+    async def main() -> None:
+        group = make_control_group()
+        await group.form("a", "b", "c")
+        await group.submit(7)
+        founder = group.hosts["a"]
+        founder.disk.wipe()
+        for version in (8, 9, 10):
+            with contextlib.suppress(CoreUnavailable):
+                await founder.replica.submit(version, f"document {version}")
+            await asyncio.sleep(_CATCH_UP_S)
+        newest = founder.register.version
+        assert {host.register.version for host in group.running()} == {newest}
+        await group.submit(11)
+        await group.wait_until(
+            lambda: {h.register.version for h in group.running()} == {11}
+        )
+        assert group.members() == {"a", "b", "c"}
+        assert group.losses_borne() == 1
+        await group.stop()
+
+    run_virtual(main())
+
+
+def test_founder_tries_again_after_its_disk_was_full(make_control_group):
+    # Guards against a system that never forms because its first host could not store.
+    async def main() -> None:
+        group = make_control_group()
+        founder = ControlHost("a")
+        group.hosts["a"] = founder
+        founder.disk.full = True
+        group.begin("a", "b", "c")
+        await asyncio.sleep(2.0)
+        founder.disk.full = False
+        await group.submit(7, timeout_s=4.0)
+        await group.stop()
+
+    run_virtual(main())
