Remove the unfinished file when a replacement fails

What an operator would see: a disk that stays full.

Cause: replace_file left its temporary file behind when a write, sync or rename failed.

Evidence: test_failed_replacement_takes_no_space failed for a refused sync and a refused rename (routes.tmp was left). Not run on a disk that is really full.

--- a/packages/fleet/src/kingcuplug_fleet/_durable_file.py
+++ b/packages/fleet/src/kingcuplug_fleet/_durable_file.py
@@ -1,5 +1,6 @@
 """Replacement of a file that is atomic and survives a power loss."""
 
+import contextlib
 import os
 from pathlib import Path
 
@@ -19,11 +20,17 @@
     """
     path.parent.mkdir(parents=True, exist_ok=True)
     temporary = path.with_suffix(".tmp")
-    with temporary.open("wb") as file:
-        file.write(data)
-        file.flush()
-        os.fsync(file.fileno())
-    temporary.replace(path)
+    try:
+        with temporary.open("wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+        temporary.replace(path)
+    except OSError:
+        # The rest of the data folder needs its space on a full disk.
+        with contextlib.suppress(OSError):
+            temporary.unlink()
+        raise
     folder = os.open(path.parent, os.O_RDONLY | os.O_DIRECTORY)
     try:
         os.fsync(folder)
--- a/tests/fleet/test_routes_file.py
+++ b/tests/fleet/test_routes_file.py
@@ -1,8 +1,10 @@
 """Tests of saving committed routes, and of using them before there is a leader."""
 
 import asyncio
+import errno
 import os
 import threading
+from pathlib import Path
 
 import pytest
 from kingcuplug_common import EventLog
@@ -15,6 +17,7 @@
     ServerState,
     answer_poll,
 )
+from kingcuplug_fleet._durable_file import replace_file
 from kingcuplug_testkit import run_virtual
 
 from .conftest import FakePeerClient, make_record
@@ -281,3 +284,20 @@
         asyncio.run(run())
     finally:
         resumed.set()
+
+
+@pytest.mark.parametrize("call", ["fsync", "replace"])
+def test_failed_replacement_takes_no_space(tmp_path, monkeypatch, call):
+    """Guards against a full disk that stays full with an unfinished file."""
+
+    def refuse(*args):
+        raise OSError(errno.ENOSPC, "no space left on device")
+
+    path = tmp_path / "routes.json"
+    path.write_bytes(b"old")
+    owner = os if call == "fsync" else Path
+    monkeypatch.setattr(owner, call, refuse)
+    with pytest.raises(OSError, match="no space"):
+        replace_file(path, b"new")
+    assert [p.name for p in tmp_path.iterdir()] == ["routes.json"]
+    assert path.read_bytes() == b"old"
