--- a/packages/common/src/kingcuplug_common/__init__.py
+++ b/packages/common/src/kingcuplug_common/__init__.py
@@ -6,7 +6,7 @@
 
 from typing import TYPE_CHECKING
 
-from kingcuplug_common._clock import boot_time, wall_ms
+from kingcuplug_common._clock import boot_time, make_latest_wall_clock, wall_ms
 from kingcuplug_common._condition import Condition
 from kingcuplug_common._digests import canonical, digest, random_identifier
 from kingcuplug_common._errors import (
@@ -86,6 +86,7 @@
     "load_settings",
     "log_state_change",
     "log_to_file",
+    "make_latest_wall_clock",
     "not_run_refusal",
     "open_tracer",
     "propagator",
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -14,6 +14,7 @@
     EventLog,
     KingcuplugError,
     Metrics,
+    make_latest_wall_clock,
     render_metrics,
     require_string,
     require_strings,
@@ -165,6 +166,7 @@
         self._stop_requested = asyncio.Event()
         self._stopping = False
         self._random = random_module.Random()
+        self._latest_time_s = make_latest_wall_clock(lambda: time.time())
         silent_after_s = (
             settings.heartbeat_interval_ms * _SILENT_AFTER_INTERVALS / _MS_PER_S
         )
@@ -238,7 +240,13 @@
             If the server's start is too far in the future. It would have the address
             of any other server for as long, as the one that started last.
         """
-        if record.start_ms > time.time() * _MS_PER_S + _MAX_START_AHEAD_MS:
+        now_ms = int(self._latest_time_s() * _MS_PER_S)
+        if record.start_ms > now_ms + _MAX_START_AHEAD_MS:
+            # If this host's clock is wrong, all servers are rejected.
+            self._log.write(
+                "server_implausible",
+                {"server": record.id, "born_ms": record.start_ms, "clock_ms": now_ms},
+            )
             raise RecordImplausible(record)
         self._require_replica()
         changed = self._fleet_view.merge_servers([record], direct=True)
--- a/tests/node/test_heartbeats.py
+++ b/tests/node/test_heartbeats.py
@@ -4,6 +4,7 @@
 import os
 import time
 
+import orjson
 import pytest
 from kingcuplug_common import EventLog
 from kingcuplug_fleet import ServerRecord, ServerState
@@ -36,3 +37,47 @@
             await host.receive_heartbeat(_record(now_ms + 60_000))
 
     asyncio.run(run())
+
+
+def test_heartbeats_are_accepted_after_the_clock_was_set_back(monkeypatch):
+    """Guards against a host that rejects all servers because its clock jumps."""
+
+    async def run() -> None:
+        settings = make_settings()
+        log = EventLog(os.open(os.devnull, os.O_WRONLY), "host")
+        host = Host(
+            settings, HEADER_NAMES, lambda text: ROUTE_TABLE, lambda: settings, log
+        )
+        host._poller.control_host = "127.0.0.1:1"
+        true_time = time.time
+        for ahead_s in (-3.0, -10 * 86_400.0, 0.0, -time.time()):
+            monkeypatch.setattr(time, "time", lambda s=ahead_s: true_time() + s)
+            now_ms = int(true_time() * 1_000)
+            with pytest.raises(Elsewhere):
+                await host.receive_heartbeat(_record(now_ms))
+            with pytest.raises(RecordImplausible):
+                await host.receive_heartbeat(_record(now_ms + 10 * 86_400_000))
+
+    asyncio.run(run())
+
+
+def test_rejected_heartbeat_is_logged(tmp_path):
+    """Guards against a host without servers, by a wrong clock, that shows no cause."""
+    output = tmp_path / "log"
+
+    async def run() -> None:
+        settings = make_settings()
+        log = EventLog(os.open(output, os.O_WRONLY | os.O_CREAT), "host")
+        host = Host(
+            settings, HEADER_NAMES, lambda text: ROUTE_TABLE, lambda: settings, log
+        )
+        start_ms = int(time.time() * 1_000) + 10 * 86_400_000
+        with pytest.raises(RecordImplausible):
+            await host.receive_heartbeat(_record(start_ms))
+        log.flush()
+        line = orjson.loads(output.read_bytes())
+        assert line["event"] == "server_implausible"
+        assert (line["server"], line["born_ms"]) == ("i-1", start_ms)
+        assert abs(line["clock_ms"] - time.time() * 1_000) < 60_000
+
+    asyncio.run(run())
