--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -109,6 +109,8 @@
     ----------
     replica : ControlReplica or None
         ``None`` while the host has no power.
+    clock_ahead_s : float
+        By how much the host's clock is ahead, as after a suspension of its machine.
     """
 
     def __init__(self, name: str) -> None:
@@ -118,6 +120,11 @@
         self.replica: ControlReplica | None = None
         self.register = RouteRegister(lambda: None)
         self.task: asyncio.Task[None] | None = None
+        self.clock_ahead_s = 0.0
+
+    def clock(self) -> float:
+        """Return monotonic seconds."""
+        return asyncio.get_running_loop().time() + self.clock_ahead_s
 
 
 class ControlGroup:
@@ -159,7 +166,7 @@
             lambda: {h.address for h in self.hosts.values()},
             self._log,
             Metrics(),
-            asyncio.get_running_loop().time,
+            host.clock,
             lambda folder: host.disk.mount(),
         )
         self._client.handlers[host.address] = partial(_answer, host.replica)
