Reopen the data folder when its files were removed in the run

What an operator would see: a control host that never comes back after a restart (CorruptLog, "the file is missing, but others hold data"), since its folder was removed, or another volume mounted over it, while it ran.

Cause: the log's handle stays usable when its file is removed.

Change: before it replaces a file, the storage checks that the files it has opened or written are still there, and fails otherwise.

--- a/packages/log/src/kingcuplug_log/_storage.py
+++ b/packages/log/src/kingcuplug_log/_storage.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import errno
 import sys
 from collections.abc import Iterator, Sequence
 from typing import Any
@@ -273,6 +274,7 @@
 
     async def _replace_file(self, name: str, data: bytes) -> int:
         """Replace a file atomically and return a handle of the new one."""
+        self._raise_if_files_missing()
         handle = self._files.open_append(name + _NEW_FILE_SUFFIX)
         try:
             self._files.write(handle, data)
@@ -284,6 +286,19 @@
             raise
         return handle
 
+    def _raise_if_files_missing(self) -> None:
+        """Raise `OSError` if the folder was removed, or emptied, since it was opened.
+
+        A new file would then be the only one, and the folder could not be opened again.
+        """
+        names = self._files.list()
+        for name, is_stored in (
+            (_LOG_FILE, self._log_handle is not None),
+            (_STATE_FILE, self._persisted_hard_state is not None),
+        ):
+            if is_stored and name not in names:
+                raise FileNotFoundError(errno.ENOENT, "a file is missing", name)
+
     async def _load_files(self) -> None:
         names = self._files.list()
         for name in names:
--- a/packages/testkit/src/kingcuplug_testkit/_disk.py
+++ b/packages/testkit/src/kingcuplug_testkit/_disk.py
@@ -143,6 +143,11 @@
         self._end_process()
         self.on_crash()
 
+    def remove_files(self) -> None:
+        """Remove all files while the process runs; its open handles stay usable."""
+        self.unsynced_name_changes.clear()
+        self.files, self.durable_files = {}, {}
+
     def sync_name_changes(self) -> None:
         """Make all creations, renames and removals durable."""
         for change in self.unsynced_name_changes:
--- a/tests/fleet/test_control_group.py
+++ b/tests/fleet/test_control_group.py
@@ -302,3 +302,36 @@
         await group.stop()
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("leads", [False, True])
+@pytest.mark.parametrize("change_count", [1, 80])
+def test_host_whose_files_were_removed_joins_again_by_itself(
+    make_control_group, leads, change_count
+):
+    # Guards against a folder that holds the files written since, but not the vote or
+    # the entries, so that the host can't use it after a restart.
+    async def main() -> None:
+        group = make_control_group()
+        await group.form("a", "b", "c")
+        await group.submit(1)
+        leader = group.leader()
+        name = leader if leads else next(n for n in group.hosts if n != leader)
+        group.hosts[name].disk.remove_files()
+        for version in range(2, 2 + change_count):
+            await group.submit(version)
+        await asyncio.sleep(_CATCH_UP_S)
+        for host in group.hosts:
+            group.power_off(host)
+        for host in group.hosts:
+            group.start(host)
+        assert await group.read_version() == version
+        await group.wait_until(lambda: group.losses_borne() == 1)
+        await group.submit(version + 1)
+        await group.wait_until(
+            lambda: {h.register.version for h in group.running()} == {version + 1}
+        )
+        assert group.members() == {"a", "b", "c"}
+        await group.stop()
+
+    run_virtual(main())
--- a/tests/log/test_storage.py
+++ b/tests/log/test_storage.py
@@ -370,3 +370,27 @@
     _replace_content(disk, "log", content)
     with pytest.raises(CorruptLog):
         _open(disk)
+
+
+@pytest.mark.parametrize("operation", ["vote", "snapshot"])
+def test_storage_fails_once_its_files_are_removed(operation: str) -> None:
+    # Guards against a folder with a part of the files, after it was removed in the run.
+    async def main() -> None:
+        disk = FakeDisk(Random(0))
+        storage = Storage(disk.mount())
+        await storage.open()
+        storage.stage([_entry(1, 1)])
+        await storage.flush()
+        disk.remove_files()
+        storage.set_term_and_vote(1, "a")
+        with pytest.raises(StorageFailed, match="missing"):
+            if operation == "vote":
+                await storage.persist_term_and_vote()
+            else:
+                await storage.save_snapshot(Snapshot(1, 1, "t", (), {}), retained=0)
+        assert disk.files == {}
+        successor = Storage(disk.mount())
+        await successor.open()
+        assert successor.disk_id != storage.disk_id
+
+    run_virtual(main())
