Use the data folder in worker threads only

What callers would see: a host that answers nobody while its disk stalls in the opening, renaming, truncating, listing, reading or removal of a file. The replica is reopened each 0.5 s while its storage fails, so a disk that fails and stalls meets these operations again and again.

Cause: only writes and syncs ran in worker threads; the other operations of DiskFileSystem ran in the event loop.

Change: FileSystem's operations on the disk are coroutines, and DiskFileSystem runs each in a thread to its end. The fake file system suspends where it did before.

A committed entry costs as before, by reading: one write and sync in one thread.

Still in the event loop: the creation of the folder at each opening, and loading servers.json and routes.json at the start.

--- a/packages/log/src/kingcuplug_log/_file_system.py
+++ b/packages/log/src/kingcuplug_log/_file_system.py
@@ -1,5 +1,6 @@
 """File operations on one data folder."""
 
+import asyncio
 import contextlib
 import errno
 import itertools
@@ -23,7 +24,7 @@
     All methods raise `OSError`.
     """
 
-    def open_append(self, name: str) -> int:
+    async def open_append(self, name: str) -> int:
         """Open a file for appending, create it if absent; return its handle."""
         ...
 
@@ -39,7 +40,7 @@
         """Close a handle."""
         ...
 
-    def rename(self, old: str, new: str) -> None:
+    async def rename(self, old: str, new: str) -> None:
         """Rename a file and replace any file that has the new name."""
         ...
 
@@ -47,28 +48,28 @@
         """Make created, renamed and removed names durable."""
         ...
 
-    def truncate(self, handle: int, size: int) -> None:
+    async def truncate(self, handle: int, size: int) -> None:
         """Truncate a file to `size` bytes."""
         ...
 
-    def read(self, name: str) -> bytes:
+    async def read(self, name: str) -> bytes:
         """Return the content of a file."""
         ...
 
-    def list(self) -> list[str]:
+    async def list(self) -> list[str]:
         """Return the names of all files."""
         ...
 
-    def remove(self, name: str) -> None:
+    async def remove(self, name: str) -> None:
         """Remove a file."""
         ...
 
 
 class DiskFileSystem:
-    """A folder on a real disk; writes and syncs run in a worker thread.
+    """A folder on a real disk, which is used in worker threads only.
 
-    A stalled disk blocks writes as well as syncs, so written bytes are buffered in
-    memory until the next sync of their file, which writes them in the thread.
+    A stalled disk can block any operation. Written bytes are buffered in memory until
+    the next sync of their file, which writes them.
 
     Parameters
     ----------
@@ -82,11 +83,15 @@
         self._handles = itertools.count(1)
         self._files: dict[int, _AppendFile] = {}
 
-    def open_append(self, name: str) -> int:
+    async def open_append(self, name: str) -> int:
         """Open a file for appending, create it if absent; return its handle."""
-        file = _AppendFile(self._folder / name)
         handle = next(self._handles)
-        self._files[handle] = file
+        try:
+            await run_to_completion(self._open_file, handle, name)
+        except asyncio.CancelledError:
+            if handle in self._files:
+                self.close(handle)
+            raise
         return handle
 
     def write(self, handle: int, data: bytes) -> None:
@@ -103,29 +108,32 @@
         """Close a handle and discard the bytes that were not synced."""
         self._files.pop(handle).close()
 
-    def rename(self, old: str, new: str) -> None:
+    async def rename(self, old: str, new: str) -> None:
         """Rename a file and replace any file that has the new name."""
-        (self._folder / old).replace(self._folder / new)
+        await run_to_completion((self._folder / old).replace, self._folder / new)
 
     async def sync_folder(self) -> None:
         """Make created, renamed and removed names durable."""
         await run_to_completion(_sync_folder, self._folder)
 
-    def truncate(self, handle: int, size: int) -> None:
+    async def truncate(self, handle: int, size: int) -> None:
         """Truncate a file to `size` bytes."""
-        self._files[handle].truncate(size)
+        await run_to_completion(self._files[handle].truncate, size)
 
-    def read(self, name: str) -> bytes:
+    async def read(self, name: str) -> bytes:
         """Return the content of a file."""
-        return (self._folder / name).read_bytes()
+        return await run_to_completion((self._folder / name).read_bytes)
 
-    def list(self) -> list[str]:
+    async def list(self) -> list[str]:
         """Return the names of all files."""
-        return sorted(path.name for path in self._folder.iterdir())
+        return await run_to_completion(_list_names, self._folder)
 
-    def remove(self, name: str) -> None:
+    async def remove(self, name: str) -> None:
         """Remove a file."""
-        (self._folder / name).unlink()
+        await run_to_completion((self._folder / name).unlink)
+
+    def _open_file(self, handle: int, name: str) -> None:
+        self._files[handle] = _AppendFile(self._folder / name)
 
 
 class _AppendFile:
@@ -184,6 +192,10 @@
                 os.close(self._descriptor)
 
 
+def _list_names(folder: Path) -> list[str]:
+    return sorted(path.name for path in folder.iterdir())
+
+
 def _sync_folder(folder: Path) -> None:
     handle = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
     try:
--- a/packages/log/src/kingcuplug_log/_progress.py
+++ b/packages/log/src/kingcuplug_log/_progress.py
@@ -107,8 +107,9 @@
 
     async def _send_snapshot(self) -> bool:
         state = self._state
-        data = self._storage.read_snapshot()
+        # The snapshot read may be a newer one, but not an older one.
         index, term = self._storage.snapshot_index, self._storage.snapshot_term
+        data = await self._storage.read_snapshot()
         offset, chunk_bytes = 0, state.settings.install_chunk_bytes
         state.metrics.count("log.installs")
         while True:
--- a/packages/log/src/kingcuplug_log/_storage.py
+++ b/packages/log/src/kingcuplug_log/_storage.py
@@ -194,11 +194,11 @@
 
         await self._executor.run(self._snapshot_lock, save)
 
-    def read_snapshot(self) -> bytes:
+    async def read_snapshot(self) -> bytes:
         """Return the encoded record of the current snapshot."""
         self._executor.raise_if_failed()
         try:
-            return self._files.read(_SNAPSHOT_FILE)
+            return await self._files.read(_SNAPSHOT_FILE)
         except OSError as error:
             raise self._executor.record_failure(error) from error
 
@@ -274,24 +274,24 @@
 
     async def _replace_file(self, name: str, data: bytes) -> int:
         """Replace a file atomically and return a handle of the new one."""
-        self._raise_if_files_missing()
-        handle = self._files.open_append(name + _NEW_FILE_SUFFIX)
+        await self._raise_if_files_missing()
+        handle = await self._files.open_append(name + _NEW_FILE_SUFFIX)
         try:
             self._files.write(handle, data)
             await self._files.sync(handle)
-            self._files.rename(name + _NEW_FILE_SUFFIX, name)
+            await self._files.rename(name + _NEW_FILE_SUFFIX, name)
             await self._files.sync_folder()
         except BaseException:
             self._files.close(handle)
             raise
         return handle
 
-    def _raise_if_files_missing(self) -> None:
+    async def _raise_if_files_missing(self) -> None:
         """Raise `OSError` if the folder was removed, or emptied, since it was opened.
 
         A new file would then be the only one, and the folder could not be opened again.
         """
-        names = self._files.list()
+        names = await self._files.list()
         for name, is_stored in (
             (_LOG_FILE, self._log_handle is not None),
             (_STATE_FILE, self._persisted_hard_state is not None),
@@ -300,24 +300,26 @@
                 raise FileNotFoundError(errno.ENOENT, "a file is missing", name)
 
     async def _load_files(self) -> None:
-        names = self._files.list()
+        names = await self._files.list()
         for name in names:
             if name.endswith(_NEW_FILE_SUFFIX):
-                self._files.remove(name)
+                await self._files.remove(name)
         # A previous process may have left names that are visible but not synced.
         await self._files.sync_folder()
         if _STATE_FILE not in names:
             await self._create_files(names)
             return
-        self._read_hard_state()
-        self._read_snapshot(names)
+        await self._read_hard_state()
+        await self._read_snapshot(names)
         await self._read_log(names)
         self._raise_term_to_last_entry()
 
     async def _create_files(self, names: list[str]) -> None:
         # The state file is written last, so without it nothing was ever
         # acknowledged from this folder.
-        if _SNAPSHOT_FILE in names or (_LOG_FILE in names and self._log_has_entries()):
+        if _SNAPSHOT_FILE in names or (
+            _LOG_FILE in names and await self._log_has_entries()
+        ):
             raise CorruptLog(
                 _STATE_FILE, 0, "the file is missing, but others hold data"
             )
@@ -325,11 +327,11 @@
         await self._rewrite_log()
         await self._write_hard_state()
 
-    def _log_has_entries(self) -> bool:
-        return len(scan_records(self._files.read(_LOG_FILE), _LOG_FILE)[0]) > 1
+    async def _log_has_entries(self) -> bool:
+        return len(scan_records(await self._files.read(_LOG_FILE), _LOG_FILE)[0]) > 1
 
-    def _read_hard_state(self) -> None:
-        value = decode_single_record(self._files.read(_STATE_FILE), _STATE_FILE)
+    async def _read_hard_state(self) -> None:
+        value = decode_single_record(await self._files.read(_STATE_FILE), _STATE_FILE)
         with _refuse_unknown_content(_STATE_FILE):
             self.term = require_integer(value["term"])
             vote = value["vote"]
@@ -338,10 +340,10 @@
             self.committed_index = require_integer(value.get("committed", 0))
         self._persisted_hard_state = (self.term, self.vote)
 
-    def _read_snapshot(self, names: list[str]) -> None:
+    async def _read_snapshot(self, names: list[str]) -> None:
         if _SNAPSHOT_FILE in names:
             value = decode_single_record(
-                self._files.read(_SNAPSHOT_FILE), _SNAPSHOT_FILE
+                await self._files.read(_SNAPSHOT_FILE), _SNAPSHOT_FILE
             )
             with _refuse_unknown_content(_SNAPSHOT_FILE):
                 self.recovered_snapshot = Snapshot.from_json(value)
@@ -351,13 +353,13 @@
     async def _read_log(self, names: list[str]) -> None:
         if _LOG_FILE not in names:
             raise CorruptLog(_LOG_FILE, 0, "the file is missing")
-        data = self._files.read(_LOG_FILE)
+        data = await self._files.read(_LOG_FILE)
         values, end = scan_records(data, _LOG_FILE)
         self._load_entries(values)
         self._check_consistency(values[0], end)
-        self._log_handle = self._files.open_append(_LOG_FILE)
+        self._log_handle = await self._files.open_append(_LOG_FILE)
         if end < len(data):
-            self._files.truncate(self._log_handle, end)
+            await self._files.truncate(self._log_handle, end)
         # A complete record may not have been synced before the crash.
         await self._files.sync(self._log_handle)
         self._staged_from_index = self.last_index + 1
--- a/packages/testkit/src/kingcuplug_testkit/_disk.py
+++ b/packages/testkit/src/kingcuplug_testkit/_disk.py
@@ -204,7 +204,7 @@
         self._open_files: dict[int, tuple[str, _File]] = {}
         self._next_handle = 1
 
-    def open_append(self, name: str) -> int:
+    async def open_append(self, name: str) -> int:
         """Open a file for appending, create it if absent; return its handle."""
         self._before_call("open_append", name)
         if name not in self._disk.files:
@@ -251,7 +251,7 @@
         if self._generation == self._disk.generation:
             self._disk.open_handles -= 1
 
-    def rename(self, old: str, new: str) -> None:
+    async def rename(self, old: str, new: str) -> None:
         """Rename a file and replace any file that has the new name."""
         self._before_call("rename", new)
         file = self._disk.files.pop(old)
@@ -270,26 +270,26 @@
         self._disk.sync_name_changes()
         self._after_call("sync_folder", "")
 
-    def truncate(self, handle: int, size: int) -> None:
+    async def truncate(self, handle: int, size: int) -> None:
         """Truncate a file to `size` bytes."""
         name, file = self._open_files[handle]
         self._before_call("truncate", name)
         del file.current[size:]
         self._after_call("truncate", name)
 
-    def read(self, name: str) -> bytes:
+    async def read(self, name: str) -> bytes:
         """Return the content of a file."""
         self._before_call("read", name)
         if name not in self._disk.files:
             raise FileNotFoundError(errno.ENOENT, "no such file", name)
         return bytes(self._disk.files[name].current)
 
-    def list(self) -> list[str]:
+    async def list(self) -> list[str]:
         """Return the names of all files."""
         self._before_call("list", "")
         return sorted(self._disk.files)
 
-    def remove(self, name: str) -> None:
+    async def remove(self, name: str) -> None:
         """Remove a file."""
         self._before_call("remove", name)
         del self._disk.files[name]
--- a/tests/log/test_file_system.py
+++ b/tests/log/test_file_system.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
+from typing import Any
 
 import pytest
 from kingcuplug_log import CorruptLog, DiskFileSystem, Storage
@@ -74,7 +75,7 @@
     # Guards against log bytes in a caller's connection that took the file's number.
     async def main() -> bytes:
         files = DiskFileSystem(tmp_path)
-        handle = files.open_append("log")
+        handle = await files.open_append("log")
         files.write(handle, b"record")
         sync = asyncio.ensure_future(files.sync(handle))
         await stalled_disk.wait_reached()
@@ -113,11 +114,11 @@
     # Guards against a worker thread that starts after the number has a new owner.
     async def main() -> bytes:
         loop, resumed = asyncio.get_running_loop(), threading.Event()
-        loop.set_default_executor(ThreadPoolExecutor(1))
-        occupied = loop.run_in_executor(None, resumed.wait, _WAIT_S)
         files = DiskFileSystem(tmp_path)
-        handle = files.open_append("log")
+        handle = await files.open_append("log")
         files.write(handle, b"record")
+        loop.set_default_executor(ThreadPoolExecutor(1))
+        occupied = loop.run_in_executor(None, resumed.wait, _WAIT_S)
         sync = asyncio.ensure_future(files.sync(handle))
         await asyncio.sleep(0)
         files.close(handle)
@@ -141,7 +142,7 @@
     async def main() -> None:
         files = DiskFileSystem(tmp_path)
         for _ in range(20):
-            handle = files.open_append("log")
+            handle = await files.open_append("log")
             files.write(handle, b"record")
             sync = asyncio.ensure_future(files.sync(handle))
             await asyncio.sleep(0)
@@ -174,3 +175,48 @@
     before = _count_descriptors()
     asyncio.run(open_repeatedly())
     assert _count_descriptors() == before
+
+
+def test_no_operation_of_the_disk_runs_in_the_event_loop(
+    tmp_path: Path, monkeypatch
+) -> None:
+    # Guards against callers that get no answer while a disk stalls in any operation.
+    threads: dict[str, set[int]] = {}
+
+    def record_threads(owner: object, name: str) -> None:
+        original = getattr(owner, name)
+
+        def recorded(*args: Any, **options: Any) -> Any:
+            threads.setdefault(name, set()).add(threading.get_ident())
+            return original(*args, **options)
+
+        monkeypatch.setattr(owner, name, recorded)
+
+    def leave_unfinished_writes() -> None:
+        with (tmp_path / "log").open("ab") as log:
+            log.write(b"torn")
+        (tmp_path / "state.new").touch()
+
+    async def use_all_operations() -> None:
+        storage = Storage(DiskFileSystem(tmp_path))
+        await storage.open()
+        storage.set_term_and_vote(1, "a")
+        await storage.persist_term_and_vote()
+        storage.stage([Entry(i, 1, EntryKind.NOOP, None) for i in range(1, 6)])
+        await storage.flush()
+        await storage.save_snapshot(Snapshot(4, 1, "test", (), {}), retained=1)
+        await storage.read_snapshot()
+        await storage.close()
+        await asyncio.to_thread(leave_unfinished_writes)
+        reopened = Storage(DiskFileSystem(tmp_path))
+        await reopened.open()
+        await reopened.close()
+
+    for name in ("open", "write", "fsync", "replace", "unlink", "ftruncate"):
+        record_threads(os, name)
+    for name in ("iterdir", "read_bytes"):
+        record_threads(Path, name)
+    asyncio.run(use_all_operations())
+    assert len(threads) == 8
+    in_event_loop = {n for n, ids in threads.items() if threading.get_ident() in ids}
+    assert in_event_loop == set()
--- a/tools/measure_log.py
+++ b/tools/measure_log.py
@@ -104,7 +104,7 @@
 
 async def _median_sync_ms(folder: Path) -> float:
     files = DiskFileSystem(folder / "sync")
-    handle = files.open_append("probe")
+    handle = await files.open_append("probe")
     samples = []
     for _ in range(_SYNC_SAMPLES):
         files.write(handle, b"x" * _COMMAND_BYTES)
