--- a/packages/common/src/kingcuplug_common/__init__.py
+++ b/packages/common/src/kingcuplug_common/__init__.py
@@ -6,7 +6,7 @@
 
 from typing import TYPE_CHECKING
 
-from kingcuplug_common._clock import boot_time, wall_ms
+from kingcuplug_common._clock import boot_time, make_latest_wall_clock, wall_ms
 from kingcuplug_common._condition import Condition
 from kingcuplug_common._digests import canonical, digest, random_identifier
 from kingcuplug_common._errors import (
@@ -29,6 +29,7 @@
 )
 from kingcuplug_common._lazy_import import import_on_first_use
 from kingcuplug_common._metrics import Metrics, log_state_change, set_state_change_sink
+from kingcuplug_common._threads import run_to_completion
 
 if TYPE_CHECKING:
     from kingcuplug_common._exposition import render_metrics
@@ -85,6 +86,7 @@
     "load_settings",
     "log_state_change",
     "log_to_file",
+    "make_latest_wall_clock",
     "not_run_refusal",
     "open_tracer",
     "propagator",
@@ -98,6 +100,7 @@
     "require_number",
     "require_string",
     "require_strings",
+    "run_to_completion",
     "set_state_change_sink",
     "start_hop",
     "traced_entry",
--- a/packages/fleet/src/kingcuplug_fleet/_control_replica.py
+++ b/packages/fleet/src/kingcuplug_fleet/_control_replica.py
@@ -130,6 +130,7 @@
         self._metrics = metrics
         self._replica: Replica | None = None
         self._disk_was_empty = False
+        self._group_has_others = False
         self._join_requests: dict[str, tuple[JoinRequest, float]] = {}
         self._silent_voters: tuple[str, ...] = ()
         self._random = random_module.Random()
@@ -298,10 +299,16 @@
         return formed
 
     async def _run_replica(self) -> None:
-        settings = self._settings
         self._started_at = self._clock()
-        storage = Storage(self._open_files(settings.folder))
+        storage = Storage(self._open_files(self._settings.folder))
         await storage.open()
+        try:
+            await self._run_replica_on(storage)
+        finally:
+            await storage.close()
+
+    async def _run_replica_on(self, storage: Storage) -> None:
+        settings = self._settings
         self._disk_was_empty = storage.last_index == 0
         name = settings.host
         member = Member(
@@ -317,26 +324,42 @@
             self._random,
             self._metrics,
         )
-        is_founder = settings.first_start and settings.seeds[:1] == (settings.address,)
-        if is_founder and self._disk_was_empty:
+        is_founder = self._disk_was_empty and self._may_found_group()
+        if is_founder:
             await replica.bootstrap(random_identifier())
         self._replica = replica
-        await replica.start()
-        self._log.write(
-            "replica_started",
-            {"member": member.id, "fresh": self._disk_was_empty, "founder": is_founder},
-            bypass_rate_limit=True,
-        )
         try:
+            await replica.start()
+            self._log.write(
+                "replica_started",
+                {
+                    "member": member.id,
+                    "fresh": self._disk_was_empty,
+                    "founder": is_founder,
+                },
+                bypass_rate_limit=True,
+            )
             await self._maintain_membership(replica, member)
         finally:
             self._replica = None
             with contextlib.suppress(Exception):
                 await replica.stop()
 
+    def _may_found_group(self) -> bool:
+        """Return whether this host is the one that founds the system's group.
+
+        Its folder can become empty while it runs, for example if the volume is
+        unmounted. The others are then still members of the first group.
+        """
+        settings = self._settings
+        if not settings.first_start or settings.seeds[:1] != (settings.address,):
+            return False
+        return not self._group_has_others
+
     async def _maintain_membership(self, replica: Replica, member: Member) -> None:
         """Ask to join while this host is no voter; change members while it leads."""
         while not (status := replica.status()).storage_failed:
+            self._group_has_others |= len(status.members) > 1
             if replica.leading:
                 self._log_silent_voters(status)
                 await self._change_members(replica, status)
@@ -422,6 +445,7 @@
         removed = change if isinstance(change, str) else None
         # A host that joins later takes the place of a lost one.
         enlarge = added is not None and requests[added.id].first_start
+        self._group_has_others |= added is not None
         try:
             async with asyncio.timeout(_CHANGE_TIMEOUT_S):
                 await replica.change_members(added, removed, enlarge)
--- a/packages/log/src/kingcuplug_log/_file_system.py
+++ b/packages/log/src/kingcuplug_log/_file_system.py
@@ -1,10 +1,17 @@
 """File operations on one data folder."""
 
 import asyncio
+import contextlib
+import errno
+import itertools
 import os
+import threading
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Protocol
 
+from kingcuplug_common import run_to_completion
+
 __all__ = ["DiskFileSystem", "FileSystem"]
 
 _APPEND_FLAGS = os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC
@@ -17,7 +24,7 @@
     All methods raise `OSError`.
     """
 
-    def open_append(self, name: str) -> int:
+    async def open_append(self, name: str) -> int:
         """Open a file for appending, create it if absent; return its handle."""
         ...
 
@@ -33,7 +40,7 @@
         """Close a handle."""
         ...
 
-    def rename(self, old: str, new: str) -> None:
+    async def rename(self, old: str, new: str) -> None:
         """Rename a file and replace any file that has the new name."""
         ...
 
@@ -41,28 +48,28 @@
         """Make created, renamed and removed names durable."""
         ...
 
-    def truncate(self, handle: int, size: int) -> None:
+    async def truncate(self, handle: int, size: int) -> None:
         """Truncate a file to `size` bytes."""
         ...
 
-    def read(self, name: str) -> bytes:
+    async def read(self, name: str) -> bytes:
         """Return the content of a file."""
         ...
 
-    def list(self) -> list[str]:
+    async def list(self) -> list[str]:
         """Return the names of all files."""
         ...
 
-    def remove(self, name: str) -> None:
+    async def remove(self, name: str) -> None:
         """Remove a file."""
         ...
 
 
 class DiskFileSystem:
-    """A folder on a real disk; writes and syncs run in a worker thread.
+    """A folder on a real disk, which is used in worker threads only.
 
-    A stalled disk blocks writes as well as syncs, so written bytes are buffered in
-    memory until the next sync of their file, which writes them in the thread.
+    A stalled disk can block any operation. Written bytes are buffered in memory until
+    the next sync of their file, which writes them.
 
     Parameters
     ----------
@@ -73,56 +80,120 @@
     def __init__(self, folder: Path) -> None:
         folder.mkdir(parents=True, exist_ok=True)
         self._folder = folder
-        self._unwritten: dict[int, bytearray] = {}
+        self._handles = itertools.count(1)
+        self._files: dict[int, _AppendFile] = {}
 
-    def open_append(self, name: str) -> int:
+    async def open_append(self, name: str) -> int:
         """Open a file for appending, create it if absent; return its handle."""
-        return os.open(self._folder / name, _APPEND_FLAGS, 0o600)
+        handle = next(self._handles)
+        try:
+            await run_to_completion(self._open_file, handle, name)
+        except asyncio.CancelledError:
+            if handle in self._files:
+                self.close(handle)
+            raise
+        return handle
 
     def write(self, handle: int, data: bytes) -> None:
         """Buffer `data`, which the next `sync` appends."""
-        self._unwritten.setdefault(handle, bytearray()).extend(data)
+        self._files[handle].unwritten.extend(data)
 
     async def sync(self, handle: int) -> None:
         """Make the content of the file durable."""
-        data = bytes(self._unwritten.pop(handle, b""))
-        await asyncio.to_thread(_write_and_sync, handle, data)
+        file = self._files[handle]
+        data, file.unwritten = bytes(file.unwritten), bytearray()
+        await run_to_completion(file.append_and_sync, data)
 
     def close(self, handle: int) -> None:
         """Close a handle and discard the bytes that were not synced."""
-        self._unwritten.pop(handle, None)
-        os.close(handle)
+        self._files.pop(handle).close()
 
-    def rename(self, old: str, new: str) -> None:
+    async def rename(self, old: str, new: str) -> None:
         """Rename a file and replace any file that has the new name."""
-        (self._folder / old).replace(self._folder / new)
+        await run_to_completion((self._folder / old).replace, self._folder / new)
 
     async def sync_folder(self) -> None:
         """Make created, renamed and removed names durable."""
-        await asyncio.to_thread(_sync_folder, self._folder)
+        await run_to_completion(_sync_folder, self._folder)
 
-    def truncate(self, handle: int, size: int) -> None:
+    async def truncate(self, handle: int, size: int) -> None:
         """Truncate a file to `size` bytes."""
-        os.ftruncate(handle, size)
+        await run_to_completion(self._files[handle].truncate, size)
 
-    def read(self, name: str) -> bytes:
+    async def read(self, name: str) -> bytes:
         """Return the content of a file."""
-        return (self._folder / name).read_bytes()
+        return await run_to_completion((self._folder / name).read_bytes)
 
-    def list(self) -> list[str]:
+    async def list(self) -> list[str]:
         """Return the names of all files."""
-        return sorted(path.name for path in self._folder.iterdir())
+        return await run_to_completion(_list_names, self._folder)
 
-    def remove(self, name: str) -> None:
+    async def remove(self, name: str) -> None:
         """Remove a file."""
-        (self._folder / name).unlink()
+        await run_to_completion((self._folder / name).unlink)
+
+    def _open_file(self, handle: int, name: str) -> None:
+        self._files[handle] = _AppendFile(self._folder / name)
+
 
+class _AppendFile:
+    """An open file whose descriptor is closed only when no thread uses it.
+
+    The number of a closed descriptor is given to the next file or connection, which
+    must not get the bytes of a write that is still running.
+
+    Attributes
+    ----------
+    unwritten : bytearray
+        Bytes that the next sync appends.
+    """
 
-def _write_and_sync(handle: int, data: bytes) -> None:
-    unwritten = memoryview(data)
-    while unwritten:
-        unwritten = unwritten[os.write(handle, unwritten) :]
-    os.fsync(handle)
+    def __init__(self, path: Path) -> None:
+        self.unwritten = bytearray()
+        self._descriptor = os.open(path, _APPEND_FLAGS, 0o600)
+        self._lock = threading.Lock()
+        self._users = 0
+        self._closed = False
+
+    def append_and_sync(self, data: bytes) -> None:
+        """Append all of `data` and make the file's content durable."""
+        with self._use_descriptor() as descriptor:
+            unwritten = memoryview(data)
+            while unwritten:
+                unwritten = unwritten[os.write(descriptor, unwritten) :]
+            os.fsync(descriptor)
+
+    def truncate(self, size: int) -> None:
+        """Truncate the file to `size` bytes."""
+        with self._use_descriptor() as descriptor:
+            os.ftruncate(descriptor, size)
+
+    def close(self) -> None:
+        """Close the descriptor, at the latest when its last user is done."""
+        with self._lock:
+            self._closed = True
+            in_use = self._users > 0
+        if not in_use:
+            os.close(self._descriptor)
+
+    @contextlib.contextmanager
+    def _use_descriptor(self) -> Iterator[int]:
+        with self._lock:
+            if self._closed:
+                raise OSError(errno.EBADF, "the file was closed before the operation")
+            self._users += 1
+        try:
+            yield self._descriptor
+        finally:
+            with self._lock:
+                self._users -= 1
+                is_last = self._closed and self._users == 0
+            if is_last:
+                os.close(self._descriptor)
+
+
+def _list_names(folder: Path) -> list[str]:
+    return sorted(path.name for path in folder.iterdir())
 
 
 def _sync_folder(folder: Path) -> None:
--- a/packages/log/src/kingcuplug_log/_storage.py
+++ b/packages/log/src/kingcuplug_log/_storage.py
@@ -7,11 +7,13 @@
 """
 
 import asyncio
+import contextlib
+import errno
 import sys
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from typing import Any
 
-from kingcuplug_common import random_identifier
+from kingcuplug_common import random_identifier, require_integer, require_string
 
 from kingcuplug_log._entry_list import EntryList
 from kingcuplug_log._errors import CorruptLog
@@ -27,6 +29,7 @@
 _STATE_FILE = "state"
 _SNAPSHOT_FILE = "snapshot"
 _NEW_FILE_SUFFIX = ".new"
+_NO_CANDIDATE = ""  # A vote for nobody, which rules out others in its term.
 
 
 class Storage:
@@ -47,6 +50,9 @@
         Random identifier of the data folder, known after `open`.
     durable_index : int
         Index up to which all entries are synced.
+    committed_index : int
+        Index up to which the replica knows entries to be committed; stored with the
+        term, so that `open` can detect that such entries are missing.
     recovered_snapshot : Snapshot or None
         The snapshot read by `open`, until the replica has loaded it.
     """
@@ -63,6 +69,7 @@
         self._persisted_hard_state: tuple[int, str | None] | None = None
         self._executor = FailStopExecutor()
         self.durable_index = 0
+        self.committed_index = 0
         self.term = 0
         self.vote: str | None = None
         self.disk_id = ""
@@ -82,12 +89,18 @@
         """
         try:
             await self._load_files()
-        except OSError as error:
-            raise self._executor.record_failure(error) from error
+        except BaseException as error:
+            self._close_log()
+            if isinstance(error, OSError):
+                raise self._executor.record_failure(error) from error
+            raise
 
     async def close(self) -> None:
-        """Wait for running operations and release the file handle."""
-        await self._executor.drain()
+        """Wait for running operations and release the file handle.
+
+        Later operations raise `StorageClosed`.
+        """
+        await self._executor.close()
         self._close_log()
 
     def halt(self, reason: str) -> None:
@@ -181,11 +194,11 @@
 
         await self._executor.run(self._snapshot_lock, save)
 
-    def read_snapshot(self) -> bytes:
+    async def read_snapshot(self) -> bytes:
         """Return the encoded record of the current snapshot."""
         self._executor.raise_if_failed()
         try:
-            return self._files.read(_SNAPSHOT_FILE)
+            return await self._files.read(_SNAPSHOT_FILE)
         except OSError as error:
             raise self._executor.record_failure(error) from error
 
@@ -202,6 +215,7 @@
             "term": hard_state[0],
             "vote": hard_state[1],
             "disk_id": self.disk_id,
+            "committed": min(self.committed_index, self.durable_index),
         }
         self._files.close(await self._replace_file(_STATE_FILE, encode_record(value)))
         self._persisted_hard_state = hard_state
@@ -247,7 +261,12 @@
         self._end_write(last_index)
 
     def _encode_log(self, entries: Sequence[Entry]) -> bytes:
-        header = {"index": self._log.base_index, "term": self._log.base_term}
+        header = {
+            "index": self._log.base_index,
+            "term": self._log.base_term,
+            "disk_id": self.disk_id,
+            "hard_state": self._persisted_hard_state,
+        }
         data = encode_record(header)
         if entries:
             data += encode_record([entry.to_json() for entry in entries])
@@ -255,36 +274,52 @@
 
     async def _replace_file(self, name: str, data: bytes) -> int:
         """Replace a file atomically and return a handle of the new one."""
-        handle = self._files.open_append(name + _NEW_FILE_SUFFIX)
+        await self._raise_if_files_missing()
+        handle = await self._files.open_append(name + _NEW_FILE_SUFFIX)
         try:
             self._files.write(handle, data)
             await self._files.sync(handle)
-            self._files.rename(name + _NEW_FILE_SUFFIX, name)
+            await self._files.rename(name + _NEW_FILE_SUFFIX, name)
             await self._files.sync_folder()
         except BaseException:
             self._files.close(handle)
             raise
         return handle
 
+    async def _raise_if_files_missing(self) -> None:
+        """Raise `OSError` if the folder was removed, or emptied, since it was opened.
+
+        A new file would then be the only one, and the folder could not be opened again.
+        """
+        names = await self._files.list()
+        for name, is_stored in (
+            (_LOG_FILE, self._log_handle is not None),
+            (_STATE_FILE, self._persisted_hard_state is not None),
+        ):
+            if is_stored and name not in names:
+                raise FileNotFoundError(errno.ENOENT, "a file is missing", name)
+
     async def _load_files(self) -> None:
-        names = self._files.list()
+        names = await self._files.list()
         for name in names:
             if name.endswith(_NEW_FILE_SUFFIX):
-                self._files.remove(name)
+                await self._files.remove(name)
         # A previous process may have left names that are visible but not synced.
         await self._files.sync_folder()
         if _STATE_FILE not in names:
             await self._create_files(names)
             return
-        self._read_hard_state()
-        self._read_snapshot(names)
+        await self._read_hard_state()
+        await self._read_snapshot(names)
         await self._read_log(names)
         self._raise_term_to_last_entry()
 
     async def _create_files(self, names: list[str]) -> None:
         # The state file is written last, so without it nothing was ever
         # acknowledged from this folder.
-        if _SNAPSHOT_FILE in names or (_LOG_FILE in names and self._log_has_entries()):
+        if _SNAPSHOT_FILE in names or (
+            _LOG_FILE in names and await self._log_has_entries()
+        ):
             raise CorruptLog(
                 _STATE_FILE, 0, "the file is missing, but others hold data"
             )
@@ -292,57 +327,93 @@
         await self._rewrite_log()
         await self._write_hard_state()
 
-    def _log_has_entries(self) -> bool:
-        return len(scan_records(self._files.read(_LOG_FILE), _LOG_FILE)[0]) > 1
-
-    def _read_hard_state(self) -> None:
-        value = decode_single_record(self._files.read(_STATE_FILE), _STATE_FILE)
-        self.term, self.vote = value["term"], value["vote"]
-        self.disk_id = value["disk_id"]
+    async def _log_has_entries(self) -> bool:
+        return len(scan_records(await self._files.read(_LOG_FILE), _LOG_FILE)[0]) > 1
+
+    async def _read_hard_state(self) -> None:
+        value = decode_single_record(await self._files.read(_STATE_FILE), _STATE_FILE)
+        with _refuse_unknown_content(_STATE_FILE):
+            self.term = require_integer(value["term"])
+            vote = value["vote"]
+            self.vote = None if vote is None else require_string(vote)
+            self.disk_id = require_string(value["disk_id"])
+            self.committed_index = require_integer(value.get("committed", 0))
         self._persisted_hard_state = (self.term, self.vote)
 
-    def _read_snapshot(self, names: list[str]) -> None:
+    async def _read_snapshot(self, names: list[str]) -> None:
         if _SNAPSHOT_FILE in names:
             value = decode_single_record(
-                self._files.read(_SNAPSHOT_FILE), _SNAPSHOT_FILE
+                await self._files.read(_SNAPSHOT_FILE), _SNAPSHOT_FILE
             )
-            self.recovered_snapshot = Snapshot.from_json(value)
+            with _refuse_unknown_content(_SNAPSHOT_FILE):
+                self.recovered_snapshot = Snapshot.from_json(value)
             self.snapshot_index = self.recovered_snapshot.index
             self.snapshot_term = self.recovered_snapshot.term
 
     async def _read_log(self, names: list[str]) -> None:
         if _LOG_FILE not in names:
             raise CorruptLog(_LOG_FILE, 0, "the file is missing")
-        data = self._files.read(_LOG_FILE)
+        data = await self._files.read(_LOG_FILE)
         values, end = scan_records(data, _LOG_FILE)
         self._load_entries(values)
-        self._log_handle = self._files.open_append(_LOG_FILE)
+        self._check_consistency(values[0], end)
+        self._log_handle = await self._files.open_append(_LOG_FILE)
         if end < len(data):
-            self._files.truncate(self._log_handle, end)
+            await self._files.truncate(self._log_handle, end)
         # A complete record may not have been synced before the crash.
         await self._files.sync(self._log_handle)
         self._staged_from_index = self.last_index + 1
         self.durable_index = self.last_index
+        if self.term_at(self.snapshot_index) != self.snapshot_term:
+            self._log.compact(self.snapshot_index, self.snapshot_term)
+            await self._rewrite_log()
+
+    def _check_consistency(self, header: dict[str, Any], end: int) -> None:
+        """Check that no file is older than another, or from another folder.
+
+        An older state file has lost a vote, and an older or shortened log has lost
+        entries that the leader counts as stored here.
+        """
         if self._log.base_index > self.snapshot_index:
             raise CorruptLog(
                 _SNAPSHOT_FILE, 0, "entries before the log's first are missing"
             )
-        if self.term_at(self.snapshot_index) != self.snapshot_term:
-            self._log.compact(self.snapshot_index, self.snapshot_term)
-            await self._rewrite_log()
+        last_index = max(self.last_index, self.snapshot_index)
+        if last_index < self.committed_index:
+            raise CorruptLog(
+                _LOG_FILE,
+                end,
+                f"the last entry is {last_index}, but {self.committed_index} was "
+                "committed",
+            )
+        # Files of older versions do not have the fields.
+        if header.get("disk_id", self.disk_id) != self.disk_id:
+            raise CorruptLog(_LOG_FILE, 0, "the file is from another data folder")
+        term, vote = header.get("hard_state") or (0, None)
+        if self.term < term or (self.term == term and vote not in (None, self.vote)):
+            raise CorruptLog(_STATE_FILE, 0, "the file is older than the log")
 
     def _load_entries(self, values: list[Any]) -> None:
         if not values:
             raise CorruptLog(_LOG_FILE, 0, "the header is missing")
-        self._log = EntryList(values[0]["index"], values[0]["term"])
-        for value in values[1:]:
-            try:
-                self._log.replace([Entry.from_json(entry) for entry in value])
-            except ValueError as error:
-                raise CorruptLog(_LOG_FILE, 0, str(error)) from error
+        header, *batches = values
+        with _refuse_unknown_content(_LOG_FILE):
+            base = require_integer(header["index"]), require_integer(header["term"])
+            self._log = EntryList(*base)
+            for batch in batches:
+                self._log.replace([Entry.from_json(entry) for entry in batch])
 
     def _raise_term_to_last_entry(self) -> None:
-        # Entries of a term can be synced before the term itself. In that case no vote
-        # was granted in that term, because a vote waits for its own sync.
+        # Entries of a term can be synced before the term itself. That term has its
+        # leader, so no vote is needed in it.
         if self.last_term > self.term:
-            self.set_term_and_vote(self.last_term, None)
+            self.set_term_and_vote(self.last_term, _NO_CANDIDATE)
+
+
+@contextlib.contextmanager
+def _refuse_unknown_content(file: str) -> Iterator[None]:
+    """Turn the errors of decoding a valid record into `CorruptLog`."""
+    try:
+        yield
+    except (LookupError, TypeError, ValueError) as error:
+        raise CorruptLog(file, 0, f"its content is unknown: {error!r}") from error
--- a/packages/testkit/src/kingcuplug_testkit/_disk.py
+++ b/packages/testkit/src/kingcuplug_testkit/_disk.py
@@ -95,6 +95,8 @@
         Number of calls after which the host crashes.
     full : bool
         Whether writes fail for lack of space, each after a random part of its data.
+    open_handles : int
+        Number of handles that the running process has opened and not closed.
     """
 
     def __init__(self, random: Random, sync_s: float = _SYNC_DURATION_S) -> None:
@@ -107,6 +109,7 @@
         self.calls: list[tuple[str, str]] = []
         self.crash_after_calls: int | None = None
         self.full = False
+        self.open_handles = 0
         self.files: dict[str, _File] = {}
         self.durable_files: dict[str, _File] = {}
         self.unsynced_name_changes: list[tuple[str, str | None, _File | None]] = []
@@ -117,7 +120,7 @@
 
     def crash(self) -> None:
         """Drop a random part of the unsynced data and end the process."""
-        self.generation += 1
+        self._end_process()
         for change in self.unsynced_name_changes[
             : self.random.randint(0, len(self.unsynced_name_changes))
         ]:
@@ -130,16 +133,21 @@
 
     def kill_process(self) -> None:
         """End the process only; the operating system keeps the unsynced data."""
-        self.generation += 1
+        self._end_process()
         self.on_crash()
 
     def wipe(self) -> None:
         """Erase all data, as if an empty disk replaced this one."""
         self.unsynced_name_changes.clear()
         self.files, self.durable_files = {}, {}
-        self.generation += 1
+        self._end_process()
         self.on_crash()
 
+    def remove_files(self) -> None:
+        """Remove all files while the process runs; its open handles stay usable."""
+        self.unsynced_name_changes.clear()
+        self.files, self.durable_files = {}, {}
+
     def sync_name_changes(self) -> None:
         """Make all creations, renames and removals durable."""
         for change in self.unsynced_name_changes:
@@ -173,6 +181,10 @@
         file.current[offset] ^= 0xFF
         file.durable = bytes(file.current)
 
+    def _end_process(self) -> None:
+        self.generation += 1
+        self.open_handles = 0
+
     def _apply_name_change(self, change: tuple[str, str | None, _File | None]) -> None:
         new, old, file = change
         if old is not None:
@@ -192,7 +204,7 @@
         self._open_files: dict[int, tuple[str, _File]] = {}
         self._next_handle = 1
 
-    def open_append(self, name: str) -> int:
+    async def open_append(self, name: str) -> int:
         """Open a file for appending, create it if absent; return its handle."""
         self._before_call("open_append", name)
         if name not in self._disk.files:
@@ -202,6 +214,7 @@
             )
         handle, self._next_handle = self._next_handle, self._next_handle + 1
         self._open_files[handle] = (name, self._disk.files[name])
+        self._disk.open_handles += 1
         self._after_call("open_append", name)
         return handle
 
@@ -235,8 +248,10 @@
     def close(self, handle: int) -> None:
         """Close a handle."""
         del self._open_files[handle]
+        if self._generation == self._disk.generation:
+            self._disk.open_handles -= 1
 
-    def rename(self, old: str, new: str) -> None:
+    async def rename(self, old: str, new: str) -> None:
         """Rename a file and replace any file that has the new name."""
         self._before_call("rename", new)
         file = self._disk.files.pop(old)
@@ -255,26 +270,26 @@
         self._disk.sync_name_changes()
         self._after_call("sync_folder", "")
 
-    def truncate(self, handle: int, size: int) -> None:
+    async def truncate(self, handle: int, size: int) -> None:
         """Truncate a file to `size` bytes."""
         name, file = self._open_files[handle]
         self._before_call("truncate", name)
         del file.current[size:]
         self._after_call("truncate", name)
 
-    def read(self, name: str) -> bytes:
+    async def read(self, name: str) -> bytes:
         """Return the content of a file."""
         self._before_call("read", name)
         if name not in self._disk.files:
             raise FileNotFoundError(errno.ENOENT, "no such file", name)
         return bytes(self._disk.files[name].current)
 
-    def list(self) -> list[str]:
+    async def list(self) -> list[str]:
         """Return the names of all files."""
         self._before_call("list", "")
         return sorted(self._disk.files)
 
-    def remove(self, name: str) -> None:
+    async def remove(self, name: str) -> None:
         """Remove a file."""
         self._before_call("remove", name)
         del self._disk.files[name]
--- a/tests/fleet/test_control_group.py
+++ b/tests/fleet/test_control_group.py
@@ -1,10 +1,15 @@
 """Groups of control hosts that lose and replace hosts."""
 
 import asyncio
+import contextlib
+import errno
 from collections.abc import Iterable
 
 import pytest
-from kingcuplug_testkit import run_virtual
+from kingcuplug_fleet import CoreUnavailable
+from kingcuplug_testkit import Failpoint, run_virtual
+
+from .conftest import ControlHost
 
 # A host counts as lost until this long after it has started.
 _CATCH_UP_S = 4.0
@@ -224,3 +229,109 @@
         await group.stop()
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("failing_call", [("sync", "log"), ("rename", "state")])
+def test_replica_that_cannot_be_opened_leaves_no_file_open(
+    make_control_group, failing_call
+):
+    # Guards against a host that uses up its descriptors while its disk refuses calls.
+    async def main() -> None:
+        group = make_control_group()
+        await group.form("a", "b", "c")
+        name = next(
+            host.name for host in group.running() if host.name != group.leader()
+        )
+        disk = group.hosts[name].disk
+        group.power_off(name)
+        if failing_call[1] == "state":
+            disk.wipe()
+        disk.failpoints += [
+            Failpoint(*failing_call, error=errno.EIO) for _ in range(20)
+        ]
+        group.start(name)
+        await group.wait_until(lambda: len(disk.triggered) == 20, timeout_s=20.0)
+        assert disk.open_handles <= 1
+        replica = group.hosts[name].replica
+        await group.wait_until(replica.connected)
+        assert disk.open_handles == 1
+        await group.stop()
+
+    run_virtual(main())
+
+
+def test_founder_that_loses_its_folder_while_it_runs_founds_no_second_group(
+    make_control_group,
+):
+    # Guards against a host that acknowledges changes alone, because its volume was
+    # unmounted or its folder removed during the first run of the system.
+    async def main() -> None:
+        group = make_control_group()
+        await group.form("a", "b", "c")
+        await group.submit(7)
+        founder = group.hosts["a"]
+        founder.disk.wipe()
+        for version in (8, 9, 10):
+            with contextlib.suppress(CoreUnavailable):
+                await founder.replica.submit(version, f"document {version}")
+            await asyncio.sleep(_CATCH_UP_S)
+        newest = founder.register.version
+        assert {host.register.version for host in group.running()} == {newest}
+        await group.submit(11)
+        await group.wait_until(
+            lambda: {h.register.version for h in group.running()} == {11}
+        )
+        assert group.members() == {"a", "b", "c"}
+        assert group.losses_borne() == 1
+        await group.stop()
+
+    run_virtual(main())
+
+
+def test_founder_tries_again_after_its_disk_was_full(make_control_group):
+    # Guards against a system that never forms because its first host could not store.
+    async def main() -> None:
+        group = make_control_group()
+        founder = ControlHost("a")
+        group.hosts["a"] = founder
+        founder.disk.full = True
+        group.begin("a", "b", "c")
+        await asyncio.sleep(2.0)
+        founder.disk.full = False
+        await group.submit(7, timeout_s=4.0)
+        await group.stop()
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("leads", [False, True])
+@pytest.mark.parametrize("change_count", [1, 80])
+def test_host_whose_files_were_removed_joins_again_by_itself(
+    make_control_group, leads, change_count
+):
+    # Guards against a folder that holds the files written since, but not the vote or
+    # the entries, so that the host can't use it after a restart.
+    async def main() -> None:
+        group = make_control_group()
+        await group.form("a", "b", "c")
+        await group.submit(1)
+        leader = group.leader()
+        name = leader if leads else next(n for n in group.hosts if n != leader)
+        group.hosts[name].disk.remove_files()
+        for version in range(2, 2 + change_count):
+            await group.submit(version)
+        await asyncio.sleep(_CATCH_UP_S)
+        for host in group.hosts:
+            group.power_off(host)
+        for host in group.hosts:
+            group.start(host)
+        assert await group.read_version() == version
+        await group.wait_until(lambda: group.losses_borne() == 1)
+        await group.submit(version + 1)
+        await group.wait_until(
+            lambda: {h.register.version for h in group.running()} == {version + 1}
+        )
+        assert group.members() == {"a", "b", "c"}
+        await group.stop()
+
+    run_virtual(main())
