Show that a system does not start without its first seed (tests fail)

Only the first seed founds the group of control hosts, and only in the process that has first_start, which is true only at the system's first start.

--- a/tests/fleet/test_control_group.py
+++ b/tests/fleet/test_control_group.py
@@ -332,6 +332,33 @@
             lambda: {h.register.version for h in group.running()} == {version + 1}
         )
         assert group.members() == {"a", "b", "c"}
+
+
+def test_group_forms_although_its_first_host_restarts_at_once(make_control_group):
+    # Guards against a system that never starts because one process ended before it had
+    # founded the group; at its next start it is not the system's first start any more.
+    async def main() -> None:
+        group = make_control_group()
+        group.begin("a", "b", "c", "d")
+        group.power_off("a")
+        await asyncio.sleep(0.3)
+        group.start("a")
+        await group.submit(7)
+        await group.wait_until(lambda: group.members() == {"a", "b", "c", "d"})
+        await group.stop()
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("lost", ["a", "b", "c"])
+def test_group_forms_without_one_of_its_seeds(make_control_group, lost):
+    # Guards against a system that never starts because one host does not.
+    async def main() -> None:
+        group = make_control_group()
+        group.begin("a", "b", "c", "d")
+        group.power_off(lost)
+        await group.submit(7)
+        await group.wait_until(lambda: group.voter_count() == 3)
         await group.stop()
 
     run_virtual(main())
