Let a test wait for the group before it looks for its log

The successor of a killed process finds a log with entries only once the group was founded; since it is founded by agreement, replica_started comes before that. The test waits for group_founded, and still expects a log that is not fresh.

--- a/tests/platform_formats/test_start.py
+++ b/tests/platform_formats/test_start.py
@@ -148,7 +148,7 @@
     """Guards against a restart that fails because it comes a moment too early."""
     settings = make_settings(data_directory=str(tmp_path / "data"))
     first = start_host(settings)
-    first.wait_for_event("replica_started")
+    first.wait_for_event("group_founded")
     second = start_host(settings)
     second.wait_for_event("address_unavailable")
     first.process.kill()
