--- a/packages/log/src/kingcuplug_log/_follower.py
+++ b/packages/log/src/kingcuplug_log/_follower.py
@@ -124,7 +124,10 @@
         except CorruptLog:
             self._snapshot_data = bytearray()
             return False
-        await self._storage.save_snapshot(snapshot, retained=0)
-        self._applier.install_snapshot(snapshot)
+        # The entries that the snapshot covers are gone once it is stored, so it must be
+        # applied, also if the leader's call has timed out by then.
+        await self._storage.save_snapshot(
+            snapshot, 0, lambda: self._applier.install_snapshot(snapshot)
+        )
         self._snapshot_data = bytearray()
         return True
--- a/packages/log/src/kingcuplug_log/_storage.py
+++ b/packages/log/src/kingcuplug_log/_storage.py
@@ -10,7 +10,7 @@
 import contextlib
 import errno
 import sys
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from typing import Any
 
 from kingcuplug_common import random_identifier, require_integer, require_string
@@ -173,18 +173,29 @@
             return
         await self._executor.run(self._log_lock, self._write_staged)
 
-    async def save_snapshot(self, snapshot: Snapshot, retained: int) -> None:
+    async def save_snapshot(
+        self,
+        snapshot: Snapshot,
+        retained: int,
+        on_saved: Callable[[], None] = lambda: None,
+    ) -> None:
         """Replace the snapshot, then remove the entries that it covers.
 
         Parameters
         ----------
         retained : int
             Number of entries up to the snapshot's index that are kept.
+        on_saved : callable
+            Called when the snapshot, or a newer one, is stored, also if the caller was
+            cancelled meanwhile.
         """
 
         async def save() -> None:
-            if snapshot.index <= self.snapshot_index:
-                return
+            if snapshot.index > self.snapshot_index:
+                await replace()
+            on_saved()
+
+        async def replace() -> None:
             data = encode_record(snapshot.to_json())
             self._files.close(await self._replace_file(_SNAPSHOT_FILE, data))
             self.snapshot_index, self.snapshot_term = snapshot.index, snapshot.term
--- a/tests/log/test_stalled_disks.py
+++ b/tests/log/test_stalled_disks.py
@@ -1,6 +1,7 @@
 """Disks that stall for seconds while their hosts and connections stay up."""
 
 import asyncio
+import base64
 
 import pytest
 from kingcuplug_log import LogSettings
@@ -12,8 +13,8 @@
 _SETTINGS = LogSettings(snapshot_entries=8, retained_entries=2)
 
 
-async def _start_group(name: str) -> LogGroup:
-    group = LogGroup(name, _SETTINGS)
+async def _start_group(name: str, settings: LogSettings = _SETTINGS) -> LogGroup:
+    group = LogGroup(name, settings)
     await group.start("a", "b", "c", "d", "e")
     await group.propose({"number": 0})
     await group.wait_until_converged()
@@ -141,3 +142,52 @@
         await group.stop()
 
     run_virtual(main())
+
+
+def test_stored_snapshot_is_applied_although_the_leaders_call_timed_out() -> None:
+    # Guards against a follower that applies nothing any more: the entries before its
+    # stored snapshot are gone, and it is sent none of them again.
+    async def main() -> None:
+        settings = LogSettings(snapshot_entries=8, retained_entries=16)
+        group = await _start_group("snapshot on a slow disk", settings)
+        (follower,) = _select(group, "follower")
+        leader = group.leader()
+        assert leader is not None
+        for other in group.hosts:
+            group.network.block_link(other, follower.name)
+        for number in range(1, 21):
+            await group.propose({"number": number})
+        sender = group.replica(leader.name)
+        data = await sender._storage.read_snapshot()
+        status = sender.status()
+        message = {
+            "kind": "install",
+            "header": {
+                "cluster": "test",
+                "sender": leader.member.id,
+                "to": follower.member.id,
+                "term": status.term,
+            },
+            "index": status.snapshot_index,
+            "snapshot_term": status.term,
+            "offset": 0,
+            "total": len(data),
+            "data": base64.b64encode(data).decode(),
+        }
+        follower.disk.sync_s = 0.1
+        receiver = group.replica(follower.name)
+        handling = asyncio.ensure_future(receiver.handle(message))
+        await asyncio.sleep(0.15)
+        handling.cancel()
+        await asyncio.sleep(1.0)
+        follower.disk.sync_s = 0.001
+        # The next leader finds that the follower's log matches from the snapshot on.
+        leader.disk.crash()
+        await group.wait_for_leader()
+        group.network.heal()
+        await group.propose({"number": 21})
+        await group.wait_until_converged(timeout_s=2.0)
+        await group.stop()
+        group.invariants.raise_if_violated()
+
+    run_virtual(main())
