Write the log anew when its folder is opened after a failed sync

What could follow: an acknowledged change is lost at a loss of power, or the log is refused as corrupt, on a host whose disk had refused a sync before.

Cause: after a failed sync the cache holds content that the disk lacks, and a later sync of the same file succeeds without writing it. The storage never retries a sync, but opening the folder again, 0.5 s later in the control part or by a restart of the process, read the log from the cache, synced the same file and acknowledged what it had read.

Change: open writes the valid part of the log to a new file, as many syncs as before (the content and the folder). That also cuts off a torn tail, so the truncation is gone, and with it `truncate` of the file system.

Tests: test_entries_of_a_failed_sync_are_durable_once_the_folder_is_opened_again failed before (entry 2 was durable by the storage's word and lost). Two faults of the matrix and one case of the refusing disk, which crashed or refused the truncation, are replaced: crashes before and after the sync and the rename of the new log (four), refusals of each step of its writing (there already). The refused sync at opening in test_replica_that_cannot_be_opened is that of the new file now, and its rename is added.

--- a/packages/log/src/kingcuplug_log/_file_system.py
+++ b/packages/log/src/kingcuplug_log/_file_system.py
@@ -48,10 +48,6 @@
         """Make created, renamed and removed names durable."""
         ...
 
-    async def truncate(self, handle: int, size: int) -> None:
-        """Truncate a file to `size` bytes."""
-        ...
-
     async def read(self, name: str) -> bytes:
         """Return the content of a file."""
         ...
@@ -116,10 +112,6 @@
         """Make created, renamed and removed names durable."""
         await run_to_completion(_sync_folder, self._folder)
 
-    async def truncate(self, handle: int, size: int) -> None:
-        """Truncate a file to `size` bytes."""
-        await run_to_completion(self._files[handle].truncate, size)
-
     async def read(self, name: str) -> bytes:
         """Return the content of a file."""
         return await run_to_completion((self._folder / name).read_bytes)
@@ -163,11 +155,6 @@
                 unwritten = unwritten[os.write(descriptor, unwritten) :]
             os.fsync(descriptor)
 
-    def truncate(self, size: int) -> None:
-        """Truncate the file to `size` bytes."""
-        with self._use_descriptor() as descriptor:
-            os.ftruncate(descriptor, size)
-
     def close(self) -> None:
         """Close the descriptor, at the latest when its last user is done."""
         with self._lock:
--- a/packages/log/src/kingcuplug_log/_storage.py
+++ b/packages/log/src/kingcuplug_log/_storage.py
@@ -78,7 +78,7 @@
         self.recovered_snapshot: Snapshot | None = None
 
     async def open(self) -> None:
-        """Read the data folder and truncate a torn tail.
+        """Read the data folder, cut off a torn tail and make all of it durable.
 
         Raises
         ------
@@ -315,8 +315,6 @@
         for name in names:
             if name.endswith(_NEW_FILE_SUFFIX):
                 await self._files.remove(name)
-        # A previous process may have left names that are visible but not synced.
-        await self._files.sync_folder()
         if _STATE_FILE not in names:
             await self._create_files(names)
             return
@@ -368,16 +366,18 @@
         values, end = scan_records(data, _LOG_FILE)
         self._load_entries(values)
         self._check_consistency(values[0], end)
-        self._log_handle = await self._files.open_append(_LOG_FILE)
-        if end < len(data):
-            await self._files.truncate(self._log_handle, end)
-        # A complete record may not have been synced before the crash.
-        await self._files.sync(self._log_handle)
-        self._staged_from_index = self.last_index + 1
-        self.durable_index = self.last_index
         if self.term_at(self.snapshot_index) != self.snapshot_term:
+            # The new log states the term and vote of the state file, which a previous
+            # process may have renamed without syncing the folder.
+            await self._files.sync_folder()
             self._log.compact(self.snapshot_index, self.snapshot_term)
             await self._rewrite_log()
+            return
+        # After a failed sync, later ones of the same file succeed although the cache
+        # holds content that the disk lacks. A torn tail is left behind, too.
+        self._log_handle = await self._replace_file(_LOG_FILE, data[:end])
+        self._staged_from_index = self.last_index + 1
+        self.durable_index = self.last_index
 
     def _check_consistency(self, header: dict[str, Any], end: int) -> None:
         """Check that no file is older than another, or from another folder.
--- a/packages/testkit/src/kingcuplug_testkit/_disk.py
+++ b/packages/testkit/src/kingcuplug_testkit/_disk.py
@@ -270,13 +270,6 @@
         self._disk.sync_name_changes()
         self._after_call("sync_folder", "")
 
-    async def truncate(self, handle: int, size: int) -> None:
-        """Truncate a file to `size` bytes."""
-        name, file = self._open_files[handle]
-        self._before_call("truncate", name)
-        del file.current[size:]
-        self._after_call("truncate", name)
-
     async def read(self, name: str) -> bytes:
         """Return the content of a file."""
         self._before_call("read", name)
--- a/packages/testkit/src/kingcuplug_testkit/_faults.py
+++ b/packages/testkit/src/kingcuplug_testkit/_faults.py
@@ -104,19 +104,23 @@
     ]
 
 
-def _truncate_crash(timing: str) -> Fault:
+def _torn_tail_crash(method: str, file_name: str, timing: str) -> Fault:
+    """Crash while the log is replaced by one without its torn tail."""
+
     def inject(cell: "MatrixCell", leading: Host, following: Host) -> None:
         del leading
         following.disk.crash()
         following.disk.append_torn_record("log")
-        cell.set_failpoint(following, Failpoint("truncate", "log", timing))
+        cell.set_failpoint(following, Failpoint(method, file_name, timing))
 
     async def follow_up(cell: "MatrixCell", leading: Host, following: Host) -> None:
         del cell, leading
         await asyncio.sleep(_RESTART_DELAY_S)
         await following.start()
 
-    return Fault(f"crash {timing} truncate of a torn tail", inject, follow_up)
+    return Fault(
+        f"crash {timing} {method} of a log with a torn tail", inject, follow_up
+    )
 
 
 def _host_crash(name: str, *, follower: bool) -> Fault:
@@ -230,8 +234,11 @@
             for follower in (False, True)
             for fault in _file_replacement_crashes(file, follower)
         ),
-        _truncate_crash("before"),
-        _truncate_crash("after"),
+        *(
+            _torn_tail_crash(method, file_name, timing)
+            for method, file_name in (("sync", "log.new"), ("rename", "log"))
+            for timing in ("before", "after")
+        ),
         _lost_disk("lost disk, leading", follower=False),
         _lost_disk("lost disk, following", follower=True),
         _restart_far_behind(),
--- a/tests/fleet/test_control_group.py
+++ b/tests/fleet/test_control_group.py
@@ -231,7 +231,9 @@
     run_virtual(main())
 
 
-@pytest.mark.parametrize("failing_call", [("sync", "log"), ("rename", "state")])
+@pytest.mark.parametrize(
+    "failing_call", [("sync", "log.new"), ("rename", "log"), ("rename", "state")]
+)
 def test_replica_that_cannot_be_opened_leaves_no_file_open(
     make_control_group, failing_call
 ):
--- a/tests/fleet/test_refusing_disks.py
+++ b/tests/fleet/test_refusing_disks.py
@@ -16,7 +16,7 @@
     ("*", "*"),
     ("list", ""),
     ("sync_folder", ""),
-    *((method, "log") for method in ("open_append", "write", "sync", "truncate")),
+    *((method, "log") for method in ("write", "sync")),
     *((method, name) for method in ("read", "rename") for name in _FILES),
     *(
         (method, f"{name}.new")
--- a/tests/log/test_file_system.py
+++ b/tests/log/test_file_system.py
@@ -212,11 +212,11 @@
         await reopened.open()
         await reopened.close()
 
-    for name in ("open", "write", "fsync", "replace", "unlink", "ftruncate"):
+    for name in ("open", "write", "fsync", "replace", "unlink"):
         record_threads(os, name)
     for name in ("iterdir", "read_bytes"):
         record_threads(Path, name)
     asyncio.run(use_all_operations())
-    assert len(threads) == 8
+    assert len(threads) == 7
     in_event_loop = {n for n, ids in threads.items() if threading.get_ident() in ids}
     assert in_event_loop == set()
--- a/tests/log/test_storage.py
+++ b/tests/log/test_storage.py
@@ -394,3 +394,35 @@
         assert successor.disk_id != storage.disk_id
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("restarts", [1, 2])
+def test_entries_of_a_failed_sync_are_durable_once_the_folder_is_opened_again(
+    restarts: int,
+) -> None:
+    # Guards against acknowledging what only the cache holds: after a failed sync, the
+    # next one of the same file succeeds without writing.
+    async def main() -> None:
+        disk = FakeDisk(Random(0))
+        storage = Storage(disk.mount())
+        await storage.open()
+        storage.stage([_entry(1, 1)])
+        disk.failpoints.append(Failpoint("sync", "log", error=errno.EIO))
+        with pytest.raises(StorageFailed):
+            await storage.flush()
+        await storage.close()
+        for _ in range(restarts):
+            reopened = Storage(disk.mount())
+            await reopened.open()
+            await reopened.close()
+        reopened = Storage(disk.mount())
+        await reopened.open()
+        reopened.stage([_entry(reopened.last_index + 1, 1)])
+        await reopened.flush()
+        durable_index = reopened.durable_index
+        disk.crash()
+        recovered = Storage(disk.mount())
+        await recovered.open()
+        assert recovered.last_index == durable_index
+
+    run_virtual(main())
