Show the memory of a host, its limit and what connections hold

A host that used more memory than its settings allow was killed, and neither its log nor its metrics held a sign of it: nothing read `memory_mb`.

Metrics show resident and peak memory, the limit, open descriptors, uptime, and the bytes that connections hold in each direction.

The test reads the metrics of a host process with an unfinished body; before, it failed with KeyError 'kingcuplug_buffered_request_bytes'.

--- a/packages/http/src/kingcuplug_http/__init__.py
+++ b/packages/http/src/kingcuplug_http/__init__.py
@@ -23,6 +23,7 @@
     Failure,
     OutboundConnection,
     Reply,
+    buffered_answer_bytes,
     connect,
 )
 
@@ -38,6 +39,7 @@
     "Reply",
     "Request",
     "Response",
+    "buffered_answer_bytes",
     "connect",
     "encode_response",
     "end_to_end_headers",
--- a/packages/http/src/kingcuplug_http/_inbound.py
+++ b/packages/http/src/kingcuplug_http/_inbound.py
@@ -125,6 +125,16 @@
         """Number of connections with a request in progress."""
         return sum(connection.busy for connection in self.connections)
 
+    @property
+    def buffered_request_bytes(self) -> int:
+        """Size of the bodies of requests that have not begun to be served."""
+        return sum(c.buffered_request_bytes for c in self.connections)
+
+    @property
+    def buffered_response_bytes(self) -> int:
+        """Size of the responses that the peers have not taken yet."""
+        return sum(c.buffered_response_bytes for c in self.connections)
+
     def _accept_established(self, listening: socket.socket) -> None:
         loop = asyncio.get_running_loop()
         while True:
@@ -329,6 +339,17 @@
         """The connection's transport, on which fake servers send faulty data."""
         return self._transport
 
+    @property
+    def buffered_request_bytes(self) -> int:
+        """Size of the bodies of requests that have not begun to be served."""
+        unfinished = self._body_bytes if self._in_body else 0
+        return unfinished + sum(len(request.body) for request in self._queue)
+
+    @property
+    def buffered_response_bytes(self) -> int:
+        """Size of the responses that the peer has not taken yet."""
+        return self._transport.get_write_buffer_size()
+
     @property
     def busy(self) -> bool:
         """Whether a request is in progress or queued."""
--- a/packages/http/src/kingcuplug_http/_outbound.py
+++ b/packages/http/src/kingcuplug_http/_outbound.py
@@ -8,7 +8,14 @@
 
 from kingcuplug_http._messages import Headers, Response, has_unknown_coding
 
-__all__ = ["Exchange", "Failure", "OutboundConnection", "Reply", "connect"]
+__all__ = [
+    "Exchange",
+    "Failure",
+    "OutboundConnection",
+    "Reply",
+    "buffered_answer_bytes",
+    "connect",
+]
 
 _CLOSE_OPTION = b"close"
 # Late responses to earlier requests are skipped until the expected one arrives; more
@@ -64,6 +71,11 @@
 _body_buffers = BodyBuffers()
 
 
+def buffered_answer_bytes() -> int:
+    """Return the size of the unfinished response bodies of this process."""
+    return _body_buffers.total_bytes
+
+
 class Exchange(Protocol):
     """Receiver of the response to one request.
 
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -55,8 +55,22 @@
     RouteTable,
     ServerInfo,
 )
-from kingcuplug_http import Limits, Listener, Request, Response, error_response
+from kingcuplug_http import (
+    Limits,
+    Listener,
+    Request,
+    Response,
+    buffered_answer_bytes,
+    error_response,
+)
 
+from kingcuplug_node._memory_alarm import MemoryAlarm
+from kingcuplug_node._process_resources import (
+    count_open_descriptors,
+    max_descriptors,
+    peak_resident_bytes,
+    resident_bytes,
+)
 from kingcuplug_node._settings import NodeSettings
 
 if TYPE_CHECKING:
@@ -85,6 +99,8 @@
 _ANSWER_MARGIN_MS = 4.0
 _MERGE_CPU_MS = 4.0
 _SETTINGS_POLL_INTERVAL_S = 1.0
+_BYTES_PER_MB = 1_000_000
+_MEMORY_POLL_INTERVAL_S = 0.5
 # Clocks of hosts and servers differ by far less.
 _MAX_START_AHEAD_MS = 86_400_000
 # The load balancer sends new callers until two readiness checks, one second apart, have
@@ -187,6 +203,8 @@
         self._caller_listener = Listener(
             self._handle_caller_request, self._gateway.limits
         )
+        self._control_listener: Listener | None = None
+        self._started_at = asyncio.get_running_loop().time()
         self._replica = self._make_replica()
         self._directory_file: DirectoryFile | None = None
         self._routes_file: RoutesFile | None = None
@@ -335,6 +353,7 @@
         control_listener = Listener(
             self._make_control_handler(control_handler), lambda: _CONTROL_HTTP_LIMITS
         )
+        self._control_listener = control_listener
         readiness_listener = Listener(
             self._handle_readiness_probe, lambda: _CONTROL_HTTP_LIMITS
         )
@@ -403,6 +422,7 @@
             self._prune_servers,
             self._probe_gatherers,
             self._send_reports,
+            self._watch_memory,
         ]
         if self._directory_file is not None:
             tasks.append(self._directory_file.run)
@@ -648,10 +668,63 @@
             ),
             "log_lines_dropped": self._log.dropped,
             **self._control_gauges(),
+            **self._resource_gauges(),
         }
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
         return Response(200, headers, render_metrics(self._metrics, gauges))
 
+    def _resource_gauges(self) -> dict[str, float]:
+        """Return the gauges of what the process uses, without those not known."""
+        limit_mb = self._settings.memory_mb
+        gauges = {
+            "resident_bytes": resident_bytes(),
+            "resident_peak_bytes": peak_resident_bytes(),
+            "memory_limit_bytes": limit_mb and limit_mb * _BYTES_PER_MB,
+            "descriptors_open": count_open_descriptors(),
+            "descriptors_limit": max_descriptors(),
+            "uptime_seconds": asyncio.get_running_loop().time() - self._started_at,
+            **self._buffered_bytes(),
+        }
+        return {name: value for name, value in gauges.items() if value is not None}
+
+    def _buffered_bytes(self) -> dict[str, int]:
+        """Return what connections hold that waits to be processed, or to be taken."""
+        listeners = [self._caller_listener]
+        if self._control_listener is not None:
+            listeners.append(self._control_listener)
+        return {
+            "buffered_request_bytes": sum(i.buffered_request_bytes for i in listeners),
+            "buffered_response_bytes": sum(
+                i.buffered_response_bytes for i in listeners
+            ),
+            "buffered_answer_bytes": buffered_answer_bytes(),
+        }
+
+    async def _watch_memory(self) -> None:
+        """Log when resident memory comes close to its limit, and when it has fallen."""
+        limit_mb = self._settings.memory_mb
+        if limit_mb is None:
+            return
+        limit_bytes = limit_mb * _BYTES_PER_MB
+        alarm = MemoryAlarm(limit_bytes)
+        while True:
+            resident = resident_bytes()
+            if resident is None:
+                return
+            if alarm.update(resident):
+                self._log.write(
+                    f"memory_{alarm.level.value}",
+                    {
+                        "resident_bytes": resident,
+                        "limit_bytes": int(limit_bytes),
+                        "callers": len(self._caller_listener.connections),
+                        **self._buffered_bytes(),
+                    },
+                )
+                # The process may be killed before the next regular flush.
+                self._log.flush()
+            await asyncio.sleep(_MEMORY_POLL_INTERVAL_S)
+
     def _control_gauges(self) -> dict[str, float]:
         """Return the gauges of a host that takes part in control."""
         if self._replica is None:
--- /dev/null
+++ b/packages/node/src/kingcuplug_node/_process_resources.py
@@ -0,0 +1,43 @@
+"""What this process uses of the machine, as the kernel reports it."""
+
+import resource
+from pathlib import Path
+
+__all__ = [
+    "count_open_descriptors",
+    "max_descriptors",
+    "peak_resident_bytes",
+    "resident_bytes",
+]
+
+_PAGE_BYTES = resource.getpagesize()
+_BYTES_PER_KIB = 1_024
+_STATM_PATH = Path("/proc/self/statm")
+_DESCRIPTORS_PATH = Path("/proc/self/fd")
+
+
+def resident_bytes() -> int | None:
+    """Return the resident memory of this process, ``None`` if it is unknown."""
+    try:
+        return int(_STATM_PATH.read_bytes().split()[1]) * _PAGE_BYTES
+    except (OSError, ValueError, IndexError):
+        return None
+
+
+def peak_resident_bytes() -> int:
+    """Return the largest resident memory that this process has had."""
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * _BYTES_PER_KIB
+
+
+def count_open_descriptors() -> int | None:
+    """Return the number of open descriptors, ``None`` if it is unknown."""
+    try:
+        # The listing itself opens one.
+        return len(list(_DESCRIPTORS_PATH.iterdir())) - 1
+    except OSError:
+        return None
+
+
+def max_descriptors() -> int:
+    """Return the number of descriptors that this process may open."""
+    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
--- /dev/null
+++ b/tests/platform_formats/test_memory.py
@@ -0,0 +1,74 @@
+"""Memory of a host process under what callers and operators make it hold."""
+
+import socket
+import time
+import urllib.request
+from collections.abc import Callable
+from contextlib import closing
+from typing import Any
+
+import pytest
+
+_LIMIT_MB = 100
+_TIMEOUT_S = 20.0
+_POLL_INTERVAL_S = 0.05
+_METRICS_PORT = 9464
+
+
+@pytest.fixture
+def host_with_limit(start_host, make_settings) -> Any:
+    """Return a host process that may use `_LIMIT_MB` megabytes."""
+    # The port of the metrics is fixed, so each test has an address of its own.
+    ip = f"127.20.{time.monotonic_ns() // 997 % 250 + 1}.7"
+    settings = make_settings(ip=ip)
+    settings["limits"]["memory_mb"] = _LIMIT_MB
+    run = start_host(settings)
+    run.wait_for_event("started")
+    return run
+
+
+def _read_gauges(run: Any) -> dict[str, float]:
+    address = f"{run.settings['ip']}:{_METRICS_PORT}"
+    with urllib.request.urlopen(f"http://{address}/metrics", timeout=5) as reply:
+        lines = reply.read().decode().splitlines()
+    return {
+        name: float(value)
+        for name, _, value in (line.partition(" ") for line in lines)
+        if not name.startswith("#") and "{" not in name
+    }
+
+
+def _wait_for(condition: Callable[[], bool]) -> None:
+    deadline = time.monotonic() + _TIMEOUT_S
+    while not condition():
+        assert time.monotonic() < deadline
+        time.sleep(_POLL_INTERVAL_S)
+
+
+def _connect(address: str) -> socket.socket:
+    host, _, port = address.rpartition(":")
+    return socket.create_connection((host, int(port)), timeout=_TIMEOUT_S)
+
+
+def test_metrics_tell_what_the_process_uses_of_its_limits(host_with_limit):
+    """Guards against a process that is killed for its memory without any sign of it."""
+    run = host_with_limit
+    with closing(_connect(run.settings["listen"]["front"])) as caller:
+        caller.sendall(
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9000\r\n\r\n" + b"x" * 5_000
+        )
+        _wait_for(
+            lambda: _read_gauges(run)["kingcuplug_buffered_request_bytes"] == 5_000
+        )
+        gauges = _read_gauges(run)
+    resident = gauges["kingcuplug_resident_bytes"]
+    assert 1e6 < resident <= gauges["kingcuplug_resident_peak_bytes"]
+    assert gauges["kingcuplug_memory_limit_bytes"] == _LIMIT_MB * 1e6
+    assert gauges["kingcuplug_descriptors_open"] > 0
+    assert (
+        gauges["kingcuplug_descriptors_open"] < gauges["kingcuplug_descriptors_limit"]
+    )
+    assert gauges["kingcuplug_uptime_seconds"] > 0
+    assert gauges["kingcuplug_buffered_response_bytes"] == 0
+    assert gauges["kingcuplug_buffered_answer_bytes"] == 0
+    _wait_for(lambda: _read_gauges(run)["kingcuplug_buffered_request_bytes"] == 0)
