Bound what all connections of a host hold together

Callers, operators, servers and other hosts could each make a host keep as much as one connection may hold, times the number of connections: unfinished and pipelined request bodies, requests in progress, and responses that their readers do not take had no common bound. A host with `memory_mb` of 300 was killed by the platform, with all its requests in progress.

One budget of a quarter of `memory_mb` (64 MiB if it is not set) now counts all of them, in place of the 64 MiB for unfinished answers alone. Requests are parsed 16 KiB at a time, so that one read of 256 KiB is not turned into ten thousand request objects; a pipelined request is not begun while its caller has not taken the responses before it; a reader that takes nothing for the idle time-out is disconnected, before it stayed for ever.

The peak of the metrics is now the kernel's own figure of this process, as the one of getrusage includes that of the process that started it.

--- a/packages/http/src/kingcuplug_http/__init__.py
+++ b/packages/http/src/kingcuplug_http/__init__.py
@@ -10,6 +10,11 @@
     Limits,
     Listener,
 )
+from kingcuplug_http._memory_budget import (
+    HoldKind,
+    MemoryBudget,
+    process_budget,
+)
 from kingcuplug_http._messages import (
     Headers,
     Request,
@@ -23,7 +28,6 @@
     Failure,
     OutboundConnection,
     Reply,
-    buffered_answer_bytes,
     connect,
 )
 
@@ -32,16 +36,18 @@
     "Failure",
     "Handler",
     "Headers",
+    "HoldKind",
     "InboundConnection",
     "Limits",
     "Listener",
+    "MemoryBudget",
     "OutboundConnection",
     "Reply",
     "Request",
     "Response",
-    "buffered_answer_bytes",
     "connect",
     "encode_response",
     "end_to_end_headers",
     "error_response",
+    "process_budget",
 ]
--- a/packages/http/src/kingcuplug_http/_inbound.py
+++ b/packages/http/src/kingcuplug_http/_inbound.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -10,7 +11,14 @@
 
 import httptools
 
+from kingcuplug_http._memory_budget import (
+    Hold,
+    HoldKind,
+    MemoryBudget,
+    process_budget,
+)
 from kingcuplug_http._messages import (
+    HEADER_OVERHEAD_BYTES,
     Headers,
     Request,
     Response,
@@ -26,6 +34,19 @@
 # Lingering close after an error response, while the rest of the request is discarded.
 # Closing with unread bytes would reset the connection before the peer has read it.
 _LINGER_S = 1.0
+# Received data is parsed in pieces of this size, so that a caller can't have thousands
+# of short requests parsed before reading pauses.
+_MAX_PARSED_BYTES = 16_384
+# What a paused connection may leave unread in the receive buffer of its socket.
+_PAUSED_BYTES = 65_536
+_REQUEST_OVERHEAD_BYTES = 1_000
+# Connections that hold less are not counted; nor is most of the traffic.
+_MIN_HELD_BYTES = 8_192
+# A response of a pipelined request is not begun while more than this of those before
+# it has not been taken.
+_MAX_UNTAKEN_BYTES = 65_536
+# Drawn at random, so that callers do not retry at the same time.
+_RETRY_AFTER_RANGE_S = (0.15, 0.45)
 _ACCEPT_BACKLOG = 1_024  # Unaccepted connections during a burst.
 _TUNNEL_METHOD = b"CONNECT"
 _UPGRADE = b"upgrade"
@@ -63,6 +84,8 @@
         the peer disconnects.
     limits : callable
         Return the limits currently in force.
+    budget : MemoryBudget
+        Bounds what the connections hold, together with others of the process.
 
     Attributes
     ----------
@@ -70,9 +93,15 @@
         Whether each response announces that its connection is closed.
     """
 
-    def __init__(self, handler: Handler, limits: Callable[[], Limits]) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        limits: Callable[[], Limits],
+        budget: MemoryBudget = process_budget,
+    ) -> None:
         self.handler = handler
         self.limits = limits
+        self.budget = budget
         self.closing = False
         self.connections: set[InboundConnection] = set()
         self._server: asyncio.Server | None = None
@@ -174,11 +203,19 @@
         self._in_body = False
         self._closed = False
         self._input_closed = False
+        self._unparsed = b""
+        self._paused = False
+        budget = listener.budget
+        self._received = Hold(budget, HoldKind.REQUEST, self._give_up_requests)
+        self._untaken = Hold(budget, HoldKind.RESPONSE, self.abort)
         self._error_response: Response | None = None
+        self._error_sent = False
         self._expired: tuple[Response, Response] | None = None
         self._last_activity_at = loop.time()
         self._headers_started_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
+        self._body: list[bytes]
+        self._body_bytes: int
         self._reset_request()
 
     # asyncio.Protocol callbacks
@@ -187,6 +224,7 @@
         """Register the connection and start its time-outs."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        transport.set_write_buffer_limits(high=0)
         self._listener.connections.add(self)
         self._last_activity_at = self._loop.time()
         self._check_timeouts()
@@ -196,6 +234,33 @@
         self._last_activity_at = self._loop.time()
         if self._input_closed:
             return
+        self._read(self._unparsed + data if self._unparsed else data)
+        self._start_next()
+        if (
+            self._in_headers
+            or self._in_body
+            or self._queue
+            or self._received.size_bytes
+        ):
+            self._update_received()
+
+    def _read(self, data: bytes) -> None:
+        """Parse as much of the data as there may be requests, and keep the rest."""
+        position = 0
+        while position < len(data) and not self._input_closed:
+            if len(self._queue) > _MAX_PIPELINED_REQUESTS:
+                break
+            if position or len(data) > _MAX_PARSED_BYTES:
+                self._read_piece(data[position : position + _MAX_PARSED_BYTES])
+            else:
+                self._read_piece(data)
+            position += _MAX_PARSED_BYTES
+        self._unparsed = b"" if self._input_closed else data[position:]
+        paused = len(self._queue) > _MAX_PIPELINED_REQUESTS or bool(self._unparsed)
+        if paused is not self._paused:
+            self._set_paused(paused)
+
+    def _read_piece(self, data: bytes) -> None:
         if self._in_headers or not self._in_body:
             self._header_bytes += len(data)
         try:
@@ -207,9 +272,14 @@
             and self._header_bytes > self._listener.limits().max_header_bytes
         ):
             self._reject(error_response(431, "the headers are too large"))
-        if len(self._queue) > _MAX_PIPELINED_REQUESTS:
-            self._transport.pause_reading()
-        self._start_next()
+
+    def _set_paused(self, paused: bool) -> None:
+        self._paused = paused
+        with contextlib.suppress(RuntimeError):
+            if paused:
+                self._transport.pause_reading()
+            else:
+                self._transport.resume_reading()
 
     def _parse(self, data: bytes) -> None:
         while True:
@@ -262,6 +332,18 @@
             self._timer.cancel()
         if self._handler_task is not None:
             self._handler_task.cancel()
+        self._received.release()
+        self._untaken.release()
+
+    def pause_writing(self) -> None:
+        """Count a response that the peer does not take at once."""
+        self._untaken.measure = self._transport.get_write_buffer_size
+        self._untaken.resize(self.buffered_response_bytes, self._loop.time())
+
+    def resume_writing(self) -> None:
+        """Go on with the requests that wait until the peer has taken a response."""
+        self._untaken.release()
+        self._start_next()
 
     # httptools parser callbacks
 
@@ -376,7 +458,7 @@
         self._target = bytearray()
         self._headers: Headers = []
         self._fields: dict[bytes, bytes] = {}
-        self._body: list[bytes] = []
+        self._body = []
         self._body_bytes = 0
 
     def _reject(self, response: Response) -> None:
@@ -385,21 +467,59 @@
             self._error_response = response
             self._input_closed = True
 
+    def _give_up_requests(self) -> None:
+        """Refuse the requests that have not begun to be served, and free them."""
+        self._queue.clear()
+        self._unparsed = b""
+        self._reset_request()
+        self._reject(self._no_room())
+        # What else arrives is discarded, until the peer has read the response.
+        self._set_paused(False)
+        self._start_next()
+
+    def _no_room(self) -> Response:
+        return error_response(
+            503, "no memory", retry_after_s=random.uniform(*_RETRY_AFTER_RANGE_S)
+        )
+
+    def _update_received(self) -> None:
+        """Count what has been received and has not begun to be served."""
+        size_bytes = len(self._unparsed) + sum(map(_held_bytes, self._queue))
+        if self._in_headers or self._in_body:
+            size_bytes += self._body_bytes
+            size_bytes += HEADER_OVERHEAD_BYTES * len(self._headers)
+        if self._paused:
+            size_bytes += _PAUSED_BYTES
+        if size_bytes < _MIN_HELD_BYTES:
+            self._received.release()
+        else:
+            self._received.resize(size_bytes, self._loop.time())
+
     def _start_next(self) -> None:
         if self._handler_task is not None or self._closed:
             return
         if self._queue:
+            if self._untaken.size_bytes > _MAX_UNTAKEN_BYTES:
+                return
             request = self._queue.popleft()
             self._handler_task = self._loop.create_task(self._serve(request))
-        elif self._error_response is not None:
+        elif self._error_response is not None and not self._error_sent:
+            self._error_sent = True
             self._transport.write(encode_response(self._error_response, close=True))
             self._loop.call_later(_LINGER_S, self._transport.close)
 
     async def _serve(self, request: Request) -> None:
+        hold = None
         try:
             if self._expired is not None:
                 response = self._expired[1]
+            elif (size_bytes := _held_bytes(request)) < _MIN_HELD_BYTES:
+                response = await self._listener.handler(request)
+            elif not self._listener.budget.may_serve(size_bytes):
+                response = self._no_room()
             else:
+                hold = Hold(self._listener.budget, HoldKind.SERVING)
+                hold.resize(size_bytes, self._loop.time())
                 response = await self._listener.handler(request)
         except asyncio.CancelledError:
             if self._closed or self._expired is None:
@@ -412,6 +532,9 @@
             self._loop.call_exception_handler(
                 {"message": "request handler raised an exception", "exception": error}
             )
+        finally:
+            if hold is not None:
+                hold.release()
         if self._closed:
             return
         self._response_count += 1
@@ -420,28 +543,37 @@
         close = close and self._error_response is None
         head = request.method == b"HEAD"
         self._transport.write(encode_response(response, close, head))
+        if self._untaken.size_bytes:
+            self._untaken.resize(self.buffered_response_bytes, self._loop.time())
         self._handler_task = None
         self._last_activity_at = self._loop.time()
         if close:
             self._input_closed = True  # Data received from now on is ignored.
             self._transport.close()
             return
-        if len(self._queue) <= _MAX_PIPELINED_REQUESTS:
-            with contextlib.suppress(RuntimeError):
-                self._transport.resume_reading()
+        if self._paused:
+            self._read(self._unparsed)
         self._start_next()
+        if self._received.size_bytes:
+            self._update_received()
 
     def _check_timeouts(self) -> None:
         """Check the time-outs, and schedule the next check."""
         limits, now = self._listener.limits(), self._loop.time()
         deadline = self._last_activity_at + limits.idle_timeout_ms / 1_000
-        if self._in_headers:
+        if self._untaken.size_bytes:
+            self._untaken.remeasure(now)
+            deadline = self._untaken.changed_at + limits.idle_timeout_ms / 1_000
+            if now >= deadline:
+                self.abort()
+                return
+        elif self._in_headers:
             deadline = self._headers_started_at + limits.header_timeout_ms / 1_000
         if self.busy:
             deadline = max(deadline, now + limits.header_timeout_ms / 1_000)
         elif now >= deadline:
             self._on_timeout()
-            return
+            deadline = now + limits.header_timeout_ms / 1_000
         delay = min(deadline - now, limits.header_timeout_ms / 1_000)
         self._timer = self._loop.call_later(max(delay, 0.01), self._check_timeouts)
 
@@ -453,6 +585,15 @@
             self._transport.close()
 
 
+def _held_bytes(request: Request) -> int:
+    """Return about how much memory a request occupies."""
+    return (
+        len(request.body)
+        + HEADER_OVERHEAD_BYTES * len(request.headers)
+        + _REQUEST_OVERHEAD_BYTES
+    )
+
+
 def _without_option(value: bytes, option: bytes) -> bytes:
     """Return the value of a header that lists options without one of them."""
     options = [item.strip() for item in value.split(b",")]
--- a/packages/http/src/kingcuplug_http/_messages.py
+++ b/packages/http/src/kingcuplug_http/_messages.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 
 __all__ = [
+    "HEADER_OVERHEAD_BYTES",
     "Headers",
     "Request",
     "Response",
@@ -15,6 +16,9 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+# Memory of a parsed header beside its text: objects of its name and its value.
+HEADER_OVERHEAD_BYTES = 250
+
 # Headers that apply to a single connection (RFC 9110, section 7.6.1). Content-Length
 # is set again for each hop, because bodies are always sent whole, not chunked.
 _HOP_BY_HOP_HEADERS = frozenset(
--- a/packages/http/src/kingcuplug_http/_outbound.py
+++ b/packages/http/src/kingcuplug_http/_outbound.py
@@ -6,14 +6,24 @@
 
 import httptools
 
-from kingcuplug_http._messages import Headers, Response, has_unknown_coding
+from kingcuplug_http._memory_budget import (
+    Hold,
+    HoldKind,
+    MemoryBudget,
+    process_budget,
+)
+from kingcuplug_http._messages import (
+    HEADER_OVERHEAD_BYTES,
+    Headers,
+    Response,
+    has_unknown_coding,
+)
 
 __all__ = [
     "Exchange",
     "Failure",
     "OutboundConnection",
     "Reply",
-    "buffered_answer_bytes",
     "connect",
 ]
 
@@ -27,9 +37,6 @@
 _MAX_BODY_BYTES = 16_777_216
 # Received bytes per byte of the largest body: covers chunk sizes and extensions.
 _MAX_FRAMING_RATIO = 2
-# Bounds the unfinished bodies of all connections together, as many peers may fail at
-# the same time.
-_MAX_BUFFERED_BYTES = 67_108_864
 
 
 class Failure(Enum):
@@ -40,42 +47,6 @@
     INVALID = "the peer sent data that is not a valid HTTP response"
 
 
-class BodyBuffers:
-    """Received bytes of all unfinished response bodies of this process.
-
-    Parameters
-    ----------
-    max_bytes : int
-        Bound of their sum. Beyond it, the largest one is given up.
-    """
-
-    def __init__(self, max_bytes: int = _MAX_BUFFERED_BYTES) -> None:
-        self.max_bytes = max_bytes
-        self.total_bytes = 0
-        self._sizes: dict[OutboundConnection, int] = {}
-
-    def add(self, connection: "OutboundConnection", size: int) -> None:
-        """Count bytes that a connection has received, and keep the sum bounded."""
-        self._sizes[connection] = self._sizes.get(connection, 0) + size
-        self.total_bytes += size
-        while self.total_bytes > self.max_bytes:
-            largest = max(self._sizes, key=lambda c: self._sizes[c])
-            self.release(largest)
-            largest.give_up()
-
-    def release(self, connection: "OutboundConnection") -> None:
-        """Forget the bytes of a connection whose response has ended."""
-        self.total_bytes -= self._sizes.pop(connection, 0)
-
-
-_body_buffers = BodyBuffers()
-
-
-def buffered_answer_bytes() -> int:
-    """Return the size of the unfinished response bodies of this process."""
-    return _body_buffers.total_bytes
-
-
 class Exchange(Protocol):
     """Receiver of the response to one request.
 
@@ -136,8 +107,8 @@
 
     Parameters
     ----------
-    buffers : BodyBuffers
-        Bounds the unfinished bodies of several connections together.
+    budget : MemoryBudget
+        Bounds what the connection holds, together with others of the process.
 
     Attributes
     ----------
@@ -152,10 +123,10 @@
     """
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, buffers: BodyBuffers = _body_buffers
+        self, loop: asyncio.AbstractEventLoop, budget: MemoryBudget = process_budget
     ) -> None:
         self._loop = loop
-        self._buffers = buffers
+        self._hold = Hold(budget, HoldKind.ANSWER, self.give_up)
         self._transport: asyncio.Transport
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
@@ -200,9 +171,17 @@
         self._transport.write(data)
 
     def give_up(self) -> None:
-        """Fail the request in progress because its response is too large."""
+        """Fail the request in progress because there is no memory for its response."""
         self._fail(Failure.INVALID)
 
+    def pause_writing(self) -> None:
+        """Count a request that the peer does not read at once."""
+        self._update_hold()
+
+    def resume_writing(self) -> None:
+        """Count no longer what the peer has read."""
+        self._update_hold()
+
     def abandon(self) -> None:
         """Close the connection without reporting a failure of its request."""
         self._exchange = None
@@ -227,6 +206,8 @@
             self._fail(Failure.INVALID)
         if self._exchange is not None and self._exceeds_limits():
             self._fail(Failure.INVALID)
+        if self._in_body or self._hold.size_bytes:
+            self._update_hold()
 
     def eof_received(self) -> bool:
         """Complete a response whose body is delimited by the end of the connection."""
@@ -283,7 +264,6 @@
         self._body_bytes += len(body)
         if self._exchange is not None and self._body_bytes <= _MAX_BODY_BYTES:
             self._body.append(body)
-            self._buffers.add(self, len(body))
 
     def on_message_complete(self) -> None:
         """Complete the response, unless it is an interim one (1xx)."""
@@ -292,7 +272,15 @@
 
     def _discard_body(self) -> None:
         self._body = []
-        self._buffers.release(self)
+        self._hold.release()
+
+    def _update_hold(self) -> None:
+        """Count the unfinished body, and what the peer has not read of the request."""
+        held_bytes = self._transport.get_write_buffer_size()
+        if self._body:
+            held_bytes += self._body_bytes
+            held_bytes += HEADER_OVERHEAD_BYTES * len(self._headers)
+        self._hold.resize(held_bytes, self._loop.time())
 
     def _complete(self) -> None:
         self._in_response = False
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import gc
+import math
 import random as random_module
 import signal
 import time
@@ -56,12 +57,13 @@
     ServerInfo,
 )
 from kingcuplug_http import (
+    HoldKind,
     Limits,
     Listener,
     Request,
     Response,
-    buffered_answer_bytes,
     error_response,
+    process_budget,
 )
 
 from kingcuplug_node._memory_alarm import MemoryAlarm
@@ -100,6 +102,8 @@
 _MERGE_CPU_MS = 4.0
 _SETTINGS_POLL_INTERVAL_S = 1.0
 _BYTES_PER_MB = 1_000_000
+# The rest is for the program, its state, and copies of what connections hold.
+_CONNECTIONS_MEMORY_RATIO = 0.25
 _MEMORY_POLL_INTERVAL_S = 0.5
 # Clocks of hosts and servers differ by far less.
 _MAX_START_AHEAD_MS = 86_400_000
@@ -203,6 +207,10 @@
         self._caller_listener = Listener(
             self._handle_caller_request, self._gateway.limits
         )
+        if settings.memory_mb is not None:
+            process_budget.max_bytes = int(
+                settings.memory_mb * _BYTES_PER_MB * _CONNECTIONS_MEMORY_RATIO
+            )
         self._control_listener: Listener | None = None
         self._started_at = asyncio.get_running_loop().time()
         self._replica = self._make_replica()
@@ -682,6 +690,7 @@
             "memory_limit_bytes": limit_mb and limit_mb * _BYTES_PER_MB,
             "descriptors_open": count_open_descriptors(),
             "descriptors_limit": max_descriptors(),
+            "memory_refusals": process_budget.refusals,
             "uptime_seconds": asyncio.get_running_loop().time() - self._started_at,
             **self._buffered_bytes(),
         }
@@ -697,34 +706,41 @@
             "buffered_response_bytes": sum(
                 i.buffered_response_bytes for i in listeners
             ),
-            "buffered_answer_bytes": buffered_answer_bytes(),
+            "buffered_answer_bytes": process_budget.held_bytes(HoldKind.ANSWER),
+            "buffered_serving_bytes": process_budget.held_bytes(HoldKind.SERVING),
         }
 
     async def _watch_memory(self) -> None:
         """Log when resident memory comes close to its limit, and when it has fallen."""
-        limit_mb = self._settings.memory_mb
-        if limit_mb is None:
-            return
-        limit_bytes = limit_mb * _BYTES_PER_MB
+        limit_bytes = (self._settings.memory_mb or math.inf) * _BYTES_PER_MB
         alarm = MemoryAlarm(limit_bytes)
+        refusals = process_budget.refusals
         while True:
             resident = resident_bytes()
-            if resident is None:
-                return
-            if alarm.update(resident):
-                self._log.write(
-                    f"memory_{alarm.level.value}",
-                    {
-                        "resident_bytes": resident,
-                        "limit_bytes": int(limit_bytes),
-                        "callers": len(self._caller_listener.connections),
-                        **self._buffered_bytes(),
-                    },
-                )
+            if resident is not None and alarm.update(resident):
+                self._log_memory(f"memory_{alarm.level.value}", resident, limit_bytes)
                 # The process may be killed before the next regular flush.
                 self._log.flush()
+            if process_budget.refusals != refusals:
+                count = process_budget.refusals - refusals
+                refusals += count
+                self._log_memory("memory_refused", resident, limit_bytes, count=count)
             await asyncio.sleep(_MEMORY_POLL_INTERVAL_S)
 
+    def _log_memory(
+        self, event: str, resident: int | None, limit_bytes: float, **fields: int
+    ) -> None:
+        fields |= self._buffered_bytes()
+        self._log.write(
+            event,
+            {
+                "resident_bytes": resident,
+                "limit_bytes": limit_bytes if limit_bytes < math.inf else None,
+                "callers": len(self._caller_listener.connections),
+                **fields,
+            },
+        )
+
     def _control_gauges(self) -> dict[str, float]:
         """Return the gauges of a host that takes part in control."""
         if self._replica is None:
--- a/packages/node/src/kingcuplug_node/_process_resources.py
+++ b/packages/node/src/kingcuplug_node/_process_resources.py
@@ -13,6 +13,7 @@
 _PAGE_BYTES = resource.getpagesize()
 _BYTES_PER_KIB = 1_024
 _STATM_PATH = Path("/proc/self/statm")
+_STATUS_PATH = Path("/proc/self/status")
 _DESCRIPTORS_PATH = Path("/proc/self/fd")
 
 
@@ -24,9 +25,19 @@
         return None
 
 
-def peak_resident_bytes() -> int:
-    """Return the largest resident memory that this process has had."""
-    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * _BYTES_PER_KIB
+def peak_resident_bytes() -> int | None:
+    """Return the largest resident memory of this process, ``None`` if it is unknown.
+
+    The peak in `resource.getrusage` includes that of the process that started this one.
+    """
+    try:
+        for line in _STATUS_PATH.read_bytes().splitlines():
+            name, _, value = line.partition(b":")
+            if name == b"VmHWM":
+                return int(value.split()[0]) * _BYTES_PER_KIB
+    except (OSError, ValueError, IndexError):
+        return None
+    return None
 
 
 def count_open_descriptors() -> int | None:
--- a/packages/testkit/src/kingcuplug_testkit/_http_protocol.py
+++ b/packages/testkit/src/kingcuplug_testkit/_http_protocol.py
@@ -28,6 +28,11 @@
         """Return that all was sent."""
         return 0
 
+    def set_write_buffer_limits(
+        self, high: int | None = None, low: int | None = None
+    ) -> None:
+        """Do nothing."""
+
     def pause_reading(self) -> None:
         """Do nothing."""
 
--- a/tests/http/conftest.py
+++ b/tests/http/conftest.py
@@ -6,7 +6,15 @@
 from dataclasses import dataclass, field
 
 import pytest
-from kingcuplug_http import Handler, Limits, Listener, Request, Response
+from kingcuplug_http import (
+    Handler,
+    Limits,
+    Listener,
+    MemoryBudget,
+    Request,
+    Response,
+    process_budget,
+)
 
 SMALL_LIMITS = Limits(
     max_header_bytes=512,
@@ -31,13 +39,15 @@
 
 @asynccontextmanager
 async def _serve(
-    handler: Handler = _echo, limits: Limits = SMALL_LIMITS
+    handler: Handler = _echo,
+    limits: Limits = SMALL_LIMITS,
+    budget: MemoryBudget = process_budget,
 ) -> AsyncIterator[RunningServer]:
     async def record(request: Request) -> Response:
         server.requests.append(request)
         return await handler(request)
 
-    listener = Listener(record, lambda: limits)
+    listener = Listener(record, lambda: limits, budget)
     server = RunningServer(await listener.start("127.0.0.1:0"), listener)
     try:
         yield server
--- a/tests/http/test_outbound.py
+++ b/tests/http/test_outbound.py
@@ -7,8 +7,13 @@
 from collections.abc import Awaitable, Callable
 
 import pytest
-from kingcuplug_http import Failure, OutboundConnection, Response, connect
-from kingcuplug_http._outbound import BodyBuffers
+from kingcuplug_http import (
+    Failure,
+    MemoryBudget,
+    OutboundConnection,
+    Response,
+    connect,
+)
 from kingcuplug_testkit import RecordingExchange
 
 ConnectionHandler = Callable[
@@ -283,10 +288,10 @@
     chunk_bytes, max_bytes = 65_536, 1_048_576
 
     async def run() -> None:
-        buffers = BodyBuffers(max_bytes)
+        budget = MemoryBudget(max_bytes)
 
         def send_request(head: bytes) -> tuple[OutboundConnection, RecordingExchange]:
-            connection = OutboundConnection(asyncio.get_running_loop(), buffers)
+            connection = OutboundConnection(asyncio.get_running_loop(), budget)
             connection.connection_made(DiscardingTransport())
             exchange = RecordingExchange(b"1")
             connection.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n", exchange)
@@ -300,7 +305,7 @@
         for _ in range(4 * max_bytes // chunk_bytes // len(faulty)):
             for connection, _ in faulty:
                 connection.data_received(b"x" * chunk_bytes)
-                assert buffers.total_bytes <= max_bytes
+                assert budget.total_bytes <= max_bytes
         failed = [e for _, e in faulty if e.result.done()]
         assert failed
         assert all(e.result.result() is Failure.INVALID for e in failed)
@@ -310,6 +315,6 @@
         assert response.body == b"abcdef"
         for connection, _ in faulty:
             connection.close()
-        assert buffers.total_bytes == 0
+        assert budget.total_bytes == 0
 
     asyncio.run(run())
--- a/tests/node/test_memory_alarm.py
+++ b/tests/node/test_memory_alarm.py
@@ -5,6 +5,7 @@
 
 import orjson
 from kingcuplug_common import EventLog
+from kingcuplug_http import MemoryBudget
 from kingcuplug_node import Host, _host
 from kingcuplug_node._memory_alarm import MemoryAlarm, MemoryLevel
 
@@ -26,6 +27,7 @@
     """Guards against a process killed for its memory whose log does not say so."""
     levels = iter([10_000_000, 90_000_000, 95_000_000, 20_000_000])
     monkeypatch.setattr(_host, "resident_bytes", lambda: next(levels, None))
+    monkeypatch.setattr(_host, "process_budget", budget := MemoryBudget())
     monkeypatch.setattr(_host, "_MEMORY_POLL_INTERVAL_S", 0.001)
 
     async def run() -> list[dict]:
@@ -38,13 +40,19 @@
             lambda: None,
             log,
         )
-        await host._watch_memory()
+        task = asyncio.create_task(host._watch_memory())
+        await asyncio.sleep(0.1)
+        assert not budget.may_serve(budget.max_bytes)
+        await asyncio.sleep(0.1)
+        task.cancel()
+        log.flush()
         os.close(writer)
         with os.fdopen(reader, "rb") as lines:
             return [orjson.loads(line) for line in lines]
 
-    high, normal = asyncio.run(run())
+    high, normal, refused = asyncio.run(run())
     assert (high["event"], normal["event"]) == ("memory_high", "memory_normal")
+    assert (refused["event"], refused["count"]) == ("memory_refused", 1)
     assert high["resident_bytes"] == 90_000_000
     assert high["limit_bytes"] == 100_000_000
     assert high["buffered_request_bytes"] == 0
--- a/tests/platform_formats/test_memory.py
+++ b/tests/platform_formats/test_memory.py
@@ -1,5 +1,6 @@
 """Memory of a host process under what callers and operators make it hold."""
 
+import contextlib
 import socket
 import time
 import urllib.request
@@ -72,3 +73,53 @@
     assert gauges["kingcuplug_buffered_response_bytes"] == 0
     assert gauges["kingcuplug_buffered_answer_bytes"] == 0
     _wait_for(lambda: _read_gauges(run)["kingcuplug_buffered_request_bytes"] == 0)
+
+
+def _keep_sending(address: str, data: bytes, count: int) -> list[socket.socket]:
+    """Open connections that have sent some data and send no more."""
+    connections = []
+    for _ in range(count):
+        connection = _connect(address)
+        connections.append(connection)
+        with contextlib.suppress(OSError):  # The host may have closed it.
+            connection.sendall(data)
+    return connections
+
+
+def _peak_bytes(run: Any) -> float:
+    return _read_gauges(run)["kingcuplug_resident_peak_bytes"]
+
+
+def _unfinished_request(method: str, target: str, body_bytes: int) -> bytes:
+    head = f"{method} {target} HTTP/1.1\r\nHost: a\r\nContent-Length: {body_bytes + 1}"
+    return head.encode() + b"\r\n\r\n" + b"x" * body_bytes
+
+
+def _status_of_small_request(run: Any) -> int:
+    with closing(_connect(run.settings["listen"]["front"])) as caller:
+        caller.sendall(b"POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nsmall")
+        return int(caller.recv(65_536).split()[1])
+
+
+@pytest.mark.parametrize(
+    ("listener", "data", "count"),
+    [
+        ("front", _unfinished_request("POST", "/", 262_144), 700),
+        ("control", _unfinished_request("PUT", "/v1/configuration", 15_000_000), 10),
+        ("control", _unfinished_request("POST", "/peer/v2/poll", 15_000_000), 10),
+    ],
+)
+def test_unfinished_requests_keep_the_process_below_its_limit(
+    host_with_limit, listener, data, count
+):
+    """Guards against a process killed for the bodies that its peers never finish."""
+    run = host_with_limit
+    connections = _keep_sending(run.settings["listen"][listener], data, count)
+    try:
+        assert _peak_bytes(run) < _LIMIT_MB * 1e6
+        # Without routes each request gets this or 404, unless it can't be read.
+        assert _status_of_small_request(run) in (400, 503)
+    finally:
+        for connection in connections:
+            connection.close()
+    assert run.process.poll() is None
