--- a/packages/http/src/kingcuplug_http/_inbound.py
+++ b/packages/http/src/kingcuplug_http/_inbound.py
@@ -19,12 +19,14 @@
 )
 from kingcuplug_http._messages import (
     HEADER_OVERHEAD_BYTES,
+    MAX_BODY_PIECES,
     Headers,
     Request,
     Response,
     encode_response,
     error_response,
     has_unknown_coding,
+    join_pieces,
 )
 
 __all__ = ["Handler", "InboundConnection", "Limits", "Listener"]
@@ -391,6 +393,8 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body, and check its size limit."""
         self._body.append(body)
+        if len(self._body) > MAX_BODY_PIECES:
+            self._body = join_pieces(self._body)
         self._body_bytes += len(body)
         if self._body_bytes > self._listener.limits().max_body_bytes:
             self._reject(error_response(413, "the body is too large"))
--- a/packages/http/src/kingcuplug_http/_messages.py
+++ b/packages/http/src/kingcuplug_http/_messages.py
@@ -5,6 +5,7 @@
 
 __all__ = [
     "HEADER_OVERHEAD_BYTES",
+    "MAX_BODY_PIECES",
     "Headers",
     "Request",
     "Response",
@@ -12,12 +13,17 @@
     "end_to_end_headers",
     "error_response",
     "has_unknown_coding",
+    "join_pieces",
 ]
 
 Headers = list[tuple[bytes, bytes]]
 
 # Memory of a parsed header beside its text: objects of its name and its value.
 HEADER_OVERHEAD_BYTES = 250
+# Pieces of a body, beyond which the short ones are joined: a piece of a few bytes
+# occupies many times as much.
+MAX_BODY_PIECES = 1_024
+_MIN_BLOCK_BYTES = 65_536
 
 # Headers that apply to a single connection (RFC 9110, section 7.6.1). Content-Length
 # is set again for each hop, because bodies are always sent whole, not chunked.
@@ -151,3 +157,17 @@
     """
     codings = [value for name, value in headers if name.lower() == _TRANSFER_ENCODING]
     return bool(codings) and [c.strip().lower() for c in codings] != [b"chunked"]
+
+
+def join_pieces(pieces: list[bytes]) -> list[bytes]:
+    """Return the pieces of a body with short ones joined to longer ones."""
+    blocks: list[bytes] = []
+    block: list[bytes] = []
+    size_bytes = 0
+    for piece in pieces:
+        block.append(piece)
+        size_bytes += len(piece)
+        if size_bytes >= _MIN_BLOCK_BYTES:
+            blocks.append(b"".join(block))
+            block, size_bytes = [], 0
+    return [*blocks, b"".join(block)]
--- a/packages/http/src/kingcuplug_http/_outbound.py
+++ b/packages/http/src/kingcuplug_http/_outbound.py
@@ -14,9 +14,11 @@
 )
 from kingcuplug_http._messages import (
     HEADER_OVERHEAD_BYTES,
+    MAX_BODY_PIECES,
     Headers,
     Response,
     has_unknown_coding,
+    join_pieces,
 )
 
 __all__ = [
@@ -264,6 +266,8 @@
         self._body_bytes += len(body)
         if self._exchange is not None and self._body_bytes <= _MAX_BODY_BYTES:
             self._body.append(body)
+            if len(self._body) > MAX_BODY_PIECES:
+                self._body = join_pieces(self._body)
 
     def on_message_complete(self) -> None:
         """Complete the response, unless it is an interim one (1xx)."""
--- a/tests/platform_formats/test_memory.py
+++ b/tests/platform_formats/test_memory.py
@@ -101,10 +101,14 @@
         return int(caller.recv(65_536).split()[1])
 
 
+_CHUNKED_POST = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
 @pytest.mark.parametrize(
     ("listener", "data", "count"),
     [
         ("front", _unfinished_request("POST", "/", 262_144), 700),
+        ("front", _CHUNKED_POST + b"2\r\nxx\r\n" * 500_000, 24),
         ("control", _unfinished_request("PUT", "/v1/configuration", 15_000_000), 10),
         ("control", _unfinished_request("POST", "/peer/v2/poll", 15_000_000), 10),
     ],
