Refuse messages that would take too much memory once they are decoded

One call of 15 MB of empty arrays at the control port brought a host to 490 MiB, and one of 60 KB, compressed, to 1,824 MiB and kept it busy for seconds: decoded JSON takes up to twenty times the size of its text, and text up to a thousand times its compressed size. A host with `memory_mb` of 300 is killed by either.

The size of the decoded value is now estimated from the marks in the text before it is decoded, and compared with the budget of all connections; decompression stops at half of the budget.

--- a/packages/common/src/kingcuplug_common/__init__.py
+++ b/packages/common/src/kingcuplug_common/__init__.py
@@ -17,6 +17,7 @@
     not_run_refusal,
 )
 from kingcuplug_common._event_log import EventLog
+from kingcuplug_common._json_size import estimate_decoded_bytes
 from kingcuplug_common._json_types import (
     MAX_AMOUNT,
     require_amount,
@@ -80,6 +81,7 @@
     "boot_time",
     "canonical",
     "digest",
+    "estimate_decoded_bytes",
     "import_on_first_use",
     "key_id",
     "load_settings",
--- a/packages/fleet/src/kingcuplug_fleet/_peer_client.py
+++ b/packages/fleet/src/kingcuplug_fleet/_peer_client.py
@@ -11,8 +11,15 @@
 from typing import Any
 
 import orjson
-from kingcuplug_common import KingcuplugError
-from kingcuplug_http import Headers, OutboundConnection, Reply, Response, connect
+from kingcuplug_common import KingcuplugError, estimate_decoded_bytes
+from kingcuplug_http import (
+    Headers,
+    OutboundConnection,
+    Reply,
+    Response,
+    connect,
+    process_budget,
+)
 
 __all__ = [
     "CALL_ID_HEADER",
@@ -58,16 +65,20 @@
     Raises
     ------
     ValueError
-        If the body is not JSON, or does not match its content encoding.
+        If the body is not JSON, does not match its content encoding, or would take more
+        memory than all connections of the process may.
     """
+    max_bytes = process_budget.max_bytes
     if encoding == _DEFLATE_HEADER[1]:
         decompressor = zlib.decompressobj()
         try:
-            body = decompressor.decompress(body, _MAX_BODY_BYTES)
+            body = decompressor.decompress(body, min(_MAX_BODY_BYTES, max_bytes // 2))
         except zlib.error as error:
             raise ValueError(f"invalid deflate data in the body: {error}") from error
         if not decompressor.eof:
             raise ValueError("the compressed body is truncated or too long")
+    if estimate_decoded_bytes(body) > max_bytes:
+        raise ValueError("the body would take too much memory")
     return orjson.loads(body)
 
 
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -15,6 +15,7 @@
     EventLog,
     KingcuplugError,
     Metrics,
+    estimate_decoded_bytes,
     render_metrics,
     require_string,
     require_strings,
@@ -556,6 +557,8 @@
         async def handle(request: Request) -> Response:
             if request.target.startswith(_PEER_PREFIX):
                 return await self._handle_peer_request(request)
+            if estimate_decoded_bytes(request.body) > process_budget.max_bytes:
+                return error_response(413, "the body would take too much memory")
             return await public_handler(request)
 
         return handle
--- a/tests/platform_formats/test_memory.py
+++ b/tests/platform_formats/test_memory.py
@@ -4,6 +4,7 @@
 import socket
 import time
 import urllib.request
+import zlib
 from collections.abc import Callable
 from contextlib import closing
 from typing import Any
@@ -127,3 +128,39 @@
         for connection in connections:
             connection.close()
     assert run.process.poll() is None
+
+
+_NESTED = b"[" + b"[]," * 3_000_000 + b"[]]"
+
+
+@pytest.mark.parametrize(
+    ("head", "body", "status"),
+    [
+        (b"PUT /v1/configuration", _NESTED, 413),
+        (b"PUT /v1/instances/i-1", _NESTED, 413),
+        (b"POST /peer/v2/poll", _NESTED, 400),
+        (
+            b"POST /peer/v2/poll HTTP/1.1\r\nContent-Encoding: deflate",
+            zlib.compress(_NESTED),
+            400,
+        ),
+    ],
+)
+def test_message_that_grows_when_decoded_keeps_the_process_below_its_limit(
+    host_with_limit, head, body, status
+):
+    """Guards against a process killed by one message of many empty values."""
+    run = host_with_limit
+    line, _, headers = head.partition(b" HTTP/1.1\r\n")
+    with closing(_connect(run.settings["listen"]["control"])) as connection:
+        connection.sendall(
+            line
+            + b" HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n" % len(body)
+            + (headers + b"\r\n" if headers else b"")
+            + b"\r\n"
+            + body
+        )
+        answered = int(connection.recv(65_536).split()[1])
+    assert _peak_bytes(run) < _LIMIT_MB * 1e6
+    assert answered == status
+    assert run.process.poll() is None
