Keep only the greatest records of a large part of a query

A query kept the whole bodies of all its parts until the last one arrived, up to 16 MiB for each shard, beyond any bound: an answer is no longer counted once it is complete. 36 shards can make that 576 MiB for one query.

A part of more than 64 KiB is now reduced to the records that can be in the merged answer when it arrives, at the host and at a gatherer. Shorter parts are merged as before, which is faster.

--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -521,7 +521,9 @@
         if refusal is not None:
             return self._refuse(request, route, "overloaded", wait_s=refusal.wait_s)
         started_at = asyncio.get_running_loop().time()
-        scatter = ScatterQuery(rule, self._header_names.signature.lower())
+        scatter = ScatterQuery(
+            rule, self._header_names.signature.lower(), route.top_records
+        )
         gather_records: list[GatherRecord] = []
         in_time: bool | None = None
         if not for_peer:
@@ -548,7 +550,7 @@
                 self._guard.record_answer(outbound)
             else:
                 self._guard.review(scatter.calls)
-        merged = scatter.merge(route.top_records)
+        merged = scatter.merge()
         if merged is None:
             for call in scatter.calls:
                 call.record_silence()
--- a/packages/gateway/src/kingcuplug_gateway/_gather_server.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gather_server.py
@@ -15,7 +15,7 @@
     RemainderRequest,
     decode_request,
 )
-from kingcuplug_gateway._scatter import merge_records
+from kingcuplug_gateway._scatter import keep_greatest_records, merge_records
 from kingcuplug_gateway._service_call import OutboundRequest, ServiceCall
 
 __all__ = ["GatherServer", "UnknownGathering"]
@@ -288,6 +288,9 @@
         return self._new_parts()
 
     def _on_call_finished(self, call: ServiceCall) -> None:
+        response = call.result.response
+        if call.result.succeeded and response is not None:
+            keep_greatest_records(response, self.request.top_records)
         self._pending_count -= 1
         self._wake_waiter()
 
--- a/packages/gateway/src/kingcuplug_gateway/_scatter.py
+++ b/packages/gateway/src/kingcuplug_gateway/_scatter.py
@@ -6,13 +6,22 @@
 from heapq import nlargest
 from typing import Any
 
+from kingcuplug_http import Response
 from kingcuplug_routing import PartialAnswerPolicy, is_in_time
 
 from kingcuplug_gateway._service_call import ServiceCall
 
-__all__ = ["RECORD_BYTES", "MergedAnswer", "ScatterQuery", "merge_records"]
+__all__ = [
+    "RECORD_BYTES",
+    "MergedAnswer",
+    "ScatterQuery",
+    "keep_greatest_records",
+    "merge_records",
+]
 
 RECORD_BYTES = 16
+# Shorter parts are kept whole until they are merged, which is faster.
+_MAX_KEPT_PART_BYTES = 65_536
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +54,17 @@
     return b"".join(nlargest(top, records))
 
 
+def keep_greatest_records(response: Response, top: int) -> None:
+    """Drop from a large part what cannot be among the greatest `top` records."""
+    part = response.body
+    if len(part) > _MAX_KEPT_PART_BYTES:
+        records = (
+            part[start : start + RECORD_BYTES]
+            for start in range(0, len(part) - RECORD_BYTES + 1, RECORD_BYTES)
+        )
+        response.body = b"".join(nlargest(top, records))
+
+
 class ScatterQuery:
     """Collects the parts of one query, and decides when the answer is sufficient.
 
@@ -52,6 +72,8 @@
     ----------
     signature_header : bytes
         Name of the header with a part's signature, in lower case.
+    record_count : int
+        Number of records in the merged answer.
 
     Attributes
     ----------
@@ -59,8 +81,11 @@
         Calls to the shards that this host queries itself.
     """
 
-    def __init__(self, rule: PartialAnswerPolicy, signature_header: bytes) -> None:
+    def __init__(
+        self, rule: PartialAnswerPolicy, signature_header: bytes, record_count: int
+    ) -> None:
         self._signature_header = signature_header
+        self._record_count = record_count
         self._loop = asyncio.get_running_loop()
         self._rule = rule
         self._finished: asyncio.Future[None] = self._loop.create_future()
@@ -115,6 +140,7 @@
         """Process the result of one shard's call."""
         response = call.result.response
         if call.result.succeeded and response is not None:
+            keep_greatest_records(response, self._record_count)
             self.add_parts([response.fields[self._signature_header]], response.body)
         else:
             self.mark_missing(1)
@@ -151,14 +177,13 @@
             and sufficient >= self._rule.required_shards
         )
 
-    def merge(self, record_count: int) -> MergedAnswer | None:
+    def merge(self) -> MergedAnswer | None:
         """Return the merged answer, or ``None`` if too few parts were received."""
         if self._received_count < self._rule.required_shards:
             return None
         missing = self._rule.shard_count - self._received_count
-        return MergedAnswer(
-            self._signatures, missing, merge_records(self._bodies, record_count)
-        )
+        body = merge_records(self._bodies, self._record_count)
+        return MergedAnswer(self._signatures, missing, body)
 
     @property
     def has_parts(self) -> bool:
--- a/tests/gateway/test_scatter.py
+++ b/tests/gateway/test_scatter.py
@@ -1,6 +1,7 @@
 """Scatter-gather queries: merging, partial answers and response statuses."""
 
 import asyncio
+import tracemalloc
 
 import pytest
 from hypothesis import given
@@ -208,3 +209,31 @@
     response = asyncio.run(run())
     assert response.body.startswith(record("b"))
     assert _headers(response)[b"Missing"] == b"0"
+
+
+def test_large_parts_are_not_kept_until_the_last_one_arrives(open_gateway):
+    """Guards against a query that keeps whole bodies of all shards in memory."""
+    large = record("a") * 200_000 + record("z") + record("b") * 200_000
+    kept_bytes = []
+
+    async def respond_large(request: Request) -> Response:
+        return signed_response(large)
+
+    async def respond_last(request: Request) -> Response:
+        await asyncio.sleep(2)
+        kept_bytes.append(tracemalloc.get_traced_memory()[0])
+        return signed_response(record("y"))
+
+    tracemalloc.start()
+    try:
+        response = _send_query(
+            open_gateway,
+            [respond_large, respond_large, respond_large, respond_last],
+            minimum_coverage=1.0,
+            target_ms=8_000,
+            timeout_ms=9_000,
+        )
+    finally:
+        tracemalloc.stop()
+    assert response.body == b"".join(map(record, "zzzyb"))
+    assert kept_bytes[0] < len(large)
