Free a connection as soon as it is closed

What a closed connection had received stayed in memory until the collector ran over old objects: the parser refers to the connection for its callbacks, a cancelled request to its task, and the other way round.

A connection that is lost now drops these references, in both directions.

--- a/packages/http/src/kingcuplug_http/_inbound.py
+++ b/packages/http/src/kingcuplug_http/_inbound.py
@@ -334,8 +334,15 @@
             self._timer.cancel()
         if self._handler_task is not None:
             self._handler_task.cancel()
-        self._received.release()
-        self._untaken.release()
+            self._handler_task = None
+        # These refer to this connection; what it holds would otherwise be kept until
+        # the next collection of old objects.
+        self._received.close()
+        self._untaken.close()
+        del self._parser
+        self._queue.clear()
+        self._unparsed = b""
+        self._reset_request()
 
     def pause_writing(self) -> None:
         """Count a response that the peer does not take at once."""
--- a/packages/http/src/kingcuplug_http/_memory_budget.py
+++ b/packages/http/src/kingcuplug_http/_memory_budget.py
@@ -91,6 +91,12 @@
         if self.size_bytes:
             self._budget.release(self)
 
+    def close(self) -> None:
+        """State that nothing will be held again, and forget the owner."""
+        self.release()
+        self.give_up = None
+        self.measure = None
+
 
 class MemoryBudget:
     """Sum of the holds of a process, and its bound.
--- a/packages/http/src/kingcuplug_http/_outbound.py
+++ b/packages/http/src/kingcuplug_http/_outbound.py
@@ -222,6 +222,10 @@
         """Fail the request in progress."""
         self.usable = False
         self._fail(Failure.LOST)
+        # These refer to this connection, which would otherwise be kept until the next
+        # collection of old objects.
+        self._hold.close()
+        del self._parser
 
     def on_message_begin(self) -> None:
         """Start a new response, or close the connection if it is unsolicited."""
--- a/tests/http/test_memory.py
+++ b/tests/http/test_memory.py
@@ -1,10 +1,12 @@
 """What connections of callers may hold together, and what they get beyond that."""
 
 import asyncio
+import gc
 import socket
+import weakref
 
 import pytest
-from kingcuplug_http import Limits, MemoryBudget, Request, Response
+from kingcuplug_http import Limits, MemoryBudget, Reply, Request, Response, connect
 
 _KIB = 1_024
 _LARGE = b"x" * (16_384 * _KIB)  # More than the buffers of a pair of sockets.
@@ -200,3 +202,64 @@
             assert budget.total_bytes == 0
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        _GET,
+        _upload(5, 9),
+        _upload(200 * _KIB, 300 * _KIB),
+        b"GET /slow HTTP/1.1\r\nHost: a\r\n\r\n" * 2,
+        b"no request\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+    ],
+)
+def test_connection_is_freed_as_soon_as_it_is_closed(serve, data):
+    """Guards against bodies of callers that have left, kept until a full collection."""
+
+    async def answer(request: Request) -> Response:
+        await asyncio.sleep(60 if request.target == b"/slow" else 0)
+        return Response(200, [], b"")
+
+    async def run() -> None:
+        async with serve(answer, _PATIENT) as server:
+            _, writer = await _connect(server.address)
+            writer.write(data)
+            await asyncio.sleep(0.1)
+            references = [weakref.ref(c) for c in server.listener.connections]
+            writer.close()
+            await asyncio.sleep(1.2)  # An error response is followed by a delay.
+            assert not server.listener.connections
+            assert [reference() for reference in references] == [None] * len(references)
+
+    gc.collect()
+    gc.disable()
+    try:
+        asyncio.run(run())
+    finally:
+        gc.enable()
+
+
+def test_connection_to_a_server_is_freed_as_soon_as_it_is_closed(serve):
+    """Guards against answers of servers kept until a full collection."""
+
+    async def run() -> None:
+        async with serve(limits=_PATIENT) as server:
+            connection = await connect(server.address, 5.0)
+            reply = Reply()
+            connection.send(_upload(9, 9), reply)
+            assert (await reply.response).body == b"x" * 9
+            reference = weakref.ref(connection)
+            connection.close()
+            del connection
+            await asyncio.sleep(0.1)
+            assert reference() is None
+
+    gc.collect()
+    gc.disable()
+    try:
+        asyncio.run(run())
+    finally:
+        gc.enable()
