Bound the log of whole documents by their size

A full disk refuses every write, so the host would have lost its log; and a member that was behind was sent all entries in one message, which other hosts refuse for its size.

The product's own log keeps its number of entries, up to 64 MiB.

--- a/packages/fleet/src/kingcuplug_fleet/_control_replica.py
+++ b/packages/fleet/src/kingcuplug_fleet/_control_replica.py
@@ -59,7 +59,9 @@
     heartbeat_ms=100,
     rpc_timeout_ms=300,
     snapshot_entries=64,
+    snapshot_bytes=8_388_608,
     retained_entries=8,
+    retained_bytes=2_097_152,
 )
 _CALL_TIMEOUT_S = 0.8
 _JOIN_INTERVAL_S = 0.4
--- a/packages/log/src/kingcuplug_log/_applier.py
+++ b/packages/log/src/kingcuplug_log/_applier.py
@@ -107,8 +107,12 @@
 
     def _start_snapshot_if_due(self) -> None:
         state = self._state
-        due_index = self._storage.snapshot_index + state.settings.snapshot_entries
-        if state.applied_index < due_index or self._storage.failure:
+        uncovered = state.applied_index - self._storage.snapshot_index
+        is_due = uncovered >= state.settings.snapshot_entries or (
+            uncovered > 0
+            and self._storage.appended_bytes >= state.settings.snapshot_bytes
+        )
+        if not is_due or self._storage.failure:
             return
         if self._snapshot_task is None or self._snapshot_task.done():
             self._snapshot_task = asyncio.ensure_future(
@@ -130,8 +134,10 @@
 
     async def _save_snapshot(self, snapshot: Snapshot) -> None:
         with contextlib.suppress(StorageFailed):
-            retained = self._state.settings.retained_entries
-            await self._storage.save_snapshot(snapshot, retained)
+            settings = self._state.settings
+            await self._storage.save_snapshot(
+                snapshot, settings.retained_entries, settings.retained_bytes
+            )
             self._state.metrics.count("log.snapshots")
             return
         self._state.handle_storage_failure()
--- a/packages/log/src/kingcuplug_log/_progress.py
+++ b/packages/log/src/kingcuplug_log/_progress.py
@@ -11,7 +11,7 @@
     Reply,
 )
 from kingcuplug_log._replica_state import ReplicaState
-from kingcuplug_log._types import Member, MemberRole, PeerStatus
+from kingcuplug_log._types import Entry, Member, MemberRole, PeerStatus
 
 __all__ = ["Progress"]
 
@@ -93,7 +93,7 @@
             previous_index=previous,
             previous_term=self._storage.term_at(previous) or 0,
             commit_index=state.commit_index,
-            entries=tuple(self._storage.entries(first, state.settings.batch_entries)),
+            entries=self._next_batch(first),
         )
         reply = await state.call(request)
         if not isinstance(reply, AppendReply) or not self._record_reply(reply, sent_at):
@@ -105,6 +105,17 @@
             self.caught_up = False
         return True
 
+    def _next_batch(self, first: int) -> tuple[Entry, ...]:
+        """Return the entries from index `first` that go into one message."""
+        settings = self._state.settings
+        entries = self._storage.entries(first, settings.batch_entries)
+        left_bytes = settings.batch_bytes
+        for number, entry in enumerate(entries):
+            left_bytes -= entry.size_bytes()
+            if left_bytes < 0 and number:
+                return tuple(entries[:number])
+        return tuple(entries)
+
     async def _send_snapshot(self) -> bool:
         state = self._state
         data = self._storage.read_snapshot()
--- a/packages/log/src/kingcuplug_log/_storage.py
+++ b/packages/log/src/kingcuplug_log/_storage.py
@@ -47,6 +47,8 @@
         Random identifier of the data folder, known after `open`.
     durable_index : int
         Index up to which all entries are synced.
+    appended_bytes : int
+        Size of the entries written to the log file since it was last compacted.
     recovered_snapshot : Snapshot or None
         The snapshot read by `open`, until the replica has loaded it.
     """
@@ -63,6 +65,7 @@
         self._persisted_hard_state: tuple[int, str | None] | None = None
         self._executor = FailStopExecutor()
         self.durable_index = 0
+        self.appended_bytes = 0
         self.term = 0
         self.vote: str | None = None
         self.disk_id = ""
@@ -160,13 +163,16 @@
             return
         await self._executor.run(self._log_lock, self._write_staged)
 
-    async def save_snapshot(self, snapshot: Snapshot, retained: int) -> None:
+    async def save_snapshot(
+        self, snapshot: Snapshot, retained: int, retained_bytes: int = sys.maxsize
+    ) -> None:
         """Replace the snapshot, then remove the entries that it covers.
 
         Parameters
         ----------
-        retained : int
-            Number of entries up to the snapshot's index that are kept.
+        retained, retained_bytes : int
+            Number and size of the entries up to the snapshot's index that are kept at
+            most.
         """
 
         async def save() -> None:
@@ -177,7 +183,7 @@
             self.snapshot_index, self.snapshot_term = snapshot.index, snapshot.term
             async with self._log_lock:
                 self._executor.raise_if_failed()
-                await self._compact_log(snapshot, retained)
+                await self._compact_log(snapshot, retained, retained_bytes)
 
         await self._executor.run(self._snapshot_lock, save)
 
@@ -212,9 +218,9 @@
             return
         self._begin_write()
         assert self._log_handle is not None
-        self._files.write(
-            self._log_handle, encode_record([entry.to_json() for entry in batch])
-        )
+        data = encode_record([entry.to_json() for entry in batch])
+        self.appended_bytes += len(data)
+        self._files.write(self._log_handle, data)
         await self._files.sync(self._log_handle)
         self._end_write(batch[-1].index)
 
@@ -227,10 +233,18 @@
         # version.
         self.durable_index = min(last_index, self._replaced_from_index - 1)
 
-    async def _compact_log(self, snapshot: Snapshot, retained: int) -> None:
+    async def _compact_log(
+        self, snapshot: Snapshot, retained: int, retained_bytes: int
+    ) -> None:
         base_index = snapshot.index
         if self.term_at(base_index) == snapshot.term:
-            base_index = max(self._log.base_index, base_index - retained)
+            first_index = max(self.first_index, base_index - retained + 1)
+            covered = self._log.slice(first_index, base_index - first_index + 1)
+            for entry in reversed(covered):
+                retained_bytes -= entry.size_bytes()
+                if retained_bytes < 0:
+                    break
+                base_index = entry.index - 1
             self._log.compact(base_index, self.term_at(base_index) or 0)
         else:
             self._log.compact(base_index, snapshot.term)
@@ -241,6 +255,7 @@
         last_index = self.last_index
         self.durable_index = min(self.durable_index, last_index)
         self._begin_write()
+        self.appended_bytes = 0
         handle = await self._replace_file(_LOG_FILE, self._encode_log(entries))
         self._close_log()
         self._log_handle = handle
@@ -317,6 +332,7 @@
         values, end = scan_records(data, _LOG_FILE)
         self._load_entries(values)
         self._log_handle = self._files.open_append(_LOG_FILE)
+        self.appended_bytes = end
         if end < len(data):
             self._files.truncate(self._log_handle, end)
         # A complete record may not have been synced before the crash.
--- a/packages/log/src/kingcuplug_log/_types.py
+++ b/packages/log/src/kingcuplug_log/_types.py
@@ -5,6 +5,8 @@
 from enum import StrEnum
 from typing import Any, Protocol
 
+import orjson
+
 __all__ = [
     "Clock",
     "Entry",
@@ -118,6 +120,10 @@
     kind: EntryKind
     data: Any = None
 
+    def size_bytes(self) -> int:
+        """Return the size of the encoded data."""
+        return len(orjson.dumps(self.data))
+
     def to_json(self) -> list[Any]:
         """Return the entry as a JSON array."""
         return [self.index, self.term, self.kind.value, self.data]
@@ -138,9 +144,14 @@
         Upper bound on the relative rate difference of two hosts' monotonic clocks.
     snapshot_entries : int
         Number of applied entries after which a new snapshot is taken.
-    retained_entries : int
-        Number of entries kept before the snapshot, so that a peer that is slightly
-        behind needs no snapshot.
+    snapshot_bytes : int
+        Size of the entries after which one is taken although they are fewer.
+    retained_entries, retained_bytes : int
+        Number and size of the entries kept before the snapshot at most, so that a peer
+        that is slightly behind needs no snapshot.
+    batch_entries, batch_bytes : int
+        Number and size of the entries in one message at most; a single entry may be
+        larger.
     install_chunk_bytes : int
         Size of the chunk of a snapshot that is sent in one message.
     """
@@ -150,8 +161,11 @@
     rpc_timeout_ms: int = 150
     drift_bound: float = 0.01
     batch_entries: int = 512
+    batch_bytes: int = 1_048_576
     snapshot_entries: int = 10_000
+    snapshot_bytes: int = 67_108_864
     retained_entries: int = 1_000
+    retained_bytes: int = 16_777_216
     install_chunk_bytes: int = 262_144
 
     def __post_init__(self) -> None:
--- a/tests/log/test_replica.py
+++ b/tests/log/test_replica.py
@@ -15,7 +15,9 @@
     Replica,
     StorageFailed,
     WrongIdentity,
+    _progress,
 )
+from kingcuplug_log._messages import AppendRequest
 from kingcuplug_testkit import Failpoint, Host, LogGroup, run_virtual
 
 _SLOW_SYNC_S = 0.2  # Longer than a heartbeat, shorter than the lease.
@@ -227,3 +229,43 @@
         await group.stop()
 
     run_virtual(main())
+
+
+def test_large_commands_are_sent_and_kept_within_bounds(monkeypatch) -> None:
+    # Guards against messages that a member refuses for their size, and against a log
+    # that grows with the size of its commands.
+    settings = LogSettings(
+        batch_bytes=10_000,
+        snapshot_bytes=40_000,
+        retained_entries=100,
+        retained_bytes=9_000,
+    )
+    sent_bytes: list[int] = []
+
+    def record(**fields: Any) -> AppendRequest:
+        sizes = [entry.size_bytes() for entry in fields["entries"]]
+        sent_bytes.append(sum(sizes) if len(sizes) > 1 else 0)
+        return AppendRequest(**fields)
+
+    async def main() -> None:
+        group = await _start_three_voters("large commands", settings)
+        leader, followers = _leader_and_followers(group)
+        followers[0].disk.crash()
+        await asyncio.gather(
+            *(group.propose({"number": n, "text": "x" * 4_000}) for n in range(1, 9))
+        )
+        await followers[0].start()
+        for number in range(9, 41):
+            await group.propose({"number": number, "text": "x" * 4_000})
+        await group.wait_until_converged()
+        leader = await group.wait_for_leader()
+        assert len(leader.state_machine.values) == 41
+        storage = leader.replica._storage
+        assert storage.snapshot_index > 30
+        assert storage.last_index - storage.first_index < 15
+        await group.stop()
+        group.invariants.raise_if_violated()
+
+    monkeypatch.setattr(_progress, "AppendRequest", record)
+    run_virtual(main())
+    assert 0 < max(sent_bytes) <= 10_000
--- a/tests/platform_formats/test_memory.py
+++ b/tests/platform_formats/test_memory.py
@@ -3,12 +3,14 @@
 import contextlib
 import socket
 import time
+import urllib.error
 import urllib.request
 import zlib
 from collections.abc import Callable
 from contextlib import closing
 from typing import Any
 
+import orjson
 import pytest
 
 _LIMIT_MB = 100
@@ -20,15 +22,18 @@
 @pytest.fixture
 def host_with_limit(start_host, make_settings) -> Any:
     """Return a host process that may use `_LIMIT_MB` megabytes."""
-    # The port of the metrics is fixed, so each test has an address of its own.
-    ip = f"127.20.{time.monotonic_ns() // 997 % 250 + 1}.7"
-    settings = make_settings(ip=ip)
+    settings = make_settings(ip=_own_address())
     settings["limits"]["memory_mb"] = _LIMIT_MB
     run = start_host(settings)
     run.wait_for_event("started")
     return run
 
 
+def _own_address() -> str:
+    """Return an address of the test, as the port of the metrics is fixed."""
+    return f"127.20.{time.monotonic_ns() // 997 % 250 + 1}.7"
+
+
 def _read_gauges(run: Any) -> dict[str, float]:
     address = f"{run.settings['ip']}:{_METRICS_PORT}"
     with urllib.request.urlopen(f"http://{address}/metrics", timeout=5) as reply:
@@ -164,3 +169,39 @@
     assert _peak_bytes(run) < _LIMIT_MB * 1e6
     assert answered == status
     assert run.process.poll() is None
+
+
+def test_large_documents_do_not_add_up_in_memory_and_on_the_disk(
+    start_host, make_settings, tmp_path
+):
+    """Guards against a log of whole documents that outgrows memory and disk."""
+    settings = make_settings(ip=_own_address(), data_directory=str(tmp_path / "data"))
+    settings["limits"]["memory_mb"] = _LIMIT_MB
+    run = start_host(settings)
+    run.wait_for_event("started")
+    document = {"routes": [], "services": [], "note": "x" * 1_000_000}
+    largest_bytes = 0
+    for version in range(1, 61):
+        body = orjson.dumps(document | {"version": version})
+        _wait_for(lambda body=body: _put_document(run, body) == 200)
+        files = (tmp_path / "data").iterdir()
+        largest_bytes = max(largest_bytes, sum(f.stat().st_size for f in files))
+    assert largest_bytes < 20e6
+    assert _peak_bytes(run) < _LIMIT_MB * 1e6
+    assert orjson.loads(_get_document(run))["version"] == 60
+
+
+def _put_document(run: Any, body: bytes) -> int:
+    url = f"http://{run.settings['listen']['control']}/v1/configuration"
+    request = urllib.request.Request(url, data=body, method="PUT")
+    try:
+        with urllib.request.urlopen(request, timeout=5) as reply:
+            return reply.status
+    except urllib.error.HTTPError as error:
+        return error.code
+
+
+def _get_document(run: Any) -> bytes:
+    url = f"http://{run.settings['listen']['control']}/v1/configuration"
+    with urllib.request.urlopen(url, timeout=5) as reply:
+        return reply.read()
