Stop the log when a write lacks a thread or memory

Only an OSError made the storage of the replicated log fail for good. When no worker thread could be started ("can't start new thread"), or memory was short, the entries of that write were dropped, and the next write went on: entry 2 was lost, entry 3 was written, and the storage said that all up to 3 are on the disk. After a restart the file was corrupt ("entry 3 leaves a gap after 1"), and what the member had acknowledged was gone.

Every exception of an operation is now final, as a failed sync is; the replica reopens from what is on the disk. A call that the executor keeps for a later thread is abandoned, because its handle may stand for another file by then.

Before, the second write of the test raised the error itself and a third one succeeded with durable_index 3.

--- a/packages/log/src/kingcuplug_log/_fail_stop.py
+++ b/packages/log/src/kingcuplug_log/_fail_stop.py
@@ -9,19 +9,20 @@
 
 
 class FailStopExecutor:
-    """Runs operations one at a time per lock, until one raises `OSError`.
+    """Runs operations one at a time per lock, until one raises an exception.
 
     After that every operation raises `StorageFailed`: a failed fsync can drop
-    dirty pages, so a retry could report success for lost data.
+    dirty pages, so a retry could report success for lost data. So can an operation that
+    lacked memory, or a thread.
 
     Attributes
     ----------
-    failure : OSError or None
+    failure : Exception or None
         The first error, after which all operations fail.
     """
 
     def __init__(self) -> None:
-        self.failure: OSError | None = None
+        self.failure: Exception | None = None
         self._running: set[asyncio.Task[None]] = set()
 
     def raise_if_failed(self) -> None:
@@ -29,7 +30,7 @@
         if self.failure is not None:
             raise StorageFailed(self.failure)
 
-    def record_failure(self, error: OSError) -> StorageFailed:
+    def record_failure(self, error: Exception) -> StorageFailed:
         """Record a failure and return the error to raise."""
         self.failure = self.failure or error
         return StorageFailed(error)
@@ -60,5 +61,5 @@
             self.raise_if_failed()
             try:
                 await operation()
-            except OSError as error:
+            except Exception as error:
                 raise self.record_failure(error) from error
--- a/packages/log/src/kingcuplug_log/_file_system.py
+++ b/packages/log/src/kingcuplug_log/_file_system.py
@@ -1,9 +1,11 @@
 """File operations on one data folder."""
 
 import asyncio
+import errno
 import os
+from collections.abc import Callable
 from pathlib import Path
-from typing import Protocol
+from typing import Any, Protocol
 
 __all__ = ["DiskFileSystem", "FileSystem"]
 
@@ -86,7 +88,7 @@
     async def sync(self, handle: int) -> None:
         """Make the content of the file durable."""
         data = bytes(self._unwritten.pop(handle, b""))
-        await asyncio.to_thread(_write_and_sync, handle, data)
+        await _run_in_thread(_write_and_sync, handle, data)
 
     def close(self, handle: int) -> None:
         """Close a handle and discard the bytes that were not synced."""
@@ -99,7 +101,7 @@
 
     async def sync_folder(self) -> None:
         """Make created, renamed and removed names durable."""
-        await asyncio.to_thread(_sync_folder, self._folder)
+        await _run_in_thread(_sync_folder, self._folder)
 
     def truncate(self, handle: int, size: int) -> None:
         """Truncate a file to `size` bytes."""
@@ -118,6 +120,28 @@
         (self._folder / name).unlink()
 
 
+async def _run_in_thread(function: Callable[..., None], *args: Any) -> None:
+    """Run a function in a worker thread.
+
+    Raises
+    ------
+    OSError
+        If no thread can be started. The executor keeps the call for another thread,
+        which must not make it later: the handle may stand for another file then.
+    """
+    abandoned = False
+
+    def run() -> None:
+        if not abandoned:
+            function(*args)
+
+    try:
+        await asyncio.to_thread(run)
+    except RuntimeError as error:
+        abandoned = True
+        raise OSError(errno.EAGAIN, f"no worker thread: {error}") from error
+
+
 def _write_and_sync(handle: int, data: bytes) -> None:
     unwritten = memoryview(data)
     while unwritten:
--- a/packages/log/src/kingcuplug_log/_storage.py
+++ b/packages/log/src/kingcuplug_log/_storage.py
@@ -33,7 +33,7 @@
     """Files of one replica, and the log entries in memory.
 
     In-memory changes (`set_term_and_vote`, `stage`) take effect at once and become
-    durable with `persist_term_and_vote` and `flush`. After the first `OSError` every
+    durable with `persist_term_and_vote` and `flush`. After the first failure every
     operation raises `StorageFailed`.
 
     Parameters
@@ -98,7 +98,7 @@
         self._executor.record_failure(OSError(reason))
 
     @property
-    def failure(self) -> OSError | None:
+    def failure(self) -> Exception | None:
         """The first error, after which all operations fail."""
         return self._executor.failure
 
--- a/tests/log/test_storage.py
+++ b/tests/log/test_storage.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
+from typing import Any
 
 import pytest
 from kingcuplug_log import CorruptLog, DiskFileSystem, Storage, StorageFailed
@@ -228,3 +229,43 @@
         await reopened.close()
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    "error", [RuntimeError("can't start new thread"), MemoryError()]
+)
+def test_write_that_lacks_a_thread_or_memory_is_final(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, error: Exception
+) -> None:
+    # Guards against acknowledging entries after others were lost that precede them.
+    async def main() -> None:
+        storage = Storage(DiskFileSystem(tmp_path))
+        await storage.open()
+        storage.stage([_entry(1, 1)])
+        await storage.flush()
+        calls: list[Any] = []
+
+        async def fail(function: Any, *args: Any) -> None:
+            calls.append((function, args))
+            raise error
+
+        with monkeypatch.context() as patch:
+            patch.setattr(asyncio, "to_thread", fail)
+            storage.stage([_entry(2, 1)])
+            with pytest.raises(StorageFailed):
+                await storage.flush()
+        storage.stage([_entry(3, 1)])
+        with pytest.raises(StorageFailed):
+            await storage.flush()
+        assert storage.durable_index == 1
+        await storage.close()
+        if isinstance(error, RuntimeError):
+            # The executor makes the call as soon as it has a thread.
+            for function, args in calls:
+                function(*args)
+        reopened = Storage(DiskFileSystem(tmp_path))
+        await reopened.open()
+        assert reopened.last_index == 1
+        await reopened.close()
+
+    asyncio.run(main())
