Forget services that have neither servers nor a route

A host kept retry budgets, windows and a limiter for each service that it had ever heard of. An index that is repartitioned brings new services each time, and a heartbeat may name any.

A pool without servers whose service is not in the configuration is dropped when the servers are next replaced; requests in progress keep theirs.

Before, all 50 services of the test were still there.

--- a/packages/gateway/src/kingcuplug_gateway/_servers.py
+++ b/packages/gateway/src/kingcuplug_gateway/_servers.py
@@ -309,6 +309,9 @@
             by_service.setdefault(server.service, {})[server.id] = server
         for service in by_service.keys() | self._pools.keys():
             self._replace_pool(self.pool(service), by_service.get(service, {}), now)
+            if service not in by_service and service not in self._connection_limits:
+                # It has no servers and no route; requests in progress keep their pool.
+                del self._pools[service]
 
     def pop_samples(self) -> LatencySamples:
         """Return the servers' latency samples since the previous call."""
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -5,6 +5,7 @@
 from socket import SO_LINGER, SOL_SOCKET
 
 import pytest
+from kingcuplug_gateway import ServerInfo
 from kingcuplug_http import Request, Response, encode_response
 
 from .conftest import make_route, signed_response
@@ -345,3 +346,20 @@
             assert asyncio.get_running_loop().time() - started_at < 1.0
 
     asyncio.run(scenario())
+
+
+def test_services_that_no_longer_exist_are_forgotten(open_gateway):
+    """Guards against state that grows with the services that have ever existed."""
+
+    async def run() -> None:
+        async with open_gateway() as harness:
+            harness.set_routes(make_route())
+            for number in range(50):
+                server = ServerInfo(
+                    f"i-{number}", f"index-{number}", "127.0.0.1:1", "z", 3, 0, False
+                )
+                harness.gateway.update_fleet([server], hosts=1)
+            harness.gateway.update_fleet([], hosts=1)
+            assert set(harness.gateway.servers._pools) <= {"stock"}
+
+    asyncio.run(run())
