Close connections to other hosts that have been idle for too long

Idle connections to another host were only looked at when one was needed, the last used first. So those of a burst of calls stayed, as objects after the other side had closed them, until a call to that host failed, and those to a host that was not called again stayed for ever.

The host's upkeep now closes them after the idle time-out, as it does for connections to servers. The test fails before, as nothing closes any of them.

--- a/packages/fleet/src/kingcuplug_fleet/_peer_client.py
+++ b/packages/fleet/src/kingcuplug_fleet/_peer_client.py
@@ -137,6 +137,26 @@
                 connection.close()
         self._idle.clear()
 
+    def prune(self, now: float) -> None:
+        """Close connections that have been idle for too long.
+
+        Parameters
+        ----------
+        now : float
+            In event loop time.
+        """
+        for address, connections in tuple(self._idle.items()):
+            # The one that was used last is at the end.
+            expired = 0
+            while expired < len(connections) and not _is_usable(
+                connections[expired], now
+            ):
+                connections[expired].close()
+                expired += 1
+            del connections[:expired]
+            if not connections:
+                del self._idle[address]
+
     async def _post(self, address: str, path: str, value: Any) -> Response:
         headers, body = encode_body(value)
         connection = self._pop_idle(address)
@@ -168,7 +188,11 @@
         connections = self._idle.get(address, [])
         while connections:
             connection = connections.pop()
-            if connection.usable and now - connection.idle_since < _IDLE_TIMEOUT_S:
+            if _is_usable(connection, now):
                 return connection
             connection.close()
         return None
+
+
+def _is_usable(connection: OutboundConnection, now: float) -> bool:
+    return connection.usable and now - connection.idle_since < _IDLE_TIMEOUT_S
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -888,6 +888,7 @@
         while True:
             await asyncio.sleep(_UPKEEP_INTERVAL_S)
             self._gateway.servers.prune(loop.time())
+            self._peer_client.prune(loop.time())
 
     async def _probe_gatherers(self) -> None:
         while True:
--- a/tests/fleet/test_peer_bodies.py
+++ b/tests/fleet/test_peer_bodies.py
@@ -61,3 +61,38 @@
         await listener.stop()
 
     asyncio.run(run())
+
+
+def test_connections_of_a_burst_of_calls_are_closed_when_idle():
+    """Guards against connections kept for ever at the peak of the calls to a host."""
+    burst = 20
+
+    async def run() -> None:
+        all_arrived = asyncio.Event()
+        arrived = 0
+
+        async def respond(request: Request) -> Response:
+            nonlocal arrived
+            arrived += 1
+            if arrived == burst:
+                all_arrived.set()
+            await all_arrived.wait()
+            return Response(200, [], b"{}")
+
+        listener, client = Listener(respond, Limits), PeerClient()
+        address = await listener.start("127.0.0.1:0")
+        calls = [client.call(address, "/x", {}, 5.0) for _ in range(burst)]
+        await asyncio.gather(*calls)
+        now = asyncio.get_running_loop().time()
+        client.prune(now)
+        await asyncio.sleep(0.05)
+        assert len(listener.connections) == burst
+        client.prune(now + 60)
+        await asyncio.sleep(0.05)
+        assert not listener.connections
+        assert not client._idle
+        assert await client.call(address, "/x", {}, 5.0) == {}
+        client.close()
+        await listener.stop()
+
+    asyncio.run(run())
