Count connections only while they exist

The number of open connections was a counter that a connection lowers when it is lost. One whose event loop ends first is never lost, so in a process with several loops, as in the test suite, the counter could only grow, and would have refused connections in the end. The budget now refers weakly to the connections themselves.

--- a/packages/http/src/kingcuplug_http/_descriptors.py
+++ b/packages/http/src/kingcuplug_http/_descriptors.py
@@ -2,6 +2,7 @@
 
 import math
 import resource
+from weakref import WeakSet
 
 __all__ = ["DescriptorBudget", "process_descriptors"]
 
@@ -16,8 +17,9 @@
     ----------
     max_open : float
         Number of descriptors that the process may open.
-    connections : int
-        Number of open connections, in both directions.
+    connections : WeakSet
+        Open connections, in both directions. One that its event loop has left behind
+        counts until it is freed.
     closed, refused : int
         Number of connections that were closed to make room for new ones, and of new
         ones that were closed because there was none.
@@ -25,13 +27,13 @@
 
     def __init__(self, max_open: float) -> None:
         self.max_open = max_open
-        self.connections = 0
+        self.connections: WeakSet[object] = WeakSet()
         self.closed = 0
         self.refused = 0
 
     def has_room(self, reserved_ratio: float) -> bool:
         """Return whether the share `reserved_ratio` of all descriptors is free."""
-        open_descriptors = self.connections + _OTHER_DESCRIPTORS
+        open_descriptors = len(self.connections) + _OTHER_DESCRIPTORS
         return open_descriptors <= self.max_open * (1 - reserved_ratio)
 
 
--- a/packages/http/src/kingcuplug_http/_inbound.py
+++ b/packages/http/src/kingcuplug_http/_inbound.py
@@ -165,15 +165,14 @@
     def add(self, connection: "InboundConnection") -> None:
         """Add a new connection; close others, or this one, if descriptors run short."""
         self.connections.add(connection)
-        self.descriptors.connections += 1
+        self.descriptors.connections.add(connection)
         if not self.descriptors.has_room(self._reserved_ratio):
             self._make_room(connection)
 
     def remove(self, connection: "InboundConnection") -> None:
         """Remove a connection that was closed."""
-        if connection in self.connections:
-            self.connections.remove(connection)
-            self.descriptors.connections -= 1
+        self.connections.discard(connection)
+        self.descriptors.connections.discard(connection)
 
     def _make_room(self, connection: "InboundConnection") -> None:
         now = asyncio.get_running_loop().time()
--- a/packages/http/src/kingcuplug_http/_outbound.py
+++ b/packages/http/src/kingcuplug_http/_outbound.py
@@ -154,7 +154,7 @@
         """Mark the connection as usable."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        process_descriptors.connections += 1
+        process_descriptors.connections.add(self)
         self.usable = True
         self.idle_since = self._loop.time()
 
@@ -222,7 +222,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the request in progress."""
-        process_descriptors.connections -= 1
+        process_descriptors.connections.discard(self)
         self.usable = False
         self._fail(Failure.LOST)
         # These refer to this connection, which would otherwise be kept until the next
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -750,7 +750,7 @@
                     {
                         "count": count,
                         "callers": len(self._caller_listener.connections),
-                        "connections": process_descriptors.connections,
+                        "connections": len(process_descriptors.connections),
                     },
                 )
             await asyncio.sleep(_MEMORY_POLL_INTERVAL_S)
