--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -211,7 +211,7 @@
         self._caller_listener = Listener(
             self._handle_caller_request, self._gateway.limits
         )
-        if settings.memory_mb is not None:
+        if settings.memory_mb < math.inf:
             process_budget.max_bytes = int(
                 settings.memory_mb * _BYTES_PER_MB * _CONNECTIONS_MEMORY_RATIO
             )
@@ -698,11 +698,10 @@
 
     def _resource_gauges(self) -> dict[str, float]:
         """Return the gauges of what the process uses, without those not known."""
-        limit_mb = self._settings.memory_mb
         gauges = {
             "resident_bytes": resident_bytes(),
             "resident_peak_bytes": peak_resident_bytes(),
-            "memory_limit_bytes": limit_mb and limit_mb * _BYTES_PER_MB,
+            "memory_limit_bytes": self._settings.memory_mb * _BYTES_PER_MB,
             "descriptors_open": count_open_descriptors(),
             "descriptors_limit": process_descriptors.max_open,
             "connections_closed": process_descriptors.closed,
@@ -729,7 +728,7 @@
 
     async def _watch_memory(self) -> None:
         """Log when resident memory comes close to its limit, and when it has fallen."""
-        limit_bytes = (self._settings.memory_mb or math.inf) * _BYTES_PER_MB
+        limit_bytes = self._settings.memory_mb * _BYTES_PER_MB
         alarm = MemoryAlarm(limit_bytes)
         refusals, connections_closed = process_budget.refusals, 0
         while True:
--- a/packages/node/src/kingcuplug_node/_settings.py
+++ b/packages/node/src/kingcuplug_node/_settings.py
@@ -44,8 +44,8 @@
         Number of control hosts that may lose their disks at the same time.
     link_mbps : float
         Bandwidth of the host's link, infinite if nothing limits it.
-    memory_mb : float or None
-        Megabytes of memory that the process may use; ``None`` if that is unknown.
+    memory_mb : float
+        Megabytes of memory that the process may use, infinite if nothing limits it.
     max_descriptors : float
         Number of descriptors that the process may open, if that is less than the
         kernel's limit.
@@ -69,5 +69,5 @@
     serve_without_control: bool = True
     control_lease_ms: int = 3_000
     tolerated_losses: int = 1
-    memory_mb: float | None = None
+    memory_mb: float = math.inf
     max_descriptors: float = math.inf
