--- a/packages/common/src/kingcuplug_common/_threads.py
+++ b/packages/common/src/kingcuplug_common/_threads.py
@@ -1,6 +1,7 @@
 """Blocking calls in worker threads."""
 
 import asyncio
+import errno
 from collections.abc import Callable
 from typing import Any, TypeVar
 
@@ -15,8 +16,13 @@
     If the caller is cancelled, the cancellation takes effect when the function has
     returned. With `asyncio.to_thread`, the function of a cancelled call goes on and
     can overlap with whatever the caller's successor does to the same files.
+
+    Raises
+    ------
+    OSError
+        If no thread can be started.
     """
-    future = asyncio.get_running_loop().run_in_executor(None, function, *args)
+    future = _start(function, args)
     cancellation: asyncio.CancelledError | None = None
     while not future.done():
         try:
@@ -27,3 +33,23 @@
         future.exception()  # Marks it as retrieved.
         raise cancellation
     return future.result()
+
+
+def _start(function: Callable[..., _T], args: tuple[Any, ...]) -> "asyncio.Future[_T]":
+    """Give a call to a worker thread.
+
+    An executor that can start no thread keeps the call for another one, which must not
+    make it later: the files may have another owner then.
+    """
+    abandoned = False
+
+    def call() -> _T:
+        if abandoned:
+            raise OSError(errno.ECANCELED, "the call was abandoned")
+        return function(*args)
+
+    try:
+        return asyncio.get_running_loop().run_in_executor(None, call)
+    except RuntimeError as error:
+        abandoned = True
+        raise OSError(errno.EAGAIN, f"no worker thread: {error}") from error
--- a/packages/fleet/src/kingcuplug_fleet/_peer_client.py
+++ b/packages/fleet/src/kingcuplug_fleet/_peer_client.py
@@ -11,8 +11,15 @@
 from typing import Any
 
 import orjson
-from kingcuplug_common import KingcuplugError
-from kingcuplug_http import Headers, OutboundConnection, Reply, Response, connect
+from kingcuplug_common import KingcuplugError, estimate_decoded_bytes
+from kingcuplug_http import (
+    Headers,
+    OutboundConnection,
+    Reply,
+    Response,
+    connect,
+    process_budget,
+)
 
 __all__ = [
     "CALL_ID_HEADER",
@@ -58,16 +65,20 @@
     Raises
     ------
     ValueError
-        If the body is not JSON, or does not match its content encoding.
+        If the body is not JSON, does not match its content encoding, or would take more
+        memory than all connections of the process may.
     """
+    max_bytes = process_budget.max_bytes
     if encoding == _DEFLATE_HEADER[1]:
         decompressor = zlib.decompressobj()
         try:
-            body = decompressor.decompress(body, _MAX_BODY_BYTES)
+            body = decompressor.decompress(body, min(_MAX_BODY_BYTES, max_bytes // 2))
         except zlib.error as error:
             raise ValueError(f"invalid deflate data in the body: {error}") from error
         if not decompressor.eof:
             raise ValueError("the compressed body is truncated or too long")
+    if estimate_decoded_bytes(body) > max_bytes:
+        raise ValueError("the body would take too much memory")
     return orjson.loads(body)
 
 
@@ -126,6 +137,26 @@
                 connection.close()
         self._idle.clear()
 
+    def prune(self, now: float) -> None:
+        """Close connections that have been idle for too long.
+
+        Parameters
+        ----------
+        now : float
+            In event loop time.
+        """
+        for address, connections in tuple(self._idle.items()):
+            # The one that was used last is at the end.
+            expired = 0
+            while expired < len(connections) and not _is_usable(
+                connections[expired], now
+            ):
+                connections[expired].close()
+                expired += 1
+            del connections[:expired]
+            if not connections:
+                del self._idle[address]
+
     async def _post(self, address: str, path: str, value: Any) -> Response:
         headers, body = encode_body(value)
         connection = self._pop_idle(address)
@@ -157,7 +188,11 @@
         connections = self._idle.get(address, [])
         while connections:
             connection = connections.pop()
-            if connection.usable and now - connection.idle_since < _IDLE_TIMEOUT_S:
+            if _is_usable(connection, now):
                 return connection
             connection.close()
         return None
+
+
+def _is_usable(connection: OutboundConnection, now: float) -> bool:
+    return connection.usable and now - connection.idle_since < _IDLE_TIMEOUT_S
--- a/packages/http/src/kingcuplug_http/__init__.py
+++ b/packages/http/src/kingcuplug_http/__init__.py
@@ -4,12 +4,18 @@
 which the request path does not use uvicorn and aiohttp.
 """
 
+from kingcuplug_http._descriptors import DescriptorBudget, process_descriptors
 from kingcuplug_http._inbound import (
     Handler,
     InboundConnection,
     Limits,
     Listener,
 )
+from kingcuplug_http._memory_budget import (
+    HoldKind,
+    MemoryBudget,
+    process_budget,
+)
 from kingcuplug_http._messages import (
     Headers,
     Request,
@@ -27,13 +33,16 @@
 )
 
 __all__ = [
+    "DescriptorBudget",
     "Exchange",
     "Failure",
     "Handler",
     "Headers",
+    "HoldKind",
     "InboundConnection",
     "Limits",
     "Listener",
+    "MemoryBudget",
     "OutboundConnection",
     "Reply",
     "Request",
@@ -42,4 +51,6 @@
     "encode_response",
     "end_to_end_headers",
     "error_response",
+    "process_budget",
+    "process_descriptors",
 ]
--- a/packages/http/src/kingcuplug_http/_outbound.py
+++ b/packages/http/src/kingcuplug_http/_outbound.py
@@ -6,9 +6,29 @@
 
 import httptools
 
-from kingcuplug_http._messages import Headers, Response, has_unknown_coding
-
-__all__ = ["Exchange", "Failure", "OutboundConnection", "Reply", "connect"]
+from kingcuplug_http._descriptors import process_descriptors
+from kingcuplug_http._memory_budget import (
+    Hold,
+    HoldKind,
+    MemoryBudget,
+    process_budget,
+)
+from kingcuplug_http._messages import (
+    HEADER_OVERHEAD_BYTES,
+    MAX_BODY_PIECES,
+    Headers,
+    Response,
+    has_unknown_coding,
+    join_pieces,
+)
+
+__all__ = [
+    "Exchange",
+    "Failure",
+    "OutboundConnection",
+    "Reply",
+    "connect",
+]
 
 _CLOSE_OPTION = b"close"
 # Late responses to earlier requests are skipped until the expected one arrives; more
@@ -20,9 +40,6 @@
 _MAX_BODY_BYTES = 16_777_216
 # Received bytes per byte of the largest body: covers chunk sizes and extensions.
 _MAX_FRAMING_RATIO = 2
-# Bounds the unfinished bodies of all connections together, as many peers may fail at
-# the same time.
-_MAX_BUFFERED_BYTES = 67_108_864
 
 
 class Failure(Enum):
@@ -33,37 +50,6 @@
     INVALID = "the peer sent data that is not a valid HTTP response"
 
 
-class BodyBuffers:
-    """Received bytes of all unfinished response bodies of this process.
-
-    Parameters
-    ----------
-    max_bytes : int
-        Bound of their sum. Beyond it, the largest one is given up.
-    """
-
-    def __init__(self, max_bytes: int = _MAX_BUFFERED_BYTES) -> None:
-        self.max_bytes = max_bytes
-        self.total_bytes = 0
-        self._sizes: dict[OutboundConnection, int] = {}
-
-    def add(self, connection: "OutboundConnection", size: int) -> None:
-        """Count bytes that a connection has received, and keep the sum bounded."""
-        self._sizes[connection] = self._sizes.get(connection, 0) + size
-        self.total_bytes += size
-        while self.total_bytes > self.max_bytes:
-            largest = max(self._sizes, key=lambda c: self._sizes[c])
-            self.release(largest)
-            largest.give_up()
-
-    def release(self, connection: "OutboundConnection") -> None:
-        """Forget the bytes of a connection whose response has ended."""
-        self.total_bytes -= self._sizes.pop(connection, 0)
-
-
-_body_buffers = BodyBuffers()
-
-
 class Exchange(Protocol):
     """Receiver of the response to one request.
 
@@ -124,8 +110,8 @@
 
     Parameters
     ----------
-    buffers : BodyBuffers
-        Bounds the unfinished bodies of several connections together.
+    budget : MemoryBudget
+        Bounds what the connection holds, together with others of the process.
 
     Attributes
     ----------
@@ -140,10 +126,10 @@
     """
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, buffers: BodyBuffers = _body_buffers
+        self, loop: asyncio.AbstractEventLoop, budget: MemoryBudget = process_budget
     ) -> None:
         self._loop = loop
-        self._buffers = buffers
+        self._hold = Hold(budget, HoldKind.ANSWER, self.give_up)
         self._transport: asyncio.Transport
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
@@ -168,6 +154,7 @@
         """Mark the connection as usable."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        process_descriptors.connections.add(self)
         self.usable = True
         self.idle_since = self._loop.time()
 
@@ -188,9 +175,17 @@
         self._transport.write(data)
 
     def give_up(self) -> None:
-        """Fail the request in progress because its response is too large."""
+        """Fail the request in progress because there is no memory for its response."""
         self._fail(Failure.INVALID)
 
+    def pause_writing(self) -> None:
+        """Count a request that the peer does not read at once."""
+        self._update_hold()
+
+    def resume_writing(self) -> None:
+        """Count no longer what the peer has read."""
+        self._update_hold()
+
     def abandon(self) -> None:
         """Close the connection without reporting a failure of its request."""
         self._exchange = None
@@ -215,6 +210,8 @@
             self._fail(Failure.INVALID)
         if self._exchange is not None and self._exceeds_limits():
             self._fail(Failure.INVALID)
+        if self._in_body or self._hold.size_bytes:
+            self._update_hold()
 
     def eof_received(self) -> bool:
         """Complete a response whose body is delimited by the end of the connection."""
@@ -225,8 +222,13 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the request in progress."""
+        process_descriptors.connections.discard(self)
         self.usable = False
         self._fail(Failure.LOST)
+        # These refer to this connection, which would otherwise be kept until the next
+        # collection of old objects.
+        self._hold.close()
+        del self._parser
 
     def on_message_begin(self) -> None:
         """Start a new response, or close the connection if it is unsolicited."""
@@ -271,7 +273,8 @@
         self._body_bytes += len(body)
         if self._exchange is not None and self._body_bytes <= _MAX_BODY_BYTES:
             self._body.append(body)
-            self._buffers.add(self, len(body))
+            if len(self._body) > MAX_BODY_PIECES:
+                self._body = join_pieces(self._body)
 
     def on_message_complete(self) -> None:
         """Complete the response, unless it is an interim one (1xx)."""
@@ -280,7 +283,15 @@
 
     def _discard_body(self) -> None:
         self._body = []
-        self._buffers.release(self)
+        self._hold.release()
+
+    def _update_hold(self) -> None:
+        """Count the unfinished body, and what the peer has not read of the request."""
+        held_bytes = self._transport.get_write_buffer_size()
+        if self._body:
+            held_bytes += self._body_bytes
+            held_bytes += HEADER_OVERHEAD_BYTES * len(self._headers)
+        self._hold.resize(held_bytes, self._loop.time())
 
     def _complete(self) -> None:
         self._in_response = False
--- a/packages/log/src/kingcuplug_log/_follower.py
+++ b/packages/log/src/kingcuplug_log/_follower.py
@@ -127,7 +127,9 @@
         # The entries that the snapshot covers are gone once it is stored, so it must be
         # applied, also if the leader's call has timed out by then.
         await self._storage.save_snapshot(
-            snapshot, 0, lambda: self._applier.install_snapshot(snapshot)
+            snapshot,
+            retained=0,
+            on_saved=lambda: self._applier.install_snapshot(snapshot),
         )
         self._snapshot_data = bytearray()
         return True
--- a/packages/log/src/kingcuplug_log/_storage.py
+++ b/packages/log/src/kingcuplug_log/_storage.py
@@ -37,7 +37,7 @@
     """Files of one replica, and the log entries in memory.
 
     In-memory changes (`set_term_and_vote`, `stage`) take effect at once and become
-    durable with `persist_term_and_vote` and `flush`. After the first `OSError` every
+    durable with `persist_term_and_vote` and `flush`. After the first failure every
     operation raises `StorageFailed`.
 
     Parameters
@@ -54,6 +54,8 @@
     committed_index : int
         Index up to which the replica knows entries to be committed; stored with the
         term, so that `open` can detect that such entries are missing.
+    appended_bytes : int
+        Size of the entries written to the log file since it was last compacted.
     recovered_snapshot : Snapshot or None
         The snapshot read by `open`, until the replica has loaded it.
     founding : JSON value
@@ -74,6 +76,7 @@
         self._executor = FailStopExecutor()
         self.durable_index = 0
         self.committed_index = 0
+        self.appended_bytes = 0
         self.term = 0
         self.vote: str | None = None
         self.disk_id = ""
@@ -113,7 +116,7 @@
         self._executor.record_failure(OSError(reason))
 
     @property
-    def failure(self) -> OSError | None:
+    def failure(self) -> Exception | None:
         """The first error, after which all operations fail."""
         return self._executor.failure
 
@@ -182,14 +185,16 @@
         self,
         snapshot: Snapshot,
         retained: int,
+        retained_bytes: int = sys.maxsize,
         on_saved: Callable[[], None] = lambda: None,
     ) -> None:
         """Replace the snapshot, then remove the entries that it covers.
 
         Parameters
         ----------
-        retained : int
-            Number of entries up to the snapshot's index that are kept.
+        retained, retained_bytes : int
+            Number and size of the entries up to the snapshot's index that are kept at
+            most.
         on_saved : callable
             Called when the snapshot, or a newer one, is stored, also if the caller was
             cancelled meanwhile.
@@ -206,7 +211,7 @@
             self.snapshot_index, self.snapshot_term = snapshot.index, snapshot.term
             async with self._log_lock:
                 self._executor.raise_if_failed()
-                await self._compact_log(snapshot, retained)
+                await self._compact_log(snapshot, retained, retained_bytes)
 
         await self._executor.run(self._snapshot_lock, save)
 
@@ -252,9 +257,9 @@
             return
         self._begin_write()
         assert self._log_handle is not None
-        self._files.write(
-            self._log_handle, encode_record([entry.to_json() for entry in batch])
-        )
+        data = encode_record([entry.to_json() for entry in batch])
+        self.appended_bytes += len(data)
+        self._files.write(self._log_handle, data)
         await self._files.sync(self._log_handle)
         self._end_write(batch[-1].index)
 
@@ -267,10 +272,18 @@
         # version.
         self.durable_index = min(last_index, self._replaced_from_index - 1)
 
-    async def _compact_log(self, snapshot: Snapshot, retained: int) -> None:
+    async def _compact_log(
+        self, snapshot: Snapshot, retained: int, retained_bytes: int
+    ) -> None:
         base_index = snapshot.index
         if self.term_at(base_index) == snapshot.term:
-            base_index = max(self._log.base_index, base_index - retained)
+            first_index = max(self.first_index, base_index - retained + 1)
+            covered = self._log.slice(first_index, base_index - first_index + 1)
+            for entry in reversed(covered):
+                retained_bytes -= entry.size_bytes()
+                if retained_bytes < 0:
+                    break
+                base_index = entry.index - 1
             self._log.compact(base_index, self.term_at(base_index) or 0)
         else:
             self._log.compact(base_index, snapshot.term)
@@ -281,6 +294,7 @@
         last_index = self.last_index
         self.durable_index = min(self.durable_index, last_index)
         self._begin_write()
+        self.appended_bytes = 0
         handle = await self._replace_file(_LOG_FILE, self._encode_log(entries))
         self._close_log()
         self._log_handle = handle
@@ -394,6 +408,7 @@
         # After a failed sync, later ones of the same file succeed although the cache
         # holds content that the disk lacks. A torn tail is left behind, too.
         self._log_handle = await self._replace_file(_LOG_FILE, data[:end])
+        self.appended_bytes = end
         self._staged_from_index = self.last_index + 1
         self.durable_index = self.last_index
 
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import gc
+import math
 import random as random_module
 import signal
 import time
@@ -14,6 +15,7 @@
     EventLog,
     KingcuplugError,
     Metrics,
+    estimate_decoded_bytes,
     make_latest_wall_clock,
     render_metrics,
     require_string,
@@ -58,9 +60,24 @@
     RouteTable,
     ServerInfo,
 )
-from kingcuplug_http import Limits, Listener, Request, Response, error_response
+from kingcuplug_http import (
+    HoldKind,
+    Limits,
+    Listener,
+    Request,
+    Response,
+    error_response,
+    process_budget,
+    process_descriptors,
+)
 
 from kingcuplug_node._listening import Endpoint, listen_when_free, try_listen
+from kingcuplug_node._memory_alarm import MemoryAlarm
+from kingcuplug_node._process_resources import (
+    count_open_descriptors,
+    peak_resident_bytes,
+    resident_bytes,
+)
 from kingcuplug_node._settings import NodeSettings, SettingsUnusable
 
 if TYPE_CHECKING:
@@ -89,6 +106,13 @@
 _ANSWER_MARGIN_MS = 4.0
 _MERGE_CPU_MS = 4.0
 _SETTINGS_POLL_INTERVAL_S = 1.0
+_BYTES_PER_MB = 1_000_000
+# The rest is for the program, its state, and copies of what connections hold.
+_CONNECTIONS_MEMORY_RATIO = 0.25
+_MEMORY_POLL_INTERVAL_S = 0.5
+# Share of all descriptors that connections to the control port leave free; those of
+# callers leave more.
+_CONTROL_RESERVED_RATIO = 0.0625
 # Clocks of hosts and servers differ by far less.
 _MAX_START_AHEAD_MS = 86_400_000
 # The load balancer sends new callers until two readiness checks, one second apart, have
@@ -193,6 +217,15 @@
         self._caller_listener = Listener(
             self._handle_caller_request, self._gateway.limits
         )
+        if settings.memory_mb < math.inf:
+            process_budget.max_bytes = int(
+                settings.memory_mb * _BYTES_PER_MB * _CONNECTIONS_MEMORY_RATIO
+            )
+        process_descriptors.max_open = min(
+            process_descriptors.max_open, settings.max_descriptors
+        )
+        self._control_listener: Listener | None = None
+        self._started_at = asyncio.get_running_loop().time()
         self._replica = self._make_replica()
         self._directory_file: DirectoryFile | None = None
         self._routes_file: RoutesFile | None = None
@@ -370,13 +403,20 @@
         """Return all listeners, that of the control API first."""
         settings = self._settings
         control_listener = Listener(
-            self._make_control_handler(control_handler), lambda: _CONTROL_HTTP_LIMITS
+            self._make_control_handler(control_handler),
+            lambda: _CONTROL_HTTP_LIMITS,
+            reserved_ratio=_CONTROL_RESERVED_RATIO,
         )
+        self._control_listener = control_listener
         readiness_listener = Listener(
-            self._handle_readiness_probe, lambda: _CONTROL_HTTP_LIMITS
+            self._handle_readiness_probe,
+            lambda: _CONTROL_HTTP_LIMITS,
+            reserved_ratio=_CONTROL_RESERVED_RATIO,
         )
         metrics_listener = Listener(
-            self._handle_metrics_request, lambda: _CONTROL_HTTP_LIMITS
+            self._handle_metrics_request,
+            lambda: _CONTROL_HTTP_LIMITS,
+            reserved_ratio=_CONTROL_RESERVED_RATIO,
         )
         return [
             Endpoint(
@@ -431,6 +471,7 @@
             self._prune_servers,
             self._probe_gatherers,
             self._send_reports,
+            self._watch_memory,
         ]
         if self._directory_file is not None:
             tasks.append(self._once_data_is_open(self._directory_file.run))
@@ -571,6 +612,8 @@
         async def handle(request: Request) -> Response:
             if request.target.startswith(_PEER_PREFIX):
                 return await self._handle_peer_request(request)
+            if estimate_decoded_bytes(request.body) > process_budget.max_bytes:
+                return error_response(413, "the body would take too much memory")
             return await public_handler(request)
 
         return handle
@@ -693,10 +736,83 @@
             ),
             "log_lines_dropped": self._log.dropped,
             **self._control_gauges(),
+            **self._resource_gauges(),
         }
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
         return Response(200, headers, render_metrics(self._metrics, gauges))
 
+    def _resource_gauges(self) -> dict[str, float]:
+        """Return the gauges of what the process uses, without those not known."""
+        gauges = {
+            "resident_bytes": resident_bytes(),
+            "resident_peak_bytes": peak_resident_bytes(),
+            "memory_limit_bytes": self._settings.memory_mb * _BYTES_PER_MB,
+            "descriptors_open": count_open_descriptors(),
+            "descriptors_limit": process_descriptors.max_open,
+            "connections_closed": process_descriptors.closed,
+            "connections_refused": process_descriptors.refused,
+            "memory_refusals": process_budget.refusals,
+            "uptime_seconds": asyncio.get_running_loop().time() - self._started_at,
+            **self._buffered_bytes(),
+        }
+        return {name: value for name, value in gauges.items() if value is not None}
+
+    def _buffered_bytes(self) -> dict[str, int]:
+        """Return what connections hold that waits to be processed, or to be taken."""
+        listeners = [self._caller_listener]
+        if self._control_listener is not None:
+            listeners.append(self._control_listener)
+        return {
+            "buffered_request_bytes": sum(i.buffered_request_bytes for i in listeners),
+            "buffered_response_bytes": sum(
+                i.buffered_response_bytes for i in listeners
+            ),
+            "buffered_answer_bytes": process_budget.held_bytes(HoldKind.ANSWER),
+            "buffered_serving_bytes": process_budget.held_bytes(HoldKind.SERVING),
+        }
+
+    async def _watch_memory(self) -> None:
+        """Log when resident memory comes close to its limit, and when it has fallen."""
+        limit_bytes = self._settings.memory_mb * _BYTES_PER_MB
+        alarm = MemoryAlarm(limit_bytes)
+        refusals, connections_closed = process_budget.refusals, 0
+        while True:
+            resident = resident_bytes()
+            if resident is not None and alarm.update(resident):
+                self._log_memory(f"memory_{alarm.level.value}", resident, limit_bytes)
+                # The process may be killed before the next regular flush.
+                self._log.flush()
+            if process_budget.refusals != refusals:
+                count = process_budget.refusals - refusals
+                refusals += count
+                self._log_memory("memory_refused", resident, limit_bytes, count=count)
+            short = process_descriptors.closed + process_descriptors.refused
+            if short != connections_closed:
+                count, connections_closed = short - connections_closed, short
+                self._log.write(
+                    "descriptors_short",
+                    {
+                        "count": count,
+                        "callers": len(self._caller_listener.connections),
+                        "connections": len(process_descriptors.connections),
+                    },
+                )
+            await asyncio.sleep(_MEMORY_POLL_INTERVAL_S)
+
+    def _log_memory(
+        self, event: str, resident: int | None, limit_bytes: float, **fields: int
+    ) -> None:
+        fields |= self._buffered_bytes()
+        self._log.write(
+            event,
+            {
+                "resident_bytes": resident,
+                "limit_bytes": limit_bytes if limit_bytes < math.inf else None,
+                "callers": len(self._caller_listener.connections),
+                **fields,
+            },
+        )
+
     def _control_gauges(self) -> dict[str, float]:
         """Return the gauges of a host that takes part in control."""
         if self._replica is None:
@@ -816,6 +932,7 @@
         while True:
             await asyncio.sleep(_UPKEEP_INTERVAL_S)
             self._gateway.servers.prune(loop.time())
+            self._peer_client.prune(loop.time())
 
     async def _probe_gatherers(self) -> None:
         while True:
--- a/tests/log/test_storage.py
+++ b/tests/log/test_storage.py
@@ -1,10 +1,12 @@
 """All state that the storage has acknowledged must survive a crash of the host."""
 
 import asyncio
+import contextlib
 import errno
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
+from typing import Any
 
 import pytest
 from kingcuplug_log import CorruptLog, DiskFileSystem, Storage, StorageFailed
@@ -426,3 +428,44 @@
         assert recovered.last_index == durable_index
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize(
+    "error", [RuntimeError("can't start new thread"), MemoryError()]
+)
+def test_write_that_lacks_a_thread_or_memory_is_final(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, error: Exception
+) -> None:
+    # Guards against acknowledging entries after others were lost that precede them.
+    async def main() -> None:
+        storage = Storage(DiskFileSystem(tmp_path))
+        await storage.open()
+        storage.stage([_entry(1, 1)])
+        await storage.flush()
+        calls: list[Any] = []
+
+        def fail(executor: Any, function: Any, *args: Any) -> None:
+            calls.append((function, args))
+            raise error
+
+        with monkeypatch.context() as patch:
+            patch.setattr(asyncio.get_running_loop(), "run_in_executor", fail)
+            storage.stage([_entry(2, 1)])
+            with pytest.raises(StorageFailed):
+                await storage.flush()
+        storage.stage([_entry(3, 1)])
+        with pytest.raises(StorageFailed):
+            await storage.flush()
+        assert storage.durable_index == 1
+        await storage.close()
+        if isinstance(error, RuntimeError):
+            # The executor makes the call as soon as it has a thread.
+            for function, args in calls:
+                with contextlib.suppress(OSError):
+                    function(*args)
+        reopened = Storage(DiskFileSystem(tmp_path))
+        await reopened.open()
+        assert reopened.last_index == 1
+        await reopened.close()
+
+    asyncio.run(main())
