Hold back signals while kingcuplugd has no handlers

An operator's SIGHUP, SIGTERM or SIGINT in the first 0.8 s of kingcuplugd ended it with -1, -15 or -2 in place of a reload or a graceful end with 0; one after the last handler was removed, in the last 0.1 s, ended it with -1.

Cause: importing the package imports the whole host, which takes 0.7 s, before the entry point runs, and the event loop removes its handlers when it closes. The mask is lifted once the handlers are installed and restored before the loop closes.

--- a/packages/daemon/src/kingcuplug_daemon/_main.py
+++ b/packages/daemon/src/kingcuplug_daemon/_main.py
@@ -10,15 +10,16 @@
 from kingcuplug_common import KingcuplugError, SettingsInvalid, load_settings
 
 from kingcuplug_daemon._host import Host
+from kingcuplug_daemon._start import HANDLED_SIGNALS
 
-__all__ = ["main", "serve"]
+__all__ = ["run_program", "serve"]
 
 _EXIT_SETTINGS = 2
 _EXIT_STATE = 3
 
 
-def main() -> None:
-    """Run the program."""
+def run_program() -> None:
+    """Run the program with the arguments of the command line."""
     fire.Fire(_run_host, name="kingcuplugd")
 
 
@@ -56,12 +57,18 @@
     loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
     loop.add_signal_handler(signal.SIGINT, stop_requested.set)
     loop.add_signal_handler(signal.SIGHUP, host.reload)
-    await host.start()
-    stop_waiters = [
-        asyncio.create_task(stop_requested.wait()),
-        asyncio.create_task(host.wait_drain_requested()),
-    ]
-    await asyncio.wait(stop_waiters, return_when=asyncio.FIRST_COMPLETED)
-    for waiter in stop_waiters:
-        waiter.cancel()
-    await host.stop()
+    # The loop removes the handlers when it closes, so the mask of the caller is
+    # restored before that.
+    former_mask = signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
+    try:
+        await host.start()
+        stop_waiters = [
+            asyncio.create_task(stop_requested.wait()),
+            asyncio.create_task(host.wait_drain_requested()),
+        ]
+        await asyncio.wait(stop_waiters, return_when=asyncio.FIRST_COMPLETED)
+        for waiter in stop_waiters:
+            waiter.cancel()
+        await host.stop()
+    finally:
+        signal.pthread_sigmask(signal.SIG_SETMASK, former_mask)
--- /dev/null
+++ b/tests/daemon/test_start.py
@@ -0,0 +1,106 @@
+"""The start and the end of `kingcuplugd` as a real process."""
+
+import contextlib
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import kingcuplug_daemon
+import pytest
+
+from tests.daemon._daemon_process import MAIN_CODE, DaemonProcess
+
+MakeDaemon = Callable[..., DaemonProcess]
+
+_HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
+_EXIT_TIMEOUT_S = 30
+# Stands for the modules of the host, whose imports take most of the start.
+_SLOW_IMPORT = """
+import signal
+def run_program():
+    blocked = signal.pthread_sigmask(signal.SIG_BLOCK, ())
+    print(*sorted(signal.Signals(number).name for number in blocked))
+"""
+# Sends the signals once the host has stopped.
+_MAIN_CODE_WITH_LATE_SIGNALS = f"""
+import atexit, os, signal
+def send_signals():
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        os.kill(os.getpid(), number)
+atexit.register(send_signals)
+{MAIN_CODE}
+"""
+
+
+@pytest.fixture
+def make_daemon(tmp_path: Path) -> Iterator[MakeDaemon]:
+    """Return a function that makes a daemon's files; all are killed after the test."""
+    daemons: list[DaemonProcess] = []
+
+    def make(**fields: Any) -> DaemonProcess:
+        daemons.append(DaemonProcess(tmp_path / f"host-{len(daemons)}", **fields))
+        return daemons[-1]
+
+    yield make
+    for daemon in daemons:
+        daemon.kill()
+
+
+def test_signals_are_held_back_before_the_modules_of_the_host_are_imported(tmp_path):
+    """Guards against a signal that ends a host in the first second."""
+    package = tmp_path / "kingcuplug_daemon"
+    package.mkdir()
+    source = Path(kingcuplug_daemon.__file__).parent
+    for name in ("__init__.py", "_start.py"):
+        (package / name).write_bytes((source / name).read_bytes())
+    (package / "_main.py").write_text(_SLOW_IMPORT)
+    run = subprocess.run(
+        [sys.executable, "-c", MAIN_CODE],
+        env=os.environ | {"PYTHONPATH": str(tmp_path)},
+        capture_output=True,
+        text=True,
+        timeout=_EXIT_TIMEOUT_S,
+        check=False,
+    )
+    assert (run.stdout, run.stderr) == ("SIGHUP SIGINT SIGTERM\n", "")
+
+
+@pytest.mark.parametrize("number", _HANDLED_SIGNALS)
+def test_signal_before_the_settings_are_read_is_handled_later(make_daemon, number):
+    """Guards against a signal that ends a host which has not installed handlers."""
+    daemon = make_daemon()
+    text = daemon.path.read_text()
+    daemon.path.unlink()
+    os.mkfifo(daemon.path)
+    daemon.start()
+    with contextlib.suppress(BrokenPipeError), daemon.path.open("w") as writer:
+        # The process has opened the file and waits for its content.
+        daemon.process.send_signal(number)
+        writer.write(text)
+    if number == signal.SIGHUP:
+        daemon.wait_until_live()
+        assert daemon.terminate() == 0
+    else:
+        assert daemon.wait_for_exit() == 0
+
+
+@pytest.mark.parametrize("number", [signal.SIGUSR1, signal.SIGUSR2, signal.SIGALRM])
+def test_signal_without_a_meaning_does_not_end_the_process(make_daemon, number):
+    """Guards against a host that ends by a signal that it does not use."""
+    daemon = make_daemon()
+    daemon.start()
+    daemon.wait_until_live()
+    daemon.process.send_signal(number)
+    assert daemon.terminate() == 0
+
+
+def test_signals_after_the_host_has_stopped_do_not_change_the_exit_status(make_daemon):
+    """Guards against a graceful shutdown that looks like a crash."""
+    daemon = make_daemon()
+    daemon.start(_MAIN_CODE_WITH_LATE_SIGNALS)
+    daemon.wait_until_live()
+    assert daemon.terminate() == 0
