Keep kingcuplugd running whatever becomes of its standard error

With a full device there, invalid settings gave the exit status 120 (1 if started by -c) in place of the documented 2. With standard error closed, its number went to the event loop or a socket, to which any message of a library would have been written.

Cause: the messages of uvicorn and asyncio go to standard error by a blocking write, and a line that could not be written is written again when the interpreter ends. Lines now go out by write_error_line, which asks first whether the descriptor accepts them, and drops them if not; closed standard descriptors are opened on the null device before anything else.

--- a/packages/common/src/kingcuplug_common/__init__.py
+++ b/packages/common/src/kingcuplug_common/__init__.py
@@ -52,6 +52,11 @@
         traced_entry,
         traceparent,
     )
+    from kingcuplug_common._standard_error import (
+        StandardErrorHandler,
+        open_standard_descriptors,
+        write_error_line,
+    )
     from kingcuplug_common._telemetry import (
         TraceFileExporter,
         log_to_file,
@@ -74,6 +79,7 @@
     "RefusalReason",
     "SettingsInvalid",
     "Signer",
+    "StandardErrorHandler",
     "TlsSettings",
     "TraceFileExporter",
     "Verifier",
@@ -86,6 +92,7 @@
     "log_state_change",
     "log_to_file",
     "not_run_refusal",
+    "open_standard_descriptors",
     "open_tracer",
     "propagator",
     "random_identifier",
@@ -103,6 +110,7 @@
     "traced_entry",
     "traceparent",
     "wall_ms",
+    "write_error_line",
 ]
 
 __getattr__ = import_on_first_use(
@@ -117,6 +125,11 @@
             "load_settings",
         ),
         "_spans": ("Hop", "traced_entry", "request_span", "start_hop", "traceparent"),
+        "_standard_error": (
+            "StandardErrorHandler",
+            "open_standard_descriptors",
+            "write_error_line",
+        ),
         "_telemetry": ("TraceFileExporter", "log_to_file", "propagator", "open_tracer"),
     },
 )
--- a/packages/daemon/src/kingcuplug_daemon/_main.py
+++ b/packages/daemon/src/kingcuplug_daemon/_main.py
@@ -1,13 +1,21 @@
 """The `kingcuplugd` program: one process per host."""
 
 import asyncio
+import logging
 import signal
 import sys
 from collections.abc import Callable
 from pathlib import Path
 
 import fire
-from kingcuplug_common import KingcuplugError, SettingsInvalid, load_settings
+from kingcuplug_common import (
+    KingcuplugError,
+    SettingsInvalid,
+    StandardErrorHandler,
+    load_settings,
+    open_standard_descriptors,
+    write_error_line,
+)
 
 from kingcuplug_daemon._host import Host
 from kingcuplug_daemon._start import HANDLED_SIGNALS
@@ -20,6 +28,8 @@
 
 def run_program() -> None:
     """Run the program with the arguments of the command line."""
+    open_standard_descriptors()
+    logging.basicConfig(handlers=[StandardErrorHandler()])
     fire.Fire(_run_host, name="kingcuplugd")
 
 
@@ -34,15 +44,15 @@
     try:
         host_settings = load_settings(Path(settings))
     except KingcuplugError as error:
-        print(f"kingcuplugd: {error}", file=sys.stderr)
+        write_error_line(f"kingcuplugd: {error}")
         sys.exit(_EXIT_SETTINGS)
     try:
         asyncio.run(serve(lambda: Host(host_settings)))
     except SettingsInvalid as error:
-        print(f"kingcuplugd: {error}", file=sys.stderr)
+        write_error_line(f"kingcuplugd: {error}")
         sys.exit(_EXIT_SETTINGS)
     except (KingcuplugError, OSError) as error:
-        print(f"kingcuplugd: {error}", file=sys.stderr)
+        write_error_line(f"kingcuplugd: {error}")
         sys.exit(_EXIT_STATE)
 
 
--- a/tests/daemon/test_start.py
+++ b/tests/daemon/test_start.py
@@ -3,6 +3,7 @@
 import contextlib
 import os
 import signal
+import socket
 import subprocess
 import sys
 from collections.abc import Callable, Iterator
@@ -104,3 +105,47 @@
     daemon.start(_MAIN_CODE_WITH_LATE_SIGNALS)
     daemon.wait_until_live()
     assert daemon.terminate() == 0
+
+
+def _fill_pipe(descriptor: int) -> None:
+    os.set_blocking(descriptor, False)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            os.write(descriptor, b"x" * 4_096)
+    os.set_blocking(descriptor, True)
+
+
+def test_full_standard_error_keeps_the_exit_status(make_daemon):
+    """Guards against a supervisor that restarts a host with invalid settings."""
+    daemon = make_daemon(host="")
+    with Path("/dev/full").open("wb") as full:
+        daemon.start(stderr=full)
+    assert daemon.wait_for_exit() == 2
+
+
+def test_stalled_reader_of_standard_error_does_not_block_the_host(make_daemon):
+    """Guards against an outage by invalid requests while nobody reads the log."""
+    daemon = make_daemon()
+    reader, writer = os.pipe()
+    _fill_pipe(writer)
+    daemon.start(stderr=writer)
+    os.close(writer)
+    daemon.wait_until_live()
+    host, _, port = daemon.settings["caller_address"].rpartition(":")
+    with socket.create_connection((host, int(port)), timeout=5) as connection:
+        connection.sendall(b"no request\r\n\r\n")  # uvicorn logs a warning.
+        assert connection.recv(4_096).startswith(b"HTTP/1.1 400 ")
+    assert daemon.get("healthz") == 200
+    assert daemon.terminate() == 0
+    os.close(reader)
+
+
+def test_closed_standard_descriptors_are_not_used_for_sockets(make_daemon):
+    """Guards against messages of libraries that are sent to a caller."""
+    daemon = make_daemon()
+    daemon.start(preexec_fn=lambda: [os.close(number) for number in range(3)])
+    daemon.wait_until_live()
+    for number in range(3):
+        link = Path(f"/proc/{daemon.process.pid}/fd/{number}")
+        assert str(link.readlink()) == os.devnull
+    assert daemon.terminate() == 0
