Start kingcuplugd also if its statsd server has an IPv6 address

A host whose statsd_address is an IPv6 address ended with 3 and "Name or service not known", and served no callers, though nothing of it depends on statsd. Cause: the client was told to use IPv4, and its error was not caught. The address now decides on the family, and a client that cannot be created is logged and left out; the counters remain in memory.

Run with [::1]:8125 and no server there: ended with 3, now live. tests/common/test_event_log_and_metrics.py: two of three cases failed before (gaierror).

--- a/packages/common/src/kingcuplug_common/_metrics.py
+++ b/packages/common/src/kingcuplug_common/_metrics.py
@@ -64,10 +64,11 @@
         self.durations: dict[str, dict[tuple[str, ...], Histogram]] = {}
         self._client: Any = None
         if address is not None:
-            import statsd
-
-            host, _, port = address.rpartition(":")
-            self._client = statsd.StatsClient(host, int(port), prefix=PREFIX)
+            try:
+                self._client = _open_statsd(address)
+            except OSError as error:
+                # Nothing of a host depends on statsd; the counters remain in memory.
+                log_state_change("statsd", "unavailable", why=str(error))
 
     def count(self, name: str, value: int = 1) -> None:
         """Add `value` to a counter."""
@@ -102,6 +103,14 @@
             self._client.timing(name, duration_ms)
 
 
+def _open_statsd(address: str) -> Any:
+    import statsd
+
+    host, _, port = address.rpartition(":")
+    host = host.strip("[]")
+    return statsd.StatsClient(host, int(port), prefix=PREFIX, ipv6=":" in host)
+
+
 def _log_with_eliot(subject: str, state: str, fields: dict[str, Any]) -> None:
     import eliot
 
--- a/tests/common/test_event_log_and_metrics.py
+++ b/tests/common/test_event_log_and_metrics.py
@@ -83,3 +83,13 @@
     for number in range(2_000):
         metrics.observe("attempt", (f"s{number}", "good"), 0.01)
     assert len(metrics.durations["attempt"]) <= 513
+
+
+@pytest.mark.parametrize("address", ["127.0.0.1:9", "[::1]:9", "::1:9"])
+def test_statsd_that_cannot_be_reached_changes_nothing(address):
+    """Guards against a host that ends because of its statsd server."""
+    metrics = Metrics(address)
+    metrics.count("query.whole")
+    metrics.gauge("queue", 1)
+    metrics.send_timing("query.latency", 1)
+    assert metrics.counts["query.whole"] == 1
