Refuse impossible addresses as invalid settings

A name of hexadecimal letters passed as well and was looked up. Cause: the pattern of an address tells digits from letters and nothing else. Each address is now parsed; the error names the field.

--- a/packages/common/src/kingcuplug_common/_settings.py
+++ b/packages/common/src/kingcuplug_common/_settings.py
@@ -4,10 +4,12 @@
 folder.
 """
 
+import ipaddress
 from pathlib import Path
 from typing import Annotated, Literal
 
 from pydantic import (
+    AfterValidator,
     BaseModel,
     ConfigDict,
     Field,
@@ -20,7 +22,22 @@
 
 __all__ = ["HostSettings", "SettingsInvalid", "TlsSettings", "load_settings"]
 
-Address = Annotated[str, StringConstraints(pattern=r"^[0-9a-fA-F.:\[\]]+:\d{1,5}$")]
+_MAX_PORT = 65_535
+
+
+def _check_address(address: str) -> str:
+    host, _, port = address.rpartition(":")
+    ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    if int(port) > _MAX_PORT:
+        raise ValueError(f"port {port} is above {_MAX_PORT}")
+    return address
+
+
+Address = Annotated[
+    str,
+    StringConstraints(pattern=r"^[0-9a-fA-F.:\[\]]+:\d{1,5}$"),
+    AfterValidator(_check_address),
+]
 Role = Literal["entry", "control"]
 
 
--- a/tests/common/test_settings.py
+++ b/tests/common/test_settings.py
@@ -51,3 +51,23 @@
     # Guards against a traceback for a wrong path.
     with pytest.raises(SettingsInvalid, match="cannot be read"):
         load_settings(tmp_path / "absent.json")
+
+
+@pytest.mark.parametrize("address", ["127.0.0.1:65535", "[::1]:8001", "::1:0"])
+def test_ip_addresses_with_port_are_valid(
+    tmp_path: Path, fields: dict[str, Any], address: str
+) -> None:
+    # Guards against rejecting an address that a listener can bind.
+    fields |= {"caller_address": address, "statsd_address": address}
+    assert load_settings(_write(tmp_path, fields)).caller_address == address
+
+
+@pytest.mark.parametrize("address", ["127.0.0.1:65536", "999.1.1.1:80", "fade.be:80"])
+@pytest.mark.parametrize("name", ["caller_address", "statsd_address"])
+def test_impossible_address_is_reported(
+    tmp_path: Path, fields: dict[str, Any], name: str, address: str
+) -> None:
+    # Guards against a look-up of names, and an untyped error, at the start.
+    fields[name] = address
+    with pytest.raises(SettingsInvalid, match=name):
+        load_settings(_write(tmp_path, fields))
