Check all arguments of kingcuplugd before the host starts

Cause: the command line library calls the function before it looks at what is left of the arguments. The function now records the path, and the host runs afterwards.

tests/daemon/test_start.py: failed before (still running after 30 s).

--- a/packages/daemon/src/kingcuplug_daemon/_main.py
+++ b/packages/daemon/src/kingcuplug_daemon/_main.py
@@ -30,17 +30,25 @@
     """Run the program with the arguments of the command line."""
     open_standard_descriptors()
     logging.basicConfig(handlers=[StandardErrorHandler()])
-    fire.Fire(_run_host, name="kingcuplugd")
+    paths: list[str] = []
 
+    # The host runs after all arguments have been checked.
+    def kingcuplugd(settings: str) -> None:
+        """Run one host.
 
-def _run_host(settings: str) -> None:
-    """Run one host.
+        Parameters
+        ----------
+        settings : str
+            Path of the host's settings file.
+        """
+        paths.append(settings)
 
-    Parameters
-    ----------
-    settings : str
-        Path of the host's settings file.
-    """
+    fire.Fire(kingcuplugd, name="kingcuplugd")
+    if paths:
+        _run_host(paths[0])
+
+
+def _run_host(settings: str) -> None:
     try:
         host_settings = load_settings(Path(settings))
     except KingcuplugError as error:
--- a/tests/daemon/test_start.py
+++ b/tests/daemon/test_start.py
@@ -149,3 +149,11 @@
         link = Path(f"/proc/{daemon.process.pid}/fd/{number}")
         assert str(link.readlink()) == os.devnull
     assert daemon.terminate() == 0
+
+
+def test_unknown_option_is_reported_before_the_host_starts(make_daemon):
+    """Guards against a misspelt option that is noticed when the host ends."""
+    daemon = make_daemon()
+    daemon.start(arguments=[str(daemon.path), "--speed=9"])
+    assert daemon.wait_for_exit() == 2
+    assert "--speed=9" in daemon.errors
