Let kingcuplugd wait for an address that it cannot bind yet

A host that was started while the process before it still ended, while another process held its port for a moment, or before its interface had the address, ended with 3 ("Address already in use") and served nobody until somebody started it again.

Cause: a precondition of the start that another process can fulfil was checked once. Such errors are now PreconditionUnmet; the start is tried again every 0.25 s, with the settings of that moment, until it succeeds or a signal asks to stop, which ends the process with 0. Standard error gets a line with the remedy per change. An address that can never be bound still ends the process with 3, with a typed error.

--- a/packages/daemon/src/kingcuplug_daemon/_host.py
+++ b/packages/daemon/src/kingcuplug_daemon/_host.py
@@ -6,6 +6,7 @@
 
 from kingcuplug_common import (
     HostSettings,
+    KingcuplugError,
     Metrics,
     SettingsInvalid,
     log_state_change,
@@ -53,6 +54,13 @@
     log_settings, membership_settings : optional
         Timeouts and limits of the control plane.
 
+    Raises
+    ------
+    SettingsInvalid
+        If a file that the settings name cannot be used.
+    AddressUnavailable, AddressUnusable
+        If the address of a listener cannot be bound.
+
     Attributes
     ----------
     caller_address, peer_address : str
@@ -78,18 +86,23 @@
         self._announce_tokens = BearerTokens(settings.announce_token_file)
         self._peers = PeerClient(settings.peer_tls)
         self._resources = contextlib.ExitStack()
+        self._key_task: asyncio.Task[None] | None = None
         self._drain_requested = asyncio.Event()
         # The listeners bind first, so that port 0 is resolved before the roles are
         # built; they accept connections only at the end of `start`.
         self._caller_listener = Listener(
             self._handle_caller_request, settings.caller_address, settings.caller_tls
         )
-        self._peer_listener = Listener(
-            self._handle_peer_request,
-            settings.peer_address,
-            settings.peer_tls,
-            client_certificates=True,
-        )
+        try:
+            self._peer_listener = Listener(
+                self._handle_peer_request,
+                settings.peer_address,
+                settings.peer_tls,
+                client_certificates=True,
+            )
+        except KingcuplugError:
+            self._caller_listener.abort()
+            raise
         self.caller_address = self._caller_listener.address
         self.peer_address = self._peer_listener.address
         self._caller_application: Starlette | None = None
@@ -105,6 +118,8 @@
         ------
         KingcuplugError
             If the data folder cannot be used.
+        AddressUnavailable
+            If another process has begun to listen on an address of this host.
         """
         settings = self.settings
         if settings.log_file is not None:
@@ -190,7 +205,7 @@
         # The responses to the last requests may still be in the send buffers.
         await asyncio.sleep(_RESPONSE_FLUSH_S)
         await self._caller_listener.stop()
-        self._key_task.cancel()
+        self._cancel_key_task()
         if self.entry is not None:
             await self.entry.stop()
         if self.control is not None:
@@ -201,10 +216,10 @@
         log_state_change("host", "stopped", host=self.settings.host)
 
     async def kill(self) -> None:
-        """Stop without a drain, as a crash does; for tests."""
+        """Stop without a drain, as a crash does, also after a failed `start`."""
         self._caller_listener.abort()
         self._peer_listener.abort()
-        self._key_task.cancel()
+        self._cancel_key_task()
         if self.entry is not None:
             await self.entry.abort()
         if self.control is not None:
@@ -233,6 +248,10 @@
                 self.metrics.count("reload.failed")
                 log_state_change("host", "reload failed", why=str(error))
 
+    def _cancel_key_task(self) -> None:
+        if self._key_task is not None:
+            self._key_task.cancel()
+
     async def _handle_caller_request(
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
--- a/packages/daemon/src/kingcuplug_daemon/_listener.py
+++ b/packages/daemon/src/kingcuplug_daemon/_listener.py
@@ -6,23 +6,33 @@
 
 import asyncio
 import contextlib
+import errno
 import socket
 import ssl
 from collections.abc import Iterator
 from typing import Any, cast
 
 import uvicorn
-from kingcuplug_common import TlsSettings
+from kingcuplug_common import KingcuplugError, TlsSettings
 from starlette.types import ASGIApp
 
+from kingcuplug_daemon._precondition import PreconditionUnmet
 from kingcuplug_daemon._tls import reload_identity
 
-__all__ = ["Listener"]
+__all__ = ["AddressUnavailable", "AddressUnusable", "Listener"]
 
 _BACKLOG = 1024
 _KEEPALIVE_TIMEOUT_S = 75
 
 
+class AddressUnavailable(PreconditionUnmet):
+    """The address is in use, or no interface of the machine has it yet."""
+
+
+class AddressUnusable(KingcuplugError):
+    """The address cannot be bound."""
+
+
 class _Server(uvicorn.Server):
     """A uvicorn server that installs no signal handlers; the host handles signals."""
 
@@ -45,6 +55,13 @@
         Identity for TLS; ``None`` serves plain HTTP.
     client_certificates : bool
         Whether clients must present a certificate of ``tls.authority``.
+
+    Raises
+    ------
+    AddressUnavailable
+        If the address is in use or missing for now; `start` raises it, too.
+    AddressUnusable
+        If the address cannot be bound for another reason.
     """
 
     def __init__(
@@ -60,7 +77,11 @@
         # it, responses in two writes wait 40 ms for a delayed acknowledgement.
         self._socket = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._socket.bind((host.strip("[]"), int(port)))
+        try:
+            self._socket.bind((host.strip("[]"), int(port)))
+        except OSError as error:
+            self._socket.close()
+            raise _address_error(address, error) from error
         bound_host, bound_port = self._socket.getsockname()[:2]
         self.address = f"{bound_host}:{bound_port}"
         self._tls = tls
@@ -92,7 +113,11 @@
         self._task = asyncio.get_running_loop().create_task(serving)
         while not self._server.started:
             if self._task.done():
-                await self._task
+                try:
+                    await self._task
+                except OSError as error:
+                    # Two processes can bind an address on which neither listens yet.
+                    raise _address_error(self.address, error) from error
             await asyncio.sleep(0)
 
     async def stop(self) -> None:
@@ -117,3 +142,20 @@
         """Reload the certificate and key files, for new connections."""
         # uvicorn creates its TLS context when the listener starts.
         reload_identity(getattr(self._config, "ssl", None), self._tls)
+
+
+def _address_error(address: str, error: OSError) -> KingcuplugError:
+    if error.errno == errno.EADDRINUSE:
+        return AddressUnavailable(
+            f"address {address} is in use",
+            "stop the process that listens there, or change the settings",
+        )
+    if error.errno == errno.EADDRNOTAVAIL:
+        return AddressUnavailable(
+            f"no interface of this machine has the address {address}",
+            "configure the interface, or change the settings",
+        )
+    return AddressUnusable(
+        f"address {address} cannot be bound: {error.strerror}",
+        "change the settings, or the permissions of the process",
+    )
--- a/packages/daemon/src/kingcuplug_daemon/_main.py
+++ b/packages/daemon/src/kingcuplug_daemon/_main.py
@@ -1,11 +1,13 @@
 """The `kingcuplugd` program: one process per host."""
 
 import asyncio
+import contextlib
 import logging
 import signal
 import sys
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from pathlib import Path
+from typing import Any
 
 import fire
 from kingcuplug_common import (
@@ -13,17 +15,20 @@
     SettingsInvalid,
     StandardErrorHandler,
     load_settings,
+    log_state_change,
     open_standard_descriptors,
     write_error_line,
 )
 
 from kingcuplug_daemon._host import Host
+from kingcuplug_daemon._precondition import PreconditionUnmet
 from kingcuplug_daemon._start import HANDLED_SIGNALS
 
 __all__ = ["run_program", "serve"]
 
 _EXIT_SETTINGS = 2
 _EXIT_STATE = 3
+_RETRY_INTERVAL_S = 0.25
 
 
 def run_program() -> None:
@@ -49,13 +54,9 @@
 
 
 def _run_host(settings: str) -> None:
+    path = Path(settings)
     try:
-        host_settings = load_settings(Path(settings))
-    except KingcuplugError as error:
-        write_error_line(f"kingcuplugd: {error}")
-        sys.exit(_EXIT_SETTINGS)
-    try:
-        asyncio.run(serve(lambda: Host(host_settings)))
+        asyncio.run(serve(lambda: Host(load_settings(path))))
     except SettingsInvalid as error:
         write_error_line(f"kingcuplugd: {error}")
         sys.exit(_EXIT_SETTINGS)
@@ -68,25 +69,80 @@
     """Run a host until SIGTERM, SIGINT or an operator's drain request.
 
     SIGHUP reloads certificates and tokens.
+
+    Parameters
+    ----------
+    make_host : callable
+        Returns a new host; called again while a precondition of the start is unmet.
     """
-    host = make_host()
     loop = asyncio.get_running_loop()
     stop_requested = asyncio.Event()
+    host: Host | None = None
+
+    def reload() -> None:
+        if host is not None:
+            host.reload()
+
+    async def start_host() -> Host:
+        nonlocal host
+        host = make_host()
+        try:
+            await host.start()
+        except PreconditionUnmet:
+            failed_host, host = host, None
+            await failed_host.kill()
+            raise
+        return host
+
     loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
     loop.add_signal_handler(signal.SIGINT, stop_requested.set)
-    loop.add_signal_handler(signal.SIGHUP, host.reload)
+    loop.add_signal_handler(signal.SIGHUP, reload)
     # The loop removes the handlers when it closes, so the mask of the caller is
     # restored before that.
     former_mask = signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
     try:
-        await host.start()
-        stop_waiters = [
-            asyncio.create_task(stop_requested.wait()),
-            asyncio.create_task(host.wait_drain_requested()),
-        ]
-        await asyncio.wait(stop_waiters, return_when=asyncio.FIRST_COMPLETED)
-        for waiter in stop_waiters:
-            waiter.cancel()
-        await host.stop()
+        running_host = await _retry_start(start_host, stop_requested)
+        if running_host is not None:
+            await _wait_for_first(
+                stop_requested.wait(), running_host.wait_drain_requested()
+            )
+            await running_host.stop()
     finally:
         signal.pthread_sigmask(signal.SIG_SETMASK, former_mask)
+
+
+async def _retry_start(
+    start_host: Callable[[], Awaitable[Host]], stop_requested: asyncio.Event
+) -> Host | None:
+    """Start a host, waiting for unmet preconditions.
+
+    Returns ``None`` if asked to stop before.
+    """
+    reported = ""
+    while not stop_requested.is_set():
+        try:
+            host = await start_host()
+        except PreconditionUnmet as error:
+            if str(error) != reported:
+                reported = str(error)
+                _report_waiting(reported)
+        else:
+            if reported:
+                write_error_line("kingcuplugd: started")
+            return host
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_RETRY_INTERVAL_S):
+                await stop_requested.wait()
+    return None
+
+
+def _report_waiting(reason: str) -> None:
+    write_error_line(f"kingcuplugd: waiting: {reason}")
+    log_state_change("host", "waiting", why=reason)
+
+
+async def _wait_for_first(*events: Coroutine[Any, Any, Any]) -> None:
+    tasks = [asyncio.create_task(event) for event in events]
+    await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    for task in tasks:
+        task.cancel()
--- a/tests/daemon/_daemon_process.py
+++ b/tests/daemon/_daemon_process.py
@@ -58,7 +58,7 @@
         } | fields
         self.folder = folder
         self.path = folder / "settings.json"
-        self.path.write_text(json.dumps(self.settings))
+        self.write_settings()
         self.process: subprocess.Popen[bytes]
 
     @property
@@ -66,6 +66,10 @@
         """What was written to standard error, if `start` did not redirect it."""
         return (self.folder / "errors").read_text()
 
+    def write_settings(self) -> None:
+        """Write the settings file."""
+        self.path.write_text(json.dumps(self.settings))
+
     def start(
         self,
         code: str = MAIN_CODE,
--- a/tests/daemon/test_start.py
+++ b/tests/daemon/test_start.py
@@ -13,7 +13,12 @@
 import kingcuplug_daemon
 import pytest
 
-from tests.daemon._daemon_process import MAIN_CODE, DaemonProcess
+from tests.daemon._daemon_process import (
+    MAIN_CODE,
+    DaemonProcess,
+    free_address,
+    wait_until,
+)
 
 MakeDaemon = Callable[..., DaemonProcess]
 
@@ -157,3 +162,60 @@
     daemon.start(arguments=[str(daemon.path), "--speed=9"])
     assert daemon.wait_for_exit() == 2
     assert "--speed=9" in daemon.errors
+
+
+def _listen(address: str) -> socket.socket:
+    host, _, port = address.rpartition(":")
+    return socket.create_server((host, int(port)))
+
+
+@pytest.mark.parametrize("name", ["caller_address", "peer_address"])
+def test_host_waits_for_an_address_in_use(make_daemon, name):
+    """Guards against a host that ends while the process before it still ends."""
+    daemon = make_daemon()
+    with _listen(daemon.settings[name]):
+        daemon.start()
+        daemon.wait_for_error(f"waiting: address {daemon.settings[name]} is in use; ")
+    daemon.wait_until_live()
+    assert daemon.errors.count("waiting") == 1
+    assert daemon.terminate() == 0
+
+
+def test_host_waits_for_an_interface(make_daemon):
+    """Guards against a host that ends because the network is not configured yet."""
+    daemon = make_daemon(caller_address="192.0.2.1:8080")
+    daemon.start()
+    daemon.wait_for_error("no interface of this machine has the address 192.0.2.1:8080")
+    daemon.settings["caller_address"] = free_address()
+    daemon.write_settings()
+    daemon.wait_until_live()
+    assert daemon.terminate() == 0
+
+
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
+def test_waiting_host_can_be_stopped(make_daemon, number):
+    """Guards against a host that waits and can only be killed."""
+    daemon = make_daemon()
+    with _listen(daemon.settings["peer_address"]):
+        daemon.start()
+        daemon.wait_for_error("waiting")
+        daemon.process.send_signal(signal.SIGHUP)
+        daemon.process.send_signal(number)
+        assert daemon.wait_for_exit() == 0
+
+
+def test_two_entry_hosts_at_one_address_do_not_end(make_daemon):
+    """Guards against an end by an address that was free when it was bound."""
+    first = make_daemon(
+        roles=["entry"], control_seeds=["127.0.0.1:1"], data_folder=None
+    )
+    second = make_daemon(**first.settings)
+    first.start()
+    second.start()
+    first.wait_until_live()
+    wait_until(lambda: "waiting" in first.errors + second.errors)
+    waiting, serving = (first, second) if "waiting" in first.errors else (second, first)
+    assert serving.terminate() == 0
+    waiting.wait_for_error("kingcuplugd: started")
+    assert waiting.get("healthz") == 200
+    assert waiting.terminate() == 0
