Let kingcuplugd wait while files of its settings are being replaced

Cause: a file that is incomplete was not told from one that is wrong. Files that are missing or no JSON, PEM or token list are SettingsUnreadable now; the start reads them again for 5 s, with a line that names file and remedy, and ends with 2 if they stay so. Settings that are complete but invalid end it at once, as before. The listeners load their certificates when they are made, so that no step of the start reads them after others have begun.

--- a/packages/common/src/kingcuplug_common/__init__.py
+++ b/packages/common/src/kingcuplug_common/__init__.py
@@ -42,6 +42,7 @@
     from kingcuplug_common._settings import (
         HostSettings,
         SettingsInvalid,
+        SettingsUnreadable,
         TlsSettings,
         load_settings,
     )
@@ -78,6 +79,7 @@
     "RefusalKind",
     "RefusalReason",
     "SettingsInvalid",
+    "SettingsUnreadable",
     "Signer",
     "StandardErrorHandler",
     "TlsSettings",
@@ -121,6 +123,7 @@
         "_settings": (
             "HostSettings",
             "SettingsInvalid",
+            "SettingsUnreadable",
             "TlsSettings",
             "load_settings",
         ),
--- a/packages/common/src/kingcuplug_common/_settings.py
+++ b/packages/common/src/kingcuplug_common/_settings.py
@@ -20,9 +20,16 @@
 
 from kingcuplug_common._errors import KingcuplugError
 
-__all__ = ["HostSettings", "SettingsInvalid", "TlsSettings", "load_settings"]
+__all__ = [
+    "HostSettings",
+    "SettingsInvalid",
+    "SettingsUnreadable",
+    "TlsSettings",
+    "load_settings",
+]
 
 _MAX_PORT = 65_535
+_NO_JSON = "json_invalid"  # The type of the fault in the validation library.
 
 
 def _check_address(address: str) -> str:
@@ -45,6 +52,10 @@
     """A settings file that cannot be used; the message lists every fault."""
 
 
+class SettingsUnreadable(SettingsInvalid):
+    """A file of the settings is missing or incomplete, perhaps only for a moment."""
+
+
 class TlsSettings(BaseModel):
     """Files of one TLS identity, in PEM form."""
 
@@ -114,13 +125,15 @@
 
     Raises
     ------
+    SettingsUnreadable
+        If the file cannot be read or is no JSON.
     SettingsInvalid
-        If the file cannot be read or any field is wrong.
+        If any field is wrong.
     """
     try:
         return HostSettings.model_validate_json(path.read_bytes())
     except OSError as error:
-        raise SettingsInvalid(
+        raise SettingsUnreadable(
             f"settings file {path} cannot be read: {error.strerror}",
             "check the path and its permissions",
         ) from error
@@ -129,7 +142,8 @@
             f"{'.'.join(str(part) for part in fault['loc']) or 'file'}: {fault['msg']}"
             for fault in error.errors()
         )
-        raise SettingsInvalid(
+        is_incomplete = error.errors()[0]["type"] == _NO_JSON
+        raise (SettingsUnreadable if is_incomplete else SettingsInvalid)(
             f"settings file {path} has {error.error_count()} faults: {faults}",
             "correct the named fields",
         ) from error
--- a/packages/daemon/src/kingcuplug_daemon/_host.py
+++ b/packages/daemon/src/kingcuplug_daemon/_host.py
@@ -56,7 +56,7 @@
 
     Raises
     ------
-    SettingsInvalid
+    SettingsUnreadable
         If a file that the settings name cannot be used.
     AddressUnavailable, AddressUnusable
         If the address of a listener cannot be bound.
--- a/packages/daemon/src/kingcuplug_daemon/_listener.py
+++ b/packages/daemon/src/kingcuplug_daemon/_listener.py
@@ -17,7 +17,7 @@
 from starlette.types import ASGIApp
 
 from kingcuplug_daemon._precondition import PreconditionUnmet
-from kingcuplug_daemon._tls import reload_identity
+from kingcuplug_daemon._tls import files_unusable, reload_identity
 
 __all__ = ["AddressUnavailable", "AddressUnusable", "Listener"]
 
@@ -58,6 +58,8 @@
 
     Raises
     ------
+    SettingsUnreadable
+        If the files of `tls` cannot be used.
     AddressUnavailable
         If the address is in use or missing for now; `start` raises it, too.
     AddressUnusable
@@ -71,19 +73,6 @@
         tls: TlsSettings | None = None,
         client_certificates: bool = False,
     ) -> None:
-        host, _, port = address.rpartition(":")
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        # asyncio sets TCP_NODELAY only on sockets created with IPPROTO_TCP; without
-        # it, responses in two writes wait 40 ms for a delayed acknowledgement.
-        self._socket = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            self._socket.bind((host.strip("[]"), int(port)))
-        except OSError as error:
-            self._socket.close()
-            raise _address_error(address, error) from error
-        bound_host, bound_port = self._socket.getsockname()[:2]
-        self.address = f"{bound_host}:{bound_port}"
         self._tls = tls
         self._config = uvicorn.Config(
             cast(Any, application),
@@ -104,6 +93,25 @@
             ssl_ca_certs=str(tls.authority) if tls else None,
             ssl_cert_reqs=ssl.CERT_REQUIRED if client_certificates else ssl.CERT_NONE,
         )
+        try:
+            self._config.load()
+        except OSError as error:
+            if tls is None:
+                raise
+            raise files_unusable(tls, error) from error
+        host, _, port = address.rpartition(":")
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        # asyncio sets TCP_NODELAY only on sockets created with IPPROTO_TCP; without
+        # it, responses in two writes wait 40 ms for a delayed acknowledgement.
+        self._socket = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            self._socket.bind((host.strip("[]"), int(port)))
+        except OSError as error:
+            self._socket.close()
+            raise _address_error(address, error) from error
+        bound_host, bound_port = self._socket.getsockname()[:2]
+        self.address = f"{bound_host}:{bound_port}"
         self._server = _Server(self._config)
         self._task: asyncio.Task[None] | None = None
 
@@ -140,8 +148,7 @@
 
     def reload(self) -> None:
         """Reload the certificate and key files, for new connections."""
-        # uvicorn creates its TLS context when the listener starts.
-        reload_identity(getattr(self._config, "ssl", None), self._tls)
+        reload_identity(self._config.ssl, self._tls)
 
 
 def _address_error(address: str, error: OSError) -> KingcuplugError:
--- a/packages/daemon/src/kingcuplug_daemon/_main.py
+++ b/packages/daemon/src/kingcuplug_daemon/_main.py
@@ -13,6 +13,7 @@
 from kingcuplug_common import (
     KingcuplugError,
     SettingsInvalid,
+    SettingsUnreadable,
     StandardErrorHandler,
     load_settings,
     log_state_change,
@@ -29,6 +30,8 @@
 _EXIT_SETTINGS = 2
 _EXIT_STATE = 3
 _RETRY_INTERVAL_S = 0.25
+# A file that is being replaced is complete within this time.
+_FILE_TIMEOUT_S = 5.0
 
 
 def run_program() -> None:
@@ -88,7 +91,7 @@
         host = make_host()
         try:
             await host.start()
-        except PreconditionUnmet:
+        except (PreconditionUnmet, SettingsUnreadable):
             failed_host, host = host, None
             await failed_host.kill()
             raise
@@ -117,12 +120,25 @@
     """Start a host, waiting for unmet preconditions.
 
     Returns ``None`` if asked to stop before.
+
+    Raises
+    ------
+    SettingsUnreadable
+        If a file of the settings stays unusable.
     """
+    clock = asyncio.get_running_loop().time
     reported = ""
+    unreadable_since: float | None = None
     while not stop_requested.is_set():
         try:
             host = await start_host()
-        except PreconditionUnmet as error:
+        except (PreconditionUnmet, SettingsUnreadable) as error:
+            if isinstance(error, PreconditionUnmet):
+                unreadable_since = None
+            elif unreadable_since is None:
+                unreadable_since = clock()
+            elif clock() - unreadable_since > _FILE_TIMEOUT_S:
+                raise
             if str(error) != reported:
                 reported = str(error)
                 _report_waiting(reported)
--- a/packages/daemon/src/kingcuplug_daemon/_tls.py
+++ b/packages/daemon/src/kingcuplug_daemon/_tls.py
@@ -2,9 +2,9 @@
 
 import ssl
 
-from kingcuplug_common import SettingsInvalid, TlsSettings
+from kingcuplug_common import SettingsUnreadable, TlsSettings
 
-__all__ = ["check_identity", "client_context", "reload_identity"]
+__all__ = ["check_identity", "client_context", "files_unusable", "reload_identity"]
 
 
 def check_identity(tls: TlsSettings | None) -> None:
@@ -12,7 +12,7 @@
 
     Raises
     ------
-    SettingsInvalid
+    SettingsUnreadable
         If a file cannot be read, or certificate and key do not belong together.
     """
     if tls is not None:
@@ -24,7 +24,7 @@
 
     Raises
     ------
-    SettingsInvalid
+    SettingsUnreadable
         If the files cannot be used.
     """
     if tls is None:
@@ -45,7 +45,7 @@
 
     Raises
     ------
-    SettingsInvalid
+    SettingsUnreadable
         If the files cannot be used; the context is then unchanged.
     """
     if context is None or tls is None:
@@ -59,8 +59,13 @@
         context.load_verify_locations(cafile=tls.authority)
         context.load_cert_chain(tls.certificate, tls.private_key)
     except OSError as error:
-        raise SettingsInvalid(
-            f"TLS files {tls.certificate}, {tls.private_key} and {tls.authority} "
-            f"cannot be used: {error}",
-            "name PEM files of a certificate, its key and its authority",
-        ) from error
+        raise files_unusable(tls, error) from error
+
+
+def files_unusable(tls: TlsSettings, error: OSError) -> SettingsUnreadable:
+    """Return the error that names the files of an identity."""
+    return SettingsUnreadable(
+        f"TLS files {tls.certificate}, {tls.private_key} and {tls.authority} "
+        f"cannot be used: {error}",
+        "name PEM files of a certificate, its key and its authority",
+    )
--- a/packages/daemon/src/kingcuplug_daemon/_tokens.py
+++ b/packages/daemon/src/kingcuplug_daemon/_tokens.py
@@ -3,7 +3,7 @@
 import hmac
 from pathlib import Path
 
-from kingcuplug_common import RefusalReason, SettingsInvalid, not_run_refusal
+from kingcuplug_common import RefusalReason, SettingsUnreadable, not_run_refusal
 from starlette.requests import Request
 
 __all__ = ["BearerTokens"]
@@ -20,7 +20,7 @@
 
     Raises
     ------
-    SettingsInvalid
+    SettingsUnreadable
         If the file cannot be read or holds no token.
     """
 
@@ -61,13 +61,13 @@
     try:
         tokens = tuple(line.strip() for line in path.read_bytes().splitlines())
     except OSError as error:
-        raise SettingsInvalid(
+        raise SettingsUnreadable(
             f"token file {path} cannot be read: {error.strerror}",
             "check the path and its permissions",
         ) from error
     tokens = tuple(token for token in tokens if token)
     if not tokens:
-        raise SettingsInvalid(
+        raise SettingsUnreadable(
             f"token file {path} is empty", "write one token per line into it"
         )
     return tokens
--- a/tests/daemon/test_start.py
+++ b/tests/daemon/test_start.py
@@ -13,6 +13,7 @@
 import kingcuplug_daemon
 import pytest
 
+from tests.daemon._certificates import CertificateAuthority
 from tests.daemon._daemon_process import (
     MAIN_CODE,
     DaemonProcess,
@@ -219,3 +220,59 @@
     waiting.wait_for_error("kingcuplugd: started")
     assert waiting.get("healthz") == 200
     assert waiting.terminate() == 0
+
+
+@pytest.mark.parametrize("content", ["", "{", None])
+def test_host_waits_for_a_settings_file_that_is_being_replaced(make_daemon, content):
+    """Guards against a host that ends because it was started at a bad moment."""
+    daemon = make_daemon()
+    daemon.path.unlink()
+    if content is not None:
+        daemon.path.write_text(content)
+    daemon.start()
+    daemon.wait_for_error(f"waiting: settings file {daemon.path}")
+    daemon.write_settings()
+    daemon.wait_until_live()
+    assert daemon.errors.count("waiting") == 1
+    assert daemon.terminate() == 0
+
+
+@pytest.mark.parametrize("name", ["certificate", "private_key", "authority", "token"])
+@pytest.mark.parametrize("content", ["", None])
+def test_host_waits_for_a_file_that_is_being_replaced(
+    make_daemon, tmp_path, name, content
+):
+    """Guards against a host that ends while its certificates are renewed."""
+    tls = CertificateAuthority(tmp_path, "authority").issue_identity()
+    token = tmp_path / "token"
+    token.write_text("secret")
+    path = token if name == "token" else getattr(tls, name)
+    complete = path.read_bytes()
+    daemon = make_daemon(
+        peer_tls=tls.model_dump(mode="json"), operator_token_file=str(token)
+    )
+    path.unlink()
+    if content is not None:
+        path.write_text(content)
+    daemon.start()
+    daemon.wait_for_error("waiting")
+    path.write_bytes(complete)
+    daemon.wait_until_live()
+    assert daemon.terminate() == 0
+
+
+def test_file_that_stays_unusable_ends_the_process(make_daemon):
+    """Guards against a wrong path that is noticed by nobody."""
+    daemon = make_daemon()
+    daemon.start(arguments=[str(daemon.folder / "absent.json")])
+    assert daemon.wait_for_exit() == 2
+    assert daemon.errors.splitlines()[-1].endswith("check the path and its permissions")
+
+
+def test_complete_but_invalid_settings_are_not_waited_for(make_daemon):
+    """Guards against an operator who waits for a field that was misspelt."""
+    daemon = make_daemon(zone="zone-1")
+    daemon.start()
+    assert daemon.wait_for_exit() == 2
+    assert "zone" in daemon.errors
+    assert "waiting" not in daemon.errors
