Read a certificate and its key once at a reload

A host that got SIGHUP while its certificate and key were being replaced could refuse every TLS connection until the next SIGHUP, where it should have kept the former ones.

Cause: the files were checked in one TLS context and then read again into the one in use; if they had changed in between, that held a certificate without its key. Certificate and key are now read once and both contexts load them from these bytes, through a pipe, so that no copy reaches a disk.

--- a/packages/daemon/src/kingcuplug_daemon/_tls.py
+++ b/packages/daemon/src/kingcuplug_daemon/_tls.py
@@ -1,6 +1,10 @@
 """TLS contexts, whose files can be reloaded while they are in use."""
 
+import contextlib
+import errno
+import os
 import ssl
+from collections.abc import Iterator
 
 from kingcuplug_common import SettingsUnreadable, TlsSettings
 
@@ -50,8 +54,33 @@
     """
     if context is None or tls is None:
         return
-    check_identity(tls)
-    _load_identity(context, tls)
+    # The files are read once: a context whose key does not fit its certificate, as
+    # while both are being replaced, refuses all connections.
+    try:
+        certificate = tls.certificate.read_bytes()
+        private_key = tls.private_key.read_bytes()
+        for target in (ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER), context):
+            target.load_verify_locations(cafile=tls.authority)
+            with _open_pipe(certificate) as first, _open_pipe(private_key) as second:
+                target.load_cert_chain(first, second)
+    except OSError as error:
+        raise files_unusable(tls, error) from error
+
+
+@contextlib.contextmanager
+def _open_pipe(content: bytes) -> Iterator[str]:
+    """Yield a path from which `content` can be read once; no copy reaches a disk."""
+    reader, writer = os.pipe()
+    try:
+        try:
+            os.set_blocking(writer, False)
+            if os.write(writer, content) < len(content):
+                raise OSError(errno.EFBIG, os.strerror(errno.EFBIG))
+        finally:
+            os.close(writer)
+        yield f"/dev/fd/{reader}"
+    finally:
+        os.close(reader)
 
 
 def _load_identity(context: ssl.SSLContext, tls: TlsSettings) -> None:
--- a/tests/daemon/test_tls.py
+++ b/tests/daemon/test_tls.py
@@ -1,6 +1,7 @@
 """TLS and bearer tokens on loopback, with generated certificates."""
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -21,7 +22,7 @@
 from kingcuplug_daemon import Host, Listener, _main
 from kingcuplug_daemon._main import serve
 from kingcuplug_daemon._peer_client import PeerClient
-from kingcuplug_daemon._tls import client_context
+from kingcuplug_daemon._tls import client_context, reload_identity
 from kingcuplug_query import ConnectFailed, HttpBackendClient, SubRequest
 
 from tests.conftest import DeploymentThread, running_deployment
@@ -349,6 +350,39 @@
     assert status == 200
 
 
+def test_a_key_that_changes_during_a_reload_keeps_the_connections(
+    authority: CertificateAuthority, monkeypatch: pytest.MonkeyPatch
+):
+    """Guards against an outage by a renewal that is not finished at the reload."""
+    tls = authority.issue_identity()
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.load_cert_chain(tls.certificate, tls.private_key)
+    authority.renew_identity(tls)
+    load_cert_chain = ssl.SSLContext.load_cert_chain
+
+    def replace_key_after_loading(self: ssl.SSLContext, *files: Any) -> None:
+        load_cert_chain(self, *files)
+        tls.private_key.write_text("no key")
+
+    monkeypatch.setattr(ssl.SSLContext, "load_cert_chain", replace_key_after_loading)
+    with contextlib.suppress(SettingsInvalid):
+        reload_identity(context, tls)
+    client_side, server_side = ssl.MemoryBIO(), ssl.MemoryBIO()
+    client = _trusting_context(authority).wrap_bio(server_side, client_side)
+    server = context.wrap_bio(client_side, server_side, server_side=True)
+    for _ in range(3):
+        for side in (client, server):
+            with contextlib.suppress(ssl.SSLWantReadError):
+                side.do_handshake()
+    assert client.getpeercert(True)
+
+
+def _trusting_context(authority: CertificateAuthority) -> ssl.SSLContext:
+    context = ssl.create_default_context(cafile=str(authority.file))
+    context.check_hostname = False
+    return context
+
+
 async def _post(host: Host, path: str, token: str | None) -> tuple[int, dict[str, Any]]:
     headers = {} if token is None else {"Authorization": f"Bearer {token}"}
     tls = host.settings.caller_tls
