Let only one process at a time use a data folder

Two kingcuplugd processes with one data_folder and addresses of their own both started and wrote one replicated log; with an entry role alone they shared one receipt key. Two that start at the same address at once both reached the folder as well, because the address is no guard before one of them listens.

Cause: nothing guarded the folder. A host now locks it before anything else and releases the lock after its log is closed, and so after the worker threads that write to it; after a kill the kernel releases it with the last thread. A process that finds it locked waits like for an address, with a line that names the folder. The lock is on the folder itself, so that nothing is written and an older build reads the folder as before. An error of the folder has a type and a remedy; the status stays 3.

--- a/packages/common/src/kingcuplug_common/__init__.py
+++ b/packages/common/src/kingcuplug_common/__init__.py
@@ -32,6 +32,7 @@
 
 if TYPE_CHECKING:
     from kingcuplug_common._exposition import render_metrics
+    from kingcuplug_common._folder_lock import FolderInUse, FolderLock
     from kingcuplug_common._receipts import (
         Receipt,
         ReceiptInvalid,
@@ -69,6 +70,8 @@
     "MAX_AMOUNT",
     "Condition",
     "EventLog",
+    "FolderInUse",
+    "FolderLock",
     "Hop",
     "HostSettings",
     "KingcuplugError",
@@ -119,6 +122,7 @@
     __name__,
     {
         "_exposition": ("render_metrics",),
+        "_folder_lock": ("FolderInUse", "FolderLock"),
         "_receipts": ("Receipt", "ReceiptInvalid", "Signer", "Verifier", "key_id"),
         "_settings": (
             "HostSettings",
--- a/packages/daemon/src/kingcuplug_daemon/_control_node.py
+++ b/packages/daemon/src/kingcuplug_daemon/_control_node.py
@@ -23,6 +23,7 @@
     NotLeader,
     Replica,
     Storage,
+    StorageFailed,
     member_id,
 )
 from kingcuplug_membership import (
@@ -104,8 +105,10 @@
         CorruptLog, StorageFailed
             If the data folder cannot be used.
         """
-        self._folder.mkdir(parents=True, exist_ok=True)
-        storage = Storage(DiskFileSystem(self._folder))
+        try:
+            storage = Storage(DiskFileSystem(self._folder))
+        except OSError as error:
+            raise StorageFailed(error) from error
         await storage.open()
         identity = member_id(self._settings.host, storage.disk_id)
         self.replica = Replica(
--- a/packages/daemon/src/kingcuplug_daemon/_host.py
+++ b/packages/daemon/src/kingcuplug_daemon/_host.py
@@ -3,8 +3,11 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
+from pathlib import Path
 
 from kingcuplug_common import (
+    FolderInUse,
+    FolderLock,
     HostSettings,
     KingcuplugError,
     Metrics,
@@ -32,16 +35,25 @@
 from kingcuplug_daemon._operator_app import OperatorApp
 from kingcuplug_daemon._peer_app import peer_application
 from kingcuplug_daemon._peer_client import PeerClient
+from kingcuplug_daemon._precondition import PreconditionUnmet
 from kingcuplug_daemon._receipt_keys import ReceiptKeys
 from kingcuplug_daemon._tls import check_identity
 from kingcuplug_daemon._tokens import BearerTokens
 
-__all__ = ["Host"]
+__all__ = ["DataFolderInUse", "DataFolderUnusable", "Host"]
 
 _MS_PER_S = 1_000
 _RESPONSE_FLUSH_S = 0.05
 
 
+class DataFolderInUse(PreconditionUnmet):
+    """Another process, perhaps one that is ending, uses the data folder."""
+
+
+class DataFolderUnusable(KingcuplugError):
+    """The data folder cannot be created or opened."""
+
+
 class Host:
     """A running host.
 
@@ -60,6 +72,8 @@
         If a file that the settings name cannot be used.
     AddressUnavailable, AddressUnusable
         If the address of a listener cannot be bound.
+    DataFolderInUse, DataFolderUnusable
+        If another process uses the data folder, or it cannot be created or opened.
 
     Attributes
     ----------
@@ -88,21 +102,25 @@
         self._resources = contextlib.ExitStack()
         self._key_task: asyncio.Task[None] | None = None
         self._drain_requested = asyncio.Event()
-        # The listeners bind first, so that port 0 is resolved before the roles are
-        # built; they accept connections only at the end of `start`.
-        self._caller_listener = Listener(
-            self._handle_caller_request, settings.caller_address, settings.caller_tls
-        )
-        try:
+        with contextlib.ExitStack() as undo:
+            undo.callback(self._resources.close)
+            if settings.data_folder is not None:
+                self._lock_data_folder(settings.data_folder)
+            # The listeners bind first, so that port 0 is resolved before the roles are
+            # built; they accept connections only at the end of `start`.
+            self._caller_listener = Listener(
+                self._handle_caller_request,
+                settings.caller_address,
+                settings.caller_tls,
+            )
+            undo.callback(self._caller_listener.abort)
             self._peer_listener = Listener(
                 self._handle_peer_request,
                 settings.peer_address,
                 settings.peer_tls,
                 client_certificates=True,
             )
-        except KingcuplugError:
-            self._caller_listener.abort()
-            raise
+            undo.pop_all()
         self.caller_address = self._caller_listener.address
         self.peer_address = self._peer_listener.address
         self._caller_application: Starlette | None = None
@@ -248,6 +266,17 @@
                 self.metrics.count("reload.failed")
                 log_state_change("host", "reload failed", why=str(error))
 
+    def _lock_data_folder(self, folder: Path) -> None:
+        try:
+            self._resources.callback(FolderLock(folder).release)
+        except FolderInUse as error:
+            raise DataFolderInUse(error.message, error.remedy) from error
+        except OSError as error:
+            raise DataFolderUnusable(
+                f"data folder {folder} cannot be used: {error.strerror}",
+                "check the path, its permissions and the free space",
+            ) from error
+
     def _cancel_key_task(self) -> None:
         if self._key_task is not None:
             self._key_task.cancel()
--- a/tests/daemon/test_start.py
+++ b/tests/daemon/test_start.py
@@ -276,3 +276,32 @@
     assert daemon.wait_for_exit() == 2
     assert "zone" in daemon.errors
     assert "waiting" not in daemon.errors
+
+
+@pytest.mark.parametrize("roles", [["control"], ["entry"]])
+def test_data_folder_has_one_process_at_a_time(make_daemon, roles):
+    """Guards against two processes that write one log, or one receipt key."""
+    first = make_daemon(roles=roles)
+    second = make_daemon(roles=roles, data_folder=first.settings["data_folder"])
+    first.start()
+    first.wait_until_live()
+    second.start()
+    second.wait_for_error("is in use by another process; ")
+    assert second.get("healthz") == 0
+    assert first.terminate() == 0
+    second.wait_until_live()
+    assert second.terminate() == 0
+
+
+@pytest.mark.parametrize("name", ["data", "data/log"])
+def test_data_folder_that_is_a_file_ends_the_process(make_daemon, name):
+    """Guards against an error without a remedy."""
+    daemon = make_daemon()
+    path = daemon.folder / name
+    path.parent.mkdir(exist_ok=True)
+    path.touch()
+    daemon.start()
+    assert daemon.wait_for_exit() == 3
+    assert "data folder" in daemon.errors
+    assert str(path) in daemon.errors
+    assert "free" in daemon.errors
