Serve callers whatever becomes of the trace and the log file

Cause: both files were opened and written like state. They are LineFile now, which opens without blocking, drops lines that cannot be written, opens the file again at the next line, takes back half a line and reports each change on standard error. The log file is closed with its host, so that a start that is tried again does not write each line twice.

--- a/packages/common/src/kingcuplug_common/_telemetry.py
+++ b/packages/common/src/kingcuplug_common/_telemetry.py
@@ -20,6 +20,7 @@
 from opentelemetry.trace import Tracer
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
+from kingcuplug_common._line_file import LineFile
 from kingcuplug_common._metrics import PREFIX
 
 __all__ = ["TraceFileExporter", "log_to_file", "open_tracer", "propagator"]
@@ -31,23 +32,31 @@
 propagator = TraceContextTextMapPropagator()
 
 
-def log_to_file(path: Path) -> None:
+@contextmanager
+def log_to_file(path: Path) -> Iterator[None]:
     """Append eliot's log messages to a file, one JSON object per line."""
-    eliot.to_file(path.open("a"))
+    file = LineFile(path)
+    destination = eliot.FileDestination(file=file)
+    eliot.add_destinations(destination)
+    try:
+        yield
+    finally:
+        eliot.remove_destination(destination)
+        file.close()
 
 
 class TraceFileExporter(SpanExporter):
-    """Exports spans to a file as JSON lines."""
+    """Exports spans to a file as JSON lines; spans are lost if it cannot be written."""
 
     def __init__(self, path: Path) -> None:
-        self._file = path.open("a")
+        self._file = LineFile(path)
 
     def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
-        """Append `spans` and flush."""
-        for span in spans:
-            self._file.write(json.dumps(_span_fields(span)) + "\n")
-        self._file.flush()
-        return SpanExportResult.SUCCESS
+        """Append `spans`."""
+        lines = "".join(json.dumps(_span_fields(span)) + "\n" for span in spans)
+        if self._file.write(lines.encode()):
+            return SpanExportResult.SUCCESS
+        return SpanExportResult.FAILURE
 
     def shutdown(self) -> None:
         """Close the file."""
--- a/packages/daemon/src/kingcuplug_daemon/_host.py
+++ b/packages/daemon/src/kingcuplug_daemon/_host.py
@@ -141,7 +141,7 @@
         """
         settings = self.settings
         if settings.log_file is not None:
-            log_to_file(settings.log_file)
+            self._resources.enter_context(log_to_file(settings.log_file))
         spans = self._resources.enter_context(
             open_tracer(settings.trace_file, settings.trace_share)
         )
@@ -230,8 +230,8 @@
             await self.control.stop()
         await self._peer_listener.stop()
         await self._peers.close()
-        self._resources.close()
         log_state_change("host", "stopped", host=self.settings.host)
+        self._resources.close()
 
     async def kill(self) -> None:
         """Stop without a drain, as a crash does, also after a failed `start`."""
--- a/tests/daemon/test_start.py
+++ b/tests/daemon/test_start.py
@@ -305,3 +305,25 @@
     assert "data folder" in daemon.errors
     assert str(path) in daemon.errors
     assert "free" in daemon.errors
+
+
+@pytest.mark.parametrize("name", ["trace_file", "log_file"])
+@pytest.mark.parametrize("kind", ["missing folder", "folder", "pipe", "full device"])
+def test_unwritable_trace_or_log_does_not_end_the_process(make_daemon, name, kind):
+    """Guards against an outage by a file on which nothing depends."""
+    daemon = make_daemon()
+    path = daemon.folder / "file"
+    if kind == "missing folder":
+        path = path / "file"
+    elif kind == "folder":
+        path.mkdir()
+    elif kind == "pipe":
+        os.mkfifo(path)
+    else:
+        path = Path("/dev/full")
+    daemon.settings[name] = str(path)
+    daemon.write_settings()
+    daemon.start()
+    daemon.wait_until_live()
+    daemon.wait_for_error(f"{path} cannot be written, its lines are dropped: ")
+    assert daemon.terminate() == 0
