End kingcuplugd by SIGTERM though a request body is incomplete

A caller, or an operator, who sent half a body and stalled kept a host from ending after SIGTERM for as long as the connection lasted; an operator's rotation of keys on a host whose disk refuses writes did the same. A supervisor then kills the process, with all other requests on it.

Cause: a request counted as in flight before its body was read, and the listener waits without limit for connections that have begun a request. A request now counts from the moment its body is complete; until then nothing of it has run, and it is refused as shutting down if it comes too late. What remains when the listener stops gets 10 s.

--- a/packages/daemon/src/kingcuplug_daemon/_caller_app.py
+++ b/packages/daemon/src/kingcuplug_daemon/_caller_app.py
@@ -151,25 +151,24 @@
         request_id = random_identifier()
         body: Any = None
         resend = False
-        with (
-            self._lifecycle.track_request(),
-            request_span(self._tracer, kind, request.headers) as span,
-        ):
+        with request_span(self._tracer, kind, request.headers) as span:
             span.set_attribute("service", service)
             try:
+                # Not in flight yet: the rest of the body may never come.
                 model = await read_model(
                     request, model_type, self._settings.body_limit_bytes
                 )
-                request_id = model.request_id or request_id
-                body = model.body
-                resend = isinstance(model, OrderModel) and model.resend
-                span.set_attribute("request_id", request_id)
-                self._require_ready()
-                deadline = started + self._deadline_ms(service, model) / _MS_PER_S
-                answer = await run(model, request_id, deadline)
-                response = self._answer_response(
-                    kind, service, request_id, body, answer
-                )
+                with self._lifecycle.track_request():
+                    request_id = model.request_id or request_id
+                    body = model.body
+                    resend = isinstance(model, OrderModel) and model.resend
+                    span.set_attribute("request_id", request_id)
+                    self._require_ready()
+                    deadline = started + self._deadline_ms(service, model) / _MS_PER_S
+                    answer = await run(model, request_id, deadline)
+                    response = self._answer_response(
+                        kind, service, request_id, body, answer
+                    )
             except Refusal as refusal:
                 refusal = refusal_for_all_copies(refusal, resend)
                 response = self._refusal_response(
--- a/packages/daemon/src/kingcuplug_daemon/_listener.py
+++ b/packages/daemon/src/kingcuplug_daemon/_listener.py
@@ -23,6 +23,9 @@
 
 _BACKLOG = 1024
 _KEEPALIVE_TIMEOUT_S = 75
+# Requests of operators and other hosts, and bodies that are incomplete, get this time
+# when the listener stops; those of callers have finished before.
+_STOP_TIMEOUT_S = 10
 
 
 class AddressUnavailable(PreconditionUnmet):
@@ -88,6 +91,7 @@
             date_header=False,
             backlog=_BACKLOG,
             timeout_keep_alive=_KEEPALIVE_TIMEOUT_S,
+            timeout_graceful_shutdown=_STOP_TIMEOUT_S,
             ssl_certfile=tls.certificate if tls else None,
             ssl_keyfile=tls.private_key if tls else None,
             ssl_ca_certs=str(tls.authority) if tls else None,
@@ -129,7 +133,7 @@
             await asyncio.sleep(0)
 
     async def stop(self) -> None:
-        """Close the listening socket and finish the requests in flight."""
+        """Close the listening socket and finish the requests in flight, if they end."""
         self._server.should_exit = True
         if self._task is not None:
             await self._task
--- a/tests/daemon/test_start.py
+++ b/tests/daemon/test_start.py
@@ -327,3 +327,18 @@
     daemon.wait_until_live()
     daemon.wait_for_error(f"{path} cannot be written, its lines are dropped: ")
     assert daemon.terminate() == 0
+
+
+@pytest.mark.parametrize("path", ["services/stock/query", "operator/status"])
+def test_unfinished_body_does_not_keep_the_process_running(make_daemon, path):
+    """Guards against a caller that stalls, or is gone, and delays an upgrade."""
+    daemon = make_daemon()
+    daemon.start()
+    daemon.wait_until_live()
+    host, _, port = daemon.settings["caller_address"].rpartition(":")
+    head = f"POST /v1/{path} HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n"
+    with socket.create_connection((host, int(port))) as connection:
+        connection.sendall(head.encode() + b"{")
+        # Another request is answered, so the first one has arrived.
+        assert daemon.get("healthz") == 200
+        assert daemon.terminate() == 0
