Become ready once the receipt key can be loaded or stored

A host with an entry role whose receipt key was damaged, or could not be stored, was live and never ready, with no line that said why, until it was started again.

Cause: the task that loads, stores and publishes the key retried the publication only; an error before it ended the task unseen.

tests/daemon/test_start.py: failed before (no line).

--- a/packages/daemon/src/kingcuplug_daemon/_receipt_keys.py
+++ b/packages/daemon/src/kingcuplug_daemon/_receipt_keys.py
@@ -6,7 +6,13 @@
 from pathlib import Path
 from typing import Any
 
-from kingcuplug_common import KingcuplugError, Receipt, Signer, log_state_change
+from kingcuplug_common import (
+    KingcuplugError,
+    Receipt,
+    Signer,
+    log_state_change,
+    write_error_line,
+)
 
 from kingcuplug_daemon._key_registry import PublishKey
 
@@ -57,8 +63,11 @@
         return self._signer is not None
 
     async def start(self) -> None:
-        """Load or generate the key and publish it; retry until that succeeds."""
-        signer = self._load_key() or self._generate_key()
+        """Load or generate the key and publish it; retry until that succeeds.
+
+        Standard error names the cause if the key cannot be loaded or stored.
+        """
+        signer = await self._load_or_generate_key()
         async with self._lock:
             while True:
                 try:
@@ -85,6 +94,20 @@
         """Return the signed receipt; ``None`` before the key is published."""
         return None if self._signer is None else self._signer.sign(receipt)
 
+    async def _load_or_generate_key(self) -> Signer:
+        reported = ""
+        while True:
+            try:
+                return self._load_key() or self._generate_key()
+            except (KingcuplugError, OSError) as error:
+                if str(error) != reported:
+                    reported = str(error)
+                    write_error_line(
+                        f"receipt key is unavailable, so the host is not ready: {error}"
+                    )
+                    log_state_change("receipt-key", "unavailable", why=reported)
+            await asyncio.sleep(_RETRY_S)
+
     async def _publish_key(self, signer: Signer) -> None:
         command = PublishKey(self._host, signer.public_key.hex(), self._wall_ms())
         await self._submit(command.to_json())
--- a/tests/daemon/_daemon_process.py
+++ b/tests/daemon/_daemon_process.py
@@ -96,6 +96,25 @@
             return connection.getresponse().status
         return 0
 
+    def bootstrap(self) -> None:
+        """Make a cluster of this control host and give it a configuration."""
+        self._post("operator/control/bootstrap", {})
+        change = {
+            "change_id": "1",
+            "base_revision": 0,
+            "text": json.dumps({"services": {}}),
+            "author": "test",
+        }
+        wait_until(lambda: self._post("operator/configuration", change) == 200)
+
+    def _post(self, path: str, fields: dict[str, Any]) -> int:
+        host, _, port = self.settings["caller_address"].rpartition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=5)
+        with contextlib.suppress(OSError), contextlib.closing(connection):
+            connection.request("POST", f"/v1/{path}", json.dumps(fields))
+            return connection.getresponse().status
+        return 0
+
     def wait_until_live(self) -> None:
         """Wait until the process serves requests; fail if it ends."""
         wait_until(lambda: self._has_ended() or self.get("healthz") == 200)
--- a/tests/daemon/test_start.py
+++ b/tests/daemon/test_start.py
@@ -342,3 +342,23 @@
         # Another request is answered, so the first one has arrived.
         assert daemon.get("healthz") == 200
         assert daemon.terminate() == 0
+
+
+def test_host_becomes_ready_once_its_receipt_key_can_be_stored(make_daemon):
+    """Guards against a host that is never ready, without a reason."""
+    control = make_daemon(roles=["control"])
+    control.start()
+    control.wait_until_live()
+    control.bootstrap()
+    daemon = make_daemon(
+        roles=["entry"], control_seeds=[control.settings["peer_address"]]
+    )
+    key = Path(daemon.settings["data_folder"], "receipt-key")
+    key.parent.mkdir()
+    key.write_text("no key")
+    daemon.start()
+    daemon.wait_for_error("has 6 bytes, not 32; remove the file")
+    assert daemon.get("readyz") == 503
+    key.unlink()
+    wait_until(lambda: daemon.get("readyz") == 200)
+    assert daemon.terminate() == 0
