Refuse an encrypted key without asking for its password

A host that runs in a terminal served nothing, and could not be ended by SIGTERM, once it got SIGHUP while its key file was an encrypted one: OpenSSL asked "Enter PEM pass phrase:" on the terminal and blocked the event loop. It should have kept the former key and said so; without a terminal it did.

Cause: no password was given, so OpenSSL used its own question. An empty one is given now, with which an encrypted key cannot be read.

Run in a pseudo-terminal: not live after SIGHUP and no end within 3 s of SIGTERM before; live, and ended, now. tests/daemon/test_tls.py: failed before (no answer to a request).

--- a/packages/daemon/src/kingcuplug_daemon/_tls.py
+++ b/packages/daemon/src/kingcuplug_daemon/_tls.py
@@ -11,6 +11,10 @@
 __all__ = ["check_identity", "client_context", "files_unusable", "reload_identity"]
 
 
+# Without it, OpenSSL asks for the password of an encrypted key on the terminal.
+_NO_PASSWORD = ""
+
+
 def check_identity(tls: TlsSettings | None) -> None:
     """Check that the files of an identity can be used together.
 
@@ -62,7 +66,7 @@
         for target in (ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER), context):
             target.load_verify_locations(cafile=tls.authority)
             with _open_pipe(certificate) as first, _open_pipe(private_key) as second:
-                target.load_cert_chain(first, second)
+                target.load_cert_chain(first, second, _NO_PASSWORD)
     except OSError as error:
         raise files_unusable(tls, error) from error
 
@@ -86,7 +90,7 @@
 def _load_identity(context: ssl.SSLContext, tls: TlsSettings) -> None:
     try:
         context.load_verify_locations(cafile=tls.authority)
-        context.load_cert_chain(tls.certificate, tls.private_key)
+        context.load_cert_chain(tls.certificate, tls.private_key, _NO_PASSWORD)
     except OSError as error:
         raise files_unusable(tls, error) from error
 
--- a/tests/daemon/_certificates.py
+++ b/tests/daemon/_certificates.py
@@ -86,3 +86,12 @@
             builder = builder.add_extension(alternative_names, critical=False)
         certificate = builder.sign(self._key, hashes.SHA256())
         return certificate.public_bytes(serialization.Encoding.PEM)
+
+
+def encrypt_key(key: bytes) -> bytes:
+    """Return a private key encrypted with a password."""
+    return serialization.load_pem_private_key(key, None).private_bytes(
+        serialization.Encoding.PEM,
+        serialization.PrivateFormat.PKCS8,
+        serialization.BestAvailableEncryption(b"password"),
+    )
--- a/tests/daemon/test_tls.py
+++ b/tests/daemon/test_tls.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import contextlib
+import fcntl
 import json
 import os
+import pty
 import signal
 import socket
 import ssl
+import termios
 import time
 import uuid
 from collections.abc import Iterator
@@ -26,7 +29,8 @@
 from kingcuplug_query import ConnectFailed, HttpBackendClient, SubRequest
 
 from tests.conftest import DeploymentThread, running_deployment
-from tests.daemon._certificates import CertificateAuthority
+from tests.daemon._certificates import CertificateAuthority, encrypt_key
+from tests.daemon._daemon_process import DaemonProcess
 
 
 @pytest.fixture(scope="module")
@@ -530,3 +534,28 @@
     with pytest.raises(SystemExit) as exit_info:
         _main._run_host(str(path))
     assert exit_info.value.code == 2
+
+
+def test_encrypted_key_is_refused_without_a_question(
+    authority: CertificateAuthority, tmp_path: Path
+):
+    """Guards against a reload that waits for a password on the terminal."""
+    tls = authority.issue_identity()
+    plain_key = tls.private_key.read_bytes()
+    daemon = DaemonProcess(tmp_path / "host", peer_tls=tls.model_dump(mode="json"))
+    terminal, process_side = pty.openpty()
+    try:
+        daemon.start(
+            stdin=process_side,
+            start_new_session=True,
+            preexec_fn=lambda: fcntl.ioctl(0, termios.TIOCSCTTY, 0),
+        )
+        daemon.wait_until_live()
+        tls.private_key.write_bytes(encrypt_key(plain_key))
+        daemon.process.send_signal(signal.SIGHUP)
+        assert daemon.get("healthz") == 200
+        assert daemon.terminate() == 0
+    finally:
+        daemon.kill()
+        os.close(terminal)
+        os.close(process_side)
