Name the files that could not be reloaded on standard error

An operator who sent SIGHUP with an unusable certificate, key or token file saw nothing where the host has no log_file, and learned of it when the former certificate expired: the error went to the log alone. Standard error now gets a line per cause.

tests/daemon/test_tls.py: failed before (no line within 30 s).

--- a/packages/daemon/src/kingcuplug_daemon/_host.py
+++ b/packages/daemon/src/kingcuplug_daemon/_host.py
@@ -16,6 +16,7 @@
     log_to_file,
     open_tracer,
     wall_ms,
+    write_error_line,
 )
 from kingcuplug_log import LogSettings
 from kingcuplug_membership import MembershipSettings
@@ -248,7 +249,8 @@
     def reload(self) -> None:
         """Reload tokens, and certificates for new connections.
 
-        Unusable files are logged, and their former contents stay in use.
+        Unusable files are logged, also to standard error, and their former contents
+        stay in use.
         """
         reloads: list[Callable[[], None]] = [
             self._caller_listener.reload,
@@ -259,12 +261,16 @@
         ]
         if self.entry is not None:
             reloads.append(self.entry.reload)
+        reasons = set()
         for reload in reloads:
             try:
                 reload()
             except SettingsInvalid as error:
                 self.metrics.count("reload.failed")
                 log_state_change("host", "reload failed", why=str(error))
+                reasons.add(str(error))
+        for reason in sorted(reasons):
+            write_error_line(f"kingcuplugd: not reloaded: {reason}")
 
     def _lock_data_folder(self, folder: Path) -> None:
         try:
--- a/tests/daemon/test_tls.py
+++ b/tests/daemon/test_tls.py
@@ -559,3 +559,23 @@
         daemon.kill()
         os.close(terminal)
         os.close(process_side)
+
+
+def test_failed_reload_is_reported_once_on_standard_error(
+    authority: CertificateAuthority, tmp_path: Path
+):
+    """Guards against a host without a log whose certificates are never renewed."""
+    tls = authority.issue_identity()
+    fields = tls.model_dump(mode="json")
+    daemon = DaemonProcess(tmp_path / "host", peer_tls=fields, backend_tls=fields)
+    try:
+        daemon.start()
+        daemon.wait_until_live()
+        tls.private_key.write_text("no key")
+        daemon.process.send_signal(signal.SIGHUP)
+        daemon.wait_for_error(f"not reloaded: TLS files {tls.certificate}")
+        assert daemon.get("healthz") == 200
+        assert daemon.errors.count("not reloaded") == 1
+        assert daemon.terminate() == 0
+    finally:
+        daemon.kill()
