--- a/packages/common/src/kingcuplug_common/__init__.py
+++ b/packages/common/src/kingcuplug_common/__init__.py
@@ -34,6 +34,7 @@
 
 if TYPE_CHECKING:
     from kingcuplug_common._exposition import render_metrics
+    from kingcuplug_common._folder_lock import FolderInUse, FolderLock
     from kingcuplug_common._receipts import (
         Receipt,
         ReceiptInvalid,
@@ -44,6 +45,7 @@
     from kingcuplug_common._settings import (
         HostSettings,
         SettingsInvalid,
+        SettingsUnreadable,
         TlsSettings,
         load_settings,
     )
@@ -54,6 +56,11 @@
         traced_entry,
         traceparent,
     )
+    from kingcuplug_common._standard_error import (
+        StandardErrorHandler,
+        open_standard_descriptors,
+        write_error_line,
+    )
     from kingcuplug_common._telemetry import (
         TraceFileExporter,
         log_to_file,
@@ -65,6 +72,8 @@
     "MAX_AMOUNT",
     "Condition",
     "EventLog",
+    "FolderInUse",
+    "FolderLock",
     "Hop",
     "HostSettings",
     "KingcuplugError",
@@ -75,7 +84,9 @@
     "RefusalKind",
     "RefusalReason",
     "SettingsInvalid",
+    "SettingsUnreadable",
     "Signer",
+    "StandardErrorHandler",
     "TlsSettings",
     "TraceFileExporter",
     "Verifier",
@@ -90,6 +101,7 @@
     "log_to_file",
     "make_latest_wall_clock",
     "not_run_refusal",
+    "open_standard_descriptors",
     "open_tracer",
     "propagator",
     "random_identifier",
@@ -108,20 +120,28 @@
     "traced_entry",
     "traceparent",
     "wall_ms",
+    "write_error_line",
 ]
 
 __getattr__ = import_on_first_use(
     __name__,
     {
         "_exposition": ("render_metrics",),
+        "_folder_lock": ("FolderInUse", "FolderLock"),
         "_receipts": ("Receipt", "ReceiptInvalid", "Signer", "Verifier", "key_id"),
         "_settings": (
             "HostSettings",
             "SettingsInvalid",
+            "SettingsUnreadable",
             "TlsSettings",
             "load_settings",
         ),
         "_spans": ("Hop", "traced_entry", "request_span", "start_hop", "traceparent"),
+        "_standard_error": (
+            "StandardErrorHandler",
+            "open_standard_descriptors",
+            "write_error_line",
+        ),
         "_telemetry": ("TraceFileExporter", "log_to_file", "propagator", "open_tracer"),
     },
 )
--- a/packages/daemon/src/kingcuplug_daemon/_host.py
+++ b/packages/daemon/src/kingcuplug_daemon/_host.py
@@ -3,15 +3,20 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
+from pathlib import Path
 
 from kingcuplug_common import (
+    FolderInUse,
+    FolderLock,
     HostSettings,
+    KingcuplugError,
     Metrics,
     SettingsInvalid,
     log_state_change,
     log_to_file,
     open_tracer,
     wall_ms,
+    write_error_line,
 )
 from kingcuplug_log import LogSettings
 from kingcuplug_membership import MembershipSettings
@@ -31,16 +36,25 @@
 from kingcuplug_daemon._operator_app import OperatorApp
 from kingcuplug_daemon._peer_app import peer_application
 from kingcuplug_daemon._peer_client import PeerClient
+from kingcuplug_daemon._precondition import PreconditionUnmet
 from kingcuplug_daemon._receipt_keys import ReceiptKeys
 from kingcuplug_daemon._tls import check_identity
 from kingcuplug_daemon._tokens import BearerTokens
 
-__all__ = ["Host"]
+__all__ = ["DataFolderInUse", "DataFolderUnusable", "Host"]
 
 _MS_PER_S = 1_000
 _RESPONSE_FLUSH_S = 0.05
 
 
+class DataFolderInUse(PreconditionUnmet):
+    """Another process, perhaps one that is ending, uses the data folder."""
+
+
+class DataFolderUnusable(KingcuplugError):
+    """The data folder cannot be created or opened."""
+
+
 class Host:
     """A running host.
 
@@ -53,6 +67,15 @@
     log_settings, membership_settings : optional
         Timeouts and limits of the control plane.
 
+    Raises
+    ------
+    SettingsUnreadable
+        If a file that the settings name cannot be used.
+    AddressUnavailable, AddressUnusable
+        If the address of a listener cannot be bound.
+    DataFolderInUse, DataFolderUnusable
+        If another process uses the data folder, or it cannot be created or opened.
+
     Attributes
     ----------
     caller_address, peer_address : str
@@ -78,18 +101,27 @@
         self._announce_tokens = BearerTokens(settings.announce_token_file)
         self._peers = PeerClient(settings.peer_tls)
         self._resources = contextlib.ExitStack()
+        self._key_task: asyncio.Task[None] | None = None
         self._drain_requested = asyncio.Event()
-        # The listeners bind first, so that port 0 is resolved before the roles are
-        # built; they accept connections only at the end of `start`.
-        self._caller_listener = Listener(
-            self._handle_caller_request, settings.caller_address, settings.caller_tls
-        )
-        self._peer_listener = Listener(
-            self._handle_peer_request,
-            settings.peer_address,
-            settings.peer_tls,
-            client_certificates=True,
-        )
+        with contextlib.ExitStack() as undo:
+            undo.callback(self._resources.close)
+            if settings.data_folder is not None:
+                self._lock_data_folder(settings.data_folder)
+            # The listeners bind first, so that port 0 is resolved before the roles are
+            # built; they accept connections only at the end of `start`.
+            self._caller_listener = Listener(
+                self._handle_caller_request,
+                settings.caller_address,
+                settings.caller_tls,
+            )
+            undo.callback(self._caller_listener.abort)
+            self._peer_listener = Listener(
+                self._handle_peer_request,
+                settings.peer_address,
+                settings.peer_tls,
+                client_certificates=True,
+            )
+            undo.pop_all()
         self.caller_address = self._caller_listener.address
         self.peer_address = self._peer_listener.address
         self._caller_application: Starlette | None = None
@@ -105,10 +137,12 @@
         ------
         KingcuplugError
             If the data folder cannot be used.
+        AddressUnavailable
+            If another process has begun to listen on an address of this host.
         """
         settings = self.settings
         if settings.log_file is not None:
-            log_to_file(settings.log_file)
+            self._resources.enter_context(log_to_file(settings.log_file))
         spans = self._resources.enter_context(
             open_tracer(settings.trace_file, settings.trace_share)
         )
@@ -190,21 +224,21 @@
         # The responses to the last requests may still be in the send buffers.
         await asyncio.sleep(_RESPONSE_FLUSH_S)
         await self._caller_listener.stop()
-        self._key_task.cancel()
+        self._cancel_key_task()
         if self.entry is not None:
             await self.entry.stop()
         if self.control is not None:
             await self.control.stop()
         await self._peer_listener.stop()
         await self._peers.close()
-        self._resources.close()
         log_state_change("host", "stopped", host=self.settings.host)
+        self._resources.close()
 
     async def kill(self) -> None:
-        """Stop without a drain, as a crash does; for tests."""
+        """Stop without a drain, as a crash does, also after a failed `start`."""
         self._caller_listener.abort()
         self._peer_listener.abort()
-        self._key_task.cancel()
+        self._cancel_key_task()
         if self.entry is not None:
             await self.entry.abort()
         if self.control is not None:
@@ -215,7 +249,8 @@
     def reload(self) -> None:
         """Reload tokens, and certificates for new connections.
 
-        Unusable files are logged, and their former contents stay in use.
+        Unusable files are logged, also to standard error, and their former contents
+        stay in use.
         """
         reloads: list[Callable[[], None]] = [
             self._caller_listener.reload,
@@ -226,12 +261,31 @@
         ]
         if self.entry is not None:
             reloads.append(self.entry.reload)
+        reasons = set()
         for reload in reloads:
             try:
                 reload()
             except SettingsInvalid as error:
                 self.metrics.count("reload.failed")
                 log_state_change("host", "reload failed", why=str(error))
+                reasons.add(str(error))
+        for reason in sorted(reasons):
+            write_error_line(f"kingcuplugd: not reloaded: {reason}")
+
+    def _lock_data_folder(self, folder: Path) -> None:
+        try:
+            self._resources.callback(FolderLock(folder).release)
+        except FolderInUse as error:
+            raise DataFolderInUse(error.message, error.remedy) from error
+        except OSError as error:
+            raise DataFolderUnusable(
+                f"data folder {folder} cannot be used: {error.strerror}",
+                "check the path, its permissions and the free space",
+            ) from error
+
+    def _cancel_key_task(self) -> None:
+        if self._key_task is not None:
+            self._key_task.cancel()
 
     async def _handle_caller_request(
         self, scope: Scope, receive: Receive, send: Send
--- a/tests/daemon/test_tls.py
+++ b/tests/daemon/test_tls.py
@@ -1,11 +1,15 @@
 """TLS and bearer tokens on loopback, with generated certificates."""
 
 import asyncio
+import contextlib
+import fcntl
 import json
 import os
+import pty
 import signal
 import socket
 import ssl
+import termios
 import time
 import uuid
 from collections.abc import Iterator
@@ -21,11 +25,12 @@
 from kingcuplug_daemon import Host, Listener, _main
 from kingcuplug_daemon._main import serve
 from kingcuplug_daemon._peer_client import PeerClient
-from kingcuplug_daemon._tls import client_context
+from kingcuplug_daemon._tls import client_context, reload_identity
 from kingcuplug_query import ConnectFailed, HttpBackendClient, SubRequest
 
 from tests.conftest import DeploymentThread, running_deployment
-from tests.daemon._certificates import CertificateAuthority
+from tests.daemon._certificates import CertificateAuthority, encrypt_key
+from tests.daemon._daemon_process import DaemonProcess
 
 
 @pytest.fixture(scope="module")
@@ -349,6 +354,39 @@
     assert status == 200
 
 
+def test_a_key_that_changes_during_a_reload_keeps_the_connections(
+    authority: CertificateAuthority, monkeypatch: pytest.MonkeyPatch
+):
+    """Guards against an outage by a renewal that is not finished at the reload."""
+    tls = authority.issue_identity()
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.load_cert_chain(tls.certificate, tls.private_key)
+    authority.renew_identity(tls)
+    load_cert_chain = ssl.SSLContext.load_cert_chain
+
+    def replace_key_after_loading(self: ssl.SSLContext, *files: Any) -> None:
+        load_cert_chain(self, *files)
+        tls.private_key.write_text("no key")
+
+    monkeypatch.setattr(ssl.SSLContext, "load_cert_chain", replace_key_after_loading)
+    with contextlib.suppress(SettingsInvalid):
+        reload_identity(context, tls)
+    client_side, server_side = ssl.MemoryBIO(), ssl.MemoryBIO()
+    client = _trusting_context(authority).wrap_bio(server_side, client_side)
+    server = context.wrap_bio(client_side, server_side, server_side=True)
+    for _ in range(3):
+        for side in (client, server):
+            with contextlib.suppress(ssl.SSLWantReadError):
+                side.do_handshake()
+    assert client.getpeercert(True)
+
+
+def _trusting_context(authority: CertificateAuthority) -> ssl.SSLContext:
+    context = ssl.create_default_context(cafile=str(authority.file))
+    context.check_hostname = False
+    return context
+
+
 async def _post(host: Host, path: str, token: str | None) -> tuple[int, dict[str, Any]]:
     headers = {} if token is None else {"Authorization": f"Bearer {token}"}
     tls = host.settings.caller_tls
@@ -496,3 +534,48 @@
     with pytest.raises(SystemExit) as exit_info:
         _main._run_host(str(path))
     assert exit_info.value.code == 2
+
+
+def test_encrypted_key_is_refused_without_a_question(
+    authority: CertificateAuthority, tmp_path: Path
+):
+    """Guards against a reload that waits for a password on the terminal."""
+    tls = authority.issue_identity()
+    plain_key = tls.private_key.read_bytes()
+    daemon = DaemonProcess(tmp_path / "host", peer_tls=tls.model_dump(mode="json"))
+    terminal, process_side = pty.openpty()
+    try:
+        daemon.start(
+            stdin=process_side,
+            start_new_session=True,
+            preexec_fn=lambda: fcntl.ioctl(0, termios.TIOCSCTTY, 0),
+        )
+        daemon.wait_until_live()
+        tls.private_key.write_bytes(encrypt_key(plain_key))
+        daemon.process.send_signal(signal.SIGHUP)
+        assert daemon.get("healthz") == 200
+        assert daemon.terminate() == 0
+    finally:
+        daemon.kill()
+        os.close(terminal)
+        os.close(process_side)
+
+
+def test_failed_reload_is_reported_once_on_standard_error(
+    authority: CertificateAuthority, tmp_path: Path
+):
+    """Guards against a host without a log whose certificates are never renewed."""
+    tls = authority.issue_identity()
+    fields = tls.model_dump(mode="json")
+    daemon = DaemonProcess(tmp_path / "host", peer_tls=fields, backend_tls=fields)
+    try:
+        daemon.start()
+        daemon.wait_until_live()
+        tls.private_key.write_text("no key")
+        daemon.process.send_signal(signal.SIGHUP)
+        daemon.wait_for_error(f"not reloaded: TLS files {tls.certificate}")
+        assert daemon.get("healthz") == 200
+        assert daemon.errors.count("not reloaded") == 1
+        assert daemon.terminate() == 0
+    finally:
+        daemon.kill()
