Run the hosts of the soak by the platform's entry point

The soak started hosts by a program of its own, so the start of the platform's program was never part of a soak: its settings file, its signal mask, its log, its reload and its fixed metrics port. Its processes also had no PYTHONPATH, so a soak that pytest started in one work tree ran whatever kingcuplug was installed, that is the sources of another tree.

The processes now run the platform's `__main__`, which `start` makes callable, with KINGCUPLUG_CONFIG and the sources of the soak.

Each soak has a network of loopback addresses of its own, which a listening socket reserves. Before, two soaks looked for ranges of ports that were free on the same addresses, and could choose the same range between the check and the start of their proxies; their backend servers shared an address and names, too. The metrics port needs no change with addresses of its own.

The draws of a seed stay the same.

--- a/packages/soak/src/kingcuplug_soak/_fake_servers.py
+++ b/packages/soak/src/kingcuplug_soak/_fake_servers.py
@@ -54,6 +54,8 @@
 
     Attributes
     ----------
+    ip : str
+        Address of all servers.
     crashing_target : str
         Path that crashes each server that executes a request for it, with any query
         string; empty if none does.
@@ -67,6 +69,7 @@
 
     control_addresses: list[str]
     random: random_module.Random
+    ip: str = "127.0.0.100"
     executions: dict[str, list[Execution]] = field(default_factory=dict)
     requests_after_drain: list[str] = field(default_factory=list)
     servers: list["FakeServer"] = field(default_factory=list)
@@ -168,7 +171,7 @@
 
     async def start(self) -> None:
         """Start listening and sending heartbeats."""
-        self.address = await self._listener.start("127.0.0.100:0")
+        self.address = await self._listener.start(f"{self._pool.ip}:0")
         self._heartbeat_task = asyncio.ensure_future(self._send_heartbeats())
 
     async def crash(self) -> None:
--- a/packages/soak/src/kingcuplug_soak/_hosts.py
+++ b/packages/soak/src/kingcuplug_soak/_hosts.py
@@ -2,29 +2,60 @@
 
 import asyncio
 import contextlib
+import os
 import random as random_module
 import shutil
 import signal
+import socket
 import subprocess
 import sys
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 import orjson
 
+from kingcuplug_soak import _host_process
 from kingcuplug_soak._proxy import Proxy
 
-__all__ = ["HostCluster", "HostProcess"]
+__all__ = ["HostCluster", "HostProcess", "reserved_network"]
 
-_LOOPBACK_PREFIX = "127.0.0."
 (
-    _CALLER_PORT_OFFSET,
-    _READY_PORT_OFFSET,
-    _CONTROL_PORT_OFFSET,
-    _CONTROL_BIND_PORT_OFFSET,
-    _METRICS_PORT_OFFSET,
-) = range(5)
+    _CALLER_PORT,
+    _READY_PORT,
+    _CONTROL_PORT,
+    _CONTROL_BIND_PORT,
+    _RESERVATION_PORT,
+) = range(21_000, 21_005)
+_NETWORKS = 16_384
+_FIRST_NETWORK = 64
+_RESERVATION_NUMBER = 254
+
+
+@contextlib.contextmanager
+def reserved_network(first: int) -> Iterator[str]:
+    """Reserve a network of loopback addresses, such as ``127.64.0.``, for one soak.
+
+    A listening socket reserves it, so two soaks never use the same addresses, even if
+    all processes of one of them are down.
+
+    Parameters
+    ----------
+    first : int
+        Network to try first.
+    """
+    for attempt in range(_NETWORKS):
+        upper, lower = divmod((first + attempt) % _NETWORKS, 256)
+        network = f"127.{_FIRST_NETWORK + upper}.{lower}."
+        with contextlib.suppress(OSError):
+            address = (f"{network}{_RESERVATION_NUMBER}", _RESERVATION_PORT)
+            reservation = socket.create_server(address)
+            break
+    else:
+        raise OSError(f"no free network of {_NETWORKS} loopback networks")
+    with contextlib.closing(reservation):
+        yield network
 
 
 @dataclass
@@ -48,6 +79,11 @@
         """Address for servers, operators and peers; the proxy listens there."""
         return str(self.settings["listen"]["control"])
 
+    @property
+    def control_bind_address(self) -> str:
+        """Address to which the proxy forwards."""
+        return f"{self.settings['ip']}:{_CONTROL_BIND_PORT}"
+
     @property
     def has_disk(self) -> bool:
         """Whether the host has a disk."""
@@ -64,11 +100,19 @@
         self.start_count += 1
         path = self.folder / f"{self.name}.json"
         path.write_bytes(orjson.dumps(self.settings))
+        script = _host_process.__file__
         with (self.folder / f"{self.name}.log").open("ab") as output:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "kingcuplug_soak", str(path)],
+                [sys.executable, "-S", "-P", script, self.control_bind_address],
+                stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
+                # The sources of the soak itself, not an installed copy.
+                env=os.environ
+                | {
+                    "KINGCUPLUG_CONFIG": str(path),
+                    "PYTHONPATH": os.pathsep.join(filter(None, sys.path)),
+                },
             )
 
     def send_signal(self, number: signal.Signals) -> None:
@@ -101,9 +145,8 @@
 
     Parameters
     ----------
-    base_port : int
-        First of five consecutive ports, which each host uses on its own loopback
-        address.
+    network : str
+        First three numbers of the hosts' loopback addresses, such as ``127.64.0.``.
     tolerated_losses : int
         Number of disks that may be lost at once, as the settings of the hosts name it.
     """
@@ -113,32 +156,23 @@
         folder: Path,
         count: int,
         disks: int,
-        base_port: int,
+        network: str,
         tolerated_losses: int = 1,
     ) -> None:
         self.hosts: list[HostProcess] = []
-        addresses = [f"{_LOOPBACK_PREFIX}{number + 1}" for number in range(count)]
-        seeds = [
-            f"{a}:{base_port + _CONTROL_PORT_OFFSET}"
-            for a in addresses[: min(3, disks)]
-        ]
+        addresses = [f"{network}{number + 1}" for number in range(count)]
+        seeds = [f"{a}:{_CONTROL_PORT}" for a in addresses[: min(3, disks)]]
         for number, address in enumerate(addresses):
             name = f"host-{number}"
-
-            def address_at(port_offset: int, ip: str = address) -> str:
-                return f"{ip}:{base_port + port_offset}"
-
             settings = {
                 "node_name": name,
                 "ip": address,
                 "zone": f"zone-{number % 3}",
                 "listen": {
-                    "front": address_at(_CALLER_PORT_OFFSET),
-                    "ready": address_at(_READY_PORT_OFFSET),
-                    "control": address_at(_CONTROL_PORT_OFFSET),
+                    "front": f"{address}:{_CALLER_PORT}",
+                    "ready": f"{address}:{_READY_PORT}",
+                    "control": f"{address}:{_CONTROL_PORT}",
                 },
-                "control_bind": address_at(_CONTROL_BIND_PORT_OFFSET),
-                "metrics": address_at(_METRICS_PORT_OFFSET),
                 "seeds": seeds,
                 "fault_tolerance": {"machines": tolerated_losses},
                 "first_start": True,
@@ -153,7 +187,7 @@
                     "retry_window_s": 10,
                 },
             }
-            proxy = Proxy(address_at(_CONTROL_BIND_PORT_OFFSET))
+            proxy = Proxy(f"{address}:{_CONTROL_BIND_PORT}")
             self.hosts.append(HostProcess(name, settings, folder, proxy))
 
     async def start(self) -> None:
--- a/packages/soak/src/kingcuplug_soak/_run.py
+++ b/packages/soak/src/kingcuplug_soak/_run.py
@@ -4,7 +4,6 @@
 import contextlib
 import os
 import random as random_module
-import socket
 import tempfile
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
@@ -13,7 +12,7 @@
 from kingcuplug_soak._consistency import ConsistencyChecker
 from kingcuplug_soak._fake_servers import FakeServerPool
 from kingcuplug_soak._fault_injection import FaultInjector
-from kingcuplug_soak._hosts import HostCluster
+from kingcuplug_soak._hosts import HostCluster, reserved_network
 from kingcuplug_soak._traffic import TOP_RECORDS, CallerTraffic, Operator
 
 __all__ = [
@@ -33,10 +32,8 @@
 _RECOVERY_TIMEOUT_S = 12.0
 _PROBE_DURATION_S = 2.0
 _FORMING_S = 0.3  # The group grows for about so long after it has accepted a change.
-_BASE_PORT = 21_000
-_PORTS_PER_HOST = 5
-_PORT_RANGES = 1_000
-_PORT_RANGE_STRIDE = 37
+_NETWORK_STRIDE = 37
+_SERVERS_NUMBER = 100
 
 
 @dataclass(frozen=True)
@@ -116,16 +113,29 @@
     settings: SoakSettings, folder: Path
 ) -> AsyncIterator[SoakEnvironment]:
     """Start hosts and backend servers with a first configuration; stop them later."""
+    first_network = os.getpid() * _NETWORK_STRIDE + settings.seed
+    with reserved_network(first_network) as network:
+        async with _running_environment(settings, folder, network) as env:
+            yield env
+
+
+@contextlib.asynccontextmanager
+async def _running_environment(
+    settings: SoakSettings, folder: Path, network: str
+) -> AsyncIterator[SoakEnvironment]:
     random = random_module.Random(settings.seed)
-    base_port = _find_base_port(settings)
     cluster = HostCluster(
         folder,
         settings.hosts,
         settings.disks,
-        base_port,
+        network,
         settings.tolerated_losses,
     )
-    backends = FakeServerPool([host.control_address for host in cluster.hosts], random)
+    backends = FakeServerPool(
+        [host.control_address for host in cluster.hosts],
+        random,
+        f"{network}{_SERVERS_NUMBER}",
+    )
     checker = ConsistencyChecker(
         backends,
         _allowed_services(),
@@ -193,36 +203,6 @@
     )
 
 
-def _find_base_port(settings: SoakSettings) -> int:
-    """Return the first port of a range that is free at all hosts' addresses.
-
-    The search starts at a range that depends on the process id, because two soaks that
-    start at the same moment would otherwise choose the same ports.
-    """
-    for attempt in range(_PORT_RANGES):
-        range_index = (
-            os.getpid() * _PORT_RANGE_STRIDE + settings.seed + attempt
-        ) % _PORT_RANGES
-        base_port = _BASE_PORT + range_index * _PORTS_PER_HOST
-        if all(
-            _is_port_free(f"127.0.0.{number + 1}", base_port + port)
-            for number in range(settings.hosts)
-            for port in range(_PORTS_PER_HOST)
-        ):
-            return base_port
-    raise OSError(f"no {_PORTS_PER_HOST} free ports from {_BASE_PORT} on")
-
-
-def _is_port_free(address: str, port: int) -> bool:
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            probe.bind((address, port))
-        except OSError:
-            return False
-    return True
-
-
 def _allowed_services() -> dict[str, set[str]]:
     shards = {shard for shards in _SHARD_SETS for shard in shards}
     return {"query": shards, "read": {"reads"}, "order": {"orders"}}
--- a/tools/measure_formation.py
+++ b/tools/measure_formation.py
@@ -14,11 +14,10 @@
 import fire
 from kingcuplug_fleet import PeerFailed
 from kingcuplug_platform.formats import DOCUMENT_PATH
-from kingcuplug_soak._hosts import HostCluster
+from kingcuplug_soak._hosts import HostCluster, reserved_network
 from kingcuplug_soak._http_client import send_request
 from kingcuplug_soak._traffic import DEFAULT_ATTEMPTS, encode_soak_document
 
-_BASE_PORT = 19_000
 _TIMEOUT_S = 60.0
 _RETRY_S = 0.02
 
@@ -39,9 +38,8 @@
     """
     print("first acknowledgement, acknowledgement after a kill of all hosts with disks")
     for run in range(runs):
-        with tempfile.TemporaryDirectory() as folder:
-            base_port = _BASE_PORT + 5 * run
-            cluster = HostCluster(Path(folder), hosts, disks, base_port, losses)
+        with tempfile.TemporaryDirectory() as folder, reserved_network(run) as network:
+            cluster = HostCluster(Path(folder), hosts, disks, network, losses)
             times_s = asyncio.run(_measure_cluster(cluster, slow_seed_s))
         print(" ".join(f"{time_s:.2f}" for time_s in times_s), flush=True)
 
