Report host processes of the soak that end by themselves

The soak asked whether a process runs only at its end and before it sent a signal. A process that ended by itself was started again by the next fault and left no trace in the result.

`HostRun` keeps what the soak did to one process. A process must end with the signal that the soak sent: by SIGKILL, or with status 0 after SIGTERM and within `grace_s`, unless it was paused meanwhile. Every other end is a violation with its status, its age and the last lines of its log, and the process is started again after a short delay, as the platform does. Signals sent before the program's first line can be handled by no program in Python; ends by these are counted as `early_ends` and are no violation. The entry point creates a file at its first line, which tells them apart.

`recovery_s` after the last fault each host must answer callers and its readiness check. Before, a quarter of all requests was enough, so that a host could be out of service unseen.

The result states the resident memory of the largest host process at the end and how long a process used nearly a whole core.

--- a/packages/cli/src/kingcuplug_cli/_soak.py
+++ b/packages/cli/src/kingcuplug_cli/_soak.py
@@ -14,9 +14,8 @@
 __all__ = ["Soak"]
 
 _RESULTS_FILE = Path("soak-results.jsonl")
-_PARALLEL_RUNS = (
-    3  # Each run starts several processes; more runs at once slow each other.
-)
+# Each run starts several processes; more runs at once slow each other.
+_PARALLEL_RUNS = 3
 
 
 class Soak:
@@ -34,15 +33,16 @@
         disks: int = 3,
         losses: int = 1,
         results: str = str(_RESULTS_FILE),
+        parallel: int = _PARALLEL_RUNS,
     ) -> None:
-        """Run consecutive seeds, three at a time; up to `losses` disks are lost."""
+        """Run consecutive seeds, some at a time; up to `losses` disks are lost."""
         from kingcuplug_soak import SoakSettings
 
         runs = [
             SoakSettings(seed, duration_s, hosts, disks, tolerated_losses=losses)
             for seed in range(first, first + seeds)
         ]
-        failed = asyncio.run(_run_soaks(runs, Path(results)))
+        failed = asyncio.run(_run_soaks(runs, Path(results), parallel))
         sys.exit(1 if failed else 0)
 
     def replay(
@@ -74,15 +74,17 @@
         asked = sum(run["asked"] for run in runs)
         print(f"{len(runs)} runs, {len(failed)} with violations")
         print(f"{served} of {asked} requests served")
+        resident_mib = max((run.get("resident_mib", 0.0) for run in runs), default=0.0)
+        print(f"{resident_mib} MiB resident in the largest host process")
         for run in failed:
             _print_run(run)
 
 
-async def _run_soaks(runs: "list[SoakSettings]", results: Path) -> int:
+async def _run_soaks(runs: "list[SoakSettings]", results: Path, parallel: int) -> int:
     """Run soaks, some at a time, and return how many had violations."""
     from kingcuplug_soak import soak
 
-    run_slots = asyncio.Semaphore(_PARALLEL_RUNS)
+    run_slots = asyncio.Semaphore(parallel)
     failed = 0
 
     async def run_one(settings: "SoakSettings") -> None:
@@ -104,7 +106,9 @@
     assert isinstance(violations, list)
     print(
         f"seed {line['seed']}: {line['served']} of {line['asked']} served, "
-        f"{len(violations)} violations"
+        f"{len(violations)} violations, {line.get('early_ends')} early ends, "
+        f"{line.get('resident_mib')} MiB resident, "
+        f"a core busy for {line.get('longest_busy_s')} s"
     )
     for violation in violations:
         print(f"  {violation}")
--- a/packages/soak/src/kingcuplug_soak/_fault_injection.py
+++ b/packages/soak/src/kingcuplug_soak/_fault_injection.py
@@ -21,7 +21,6 @@
 
 __all__ = ["FaultInjector"]
 
-_TERMINATION_GRACE_S = 6.0
 _GATHER_PATH = "/peer/v2/gather"
 _MALFORMED_MESSAGES = (
     b"",
@@ -42,8 +41,6 @@
     ----------
     tolerated_losses : int
         Number of disks that may be lost at once.
-    disks_lost : bool
-        Whether so many were lost already.
 
     Attributes
     ----------
@@ -59,7 +56,6 @@
         shard_sets: list[tuple[str, ...]],
         random: random_module.Random,
         tolerated_losses: int = 1,
-        disks_lost: bool = False,
     ) -> None:
         self._cluster = cluster
         self._backends = backends
@@ -67,7 +63,6 @@
         self._shard_sets = shard_sets
         self._random = random
         self._tolerated_losses = tolerated_losses
-        self._disks_lost = disks_lost
         self._tasks: set[asyncio.Task[None]] = set()
         self.fault_log: list[str] = []
 
@@ -122,7 +117,7 @@
         host = self._pick_host()
         await host.kill()
         await asyncio.sleep(self._random.uniform(0.1, 2.0))
-        self._start_if_stopped(host)
+        host.start_if_stopped()
         return f"killed {host.name}"
 
     async def _kill_majority(self) -> str:
@@ -132,7 +127,7 @@
         await asyncio.gather(*(host.kill() for host in hosts))
         await asyncio.sleep(self._random.uniform(0.1, 1.0))
         for host in hosts:
-            self._start_if_stopped(host)
+            host.start_if_stopped()
         return f"killed {[host.name for host in hosts]} at once"
 
     async def _kill_all(self) -> str:
@@ -140,7 +135,7 @@
         await asyncio.gather(*(host.kill() for host in hosts))
         await asyncio.sleep(self._random.uniform(0.1, 1.0))
         for host in hosts:
-            self._start_if_stopped(host)
+            host.start_if_stopped()
         return "killed all hosts at once"
 
     async def _send_malformed_messages(self) -> str:
@@ -162,8 +157,8 @@
     async def _restart_host(self) -> str:
         host = self._pick_host()
         host.send_signal(signal.SIGCONT)
-        await host.terminate(_TERMINATION_GRACE_S)
-        self._start_if_stopped(host)
+        await host.terminate()
+        host.start_if_stopped()
         return f"restarted {host.name}"
 
     async def _partition_host(self) -> str:
@@ -190,9 +185,9 @@
 
     async def _erase_host_disk(self) -> str:
         """Erase as many disks as may be lost at once, once in a soak."""
-        if self._disks_lost:
+        if self._cluster.disks_lost:
             return "skipped a second disk loss"
-        self._disks_lost = True
+        self._cluster.disks_lost = True
         if self._tolerated_losses > 1:
             names = await self._cluster.lose_disks(self._tolerated_losses, self._random)
             return f"killed all hosts and erased the disks of {names}"
@@ -200,7 +195,7 @@
         await host.kill()
         host.erase_disk()
         await asyncio.sleep(self._random.uniform(0.1, 1.0))
-        self._start_if_stopped(host)
+        host.start_if_stopped()
         return f"erased the disk of {host.name}"
 
     async def _crash_server(self) -> str:
@@ -239,7 +234,3 @@
         acknowledged = await asyncio.gather(*changes)
         await self._operator.read_configuration()
         return f"{sum(acknowledged)} of {count} changes acknowledged"
-
-    def _start_if_stopped(self, host: HostProcess) -> None:
-        if not host.is_running:
-            host.start()
--- a/packages/soak/src/kingcuplug_soak/_hosts.py
+++ b/packages/soak/src/kingcuplug_soak/_hosts.py
@@ -9,14 +9,17 @@
 import socket
 import subprocess
 import sys
-from collections.abc import Iterator
+import time
+from collections.abc import AsyncIterator, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 import orjson
+from kingcuplug_platform.formats import decode_settings
 
 from kingcuplug_soak import _host_process
+from kingcuplug_soak._host_run import HostRun
 from kingcuplug_soak._proxy import Proxy
 
 __all__ = ["HostCluster", "HostProcess", "reserved_network"]
@@ -31,6 +34,10 @@
 _NETWORKS = 16_384
 _FIRST_NETWORK = 64
 _RESERVATION_NUMBER = 254
+_WATCH_INTERVAL_S = 0.01
+_SAMPLE_INTERVAL_S = 1.0
+# The users' platform starts a process that has ended again after a short delay.
+_RESTART_DELAY_S = 0.5
 
 
 @contextlib.contextmanager
@@ -60,20 +67,39 @@
 
 @dataclass
 class HostProcess:
-    """Settings and proxy of one host, and its process once it was started."""
+    """Settings and proxy of one host, and its processes once it was started.
+
+    Attributes
+    ----------
+    violations : list of str
+        Receives what the processes must not do.
+    runs : list of HostRun
+        Processes whose end was not seen yet, the newest last.
+    early_end_count : int
+        Processes that a signal ended before the program's first line.
+    """
 
     name: str
     settings: dict[str, Any]
     folder: Path
     proxy: Proxy
-    process: subprocess.Popen[bytes] | None = None
-    start_count: int = field(default=0)
+    violations: list[str]
+    runs: list[HostRun] = field(default_factory=list)
+    start_count: int = 0
+    early_end_count: int = 0
+    longest_busy_s: float = 0.0
+    _broken_settings: int = 0
 
     @property
     def caller_address(self) -> str:
         """Address for callers."""
         return str(self.settings["listen"]["front"])
 
+    @property
+    def ready_address(self) -> str:
+        """Address of the readiness check."""
+        return str(self.settings["listen"]["ready"])
+
     @property
     def control_address(self) -> str:
         """Address for servers, operators and peers; the proxy listens there."""
@@ -84,6 +110,11 @@
         """Address to which the proxy forwards."""
         return f"{self.settings['ip']}:{_CONTROL_BIND_PORT}"
 
+    @property
+    def metrics_address(self) -> str:
+        """Address of the metrics."""
+        return decode_settings(orjson.dumps(self.settings)).metrics_address
+
     @property
     def has_disk(self) -> bool:
         """Whether the host has a disk."""
@@ -91,48 +122,151 @@
 
     @property
     def is_running(self) -> bool:
-        """Whether the process runs."""
-        return self.process is not None and self.process.poll() is None
+        """Whether the newest process runs."""
+        return bool(self.runs) and self.runs[-1].is_running
+
+    @property
+    def settings_file(self) -> Path:
+        """Path of the settings file."""
+        return self.folder / f"{self.name}.json"
 
-    def start(self) -> None:
-        """Start the process; its output is appended to the host's log file."""
+    def start(
+        self, limits: str = "", redirections: str = "", stdout: int | None = None
+    ) -> HostRun:
+        """Start a process, whose output goes to a log file of its own.
+
+        Parameters
+        ----------
+        limits : str
+            Shell commands that run before the program, such as ``ulimit -n 64``.
+        redirections : str
+            Redirections of the program in the shell's notation, such as ``>&-``.
+        stdout : int or None
+            Descriptor of the standard output, in place of the log file.
+        """
         self.settings["first_start"] = self.start_count == 0
         self.start_count += 1
-        path = self.folder / f"{self.name}.json"
-        path.write_bytes(orjson.dumps(self.settings))
-        script = _host_process.__file__
-        with (self.folder / f"{self.name}.log").open("ab") as output:
-            self.process = subprocess.Popen(
-                [sys.executable, "-S", "-P", script, self.control_bind_address],
+        if not self._broken_settings:
+            self.write_settings()
+        command = [sys.executable, "-S", "-P", _host_process.__file__]
+        begun_file = self.folder / f"{self.name}-{self.start_count}.begun"
+        command += [self.control_bind_address, str(begun_file)]
+        if limits or redirections:
+            script = f'{limits or ":"}; exec "$@" {redirections}'
+            command = ["/bin/sh", "-c", script, "sh", *command]
+        log_file = self.folder / f"{self.name}-{self.start_count}.log"
+        with log_file.open("wb") as output:
+            process = subprocess.Popen(
+                command,
                 stdin=subprocess.DEVNULL,
-                stdout=output,
+                stdout=output if stdout is None else stdout,
                 stderr=output,
                 # The sources of the soak itself, not an installed copy.
                 env=os.environ
                 | {
-                    "KINGCUPLUG_CONFIG": str(path),
+                    "KINGCUPLUG_CONFIG": str(self.settings_file),
                     "PYTHONPATH": os.pathsep.join(filter(None, sys.path)),
                 },
             )
+        self.runs.append(HostRun(process, begun_file, log_file))
+        return self.runs[-1]
+
+    def start_if_stopped(self) -> None:
+        """Start a process unless the newest one runs."""
+        if not self.is_running:
+            self.start()
+
+    def write_settings(self, data: bytes | None = None) -> None:
+        """Write the settings file; `data` replaces its content."""
+        self.settings_file.write_bytes(
+            orjson.dumps(self.settings) if data is None else data
+        )
+
+    @contextlib.contextmanager
+    def broken_settings(self) -> Iterator[None]:
+        """Let the settings file be broken; write it whole at the end."""
+        self._broken_settings += 1
+        try:
+            yield
+        finally:
+            self._broken_settings -= 1
+            if not self._broken_settings:
+                self.write_settings()
 
     def send_signal(self, number: signal.Signals) -> None:
-        """Send a signal if the process runs."""
-        if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(number)
+        """Send a signal to the newest process."""
+        if self.runs:
+            self.runs[-1].send_signal(number)
 
     async def kill(self) -> None:
-        """Send SIGKILL and wait for the process to exit."""
-        self.send_signal(signal.SIGKILL)
-        if self.process is not None:
-            await asyncio.to_thread(self.process.wait)
-
-    async def terminate(self, grace_s: float) -> None:
-        """Send SIGTERM, and SIGKILL if the process runs longer than `grace_s`."""
-        self.send_signal(signal.SIGTERM)
-        if self.process is not None:
-            with contextlib.suppress(subprocess.TimeoutExpired):
-                await asyncio.to_thread(self.process.wait, grace_s)
-        await self.kill()
+        """Send SIGKILL to all processes and wait for them to exit."""
+        while running := [run for run in self.runs if run.is_running]:
+            for run in running:
+                run.send_signal(signal.SIGKILL)
+            for run in running:
+                await asyncio.to_thread(run.process.wait)
+
+    async def terminate(self) -> None:
+        """Send SIGTERM, and SIGKILL after the grace time of the settings."""
+        if self.runs:
+            run = self.runs[-1]
+            run.send_signal(signal.SIGTERM)
+            await self.wait_stopped(run)
+
+    async def wait_stopped(self, run: HostRun) -> None:
+        """Kill a process that outruns the grace time after its first SIGTERM."""
+        if run.stopping_since is None:
+            return
+        grace_s = self.settings["bounds"]["grace_s"]
+        remaining_s = run.stopping_since + grace_s - time.monotonic()
+        try:
+            await asyncio.to_thread(run.process.wait, max(0.0, remaining_s))
+        except subprocess.TimeoutExpired:
+            if not run.was_paused_while_stopping:
+                self.violations.append(
+                    f"the process {run.process.pid} of {self.name} ran longer than "
+                    f"{grace_s} s after SIGTERM: {run.last_log_lines()}"
+                )
+            run.send_signal(signal.SIGKILL)
+            await asyncio.to_thread(run.process.wait)
+
+    def check_ends(self) -> bool:
+        """Report the processes that ended by themselves.
+
+        Returns
+        -------
+        bool
+            Whether the newest process ended without a request to stop.
+        """
+        stopped = False
+        for run in tuple(self.runs):
+            status = run.process.poll()
+            self.longest_busy_s = max(self.longest_busy_s, run.longest_busy_s)
+            if status is None:
+                continue
+            is_newest = run is self.runs[-1]
+            self.runs.remove(run)
+            if not run.ended_as_requested(status):
+                self.violations.append(
+                    f"the process {run.process.pid} of {self.name} ended by itself "
+                    f"with status {status}, {time.monotonic() - run.started_at:.2f} s "
+                    f"after its start: {run.last_log_lines()}"
+                )
+            elif status in (0, -signal.SIGKILL):
+                continue
+            else:
+                self.early_end_count += 1
+            stopped |= is_newest
+        return stopped
+
+    def sample_processor(self) -> None:
+        """Measure the processor time of the processes."""
+        for run in self.runs:
+            run.sample_processor()
+
+    def resident_mib(self) -> float:
+        """Return the resident memory of the largest process, in MiB."""
+        return max((run.resident_mib() for run in self.runs), default=0.0)
 
     def erase_disk(self) -> None:
         """Delete the data directory."""
@@ -147,8 +281,17 @@
     ----------
     network : str
         First three numbers of the hosts' loopback addresses, such as ``127.64.0.``.
+    violations : list of str
+        Receives what the processes must not do.
     tolerated_losses : int
         Number of disks that may be lost at once, as the settings of the hosts name it.
+
+    Attributes
+    ----------
+    disks_lost : bool
+        Whether as many disks were lost already as may be lost.
+    occupied_ports : list of socket
+        Listening sockets that other programs hold until the end of the soak.
     """
 
     def __init__(
@@ -157,9 +300,12 @@
         count: int,
         disks: int,
         network: str,
+        violations: list[str],
         tolerated_losses: int = 1,
     ) -> None:
         self.hosts: list[HostProcess] = []
+        self.disks_lost = False
+        self.occupied_ports: list[socket.socket] = []
         addresses = [f"{network}{number + 1}" for number in range(count)]
         seeds = [f"{a}:{_CONTROL_PORT}" for a in addresses[: min(3, disks)]]
         for number, address in enumerate(addresses):
@@ -188,7 +334,7 @@
                 },
             }
             proxy = Proxy(f"{address}:{_CONTROL_BIND_PORT}")
-            self.hosts.append(HostProcess(name, settings, folder, proxy))
+            self.hosts.append(HostProcess(name, settings, folder, proxy, violations))
 
     async def start(self) -> None:
         """Start the proxies and processes of all hosts."""
@@ -196,14 +342,45 @@
             await host.proxy.start(host.control_address)
             host.start()
 
+    @contextlib.asynccontextmanager
+    async def watched(self) -> AsyncIterator[None]:
+        """Report ended processes and start them again until the block ends."""
+        watch_task = asyncio.ensure_future(self._watch())
+        try:
+            yield
+        finally:
+            watch_task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await watch_task
+
+    async def _watch(self) -> None:
+        loop = asyncio.get_running_loop()
+        sampled_at = loop.time()
+        restarts: list[asyncio.TimerHandle] = []
+        try:
+            while True:
+                await asyncio.sleep(_WATCH_INTERVAL_S)
+                restarts += [
+                    loop.call_later(_RESTART_DELAY_S, host.start_if_stopped)
+                    for host in self.hosts
+                    if host.check_ends()
+                ]
+                if loop.time() > sampled_at + _SAMPLE_INTERVAL_S:
+                    sampled_at = loop.time()
+                    for host in self.hosts:
+                        host.sample_processor()
+        finally:
+            for restart in restarts:
+                restart.cancel()
+
     async def lose_disks(self, count: int, random: random_module.Random) -> list[str]:
         """Kill all hosts, erase some disks and start all again; return whose disks."""
+        self.disks_lost = True
         lost = random.sample([host for host in self.hosts if host.has_disk], count)
         await asyncio.gather(*(host.kill() for host in self.hosts))
         for host in lost:
             # Another fault may have started the host meanwhile.
-            while host.is_running:
-                await host.kill()
+            await host.kill()
             host.erase_disk()
         await asyncio.sleep(random.uniform(0.1, 1.0))
         for host in self.hosts:
@@ -212,7 +389,10 @@
         return [host.name for host in lost]
 
     async def stop(self) -> None:
-        """Kill all processes and stop the proxies."""
+        """Kill all processes and stop the proxies; report processes that had ended."""
         for host in self.hosts:
+            host.check_ends()
             await host.kill()
             host.proxy.stop()
+        for occupied in self.occupied_ports:
+            occupied.close()
--- a/packages/soak/src/kingcuplug_soak/_run.py
+++ b/packages/soak/src/kingcuplug_soak/_run.py
@@ -13,6 +13,7 @@
 from kingcuplug_soak._fake_servers import FakeServerPool
 from kingcuplug_soak._fault_injection import FaultInjector
 from kingcuplug_soak._hosts import HostCluster, reserved_network
+from kingcuplug_soak._service_check import find_unserving_hosts
 from kingcuplug_soak._traffic import TOP_RECORDS, CallerTraffic, Operator
 
 __all__ = [
@@ -73,6 +74,12 @@
         Number of requests that callers sent, and of those with status 200.
     troubles : list of str
         Time and description of each injected fault.
+    early_ends : int
+        Processes that a signal ended before the program's first line.
+    resident_mib : float
+        Resident memory of the largest host process at the end.
+    longest_busy_s : float
+        Longest time in which a host process used nearly a whole core.
     """
 
     seed: int
@@ -80,6 +87,9 @@
     asked: int
     served: int
     troubles: list[str] = field(default_factory=list)
+    early_ends: int = 0
+    resident_mib: float = 0.0
+    longest_busy_s: float = 0.0
 
 
 async def soak(settings: SoakSettings) -> SoakResult:
@@ -92,20 +102,13 @@
 
 @dataclass(frozen=True)
 class SoakEnvironment:
-    """Running hosts with their backend servers, operator and checker.
-
-    Attributes
-    ----------
-    disks_lost : bool
-        Whether as many disks were lost already as may be lost.
-    """
+    """Running hosts with their backend servers, operator and checker."""
 
     cluster: HostCluster
     backends: FakeServerPool
     checker: ConsistencyChecker
     operator: Operator
     random: random_module.Random
-    disks_lost: bool = False
 
 
 @contextlib.asynccontextmanager
@@ -113,22 +116,44 @@
     settings: SoakSettings, folder: Path
 ) -> AsyncIterator[SoakEnvironment]:
     """Start hosts and backend servers with a first configuration; stop them later."""
-    first_network = os.getpid() * _NETWORK_STRIDE + settings.seed
-    with reserved_network(first_network) as network:
-        async with _running_environment(settings, folder, network) as env:
-            yield env
+    random = random_module.Random(settings.seed)
+    with reserved_network(os.getpid() * _NETWORK_STRIDE + settings.seed) as network:
+        env = _make_environment(settings, folder, network, random)
+        cluster = env.cluster
+        try:
+            async with cluster.watched():
+                await _form_group(env, settings.tolerated_losses)
+                yield env
+        finally:
+            await cluster.stop()
+            await env.backends.stop()
+
+
+async def _form_group(env: SoakEnvironment, tolerated_losses: int) -> None:
+    """Start all and send a first configuration; sometimes lose disks after it."""
+    random = env.random
+    await env.cluster.start()
+    await _start_servers(env.backends)
+    if not await env.operator.change_shards(_SHARD_SETS[0], _FORMATION_TIMEOUT_S):
+        env.checker.violations.append(
+            "the first configuration was not acknowledged in time"
+        )
+    if tolerated_losses > 1 and random.random() < 0.5:
+        await asyncio.sleep(random.uniform(0.0, _FORMING_S))
+        await env.cluster.lose_disks(tolerated_losses, random)
+    await asyncio.sleep(_PROBE_DURATION_S)
 
 
-@contextlib.asynccontextmanager
-async def _running_environment(
-    settings: SoakSettings, folder: Path, network: str
-) -> AsyncIterator[SoakEnvironment]:
-    random = random_module.Random(settings.seed)
+def _make_environment(
+    settings: SoakSettings, folder: Path, network: str, random: random_module.Random
+) -> SoakEnvironment:
+    violations: list[str] = []
     cluster = HostCluster(
         folder,
         settings.hosts,
         settings.disks,
         network,
+        violations,
         settings.tolerated_losses,
     )
     backends = FakeServerPool(
@@ -141,24 +166,10 @@
         _allowed_services(),
         TOP_RECORDS,
         settings.max_attempts or _draw_attempts(settings.seed),
+        violations=violations,
     )
     operator = Operator(cluster.hosts, checker, random)
-    try:
-        await cluster.start()
-        await _start_servers(backends)
-        if not await operator.change_shards(_SHARD_SETS[0], _FORMATION_TIMEOUT_S):
-            checker.violations.append(
-                "the first configuration was not acknowledged in time"
-            )
-        disks_lost = settings.tolerated_losses > 1 and random.random() < 0.5
-        if disks_lost:
-            await asyncio.sleep(random.uniform(0.0, _FORMING_S))
-            await cluster.lose_disks(settings.tolerated_losses, random)
-        await asyncio.sleep(_PROBE_DURATION_S)
-        yield SoakEnvironment(cluster, backends, checker, operator, random, disks_lost)
-    finally:
-        await cluster.stop()
-        await backends.stop()
+    return SoakEnvironment(cluster, backends, checker, operator, random)
 
 
 @contextlib.asynccontextmanager
@@ -183,16 +194,11 @@
             _SHARD_SETS,
             env.random,
             settings.tolerated_losses,
-            env.disks_lost,
         )
         async with caller_traffic(env):
             await injector.run(settings.duration_s)
-            await _check_recovery(env.operator, checker)
-            checker.violations += [
-                f"the process of {host.name} has ended by itself"
-                for host in cluster.hosts
-                if not host.is_running
-            ]
+            await _check_recovery(env.operator, checker, cluster)
+        resident_mib = max(host.resident_mib() for host in cluster.hosts)
     violations = checker.check_executions()
     return SoakResult(
         settings.seed,
@@ -200,6 +206,9 @@
         checker.attempt_count,
         checker.served_count,
         injector.fault_log,
+        sum(host.early_end_count for host in cluster.hosts),
+        round(resident_mib, 1),
+        max(round(host.longest_busy_s, 1) for host in cluster.hosts),
     )
 
 
@@ -221,18 +230,24 @@
             await backends.add(service, f"zone-{number}")
 
 
-async def _check_recovery(operator: Operator, checker: ConsistencyChecker) -> None:
-    """Check that no acknowledged change is lost and that callers are served again."""
+async def _check_recovery(
+    operator: Operator, checker: ConsistencyChecker, cluster: HostCluster
+) -> None:
+    """Check that nothing acknowledged is lost and that all hosts are in service."""
     loop = asyncio.get_running_loop()
     deadline_at = loop.time() + _RECOVERY_TIMEOUT_S
     while not await operator.read_configuration():
         if loop.time() > deadline_at:
             checker.violations.append("the configuration could not be read in time")
-            return
+            break
         await asyncio.sleep(0.2)
     await asyncio.sleep(max(0.0, deadline_at - loop.time()))
     attempts_before, served_before = checker.attempt_count, checker.served_count
-    await asyncio.sleep(_PROBE_DURATION_S)
+    unserving, _ = await asyncio.gather(
+        find_unserving_hosts(cluster.hosts, _PROBE_DURATION_S),
+        asyncio.sleep(_PROBE_DURATION_S),
+    )
+    checker.violations += unserving
     attempts = checker.attempt_count - attempts_before
     served = checker.served_count - served_before
     if served < attempts / 4:
--- a/tools/measure_formation.py
+++ b/tools/measure_formation.py
@@ -39,7 +39,7 @@
     print("first acknowledgement, acknowledgement after a kill of all hosts with disks")
     for run in range(runs):
         with tempfile.TemporaryDirectory() as folder, reserved_network(run) as network:
-            cluster = HostCluster(Path(folder), hosts, disks, network, losses)
+            cluster = HostCluster(Path(folder), hosts, disks, network, [], losses)
             times_s = asyncio.run(_measure_cluster(cluster, slow_seed_s))
         print(" ".join(f"{time_s:.2f}" for time_s in times_s), flush=True)
 
