Disturb the starts of host processes in the soak

The soak started processes, but disturbed none of their starts, so it could not find the states that pass during one. It now injects, beside the faults that it had: SIGHUP and SIGTERM in series in the first 400 ms, a settings file that is empty, cut or missing for a while, a port taken by another socket, a successor that starts while its predecessor drains or is killed, standard output that is closed, unread or full, a file in place of the data folder, limits of descriptors and of written bytes, restarts within the first second, and a restart of all hosts while their files are replaced.

The tests run each fault by itself, three draws with fixed seeds, and ask for all hosts in service at the end.

--- a/packages/soak/src/kingcuplug_soak/_run.py
+++ b/packages/soak/src/kingcuplug_soak/_run.py
@@ -14,6 +14,7 @@
 from kingcuplug_soak._fault_injection import FaultInjector
 from kingcuplug_soak._hosts import HostCluster, reserved_network
 from kingcuplug_soak._service_check import find_unserving_hosts
+from kingcuplug_soak._start_faults import inject_start_faults
 from kingcuplug_soak._traffic import TOP_RECORDS, CallerTraffic, Operator
 
 __all__ = [
@@ -196,7 +197,10 @@
             settings.tolerated_losses,
         )
         async with caller_traffic(env):
-            await injector.run(settings.duration_s)
+            _, start_faults = await asyncio.gather(
+                injector.run(settings.duration_s),
+                inject_start_faults(cluster, settings.seed, settings.duration_s),
+            )
             await _check_recovery(env.operator, checker, cluster)
         resident_mib = max(host.resident_mib() for host in cluster.hosts)
     violations = checker.check_executions()
@@ -205,7 +209,7 @@
         violations,
         checker.attempt_count,
         checker.served_count,
-        injector.fault_log,
+        injector.fault_log + start_faults,
         sum(host.early_end_count for host in cluster.hosts),
         round(resident_mib, 1),
         max(round(host.longest_busy_s, 1) for host in cluster.hosts),
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,8 +9,13 @@
 from kingcuplug_soak import SoakSettings, soak
 from kingcuplug_soak._consistency import CallerAttempt, ConsistencyChecker
 from kingcuplug_soak._fake_servers import Execution, FakeServer, FakeServerPool
+from kingcuplug_soak._run import caller_traffic, soak_environment
+from kingcuplug_soak._service_check import find_unserving_hosts
+from kingcuplug_soak._start_faults import START_FAULTS
 
 _FORMING_SEED = 2
+_RECOVERY_S = 12.0
+_DRAWS_PER_FAULT = 3
 
 
 @pytest.mark.system
@@ -32,6 +37,23 @@
     assert asyncio.run(soak(settings)).violations == []
 
 
+@pytest.mark.system
+@pytest.mark.parametrize("fault", dict.fromkeys(START_FAULTS), ids=lambda f: f.__name__)
+def test_fault_at_the_start_neither_ends_a_process_nor_the_service(fault, tmp_path):
+    """Guards against processes that a passing state at their start ends or hinders."""
+
+    async def run() -> list[str]:
+        async with soak_environment(SoakSettings(seed=1), tmp_path) as env:
+            async with caller_traffic(env):
+                draws = [random.Random(number) for number in range(_DRAWS_PER_FAULT)]
+                print(await asyncio.gather(*(fault(env.cluster, r) for r in draws)))
+            return env.checker.check_executions() + await find_unserving_hosts(
+                env.cluster.hosts, _RECOVERY_S
+            )
+
+    assert asyncio.run(run()) == []
+
+
 @pytest.fixture
 def checker() -> ConsistencyChecker:
     allowed_services = {"query": {"s0", "s1"}, "read": {"reads"}, "order": {"orders"}}
