Bound the size of files only while a test writes one

Runs with a terminal, a pipe or a file shorter than 100 bytes don't show it.

The limit now holds only around the three writes. The assertions are the same.

--- a/tests/common/test_line_file.py
+++ b/tests/common/test_line_file.py
@@ -4,21 +4,27 @@
 import os
 import resource
 from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 import eliot
-import pytest
 from kingcuplug_common import log_to_file, open_tracer
 from kingcuplug_common._line_file import LineFile
 
 
-@pytest.fixture
-def limit_file_size() -> Iterator[None]:
-    """Refuse what would make a file larger than 100 bytes, like a full disk."""
+@contextmanager
+def full_disk() -> Iterator[None]:
+    """Refuse what would make a file larger than 100 bytes.
+
+    A fixture would refuse it until the test is torn down, and so, too, the result that
+    pytest reports before that if its output is a file.
+    """
     limits = resource.getrlimit(resource.RLIMIT_FSIZE)
     resource.setrlimit(resource.RLIMIT_FSIZE, (100, limits[1]))
-    yield
-    resource.setrlimit(resource.RLIMIT_FSIZE, limits)
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_FSIZE, limits)
 
 
 def test_lines_are_dropped_until_the_file_can_be_written(tmp_path: Path) -> None:
@@ -38,15 +44,14 @@
     assert not LineFile(path).write(b"1\n")
 
 
-def test_line_that_does_not_fit_leaves_no_half(
-    tmp_path: Path, limit_file_size: None
-) -> None:
+def test_line_that_does_not_fit_leaves_no_half(tmp_path: Path) -> None:
     """Guards against a file that cannot be read after the disk was full."""
     path = tmp_path / "lines"
     file = LineFile(path)
-    assert file.write(b"x" * 79 + b"\n")
-    assert not file.write(b"y" * 79 + b"\n")
-    assert file.write(b"z\n")
+    with full_disk():
+        assert file.write(b"x" * 79 + b"\n")
+        assert not file.write(b"y" * 79 + b"\n")
+        assert file.write(b"z\n")
     assert path.read_bytes() == b"x" * 79 + b"\nz\n"
 
 
