Found no group smaller than required before six seconds have passed

What operators see: none reported. Where control hosts start some seconds after the seeds, the group was founded after 2 s without them, with fewer members than the tolerated losses of disks require. Losses before the others had joined could leave a group without a majority, and so a system without one for good.

Cause: all seeds were taken as reason enough for a smaller group once 2 s had passed. Now only a missing seed is: a smaller group is founded after 6 s, until when it would acknowledge nothing anyway. A system with one seed still founds after 2 s.

tests/fleet/test_founding.py: two hosts that start 3 s later were no first members before (3 members in place of 5).

--- a/packages/fleet/src/kingcuplug_fleet/_founding.py
+++ b/packages/fleet/src/kingcuplug_fleet/_founding.py
@@ -51,7 +51,7 @@
 
 _CALL_TIMEOUT_S = 0.5
 # All hosts of a system are started within some tenths of a second. A group without one
-# of the seeds, or smaller than required, is founded only later.
+# of the seeds is founded only later, and a smaller one than required later still.
 _START_SKEW_S = 2.0
 _FORMATION_TIMEOUT_S = 6.0
 # Each seed waits so much longer than the one before it, before it proposes.
@@ -323,11 +323,11 @@
         waited_s = self._clock() - self._started_at
         has_all_seeds = len(promises) == self._electorate(replies)
         has_all_members = len(self._new_members(replies)) >= self._required_members
-        return (
-            (has_all_seeds and has_all_members)
-            or (waited_s >= _START_SKEW_S and (has_all_seeds or has_all_members))
-            or waited_s >= _FORMATION_TIMEOUT_S
-        )
+        if has_all_members and (has_all_seeds or waited_s >= _START_SKEW_S):
+            return True
+        # A system with a single seed asks for no further control hosts.
+        has_one_seed = len(self._record.seeds) == 1
+        return waited_s >= (_START_SKEW_S if has_one_seed else _FORMATION_TIMEOUT_S)
 
     def _new_members(self, replies: list[_Reply]) -> list[Member]:
         """Return the seeds that have promised, and applicants up to the size needed."""
--- a/tests/fleet/test_founding.py
+++ b/tests/fleet/test_founding.py
@@ -135,6 +135,23 @@
     run_virtual(main())
 
 
+def test_group_is_not_founded_too_small_while_hosts_still_start(make_control_group):
+    """Guards against a group that two lost disks end before the others have joined."""
+
+    async def main() -> None:
+        group = make_control_group(2)
+        group.begin("a", "b", "c")
+        await asyncio.sleep(3.0)
+        for name in "de":
+            group.start(name, first_start=True)
+        await group.wait_until(lambda: group.voter_count() == 5)
+        replica = group.hosts["a"].replica._replica
+        assert len(replica.first_members()) == 5
+        await group.stop()
+
+    run_virtual(main())
+
+
 @pytest.mark.parametrize("disks", [{"a"}, {"b"}, {"a", "b"}, {"b", "c"}])
 def test_group_forms_where_some_seeds_have_no_disk(make_control_group, disks):
     """Guards against a system that waits for seeds that never take part."""
