Go on with the founding after an unexpected error

Cause: the task that founds the group bore StorageFailed alone. Any other error ended it silently, and nothing started it again.

The error is logged as founding_failed and the step tried again after a pause.

--- a/packages/fleet/src/kingcuplug_fleet/_control_replica.py
+++ b/packages/fleet/src/kingcuplug_fleet/_control_replica.py
@@ -422,28 +422,39 @@
 
         A leader's first act is to append an entry.
         """
-        founding, group = self._founding, None
         logged_at = self._clock()
-        try:
-            while replica.cluster is None:
-                if self._clock() - logged_at > _NO_GROUP_LOG_INTERVAL_S:
-                    logged_at = self._clock()
-                    self._log_no_group()
-                group = await founding.propose() if founding is not None else None
-                if group is None:
-                    await asyncio.wait([self._chosen_group], timeout=self._pause_s())
-                if group is None and self._chosen_group.done():
-                    group = self._chosen_group.result()
-                if group is not None:
-                    await self._begin_group(replica, member, group)
-                    break
-            while replica.status().last_index == 1 and (
-                group := _joined_group(replica)
-            ):
-                await self._announce(group)
+        while not replica.status().storage_failed:
+            waited_s = self._clock() - logged_at
+            if replica.cluster is None and waited_s > _NO_GROUP_LOG_INTERVAL_S:
+                logged_at = self._clock()
+                self._log_no_group()
+            try:
+                if await self._try_to_found_group(replica, member):
+                    return
+            except StorageFailed:
+                return
+            except Exception as error:
+                # Without this task the system would never have a group.
+                self._log.write("founding_failed", {"error": repr(error)})
                 await asyncio.sleep(self._pause_s())
-        except StorageFailed:
-            return
+
+    async def _try_to_found_group(self, replica: Replica, member: Member) -> bool:
+        """Take one step of the founding; return whether nothing is left to do."""
+        founding, group = self._founding, None
+        if replica.cluster is None:
+            if founding is not None:
+                group = await founding.propose()
+            if group is None:
+                await asyncio.wait([self._chosen_group], timeout=self._pause_s())
+                if not self._chosen_group.done():
+                    return False
+                group = self._chosen_group.result()
+            await self._begin_group(replica, member, group)
+        if replica.status().last_index != 1 or not (joined := _joined_group(replica)):
+            return True
+        await self._announce(joined)
+        await asyncio.sleep(self._pause_s())
+        return False
 
     def _log_no_group(self) -> None:
         """Log for whom this host waits that has joined no group for long."""
--- a/tests/fleet/test_founding.py
+++ b/tests/fleet/test_founding.py
@@ -7,6 +7,7 @@
 from kingcuplug_fleet import PeerFailed
 from kingcuplug_fleet._founding import (
     Ballot,
+    Founding,
     FoundingRecord,
     InitialGroup,
     Promise,
@@ -152,6 +153,26 @@
     run_virtual(main())
 
 
+def test_founding_goes_on_after_an_unexpected_error(make_control_group, monkeypatch):
+    """Guards against a system without a group because of one error at each seed."""
+    propose, failed = Founding.propose, set()
+
+    async def fail_once(founding: Founding) -> InitialGroup | None:
+        if founding not in failed:
+            failed.add(founding)
+            raise ValueError("unexpected")
+        return await propose(founding)
+
+    async def main() -> None:
+        monkeypatch.setattr(Founding, "propose", fail_once)
+        group = make_control_group()
+        await group.form("a", "b", "c")
+        assert len(failed) == 3
+        await group.stop()
+
+    run_virtual(main())
+
+
 @pytest.mark.parametrize("disks", [{"a"}, {"b"}, {"a", "b"}, {"b", "c"}])
 def test_group_forms_where_some_seeds_have_no_disk(make_control_group, disks):
     """Guards against a system that waits for seeds that never take part."""
