Give each host process of the tests a loopback address of its own

A host process of another test run, beside it, had this address: the port of the metrics is fixed, and all runs used 127.0.0.1. The assertion is the same.

--- a/tests/platform_formats/conftest.py
+++ b/tests/platform_formats/conftest.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
+from random import randint
 from typing import IO, Any
 
 import orjson
@@ -73,6 +74,10 @@
         return self.process.wait(_TIMEOUT_S)
 
 
+def _make_loopback_address() -> str:
+    return f"127.{randint(1, 254)}.{randint(1, 254)}.{randint(1, 254)}"
+
+
 def _read_lines(run: HostRun, output: IO[bytes]) -> None:
     for line in output:
         run.lines.append(orjson.loads(line))
@@ -86,7 +91,8 @@
         front, ready, control = find_free_ports(3)
         settings = {
             "node_name": "host",
-            "ip": "127.0.0.1",
+            # The port of the metrics is fixed: hosts of other runs have it, too.
+            "ip": _make_loopback_address(),
             "zone": "z",
             "listen": {
                 "front": f"127.0.0.1:{front}",
