Handle signals by a pipe that may be full

Cause of the first: asyncio has the interpreter warn when the pipe to the loop is full. The warning takes a lock inside the signal handler, and a second signal that interrupts it waits for the same lock. The process stood in futex_wait with SIGHUP, SIGINT and SIGTERM blocked, all in nested handlers. A full pipe would also have lost SIGTERM. Cause of the second: the handlers were removed when the loop closed, with the signals unblocked.

handle_signals keeps what arrived beside the pipe, asks for no warning, and restores the mask of the process, in which they are blocked, before the handlers. kingcuplugd had the first fault, too, and uses the same function.

--- a/packages/common/src/kingcuplug_common/__init__.py
+++ b/packages/common/src/kingcuplug_common/__init__.py
@@ -30,6 +30,7 @@
 )
 from kingcuplug_common._lazy_import import import_on_first_use
 from kingcuplug_common._metrics import Metrics, log_state_change, set_state_change_sink
+from kingcuplug_common._signals import handle_signals
 from kingcuplug_common._threads import run_to_completion
 
 if TYPE_CHECKING:
@@ -94,6 +95,7 @@
     "canonical",
     "digest",
     "estimate_decoded_bytes",
+    "handle_signals",
     "import_on_first_use",
     "key_id",
     "load_settings",
--- a/packages/daemon/src/kingcuplug_daemon/_main.py
+++ b/packages/daemon/src/kingcuplug_daemon/_main.py
@@ -15,6 +15,7 @@
     SettingsInvalid,
     SettingsUnreadable,
     StandardErrorHandler,
+    handle_signals,
     load_settings,
     log_state_change,
     open_standard_descriptors,
@@ -23,7 +24,6 @@
 
 from kingcuplug_daemon._host import Host
 from kingcuplug_daemon._precondition import PreconditionUnmet
-from kingcuplug_daemon._start import HANDLED_SIGNALS
 
 __all__ = ["run_program", "serve"]
 
@@ -78,7 +78,6 @@
     make_host : callable
         Returns a new host; called again while a precondition of the start is unmet.
     """
-    loop = asyncio.get_running_loop()
     stop_requested = asyncio.Event()
     host: Host | None = None
 
@@ -97,21 +96,18 @@
             raise
         return host
 
-    loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
-    loop.add_signal_handler(signal.SIGINT, stop_requested.set)
-    loop.add_signal_handler(signal.SIGHUP, reload)
-    # The loop removes the handlers when it closes, so the mask of the caller is
-    # restored before that.
-    former_mask = signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
-    try:
+    handlers: dict[signal.Signals, Callable[[], None]] = {
+        signal.SIGTERM: stop_requested.set,
+        signal.SIGINT: stop_requested.set,
+        signal.SIGHUP: reload,
+    }
+    with handle_signals(handlers):
         running_host = await _retry_start(start_host, stop_requested)
         if running_host is not None:
             await _wait_for_first(
                 stop_requested.wait(), running_host.wait_drain_requested()
             )
             await running_host.stop()
-    finally:
-        signal.pthread_sigmask(signal.SIG_SETMASK, former_mask)
 
 
 async def _retry_start(
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -16,6 +16,7 @@
     KingcuplugError,
     Metrics,
     estimate_decoded_bytes,
+    handle_signals,
     make_latest_wall_clock,
     render_metrics,
     require_string,
@@ -374,7 +375,17 @@
         control_handler : callable
             Handles calls of backend servers and operators.
         """
-        self._install_handlers()
+        handlers: dict[signal.Signals, Callable[[], None]] = {
+            signal.SIGTERM: self._stop_requested.set,
+            signal.SIGINT: self._stop_requested.set,
+            signal.SIGHUP: self._reload_settings,
+        }
+        # Those that arrived during the start are pending.
+        with handle_signals(handlers):
+            await self._run(control_handler)
+
+    async def _run(self, control_handler: ControlHandler) -> None:
+        self._observe_errors()
         self._log.write("started", {"zone": self._settings.availability_zone}, True)
         endpoints = self._make_endpoints(control_handler)
         # Other hosts learn of this one only once it listens, if its addresses are free.
@@ -532,17 +543,8 @@
             await asyncio.sleep(delay_s)
             delay_s = min(2 * delay_s, _MAX_TASK_RESTART_S)
 
-    def _install_handlers(self) -> None:
+    def _observe_errors(self) -> None:
         loop = asyncio.get_running_loop()
-        handlers: dict[signal.Signals, Callable[[], None]] = {
-            signal.SIGTERM: self._stop_requested.set,
-            signal.SIGINT: self._stop_requested.set,
-            signal.SIGHUP: self._reload_settings,
-        }
-        for number, handler in handlers.items():
-            loop.add_signal_handler(number, handler)
-        # Those that arrived during the start are pending.
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, handlers)
         loop.set_exception_handler(self._on_exception)
         set_state_change_sink(
             lambda subject, state, fields: self._log.write(
--- a/tests/node/test_signals.py
+++ b/tests/node/test_signals.py
@@ -25,9 +25,12 @@
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
         # To this thread: others, of earlier tests, have not blocked the signal.
         signal.raise_signal(signal.SIGHUP)
-        host._install_handlers()
-        await asyncio.sleep(0.05)
-        return host._settings.seeds
+        task = asyncio.ensure_future(host.run(None))
+        await asyncio.sleep(0.2)
+        seeds = host._settings.seeds
+        host._stop_requested.set()
+        await task
+        return seeds
 
     try:
         assert asyncio.run(run()) == new_seeds
--- a/tests/platform_formats/test_start.py
+++ b/tests/platform_formats/test_start.py
@@ -5,6 +5,7 @@
 import socket
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import orjson
@@ -176,3 +177,28 @@
     """Guards against a start that a customization of the machine's Python ends."""
     Path(tmp_path, "sitecustomize.py").write_text("import os\nos._exit(3)\n")
     start_host(first_module_folders=[tmp_path]).wait_for_ready()
+
+
+def test_second_stop_signals_do_not_change_the_exit_status(start_host):
+    """Guards against a planned stop that looks like an end by a signal."""
+    run = start_host()
+    run.wait_for_ready()
+    run.process.send_signal(signal.SIGTERM)
+    run.wait_for_event("stopping")
+    while run.process.poll() is None:
+        run.process.send_signal(signal.SIGTERM)
+        time.sleep(0.0005)
+    assert run.wait_for_exit() == 0
+
+
+def test_very_many_signals_do_not_hang_a_host(start_host):
+    """Guards against a deadlock of the interpreter's handlers, which SIGTERM can't end.
+
+    One that finds the pipe to the event loop full takes a lock to warn of it.
+    """
+    run = start_host()
+    run.wait_for_ready()
+    for _ in range(20_000):
+        run.process.send_signal(signal.SIGHUP)
+    run.process.send_signal(signal.SIGTERM)
+    assert run.wait_for_exit() == 0
