Draw the random delays of the control group's tests from a seed

A test of tests/fleet that failed once could not be played again: each replica drew its delays from a source without a seed. The cases and bounds are the same; all pass.

--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -123,6 +123,7 @@
         self.register = RouteRegister(lambda: None)
         self.task: asyncio.Task[None] | None = None
         self.clock_ahead_s = 0.0
+        self.starts = 0
 
     def clock(self) -> float:
         """Return monotonic seconds."""
@@ -171,6 +172,9 @@
             host.clock,
             lambda folder: host.disk.mount(),
         )
+        # A test that fails must fail again with its seed.
+        host.replica._random = Random(f"{name} {host.starts}")
+        host.starts += 1
         self._client.handlers[host.address] = partial(_answer, host.replica)
         host.task = asyncio.ensure_future(host.replica.run())
 
