Repeat an operator's command while a leader is elected

Cause: a host asks the control hosts twice, 0.15 s apart, and an election takes 300 to 600 ms; a group of two loses its leader's lease whenever one of them stalls for 300 ms.

The command repeats a call that was certainly not executed for up to 3 s. A call whose outcome is unknown, or that was refused, is not repeated.

--- a/packages/cli/src/kingcuplug_cli/_connection.py
+++ b/packages/cli/src/kingcuplug_cli/_connection.py
@@ -1,13 +1,16 @@
 """Connection options and the HTTP client of the operators' interface."""
 
+import asyncio
 import os
 import ssl
+import time
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
 
 import aiohttp
 import orjson
+from kingcuplug_common import KingcuplugError
 from pydantic import BaseModel, ConfigDict, ValidationError
 
 from kingcuplug_cli._results import (
@@ -24,6 +27,13 @@
 _CONNECT_TIMEOUT_S = 3.0
 # Errors of a host that is still starting or reaches no leader; it changed nothing.
 _NOT_EXECUTED_ERRORS = frozenset(("Starting", "NoLeader", "NotLeader"))
+# An election takes less than a second.
+_ELECTION_TIMEOUT_S = 3.0
+_ELECTION_PAUSE_S = 0.2
+
+
+class _NotExecuted(KingcuplugError):
+    """The host is starting, or knows no leader; nothing was changed."""
 
 
 class Connection(BaseModel):
@@ -110,9 +120,12 @@
     ) -> dict[str, Any]:
         """Post to an operators' endpoint and return its answer.
 
+        A call that was not executed for want of a leader is repeated while one may be
+        elected.
+
         Parameters
         ----------
-        changes : bool
+        mutating : bool
             Whether the call changes state; if its answer is lost, the outcome is
             unknown.
 
@@ -125,8 +138,20 @@
         OutcomeUnknown
             If the answer to a change was lost.
         """
+        deadline = time.monotonic() + _ELECTION_TIMEOUT_S
+        while True:
+            try:
+                return await self._call_once(path, fields or {}, mutating, timeout_s)
+            except _NotExecuted as error:
+                if time.monotonic() + _ELECTION_PAUSE_S > deadline:
+                    raise Unreachable(error.message, error.remedy) from error
+            await asyncio.sleep(_ELECTION_PAUSE_S)
+
+    async def _call_once(
+        self, path: str, fields: dict[str, Any], mutating: bool, timeout_s: float
+    ) -> dict[str, Any]:
         try:
-            status, body = await self._post(path, fields or {}, timeout_s)
+            status, body = await self._post(path, fields, timeout_s)
         except aiohttp.ClientConnectorError as error:
             raise Unreachable(
                 f"cannot connect to host {self.host}: {error}",
@@ -179,7 +204,7 @@
         if kind == "OutcomeUnknown":
             raise self._lost_answer_error(message, mutating)
         if kind in _NOT_EXECUTED_ERRORS:
-            raise Unreachable(message, remedy)
+            raise _NotExecuted(message, remedy)
         raise CommandRefused(message, remedy, kind, answer)
 
     def _lost_answer_error(
