Stop accepting connections while no descriptor is free

Callers saw connections cut off at a planned stop in a burst: the stop ended with an error, without the drain. Listener.stop_accepting duplicated the listening socket, which needs a free descriptor, and raised OSError (EMFILE) before the server was closed. The socket is now used under its own number.

Evidence: the test raises OSError 24 without the fix and passes with it.

--- a/packages/http/src/kingcuplug_http/_inbound.py
+++ b/packages/http/src/kingcuplug_http/_inbound.py
@@ -6,7 +6,7 @@
 import random
 import socket
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
 from typing import Any
 
@@ -140,8 +140,8 @@
             backlog=_ACCEPTED_AT_ONCE,
         )
         for listening in self._server.sockets:
-            with listening.dup() as duplicate:
-                duplicate.listen(_ACCEPT_BACKLOG)
+            with _share(listening) as shared:
+                shared.listen(_ACCEPT_BACKLOG)
         return f"{host}:{self._server.sockets[0].getsockname()[1]}"
 
     @property
@@ -158,8 +158,8 @@
         if self._server is None or not self._server.is_serving():
             return
         for listening in self._server.sockets:
-            with listening.dup() as duplicate:
-                self._accept_established(duplicate)
+            with _share(listening) as shared:
+                self._accept_established(shared)
         self._server.close()
 
     def close_idle(self, min_idle_s: float = 0.0) -> None:
@@ -246,6 +246,20 @@
             connection.abort()
 
 
+@contextlib.contextmanager
+def _share(listening: socket.socket) -> Iterator[socket.socket]:
+    """Give access to a socket of a server without another descriptor.
+
+    None may be free.
+    """
+    shared = socket.socket(fileno=listening.fileno())
+    try:
+        shared.setblocking(False)
+        yield shared
+    finally:
+        shared.detach()
+
+
 class InboundConnection(asyncio.Protocol):
     """Server side of an HTTP/1.1 connection; serves pipelined requests in order.
 
--- a/tests/http/test_planned_stop.py
+++ b/tests/http/test_planned_stop.py
@@ -1,7 +1,11 @@
 """Planned stops of a listener: requests of connections that are just established."""
 
 import asyncio
+import contextlib
+import os
+import resource
 import socket
+from collections.abc import Iterator
 
 from kingcuplug_http import Limits, Listener, Request, Response
 
@@ -15,6 +19,23 @@
     return socket.create_connection((host, int(port)), timeout=5)
 
 
+@contextlib.contextmanager
+def _without_free_descriptors() -> Iterator[None]:
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    highest = os.open(os.devnull, os.O_RDONLY)
+    opened = [highest]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (highest + 8, hard))
+    try:
+        with contextlib.suppress(OSError):
+            while True:
+                opened.append(os.open(os.devnull, os.O_RDONLY))
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        for descriptor in opened:
+            os.close(descriptor)
+
+
 async def _read_response(client: socket.socket) -> bytes:
     client.setblocking(False)
     loop = asyncio.get_running_loop()
@@ -82,3 +103,16 @@
         return remaining
 
     assert asyncio.run(run()) == 0
+
+
+def test_listener_stops_accepting_while_no_descriptor_is_free():
+    """Guards against a planned stop that ends with an error in a burst of callers."""
+
+    async def run() -> bool:
+        listener = Listener(_echo, Limits)
+        await listener.start("127.0.0.1:0")
+        with _without_free_descriptors():
+            listener.stop_accepting()
+        return listener.is_listening
+
+    assert not asyncio.run(run())
