Free the address of a listener whose start fails

A host whose listener failed between bind and listen waited for ever: callers were refused, and its log said that the address was in use. Listener.start kept the server when a step after create_server failed, so that each retry found the address in use by the host itself. The server is now closed then.

Evidence: in the test the listener still listens after the error without the fix, and starts at the same address with it.

--- a/packages/http/src/kingcuplug_http/_inbound.py
+++ b/packages/http/src/kingcuplug_http/_inbound.py
@@ -130,19 +130,32 @@
         self._accept_tasks: set[asyncio.Task[Any]] = set()
 
     async def start(self, address: str) -> str:
-        """Listen on ``ip:port`` and return the address with the port in use."""
+        """Listen on ``ip:port`` and return the address with the port in use.
+
+        Raises
+        ------
+        OSError
+            If the address cannot be used; nothing listens there then.
+        """
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
+        server = await loop.create_server(
             lambda: InboundConnection(self, loop),
             host,
             int(port),
             backlog=_ACCEPTED_AT_ONCE,
         )
-        for listening in self._server.sockets:
-            with _share(listening) as shared:
-                shared.listen(_ACCEPT_BACKLOG)
-        return f"{host}:{self._server.sockets[0].getsockname()[1]}"
+        try:
+            for listening in server.sockets:
+                with _share(listening) as shared:
+                    shared.listen(_ACCEPT_BACKLOG)
+            used_port = server.sockets[0].getsockname()[1]
+        except BaseException:
+            # It would keep the address from the next attempt.
+            server.close()
+            raise
+        self._server = server
+        return f"{host}:{used_port}"
 
     @property
     def is_listening(self) -> bool:
--- a/tests/http/test_planned_stop.py
+++ b/tests/http/test_planned_stop.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import contextlib
+import errno
 import os
 import resource
 import socket
 from collections.abc import Iterator
 
+import pytest
 from kingcuplug_http import Limits, Listener, Request, Response
 
 
@@ -116,3 +118,28 @@
         return listener.is_listening
 
     assert not asyncio.run(run())
+
+
+def test_address_is_free_after_a_start_that_failed(monkeypatch):
+    """Guards against a listener that finds its address in use by itself, for ever."""
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        address = f"127.0.0.1:{free.getsockname()[1]}"
+    listen, backlogs = socket.socket.listen, []
+
+    def fail_once(self: socket.socket, backlog: int) -> None:
+        backlogs.append(backlog)
+        if len(backlogs) == 2:  # The first one is of the event loop.
+            raise OSError(errno.ENOBUFS, "no buffer space")
+        listen(self, backlog)
+
+    async def run() -> str:
+        listener = Listener(_echo, Limits)
+        with pytest.raises(OSError, match="no buffer space"):
+            await listener.start(address)
+        assert not listener.is_listening
+        used = await listener.start(address)
+        await listener.stop()
+        return used
+
+    monkeypatch.setattr(socket.socket, "listen", fail_once)
+    assert asyncio.run(run()) == address
