--- a/packages/http/src/kingcuplug_http/_inbound.py
+++ b/packages/http/src/kingcuplug_http/_inbound.py
@@ -6,7 +6,7 @@
 import random
 import socket
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
 from typing import Any
 
@@ -130,19 +130,32 @@
         self._accept_tasks: set[asyncio.Task[Any]] = set()
 
     async def start(self, address: str) -> str:
-        """Listen on ``ip:port`` and return the address with the port in use."""
+        """Listen on ``ip:port`` and return the address with the port in use.
+
+        Raises
+        ------
+        OSError
+            If the address cannot be used; nothing listens there then.
+        """
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
+        server = await loop.create_server(
             lambda: InboundConnection(self, loop),
             host,
             int(port),
             backlog=_ACCEPTED_AT_ONCE,
         )
-        for listening in self._server.sockets:
-            with listening.dup() as duplicate:
-                duplicate.listen(_ACCEPT_BACKLOG)
-        return f"{host}:{self._server.sockets[0].getsockname()[1]}"
+        try:
+            for listening in server.sockets:
+                with _share(listening) as shared:
+                    shared.listen(_ACCEPT_BACKLOG)
+            used_port = server.sockets[0].getsockname()[1]
+        except BaseException:
+            # It would keep the address from the next attempt.
+            server.close()
+            raise
+        self._server = server
+        return f"{host}:{used_port}"
 
     @property
     def is_listening(self) -> bool:
@@ -158,8 +171,8 @@
         if self._server is None or not self._server.is_serving():
             return
         for listening in self._server.sockets:
-            with listening.dup() as duplicate:
-                self._accept_established(duplicate)
+            with _share(listening) as shared:
+                self._accept_established(shared)
         self._server.close()
 
     def close_idle(self, min_idle_s: float = 0.0) -> None:
@@ -246,6 +259,20 @@
             connection.abort()
 
 
+@contextlib.contextmanager
+def _share(listening: socket.socket) -> Iterator[socket.socket]:
+    """Give access to a socket of a server without another descriptor.
+
+    None may be free.
+    """
+    shared = socket.socket(fileno=listening.fileno())
+    try:
+        shared.setblocking(False)
+        yield shared
+    finally:
+        shared.detach()
+
+
 class InboundConnection(asyncio.Protocol):
     """Server side of an HTTP/1.1 connection; serves pipelined requests in order.
 
--- a/tests/http/test_planned_stop.py
+++ b/tests/http/test_planned_stop.py
@@ -1,8 +1,14 @@
 """Planned stops of a listener: requests of connections that are just established."""
 
 import asyncio
+import contextlib
+import errno
+import os
+import resource
 import socket
+from collections.abc import Iterator
 
+import pytest
 from kingcuplug_http import Limits, Listener, Request, Response
 
 
@@ -15,6 +21,23 @@
     return socket.create_connection((host, int(port)), timeout=5)
 
 
+@contextlib.contextmanager
+def _without_free_descriptors() -> Iterator[None]:
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    highest = os.open(os.devnull, os.O_RDONLY)
+    opened = [highest]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (highest + 8, hard))
+    try:
+        with contextlib.suppress(OSError):
+            while True:
+                opened.append(os.open(os.devnull, os.O_RDONLY))
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        for descriptor in opened:
+            os.close(descriptor)
+
+
 async def _read_response(client: socket.socket) -> bytes:
     client.setblocking(False)
     loop = asyncio.get_running_loop()
@@ -82,3 +105,41 @@
         return remaining
 
     assert asyncio.run(run()) == 0
+
+
+def test_listener_stops_accepting_while_no_descriptor_is_free():
+    """Guards against a planned stop that ends with an error in a burst of callers."""
+
+    async def run() -> bool:
+        listener = Listener(_echo, Limits)
+        await listener.start("127.0.0.1:0")
+        with _without_free_descriptors():
+            listener.stop_accepting()
+        return listener.is_listening
+
+    assert not asyncio.run(run())
+
+
+def test_address_is_free_after_a_start_that_failed(monkeypatch):
+    """Guards against a listener that finds its address in use by itself, for ever."""
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        address = f"127.0.0.1:{free.getsockname()[1]}"
+    listen, backlogs = socket.socket.listen, []
+
+    def fail_once(self: socket.socket, backlog: int) -> None:
+        backlogs.append(backlog)
+        if len(backlogs) == 2:  # The first one is of the event loop.
+            raise OSError(errno.ENOBUFS, "no buffer space")
+        listen(self, backlog)
+
+    async def run() -> str:
+        listener = Listener(_echo, Limits)
+        with pytest.raises(OSError, match="no buffer space"):
+            await listener.start(address)
+        assert not listener.is_listening
+        used = await listener.start(address)
+        await listener.stop()
+        return used
+
+    monkeypatch.setattr(socket.socket, "listen", fail_once)
+    assert asyncio.run(run()) == address
