Apply suspects before routes and servers

Cause: the first poll reply brings suspects, routes and servers together, but suspects were applied with the reports only, every 0.3 s, and routes and servers at once.

_apply_changes applies suspects first, and wakes when they change. Nothing is awaited between, so that no request is handled by routes without the quarantine. A later quarantine takes effect at once, too.

--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -828,8 +828,13 @@
         return gauges
 
     async def _apply_changes(self) -> None:
-        """Apply changes of routes, servers and hosts to the gateway."""
-        fleet_view = self._fleet_view
+        """Apply changes of suspects, routes, servers and hosts to the gateway.
+
+        Suspects come first, and all without a pause: a host that can send requests
+        must refuse those in quarantine.
+        """
+        fleet_view, quarantine = self._fleet_view, self._gateway.quarantine
+        loop = asyncio.get_running_loop()
         applied_state: tuple[object, ...] = ()
 
         def has_changed() -> bool:
@@ -844,11 +849,13 @@
                 fleet_view.host_count,
                 fleet_view.request_count,
                 fleet_view.reachable_control_hosts,
+                fleet_view.suspects,
             )
 
         while True:
             await fleet_view.changed.wait_for(has_changed)
             applied_state = current_state()
+            quarantine.apply(fleet_view.suspects, loop.time())
             self._apply_routes()
             self._apply_servers()
 
