Send suspects to new hosts while there is no leader

Cause: such a control host replies with slow servers in place of its state, and the suspects are part of the state.

A host takes it only if it knows no suspects, since a control host without a leader may hold old ones.

tests/node/test_suspects.py: test_host_learns_the_quarantine_from_a_control_host_that_has_ just_started failed before (quarantined for 0.0 s), and passes after.

--- a/packages/fleet/src/kingcuplug_fleet/_polling.py
+++ b/packages/fleet/src/kingcuplug_fleet/_polling.py
@@ -114,6 +114,8 @@
         reply["control_hosts"] = list(view.control_hosts)
     if not connected() and (view.host_count == 0 or value.get("hosts", 1) > 0):
         reply["slow"] = view.slow_servers
+        if view.suspects:
+            reply["suspects"] = SharedFields(suspects=view.suspects).to_json()
     elif view.state_digest() != value["state_key"]:
         reply["state"] = view.state()
         reply["state_key"] = view.state_digest()
@@ -386,6 +388,9 @@
             self._state_digest = reply["state_key"]
         elif "slow" in reply:
             self._apply_slow_servers(reply["slow"])
+            known = SharedFields.from_json(reply.get("suspects", []))
+            # One that has no leader may hold old suspects: better than none.
+            view.set_suspects(view.suspects or known.suspects)
 
     def _apply_slow_servers(self, slow: Any) -> None:
         """Apply the slow servers sent by a control host that has no leader."""
--- a/tests/node/test_suspects.py
+++ b/tests/node/test_suspects.py
@@ -21,13 +21,13 @@
     return Host(settings, HEADER_NAMES, lambda text: ROUTE_TABLE, lambda: settings, log)
 
 
-def _connect(host: Host, view: FleetView) -> None:
+def _connect(host: Host, view: FleetView, connected: bool = True) -> None:
     """Have a host's polls answered from the view of a control host."""
 
     async def call(address: str, path: str, value: Any, timeout_s: float) -> Any:
         if "learn" not in path:
             raise PeerFailed("not played", "try another host")
-        return await answer_poll(view, lambda: True, address, value)
+        return await answer_poll(view, lambda: connected, address, value)
 
     host._peer_client.call = call
 
@@ -73,3 +73,16 @@
         )
 
     assert run_virtual(run()) > 0
+
+
+def test_host_learns_the_quarantine_from_a_control_host_that_has_just_started():
+    """Guards against routes without suspects from one that has no leader yet."""
+
+    async def run() -> float:
+        host, view = _make_host(), FleetView(5.0)
+        view.update_routes(1, "{}")
+        view.set_suspects({"bad": _QUARANTINED})
+        _connect(host, view, connected=False)
+        return await _quarantined_s_when_ready(host)
+
+    assert run_virtual(run()) > 0
