Reject members with fields of another type

Callers saw: a join request whose member had, for example, a number or a list as its address, name or id ended the membership task of the leader, so the group lost its leader; hosts without a leader kept such a request as an applicant.

Cause: Member.from_json checked only the role. The value reached the group's members, the lookup of replaced disks and the client for other hosts.

Evidence: before the fix 21 of the 32 rows of test_join_of_a_malformed_member_does_not_end_the_leader fail (no leader half a second after the request; once "unhashable type: 'dict'"), and the generated members are accepted with any type. With it all pass.

The decoder requires strings, so the request is answered with 400 and nothing is kept.

--- a/packages/log/src/kingcuplug_log/_types.py
+++ b/packages/log/src/kingcuplug_log/_types.py
@@ -6,6 +6,7 @@
 from typing import Any, Protocol
 
 import orjson
+from kingcuplug_common import require_string
 
 __all__ = [
     "Clock",
@@ -93,9 +94,19 @@
 
     @classmethod
     def from_json(cls, value: dict[str, Any]) -> "Member":
-        """Return the member described by a JSON object."""
-        role = MemberRole(value["role"])
-        return cls(value["id"], value["name"], value["address"], role)
+        """Return the member described by a JSON object.
+
+        Raises
+        ------
+        LookupError, TypeError, ValueError
+            If the object does not describe a member.
+        """
+        return cls(
+            require_string(value["id"]),
+            require_string(value["name"]),
+            require_string(value["address"]),
+            MemberRole(require_string(value["role"])),
+        )
 
 
 def member_id(host: str, disk_id: str) -> str:
