Load the saved state of a host in worker threads

A host whose disk stalled at its start answered nobody: neither callers nor probes nor other hosts. DirectoryFile.load and RoutesFile.load read the disk in the event loop. They now read in a worker thread; what was read is merged in the loop. Tasks that write to the folder still begin after both. Other hosts are told the saved drains first, unless the disk takes longer than a quarter of a second.

The tests of the files await load, which was a plain call; they check the same.

--- a/packages/fleet/src/kingcuplug_fleet/_directory_file.py
+++ b/packages/fleet/src/kingcuplug_fleet/_directory_file.py
@@ -32,6 +32,10 @@
 _WRITE_INTERVAL_S = 0.5
 _RETRY_DELAY_S = 5.0
 
+# Servers, number of hosts, availability zones of the control hosts, and those of the
+# control hosts that are reachable.
+_Saved = tuple[list[ServerRecord], int, dict[str, str], tuple[str, ...]]
+
 
 class DirectoryFile:
     """Saves the directory to a file on changes, and loads it at startup."""
@@ -44,34 +48,32 @@
         self._saved_version = 0
         self._saved = Condition()
 
-    def load(self) -> None:
+    async def load(self) -> None:
         """Load the state from the file; ignore a missing or unreadable file.
 
         What control hosts have said since the start is newer than the file's facts
         about the fleet. Records of servers are merged by their rank.
+
+        Raises
+        ------
+        OSError
+            If no worker thread can be started.
         """
-        try:
-            value = require_mapping(orjson.loads(self._path.read_bytes()))
-            records = [ServerRecord.from_json(entry) for entry in value["servers"]]
-            hosts = require_integer(value["hosts"])
-            zones = {
-                address: require_string(zone)
-                for address, zone in require_mapping(value.get("zones", {})).items()
-            }
-            reachable = require_strings(value.get("reachable", []))
-        except FileNotFoundError:
+        saved = await run_to_completion(_read, self._path)
+        if saved is None:
             return
-        except (OSError, ValueError, TypeError, LookupError) as error:
+        if isinstance(saved, Exception):
             # A power loss may corrupt the file. The next heartbeats of the servers
             # restore the directory.
-            self._log.write("directory_file_unreadable", {"error": repr(error)})
+            self._log.write("directory_file_unreadable", {"error": repr(saved)})
             return
+        records, hosts, zones, reachable = saved
         self._view.merge_servers(records)
         if not self._view.control_hosts:
             self._view.assume_host_count(hosts)
             self._view.zones.update(zones)
             self._view.set_control_hosts(list(zones))
-            self._view.set_reachable_control_hosts(tuple(reachable))
+            self._view.set_reachable_control_hosts(reachable)
             self._saved_state = self._state()
             self._saved_version = self._view.directory.version
         self._log.write(
@@ -127,3 +129,22 @@
                 "reachable": list(view.reachable_control_hosts),
             }
         )
+
+
+def _read(path: Path) -> _Saved | Exception | None:
+    """Return the state in a file, or why there is none."""
+    try:
+        value = require_mapping(orjson.loads(path.read_bytes()))
+        return (
+            [ServerRecord.from_json(entry) for entry in value["servers"]],
+            require_integer(value["hosts"]),
+            {
+                address: require_string(zone)
+                for address, zone in require_mapping(value.get("zones", {})).items()
+            },
+            tuple(require_strings(value.get("reachable", []))),
+        )
+    except FileNotFoundError:
+        return None
+    except (OSError, ValueError, TypeError, LookupError) as error:
+        return error
--- a/packages/fleet/src/kingcuplug_fleet/_routes_file.py
+++ b/packages/fleet/src/kingcuplug_fleet/_routes_file.py
@@ -38,21 +38,23 @@
         self._changed = Condition()
         self._written_version = 0
 
-    def load(self) -> tuple[int, str] | None:
-        """Return the saved version and document, ``None`` without a readable file."""
-        try:
-            value = require_mapping(orjson.loads(self._path.read_bytes()))
-            version = require_integer(value["version"])
-            document = require_string(value["document"])
-        except FileNotFoundError:
-            return None
-        except (OSError, ValueError, TypeError, LookupError) as error:
+    async def load(self) -> tuple[int, str] | None:
+        """Return the saved version and document, ``None`` without a readable file.
+
+        Raises
+        ------
+        OSError
+            If no worker thread can be started.
+        """
+        saved = await run_to_completion(_read, self._path)
+        if isinstance(saved, Exception):
             # The routes are then taken from other control hosts or from the log.
-            self._log.write("routes_file_unreadable", {"error": repr(error)})
+            self._log.write("routes_file_unreadable", {"error": repr(saved)})
             return None
-        # The register replays older documents first; they must not replace this one.
-        self._written_version = version
-        return version, document
+        if saved is not None:
+            # The register replays older documents first; they must not replace it.
+            self._written_version = saved[0]
+        return saved
 
     def on_register_changed(self) -> None:
         """Schedule a write of the register's document."""
@@ -73,3 +75,14 @@
             except OSError as error:
                 self._log.write("routes_file_unwritten", {"error": repr(error)})
                 await asyncio.sleep(_RETRY_DELAY_S)
+
+
+def _read(path: Path) -> tuple[int, str] | Exception | None:
+    """Return the version and document in a file, or why there are none."""
+    try:
+        value = require_mapping(orjson.loads(path.read_bytes()))
+        return require_integer(value["version"]), require_string(value["document"])
+    except FileNotFoundError:
+        return None
+    except (OSError, ValueError, TypeError, LookupError) as error:
+        return error
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -133,6 +133,8 @@
 _MAX_TASK_RESTART_S = 5.0
 # A control host that answers within this time after the start knows newer routes than
 # the file of this host may hold.
+# A disk that takes longer to read the saved state does not keep the host from others.
+_DATA_WAIT_S = 0.25
 _SAVED_ROUTES_DELAY_S = 0.05
 # How long the acknowledgement of a leaving server waits for the disk of this host. The
 # server's client tries another host after one second.
@@ -193,7 +195,9 @@
         self._peer_client = PeerClient()
         self._stop_requested = asyncio.Event()
         self._stopping = False
+        self._data_guarded = asyncio.Event()
         self._data_opened = asyncio.Event()
+        self._saved_routes: tuple[int, str] | None = None
         self._random = random_module.Random()
         self._latest_time_s = make_latest_wall_clock(lambda: time.time())
         silent_after_s = (
@@ -394,8 +398,13 @@
         starts: list[BackgroundTask] = [
             partial(listen_when_free, endpoint, self._log) for endpoint in waiting
         ]
+        tasks = [asyncio.create_task(self._supervise(self._open_data))]
+        if self._data_guarded.is_set():
+            # Other hosts get to know the saved drains by the first messages.
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._data_opened.wait(), _DATA_WAIT_S)
         starts += self._background_tasks()
-        tasks = [asyncio.create_task(self._supervise(start)) for start in starts]
+        tasks += [asyncio.create_task(self._supervise(start)) for start in starts]
         await self._stop_requested.wait()
         await self._drain()
         for task in tasks:
@@ -434,20 +443,23 @@
                 "control",
                 control_listener,
                 settings.control_bind_address or settings.control_address,
-                self._open_data,
+                self._data_guarded.set,
             ),
             Endpoint("readiness", readiness_listener, settings.ready_address),
             Endpoint("metrics", metrics_listener, settings.metrics_address),
             Endpoint("callers", self._caller_listener, settings.caller_address),
         ]
 
-    def _open_data(self) -> None:
+    async def _open_data(self) -> None:
         """Begin to use the data folder, which the control address guards.
 
         A process that still listens there, or stops, may write to the folder.
         """
+        await self._data_guarded.wait()
         if self._directory_file is not None:
-            self._directory_file.load()
+            await self._directory_file.load()
+        if self._routes_file is not None:
+            self._saved_routes = await self._routes_file.load()
         self._data_opened.set()
 
     def _make_replica(self) -> "ControlReplica | None":
@@ -487,8 +499,7 @@
         if self._directory_file is not None:
             tasks.append(self._once_data_is_open(self._directory_file.run))
         if self._routes_file is not None:
-            use_saved_routes = partial(self._use_saved_routes, self._routes_file)
-            tasks.append(self._once_data_is_open(use_saved_routes))
+            tasks.append(self._once_data_is_open(self._use_saved_routes))
             tasks.append(self._once_data_is_open(self._routes_file.run))
         if self._replica is not None:
             tasks += [
@@ -577,13 +588,12 @@
             return error_response(503, "no contact with control", retry_after_s=1.0)
         return await self._gateway.handle(request)
 
-    async def _use_saved_routes(self, routes_file: RoutesFile) -> None:
+    async def _use_saved_routes(self) -> None:
         """Serve by the routes on the disk unless newer ones are known soon."""
-        saved = routes_file.load()
         await asyncio.sleep(_SAVED_ROUTES_DELAY_S)
-        if saved is None:
+        if self._saved_routes is None:
             return
-        version, document = saved
+        version, document = self._saved_routes
         is_newest = version > self._fleet_view.routes_version
         self._fleet_view.update_routes(version, document)
         self._log.write(
--- a/tests/fleet/test_directory_file.py
+++ b/tests/fleet/test_directory_file.py
@@ -20,7 +20,7 @@
 def _restart(folder, log) -> FleetView:
     async def run() -> FleetView:
         view = FleetView(5.0)
-        DirectoryFile(folder, view, log).load()
+        await DirectoryFile(folder, view, log).load()
         return view
 
     return asyncio.run(run())
--- a/tests/fleet/test_routes_file.py
+++ b/tests/fleet/test_routes_file.py
@@ -39,7 +39,8 @@
 async def _wait_for_version(folder, log, version: int) -> None:
     async with asyncio.timeout(5):
         while True:
-            saved = RoutesFile(folder, RouteRegister(lambda: None), log).load()
+            file = RoutesFile(folder, RouteRegister(lambda: None), log)
+            saved = await file.load()
             if saved is not None and saved[0] == version:
                 return
             await asyncio.sleep(0.005)
@@ -56,7 +57,7 @@
         task.cancel()
 
     asyncio.run(run())
-    assert _open_file(tmp_path, log)[0].load() == (3, "three")
+    assert asyncio.run(_open_file(tmp_path, log)[0].load()) == (3, "three")
 
 
 def test_replay_of_the_log_does_not_replace_a_newer_saved_document(tmp_path, log):
@@ -65,12 +66,12 @@
     async def run() -> None:
         (tmp_path / "routes.json").write_text('{"version": 9, "document": "nine"}')
         file, register = _open_file(tmp_path, log)
-        assert file.load() == (9, "nine")
+        assert await file.load() == (9, "nine")
         task = asyncio.ensure_future(file.run())
         for version in (1, 5, 9):
             register.apply(version, {"version": version, "document": str(version)})
             await asyncio.sleep(0.02)
-            assert _open_file(tmp_path, log)[0].load() == (9, "nine")
+            assert await _open_file(tmp_path, log)[0].load() == (9, "nine")
         register.apply(10, {"version": 10, "document": "ten"})
         await _wait_for_version(tmp_path, log, 10)
         task.cancel()
@@ -84,7 +85,7 @@
 def test_corrupt_routes_file_is_ignored(tmp_path, log, data):
     """Guards against a host that does not start after a power loss."""
     (tmp_path / "routes.json").write_bytes(data)
-    assert _open_file(tmp_path, log)[0].load() is None
+    assert asyncio.run(_open_file(tmp_path, log)[0].load()) is None
 
 
 def test_full_disk_does_not_end_the_task(tmp_path, log):
@@ -194,7 +195,7 @@
 
     async def restart() -> list[str]:
         view = FleetView(5.0)
-        DirectoryFile(tmp_path, view, log).load()
+        await DirectoryFile(tmp_path, view, log).load()
         return [record.id for record in view.directory.usable()]
 
     assert asyncio.run(restart()) == []
--- a/tests/node/test_stalled_disk.py
+++ b/tests/node/test_stalled_disk.py
@@ -1,4 +1,4 @@
-"""A host that is stopped while its disk stalls."""
+"""A host that starts or is stopped while its disk stalls."""
 
 import asyncio
 import os
@@ -81,3 +81,65 @@
         asyncio.run(run())
     finally:
         resumed.set()
+
+
+@pytest.mark.parametrize("name", ["servers.json", "routes.json"])
+def test_host_answers_while_a_saved_file_cannot_be_read(
+    tmp_path: Path, monkeypatch, name
+) -> None:
+    """Guards against callers and control that a stalled disk keeps waiting at a start.
+
+    Nothing may be written to the folder before its files are loaded.
+    """
+    resumed, stalled = threading.Event(), threading.Event()
+    read_bytes = Path.read_bytes
+    routes = b'{"version": 1, "document": "one"}'
+    (tmp_path / "routes.json").write_bytes(routes)
+
+    def stall(path: Path) -> bytes:
+        if path.name == name:
+            stalled.set()
+            resumed.wait(_WAIT_S)
+        return read_bytes(path)
+
+    async def run() -> None:
+        address, ready_address = _find_free_address(), _find_free_address()
+        settings = make_settings(
+            control_address=address,
+            ready_address=ready_address,
+            seeds=(address,),
+            first_start=True,
+            data_folder=tmp_path,
+            termination_grace_ms=600,
+        )
+        log = EventLog(os.open(os.devnull, os.O_WRONLY), "host")
+        host = Host(
+            settings, HEADER_NAMES, lambda _: ROUTE_TABLE, lambda: settings, log
+        )
+        monkeypatch.setattr(Path, "read_bytes", stall)
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        task = asyncio.ensure_future(host.run(None))
+        assert await asyncio.to_thread(stalled.wait, _WAIT_S)
+        assert loop.time() - started_at < _WAIT_S / 2
+        host._fleet_view.merge_servers([_RECORD])
+        probe_host, _, port = ready_address.rpartition(":")
+        async with asyncio.timeout(_WAIT_S / 4):
+            reader, writer = await asyncio.open_connection(probe_host, int(port))
+            writer.write(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert (await reader.read(1_000)).startswith(b"HTTP/1.1 503")
+            writer.close()
+        await asyncio.sleep(0.5)
+        assert await asyncio.to_thread(os.listdir, tmp_path) == ["routes.json"]
+        assert not resumed.is_set()
+        resumed.set()
+        async with asyncio.timeout(_WAIT_S):
+            while host._fleet_view.routes_version != 1:  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+        host._stop_requested.set()
+        await asyncio.wait_for(task, _WAIT_S)
+
+    try:
+        asyncio.run(run())
+    finally:
+        resumed.set()
