Hand suspects on to a coordinator that knows nothing

Cause: control hosts replaced the suspects that they knew by those of the next summary, which was empty. Only hosts kept quarantines, and no one kept the other suspects.

Control hosts keep what the last coordinator published for 3 s after another run of a coordinator has begun, and report what its summary lacks; afterwards a suspect that isn't published has ended (SuspectHandover, a decision without input and output). The summary names the run of the coordinator's process in an optional last field.

tests/fleet/test_mesh.py: test_suspects_outlive_a_coordinator_that_knows_nothing failed for both leaders before (view b had no suspects), and passes after. The tests of an answered suspect and of an earlier version's summary passed before, and still do.

--- a/packages/fleet/src/kingcuplug_fleet/_mesh.py
+++ b/packages/fleet/src/kingcuplug_fleet/_mesh.py
@@ -24,6 +24,7 @@
 from kingcuplug_fleet._mesh_messages import Heartbeats, PushMessage, Report, Summary
 from kingcuplug_fleet._peer_client import PeerClient, PeerFailed
 from kingcuplug_fleet._server_record import ServerRecord
+from kingcuplug_fleet._suspect_handover import SuspectHandover
 
 __all__ = ["PUSH_PATH", "REPORT_PATH", "Mesh"]
 
@@ -129,6 +130,7 @@
         self._peers: dict[str, _Peer] = {}
         self._heartbeats: Heartbeats = {}
         self._report = Report()
+        self._suspect_handover = SuspectHandover()
         self._last_coordinator = ""
         self._is_leader = False
 
@@ -214,7 +216,7 @@
             peer.last_push_at = now
             self._compare_digests(message.address, peer, message.digest)
         if message.summary is not None and self._coordinator() == message.address:
-            self._apply_summary(message.summary, now)
+            self._apply_summary(message.address, message.summary, now)
         return {"epoch": view.epoch, "digest": view.directory.digest}
 
     def _compare_digests(self, address: str, peer: _Peer, digest: int) -> None:
@@ -226,10 +228,14 @@
         if peer.needs_full_sync(now):
             self._view.changed.notify()
 
-    def _apply_summary(self, summary: Summary, now: float) -> None:
+    def _apply_summary(self, address: str, summary: Summary, now: float) -> None:
         view = self._view
         view.set_slow_servers(summary.slow)
-        view.set_suspects(summary.suspects)
+        suspects, to_report = self._suspect_handover.follow(
+            (address, summary.run), view.suspects, summary.suspects, now
+        )
+        view.set_suspects(suspects)
+        self._report.add(Report(suspects=dict(to_report)))
         if self._leader() is None:
             return
         view.set_silent_servers(set(summary.silent))
@@ -404,6 +410,7 @@
             {a: view.zones.get(a, "") for a in view.reachable_control_hosts},
             view.demand,
             view.suspects,
+            view.epoch,
         )
 
     def _message(
--- a/packages/fleet/src/kingcuplug_fleet/_mesh_messages.py
+++ b/packages/fleet/src/kingcuplug_fleet/_mesh_messages.py
@@ -41,11 +41,14 @@
         Requests under which servers crashed, by fingerprint.
     answered : list of str
         Fingerprints of the suspects that were answered since.
+    run : str
+        Identifies the run of the coordinator's process.
     """
 
     demand: dict[str, int] = field(default_factory=dict)
     suspects: SuspectRecords = field(default_factory=dict)
     answered: list[str] = field(default_factory=list)
+    run: str = ""
 
     def to_json(self) -> list[Any]:
         """Return the end of a message."""
@@ -53,7 +56,8 @@
             fingerprint: [record.minutes_left, *sorted(record.executions)]
             for fingerprint, record in sorted(self.suspects.items())
         }
-        end: list[Any] = [dict(sorted(self.demand.items())), suspects, self.answered]
+        demand = dict(sorted(self.demand.items()))
+        end: list[Any] = [demand, suspects, self.answered, self.run]
         while end and not end[-1]:
             end.pop()
         return end
@@ -67,8 +71,9 @@
         ValueError
             If it does not describe them.
         """
-        defaults: list[Any] = [{}, {}, []]
-        demand, suspects, answered = [*end, *defaults[len(end) :]][: len(defaults)]
+        defaults: list[Any] = [{}, {}, [], ""]
+        fields = [*end, *defaults[len(end) :]][: len(defaults)]
+        demand, suspects, answered, run = fields
         return cls(
             {s: require_count(n) for s, n in require_mapping(demand).items()},
             {
@@ -81,6 +86,7 @@
                 ).items()
             },
             require_strings(answered),
+            require_string(run),
         )
 
 
@@ -173,6 +179,8 @@
         Requests of all hosts for each server that has named a limit, by server id.
     suspects : mapping
         Requests under which servers crashed at any host, by fingerprint.
+    run : str
+        Identifies the run of the coordinator's process, empty if unknown.
     """
 
     silent: list[str]
@@ -182,6 +190,7 @@
     reachable: dict[str, str]
     demand: dict[str, int] = field(default_factory=dict)
     suspects: SuspectRecords = field(default_factory=dict)
+    run: str = ""
 
     def to_json(self) -> list[Any]:
         """Return the fields as a JSON array."""
@@ -191,7 +200,7 @@
             self.hosts,
             self.requests,
             self.reachable,
-            *SharedFields(self.demand, self.suspects).to_json(),
+            *SharedFields(self.demand, self.suspects, run=self.run).to_json(),
         ]
 
     @classmethod
@@ -213,6 +222,7 @@
             {a: require_string(z) for a, z in require_mapping(reachable).items()},
             shared.demand,
             shared.suspects,
+            shared.run,
         )
 
 
--- a/tests/fleet/test_mesh.py
+++ b/tests/fleet/test_mesh.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
+import pytest
 from kingcuplug_common import EventLog
 from kingcuplug_fleet import (
     PUSH_PATH,
@@ -17,6 +18,7 @@
     ServerState,
     answer_poll,
 )
+from kingcuplug_routing import SuspectRecord
 from kingcuplug_testkit import run_virtual
 
 from .conftest import FakePeerClient, Handler, make_record
@@ -59,6 +61,13 @@
         self.views[name].merge_servers([record], direct=True)
         self.meshes[name].record_heartbeat(record)
 
+    def restart(self, name: str) -> "asyncio.Task[None]":
+        """Replace a control host by one that knows nothing, and run its mesh."""
+        self.views[name] = FleetView(4.0)
+        self.meshes[name] = self._make_mesh(name)
+        self.views[name].set_control_hosts(list(self.names))
+        return asyncio.ensure_future(self.meshes[name].run())
+
     @contextmanager
     def running(self) -> Iterator[None]:
         """Run all meshes."""
@@ -480,3 +489,68 @@
             assert 50 <= cluster.views["a"].demand["s"] <= 60
 
     run_virtual(run())
+
+
+_SUSPECTS = {
+    "bad": SuspectRecord(10, frozenset(("e-1", "e-2", "e-3"))),
+    "suspected": SuspectRecord(10, frozenset(("e-4", "e-5"))),
+}
+
+
+@pytest.mark.parametrize("leader", ["a", "c"])
+def test_suspects_outlive_a_coordinator_that_knows_nothing(leader):
+    """Guards against more crashes under a request because the coordinator was lost.
+
+    The other control hosts must not forget the suspects, not even for a moment.
+    """
+
+    async def run() -> None:
+        cluster = Cluster()
+        tasks = [asyncio.ensure_future(m.run()) for m in cluster.meshes.values()]
+        await asyncio.sleep(1.0)
+        cluster.meshes["b"].receive_report(Report(suspects=dict(_SUSPECTS)))
+        await asyncio.sleep(1.0)
+        assert cluster.all_views(lambda view: view.suspects == _SUSPECTS)
+        tasks["abc".index(leader)].cancel()
+        cluster.leader = leader
+        tasks.append(cluster.restart(leader))
+        for _ in range(100):
+            await asyncio.sleep(0.05)
+            assert cluster.views["b"].suspects.keys() == _SUSPECTS.keys()
+        assert cluster.all_views(lambda view: view.suspects.keys() == _SUSPECTS.keys())
+        for task in tasks:
+            task.cancel()
+
+    run_virtual(run())
+
+
+def test_answered_suspect_ends_at_all_control_hosts_although_they_hand_it_on():
+    """Guards against control hosts that keep a suspicion alive that has ended."""
+
+    async def run() -> None:
+        cluster = Cluster()
+        with cluster.running():
+            await asyncio.sleep(1.0)
+            cluster.meshes["b"].receive_report(Report(suspects=dict(_SUSPECTS)))
+            await asyncio.sleep(1.0)
+            cluster.leader = "c"
+            await asyncio.sleep(1.0)
+            cluster.meshes["b"].receive_report(Report(answered=["suspected"]))
+            await asyncio.sleep(1.0)
+            assert cluster.all_views(lambda view: view.suspects.keys() == {"bad"})
+            await asyncio.sleep(700.0)
+            assert cluster.all_views(lambda view: not view.suspects)
+
+    run_virtual(run())
+
+
+def test_summary_of_an_earlier_version_is_applied():
+    """Guards against a new field that hosts of an earlier version do not send."""
+
+    async def run() -> None:
+        cluster = Cluster()
+        summary = [[], {}, 3, 0, {}, {}, {"bad": [10, "e-1", "e-2", "e-3"]}]
+        cluster.meshes["b"].receive_push(["a", "a", 0, [], {}, [], summary])
+        assert cluster.views["b"].suspects == {"bad": _SUSPECTS["bad"]}
+
+    run_virtual(run())
