--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -131,10 +131,10 @@
 # up to the maximum, so that a persistent fault cannot occupy the processor.
 _MIN_TASK_RESTART_S = 0.1
 _MAX_TASK_RESTART_S = 5.0
-# A control host that answers within this time after the start knows newer routes than
-# the file of this host may hold.
 # A disk that takes longer to read the saved state does not keep the host from others.
 _DATA_WAIT_S = 0.25
+# A control host that answers within this time after the start knows newer routes than
+# the file of this host may hold.
 _SAVED_ROUTES_DELAY_S = 0.05
 # How long the acknowledgement of a leaving server waits for the disk of this host. The
 # server's client tries another host after one second.
