Reject messages of the log with values of another type

Callers saw: one malformed message could stop the group's replicas for good. A members entry without its object was staged before it failed, was written by the next flush, and made each later start raise a TypeError, which ends the task of the replica. A term of 50.5 was taken by the whole group and stored; the next start refused the state file. With a term of 2**64 - 1 the next one cannot be encoded.

Cause: the decoders of requests, replies and entries checked the names of the fields only.

The decoders check the declared types, that terms and indexes are counts, that the entries of an append follow previous_index and that none has a later term than the leader (a restarted replica takes the term of its last entry). The same decoder of entries reads the log's file, where the error becomes CorruptLog.

Not covered: a term just below the greatest one that is accepted, 2**53 - 1.

--- a/packages/log/src/kingcuplug_log/_messages.py
+++ b/packages/log/src/kingcuplug_log/_messages.py
@@ -5,8 +5,11 @@
 """
 
 from dataclasses import dataclass
+from dataclasses import fields as declared_fields
 from typing import Any
 
+from kingcuplug_common import require_count, require_mapping, require_string
+
 from kingcuplug_log._types import Entry
 
 __all__ = [
@@ -128,6 +131,12 @@
     reason: str
 
 
+def _require_boolean(value: Any) -> bool:
+    if not isinstance(value, bool):
+        raise ValueError(f"{value!r} is not a boolean")
+    return value
+
+
 Request = PreVoteRequest | VoteRequest | AppendRequest | InstallRequest
 Reply = VoteReply | AppendReply | InstallReply | Rejected
 
@@ -143,6 +152,11 @@
     "install_reply": InstallReply,
     "rejected": Rejected,
 }
+_CHECKS: dict[Any, Any] = {
+    int: require_count,
+    str: require_string,
+    bool: _require_boolean,
+}
 _KIND_BY_TYPE = {cls: kind for kind, cls in (_REQUEST_TYPES | _REPLY_TYPES).items()}
 
 
@@ -162,14 +176,16 @@
     Raises
     ------
     ValueError
-        If the kind is unknown or a field is missing or unknown.
+        If the kind is unknown, or a field is missing, unknown or of another type.
     """
     fields = _message_fields(value, _REQUEST_TYPES)
     try:
-        fields["header"] = Header(**fields["header"])
+        fields["header"] = _check_fields(Header(**require_mapping(fields["header"])))
         if "entries" in fields:
             fields["entries"] = tuple(map(Entry.from_json, fields["entries"]))
-        request: Request = _REQUEST_TYPES[value["kind"]](**fields)
+        request: Request = _check_fields(_REQUEST_TYPES[value["kind"]](**fields))
+        if isinstance(request, AppendRequest):
+            _check_entries(request)
     except (KeyError, TypeError, IndexError) as error:
         raise ValueError(f"malformed {value['kind']} request: {error}") from error
     return request
@@ -181,11 +197,11 @@
     Raises
     ------
     ValueError
-        If the kind is unknown or a field is missing or unknown.
+        If the kind is unknown, or a field is missing, unknown or of another type.
     """
     fields = _message_fields(value, _REPLY_TYPES)
     try:
-        reply: Reply = _REPLY_TYPES[value["kind"]](**fields)
+        reply: Reply = _check_fields(_REPLY_TYPES[value["kind"]](**fields))
     except TypeError as error:
         raise ValueError(f"malformed {value['kind']}: {error}") from error
     return reply
@@ -194,6 +210,28 @@
 def _message_fields(
     value: dict[str, Any], types_by_kind: dict[str, Any]
 ) -> dict[str, Any]:
-    if value.get("kind") not in types_by_kind:
-        raise ValueError(f"unknown message kind {value.get('kind')!r}")
+    kind = require_string(require_mapping(value).get("kind"))
+    if kind not in types_by_kind:
+        raise ValueError(f"unknown message kind {kind!r}")
     return {name: field for name, field in value.items() if name != "kind"}
+
+
+def _check_fields(message: Any) -> Any:
+    """Return a message after a check of the types of its plain fields."""
+    for field in declared_fields(message):
+        check = _CHECKS.get(field.type)
+        if check is not None:
+            check(getattr(message, field.name))
+    return message
+
+
+def _check_entries(request: AppendRequest) -> None:
+    """Check that the entries follow each other, and are of no later term.
+
+    The log counts its entries, and a restarted replica takes the term of the last one.
+    """
+    for index, entry in enumerate(request.entries, request.previous_index + 1):
+        if entry.index != index:
+            raise ValueError(f"entry {entry.index} in the place of {index}")
+        if entry.term > request.header.term:
+            raise ValueError(f"entry of term {entry.term}, after the leader's")
--- a/packages/log/src/kingcuplug_log/_types.py
+++ b/packages/log/src/kingcuplug_log/_types.py
@@ -6,7 +6,12 @@
 from typing import Any, Protocol
 
 import orjson
-from kingcuplug_common import require_string
+from kingcuplug_common import (
+    require_count,
+    require_integer,
+    require_mapping,
+    require_string,
+)
 
 __all__ = [
     "Clock",
@@ -141,8 +146,36 @@
 
     @classmethod
     def from_json(cls, value: list[Any]) -> "Entry":
-        """Return the entry described by a JSON array."""
-        return cls(value[0], value[1], EntryKind(value[2]), value[3])
+        """Return the entry described by a JSON array.
+
+        Raises
+        ------
+        LookupError, TypeError, ValueError
+            If the array does not describe an entry.
+        """
+        index, term = require_integer(value[0], minimum=1), require_count(value[1])
+        kind, data = EntryKind(require_string(value[2])), value[3]
+        if kind is EntryKind.MEMBERS:
+            _check_members_data(data)
+        return cls(index, term, kind, data)
+
+
+def _check_members_data(value: Any) -> None:
+    """Check the data of an entry that sets the members.
+
+    Raises
+    ------
+    LookupError, TypeError, ValueError
+        If it is malformed.
+    """
+    fields = require_mapping(value)
+    require_string(fields["cluster"])
+    members = fields["members"]
+    if not isinstance(members, list) or not members:
+        raise ValueError(f"{members!r} is not a list of members")
+    for member in members:
+        Member.from_json(member)
+    require_count(fields.get("intended_size", 0))
 
 
 @dataclass(frozen=True)
