Model the agreement of the seeds on the first group

models/formation.pml still described a group that the first seed founds alone, while the code agrees by single-decree Paxos among the seeds (recovery.md, "Who founds the group"). No check covered promises, ballots or a proposer's restart.

The model now has three seeds and one host that asks to join; two proposers (one seed or two); records stored before the reply; messages that come late, repeatedly or never; restarts, after which a proposer may use a number again that its own disk does not show; one lost disk, whose seed refuses from then on; seeds without a disk that the proposer leaves out if it knows of them. Checked: only one group is ever chosen or founded, and a change acknowledged by a majority of the voters is still on a disk and in every majority after the loss. Within these bounds both properties hold.

Cases that were replaced by equally strict ones: * FOUND_AT_ANY_START and ANY_SEED_FOUNDS have no meaning without a founding seed. LOST_DISK_PROMISES (an empty disk takes part again) and MINORITY_SUFFICES (a seed that hears only itself founds) are the same faults in the agreement. * acknowledged-document-kept is now acknowledged-change-kept and asks for more: not only some disk, but every majority of the voters holds the change. * all-seeds-joined is now all-hosts-joined: the host that is no seed joins, too. ACK_WHILE_FORMING now needs two seeds without a disk: only then a group may begin with one member. FORMATION_TIMES_OUT is kept, and also holds in that system.

Limits: two ballots, one loss.

--- a/models/formation.pml
+++ b/models/formation.pml
@@ -1,145 +1,400 @@
 /*
- * Formation of the group without an operator (docs/platform.md).
+ * Founding of the group by its seeds (docs/decisions/recovery.md, docs/platform.md).
  *
- * The model checks that hosts that start together, of which one may lose its disk at
- * any moment, never form two groups, and never lose a document that was
- * acknowledged while the group was still forming.
+ * The model checks that seeds that start together never found two groups, and that a
+ * change that was acknowledged while the group was new survives the loss of one disk,
+ * at any moment. A group here is an identifier with its first members; every founding
+ * that is free to choose draws a new identifier.
  *
- * Host 0 is the first seed. A host has a flag for the first start of the whole
- * system; a restart or the loss of its disk clears it, although a restart may come
- * before anything was written. Elections, replication and the
- * change of voters one at a time are the subject of replication.pml and voters.pml:
- * here a group acts only while a majority of its voters holds its disk, and an
- * acknowledged document is held by some majority of the voters of that time.
+ * Hosts 0 to 2 are the seeds, host 3 asks to join. A seed stores what it promises and
+ * accepts before it replies. Messages stay in the network: they arrive late, several
+ * times or never. A restart ends the host's own proposals; the replies to them are
+ * lost, and the next process may use a number again that its own disk does not show. A
+ * seed that has lost its disk has no record and refuses for ever. Seeds without a disk
+ * (WITHOUT_DISK) take no part; a proposer may know of them or not. A proposer uses any
+ * of the promises it was sent: the others are late or lost. A host that was never
+ * started, or ended before it stored its record, is one that no message reaches.
  *
- * Mutants: FOUND_AT_ANY_START (the first seed founds whenever its disk is empty),
- * ANY_SEED_FOUNDS (every seed with an empty disk founds), ACK_WHILE_FORMING (a
- * document is acknowledged before all seeds are voters).
+ * Elections and replication are the subject of replication.pml and voters.pml: here a
+ * voter joins only while a majority of the voters holds its disk, the voter whose disk
+ * was lost is removed by any other, and a change is held by a majority of the voters.
  *
- * After a timeout, a majority of the seeds is enough (FORMATION_TIMES_OUT). Accepting
- * any number of seeds after the timeout is unsafe, as ACK_WHILE_FORMING shows.
+ * Mutants: PROMISE_NOT_STORED and ACCEPTANCE_NOT_STORED (a restart forgets it),
+ * ACCEPTED_IGNORED (a proposer always proposes a new group), ANY_ACCEPTED (it takes up
+ * any accepted group, not that of the greatest number), LOST_DISK_PROMISES (a seed
+ * without its record begins a new one), MINORITY_SUFFICES (the promise and acceptance of
+ * one seed are enough), ACK_WHILE_FORMING (any number of voters acknowledges).
+ *
+ * After a timeout, a majority of the number of seeds is enough to acknowledge
+ * (FORMATION_TIMES_OUT).
  */
 
-#define HOSTS 3
+#define SEEDS 3
+#define HOSTS 4
 #define NONE 0
-
-byte group[HOSTS];       /* group on the host's disk */
-bool first_start[HOSTS];
-byte groups;             /* groups founded so far */
-byte voters[3];          /* bit set, by group */
-byte holders;            /* hosts whose disk holds the acknowledged document */
-byte acked_in;           /* group that acknowledged it */
-bool disk_was_lost;
+#ifndef BALLOTS
+#define BALLOTS 2
+#endif
+#define MAX_GROUPS 3
+#ifndef WITHOUT_DISK
+#define WITHOUT_DISK 0  /* bit set */
+#endif
 
 #define BIT(h) (1 << (h))
 #define HAS(set, h) ((set) & BIT(h))
-#define COUNT(set) ((((set) & 1) > 0) + (((set) & 2) > 0) + (((set) & 4) > 0))
-#define DISKS(g) (((group[0] == (g)) * 1) + ((group[1] == (g)) * 2) + \
-                  ((group[2] == (g)) * 4))
-#define ACTS(g) (COUNT(DISKS(g) & voters[g]) > COUNT(voters[g]) / 2)
+#define COUNT(set) ((((set) & 1) > 0) + (((set) & 2) > 0) + (((set) & 4) > 0) + \
+                    (((set) & 8) > 0))
 
-#ifdef FOUND_AT_ANY_START
-#define MAY_FOUND(h) ((h) == 0)
-#else
-#ifdef ANY_SEED_FOUNDS
-#define MAY_FOUND(h) (first_start[h])
+/* Records of the seeds, in memory and on the disk. */
+byte promised[SEEDS];
+byte accepted_ballot[SEEDS];
+byte accepted[SEEDS];
+#ifdef PROMISE_NOT_STORED
+byte stored_promise[SEEDS];
+#endif
+byte lost;  /* host whose disk was lost, as a bit */
+
+/* Proposals, by number. */
+byte owner[BALLOTS + 1];
+byte prepared;               /* bit set of numbers whose request was sent */
+byte waiting;                 /* bit set of numbers whose proposer waits for replies */
+byte promises[BALLOTS + 1];  /* bit set of seeds that promised to it */
+byte reported[(BALLOTS + 1) * SEEDS];  /* group that the promise names */
+byte reported_ballot[(BALLOTS + 1) * SEEDS];
+byte sent[BALLOTS + 1];      /* bit set of groups proposed */
+byte current[BALLOTS + 1];   /* group whose acceptances the proposer counts */
+byte required[BALLOTS + 1];
+byte acceptances[BALLOTS + 1];
+
+byte groups;                 /* groups drawn so far */
+byte members[MAX_GROUPS + 1];
+byte chosen;                 /* bit set of groups that a proposer knows as chosen */
+byte founded;                /* group that some host has founded */
+byte disks;                  /* bit set of hosts whose disk holds the group */
+byte voters;
+bool acknowledged;
+byte holders;                /* hosts whose disk holds the acknowledged change */
+
+#define REPORT(b, s) ((b) * SEEDS + (s))
+#ifdef LOST_DISK_PROMISES
+#define TAKES_PART(s) (!HAS(WITHOUT_DISK, s) && !HAS(disks, s))
 #else
-#define MAY_FOUND(h) ((h) == 0 && first_start[h])
+#define TAKES_PART(s) (!HAS(WITHOUT_DISK, s) && !HAS(disks, s) && !HAS(lost, s))
 #endif
+#ifdef MINORITY_SUFFICES
+#define QUORUM(electorate) 1
+#else
+#define QUORUM(electorate) ((electorate) / 2 + 1)
 #endif
+#define MAJORITY (COUNT(voters) / 2 + 1)
 
 #ifdef ACK_WHILE_FORMING
-#define FORMED(g) true
+#define FORMED true
 #else
 #ifdef FORMATION_TIMES_OUT
-#define FORMED(g) (COUNT(voters[g]) > HOSTS / 2)
+#define FORMED (COUNT(voters) > SEEDS / 2)
 #else
-#define FORMED(g) (COUNT(voters[g]) == HOSTS)
+#define FORMED (COUNT(voters) >= SEEDS)
 #endif
 #endif
 
-inline found(h) {
+/* The proposer needs the replies no longer. */
+inline forget_promises(b) {
+  promises[b] = 0;
+  reported[REPORT(b, 0)] = NONE;
+  reported[REPORT(b, 1)] = NONE;
+  reported[REPORT(b, 2)] = NONE;
+  reported_ballot[REPORT(b, 0)] = 0;
+  reported_ballot[REPORT(b, 1)] = 0;
+  reported_ballot[REPORT(b, 2)] = 0
+}
+
+/* The disk is lost, or holds a group, so that nothing depends on the record. */
+inline forget_record(h) {
+  if
+  :: h < SEEDS ->
+     promised[h] = 0;
+     accepted[h] = NONE;
+     accepted_ballot[h] = 0
+#ifdef PROMISE_NOT_STORED
+     ;
+     stored_promise[h] = 0
+#endif
+  :: else
+  fi
+}
+
+inline prepare(b) {
+  d_step {
+    !HAS(waiting, b) && TAKES_PART(owner[b]) && promised[owner[b]] < b ->
+    printf("seed %d asks for promises to %d\n", owner[b], b);
+    prepared = prepared | BIT(b);
+    waiting = waiting | BIT(b)
+  }
+}
+
+inline promise(s, b) {
+  d_step {
+    HAS(prepared, b) && TAKES_PART(s) && promised[s] < b ->
+    printf("seed %d promises to %d, accepted %d\n", s, b, accepted[s]);
+    promised[s] = b;
+    if
+    :: HAS(waiting, b) && current[b] == NONE ->
+       promises[b] = promises[b] | BIT(s);
+       reported[REPORT(b, s)] = accepted[s];
+       reported_ballot[REPORT(b, s)] = accepted_ballot[s]
+    :: else
+    fi
+  }
+}
+
+/* The group of one report is taken up if its number is the greatest so far. */
+inline take_report(s, b, replies) {
+  if
+  :: HAS(replies, s) && reported[REPORT(b, s)] != NONE &&
+#ifdef ANY_ACCEPTED
+     group == NONE ->
+#else
+     reported_ballot[REPORT(b, s)] > greatest ->
+#endif
+     group = reported[REPORT(b, s)];
+     greatest = reported_ballot[REPORT(b, s)]
+  :: else
+  fi
+}
+
+/* The proposer has some of the promises, and knows of some seeds without a disk. */
+inline propose(b, replies, known, others) {
+  d_step {
+    HAS(waiting, b) && current[b] == NONE && (promises[b] & (replies)) == (replies) &&
+    COUNT(replies) >= QUORUM(SEEDS - COUNT(known)) &&
+    COUNT(replies) + COUNT(others) <= SEEDS && groups < MAX_GROUPS ->
+    group = NONE;
+    greatest = 0;
+#ifndef ACCEPTED_IGNORED
+    take_report(0, b, replies);
+    take_report(1, b, replies);
+    take_report(2, b, replies);
+#endif
+    if
+    :: group == NONE ->
+       groups++;
+       group = groups;
+       members[group] = (replies) | (others)
+    :: else
+    fi;
+    printf("seed %d proposes %d: group %d, members %d\n", owner[b], b, group,
+           members[group]);
+    sent[b] = sent[b] | BIT(group);
+    current[b] = group;
+    required[b] = QUORUM(SEEDS - COUNT(known));
+    forget_promises(b);
+    group = NONE;
+    greatest = 0
+  }
+}
+
+inline accept(s, b, g) {
+  d_step {
+    HAS(sent[b], g) && TAKES_PART(s) && promised[s] <= b &&
+    !(accepted_ballot[s] == b && accepted[s] == g &&
+      (current[b] != g || HAS(acceptances[b], s))) ->
+    printf("seed %d accepts %d: group %d\n", s, b, g);
+    promised[s] = b;
+#ifdef PROMISE_NOT_STORED
+    stored_promise[s] = b;
+#endif
+    accepted_ballot[s] = b;
+    accepted[s] = g;
+    if
+    :: current[b] == g -> acceptances[b] = acceptances[b] | BIT(s)
+    :: else
+    fi
+  }
+}
+
+inline choose(b) {
+  d_step {
+    current[b] != NONE && COUNT(acceptances[b]) >= required[b] &&
+    !HAS(chosen, current[b]) ->
+    printf("seed %d knows that group %d is chosen\n", owner[b], current[b]);
+    chosen = chosen | BIT(current[b]);
+    /* Property one-group: no two groups are ever chosen. */
+    assert(chosen == BIT(current[b]))
+  }
+}
+
+inline check_document() {
+  /* Property acknowledged-change-kept: a disk holds it, as every majority does. */
+  assert(!acknowledged ||
+         (holders != 0 && COUNT(voters & disks & ~holders) < MAJORITY))
+}
+
+/* A new disk is not one of the members: its identity is new, too. */
+inline found(h, g) {
   d_step {
-    group[h] == NONE && MAY_FOUND(h) && groups < 2 ->
-    printf("host %d founds a group\n", h);
-    groups++;
-    group[h] = groups;
-    voters[groups] = BIT(h);
-    /* Property one-group: hosts never form two groups. */
-    assert(groups == 1)
+    HAS(chosen, g) && HAS(members[g], h) && !HAS(disks, h) && !HAS(lost, h) ->
+    printf("host %d founds group %d\n", h, g);
+    if
+    :: founded == NONE -> founded = g; voters = members[g]
+    :: else
+    fi;
+    /* Property one-group: all hosts found the same group. */
+    assert(founded == g);
+    disks = disks | BIT(h);
+    forget_record(h);
+    check_document()
+#ifdef REACH_JOINER
+    ;
+    /* Reachable joiner-founds. */
+    assert(h != SEEDS)
+#endif
+#ifdef REACH_LATER_BALLOT
+    ;
+    /* Reachable founded-by-later-proposer. */
+    assert(!(current[2] == g && sent[1] == sent[2] && HAS(lost, owner[1])))
+#endif
   }
 }
 
-inline join(h, g) {
+inline join(h) {
   d_step {
-    group[h] == NONE && groups >= g && ACTS(g) ->
-    printf("host %d joins group %d\n", h, g);
-    group[h] = g;
-    voters[g] = voters[g] | BIT(h);
-    /* A new voter holds the document before it votes. */
+    founded != NONE && !HAS(voters, h) && !HAS(disks, h) && !HAS(WITHOUT_DISK, h) &&
+    COUNT(voters & disks) >= MAJORITY ->
+    printf("host %d joins\n", h);
+    disks = disks | BIT(h);
+    forget_record(h);
+    voters = voters | BIT(h);
+    /* A new voter holds the change before it votes. */
     if
-    :: acked_in == g -> holders = holders | BIT(h)
+    :: acknowledged -> holders = holders | BIT(h)
     :: else
     fi
 #ifdef REACH_FORMED
     ;
-    /* Reachable all-seeds-joined. */
-    assert(COUNT(voters[g]) < HOSTS)
+    /* Reachable all-hosts-joined. */
+    assert(COUNT(voters) < HOSTS)
 #endif
   }
 }
 
-/* A document is acknowledged by a majority: any two voters, or the only voter. */
-inline acknowledge(g, a, b) {
+inline remove_lost() {
   d_step {
-    acked_in == NONE && groups >= g && FORMED(g) &&
-    HAS(voters[g], a) && HAS(voters[g], b) && group[a] == g && group[b] == g &&
-    COUNT(BIT(a) | BIT(b)) > COUNT(voters[g]) / 2 ->
-    printf("group %d acknowledges at hosts %d and %d\n", g, a, b);
-    acked_in = g;
-    holders = BIT(a) | BIT(b)
+    (voters & lost & ~disks) != 0 && (voters & disks) != 0 ->
+    printf("the lost voter is removed\n");
+    voters = voters & ~lost;
+    check_document()
+  }
+}
+
+inline acknowledge(set) {
+  d_step {
+    !acknowledged && founded != NONE && FORMED &&
+    (voters & disks & (set)) == (set) && COUNT(set) == MAJORITY ->
+    printf("the voters %d acknowledge\n", set);
+    acknowledged = true;
+    holders = set
 #ifdef REACH_ACK
     ;
-    /* Reachable document-acknowledged. */
+    /* Reachable change-acknowledged. */
     assert(false)
 #endif
   }
 }
 
-inline restart(h) {
-  d_step { first_start[h] -> printf("host %d restarts\n", h); first_start[h] = false }
+inline end_proposal(h, b) {
+  if
+  :: HAS(waiting, b) && owner[b] == h ->
+     waiting = waiting & ~BIT(b);
+     forget_promises(b);
+     current[b] = NONE;
+     required[b] = 0;
+     acceptances[b] = 0
+  :: else
+  fi
+}
+
+inline end_proposals(h) {
+  end_proposal(h, 1);
+  end_proposal(h, 2)
+#if BALLOTS == 3
+  ;
+  end_proposal(h, 3)
+#endif
+}
+
+inline restart(s) {
+  d_step {
+    true ->
+    printf("host %d restarts\n", s);
+    end_proposals(s);
+#ifdef PROMISE_NOT_STORED
+    promised[s] = stored_promise[s];
+#endif
+#ifdef ACCEPTANCE_NOT_STORED
+    accepted[s] = NONE;
+    accepted_ballot[s] = 0;
+#endif
+  }
 }
 
 inline lose_disk(h) {
   d_step {
-    !disk_was_lost ->
+    lost == 0 && !HAS(WITHOUT_DISK, h) ->
     printf("host %d loses its disk\n", h);
-    disk_was_lost = true;
-    first_start[h] = false;
-    if
-    :: group[h] != NONE && COUNT(voters[group[h]]) > 1 ->
-       /* The leader removes the identity that can never return. */
-       voters[group[h]] = voters[group[h]] & ~BIT(h)
-    :: else
-    fi;
-    group[h] = NONE;
+    lost = BIT(h);
+    disks = disks & ~BIT(h);
     holders = holders & ~BIT(h);
-    /* Property acknowledged-document-kept: some disk still holds it. */
-    assert(acked_in == NONE || holders != 0)
+    forget_record(h);
+    check_document()
   }
 }
 
+#define PROMISE(b) promise(0, b) :: promise(1, b) :: promise(2, b)
+#define ACCEPT(b, g) accept(0, b, g) :: accept(1, b, g) :: accept(2, b, g)
+#define PROPOSE_WITH(b, known, others) \
+  propose(b, 1, known, others) :: propose(b, 2, known, others) :: \
+  propose(b, 4, known, others) :: propose(b, 3, known, others) :: \
+  propose(b, 5, known, others) :: propose(b, 6, known, others) :: \
+  propose(b, 7, known, others)
+#define PROPOSE(b) \
+  PROPOSE_WITH(b, 0, 0) :: PROPOSE_WITH(b, 0, BIT(SEEDS)) :: \
+  PROPOSE_WITH(b, WITHOUT_DISK, 0) :: PROPOSE_WITH(b, WITHOUT_DISK, BIT(SEEDS))
+#define BALLOT(b) \
+  prepare(b) :: PROMISE(b) :: PROPOSE(b) :: \
+  ACCEPT(b, 1) :: ACCEPT(b, 2) :: ACCEPT(b, 3) :: choose(b)
+#define FOUND(g) found(0, g) :: found(1, g) :: found(2, g) :: found(3, g)
+
 active proctype system() {
-  first_start[0] = true;
-  first_start[1] = true;
-  first_start[2] = true;
+  byte group;
+  byte greatest;
+  owner[1] = 0;
+  /* All seeds are alike, so that any two proposers are these. */
+  if
+  :: owner[2] = 0
+  :: owner[2] = 2
+  fi;
+#if BALLOTS == 3
+  if
+  :: owner[3] = 0
+  :: owner[3] = 1
+  :: owner[3] = 2
+  fi;
+#endif
 end:
   do
-  :: found(0) :: found(1) :: found(2)
-  :: join(0, 1) :: join(1, 1) :: join(2, 1)
-  :: acknowledge(1, 0, 0) :: acknowledge(1, 1, 1) :: acknowledge(1, 2, 2)
-  :: acknowledge(1, 0, 1) :: acknowledge(1, 0, 2) :: acknowledge(1, 1, 2)
+  :: BALLOT(1) :: BALLOT(2)
+#if BALLOTS == 3
+  :: BALLOT(3)
+#endif
+  :: FOUND(1) :: FOUND(2) :: FOUND(3)
+  :: join(0) :: join(1) :: join(2) :: join(3)
+  :: remove_lost()
+  :: acknowledge(1) :: acknowledge(2) :: acknowledge(4) :: acknowledge(8)
+  :: acknowledge(3) :: acknowledge(5) :: acknowledge(9) :: acknowledge(6)
+  :: acknowledge(10) :: acknowledge(12) :: acknowledge(7) :: acknowledge(11)
+  :: acknowledge(13) :: acknowledge(14)
   :: restart(0) :: restart(1) :: restart(2)
-  :: lose_disk(0) :: lose_disk(1) :: lose_disk(2)
+  :: lose_disk(0) :: lose_disk(1) :: lose_disk(2) :: lose_disk(3)
   od
 }
--- a/models/run.py
+++ b/models/run.py
@@ -105,6 +105,7 @@
 CLOCKS = ("ELECTION_TIMEOUT=12",)
 ONE_CHANGE = ("MAX_REVISION=1",)
 EXTRA_MUTANTS = ("EQUAL_REVISIONS_ACCEPTED", "OLDER_BARRIER")
+ONE_SEED_WITH_DISK = ("WITHOUT_DISK=6",)
 THREE_ATTEMPTS = ("MAX_ATTEMPTS=3", "MAX_TOKENS=4", "SLOTS=3")
 OLDER_BARRIER = ("OLDER_BARRIER", "RESTART_MAY_REVERT", *ONE_CHANGE)
 
@@ -149,12 +150,30 @@
     expect_reachable("voters", "REACH_LEARNER_LEADS", "new-identity-leads"),
     expect_reachable("voters", "REACH_REPAIR", "voter-replaced", *THREE_ENTRIES),
     expect_holds("formation", "three seeds, one lost disk"),
-    expect_violation("formation", "FOUND_AT_ANY_START", "one-group"),
-    expect_violation("formation", "ANY_SEED_FOUNDS", "one-group"),
-    expect_violation("formation", "ACK_WHILE_FORMING", "acknowledged-document-kept"),
     expect_holds("formation", "most of the seeds", "FORMATION_TIMES_OUT"),
-    expect_reachable("formation", "REACH_FORMED", "all-seeds-joined"),
-    expect_reachable("formation", "REACH_ACK", "document-acknowledged"),
+    expect_holds("formation", "one seed without a disk", "WITHOUT_DISK=2"),
+    expect_holds(
+        "formation",
+        "two seeds without a disk",
+        *ONE_SEED_WITH_DISK,
+        "FORMATION_TIMES_OUT",
+    ),
+    expect_violation("formation", "PROMISE_NOT_STORED", "one-group"),
+    expect_violation("formation", "ACCEPTANCE_NOT_STORED", "one-group"),
+    expect_violation("formation", "ACCEPTED_IGNORED", "one-group"),
+    expect_violation("formation", "ANY_ACCEPTED", "one-group", "BALLOTS=3"),
+    expect_violation("formation", "LOST_DISK_PROMISES", "one-group"),
+    expect_violation("formation", "MINORITY_SUFFICES", "one-group"),
+    expect_violation(
+        "formation",
+        "ACK_WHILE_FORMING",
+        "acknowledged-change-kept",
+        *ONE_SEED_WITH_DISK,
+    ),
+    expect_reachable("formation", "REACH_JOINER", "joiner-founds"),
+    expect_reachable("formation", "REACH_LATER_BALLOT", "founded-by-later-proposer"),
+    expect_reachable("formation", "REACH_FORMED", "all-hosts-joined"),
+    expect_reachable("formation", "REACH_ACK", "change-acknowledged"),
     expect_holds("disk_losses", "six hosts, two lost disks"),
     expect_violation("disk_losses", "ACK_AT_SEEDS", "quorum-left"),
     expect_violation("disk_losses", "COUNT_LEARNER", "quorum-left"),
