Pass on what servers tell a gatherer

Callers saw: after a gatherer stopped or refused, the host's direct requests went to servers that had told the gatherer to wait (503 with Retry-After) or that they leave; the attempt was wasted.

Cause: only the host that receives an answer of a server reads its signals. In a gathered query that is the gatherer, and its reply had no field for them.

Fix: a reply names the servers of the asked shards that hold requests back. Older builds reject replies with a fifth field, so the requesting host asks for it by the end of the operation's id, which they do not interpret. A reply without the field, with a malformed one or with malformed entries counts as before. Only first-hand signals are passed on, for the same incarnation and the asked shards.

--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -45,6 +45,7 @@
 from kingcuplug_gateway._gather_server import GatherServer
 from kingcuplug_gateway._isolation_monitor import IsolationMonitor
 from kingcuplug_gateway._outcome import callers_response
+from kingcuplug_gateway._passed_signals import PassedSignal
 from kingcuplug_gateway._relay import (
     PROBE,
     NotRelaying,
@@ -157,9 +158,14 @@
             lambda shard: bool(self.servers.pool(shard).servers),
             self._guard.review,
             self._guard.quarantined_s,
+            self._signals_to_pass_on,
             log,
         )
 
+    def _signals_to_pass_on(self, services: Sequence[str]) -> list[PassedSignal]:
+        now = asyncio.get_running_loop().time()
+        return self.servers.signals_to_pass_on(services, now)
+
     def install_routes(self, table: RouteTable) -> bool:
         """Install a route table if it is newer than the one in force."""
         if self.table is not None and table.version <= self.table.version:
@@ -647,6 +653,7 @@
                 rule,
                 record,
                 call_shards_directly,
+                self._signals.record_passed_on,
             )
             for delegation, record in zip(delegations, gather_records, strict=True)
         ]
--- a/packages/gateway/src/kingcuplug_gateway/_gather_client.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gather_client.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from kingcuplug_common import EventLog, KingcuplugError, random_identifier
+from kingcuplug_common import EventLog, KingcuplugError
 from kingcuplug_routing import Delegation, LatencyEstimator, PartialAnswerPolicy
 
 from kingcuplug_gateway._gather_messages import (
@@ -13,7 +13,9 @@
     GatherReply,
     GatherRequest,
     RemainderRequest,
+    new_gather_id,
 )
+from kingcuplug_gateway._passed_signals import PassedSignal
 from kingcuplug_gateway._routes import Route
 from kingcuplug_gateway._scatter import ScatterQuery
 from kingcuplug_gateway._service_call import OutboundRequest
@@ -209,6 +211,7 @@
     rule: PartialAnswerPolicy,
     record: GatherRecord,
     call_shards_directly: Callable[[Sequence[str], bool], None],
+    record_signals: Callable[[Sequence[PassedSignal], Sequence[str]], None],
 ) -> None:
     """Have one host gather the parts of some shards, and add them to the query.
 
@@ -221,9 +224,11 @@
     call_shards_directly : callable
         Sends requests to the shards from this host. Its second argument says whether
         the gatherer may have sent first attempts.
+    record_signals : callable
+        Records what servers of the shards, its second argument, told the gatherer.
     """
     loop = asyncio.get_running_loop()
-    address, gather_id = delegation.gatherer, random_identifier()
+    address, gather_id = delegation.gatherer, new_gather_id()
     request = GatherRequest(
         gather_id,
         route.name,
@@ -250,6 +255,7 @@
         call_shards_directly(delegation.shards, not refused)
         return
     directory.record_success(address)
+    record_signals(reply.signals or (), delegation.shards)
     reply = _add_reply(reply, scatter, record)
     failed_count = 0
     # At each of these times the parts received by then may be sufficient.
@@ -272,6 +278,7 @@
             record.end("lost", loop.time())
             scatter.mark_missing(len(reply.pending_shards))
             return
+        record_signals(next_reply.signals or (), delegation.shards)
         reply = _add_reply(next_reply, scatter, record)
     scatter.mark_missing(
         len(reply.failed_shards) - failed_count + len(reply.pending_shards)
--- a/packages/gateway/src/kingcuplug_gateway/_gather_messages.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gather_messages.py
@@ -5,22 +5,44 @@
 from typing import Any
 
 from kingcuplug_common import (
+    random_identifier,
     require_integer,
     require_number,
     require_string,
     require_strings,
 )
 
+from kingcuplug_gateway._passed_signals import (
+    PassedSignal,
+    decode_signals,
+    encode_signals,
+)
+
 __all__ = [
     "PROBE",
     "GatherReply",
     "GatherRequest",
     "RemainderRequest",
     "decode_request",
+    "new_gather_id",
+    "wants_signals",
 ]
 
 # Asks whether a host gathers, without a query; the reply is an empty array.
 PROBE = ["probe"]
+# Hosts of older builds reject replies and requests with further fields, but take any
+# string as an id: its end says that the requesting host takes signals in a reply.
+_WANTS_SIGNALS = ";signals"
+
+
+def new_gather_id() -> str:
+    """Return the id of a new gather operation, whose replies may hold signals."""
+    return random_identifier() + _WANTS_SIGNALS
+
+
+def wants_signals(gather_id: str) -> bool:
+    """Return whether the host that chose an id takes signals in a reply."""
+    return gather_id.endswith(_WANTS_SIGNALS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,21 +155,27 @@
         Shards whose calls have failed for good.
     pending_shards : tuple of str
         Shards whose calls are still in progress.
+    signals : tuple of PassedSignal or None
+        What servers of the shards have told the gatherer; ``None`` sends no such field.
     """
 
     signatures: tuple[bytes, ...]
     body: bytes
     failed_shards: tuple[str, ...]
     pending_shards: tuple[str, ...]
+    signals: tuple[PassedSignal, ...] | None = None
 
     def to_json(self) -> list[Any]:
         """Return the fields as a JSON array."""
-        return [
+        fields = [
             [signature.decode("latin-1") for signature in self.signatures],
             b64encode(self.body).decode(),
             list(self.failed_shards),
             list(self.pending_shards),
         ]
+        if self.signals is not None:
+            fields.append(encode_signals(self.signals))
+        return fields
 
     @classmethod
     def from_json(cls, value: list[Any]) -> "GatherReply":
@@ -158,10 +186,11 @@
         TypeError, ValueError
             If the array holds no reply.
         """
-        signatures, body, failed_shards, pending_shards = value
+        signatures, body, failed_shards, pending_shards, *later = value
         return cls(
             tuple(s.encode("latin-1") for s in require_strings(signatures)),
             b64decode(require_string(body)),
             tuple(require_strings(failed_shards)),
             tuple(require_strings(pending_shards)),
+            decode_signals(later[0]) if later else None,
         )
--- a/packages/gateway/src/kingcuplug_gateway/_gather_server.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gather_server.py
@@ -1,6 +1,7 @@
 """Server side of gathering: queries shards on behalf of other hosts."""
 
 import asyncio
+import dataclasses
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -14,7 +15,9 @@
     GatherRequest,
     RemainderRequest,
     decode_request,
+    wants_signals,
 )
+from kingcuplug_gateway._passed_signals import PassedSignal
 from kingcuplug_gateway._scatter import keep_greatest_records, merge_records
 from kingcuplug_gateway._service_call import OutboundRequest, ServiceCall
 
@@ -58,6 +61,8 @@
         Called with the calls of an operation that has ended.
     quarantined_s : callable
         Returns for how long a request is still in quarantine; 0 if it is not.
+    signals_to_pass_on : callable
+        Returns what servers of some shards have told this host.
     """
 
     def __init__(
@@ -68,8 +73,10 @@
         has_servers: Callable[[str], bool],
         on_finished: Callable[[Sequence[ServiceCall]], None],
         quarantined_s: Callable[[OutboundRequest], float],
+        signals_to_pass_on: Callable[[Sequence[str]], Sequence[PassedSignal]],
         log: EventLog,
     ) -> None:
+        self._signals_to_pass_on = signals_to_pass_on
         self._quarantined_s = quarantined_s
         self._on_finished = on_finished
         self._has_servers = has_servers
@@ -132,6 +139,9 @@
             )
         else:
             self._finish(operation, "complete")
+        if wants_signals(request.gather_id):
+            signals = tuple(self._signals_to_pass_on(operation.request.shards))
+            reply = dataclasses.replace(reply, signals=signals)
         return reply.to_json()
 
     def _start_or_resume(
--- a/packages/gateway/src/kingcuplug_gateway/_servers.py
+++ b/packages/gateway/src/kingcuplug_gateway/_servers.py
@@ -19,6 +19,7 @@
 )
 
 from kingcuplug_gateway._connection_pool import ConnectionPool
+from kingcuplug_gateway._passed_signals import PassedSignal
 
 __all__ = ["Server", "ServerInfo", "ServerTable", "ServicePool"]
 
@@ -351,14 +352,37 @@
         self._index_signals(server)
         return True
 
-    def set_leaving(self, server: Server) -> None:
-        """Send a server no more requests, not even those that wait for a connection."""
+    def set_leaving(self, server: Server, first_hand: bool = True) -> bool:
+        """Send a server no more requests, not even those that wait for a connection.
+
+        Parameters
+        ----------
+        first_hand : bool
+            Whether the server has told this host itself.
+
+        Returns
+        -------
+        bool
+            Whether that is new.
+        """
+        server.signals.said_leaving |= first_hand
+        if server.signals.leaving:
+            return False
         server.signals.leaving = True
         server.connections.fail_waiting()
         self._index_signals(server)
+        return True
+
+    def pause_until(self, server: Server, at: float, first_hand: bool = True) -> bool:
+        """Send a server no requests before a time; return whether that is later.
 
-    def pause_until(self, server: Server, at: float) -> bool:
-        """Send a server no requests before a time; return whether that is later."""
+        Parameters
+        ----------
+        first_hand : bool
+            Whether the server has told this host itself.
+        """
+        if first_hand:
+            server.signals.said_not_before = max(at, server.signals.said_not_before)
         if at <= server.signals.not_before:
             return False
         server.signals.not_before = at
@@ -366,6 +390,23 @@
         self._index_signals(server)
         return True
 
+    def signals_to_pass_on(
+        self, services: Iterable[str], now: float
+    ) -> list[PassedSignal]:
+        """Return what servers of some services have told this host itself."""
+        return [
+            PassedSignal(
+                service,
+                identifier,
+                server.signals.start_ms,
+                server.signals.said_leaving,
+                max(0.0, server.signals.said_not_before - now) * _MS_PER_S,
+            )
+            for service in services
+            for identifier, server in self.pool(service).servers.items()
+            if server.signals.has_said_to_wait(now)
+        ]
+
     def share_limits(self, fleet_demand: Mapping[str, int], now: float) -> None:
         """Divide the limits of servers anew; to be called several times a second.
 
--- a/packages/gateway/src/kingcuplug_gateway/_signal_reader.py
+++ b/packages/gateway/src/kingcuplug_gateway/_signal_reader.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Container, Iterable
 
 from kingcuplug_common import EventLog, Metrics
 from kingcuplug_http import Response
 
 from kingcuplug_gateway._header_names import HeaderNames
+from kingcuplug_gateway._passed_signals import PassedSignal
 from kingcuplug_gateway._servers import Server, ServerTable
 
 __all__ = ["SignalReader", "parse_decimal"]
@@ -18,6 +19,9 @@
 _UNAVAILABLE_STATUS = 503
 _YES = 1.0
 _MAX_LOGGED_BYTES = 40
+_MS_PER_S = 1_000
+# The delay of an answer that passes a pause on varies; so much longer is no new pause.
+_PAUSE_TOLERANCE_S = 0.1
 
 
 class SignalReader:
@@ -52,11 +56,35 @@
         fields, signals = response.fields, server.signals
         if self._limit_header in fields or (is_authentic and signals.limit is not None):
             self._read(server, response, self._limit_header, self._set_limit)
-        if self._leaving_header in fields and not signals.leaving:
+        if self._leaving_header in fields and not signals.said_leaving:
             self._read(server, response, self._leaving_header, self._set_leaving)
         if response.status == _UNAVAILABLE_STATUS and _RETRY_AFTER in fields:
             self._read(server, response, _RETRY_AFTER, self._set_not_before)
 
+    def record_passed_on(
+        self, passed: Iterable[PassedSignal], services: Container[str]
+    ) -> None:
+        """Record what servers have told another host.
+
+        Parameters
+        ----------
+        services : container of str
+            Services that the other host was asked for; it says nothing of others.
+        """
+        now = asyncio.get_running_loop().time()
+        for signal in passed:
+            if signal.service not in services:
+                continue
+            server = self._servers.pool(signal.service).servers.get(signal.server_id)
+            if server is None or server.signals.start_ms != signal.start_ms:
+                continue
+            if signal.leaving and self._servers.set_leaving(server, first_hand=False):
+                self._write(server, "server_leaving", "state", "leaving")
+            pause_s = signal.pause_ms / _MS_PER_S
+            if now + pause_s > max(now, server.signals.not_before + _PAUSE_TOLERANCE_S):
+                self._servers.pause_until(server, now + pause_s, first_hand=False)
+                self._write(server, "server_paused", "pause_s", pause_s)
+
     def _read(
         self,
         server: Server,
@@ -85,8 +113,7 @@
             self._write(server, "server_limit", "requests_per_s", limit_per_s)
 
     def _set_leaving(self, server: Server, value: float | None) -> None:
-        if value == _YES:
-            self._servers.set_leaving(server)
+        if value == _YES and self._servers.set_leaving(server):
             self._write(server, "server_leaving", "state", "leaving")
 
     def _set_not_before(self, server: Server, delay_s: float | None) -> None:
--- a/packages/routing/src/kingcuplug_routing/_server_signals.py
+++ b/packages/routing/src/kingcuplug_routing/_server_signals.py
@@ -27,12 +27,26 @@
         Event loop time before which it wants no requests.
     limit : ServerLimit or None
         Set while its answers name the requests a second that it takes.
+    said_leaving : bool
+        Whether it has told this host itself that it leaves.
+    said_not_before : float
+        The part of `not_before` that it has told this host itself.
     """
 
     start_ms: int = 0
     leaving: bool = False
     not_before: float = 0.0
     limit: ServerLimit | None = None
+    said_leaving: bool = False
+    said_not_before: float = 0.0
+
+    def has_said_to_wait(self, now: float) -> bool:
+        """Return whether it has told this host itself to send no requests now.
+
+        Only that is passed on to other hosts: what two hosts pass to each other would
+        last longer each time, and a faulty answer would reach all hosts.
+        """
+        return self.said_leaving or now < self.said_not_before
 
     @property
     def is_empty(self) -> bool:
