--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -48,6 +48,7 @@
 from kingcuplug_gateway._passed_signals import PassedSignal
 from kingcuplug_gateway._relay import (
     PROBE,
+    PROBE_REPLY,
     NotRelaying,
     RelayClient,
     RelayedRequest,
@@ -162,9 +163,9 @@
             log,
         )
 
-    def _signals_to_pass_on(self, services: Sequence[str]) -> list[PassedSignal]:
+    def _signals_to_pass_on(self, services: Sequence[str]) -> tuple[PassedSignal, ...]:
         now = asyncio.get_running_loop().time()
-        return self.servers.signals_to_pass_on(services, now)
+        return tuple(self.servers.signals_to_pass_on(services, now))
 
     def install_routes(self, table: RouteTable) -> bool:
         """Install a route table if it is newer than the one in force."""
@@ -304,12 +305,25 @@
         if message == PROBE:
             if not await self._isolation.reaches_servers():
                 raise NotRelaying("the host reaches no servers itself")
-            return []
+            return PROBE_REPLY
         relayed = RelayedRequest.from_json(message)
         request = relayed.to_request(asyncio.get_running_loop().time())
         self._metrics.count("relays_served")
+        services = self._services_of(request)
+        self._signals.record_passed_on(relayed.signals or (), services)
         response = await self.handle(request, relayed.max_attempts)
-        return encode_relayed_response(response)
+        told = None
+        if relayed.signals is not None:
+            told = self._signals_to_pass_on(services)
+        return encode_relayed_response(response, told)
+
+    def _services_of(self, request: Request) -> tuple[str, ...]:
+        """Return the services or shards of the route of a request."""
+        host, path = _host_and_path(request)
+        if self.table is None or host is None or path is None:
+            return ()
+        route = self.table.find(host, path)
+        return route.all_services if route is not None else ()
 
     def close(self) -> None:
         """Close the connections to servers."""
@@ -396,7 +410,9 @@
         tried = max((call.possible_runs for call in calls), default=0)
         # What was sent to servers that are cut off does not use up the last attempt.
         max_attempts = max(1, route.max_attempts - tried)
-        result = await self._relay.send(request, max_attempts, until)
+        told = partial(self._signals_to_pass_on, route.all_services)
+        result = await self._relay.send(request, max_attempts, until, told)
+        self._signals.record_passed_on(result.signals, route.all_services)
         if result.response is not None:
             response = result.response
             if self._is_signed(response):
--- a/packages/gateway/src/kingcuplug_gateway/_relay.py
+++ b/packages/gateway/src/kingcuplug_gateway/_relay.py
@@ -3,7 +3,7 @@
 import asyncio
 import random as random_module
 from base64 import b64decode, b64encode
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -16,8 +16,15 @@
 )
 from kingcuplug_http import Headers, Request, Response
 
+from kingcuplug_gateway._passed_signals import (
+    PassedSignal,
+    decode_signals,
+    encode_signals,
+)
+
 __all__ = [
     "PROBE",
+    "PROBE_REPLY",
     "HostAddress",
     "NotRelaying",
     "RelayClient",
@@ -29,8 +36,14 @@
 ]
 
 _MS_PER_S = 1_000
-# Asks whether a host serves requests for others; the reply is an empty array.
+# Asks whether a host serves requests for others. The reply is an array, which names
+# signals if the host takes them with a request; that of older builds is empty, and they
+# reject requests and responses with signals.
 PROBE = ["probe"]
+_SIGNALS = "signals"
+PROBE_REPLY = [_SIGNALS]
+_SERVE = "serve"
+_SERVE_WITH_SIGNALS = "serve_with_signals"
 # A host that is not certain to reach servers tries some before it replies.
 _PROBE_TIMEOUT_S = 0.35
 _REFRESH_INTERVAL_S = 1.0
@@ -86,6 +99,9 @@
         Time since the request was received.
     max_attempts : int
         Number of servers, of each shard, to which it may still be sent.
+    signals : tuple of PassedSignal or None
+        What servers have told the host that sends it, which takes signals in the
+        response, too; ``None`` if one of the hosts takes none.
     """
 
     method: bytes
@@ -95,6 +111,7 @@
     first_on_connection: bool
     elapsed_ms: float
     max_attempts: int
+    signals: tuple[PassedSignal, ...] | None = None
 
     def to_request(self, now: float) -> Request:
         """Return the request as if this host had received it from the caller."""
@@ -111,8 +128,11 @@
 
     def to_json(self) -> list[Any]:
         """Return the fields as a JSON array."""
+        kind: list[Any] = [_SERVE]
+        if self.signals is not None:
+            kind = [_SERVE_WITH_SIGNALS, encode_signals(self.signals)]
         return [
-            "serve",
+            *kind,
             self.method.decode("latin-1"),
             self.target.decode("latin-1"),
             _encode_headers(self.headers),
@@ -131,10 +151,14 @@
         TypeError, ValueError
             If the array does not describe a request.
         """
-        kind, method, target, headers, body, *counts = value
-        first_on_connection, elapsed_ms, max_attempts = counts
-        if kind != "serve":
+        kind, *fields = value
+        signals = None
+        if kind == _SERVE_WITH_SIGNALS:
+            signals = decode_signals(fields.pop(0) if fields else None)
+        elif kind != _SERVE:
             raise ValueError(f"unknown kind of relay message {kind!r}")
+        method, target, headers, body, *counts = fields
+        first_on_connection, elapsed_ms, max_attempts = counts
         return cls(
             require_string(method).encode("latin-1"),
             require_string(target).encode("latin-1"),
@@ -143,34 +167,43 @@
             bool(require_integer(first_on_connection)),
             max(0.0, require_number(elapsed_ms)),
             require_integer(max_attempts, minimum=1),
+            signals,
         )
 
 
-def encode_relayed_response(response: Response) -> list[Any]:
-    """Return a response as a JSON array."""
-    return [
+def encode_relayed_response(
+    response: Response, signals: Iterable[PassedSignal] | None = None
+) -> list[Any]:
+    """Return a response as a JSON array, with signals for a host that takes them."""
+    fields = [
         response.status,
         _encode_headers(response.headers),
         b64encode(response.body).decode(),
     ]
+    if signals is not None:
+        fields.append(encode_signals(signals))
+    return fields
 
 
-def decode_relayed_response(value: list[Any]) -> Response:
-    """Return the response described by a JSON array.
+def decode_relayed_response(
+    value: list[Any],
+) -> tuple[Response, tuple[PassedSignal, ...]]:
+    """Return the response described by a JSON array, and the signals with it.
 
     Raises
     ------
     TypeError, ValueError
         If the array does not describe a response.
     """
-    status, headers, body = value
+    status, headers, body, *later = value
     decoded = _decode_headers(headers)
-    return Response(
+    response = Response(
         require_integer(status, minimum=200),
         decoded,
         b64decode(require_string(body)),
         _first_values(decoded),
     )
+    return response, decode_signals(later[0]) if later else ()
 
 
 def _first_values(headers: Headers) -> dict[bytes, bytes]:
@@ -203,17 +236,21 @@
         Address of the host that it was last sent to.
     may_have_run : bool
         Whether a host that did not reply may have sent it to a server.
+    signals : tuple of PassedSignal
+        What servers have told the host that served it.
     """
 
     response: Response | None
     helper: str = ""
     may_have_run: bool = False
+    signals: tuple[PassedSignal, ...] = ()
 
 
 @dataclass(slots=True)
 class _Helper:
     host: HostAddress
     in_progress: int = 0
+    takes_signals: bool = False
 
 
 class RelayClient:
@@ -262,7 +299,11 @@
         self._first_refresh.clear()
 
     async def send(
-        self, request: Request, max_attempts: int, until: float
+        self,
+        request: Request,
+        max_attempts: int,
+        until: float,
+        signals_to_pass_on: Callable[[], tuple[PassedSignal, ...]],
     ) -> RelayResult:
         """Have another host serve a request.
 
@@ -275,6 +316,8 @@
             Number of servers to which the other host may send it.
         until : float
             Event loop time until which a reply is awaited.
+        signals_to_pass_on : callable
+            Returns what servers have told this host.
         """
         await self._wait_for_helpers(until)
         for _ in range(_MAX_REFUSALS):
@@ -284,7 +327,9 @@
                 break
             address = helper.host.address
             try:
-                response = await self._send_to(helper, request, max_attempts, timeout_s)
+                response, told = await self._send_to(
+                    helper, request, max_attempts, timeout_s, signals_to_pass_on
+                )
             except NotRelaying:
                 self._helpers.pop(address, None)
             except (KingcuplugError, *_MALFORMED):
@@ -292,7 +337,7 @@
                 return RelayResult(None, address, may_have_run=True)
             else:
                 self._metrics.count("requests_relayed")
-                return RelayResult(response, address)
+                return RelayResult(response, address, signals=told)
         return RelayResult(None)
 
     async def _send_to(
@@ -301,7 +346,8 @@
         request: Request,
         max_attempts: int,
         timeout_s: float,
-    ) -> Response:
+        signals_to_pass_on: Callable[[], tuple[PassedSignal, ...]],
+    ) -> tuple[Response, tuple[PassedSignal, ...]]:
         elapsed_s = self._loop.time() - request.received_at
         message = RelayedRequest(
             request.method,
@@ -311,6 +357,7 @@
             request.first_on_connection,
             elapsed_s * _MS_PER_S,
             max_attempts,
+            signals_to_pass_on() if helper.takes_signals else None,
         )
         helper.in_progress += 1
         try:
@@ -349,13 +396,16 @@
             hosts = self._random.sample(hosts, _MAX_HELPERS)
         answered = await asyncio.gather(*(self._probe(host) for host in hosts))
         previous, self._helpers = self._helpers, {}
-        for host, is_helper in zip(hosts, answered, strict=True):
-            if is_helper:
-                self._helpers[host.address] = previous.get(host.address, _Helper(host))
-
-    async def _probe(self, host: HostAddress) -> bool:
+        for host, reply in zip(hosts, answered, strict=True):
+            if reply is not None:
+                helper = previous.get(host.address, _Helper(host))
+                helper.takes_signals = _SIGNALS in reply
+                self._helpers[host.address] = helper
+
+    async def _probe(self, host: HostAddress) -> list[Any] | None:
+        """Return the reply of a host that serves requests; otherwise ``None``."""
         try:
-            await self._peers.call(host.address, PROBE, _PROBE_TIMEOUT_S)
+            reply = await self._peers.call(host.address, PROBE, _PROBE_TIMEOUT_S)
         except KingcuplugError:
-            return False
-        return True
+            return None
+        return reply if isinstance(reply, list) else []
--- a/packages/gateway/src/kingcuplug_gateway/_routes.py
+++ b/packages/gateway/src/kingcuplug_gateway/_routes.py
@@ -59,6 +59,11 @@
     top_records: int = 0
     minimum_coverage: float = 1.0
 
+    @property
+    def all_services(self) -> tuple[str, ...]:
+        """Names of the services and shards that its requests may be sent to."""
+        return (*(weighted.service for weighted in self.services), *self.shards)
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceSettings:
--- a/tests/gateway/test_passed_signals.py
+++ b/tests/gateway/test_passed_signals.py
@@ -2,15 +2,18 @@
 
 import asyncio
 import dataclasses
+import random
 from contextlib import asynccontextmanager
 
 import pytest
-from kingcuplug_gateway import RECORD_BYTES, NotGathering
+from kingcuplug_common import Metrics
+from kingcuplug_gateway import RECORD_BYTES, HostAddress, NotGathering, RelayPeers
 from kingcuplug_gateway._passed_signals import (
     PassedSignal,
     decode_signals,
     encode_signals,
 )
+from kingcuplug_gateway._relay import RelayClient
 from kingcuplug_http import Request, Response
 
 from .conftest import make_route, signed_response
@@ -210,3 +213,184 @@
             assert server.signals.not_before > now + 29
 
     asyncio.run(run())
+
+
+@asynccontextmanager
+async def _open_relaying(open_gateway, monkeypatch, edit_message=None, edit_reply=None):
+    """Open a host cut off from its servers until `is_cut` is false, and its helper."""
+    async with open_gateway() as helper, open_gateway() as host:
+        host.messages, host.replies = [], []
+        host.helper, host.is_cut = helper, False
+
+        async def is_reachable(address: str) -> bool:
+            return not host.is_cut
+
+        async def call(address, value, timeout_s):
+            host.messages.append(value)
+            value = edit_message(value) if edit_message else value
+            reply = await helper.gateway.handle_relay(value)
+            host.replies.append(reply)
+            return edit_reply(value, reply) if edit_reply else reply
+
+        async def list_hosts():
+            return [HostAddress("b:1", "z")]
+
+        monkeypatch.setattr(helper.gateway._isolation, "reaches_servers", _true)
+        monkeypatch.setattr(
+            "kingcuplug_gateway._isolation_monitor.accepts_connections", is_reachable
+        )
+        host.gateway._relay = RelayClient(
+            RelayPeers(call, list_hosts), "z", random.Random(1), Metrics()
+        )
+        for harness in (host, helper):
+            harness.set_routes(make_route())
+        yield host
+
+
+async def _true() -> bool:
+    return True
+
+
+async def _cut_off(host) -> None:
+    """Have the host find out that it reaches none of its servers."""
+    host.is_cut = True
+    for identifier in host.received:
+        host.gateway._isolation.record_unconnected(identifier)
+    await host.gateway._isolation.wait_for_check()
+    assert host.gateway.is_isolated
+
+
+async def _end_cut(host) -> None:
+    host.is_cut = False
+    for _ in range(250):
+        if not host.gateway.is_isolated:
+            return
+        await asyncio.sleep(0.02)
+    pytest.fail("the host does not notice the end of the cut")
+
+
+async def _add_shared_server(host, handler) -> str:
+    identifier = await host.add_server("stock", handler)
+    host.helper.register_server(identifier, "stock", host.server_infos[-1].address)
+    return identifier
+
+
+async def _have_servers_tell(host) -> None:
+    """Send requests until each server has told the host that sends them."""
+    for _ in range(4):
+        await host.send()
+    assert [len(requests) for requests in host.received.values()] == [1, 1]
+
+
+async def _count_further_requests(host) -> int:
+    """Return how many of ten requests reach the servers other than the newest."""
+    *tellers, _ = host.received.values()
+    told = sum(map(len, tellers))
+    for _ in range(10):
+        assert (await host.send()).status == 200
+    return sum(map(len, tellers)) - told
+
+
+async def _relay_then_ask_directly(host, respond) -> int:
+    """Return how many direct requests reach servers that have told the helper."""
+    for _ in range(2):
+        await _add_shared_server(host, respond)
+    await _cut_off(host)
+    await _have_servers_tell(host)
+    await _add_shared_server(host, _respond_with())
+    await _end_cut(host)
+    return await _count_further_requests(host)
+
+
+@pytest.mark.parametrize("respond", _SIGNALS)
+def test_host_keeps_to_what_a_server_told_its_helper(
+    open_gateway, monkeypatch, respond
+):
+    """Guards against direct requests, after a cut, to a server that wants none."""
+
+    async def run() -> None:
+        async with _open_relaying(open_gateway, monkeypatch) as host:
+            assert await _relay_then_ask_directly(host, respond) == 0
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("respond", _SIGNALS)
+def test_helper_keeps_to_what_a_server_told_the_host(
+    open_gateway, monkeypatch, respond
+):
+    """Guards against relayed requests to a server that told their host to wait."""
+
+    async def run() -> None:
+        async with _open_relaying(open_gateway, monkeypatch) as host:
+            for _ in range(2):
+                await _add_shared_server(host, respond)
+            await _have_servers_tell(host)
+            await _add_shared_server(host, _respond_with())
+            await _cut_off(host)
+            assert await _count_further_requests(host) == 0
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("respond", _SIGNALS)
+def test_old_helper_gets_requests_without_signals(open_gateway, monkeypatch, respond):
+    """Guards against requests that a helper of an older build rejects."""
+
+    def as_old_helper(message, reply):
+        return [] if message == ["probe"] else reply
+
+    async def run() -> None:
+        async with _open_relaying(
+            open_gateway, monkeypatch, edit_reply=as_old_helper
+        ) as host:
+            assert await _relay_then_ask_directly(host, respond) >= 1
+            served = [m for m in host.messages if m != ["probe"]]
+            assert {(m[0], len(m)) for m in served} == {("serve", 8)}
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("respond", _SIGNALS)
+def test_old_host_gets_responses_without_signals(open_gateway, monkeypatch, respond):
+    """Guards against responses of a helper that a host of an older build rejects."""
+
+    def as_old_host(message):
+        return ["serve", *message[2:]] if message != ["probe"] else message
+
+    async def run() -> None:
+        async with _open_relaying(
+            open_gateway, monkeypatch, edit_message=as_old_host
+        ) as host:
+            assert await _relay_then_ask_directly(host, respond) >= 1
+            served = zip(host.messages, host.replies, strict=True)
+            lengths = {len(r) for m, r in served if m != ["probe"]}
+            assert lengths == {3}
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("signals", [None, {}, [None, ["stock"], 3]])
+def test_relayed_request_is_served_whatever_its_signals_are(
+    open_gateway, monkeypatch, signals
+):
+    """Guards against a relayed request or answer that is lost for bad signals."""
+
+    def edit_message(message):
+        return [message[0], signals, *message[2:]] if len(message) > 1 else message
+
+    def edit_reply(message, reply):
+        return [*reply[:3], signals] if message != ["probe"] else reply
+
+    async def run() -> None:
+        async with _open_relaying(
+            open_gateway, monkeypatch, edit_message, edit_reply
+        ) as host:
+            for _ in range(2):
+                await _add_shared_server(host, _respond_with())
+            await _cut_off(host)
+            assert (await host.send()).status == 200
+            (message,) = [m for m in host.messages if m != ["probe"]]
+            assert message[0] == "serve_with_signals"
+
+    asyncio.run(run())
