Keep what a server said when its address changes, and index it

Callers could see: a server that had said that it leaves, or wants no requests, got some again after the directory had given it another address within the same incarnation: the entry was replaced and its signals were dropped (found by reading, by the author of the signals' way across gatherers). The new test failed before: one request, none expected.

It now takes the few servers that hold requests back from an index, that of the limited servers extended.

--- a/packages/gateway/src/kingcuplug_gateway/_servers.py
+++ b/packages/gateway/src/kingcuplug_gateway/_servers.py
@@ -191,8 +191,8 @@
         self._received_share = 0.0
         self._gatherer_count = 0
         self._departed_signals: dict[str, ServerSignals] = {}
-        # A host may know tens of thousands of servers, of which few are limited.
-        self._limited_servers: dict[str, Server] = {}
+        # A host may know tens of thousands of servers, of which few hold requests back.
+        self._signalling_servers: dict[str, Server] = {}
         self.hosts = 0
         self.fleet_requests = 0
         self._fleet_demand: Mapping[str, int] = {}
@@ -332,7 +332,8 @@
 
     def limited_servers(self) -> list[Server]:
         """Return the servers that have named a limit in their last answer."""
-        return list(self._limited_servers.values())
+        servers = self._signalling_servers.values()
+        return [s for s in servers if s.signals.limit is not None]
 
     def set_limit(self, server: Server, limit_per_s: float | None) -> bool:
         """Set or end the limit that a server names; return whether it has changed."""
@@ -394,17 +395,17 @@
         self, services: Iterable[str], now: float
     ) -> list[PassedSignal]:
         """Return what servers of some services have told this host itself."""
+        wanted = frozenset(services)
         return [
             PassedSignal(
-                service,
+                server.info.service,
                 identifier,
                 server.signals.start_ms,
                 server.signals.said_leaving,
                 max(0.0, server.signals.said_not_before - now) * _MS_PER_S,
             )
-            for service in services
-            for identifier, server in self.pool(service).servers.items()
-            if server.signals.has_said_to_wait(now)
+            for identifier, server in self._signalling_servers.items()
+            if server.info.service in wanted and server.signals.has_said_to_wait(now)
         ]
 
     def share_limits(self, fleet_demand: Mapping[str, int], now: float) -> None:
@@ -448,7 +449,7 @@
     ) -> None:
         for identifier in pool.servers.keys() - wanted.keys():
             removed = pool.servers.pop(identifier)
-            self._limited_servers.pop(identifier, None)
+            self._signalling_servers.pop(identifier, None)
             removed.connections.close()
             self._keep_signals(removed)
         for identifier, info in wanted.items():
@@ -456,6 +457,7 @@
             if server is None or server.info.address != info.address:
                 if server is not None:
                     server.connections.close()
+                    self._keep_signals(server)
                 in_other_zone = info.availability_zone != self._own_zone
                 server = Server(
                     info,
@@ -492,14 +494,14 @@
         current = self.pool(server.info.service).servers.get(server.info.id)
         if current is None:
             self._keep_signals(server)
-        elif current is server and server.signals.limit is not None:
-            self._limited_servers[server.info.id] = server
+        elif current is server and not server.signals.is_empty:
+            self._signalling_servers[server.info.id] = server
         elif current is server:
-            self._limited_servers.pop(server.info.id, None)
+            self._signalling_servers.pop(server.info.id, None)
 
     def _limits(self) -> Iterator[tuple[str, ServerLimit]]:
         """Yield the ids of the limited servers with their limits."""
-        for identifier, server in self._limited_servers.items():
+        for identifier, server in self._signalling_servers.items():
             if server.signals.limit is not None:
                 yield identifier, server.signals.limit
 
--- a/tests/gateway/test_server_signals.py
+++ b/tests/gateway/test_server_signals.py
@@ -200,6 +200,24 @@
     asyncio.run(main())
 
 
+def test_leaving_server_that_gets_another_address_gets_no_requests(open_gateway):
+    # Guards against a signal that is forgotten while its incarnation still runs.
+    async def main() -> None:
+        async with open_gateway() as harness:
+            harness.set_routes(make_route())
+            leaving = await harness.add_server("stock", _respond_leaving)
+            await harness.send()
+            other = await harness.add_server("checks", _respond)
+            info, elsewhere = harness.server_infos
+            moved = dataclasses.replace(info, address=elsewhere.address)
+            harness.gateway.update_fleet([moved], hosts=1)
+            assert (await harness.send()).body == b"no_willing_server"
+            assert len(harness.received[leaving]) == 1
+            assert not harness.received.get(other)
+
+    asyncio.run(main())
+
+
 def test_requests_that_wait_for_a_connection_leave_a_leaving_server(open_gateway):
     # Guards against requests that reach a server seconds after it has said it leaves.
     async def respond(request: Request) -> Response:
