Check the cursor of a poll's answer before it is used

Callers saw: an answer to a poll whose cursor was null, a string or a list ended the poll task, and with it the process of the host; other wrong values of epoch, cursor or connected kept the host polling the faulty control host, so it never got the newer routes of another.

Cause: _process_reply stored these values unchecked. The next poll compares the cursor outside the part that handles malformed answers.

Evidence: before the fix 14 of the 17 new rows of test_malformed_reply_makes_the_poller_change_its_control_host fail, three of them with "'>' not supported between instances of 'NoneType' (str, list) and 'int'" and an ended task; with it all pass. The three others passed before.

The test's faulty host takes 10 ms to answer, since an immediate one keeps virtual time from advancing.

--- a/packages/common/src/kingcuplug_common/__init__.py
+++ b/packages/common/src/kingcuplug_common/__init__.py
@@ -21,6 +21,7 @@
 from kingcuplug_common._json_types import (
     MAX_AMOUNT,
     require_amount,
+    require_boolean,
     require_count,
     require_integer,
     require_mapping,
@@ -110,6 +111,7 @@
     "render_metrics",
     "request_span",
     "require_amount",
+    "require_boolean",
     "require_count",
     "require_integer",
     "require_mapping",
--- a/packages/common/src/kingcuplug_common/_json_types.py
+++ b/packages/common/src/kingcuplug_common/_json_types.py
@@ -10,6 +10,7 @@
 __all__ = [
     "MAX_AMOUNT",
     "require_amount",
+    "require_boolean",
     "require_count",
     "require_integer",
     "require_mapping",
@@ -23,6 +24,19 @@
 MAX_AMOUNT = 2**53 - 1
 
 
+def require_boolean(value: Any) -> bool:
+    """Return a boolean.
+
+    Raises
+    ------
+    ValueError
+        If the value is anything else.
+    """
+    if not isinstance(value, bool):
+        raise ValueError(f"{value!r} is not a boolean")
+    return value
+
+
 def require_integer(value: Any, minimum: int = 0) -> int:
     """Return an integer of at least `minimum`.
 
--- a/packages/fleet/src/kingcuplug_fleet/_polling.py
+++ b/packages/fleet/src/kingcuplug_fleet/_polling.py
@@ -15,6 +15,7 @@
 from kingcuplug_common import (
     EventLog,
     require_amount,
+    require_boolean,
     require_count,
     require_integer,
     require_mapping,
@@ -345,15 +346,20 @@
             view.set_control_hosts(list(reply["nearer"]))
             self.control_host = None
             return self._is_near(self._select_control_host() or "")
+        # Checked before anything is applied: the next poll uses the cursor.
+        next_cursor = _Cursor(
+            require_string(reply["epoch"]), require_count(reply["cursor"])
+        )
+        connected = require_boolean(reply["connected"])
         self._apply_reply(reply)
         self._last_responder = address
-        if reply["epoch"] != cursor.epoch:
+        if next_cursor.epoch != cursor.epoch:
             # A restarted control host must receive the draining and ended servers.
-            self._cursors[address] = _Cursor(reply["epoch"], 0)
+            self._cursors[address] = _Cursor(next_cursor.epoch, 0)
             if has_polled:
                 return True
-        self._cursors[address] = _Cursor(reply["epoch"], reply["cursor"])
-        if not reply["connected"]:
+        self._cursors[address] = next_cursor
+        if not connected:
             # Otherwise the control hosts of other zones redirect back to this one.
             self._poll_failed_at[address] = asyncio.get_running_loop().time()
             self.suggest_control_hosts(require_strings(reply.get("control_hosts", [])))
@@ -382,8 +388,9 @@
             )
         view.merge_servers([ServerRecord.from_json(r) for r in reply["servers"]])
         if "state" in reply:
+            state_digest = require_string(reply["state_key"])
             self._apply_state(reply["state"])
-            self._state_digest = reply["state_key"]
+            self._state_digest = state_digest
         elif "slow" in reply:
             self._apply_slow_servers(reply["slow"])
 
--- a/packages/log/src/kingcuplug_log/_messages.py
+++ b/packages/log/src/kingcuplug_log/_messages.py
@@ -8,7 +8,12 @@
 from dataclasses import fields as declared_fields
 from typing import Any
 
-from kingcuplug_common import require_count, require_mapping, require_string
+from kingcuplug_common import (
+    require_boolean,
+    require_count,
+    require_mapping,
+    require_string,
+)
 
 from kingcuplug_log._types import Entry
 
@@ -131,12 +136,6 @@
     reason: str
 
 
-def _require_boolean(value: Any) -> bool:
-    if not isinstance(value, bool):
-        raise ValueError(f"{value!r} is not a boolean")
-    return value
-
-
 Request = PreVoteRequest | VoteRequest | AppendRequest | InstallRequest
 Reply = VoteReply | AppendReply | InstallReply | Rejected
 
@@ -155,7 +154,7 @@
 _CHECKS: dict[Any, Any] = {
     int: require_count,
     str: require_string,
-    bool: _require_boolean,
+    bool: require_boolean,
 }
 _KIND_BY_TYPE = {cls: kind for kind, cls in (_REQUEST_TYPES | _REPLY_TYPES).items()}
 
--- a/tests/fleet/test_malformed_messages.py
+++ b/tests/fleet/test_malformed_messages.py
@@ -86,6 +86,12 @@
         {"state": [[], {}, ["a"], {}, "ten", 1, []], "state_key": ""},
         {"nearer": 5},
         {"slow": {"i-1": None}},
+        *({"cursor": wrong} for wrong in (None, "x", [], True, 1.5, -1)),
+        {"cursor": 2**64 - 1, "epoch": 7},
+        *({"epoch": wrong} for wrong in (None, 7, [], {})),
+        *({"connected": wrong} for wrong in (None, "no", 1, [])),
+        {"state": [[], {}, [], {}, 1, 1, [], {}, {}], "state_key": 2},
+        {"document": "{}", "routes": True},
     ],
 )
 def test_malformed_reply_makes_the_poller_change_its_control_host(change):
@@ -96,6 +102,7 @@
         current.update_routes(2, "new")
 
         async def answer_malformed(path: str, value: Any) -> Any:
+            await asyncio.sleep(0.01)
             return _good_reply(own) | change
 
         async def answer(path: str, value: Any) -> Any:
