Refuse malformed documents that other hosts propose

Callers saw: a proposal of another host with the version 1e308, true or 5.5, or with a document that is no text, was committed and held by all control hosts. No later version is above 1e308, so no operator's document could replace it.

Cause: the leader replicated any value, and the register compared and stored it without a check.

The leader checks the command before it is appended, and the register before it is applied, because a log may hold one already. A command that raises leaves the state unchanged, and later ones are applied.

--- a/packages/fleet/src/kingcuplug_fleet/_control_replica.py
+++ b/packages/fleet/src/kingcuplug_fleet/_control_replica.py
@@ -48,7 +48,10 @@
     required_voters,
 )
 from kingcuplug_fleet._peer_client import PeerClient, PeerFailed
-from kingcuplug_fleet._route_register import RouteRegister
+from kingcuplug_fleet._route_register import (
+    RouteRegister,
+    decode_document_command,
+)
 
 __all__ = ["ControlReplica", "ControlReplicaSettings"]
 
@@ -291,6 +294,7 @@
         return leader.address
 
     async def _propose(self, replica: Replica, command: Any) -> int:
+        decode_document_command(command)
         if not self._is_formed(replica.status()):
             raise CoreUnavailable("too few control hosts have joined the new group")
         return int(await replica.propose(command))
--- a/packages/fleet/src/kingcuplug_fleet/_route_register.py
+++ b/packages/fleet/src/kingcuplug_fleet/_route_register.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable
 from typing import Any
 
-__all__ = ["RouteRegister"]
+from kingcuplug_common import require_integer, require_mapping, require_string
+
+__all__ = ["RouteRegister", "decode_document_command"]
 
 
 class RouteRegister:
@@ -30,9 +32,17 @@
         self.document = ""
 
     def apply(self, index: int, command: Any) -> Any:
-        """Store a document if its version is higher; return the version held."""
-        if command["version"] > self.version:
-            self._replace(command["version"], command["document"])
+        """Store a document if its version is higher; return the version held.
+
+        Raises
+        ------
+        LookupError, ValueError
+            If the command is malformed. It is checked here, too, since the log may
+            hold one that was proposed by an older version of the program.
+        """
+        version, document = decode_document_command(command)
+        if version > self.version:
+            self._replace(version, document)
         return self.version
 
     def dump(self) -> dict[str, Any]:
@@ -46,3 +56,15 @@
     def _replace(self, version: int, document: str) -> None:
         self.version, self.document = version, document
         self._on_change()
+
+
+def decode_document_command(value: Any) -> tuple[int, str]:
+    """Return the version and the document in a command of the log.
+
+    Raises
+    ------
+    LookupError, ValueError
+        If the value is malformed.
+    """
+    fields = require_mapping(value)
+    return require_integer(fields["version"]), require_string(fields["document"])
--- a/tests/fleet/test_malformed_joins.py
+++ b/tests/fleet/test_malformed_joins.py
@@ -64,3 +64,32 @@
     except (LookupError, TypeError, ValueError):
         return
     assert member.to_json() == _MEMBER
+
+
+@pytest.mark.parametrize(
+    "command",
+    [
+        {"version": 5, "document": None},
+        {"version": 5, "document": ["{}"]},
+        {"version": 5},
+        {"version": True, "document": "{}"},
+        {"version": 5.5, "document": "{}"},
+        {"version": 1e308, "document": "{}"},
+        {"version": "5", "document": "{}"},
+        {"version": None, "document": "{}"},
+        [],
+        None,
+    ],
+)
+def test_malformed_document_of_another_host_is_never_held(make_control_group, command):
+    """Guards against a document that no host can use, and none can replace."""
+
+    async def main() -> None:
+        group = make_control_group()
+        await group.form("a", "b", "c")
+        await _call_all(group, "/peer/v2/propose", command)
+        await asyncio.sleep(0.5)
+        assert [host.register.version for host in group.running()] == [0, 0, 0]
+        await _check_works_on(group)
+
+    run_virtual(main())
