--- a/tests/platform_formats/test_start.py
+++ b/tests/platform_formats/test_start.py
@@ -65,6 +65,22 @@
     run.wait_for_ready()
 
 
+@pytest.mark.parametrize("machine", ["10.0.0.300", "a..b"])
+@pytest.mark.parametrize("name", LISTENERS)
+def test_host_waits_for_an_address_that_can_be_used(start_host, name, machine):
+    """Guards against a host that ends, or waits for good, by a mistyped address."""
+    run = start_host(data=b"")
+    run.wait_for_event("settings_unreadable")
+    listen = run.settings["listen"]
+    run.path.write_bytes(
+        orjson.dumps(run.settings | {"listen": listen | {name: f"{machine}:9001"}})
+    )
+    run.wait_for_event("settings_unreadable", count=2)
+    run.path.write_bytes(orjson.dumps(run.settings))
+    run.wait_for_event("listening", count=3)
+    run.wait_for_ready()
+
+
 def test_host_that_waits_for_its_settings_can_be_stopped(start_host):
     """Guards against a host that no signal but SIGKILL ends while it waits."""
     run = start_host(data=b"")
