--- a/packages/log/src/kingcuplug_log/_follower.py
+++ b/packages/log/src/kingcuplug_log/_follower.py
@@ -121,7 +121,9 @@
             snapshot = Snapshot.from_json(
                 decode_single_record(data, "received snapshot")
             )
-        except CorruptLog:
+            if not snapshot.members:
+                raise ValueError("a leader's snapshot has members")
+        except (CorruptLog, LookupError, TypeError, ValueError):
             self._snapshot_data = bytearray()
             return False
         # The entries that the snapshot covers are gone once it is stored, so it must be
--- a/packages/log/src/kingcuplug_log/_snapshot.py
+++ b/packages/log/src/kingcuplug_log/_snapshot.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from kingcuplug_common import require_count, require_mapping, require_string
+
 from kingcuplug_log._types import Member
 
 __all__ = ["Snapshot"]
@@ -33,6 +35,20 @@
 
     @classmethod
     def from_json(cls, value: dict[str, Any]) -> "Snapshot":
-        """Return the snapshot described by a JSON object."""
-        members = tuple(Member.from_json(member) for member in value["members"])
-        return cls(**(value | {"members": members}))
+        """Return the snapshot described by a JSON object.
+
+        Raises
+        ------
+        LookupError, TypeError, ValueError
+            If the object does not describe a snapshot.
+        """
+        fields = require_mapping(value)
+        members = fields["members"]
+        if not isinstance(members, list):
+            raise ValueError(f"{members!r} is not a list of members")
+        require_count(fields["index"])
+        require_count(fields["term"])
+        require_string(fields["cluster"])
+        require_mapping(fields["state"])
+        require_count(fields.get("intended_size", 0))
+        return cls(**(fields | {"members": tuple(map(Member.from_json, members))}))
--- a/tests/log/test_malformed_messages.py
+++ b/tests/log/test_malformed_messages.py
@@ -1,6 +1,7 @@
 """Malformed messages of peers: rejected as a whole, and never stored."""
 
 import asyncio
+import base64
 import copy
 from typing import Any
 
@@ -8,6 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from kingcuplug_log._messages import decode_reply
+from kingcuplug_log._records import encode_record
 from kingcuplug_testkit import Host, LogGroup, run_virtual
 
 _TERM = 50
@@ -131,6 +133,48 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize(
+    ("field", "wrong"),
+    [
+        *(("index", w) for w in ("x", None, 2**60, 98.5, True)),
+        *(("term", w) for w in ("x", None, 2**60, True)),
+        *(("cluster", w) for w in (7, None)),
+        *(("members", w) for w in (None, [], [7], {})),
+        *(("state", w) for w in (None, [], "x")),
+        *(("intended_size", w) for w in ("x", -1, True)),
+    ],
+)
+def test_malformed_snapshot_is_never_stored(field, wrong):
+    """Guards against a stored snapshot that stops the replica at each start."""
+
+    async def main() -> None:
+        group = LogGroup("malformed")
+        host = await _follower(group)
+        snapshot = {
+            "index": 99,
+            "term": 9,
+            "cluster": "test",
+            "members": _MEMBERS["members"],
+            "state": {"index": 99, "chain": "", "values": []},
+            "intended_size": 1,
+        }
+        data = encode_record(snapshot | {field: wrong})
+        message = _messages(host)[_INSTALL] | {
+            "total": len(data),
+            "data": base64.b64encode(data).decode(),
+        }
+        reply = await host.replica.handle(message)
+        assert (reply["kind"], reply["done"], reply["offset"]) == (
+            "install_reply",
+            False,
+            0,
+        )
+        assert host.replica.status().snapshot_index == 0
+        await _check_works_on(group, host)
+
+    run_virtual(main())
+
+
 @pytest.mark.parametrize(
     "reply",
     [
