Read saved routes again if descriptors are short at the start

A control host that had no free descriptor while it loaded its saved routes went on as without any, and the replay of its log then replaced the saved document by an older one: a power loss after that would revert the routes. The load took each error of the disk for an unreadable file. It now raises if descriptors, memory or threads are short; the supervised start of the host tries again before anything is written. The same holds for the file of the servers.

The test fails without the fix and passes with it.

--- a/packages/fleet/src/kingcuplug_fleet/_directory_file.py
+++ b/packages/fleet/src/kingcuplug_fleet/_directory_file.py
@@ -20,7 +20,7 @@
     run_to_completion,
 )
 
-from kingcuplug_fleet._durable_file import replace_file
+from kingcuplug_fleet._durable_file import may_pass, replace_file
 from kingcuplug_fleet._fleet_view import FleetView
 from kingcuplug_fleet._server_record import ServerRecord
 
@@ -57,7 +57,7 @@
         Raises
         ------
         OSError
-            If no worker thread can be started.
+            If threads, descriptors or memory are short at the moment.
         """
         saved = await run_to_completion(_read, self._path)
         if saved is None:
@@ -147,4 +147,6 @@
     except FileNotFoundError:
         return None
     except (OSError, ValueError, TypeError, LookupError) as error:
+        if may_pass(error):
+            raise
         return error
--- a/packages/fleet/src/kingcuplug_fleet/_durable_file.py
+++ b/packages/fleet/src/kingcuplug_fleet/_durable_file.py
@@ -1,10 +1,18 @@
 """Replacement of a file that is atomic and survives a power loss."""
 
 import contextlib
+import errno
 import os
 from pathlib import Path
 
-__all__ = ["replace_file"]
+__all__ = ["may_pass", "replace_file"]
+
+_PASSING_ERRORS = {errno.EAGAIN, errno.EMFILE, errno.ENFILE, errno.ENOMEM}
+
+
+def may_pass(error: Exception) -> bool:
+    """Return whether the cause is a shortage that says nothing of the file itself."""
+    return isinstance(error, OSError) and error.errno in _PASSING_ERRORS
 
 
 def replace_file(path: Path, data: bytes) -> None:
--- a/packages/fleet/src/kingcuplug_fleet/_routes_file.py
+++ b/packages/fleet/src/kingcuplug_fleet/_routes_file.py
@@ -19,7 +19,7 @@
     run_to_completion,
 )
 
-from kingcuplug_fleet._durable_file import replace_file
+from kingcuplug_fleet._durable_file import may_pass, replace_file
 from kingcuplug_fleet._route_register import RouteRegister
 
 __all__ = ["RoutesFile"]
@@ -44,7 +44,7 @@
         Raises
         ------
         OSError
-            If no worker thread can be started.
+            If threads, descriptors or memory are short at the moment.
         """
         saved = await run_to_completion(_read, self._path)
         if isinstance(saved, Exception):
@@ -85,4 +85,6 @@
     except FileNotFoundError:
         return None
     except (OSError, ValueError, TypeError, LookupError) as error:
+        if may_pass(error):
+            raise
         return error
--- a/tests/fleet/test_routes_file.py
+++ b/tests/fleet/test_routes_file.py
@@ -88,6 +88,26 @@
     assert asyncio.run(_open_file(tmp_path, log)[0].load()) is None
 
 
+def test_saved_document_outlives_a_start_without_free_descriptors(
+    tmp_path, log, monkeypatch
+):
+    """Guards against an old document that replaces the saved one, which was not read.
+
+    The caller of `load` tries again before anything is written.
+    """
+    (tmp_path / "routes.json").write_text('{"version": 9, "document": "nine"}')
+
+    def fail(path):
+        raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
+
+    file = _open_file(tmp_path, log)[0]
+    with monkeypatch.context() as patch:
+        patch.setattr(Path, "read_bytes", fail)
+        with pytest.raises(OSError, match="Too many open files"):
+            asyncio.run(file.load())
+    assert asyncio.run(file.load()) == (9, "nine")
+
+
 def test_full_disk_does_not_end_the_task(tmp_path, log):
     """Guards against routes that are never saved again after the disk was full."""
 
