Start background tasks of kingcuplugd again when they fail

What callers could see: a host that runs and answers, but whose session, configuration or list of backend servers stands still for good. No message from outside is known to cause it.

Cause: the first unexpected error in one of the tasks ended the whole group of them, which nothing observed until the stop.

--- a/packages/daemon/src/kingcuplug_daemon/_control_node.py
+++ b/packages/daemon/src/kingcuplug_daemon/_control_node.py
@@ -37,6 +37,7 @@
 from kingcuplug_daemon import _state_reads
 from kingcuplug_daemon._peer_client import PeerClient, PeerError
 from kingcuplug_daemon._state_machine import LEDGER_COMMANDS, SystemStateMachine
+from kingcuplug_daemon._supervision import run_supervised
 
 __all__ = ["BootstrapUnsafe", "ControlNode", "leader_address"]
 
@@ -152,9 +153,7 @@
         await self.replica.stop()
 
     async def _run_exchanges(self) -> None:
-        async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self.sessions.run())
-            tasks.create_task(self.mesh.run())
+        await run_supervised(self.sessions.run, self.mesh.run)
 
     # Requests of other hosts
 
--- a/packages/daemon/src/kingcuplug_daemon/_entry_node.py
+++ b/packages/daemon/src/kingcuplug_daemon/_entry_node.py
@@ -26,6 +26,7 @@
 from kingcuplug_daemon._leader_client import LeaderClient
 from kingcuplug_daemon._peer_client import PeerClient
 from kingcuplug_daemon._router_updater import RouterUpdater
+from kingcuplug_daemon._supervision import run_supervised
 from kingcuplug_daemon._tls import client_context, reload_identity
 from kingcuplug_daemon._tracing import traced_session, traced_submit
 
@@ -161,7 +162,6 @@
         await self.backend_client.close()
 
     async def _run_exchanges(self) -> None:
-        async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self.session.run())
-            tasks.create_task(self._router_updater.run())
-            tasks.create_task(self._crash_verdicts.run())
+        await run_supervised(
+            self.session.run, self._router_updater.run, self._crash_verdicts.run
+        )
