Read the saved routes and the saved servers by one function

Cause: wrote the same errors of a saved file, which are unreadable, missing or only short of descriptors, into both modules. read_file stands beside replace_file now; each module only decodes its fields.

Behaviour and tests are the same: tests/node, test_routes_file.py and test_directory_file.py pass (54 tests).

--- a/packages/fleet/src/kingcuplug_fleet/_directory_file.py
+++ b/packages/fleet/src/kingcuplug_fleet/_directory_file.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from pathlib import Path
+from typing import Any
 
 import orjson
 from kingcuplug_common import (
@@ -20,7 +21,7 @@
     run_to_completion,
 )
 
-from kingcuplug_fleet._durable_file import may_pass, replace_file
+from kingcuplug_fleet._durable_file import read_file, replace_file
 from kingcuplug_fleet._fleet_view import FleetView
 from kingcuplug_fleet._server_record import ServerRecord
 
@@ -59,7 +60,7 @@
         OSError
             If threads, descriptors or memory are short at the moment.
         """
-        saved = await run_to_completion(_read, self._path)
+        saved = await run_to_completion(read_file, self._path, _decode)
         if saved is None:
             return
         if isinstance(saved, Exception):
@@ -131,22 +132,11 @@
         )
 
 
-def _read(path: Path) -> _Saved | Exception | None:
-    """Return the state in a file, or why there is none."""
-    try:
-        value = require_mapping(orjson.loads(path.read_bytes()))
-        return (
-            [ServerRecord.from_json(entry) for entry in value["servers"]],
-            require_integer(value["hosts"]),
-            {
-                address: require_string(zone)
-                for address, zone in require_mapping(value.get("zones", {})).items()
-            },
-            tuple(require_strings(value.get("reachable", []))),
-        )
-    except FileNotFoundError:
-        return None
-    except (OSError, ValueError, TypeError, LookupError) as error:
-        if may_pass(error):
-            raise
-        return error
+def _decode(value: dict[str, Any]) -> _Saved:
+    zones = require_mapping(value.get("zones", {}))
+    return (
+        [ServerRecord.from_json(entry) for entry in value["servers"]],
+        require_integer(value["hosts"]),
+        {address: require_string(zone) for address, zone in zones.items()},
+        tuple(require_strings(value.get("reachable", []))),
+    )
--- a/packages/fleet/src/kingcuplug_fleet/_durable_file.py
+++ b/packages/fleet/src/kingcuplug_fleet/_durable_file.py
@@ -1,18 +1,47 @@
-"""Replacement of a file that is atomic and survives a power loss."""
+"""JSON files of a data folder, whose replacement survives a power loss."""
 
 import contextlib
 import errno
 import os
+from collections.abc import Callable
 from pathlib import Path
+from typing import Any, TypeVar
 
-__all__ = ["may_pass", "replace_file"]
+import orjson
+from kingcuplug_common import require_mapping
 
+__all__ = ["read_file", "replace_file"]
+
+# They say nothing of the file itself.
 _PASSING_ERRORS = {errno.EAGAIN, errno.EMFILE, errno.ENFILE, errno.ENOMEM}
 
+_T = TypeVar("_T")
+
+
+def read_file(
+    path: Path, decode: Callable[[dict[str, Any]], _T]
+) -> _T | Exception | None:
+    """Return what a file holds, the error if it is unreadable, ``None`` if missing.
 
-def may_pass(error: Exception) -> bool:
-    """Return whether the cause is a shortage that says nothing of the file itself."""
-    return isinstance(error, OSError) and error.errno in _PASSING_ERRORS
+    Parameters
+    ----------
+    decode : callable
+        Return the state in the JSON object of the file; raises `LookupError`,
+        `TypeError` or `ValueError` if it is malformed.
+
+    Raises
+    ------
+    OSError
+        If descriptors or memory are short at the moment.
+    """
+    try:
+        return decode(require_mapping(orjson.loads(path.read_bytes())))
+    except FileNotFoundError:
+        return None
+    except (OSError, ValueError, TypeError, LookupError) as error:
+        if isinstance(error, OSError) and error.errno in _PASSING_ERRORS:
+            raise
+        return error
 
 
 def replace_file(path: Path, data: bytes) -> None:
--- a/packages/fleet/src/kingcuplug_fleet/_routes_file.py
+++ b/packages/fleet/src/kingcuplug_fleet/_routes_file.py
@@ -8,18 +8,18 @@
 
 import asyncio
 from pathlib import Path
+from typing import Any
 
 import orjson
 from kingcuplug_common import (
     Condition,
     EventLog,
     require_integer,
-    require_mapping,
     require_string,
     run_to_completion,
 )
 
-from kingcuplug_fleet._durable_file import may_pass, replace_file
+from kingcuplug_fleet._durable_file import read_file, replace_file
 from kingcuplug_fleet._route_register import RouteRegister
 
 __all__ = ["RoutesFile"]
@@ -46,7 +46,7 @@
         OSError
             If threads, descriptors or memory are short at the moment.
         """
-        saved = await run_to_completion(_read, self._path)
+        saved = await run_to_completion(read_file, self._path, _decode)
         if isinstance(saved, Exception):
             # The routes are then taken from other control hosts or from the log.
             self._log.write("routes_file_unreadable", {"error": repr(saved)})
@@ -77,14 +77,5 @@
                 await asyncio.sleep(_RETRY_DELAY_S)
 
 
-def _read(path: Path) -> tuple[int, str] | Exception | None:
-    """Return the version and document in a file, or why there are none."""
-    try:
-        value = require_mapping(orjson.loads(path.read_bytes()))
-        return require_integer(value["version"]), require_string(value["document"])
-    except FileNotFoundError:
-        return None
-    except (OSError, ValueError, TypeError, LookupError) as error:
-        if may_pass(error):
-            raise
-        return error
+def _decode(value: dict[str, Any]) -> tuple[int, str]:
+    return require_integer(value["version"]), require_string(value["document"])
