--- a/packages/log/src/kingcuplug_log/_snapshot.py
+++ b/packages/log/src/kingcuplug_log/_snapshot.py
@@ -5,7 +5,7 @@
 
 from kingcuplug_common import require_count, require_mapping, require_string
 
-from kingcuplug_log._types import Member
+from kingcuplug_log._types import Member, members_from_json
 
 __all__ = ["Snapshot"]
 
@@ -43,12 +43,10 @@
             If the object does not describe a snapshot.
         """
         fields = require_mapping(value)
-        members = fields["members"]
-        if not isinstance(members, list):
-            raise ValueError(f"{members!r} is not a list of members")
+        members = members_from_json(fields["members"])
         require_count(fields["index"])
         require_count(fields["term"])
         require_string(fields["cluster"])
         require_mapping(fields["state"])
         require_count(fields.get("intended_size", 0))
-        return cls(**(fields | {"members": tuple(map(Member.from_json, members))}))
+        return cls(**(fields | {"members": members}))
--- a/packages/log/src/kingcuplug_log/_types.py
+++ b/packages/log/src/kingcuplug_log/_types.py
@@ -26,6 +26,7 @@
     "StateMachine",
     "Transport",
     "member_id",
+    "members_from_json",
 ]
 
 _MS_PER_S = 1_000
@@ -114,6 +115,19 @@
         )
 
 
+def members_from_json(value: Any) -> tuple[Member, ...]:
+    """Return the members described by a JSON array.
+
+    Raises
+    ------
+    LookupError, TypeError, ValueError
+        If it does not describe members.
+    """
+    if not isinstance(value, list):
+        raise ValueError(f"{value!r} is not a list of members")
+    return tuple(map(Member.from_json, value))
+
+
 def member_id(host: str, disk_id: str) -> str:
     """Return the identifier of the member with this host name and disk."""
     return f"{host}/{disk_id}"
@@ -170,11 +184,8 @@
     """
     fields = require_mapping(value)
     require_string(fields["cluster"])
-    members = fields["members"]
-    if not isinstance(members, list) or not members:
-        raise ValueError(f"{members!r} is not a list of members")
-    for member in members:
-        Member.from_json(member)
+    if not members_from_json(fields["members"]):
+        raise ValueError("there are no members")
     require_count(fields.get("intended_size", 0))
 
 
