--- a/tests/node/test_heartbeats.py
+++ b/tests/node/test_heartbeats.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import time
+from pathlib import Path
 
 import orjson
 import pytest
@@ -19,15 +20,17 @@
     )
 
 
+def _make_host(output: Path) -> Host:
+    settings = make_settings()
+    log = EventLog(os.open(output, os.O_WRONLY | os.O_CREAT), "host")
+    return Host(settings, HEADER_NAMES, lambda _: ROUTE_TABLE, lambda: settings, log)
+
+
 def test_server_from_the_future_is_rejected():
     """Guards against an odd entry that takes another server's address for good."""
 
     async def run() -> None:
-        settings = make_settings()
-        log = EventLog(os.open(os.devnull, os.O_WRONLY), "host")
-        host = Host(
-            settings, HEADER_NAMES, lambda text: ROUTE_TABLE, lambda: settings, log
-        )
+        host = _make_host(Path(os.devnull))
         host._poller.control_host = "127.0.0.1:1"
         now_ms = int(time.time() * 1_000)
         with pytest.raises(RecordImplausible):
@@ -43,11 +46,7 @@
     """Guards against a host that rejects all servers because its clock jumps."""
 
     async def run() -> None:
-        settings = make_settings()
-        log = EventLog(os.open(os.devnull, os.O_WRONLY), "host")
-        host = Host(
-            settings, HEADER_NAMES, lambda text: ROUTE_TABLE, lambda: settings, log
-        )
+        host = _make_host(Path(os.devnull))
         host._poller.control_host = "127.0.0.1:1"
         true_time = time.time
         for ahead_s in (-3.0, -10 * 86_400.0, 0.0, -time.time()):
@@ -66,15 +65,11 @@
     output = tmp_path / "log"
 
     async def run() -> None:
-        settings = make_settings()
-        log = EventLog(os.open(output, os.O_WRONLY | os.O_CREAT), "host")
-        host = Host(
-            settings, HEADER_NAMES, lambda text: ROUTE_TABLE, lambda: settings, log
-        )
+        host = _make_host(output)
         start_ms = int(time.time() * 1_000) + 10 * 86_400_000
         with pytest.raises(RecordImplausible):
             await host.receive_heartbeat(_record(start_ms))
-        log.flush()
+        host._log.flush()
         line = orjson.loads(output.read_bytes())
         assert line["event"] == "server_implausible"
         assert (line["server"], line["born_ms"]) == ("i-1", start_ms)
--- a/tests/node/test_stalled_disk.py
+++ b/tests/node/test_stalled_disk.py
@@ -31,6 +31,21 @@
     return True
 
 
+def _make_host(
+    data_folder: Path, control_address: str, ready_address: str = "127.0.0.1:0"
+) -> Host:
+    settings = make_settings(
+        control_address=control_address,
+        ready_address=ready_address,
+        seeds=(control_address,),
+        first_start=True,
+        data_folder=data_folder,
+        termination_grace_ms=600,
+    )
+    log = EventLog(os.open(os.devnull, os.O_WRONLY), "host")
+    return Host(settings, HEADER_NAMES, lambda _: ROUTE_TABLE, lambda: settings, log)
+
+
 @pytest.mark.parametrize("stalls_from_start", [True, False])
 def test_control_port_is_held_until_the_last_write_has_ended(
     tmp_path: Path, monkeypatch, stalls_from_start
@@ -50,17 +65,7 @@
 
     async def run() -> None:
         address = _find_free_address()
-        settings = make_settings(
-            control_address=address,
-            seeds=(address,),
-            first_start=True,
-            data_folder=tmp_path,
-            termination_grace_ms=600,
-        )
-        log = EventLog(os.open(os.devnull, os.O_WRONLY), "host")
-        host = Host(
-            settings, HEADER_NAMES, lambda _: ROUTE_TABLE, lambda: settings, log
-        )
+        host = _make_host(tmp_path, address)
         if stalls_from_start:
             monkeypatch.setattr(os, "fsync", stall)
         task = asyncio.ensure_future(host.run(None))
@@ -104,18 +109,7 @@
 
     async def run() -> None:
         address, ready_address = _find_free_address(), _find_free_address()
-        settings = make_settings(
-            control_address=address,
-            ready_address=ready_address,
-            seeds=(address,),
-            first_start=True,
-            data_folder=tmp_path,
-            termination_grace_ms=600,
-        )
-        log = EventLog(os.open(os.devnull, os.O_WRONLY), "host")
-        host = Host(
-            settings, HEADER_NAMES, lambda _: ROUTE_TABLE, lambda: settings, log
-        )
+        host = _make_host(tmp_path, address, ready_address)
         monkeypatch.setattr(Path, "read_bytes", stall)
         loop = asyncio.get_running_loop()
         started_at = loop.time()
