Encode the settings of a host in platform/ only

Cause: the soak wrote the platform's settings file by its field names, and named the variable of its path, so these names stood outside platform/. encode_settings is the counterpart of decode_settings, as for documents and heartbeats; the soak holds NodeSettings, and reads addresses and times from them in place of the file's fields.

The hosts get the same settings as before; limits that the soak does not state are written as null, which stands for none. A test decodes what was encoded.

--- a/packages/soak/src/kingcuplug_soak/_hosts.py
+++ b/packages/soak/src/kingcuplug_soak/_hosts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import os
 import random as random_module
 import shutil
@@ -13,10 +14,14 @@
 from collections.abc import AsyncIterator, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
 
-import orjson
-from kingcuplug_platform.formats import decode_settings
+from kingcuplug_node import NodeSettings
+from kingcuplug_platform.formats import (
+    METRICS_PORT,
+    SETTINGS_VARIABLE,
+    encode_settings,
+)
+from kingcuplug_routing import RetryBudgetSettings
 
 from kingcuplug_soak import _host_process
 from kingcuplug_soak._host_run import HostRun
@@ -32,6 +37,7 @@
     _RESERVATION_PORT,
 ) = range(21_000, 21_005)
 _NETWORKS = 16_384
+_MS_PER_S = 1_000
 _FIRST_NETWORK = 64
 _RESERVATION_NUMBER = 254
 _WATCH_INTERVAL_S = 0.01
@@ -80,7 +86,7 @@
     """
 
     name: str
-    settings: dict[str, Any]
+    settings: NodeSettings
     folder: Path
     proxy: Proxy
     violations: list[str]
@@ -93,32 +99,33 @@
     @property
     def caller_address(self) -> str:
         """Address for callers."""
-        return str(self.settings["listen"]["front"])
+        return self.settings.caller_address
 
     @property
     def ready_address(self) -> str:
         """Address of the readiness check."""
-        return str(self.settings["listen"]["ready"])
+        return self.settings.ready_address
 
     @property
     def control_address(self) -> str:
         """Address for servers, operators and peers; the proxy listens there."""
-        return str(self.settings["listen"]["control"])
+        return self.settings.control_address
 
     @property
     def control_bind_address(self) -> str:
         """Address to which the proxy forwards."""
-        return f"{self.settings['ip']}:{_CONTROL_BIND_PORT}"
+        ip = self.control_address.rpartition(":")[0]
+        return f"{ip}:{_CONTROL_BIND_PORT}"
 
     @property
     def metrics_address(self) -> str:
         """Address of the metrics."""
-        return decode_settings(orjson.dumps(self.settings)).metrics_address
+        return self.settings.metrics_address
 
     @property
     def has_disk(self) -> bool:
         """Whether the host has a disk."""
-        return self.settings["data_directory"] is not None
+        return self.settings.data_folder is not None
 
     @property
     def is_running(self) -> bool:
@@ -144,7 +151,8 @@
         stdout : int or None
             Descriptor of the standard output, in place of the log file.
         """
-        self.settings["first_start"] = self.start_count == 0
+        is_first = self.start_count == 0
+        self.settings = dataclasses.replace(self.settings, first_start=is_first)
         self.start_count += 1
         if not self._broken_settings:
             self.write_settings()
@@ -164,7 +172,7 @@
                 # The sources of the soak itself, not an installed copy.
                 env=os.environ
                 | {
-                    "KINGCUPLUG_CONFIG": str(self.settings_file),
+                    SETTINGS_VARIABLE: str(self.settings_file),
                     "PYTHONPATH": os.pathsep.join(filter(None, sys.path)),
                 },
             )
@@ -179,7 +187,7 @@
     def write_settings(self, data: bytes | None = None) -> None:
         """Write the settings file; `data` replaces its content."""
         self.settings_file.write_bytes(
-            orjson.dumps(self.settings) if data is None else data
+            encode_settings(self.settings) if data is None else data
         )
 
     @contextlib.contextmanager
@@ -217,7 +225,7 @@
         """Kill a process that outruns the grace time after its first SIGTERM."""
         if run.stopping_since is None:
             return
-        grace_s = self.settings["bounds"]["grace_s"]
+        grace_s = self.settings.termination_grace_ms / _MS_PER_S
         remaining_s = run.stopping_since + grace_s - time.monotonic()
         try:
             await asyncio.to_thread(run.process.wait, max(0.0, remaining_s))
@@ -225,7 +233,7 @@
             if not run.was_paused_while_stopping:
                 self.violations.append(
                     f"the process {run.process.pid} of {self.name} ran longer than "
-                    f"{grace_s} s after SIGTERM: {run.last_log_lines()}"
+                    f"{grace_s:g} s after SIGTERM: {run.last_log_lines()}"
                 )
             run.send_signal(signal.SIGKILL)
             await asyncio.to_thread(run.process.wait)
@@ -270,8 +278,8 @@
 
     def erase_disk(self) -> None:
         """Delete the data directory."""
-        if self.settings["data_directory"]:
-            shutil.rmtree(self.settings["data_directory"], ignore_errors=True)
+        if self.settings.data_folder is not None:
+            shutil.rmtree(self.settings.data_folder, ignore_errors=True)
 
 
 class HostCluster:
@@ -307,32 +315,26 @@
         self.disks_lost = False
         self.occupied_ports: list[socket.socket] = []
         addresses = [f"{network}{number + 1}" for number in range(count)]
-        seeds = [f"{a}:{_CONTROL_PORT}" for a in addresses[: min(3, disks)]]
+        seeds = tuple(f"{a}:{_CONTROL_PORT}" for a in addresses[: min(3, disks)])
         for number, address in enumerate(addresses):
             name = f"host-{number}"
-            settings = {
-                "node_name": name,
-                "ip": address,
-                "zone": f"zone-{number % 3}",
-                "listen": {
-                    "front": f"{address}:{_CALLER_PORT}",
-                    "ready": f"{address}:{_READY_PORT}",
-                    "control": f"{address}:{_CONTROL_PORT}",
-                },
-                "seeds": seeds,
-                "fault_tolerance": {"machines": tolerated_losses},
-                "first_start": True,
-                "data_directory": str(folder / name) if number < disks else None,
-                "heartbeat_interval_ms": 800,
+            settings = NodeSettings(
+                host=name,
+                availability_zone=f"zone-{number % 3}",
+                caller_address=f"{address}:{_CALLER_PORT}",
+                ready_address=f"{address}:{_READY_PORT}",
+                control_address=f"{address}:{_CONTROL_PORT}",
+                metrics_address=f"{address}:{METRICS_PORT}",
+                seeds=seeds,
+                first_start=True,
+                data_folder=folder / name if number < disks else None,
+                heartbeat_interval_ms=800,
+                termination_grace_ms=6_000,
+                retry_budget=RetryBudgetSettings(),
                 # Hosts with little bandwidth delegate gathering to control hosts.
-                "limits": {"link_mbps": 1_000.0 if number < disks else 7.0},
-                "bounds": {
-                    "grace_s": 6,
-                    "retry_budget_ratio": 0.2,
-                    "retry_budget_slack": 60,
-                    "retry_window_s": 10,
-                },
-            }
+                link_mbps=1_000.0 if number < disks else 7.0,
+                tolerated_losses=tolerated_losses,
+            )
             proxy = Proxy(f"{address}:{_CONTROL_BIND_PORT}")
             self.hosts.append(HostProcess(name, settings, folder, proxy, violations))
 
--- a/packages/soak/src/kingcuplug_soak/_start_faults.py
+++ b/packages/soak/src/kingcuplug_soak/_start_faults.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from random import Random
 
-import orjson
+from kingcuplug_platform.formats import encode_settings
 
 from kingcuplug_soak._hosts import HostCluster, HostProcess
 
@@ -71,7 +71,7 @@
 
 def _break_settings(host: HostProcess, random: Random) -> str:
     """Leave the settings file as a writer that is not done yet leaves it."""
-    data = orjson.dumps(host.settings)
+    data = encode_settings(host.settings)
     state = random.choice(("empty", "cut", "missing"))
     if state == "missing":
         host.settings_file.unlink(missing_ok=True)
@@ -193,12 +193,13 @@
 async def _lose_data_folder(cluster: HostCluster, random: Random) -> str:
     """Erase a disk, and put a file in place of the data folder for some time."""
     host = random.choice([host for host in cluster.hosts if host.has_disk])
-    if cluster.disks_lost:
+    folder = host.settings.data_folder
+    if folder is None or cluster.disks_lost:
         return "skipped a second disk loss"
     cluster.disks_lost = True
     await host.kill()
     host.erase_disk()
-    with _file_in_place_of(Path(host.settings["data_directory"])):
+    with _file_in_place_of(folder):
         host.start()
         await asyncio.sleep(random.uniform(0.1, 3.0))
     return f"erased the disk of {host.name}, whose folder was a file for some time"
--- a/tests/platform_formats/test_formats.py
+++ b/tests/platform_formats/test_formats.py
@@ -1,9 +1,11 @@
 """Decoding of the platform's messages, and rejection of invalid ones."""
 
 import contextlib
+import dataclasses
 import json
 from typing import Any
 
+import orjson
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -17,7 +19,9 @@
     decode_settings,
     encode_document,
     encode_heartbeat,
+    encode_settings,
 )
+from kingcuplug_routing import RetryBudgetSettings
 
 HEARTBEAT: dict[str, Any] = {
     "service": "s",
@@ -289,3 +293,26 @@
     """Guards against a section of another type that causes an internal error."""
     with contextlib.suppress(DocumentInvalid):
         decode_document(_make_document(**{name: value}))
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {},
+        {
+            "data_folder": None,
+            "first_start": False,
+            "processor_cores": 2.5,
+            "link_mbps": 7.0,
+            "memory_mb": 300.0,
+            "max_descriptors": 64.0,
+            "tolerated_losses": 2,
+            "retry_budget": RetryBudgetSettings(0.1, 5, 3.0),
+        },
+    ],
+)
+def test_encoded_settings_are_read_as_they_were(fields):
+    """Guards against own tools whose hosts run with other settings than stated."""
+    decoded = decode_settings(orjson.dumps(SETTINGS))
+    settings = dataclasses.replace(decoded, **fields)
+    assert decode_settings(encode_settings(settings)) == settings
--- a/tests/soak/test_process_checks.py
+++ b/tests/soak/test_process_checks.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import os
 import signal
 from collections.abc import AsyncIterator
@@ -121,7 +122,9 @@
     async def run() -> None:
         async with _running_host(tmp_path, violations) as host:
             os.kill(host.runs[-1].process.pid, signal.SIGSTOP)
-            host.settings["bounds"]["grace_s"] = 1
+            host.settings = dataclasses.replace(
+                host.settings, termination_grace_ms=1_000
+            )
             await host.terminate()
 
     asyncio.run(run())
--- a/tests/soak/test_starts.py
+++ b/tests/soak/test_starts.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import dataclasses
 import os
 import random
 
@@ -14,7 +15,7 @@
 
 _ROUNDS = int(os.environ.get("KINGCUPLUG_START_ROUNDS", "2"))
 _START_SPREAD_S = 0.3
-_GRACE_S = 2
+_GRACE_MS = 2_000
 _RECOVERY_S = 12.0
 
 
@@ -33,7 +34,9 @@
             for _ in range(_ROUNDS):
                 await asyncio.gather(*(host.terminate() for host in hosts))
                 for host in hosts:
-                    host.settings["bounds"]["grace_s"] = _GRACE_S
+                    host.settings = dataclasses.replace(
+                        host.settings, termination_grace_ms=_GRACE_MS
+                    )
                 await asyncio.gather(*map(start_later, hosts))
                 violations += await find_unserving_hosts(hosts, _RECOVERY_S)
         return violations
