Let seeds without a disk found the first control group

Callers saw: where none of the three seeds has a disk, a new system served nobody.

Cause: only a seed with a disk proposed a group (`Founding.propose`), and seeds without one refused requests to join, so that hosts with a disk could not find each other.

Change: where no seed has a disk, the seeds collect the requests to join, agree on the first members and announce them (`DisklessSeed`). Their records end with their processes, so all of them must accept a group, at least one with a process of the first start: one that still runs rules out a second group. Systems with a disk at some seed are founded as before; proposals of hosts without a disk carry a mark that others do not answer.

--- a/models/formation.pml
+++ b/models/formation.pml
@@ -11,7 +11,9 @@
  * times or never. A restart ends the host's own proposals; the replies to them are
  * lost, and the next process may use a number again that its own disk does not show. A
  * seed that has lost its disk has no record and refuses for ever. Seeds without a disk
- * (WITHOUT_DISK) take no part; a proposer may know of them or not. A proposer uses any
+ * (WITHOUT_DISK) take no part; a proposer may know of them or not. Where no seed has a
+ * disk (NO_SEED_HAS_DISK), they agree for the hosts that ask to join, and a restart
+ * forgets what a seed has promised and accepted, except at one seed. A proposer uses any
  * of the promises it was sent: the others are late or lost. A host that was never
  * started, or ended before it stored its record, is one that no message reaches.
  *
@@ -36,6 +38,9 @@
 #define BALLOTS 2
 #endif
 #define MAX_GROUPS 3
+#ifdef NO_SEED_HAS_DISK
+#define WITHOUT_DISK 7
+#endif
 #ifndef WITHOUT_DISK
 #define WITHOUT_DISK 0  /* bit set */
 #endif
@@ -53,6 +58,9 @@
 byte stored_promise[SEEDS];
 #endif
 byte lost;  /* host whose disk was lost, as a bit */
+#ifdef NO_SEED_HAS_DISK
+byte keeper;  /* seed that runs all the time */
+#endif
 
 /* Proposals, by number. */
 byte owner[BALLOTS + 1];
@@ -76,16 +84,30 @@
 byte holders;                /* hosts whose disk holds the acknowledged change */
 
 #define REPORT(b, s) ((b) * SEEDS + (s))
+#ifdef NO_SEED_HAS_DISK
+#define TAKES_PART(s) true
+#define FIRST_MEMBERS(replies, others) (others)
+#else
+#define FIRST_MEMBERS(replies, others) ((replies) | (others))
 #ifdef LOST_DISK_PROMISES
 #define TAKES_PART(s) (!HAS(WITHOUT_DISK, s) && !HAS(disks, s))
 #else
 #define TAKES_PART(s) (!HAS(WITHOUT_DISK, s) && !HAS(disks, s) && !HAS(lost, s))
 #endif
+#endif
 #ifdef MINORITY_SUFFICES
 #define QUORUM(electorate) 1
 #else
+#ifdef NO_SEED_HAS_DISK
+#ifdef MAJORITY_SUFFICES
+#define QUORUM(electorate) (SEEDS / 2 + 1)
+#else
+#define QUORUM(electorate) SEEDS
+#endif
+#else
 #define QUORUM(electorate) ((electorate) / 2 + 1)
 #endif
+#endif
 #define MAJORITY (COUNT(voters) / 2 + 1)
 
 #ifdef ACK_WHILE_FORMING
@@ -168,7 +190,8 @@
   d_step {
     HAS(waiting, b) && current[b] == NONE && (promises[b] & (replies)) == (replies) &&
     COUNT(replies) >= QUORUM(SEEDS - COUNT(known)) &&
-    COUNT(replies) + COUNT(others) <= SEEDS && groups < MAX_GROUPS ->
+    FIRST_MEMBERS(replies, others) != 0 &&
+    COUNT(FIRST_MEMBERS(replies, others)) <= SEEDS && groups < MAX_GROUPS ->
     group = NONE;
     greatest = 0;
 #ifndef ACCEPTED_IGNORED
@@ -180,7 +203,7 @@
     :: group == NONE ->
        groups++;
        group = groups;
-       members[group] = (replies) | (others)
+       members[group] = FIRST_MEMBERS(replies, others)
     :: else
     fi;
     printf("seed %d proposes %d: group %d, members %d\n", owner[b], b, group,
@@ -334,6 +357,21 @@
 #ifdef ACCEPTANCE_NOT_STORED
     accepted[s] = NONE;
     accepted_ballot[s] = 0;
+#endif
+#ifdef NO_SEED_HAS_DISK
+    if
+#ifdef ALL_FORGET
+    :: true ->
+#else
+    :: s != keeper ->
+#endif
+       promised[s] = 0;
+       accepted[s] = NONE;
+       accepted_ballot[s] = 0
+#ifndef ALL_FORGET
+    :: else
+#endif
+    fi
 #endif
   }
 }
@@ -368,6 +406,13 @@
 active proctype system() {
   byte group;
   byte greatest;
+#ifdef NO_SEED_HAS_DISK
+  if
+  :: keeper = 0
+  :: keeper = 1
+  :: keeper = 2
+  fi;
+#endif
   owner[1] = 0;
   /* All seeds are alike, so that any two proposers are these. */
   if
--- a/models/run.py
+++ b/models/run.py
@@ -106,6 +106,7 @@
 ONE_CHANGE = ("MAX_REVISION=1",)
 EXTRA_MUTANTS = ("EQUAL_REVISIONS_ACCEPTED", "OLDER_BARRIER")
 ONE_SEED_WITH_DISK = ("WITHOUT_DISK=6",)
+NO_SEED_WITH_DISK = ("NO_SEED_HAS_DISK",)
 THREE_ATTEMPTS = ("MAX_ATTEMPTS=3", "MAX_TOKENS=4", "SLOTS=3")
 OLDER_BARRIER = ("OLDER_BARRIER", "RESTART_MAY_REVERT", *ONE_CHANGE)
 
@@ -158,6 +159,10 @@
         *ONE_SEED_WITH_DISK,
         "FORMATION_TIMES_OUT",
     ),
+    expect_holds("formation", "no seed with a disk", *NO_SEED_WITH_DISK),
+    expect_violation("formation", "MAJORITY_SUFFICES", "one-group", *NO_SEED_WITH_DISK),
+    expect_violation("formation", "ALL_FORGET", "one-group", *NO_SEED_WITH_DISK),
+    expect_reachable("formation", "REACH_JOINER", "joiner-founds", *NO_SEED_WITH_DISK),
     expect_violation("formation", "PROMISE_NOT_STORED", "one-group"),
     expect_violation("formation", "ACCEPTANCE_NOT_STORED", "one-group"),
     expect_violation("formation", "ACCEPTED_IGNORED", "one-group"),
--- a/packages/cli/src/kingcuplug_cli/_soak.py
+++ b/packages/cli/src/kingcuplug_cli/_soak.py
@@ -33,10 +33,14 @@
         disks: int = 3,
         losses: int = 1,
         zones: int = 0,
+        diskless_seeds: bool = False,
         results: str = str(_RESULTS_FILE),
         parallel: int = _PARALLEL_RUNS,
     ) -> None:
-        """Run consecutive seeds, some at a time; some lose disks, or those of zones."""
+        """Run consecutive seeds, some at a time; some lose disks, or those of zones.
+
+        With `diskless_seeds`, the seeds of all hosts are hosts without a disk.
+        """
         from kingcuplug_soak import SoakSettings
 
         runs = [
@@ -47,6 +51,7 @@
                 disks,
                 tolerated_losses=losses,
                 tolerated_zones=zones,
+                diskless_seeds=diskless_seeds,
             )
             for seed in range(first, first + seeds)
         ]
@@ -62,6 +67,7 @@
         disks: int = 3,
         losses: int = 1,
         zones: int = 0,
+        diskless_seeds: bool = False,
     ) -> None:
         """Run one seed again and keep logs and disks in a folder."""
         from kingcuplug_soak import SoakSettings, soak
@@ -75,6 +81,7 @@
             Path(folder),
             tolerated_losses=losses,
             tolerated_zones=zones,
+            diskless_seeds=diskless_seeds,
         )
         outcome = asyncio.run(soak(settings))
         _print_run(dataclasses.asdict(outcome))
--- a/packages/fleet/src/kingcuplug_fleet/__init__.py
+++ b/packages/fleet/src/kingcuplug_fleet/__init__.py
@@ -10,6 +10,7 @@
 
 from kingcuplug_fleet._directory import Directory
 from kingcuplug_fleet._directory_file import DirectoryFile
+from kingcuplug_fleet._disk_tolerance import DiskTolerance
 from kingcuplug_fleet._errors import CoreUnavailable
 from kingcuplug_fleet._evacuation import Evacuation
 from kingcuplug_fleet._fleet_view import FleetView
@@ -37,6 +38,7 @@
 
 if TYPE_CHECKING:
     from kingcuplug_fleet._control_replica import ControlReplica, ControlReplicaSettings
+    from kingcuplug_fleet._diskless_seed import DisklessSeed
 
 __all__ = [
     "CALL_ID_HEADER",
@@ -52,6 +54,8 @@
     "CoreUnavailable",
     "Directory",
     "DirectoryFile",
+    "DiskTolerance",
+    "DisklessSeed",
     "Evacuation",
     "FleetView",
     "JoinRequest",
@@ -74,5 +78,9 @@
 ]
 
 __getattr__ = import_on_first_use(
-    __name__, {"_control_replica": ("ControlReplica", "ControlReplicaSettings")}
+    __name__,
+    {
+        "_control_replica": ("ControlReplica", "ControlReplicaSettings"),
+        "_diskless_seed": ("DisklessSeed",),
+    },
 )
--- a/packages/fleet/src/kingcuplug_fleet/_control_replica.py
+++ b/packages/fleet/src/kingcuplug_fleet/_control_replica.py
@@ -37,13 +37,22 @@
 from kingcuplug_fleet._disk_tolerance import DiskTolerance
 from kingcuplug_fleet._errors import CoreUnavailable
 from kingcuplug_fleet._evacuation import encode_evacuation_command
-from kingcuplug_fleet._founding import Founding, FoundingRecord, InitialGroup
+from kingcuplug_fleet._founding import (
+    Founding,
+    FoundingRecord,
+    InitialGroup,
+    announce_group,
+    joined_reply,
+    log_no_group,
+)
 from kingcuplug_fleet._founding_messages import (
     FOUND_PATH,
     FOUNDED_REPLY,
+    JOIN_PATH,
     NO_SEED_REPLY,
 )
 from kingcuplug_fleet._group_health import GroupHealth, group_health
+from kingcuplug_fleet._join_requests import JoinRequests
 from kingcuplug_fleet._membership import (
     JoinRequest,
     is_formed,
@@ -58,7 +67,6 @@
 LOG_PATH = "/peer/v2/log"
 BARRIER_PATH = "/peer/v2/barrier"
 PROPOSE_PATH = "/peer/v2/propose"
-JOIN_PATH = "/peer/v2/join"
 
 # On small hosts the log shares a processor with the request path, and a sync of the
 # disk may take 150 ms, so the election time-out is longer than the log's default. An
@@ -77,7 +85,6 @@
 _NO_GROUP_LOG_INTERVAL_S = 10.0
 # Between proposals of one seed, at random up to twice as long.
 _FOUNDING_INTERVAL_S = 0.1
-_JOIN_REQUEST_TTL_S = 1.5
 # Two requests in the time for which one counts.
 _OBSERVER_JOIN_INTERVAL_S = 0.7
 _MEMBERSHIP_INTERVAL_S = 0.2
@@ -160,7 +167,7 @@
         self._founding: Founding | None = None
         self._chosen_group: asyncio.Future[InitialGroup]
         self._has_founding_record = False
-        self._join_requests: dict[str, tuple[JoinRequest, float]] = {}
+        self._join_requests = JoinRequests(clock)
         self._silent_voters: tuple[str, ...] = ()
         self._tolerance_log_due_at: float | None = None
         self._random = random_module.Random()
@@ -335,7 +342,7 @@
         settings = self._settings
         known_ids = {
             member.id for member in status.members
-        } | self._join_requests.keys()
+        } | self._join_requests.recent().keys()
         zones = voter_zones(status.members)
         formed = is_formed(
             zones,
@@ -431,21 +438,16 @@
         self._has_founding_record = True
         return Founding(
             record,
-            storage,
+            storage.save_founding,
+            settings.address,
             member,
             lambda: _joined_reply(replica),
-            self._applicants,
+            self._join_requests.applicants,
             settings.tolerance,
             self._client,
             self._clock,
         )
 
-    def _applicants(self) -> list[Member]:
-        """Return the hosts of the system's first start that ask to join."""
-        self._forget_old_join_requests()
-        requests = [request for request, _ in self._join_requests.values()]
-        return [r.member for r in requests if r.empty_disk and r.first_start]
-
     def _is_first_start(self) -> bool:
         """Return whether this host starts with the whole system."""
         has_noted = self._founding is not None and self._disk_was_empty
@@ -461,7 +463,9 @@
             waited_s = self._clock() - logged_at
             if replica.cluster is None and waited_s > _NO_GROUP_LOG_INTERVAL_S:
                 logged_at = self._clock()
-                self._log_no_group()
+                founding = self._founding
+                seeds = self._settings.seeds if founding is None else founding.answers
+                log_no_group(self._log, seeds)
             try:
                 if await self._try_to_found_group(replica, member):
                     return
@@ -493,17 +497,6 @@
         await asyncio.sleep(self._pause_s())
         return False
 
-    def _log_no_group(self) -> None:
-        """Log for whom this host waits that has joined no group for long."""
-        fields: dict[str, Any] = {"seeds": list(self._settings.seeds)}
-        if self._founding is not None:
-            fields["seeds"] = self._founding.answers
-        fields["remedy"] = (
-            "start the seeds; if none of them ever had a group, with empty data "
-            "folders and as the system's first start"
-        )
-        self._log.write("no_control_group", fields, bypass_rate_limit=True)
-
     def _pause_s(self) -> float:
         return self._random.uniform(1, 2) * _FOUNDING_INTERVAL_S
 
@@ -524,14 +517,10 @@
         )
 
     async def _announce(self, group: InitialGroup) -> None:
-        """Tell seeds and members which group was chosen."""
-        addresses = {m.address for m in group.members} | set(self._settings.seeds)
-        value = {"chosen": group.to_json()}
-        calls = [
-            self._client.call(address, FOUND_PATH, value, _CALL_TIMEOUT_S)
-            for address in addresses - {self._settings.address}
-        ]
-        await asyncio.gather(*calls, return_exceptions=True)
+        settings = self._settings
+        await announce_group(
+            self._client, group, settings.seeds, excluded=settings.address
+        )
 
     async def _maintain_membership(self, replica: Replica, member: Member) -> None:
         """Ask to join while this host is no voter; change members while it leads."""
@@ -631,11 +620,10 @@
         await asyncio.gather(*calls, return_exceptions=True)
 
     async def _receive_join_request(self, replica: Replica, value: Any) -> Any:
-        member = Member.from_json(value["member"])
-        request = JoinRequest(member, value["fresh"], value["founding"])
+        request = JoinRequest.from_json(value)
         if not replica.leading:
             if replica.cluster is None:
-                self._join_requests[member.id] = (request, self._clock())
+                self._join_requests.add(request)
             leader = self._leader_address(replica)
             if value.get("forwarded"):
                 raise CoreUnavailable("no leader is known")
@@ -643,22 +631,13 @@
             return await self._client.call(
                 leader, JOIN_PATH, forwarded, _CALL_TIMEOUT_S
             )
-        self._join_requests[member.id] = (request, self._clock())
+        self._join_requests.add(request)
         return {}
 
-    def _forget_old_join_requests(self) -> None:
-        now = self._clock()
-        self._join_requests = {
-            i: entry
-            for i, entry in self._join_requests.items()
-            if now - entry[1] < _JOIN_REQUEST_TTL_S
-        }
-
     async def _change_members(
         self, replica: Replica, status: LogStatus, member: Member
     ) -> None:
-        self._forget_old_join_requests()
-        requests = {i: request for i, (request, _) in self._join_requests.items()}
+        requests = self._join_requests.recent()
         if member.zone:
             # The log may list this leader without its zone.
             requests[member.id] = JoinRequest(member, False, False)
@@ -713,5 +692,4 @@
     """Return the answer to seeds that found a group, ``None`` without a group."""
     if replica.cluster is None:
         return None
-    group = _joined_group(replica)
-    return {**FOUNDED_REPLY, "group": None if group is None else group.to_json()}
+    return joined_reply(_joined_group(replica))
--- a/packages/fleet/src/kingcuplug_fleet/_founding.py
+++ b/packages/fleet/src/kingcuplug_fleet/_founding.py
@@ -7,27 +7,31 @@
 accepts is chosen, and only its members create the group.
 
 A seed that has lost its disk has lost its promises, too, and takes no further part, so
-that no two majorities choose differently. Seeds without a disk never take part; a
-proposer that does not know of one needs more of the others. A new group has as many
-members as the tolerated losses of disks require, unless there are too few hosts.
+that no two majorities choose differently. Seeds without a disk leave the agreement to
+those with one; a proposer that does not know of one needs more of the others. Where no
+seed has a disk, they agree for the hosts that ask to join. Their records end with their
+processes, so all of them must accept a group: each that still runs rules out a second
+one. A new group has as many members as the tolerated losses of disks require, unless
+there are too few hosts.
 
 The decisions are in `FoundingRecord` and in functions without input or output;
 `Founding` makes them durable and exchanges the messages.
 """
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, replace
 from typing import Any, NamedTuple
 
 from kingcuplug_common import (
+    EventLog,
     random_identifier,
     require_count,
     require_mapping,
     require_string,
     require_strings,
 )
-from kingcuplug_log import Clock, Member, Storage, quorum_size
+from kingcuplug_log import Clock, Member, quorum_size
 
 from kingcuplug_fleet._disk_tolerance import DiskTolerance
 from kingcuplug_fleet._founding_messages import (
@@ -47,10 +51,14 @@
     "FoundingRecord",
     "InitialGroup",
     "Promise",
+    "announce_group",
+    "joined_reply",
+    "log_no_group",
     "select_group",
 ]
 
 _CALL_TIMEOUT_S = 0.5
+_ANNOUNCEMENT_TIMEOUT_S = 0.8
 # All hosts of a system are started within some tenths of a second. A group without one
 # of the seeds is founded only later, and a smaller one than required later still.
 _START_SKEW_S = 2.0
@@ -154,9 +162,17 @@
 
 @dataclass(frozen=True)
 class Promise:
-    """A seed's promise to accept no proposal with a smaller number."""
+    """A seed's promise to accept no proposal with a smaller number.
 
-    member: Member
+    Attributes
+    ----------
+    member : Member or None
+        The seed as a member of the group, ``None`` if it has no disk.
+    accepted : Proposal or None
+        What the seed has accepted.
+    """
+
+    member: Member | None
     accepted: Proposal | None
 
 
@@ -183,7 +199,10 @@
         group, promise = fields.get("group"), None
         if state == PROMISED:
             accepted = _proposal_from_json(fields["accepted"])
-            promise = Promise(Member.from_json(fields["member"]), accepted)
+            member = fields["member"]
+            promise = Promise(
+                None if member is None else Member.from_json(member), accepted
+            )
         return cls(
             state,
             require_count(fields.get("round", 0)),
@@ -201,6 +220,45 @@
     return max(accepted, key=lambda proposal: proposal[0])[1] if accepted else None
 
 
+def joined_reply(group: InitialGroup | None) -> dict[str, Any]:
+    """Return the answer of a host that knows of a group, and perhaps its beginning."""
+    return {**FOUNDED_REPLY, "group": None if group is None else group.to_json()}
+
+
+async def announce_group(
+    client: PeerClient, group: InitialGroup, seeds: Sequence[str], excluded: str
+) -> None:
+    """Tell seeds and members, without one address, which group was chosen."""
+    addresses = {m.address for m in group.members} | set(seeds)
+    value = {"chosen": group.to_json()}
+    calls = [
+        client.call(address, FOUND_PATH, value, _ANNOUNCEMENT_TIMEOUT_S)
+        for address in addresses - {excluded}
+    ]
+    await asyncio.gather(*calls, return_exceptions=True)
+
+
+def log_no_group(log: EventLog, seeds: Sequence[str] | dict[str, str]) -> None:
+    """Log for whom a host waits that has known of no group for long.
+
+    Parameters
+    ----------
+    seeds : sequence of str or dict
+        Addresses of the seeds, with their last answers where this host asks them.
+    """
+    log.write(
+        "no_control_group",
+        {
+            "seeds": seeds if isinstance(seeds, dict) else list(seeds),
+            "remedy": (
+                "start the seeds; if none of them ever had a group, with empty data "
+                "folders and as the system's first start"
+            ),
+        },
+        bypass_rate_limit=True,
+    )
+
+
 class Founding:
     """One seed's part in the agreement, until the group exists.
 
@@ -208,10 +266,12 @@
     ----------
     record : FoundingRecord
         What this host has promised before.
-    storage : Storage
-        Keeps the record; opened.
-    member : Member
-        This host as a member of the group.
+    save_record : callable
+        Keep a record, as a JSON object, for as long as this host keeps anything.
+    address : str
+        Address of this host.
+    member : Member or None
+        This host as a member of the group, ``None`` if it has no disk.
     joined_reply : callable
         Return the reply of a host that has joined a group, ``None`` if it has not.
     applicants : callable
@@ -228,8 +288,9 @@
     def __init__(
         self,
         record: FoundingRecord,
-        storage: Storage,
-        member: Member,
+        save_record: Callable[[dict[str, Any]], Awaitable[None]],
+        address: str,
+        member: Member | None,
         joined_reply: Callable[[], dict[str, Any] | None],
         applicants: Callable[[], list[Member]],
         tolerance: DiskTolerance,
@@ -237,7 +298,8 @@
         clock: Clock,
     ) -> None:
         self._record = record
-        self._storage = storage
+        self._save_record = save_record
+        self._address = address
         self._member = member
         self._joined_reply = joined_reply
         self._applicants = applicants
@@ -264,9 +326,14 @@
         group = InitialGroup.from_json(value["group"]) if "group" in value else None
         if sorted(seeds) != sorted(self._record.seeds) or not self._is_seed():
             return NO_SEED_REPLY
-        joined_reply = self._joined_reply()
-        if joined_reply is not None:
-            return joined_reply
+        joined = self._joined_reply()
+        if joined is not None:
+            return joined
+        from_disk = not value.get("without_disk", False)
+        if self._member is None and from_disk:
+            return WITHOUT_DISK_REPLY
+        if self._member is not None and not from_disk:
+            return NO_SEED_REPLY
         if group is not None:
             accepted = group
             if await self._keep(lambda record: record.accept(ballot, accepted)):
@@ -274,7 +341,7 @@
         elif await self._keep(lambda record: record.promise(ballot)):
             return {
                 "state": PROMISED,
-                "member": self._member.to_json(),
+                "member": None if self._member is None else self._member.to_json(),
                 "accepted": _proposal_to_json(self._record.accepted),
             }
         return {"state": REFUSED, "round": self._record.promised.round}
@@ -289,7 +356,7 @@
         """
         if not self._is_due():
             return None
-        own_number = sorted(self._record.seeds).index(self._member.address)
+        own_number = sorted(self._record.seeds).index(self._address)
         ballot = Ballot(self._last_round + 1, own_number)
         replies = await self._ask_seeds(ballot, {}, self._may_choose_members)
         if any(reply.state == FOUNDED_REPLY["state"] for reply in replies):
@@ -308,23 +375,38 @@
 
     def _electorate(self, replies: list[_Reply]) -> int:
         """Return the number of seeds that may take part."""
+        if self._member is None:
+            return len(self._record.seeds)
         without_disk = WITHOUT_DISK_REPLY["state"]
         return len(self._record.seeds) - sum(r.state == without_disk for r in replies)
 
     def _quorum(self, replies: list[_Reply]) -> int:
-        return quorum_size(self._electorate(replies))
+        """Return how many seeds must promise, and accept a group.
+
+        Records without a disk end with their processes. One that is left of all is
+        enough to know what was chosen.
+        """
+        electorate = self._electorate(replies)
+        return electorate if self._member is None else quorum_size(electorate)
 
     def _may_choose_members(self, replies: list[_Reply]) -> bool:
         """Return whether enough seeds have promised to propose a group."""
         promises = _promises(replies)
+        has_disks = self._member is not None
+        if any((promise.member is not None) is not has_disks for promise in promises):
+            # A build without this rule promises to proposers without a disk, too.
+            return False
         if len(promises) < self._quorum(replies):
             return False
         if select_group(promises) is not None:
             return True
         waited_s = self._clock() - self._started_at
-        has_all_seeds = len(promises) == self._electorate(replies)
-        zones = [member.zone for member in self._new_members(replies)]
-        has_all_members = self._tolerance.is_met(zones)
+        # Hosts with a group need some time to tell a seed that has forgotten it.
+        has_all_seeds = has_disks and len(promises) == self._electorate(replies)
+        members = self._new_members(replies)
+        if not members:
+            return False
+        has_all_members = self._tolerance.is_met([member.zone for member in members])
         if has_all_members and (has_all_seeds or waited_s >= _START_SKEW_S):
             return True
         # A system with a single seed asks for no further control hosts.
@@ -337,7 +419,7 @@
         Where the loss of zones is to be tolerated, seeds of a zone with too many of
         them are left out, if the others and the applicants are enough.
         """
-        members = [promise.member for promise in _promises(replies)]
+        members = [p.member for p in _promises(replies) if p.member is not None]
         addresses = {member.address for member in members}
         others = [m for m in self._applicants() if m.address not in addresses]
         everyone = {member.id: member for member in [*members, *others]}
@@ -354,13 +436,13 @@
         return InitialGroup(random_identifier(), tuple(members))
 
     def _is_seed(self) -> bool:
-        return self._member.address in self._record.seeds
+        return self._address in self._record.seeds
 
     def _is_due(self) -> bool:
         """Return whether the seeds before this one have had time to propose."""
         if not self._is_seed():
             return False
-        delay_s = self._record.seeds.index(self._member.address) * _SUCCESSION_DELAY_S
+        delay_s = self._record.seeds.index(self._address) * _SUCCESSION_DELAY_S
         return self._clock() - self._started_at >= delay_s
 
     async def _keep(
@@ -371,7 +453,7 @@
             record = change(self._record)
             if record is None:
                 return False
-            await self._storage.save_founding(record.to_json())
+            await self._save_record(record.to_json())
             self._record = record
             return True
 
@@ -386,6 +468,8 @@
         Seeds that have not replied are no longer waited for once there are enough.
         """
         value = {"seeds": list(self._record.seeds), "ballot": list(ballot), **fields}
+        if self._member is None:
+            value["without_disk"] = True
         pending = {
             asyncio.ensure_future(self._ask_seed(address, value))
             for address in self._record.seeds
@@ -407,7 +491,7 @@
 
     async def _ask_seed(self, address: str, value: Any) -> _Reply | None:
         try:
-            if address == self._member.address:
+            if address == self._address:
                 answer: Any = await self.handle(value)
             else:
                 answer = await self._client.call(
--- a/packages/fleet/src/kingcuplug_fleet/_founding_messages.py
+++ b/packages/fleet/src/kingcuplug_fleet/_founding_messages.py
@@ -4,6 +4,7 @@
     "ACCEPTED",
     "FOUNDED_REPLY",
     "FOUND_PATH",
+    "JOIN_PATH",
     "NO_SEED_REPLY",
     "PROMISED",
     "REFUSED",
@@ -11,6 +12,7 @@
 ]
 
 FOUND_PATH = "/peer/v2/found"
+JOIN_PATH = "/peer/v2/join"
 # Replies of hosts that take no part: one that keeps no state, one that has joined a
 # group, and one whose disk holds no record of the first start.
 WITHOUT_DISK_REPLY = {"state": "without_disk"}
--- a/packages/fleet/src/kingcuplug_fleet/_membership.py
+++ b/packages/fleet/src/kingcuplug_fleet/_membership.py
@@ -14,6 +14,7 @@
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
+from typing import Any
 
 from kingcuplug_log import LogStatus, Member, MemberRole
 
@@ -48,6 +49,17 @@
     empty_disk: bool
     first_start: bool
 
+    @classmethod
+    def from_json(cls, value: Any) -> "JoinRequest":
+        """Return the request in a message.
+
+        Raises
+        ------
+        LookupError, TypeError, ValueError
+            If the value is malformed.
+        """
+        return cls(Member.from_json(value["member"]), value["fresh"], value["founding"])
+
 
 def is_formed(
     zones: Sequence[str],
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -72,6 +72,7 @@
 )
 
 from kingcuplug_node._cold_server_log import ColdServerLog
+from kingcuplug_node._control_part import make_diskless_seed, make_replica
 from kingcuplug_node._errors import Elsewhere, RecordImplausible
 from kingcuplug_node._evacuation_orders import EvacuationOrders
 from kingcuplug_node._listening import Endpoint, listen_when_free, try_listen
@@ -221,7 +222,20 @@
         )
         self._control_listener: Listener | None = None
         self._started_at = asyncio.get_running_loop().time()
-        self._replica = self._make_replica()
+        self._replica = make_replica(
+            settings,
+            self._peer_client,
+            self._route_register,
+            self._fleet_view,
+            log,
+            self._metrics,
+        )
+        self._diskless_seed = make_diskless_seed(
+            settings,
+            self._peer_client,
+            lambda: self._poller.control_host is not None,
+            log,
+        )
         self._directory_file: DirectoryFile | None = None
         self._routes_file: RoutesFile | None = None
         if settings.data_folder is not None:
@@ -455,24 +469,6 @@
             self._saved_routes = await self._routes_file.load()
         self._data_opened.set()
 
-    def _make_replica(self) -> "ControlReplica | None":
-        settings = self._settings
-        if settings.data_folder is None:
-            return None
-        # Imported here, because hosts without a disk do not need it to start.
-        from kingcuplug_fleet import ControlReplica
-
-        from kingcuplug_node._control_settings import control_replica_settings
-
-        return ControlReplica(
-            control_replica_settings(settings, settings.data_folder),
-            self._peer_client,
-            self._route_register,
-            lambda: set(self._fleet_view.control_hosts),
-            self._log,
-            self._metrics,
-        )
-
     def _background_tasks(self) -> list[BackgroundTask]:
         tasks: list[BackgroundTask] = [
             self._log.run,
@@ -489,6 +485,8 @@
         if self._routes_file is not None:
             tasks.append(self._once_data_is_open(self._use_saved_routes))
             tasks.append(self._once_data_is_open(self._routes_file.run))
+        if self._diskless_seed is not None:
+            tasks.append(self._diskless_seed.run)
         if self._replica is not None:
             tasks += [
                 self._once_data_is_open(self._replica.run),
@@ -689,11 +687,12 @@
             return {}
         if path == PUSH_PATH:
             return self._mesh.receive_push(value)
-        if self._replica is None:
-            if path == FOUND_PATH:
-                return WITHOUT_DISK_REPLY
-            raise CoreUnavailable("this host keeps no state")
-        return await self._replica.handle_call(path, value)
+        control_part = self._replica or self._diskless_seed
+        if control_part is not None:
+            return await control_part.handle_call(path, value)
+        if path == FOUND_PATH:
+            return WITHOUT_DISK_REPLY
+        raise CoreUnavailable("this host keeps no state")
 
     async def _handle_readiness_probe(self, request: Request) -> Response:
         if self.ready and self._caller_listener.is_listening:
--- a/packages/soak/src/kingcuplug_soak/_hosts.py
+++ b/packages/soak/src/kingcuplug_soak/_hosts.py
@@ -299,6 +299,8 @@
     tolerated_zones : int
         Number of zones whose disks may all be lost at once. If it is not 0, all seeds
         are in one zone, which thus holds most of the disks.
+    diskless_seeds : bool
+        Whether the seeds are the last hosts, in place of the first ones.
 
     Attributes
     ----------
@@ -317,13 +319,17 @@
         violations: list[str],
         tolerated_losses: int = 1,
         tolerated_zones: int = 0,
+        diskless_seeds: bool = False,
     ) -> None:
         self.tolerated_zones = tolerated_zones
         self.hosts: list[HostProcess] = []
         self.disks_lost = False
         self.occupied_ports: list[socket.socket] = []
         addresses = [f"{network}{number + 1}" for number in range(count)]
-        seeds = tuple(f"{a}:{_CONTROL_PORT}" for a in addresses[: min(_SEEDS, disks)])
+        seed_ips = addresses[: min(_SEEDS, disks)]
+        if diskless_seeds:
+            seed_ips = addresses[disks:][-_SEEDS:]
+        seeds = tuple(f"{ip}:{_CONTROL_PORT}" for ip in seed_ips)
         for number, address in enumerate(addresses):
             name = f"host-{number}"
             settings = NodeSettings(
--- a/packages/soak/src/kingcuplug_soak/_run.py
+++ b/packages/soak/src/kingcuplug_soak/_run.py
@@ -52,6 +52,8 @@
         them right after the first configuration was acknowledged.
     tolerated_zones : int
         Number of zones whose disks may all be lost at once.
+    diskless_seeds : bool
+        Whether the seeds are hosts without a disk.
     max_attempts : dict or None
         ``max_attempts`` of the routes, by the kind of request; drawn from the seed if
         not given.
@@ -67,6 +69,7 @@
     tolerated_losses: int = 1
     max_attempts: dict[str, int] | None = None
     tolerated_zones: int = 0
+    diskless_seeds: bool = False
 
 
 @dataclass
@@ -162,6 +165,7 @@
         violations,
         settings.tolerated_losses,
         settings.tolerated_zones,
+        settings.diskless_seeds,
     )
     backends = FakeServerPool(
         [host.control_address for host in cluster.hosts],
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -17,6 +17,8 @@
     ControlReplica,
     ControlReplicaSettings,
     CoreUnavailable,
+    DisklessSeed,
+    DiskTolerance,
     PeerFailed,
     RouteRegister,
     ServerRecord,
@@ -147,6 +149,7 @@
         self._client = FakePeerClient()
         self._seeds: tuple[str, ...] = ()
         self.hosts: dict[str, ControlHost] = {}
+        self._diskless_seeds: dict[str, asyncio.Task[None]] = {}
 
     async def form(self, *names: str) -> None:
         """Start hosts for the first time, and wait until all of them are voters."""
@@ -159,6 +162,43 @@
         for name in names:
             self.start(name, first_start=True)
 
+    def begin_without_seed_disks(self, seeds: str, names: str) -> None:
+        """Start hosts for the first time, of which those with a disk are no seeds."""
+        self._seeds = tuple(f"{seed}:1" for seed in seeds)
+        for seed in seeds:
+            self.start_diskless_seed(seed)
+        for name in names:
+            self.start(name, first_start=True)
+
+    def start_diskless_seed(self, name: str, first_start: bool = True) -> None:
+        """Start a seed without a disk, in place of its earlier process."""
+        self.end_diskless_seed(name)
+        seed = DisklessSeed(
+            f"{name}:1",
+            self._seeds,
+            first_start,
+            DiskTolerance(self._tolerated_losses, self._tolerated_zones),
+            self._client,  # type: ignore[arg-type]
+            lambda: self.leader() is not None,
+            self._log,
+            lambda: asyncio.get_running_loop().time(),
+        )
+        seed._random = Random(name)
+        self._client.handlers[f"{name}:1"] = partial(_answer, seed)
+        self._diskless_seeds[name] = asyncio.ensure_future(seed.run())
+
+    def end_diskless_seed(self, name: str) -> None:
+        """End the process of a seed without a disk; it does not answer."""
+        self._client.handlers[f"{name}:1"] = _never_answer
+        if name in self._diskless_seeds:
+            self._diskless_seeds[name].cancel()
+
+    def _known_addresses(self) -> set[str]:
+        """Return the control hosts that a host has discovered."""
+        if self._diskless_seeds and self.leader() is None:
+            return set()
+        return {host.address for host in self.hosts.values()}
+
     def start(self, name: str, first_start: bool = False) -> None:
         """Start a host, a new one with an empty disk."""
         host = self.hosts.setdefault(name, ControlHost(name))
@@ -176,7 +216,7 @@
             ),
             self._client,  # type: ignore[arg-type]
             host.register,
-            lambda: {h.address for h in self.hosts.values()},
+            self._known_addresses,
             self._log,
             Metrics(),
             host.clock,
@@ -191,7 +231,7 @@
     def power_off(self, name: str) -> None:
         """End a host; it does not answer until it is started again."""
         host = self.hosts[name]
-        self._client.handlers[host.address] = partial(_never_answer, host)
+        self._client.handlers[host.address] = _never_answer
         host.disk.crash()
         host.replica = None
         if host.task is not None:
@@ -278,12 +318,13 @@
     async def stop(self) -> None:
         """End all hosts."""
         tasks = [host.task for host in self.hosts.values() if host.task is not None]
+        tasks += self._diskless_seeds.values()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
-async def _answer(replica: ControlReplica, path: str, value: Any) -> Any:
+async def _answer(replica: ControlReplica | DisklessSeed, path: str, value: Any) -> Any:
     try:
         return await replica.handle_call(path, value)
     except CoreUnavailable as error:
@@ -296,7 +337,7 @@
     raise PeerFailed("this host keeps no state", "try another host")
 
 
-async def _never_answer(host: ControlHost, path: str, value: Any) -> Any:
+async def _never_answer(path: str, value: Any) -> Any:
     await asyncio.sleep(3_600)
 
 
--- a/tests/fleet/test_founding.py
+++ b/tests/fleet/test_founding.py
@@ -187,3 +187,78 @@
         await group.stop()
 
     run_virtual(main())
+
+
+async def _disturb_without_seed_disks(
+    group, seeds: str, names: str, random: Random
+) -> None:
+    """End and start hosts; a seed forgets what it promised, except one of them."""
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + _FAULTS_END_S
+    forgetting = sorted(set(seeds) - {random.choice(seeds)})
+    while loop.time() < ends_at:
+        await asyncio.sleep(random.expovariate(1 / 0.3))
+        name = random.choice([*forgetting, *names])
+        if name in forgetting:
+            group.end_diskless_seed(name)
+            await asyncio.sleep(random.uniform(0.0, 1.0))
+            group.start_diskless_seed(name, first_start=random.random() < 0.5)
+        else:
+            group.power_off(name)
+            await asyncio.sleep(random.uniform(0.0, 1.0))
+            group.start(name, first_start=random.random() < 0.3)
+
+
+@pytest.mark.parametrize("seed", range(30))
+@pytest.mark.parametrize("names", ["abc", "abcdefg"])
+def test_diskless_seeds_found_one_group_whatever_ends_meanwhile(
+    make_control_group, names, seed
+):
+    """Guards against no group, and against two because of seeds that forget.
+
+    Hosts with a disk know only the seeds, of which one runs all the time.
+    """
+
+    async def main() -> None:
+        random = Random(seed)
+        group = make_control_group()
+        network = _FaultyNetwork(group._client, Random(seed))
+        group._client.call = network.call
+        group.begin_without_seed_disks("stu", names)
+        await asyncio.sleep(0.05)
+        disturbance = asyncio.ensure_future(
+            _disturb_without_seed_disks(group, "stu", names, random)
+        )
+        seen: set[str] = set()
+        while not disturbance.done():
+            seen |= _clusters(group)
+            await asyncio.sleep(0.05)
+        await disturbance
+        network.loss_ratio = 0.0
+        await group.submit(7, timeout_s=_FORMATION_TIMEOUT_S)
+        seen |= _clusters(group)
+        assert len(seen) == 1
+        await group.stop()
+
+    run_virtual(main())
+
+
+def test_seed_without_a_disk_founds_no_group_beside_an_unknown_one(make_control_group):
+    """Guards against a second group after all seeds have forgotten the first one."""
+
+    async def main() -> None:
+        group = make_control_group()
+        group.begin_without_seed_disks("stu", "abc")
+        await group.wait_until(lambda: group.voter_count() == 3)
+        for name in "abc":
+            group.power_off(name)
+        for name in "stu":
+            group.start_diskless_seed(name)
+        group.start("a", first_start=True)
+        for name in "def":
+            group.start(name, first_start=True)
+        await asyncio.sleep(_FORMATION_TIMEOUT_S)
+        assert len(_clusters(group)) == 1
+        await group.stop()
+
+    run_virtual(main())
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -12,9 +12,11 @@
 from kingcuplug_soak._run import caller_traffic, soak_environment
 from kingcuplug_soak._service_check import find_unserving_hosts
 from kingcuplug_soak._start_faults import START_FAULTS
+from kingcuplug_soak._traffic import DEFAULT_ATTEMPTS
 
 _FORMING_SEED = 2
 _ZONE_SEED = 1
+_DISKLESS_SEED = 1
 _RECOVERY_S = 12.0
 _DRAWS_PER_FAULT = 3
 
@@ -49,6 +51,17 @@
     assert asyncio.run(soak(settings)).violations == []
 
 
+@pytest.mark.system
+def test_hosts_are_served_where_no_seed_has_a_disk():
+    """Guards against hosts with a disk that wait for seeds without one."""
+    settings = SoakSettings(
+        _DISKLESS_SEED, 2.0, hosts=6, diskless_seeds=True, max_attempts=DEFAULT_ATTEMPTS
+    )
+    result = asyncio.run(soak(settings))
+    assert result.violations == []
+    assert result.served > 0
+
+
 @pytest.mark.system
 @pytest.mark.parametrize("fault", dict.fromkeys(START_FAULTS), ids=lambda f: f.__name__)
 def test_fault_at_the_start_neither_ends_a_process_nor_the_service(fault, tmp_path):
