Let a replaced voter leave the group before it ends as planned

Operators saw: a control host was added, another one got SIGTERM and ended for good, and half a second later a third one lost its disk.

Cause: the group had four voters until the leader had missed the one that had ended for 2.5 s. Four voters need three, and two were left. The process knew of its end and of its successor, but left it to the leader to find out.

Change: on SIGTERM a voter asks the leader to remove it if the group has more voters than it is meant to have. Voters that are needed stay, so restarts don't shrink a group.

Conclusion: fixed for planned stops.

--- a/packages/fleet/src/kingcuplug_fleet/_control_replica.py
+++ b/packages/fleet/src/kingcuplug_fleet/_control_replica.py
@@ -14,6 +14,8 @@
     EventLog,
     Metrics,
     boot_time,
+    require_boolean,
+    require_string,
 )
 from kingcuplug_log import (
     BootstrapRefused,
@@ -56,6 +58,7 @@
 from kingcuplug_fleet._membership import (
     JoinRequest,
     is_formed,
+    may_leave,
     next_membership_change,
     voter_zones,
 )
@@ -67,6 +70,7 @@
 LOG_PATH = "/peer/v2/log"
 BARRIER_PATH = "/peer/v2/barrier"
 PROPOSE_PATH = "/peer/v2/propose"
+LEAVE_PATH = "/peer/v2/leave"
 
 # On small hosts the log shares a processor with the request path, and a sync of the
 # disk may take 150 ms, so the election time-out is longer than the log's default. An
@@ -89,6 +93,9 @@
 _OBSERVER_JOIN_INTERVAL_S = 0.7
 _MEMBERSHIP_INTERVAL_S = 0.2
 _CHANGE_TIMEOUT_S = 2.0
+# Part of the time in which a process that stops must end.
+_LEAVE_TIMEOUT_S = 3.0
+_LEAVE_INTERVAL_S = 0.1
 _REOPEN_DELAY_S = 0.5
 # Longer than the forming of a group with all hosts, or the repair of one.
 _TOLERANCE_LOG_DELAY_S = 7.0
@@ -170,6 +177,8 @@
         self._join_requests = JoinRequests(clock)
         self._silent_voters: tuple[str, ...] = ()
         self._tolerance_log_due_at: float | None = None
+        self._is_leaving = False
+        self._has_left = False
         self._random = random_module.Random()
 
     async def run(self) -> None:
@@ -280,6 +289,64 @@
             raise CoreUnavailable(f"read not confirmed: {error!r}") from error
         return self._register
 
+    async def leave(self) -> None:
+        """Leave the group before this process ends, if another host has replaced it.
+
+        Otherwise the group would have this voter until the leader gives it up, and
+        would bear one loss less meanwhile. A process that starts again with the same
+        disk joins again.
+        """
+        self._is_leaving = True
+        ends_at = self._clock() + _LEAVE_TIMEOUT_S
+        while self._clock() < ends_at:
+            if await self._try_to_leave():
+                return
+            await asyncio.sleep(_LEAVE_INTERVAL_S)
+        self._log.write("group_not_left", {}, bypass_rate_limit=True)
+
+    async def _try_to_leave(self) -> bool:
+        """Ask the leader once; return whether nothing is left to do."""
+        replica = self._replica
+        if replica is None:
+            return True
+        status = replica.status()
+        if not may_leave(status, status.member.id, self._settings.tolerance):
+            return True
+        value = {"member": status.member.id}
+        try:
+            if replica.leading:
+                reply = await self._remove_leaving(replica, value)
+            else:
+                leader = self._leader_address(replica)
+                reply = await self._client.call(
+                    leader, LEAVE_PATH, value, _CALL_TIMEOUT_S
+                )
+            self._has_left = require_boolean(reply["left"])
+        except (CoreUnavailable, PeerFailed, LookupError, TypeError, ValueError):
+            return False
+        return True
+
+    async def _remove_leaving(self, replica: Replica, value: Any) -> Any:
+        """Remove a voter that stops, as the leader, unless it is needed."""
+        identifier = require_string(value["member"])
+        if not replica.leading:
+            raise CoreUnavailable("this host does not lead the control group")
+        leaves = may_leave(replica.status(), identifier, self._settings.tolerance)
+        if leaves:
+            try:
+                async with asyncio.timeout(_CALL_TIMEOUT_S):
+                    await replica.change_members(remove=identifier)
+            except (
+                ChangeRefused,
+                NotLeader,
+                LostLeadership,
+                StorageFailed,
+                TimeoutError,
+            ) as error:
+                raise CoreUnavailable(f"voter not removed: {error!r}") from error
+            self._log_members_changed(None, identifier)
+        return {"left": leaves is not False}
+
     async def handle_call(self, path: str, value: Any) -> Any:
         """Execute a call of another control host and return the reply.
 
@@ -300,6 +367,8 @@
             return await replica.handle(value)
         if path == JOIN_PATH:
             return await self._receive_join_request(replica, value)
+        if path == LEAVE_PATH:
+            return await self._remove_leaving(replica, value)
         async with asyncio.timeout(_CALL_TIMEOUT_S):
             if path == BARRIER_PATH:
                 return {"index": await replica.read_barrier()}
@@ -321,6 +390,8 @@
         return self._replica
 
     def _leader_address(self, replica: Replica) -> str:
+        if self._has_left:
+            raise CoreUnavailable("this host has left the control group")
         leader = replica.status().leader
         if leader is None or leader.address == self._settings.address:
             raise CoreUnavailable("no leader is known")
@@ -532,6 +603,9 @@
                 await asyncio.sleep(_MEMBERSHIP_INTERVAL_S)
                 continue
             self._silent_voters = ()
+            if self._is_leaving:
+                await asyncio.sleep(_JOIN_INTERVAL_S)
+                continue
             own = replica.find_member(member.id)
             is_listed = (
                 own is not None
@@ -659,6 +733,9 @@
                 await replica.change_members(added, removed, enlarge)
         except (ChangeRefused, NotLeader, LostLeadership, StorageFailed, TimeoutError):
             return
+        self._log_members_changed(added, removed)
+
+    def _log_members_changed(self, added: Member | None, removed: str | None) -> None:
         self._log.write(
             "members_changed",
             {"added": added.id if added else None, "removed": removed},
--- a/packages/fleet/src/kingcuplug_fleet/_membership.py
+++ b/packages/fleet/src/kingcuplug_fleet/_membership.py
@@ -4,8 +4,10 @@
 disk was replaced or emptied can never return and is removed at once. A voter that does
 not respond is removed early only if a new host has joined to replace it, because a host
 that was partitioned returns with all its synced data. A host that was removed wrongly
-joins again. Silent voters are not removed below the size that the tolerated losses
-require: their disks still hold what was acknowledged.
+joins again. A voter that stops as planned and was replaced leaves before its process
+ends: an even number of voters bears no more losses than one voter less. Silent voters
+are not removed below the size that the tolerated losses require: their disks still hold
+what was acknowledged.
 
 Where the loss of zones is to be tolerated, a host whose vote would expose the group to
 such a loss is only an observer until its vote is needed.
@@ -20,7 +22,13 @@
 
 from kingcuplug_fleet._disk_tolerance import DiskTolerance
 
-__all__ = ["JoinRequest", "is_formed", "next_membership_change", "voter_zones"]
+__all__ = [
+    "JoinRequest",
+    "is_formed",
+    "may_leave",
+    "next_membership_change",
+    "voter_zones",
+]
 
 # Longer than an election and the restart of a process.
 _REPLACED_VOTER_TIMEOUT_MS = 2_500.0
@@ -224,26 +232,46 @@
     return None
 
 
-def _unresponsive_member(status: LogStatus, tolerance: DiskTolerance) -> str | None:
-    """Return the id of a member that has not responded for too long."""
+def may_leave(
+    status: LogStatus, identifier: str, tolerance: DiskTolerance
+) -> bool | None:
+    """Return whether a voter that stops was replaced; ``None`` if it is no voter."""
+    for member in status.members:
+        if member.id == identifier and member.role is MemberRole.VOTER:
+            return _has_surplus(status) and _may_remove(
+                status, tolerance, member.zone, replaced=True
+            )
+    return None
+
+
+def _has_surplus(status: LogStatus) -> bool:
+    """Return whether there are more voters than the group is meant to have."""
+    return 0 < status.intended_size < len(voter_zones(status.members))
+
+
+def _may_remove(
+    status: LogStatus, tolerance: DiskTolerance, zone: str, replaced: bool = False
+) -> bool:
+    """Return whether a voter in a zone may leave while its disk is intact."""
     voters = voter_zones(status.members)
-    replaced = 0 < status.intended_size < len(voters)
     learners = [m.zone for m in status.members if m.role is MemberRole.LEARNER]
+    # A learner may become a voter at any moment after the removal.
+    with_learners = [*voters, *learners] if tolerance.zones else voters
+    return all(
+        tolerance.may_remove(group, zone, replaced) for group in (voters, with_learners)
+    )
 
-    def may_remove(zone: str, replaced: bool = False) -> bool:
-        # A learner may become a voter at any moment after the removal.
-        with_learners = [*voters, *learners] if tolerance.zones else voters
-        return all(
-            tolerance.may_remove(group, zone, replaced)
-            for group in (voters, with_learners)
-        )
 
+def _unresponsive_member(status: LogStatus, tolerance: DiskTolerance) -> str | None:
+    """Return the id of a member that has not responded for too long."""
+    replaced = _has_surplus(status)
     for peer in status.peers:
+        zone = peer.member.zone
         if peer.member.role is not MemberRole.VOTER:
             limit_ms = _LEARNER_TIMEOUT_MS
-        elif replaced and may_remove(peer.member.zone, replaced):
+        elif replaced and _may_remove(status, tolerance, zone, replaced):
             limit_ms = _REPLACED_VOTER_TIMEOUT_MS
-        elif may_remove(peer.member.zone):
+        elif _may_remove(status, tolerance, zone):
             limit_ms = _LOST_VOTER_TIMEOUT_MS
         else:
             continue
--- a/packages/node/src/kingcuplug_node/_host.py
+++ b/packages/node/src/kingcuplug_node/_host.py
@@ -413,7 +413,8 @@
         ]
         tasks += [asyncio.create_task(self._supervise(start)) for start in starts]
         await self._stop_requested.wait()
-        await self._drain()
+        leaving = [] if self._replica is None else [self._replica.leave()]
+        await asyncio.gather(self._drain(), *leaving)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -228,6 +228,13 @@
         self._client.handlers[host.address] = partial(_answer, host.replica)
         host.task = asyncio.ensure_future(host.replica.run())
 
+    async def terminate(self, name: str) -> None:
+        """Stop a host as planned."""
+        replica = self.hosts[name].replica
+        assert replica is not None
+        await replica.leave()
+        self.power_off(name)
+
     def power_off(self, name: str) -> None:
         """End a host; it does not answer until it is started again."""
         host = self.hosts[name]
--- a/tests/fleet/test_control_group.py
+++ b/tests/fleet/test_control_group.py
@@ -13,6 +13,7 @@
 
 # A host counts as lost until this long after it has started.
 _CATCH_UP_S = 4.0
+_RECOVERY_S = 12.0
 
 
 async def _form_with_replaced_host(group, replaced: str = "leader") -> str:
@@ -42,6 +43,64 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("delay_s", [0.0, 0.5, 2.0])
+@pytest.mark.parametrize("replaced", ["leader", "follower"])
+def test_change_survives_a_lost_disk_right_after_a_planned_replacement(
+    make_control_group, replaced, delay_s
+):
+    # Guards against a voter that counts after its process has ended as planned: with
+    # its successor the group has four voters, and then bears no further loss.
+    async def main() -> None:
+        group = make_control_group()
+        await group.form("a", "b", "c")
+        group.start("d")
+        await asyncio.sleep(_CATCH_UP_S)
+        leader = group.leader()
+        assert leader is not None
+        followers = sorted({"a", "b", "c"} - {leader})
+        stopped = leader if replaced == "leader" else followers[0]
+        await group.terminate(stopped)
+        await group.submit(7)
+        await asyncio.sleep(delay_s)
+        lost = followers[1]
+        group.power_off(lost)
+        group.hosts[lost].disk.wipe()
+        await asyncio.sleep(1.0)
+        group.start(lost)
+        assert await group.read_version(_RECOVERY_S) == 7
+        await group.submit(9)
+        await group.wait_until(lambda: group.losses_borne() == 1)
+        await group.stop()
+
+    run_virtual(main())
+
+
+def test_restarted_voter_leaves_only_where_it_was_replaced(make_control_group):
+    # Guards against a group that shrinks with each planned restart, and against a host
+    # that stays outside after it has left.
+    async def main() -> None:
+        group = make_control_group()
+        await group.form("a", "b", "c")
+        await group.terminate("a")
+        assert group.hosts["a"].replica is None
+        await group.wait_until(lambda: group.leader() is not None)
+        assert group.voters() == {"a", "b", "c"}
+        group.start("a")
+        group.start("d")
+        await group.wait_until(lambda: group.voter_count() == 4)
+        await group.terminate("b")
+        await group.wait_until(lambda: group.voters() == {"a", "c", "d"})
+        await group.terminate("c")
+        await group.wait_until(lambda: group.leader() is not None)
+        assert group.voters() == {"a", "c", "d"}
+        group.start("b")
+        group.start("c")
+        await group.wait_until(lambda: group.voter_count() == 4)
+        await group.stop()
+
+    run_virtual(main())
+
+
 def test_acknowledged_change_survives_a_lost_disk_after_the_leader_was_replaced(
     make_control_group,
 ):
