Drop evacuation orders that come after a newer one

Operators saw: the end of an evacuation was sent to a host that did not reply, then to another one that acknowledged it; later the zone was evacuated again, acknowledged, too.

Cause: an order was executed whenever it arrived and carried nothing that says what it refers to. The host read it before it saw that the connection had been closed.

Change: the receiving host notes the newest order that it knows, checks that the caller is still connected, and sends this base along. The leader appends an order only if no other one for its zone came after the base, one at a time and with its whole log applied. The log keeps its form, so builds side by side apply it in the same way; orders that an earlier build receives or appends are executed as before.

What a link delays between operator and host for longer than the operator waits stays indistinguishable from a new order.

--- a/packages/fleet/src/kingcuplug_fleet/__init__.py
+++ b/packages/fleet/src/kingcuplug_fleet/__init__.py
@@ -11,8 +11,8 @@
 from kingcuplug_fleet._directory import Directory
 from kingcuplug_fleet._directory_file import DirectoryFile
 from kingcuplug_fleet._disk_tolerance import DiskTolerance
-from kingcuplug_fleet._errors import CoreUnavailable
-from kingcuplug_fleet._evacuation import Evacuation
+from kingcuplug_fleet._errors import CoreUnavailable, OrderSuperseded
+from kingcuplug_fleet._evacuation import Evacuation, EvacuationOrder
 from kingcuplug_fleet._fleet_view import FleetView
 from kingcuplug_fleet._founding_messages import FOUND_PATH, WITHOUT_DISK_REPLY
 from kingcuplug_fleet._introduction import (
@@ -57,9 +57,11 @@
     "DiskTolerance",
     "DisklessSeed",
     "Evacuation",
+    "EvacuationOrder",
     "FleetView",
     "JoinRequest",
     "Mesh",
+    "OrderSuperseded",
     "PeerClient",
     "PeerFailed",
     "PeerRefused",
--- a/packages/fleet/src/kingcuplug_fleet/_control_replica.py
+++ b/packages/fleet/src/kingcuplug_fleet/_control_replica.py
@@ -15,6 +15,7 @@
     Metrics,
     boot_time,
     require_boolean,
+    require_count,
     require_string,
 )
 from kingcuplug_log import (
@@ -37,8 +38,11 @@
 )
 
 from kingcuplug_fleet._disk_tolerance import DiskTolerance
-from kingcuplug_fleet._errors import CoreUnavailable
-from kingcuplug_fleet._evacuation import encode_evacuation_command
+from kingcuplug_fleet._errors import CoreUnavailable, OrderSuperseded
+from kingcuplug_fleet._evacuation import (
+    EvacuationOrder,
+    encode_evacuation_command,
+)
 from kingcuplug_fleet._founding import (
     Founding,
     FoundingRecord,
@@ -177,6 +181,7 @@
         self._join_requests = JoinRequests(clock)
         self._silent_voters: tuple[str, ...] = ()
         self._tolerance_log_due_at: float | None = None
+        self._order_lock = asyncio.Lock()
         self._is_leaving = False
         self._has_left = False
         self._random = random_module.Random()
@@ -240,15 +245,21 @@
         """
         return await self._submit({"version": version, "document": document})
 
-    async def submit_evacuation(self, zone: str, evacuated: bool) -> int:
+    def evacuation_version(self) -> int:
+        """Return the version of the evacuated zones that this host knows."""
+        return self._register.evacuation.version
+
+    async def submit_evacuation(self, order: EvacuationOrder) -> int:
         """Replicate an order durably; return the version of the set that has it.
 
         Raises
         ------
+        OrderSuperseded
+            If another order for the zone came after the base of this one.
         CoreUnavailable
             If the replication could not be confirmed.
         """
-        return await self._submit(encode_evacuation_command(zone, evacuated))
+        return await self._submit(order.to_json())
 
     async def _submit(self, command: dict[str, Any]) -> int:
         try:
@@ -260,6 +271,8 @@
                 value = await self._client.call(
                     leader, PROPOSE_PATH, command, _CALL_TIMEOUT_S
                 )
+                if "superseded_by" in value:
+                    raise OrderSuperseded(require_count(value["superseded_by"]))
                 return int(value["version"])
         except (TimeoutError, PeerFailed, NotLeader, LostLeadership) as error:
             raise CoreUnavailable(f"change not confirmed: {error!r}") from error
@@ -372,7 +385,10 @@
         async with asyncio.timeout(_CALL_TIMEOUT_S):
             if path == BARRIER_PATH:
                 return {"index": await replica.read_barrier()}
-            return {"version": await self._propose(replica, value)}
+            try:
+                return {"version": await self._propose(replica, value)}
+            except OrderSuperseded as error:
+                return {"superseded_by": error.version}
 
     async def _answer_founding(self, replica: Replica, value: Any) -> Any:
         if "chosen" in value:
@@ -401,8 +417,25 @@
         require_command(command)
         if not self._is_formed(replica.status()):
             raise CoreUnavailable("too few control hosts have joined the new group")
+        order = EvacuationOrder.from_json(command)
+        if order is not None:
+            return await self._propose_order(replica, order)
         return int(await replica.propose(command))
 
+    async def _propose_order(self, replica: Replica, order: EvacuationOrder) -> int:
+        """Append an order unless another one for its zone came after its base.
+
+        Nothing is appended between the check and the order, and nothing that is in the
+        log before it is missing in the state that is checked.
+        """
+        async with self._order_lock:
+            while (status := replica.status()).applied_index < status.last_index:
+                await replica.wait_applied(status.last_index)
+            if not self._register.check_order(order):
+                return self._register.evacuation.version
+            command = encode_evacuation_command(order.zone, order.evacuated)
+            return int(await replica.propose(command))
+
     def _is_formed(self, status: LogStatus) -> bool:
         """Return whether the group has enough voters to acknowledge changes.
 
--- a/packages/fleet/src/kingcuplug_fleet/_route_register.py
+++ b/packages/fleet/src/kingcuplug_fleet/_route_register.py
@@ -5,7 +5,12 @@
 
 from kingcuplug_common import require_integer, require_mapping, require_string
 
-from kingcuplug_fleet._evacuation import Evacuation, decode_evacuation_command
+from kingcuplug_fleet._errors import OrderSuperseded
+from kingcuplug_fleet._evacuation import (
+    Evacuation,
+    EvacuationOrder,
+    decode_evacuation_command,
+)
 
 __all__ = ["RouteRegister", "require_command"]
 
@@ -36,6 +41,9 @@
         self.version = 0
         self.document = ""
         self.evacuation = Evacuation()
+        # Index of the last order by zone, of the orders since the state was loaded.
+        self._order_indexes: dict[str, int] = {}
+        self._loaded_order_index = 0
 
     @property
     def is_empty(self) -> bool:
@@ -58,6 +66,7 @@
         """
         order = decode_evacuation_command(command)
         if order is not None:
+            self._order_indexes[order[0]] = index
             evacuation = self.evacuation.with_order(index, *order)
             self._replace(self.version, self.document, evacuation)
             return evacuation.version
@@ -66,6 +75,22 @@
             self._replace(version, document, self.evacuation)
         return self.version
 
+    def check_order(self, order: EvacuationOrder) -> bool:
+        """Return whether an order must be executed; otherwise its result holds already.
+
+        Raises
+        ------
+        OrderSuperseded
+            If another order for the zone has come after the order's base, and
+            demands something else.
+        """
+        last_index = self._order_indexes.get(order.zone, self._loaded_order_index)
+        if order.base is None or order.base >= last_index:
+            return True
+        if (order.zone in self.evacuation.zones) is not order.evacuated:
+            raise OrderSuperseded(last_index)
+        return False
+
     def dump(self) -> dict[str, Any]:
         """Return the whole state, in the form of earlier builds before any order."""
         state: dict[str, Any] = {"version": self.version, "document": self.document}
@@ -76,6 +101,8 @@
     def load(self, state: dict[str, Any]) -> None:
         """Replace the whole state."""
         evacuation = Evacuation.from_json(state.get("evacuation", []))
+        self._order_indexes.clear()
+        self._loaded_order_index = evacuation.version
         self._replace(state["version"], state["document"], evacuation)
 
     def _replace(self, version: int, document: str, evacuation: Evacuation) -> None:
--- a/packages/node/src/kingcuplug_node/_evacuation_orders.py
+++ b/packages/node/src/kingcuplug_node/_evacuation_orders.py
@@ -1,10 +1,11 @@
 """Operators' orders to evacuate zones, and which of them are in force here."""
 
+import asyncio
 from collections.abc import Callable, Collection
 from typing import TYPE_CHECKING
 
 from kingcuplug_common import EventLog
-from kingcuplug_fleet import Evacuation
+from kingcuplug_fleet import Evacuation, EvacuationOrder, OrderSuperseded
 from kingcuplug_gateway import ServerTable
 
 from kingcuplug_node._errors import ZoneUnknown
@@ -14,6 +15,13 @@
 
 __all__ = ["EvacuationOrders"]
 
+# After this host was suspended, the caller may have left already. The event loop reads
+# the order and then the close in successive rounds, and cancels in a later one.
+_DISCONNECT_CHECK_ROUNDS = 5
+# Within the second after which an operator's client asks another host.
+_SUBMIT_TIMEOUT_S = 0.8
+_SUPERSEDED_DELAY_S = 0.05
+
 
 class EvacuationOrders:
     """Commits orders to the replicated log, and shows which ones are in force here.
@@ -42,6 +50,10 @@
     async def submit(self, zone: str, evacuated: bool) -> None:
         """Commit an order to evacuate a zone, or to end that, to the replicated log.
 
+        This call must be cancelled when the caller leaves, because it may then repeat
+        the order elsewhere, or give a newer one. The base of the order is noted while
+        the caller is still connected, so what is committed after its leaving is newer.
+
         Raises
         ------
         Elsewhere, CoreUnavailable
@@ -52,7 +64,19 @@
         replica = self._require_replica()
         if self._zones is not None and zone not in self._zones:
             raise ZoneUnknown(zone)
-        version = await replica.submit_evacuation(zone, evacuated)
+        deadline_at = asyncio.get_running_loop().time() + _SUBMIT_TIMEOUT_S
+        while True:
+            order = EvacuationOrder(zone, evacuated, replica.evacuation_version())
+            for _ in range(_DISCONNECT_CHECK_ROUNDS):
+                await asyncio.sleep(0)
+            try:
+                version = await replica.submit_evacuation(order)
+                break
+            except OrderSuperseded:
+                if asyncio.get_running_loop().time() > deadline_at:
+                    raise
+                # This host may not have applied the newer order yet.
+                await asyncio.sleep(_SUPERSEDED_DELAY_S)
         self._log.write(
             "evacuation_accepted",
             {"zone": zone, "evacuated": evacuated, "version": version},
--- a/tests/fleet/test_evacuation.py
+++ b/tests/fleet/test_evacuation.py
@@ -1,7 +1,9 @@
 """Orders to evacuate zones: the log, messages of older builds, restarts."""
 
 import asyncio
+import contextlib
 from itertools import permutations
+from random import Random
 
 import pytest
 from hypothesis import given, settings
@@ -11,10 +13,14 @@
     CoreUnavailable,
     DirectoryFile,
     Evacuation,
+    EvacuationOrder,
     FleetView,
+    OrderSuperseded,
+    PeerFailed,
     RouteRegister,
     answer_poll,
 )
+from kingcuplug_fleet._control_replica import PROPOSE_PATH
 from kingcuplug_fleet._evacuation import encode_evacuation_command
 from kingcuplug_fleet._mesh_messages import SharedFields
 from kingcuplug_routing import SuspectRecord
@@ -219,12 +225,109 @@
         while True:
             for host in group.running():
                 try:
-                    await host.replica.submit_evacuation(zone, evacuated)
+                    base = host.replica.evacuation_version()
+                    order = EvacuationOrder(zone, evacuated, base)
+                    await host.replica.submit_evacuation(order)
                     return
                 except CoreUnavailable:
                     await asyncio.sleep(0.05)
 
 
+class _DelayedProposals:
+    """Delivers some proposals to the leader late, also after their sender left."""
+
+    def __init__(self, client: FakePeerClient, random: Random) -> None:
+        self._call = client.call
+        self._random = random
+        self.late: set[asyncio.Task] = set()
+
+    async def call(self, address, path, value, timeout_s):
+        if path != PROPOSE_PATH or self._random.random() < 0.4:
+            return await self._call(address, path, value, timeout_s)
+        self.late.add(asyncio.ensure_future(self._deliver_late(address, value)))
+        await asyncio.sleep(timeout_s)
+        raise PeerFailed("no response", "try another host")
+
+    async def _deliver_late(self, address, value) -> None:
+        await asyncio.sleep(self._random.uniform(0.0, 6.0))
+        with contextlib.suppress(PeerFailed):
+            await self._call(address, PROPOSE_PATH, value, 1.0)
+
+
+async def _send_order(host, zone: str, evacuated: bool) -> bool:
+    try:
+        order = EvacuationOrder(zone, evacuated, host.replica.evacuation_version())
+        await host.replica.submit_evacuation(order)
+    except CoreUnavailable:
+        return False
+    return True
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_order_that_arrives_late_does_not_undo_a_newer_one(make_control_group, seed):
+    """Guards against an order that a host, a link or the leader held back.
+
+    An operator repeats each order at another host until it is acknowledged, then gives
+    the next one. Leaders change meanwhile.
+    """
+
+    async def run() -> None:
+        random = Random(seed)
+        group = make_control_group()
+        await group.form("a", "b", "c")
+        await group.submit(1)
+        delays = _DelayedProposals(group._client, random)
+        group._client.call = delays.call
+        expected: set[str] = set()
+        for number in range(12):
+            zone, evacuated = random.choice("xy"), random.random() < 0.5
+            if number % 4 == 3:
+                stopped = random.choice("abc")
+                group.power_off(stopped)
+                group.start(stopped)
+            acknowledged = False
+            while not acknowledged:
+                host = group.hosts[random.choice("abc")]
+                acknowledged = await _send_order(host, zone, evacuated)
+            expected = expected | {zone} if evacuated else expected - {zone}
+            assert await _read_zones(group) == expected
+        await asyncio.gather(*delays.late)
+        assert await _read_zones(group) == expected
+        await group.stop()
+
+    run_virtual(run())
+
+
+def test_order_is_superseded_by_newer_orders_for_its_zone_only():
+    """Guards against orders for several zones that exclude each other."""
+    register = _register()
+    register.apply(4, encode_evacuation_command("a", True))
+    register.apply(5, encode_evacuation_command("b", True))
+    assert register.check_order(EvacuationOrder("a", False, 4))
+    assert register.check_order(EvacuationOrder("a", False, 5))
+    assert register.check_order(EvacuationOrder("c", True, 0))
+    assert not register.check_order(EvacuationOrder("b", True, 4))
+    with pytest.raises(OrderSuperseded):
+        register.check_order(EvacuationOrder("b", False, 4))
+    register.load(register.dump())
+    with pytest.raises(OrderSuperseded):
+        register.check_order(EvacuationOrder("a", False, 4))
+    assert register.check_order(EvacuationOrder("a", False, 5))
+
+
+def test_orders_of_an_earlier_build_are_executed_and_the_log_keeps_its_form():
+    """Guards against replicas of two builds that apply the same log differently."""
+    register = _register()
+    register.apply(4, encode_evacuation_command("a", True))
+    command = encode_evacuation_command("a", False)
+    order = EvacuationOrder.from_json(command)
+    assert order is not None
+    assert register.check_order(order)
+    assert EvacuationOrder.from_json({**command, "base": 3}).base == 3
+    register.apply(5, {**command, "base": 3})
+    assert register.evacuation.zones == frozenset()
+
+
 async def _read_zones(group: ControlGroup) -> set[str]:
     async with asyncio.timeout(10):
         while True:
--- a/tests/platform_formats/test_evacuation.py
+++ b/tests/platform_formats/test_evacuation.py
@@ -7,7 +7,7 @@
 
 import pytest
 from kingcuplug_common import EventLog
-from kingcuplug_fleet import CoreUnavailable
+from kingcuplug_fleet import CoreUnavailable, EvacuationOrder
 from kingcuplug_http import Request
 from kingcuplug_node import Elsewhere, SettingsUnusable
 from kingcuplug_node._evacuation_orders import EvacuationOrders
@@ -27,10 +27,14 @@
         self.orders: list[tuple[str, bool]] = []
         self._error = error
 
-    async def submit_evacuation(self, zone: str, evacuated: bool) -> int:
+    def evacuation_version(self) -> int:
+        return len(self.orders)
+
+    async def submit_evacuation(self, order: EvacuationOrder) -> int:
         if self._error is not None:
             raise self._error
-        self.orders.append((zone, evacuated))
+        assert order.base == len(self.orders)
+        self.orders.append((order.zone, order.evacuated))
         return len(self.orders)
 
 
--- a/tests/soak/test_evacuation.py
+++ b/tests/soak/test_evacuation.py
@@ -1,6 +1,9 @@
 """Evacuation of a zone by real hosts, and the check of it."""
 
 import asyncio
+import contextlib
+import re
+import signal
 from pathlib import Path
 
 import pytest
@@ -67,6 +70,51 @@
         assert checker.check_executions() == []
 
 
+async def _order_at(host, method: str, timeout_s: float) -> bool:
+    """Send an order to one host, and close the connection after a time."""
+    with contextlib.suppress(TimeoutError, OSError):
+        async with asyncio.timeout(timeout_s):
+            path = f"{EVACUATION_PATH}{_ZONE}"
+            response = await send_request(host.control_bind_address, method, path)
+            return response.status == 200
+    return False
+
+
+async def _read_gauge(host, name: str) -> float:
+    response = await send_request(host.metrics_address, "GET", "/metrics")
+    (line,) = re.findall(rf"^\S*{name}\S* (\S+)$", response.body.decode(), re.M)
+    return float(line)
+
+
+async def _repeat_order_of_suspended_host(folder: Path) -> None:
+    async with soak_environment(_SETTINGS, folder) as env:
+        control_hosts = env.cluster.hosts[:3]
+        leads = [await _read_gauge(host, "control_leads") for host in control_hosts]
+        suspended = control_hosts[leads.index(0.0)]
+        others = [host for host in control_hosts if host is not suspended]
+        assert await _order_at(suspended, "POST", _ORDER_TIMEOUT_S)
+        suspended.send_signal(signal.SIGSTOP)
+        assert not await _order_at(suspended, "DELETE", 1.0)
+        for method in ("DELETE", "POST"):
+            acknowledged = False
+            async with asyncio.timeout(_ORDER_TIMEOUT_S):
+                while not acknowledged:
+                    for host in others:
+                        acknowledged = acknowledged or await _order_at(
+                            host, method, 1.0
+                        )
+        suspended.send_signal(signal.SIGCONT)
+        await asyncio.sleep(_EVACUATION_S)
+        async with caller_traffic(env):
+            assert await _arrivals_during(env, _OBSERVED_S) == 0
+
+
+@pytest.mark.system
+def test_order_of_a_suspended_host_does_not_undo_a_newer_one(tmp_path):
+    """Guards against an old order that a host executes when it runs again."""
+    asyncio.run(_repeat_order_of_suspended_host(tmp_path))
+
+
 @pytest.mark.system
 def test_hosts_send_nothing_to_an_evacuated_zone(tmp_path):
     """Guards against hosts that go on, or begin again after a restart of all hosts."""
