Relay a request beyond its attempts only where its servers are cut off

Cause of the one fault found by reading: a host that believes that it is cut off from all servers had another host send a request once more although its own attempts were used up (`max(1, max_attempts - tried)`). Only servers that are cut off are excused from the budget, and the belief can be wrong: a host that is stopped during a check sees no connection in time.

Change: before that, each server that may have run the request is checked. If one accepts a connection, or the event loop stood still during the check, no attempt is left. The events attempts_used_up and attempts_excused tell it from other causes.

Conclusion: fixed is what the test shows.

--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -32,6 +32,7 @@
 
 from kingcuplug_gateway._admission import RequestAdmission
 from kingcuplug_gateway._answer_times import AnswerTimes
+from kingcuplug_gateway._attempt_allowance import attempts_left
 from kingcuplug_gateway._gather_client import (
     CallPeer,
     GathererDirectory,
@@ -500,12 +501,11 @@
             or (may_have_run and not route.repeatable)
         ):
             return None
-        until = (
-            self._times.deadline_at(request, route.timeout_ms) - self._times.reserved_s
-        )
-        tried = max((call.possible_runs for call in calls), default=0)
-        # What was sent to servers that are cut off does not use up the last attempt.
-        max_attempts = max(1, route.max_attempts - tried)
+        until = self._times.deadline_at(request, route.timeout_ms)
+        until -= self._times.reserved_s
+        max_attempts = await attempts_left(route.max_attempts, calls, self._isolation)
+        if max_attempts < 1:
+            return None
         told = partial(self._signals_to_pass_on, route.all_services)
         identity = None
         has_homes = route.allowed_regions is not None
--- a/packages/gateway/src/kingcuplug_gateway/_isolation_monitor.py
+++ b/packages/gateway/src/kingcuplug_gateway/_isolation_monitor.py
@@ -18,6 +18,7 @@
 _CHECK_INTERVAL_S = 0.25
 _RECENT_ANSWER_S = 0.2
 _REPLY_WITHIN_S = 0.25  # Below the time-out of a probe by another host.
+_MAX_ONE_CHECK_S = 0.4  # A connection times out after 0.3 s.
 _MAX_CHECK_S = 0.45  # until the connections of the second sample time out
 
 
@@ -99,6 +100,24 @@
             return False
         return True
 
+    async def reaches_any(self, servers: Sequence[Server]) -> bool:
+        """Return whether some of these servers may be reached from this host.
+
+        That the host is isolated may be an error, for example after it was suspended
+        itself. This checks each of the servers, and takes them for reached if the event
+        loop stood still meanwhile, which then has not seen the connections in time.
+        """
+        started_at = self._loop.time()
+        reached = await _count_reachable(servers)
+        was_suspended = self._loop.time() - started_at > _MAX_ONE_CHECK_S
+        event = "attempts_used_up" if reached or was_suspended else "attempts_excused"
+        self._metrics.count(event)
+        tried = [server.info.id for server in servers]
+        self._log.write(
+            event, {"tried": tried, "reached": reached, "suspended": was_suspended}
+        )
+        return reached > 0 or was_suspended
+
     def close(self) -> None:
         """End the checks."""
         if self._checks is not None:
--- a/packages/gateway/src/kingcuplug_gateway/_service_call.py
+++ b/packages/gateway/src/kingcuplug_gateway/_service_call.py
@@ -235,7 +235,7 @@
         self._random = random
         self._on_finished = on_finished
         self._open_attempts: list[_Attempt] = []
-        self._tried_server_ids: set[str] = set()
+        self._tried_servers: dict[str, Server] = {}
         self._attempt_count = 0
         self._rejection_count = 0
         self._hedge_timer: asyncio.TimerHandle | None = None
@@ -262,8 +262,17 @@
     @property
     def possible_runs(self) -> int:
         """Number of attempts that a server may have run, or may still run."""
+        return len(self.possible_servers)
+
+    @property
+    def possible_servers(self) -> list[Server]:
+        """Servers that may have run an attempt, or may still run it."""
         not_run = (ResponseClass.NOT_RUN.value, Failure.CONNECT.name.lower())
-        return sum(record.outcome not in not_run for record in self.result.attempts)
+        return [
+            self._tried_servers[record.server]
+            for record in self.result.attempts
+            if record.outcome not in not_run
+        ]
 
     def log_entries(self, started_at: float) -> list[dict[str, str | float | None]]:
         """Return log entries of the attempts, with times relative to `started_at`."""
@@ -489,7 +498,7 @@
             attempt = _Attempt(self, server, self._header_names, record)
             hedge_delay_s = self._start_work(attempt, self._cost, now)
         self.result.attempts.append(record)
-        self._tried_server_ids.add(server.info.id)
+        self._tried_servers[server.info.id] = server
         self._open_attempts.append(attempt)
         self._attempt_count += 1
         server.state.record_start(attempt, now, typical_s)
@@ -501,7 +510,7 @@
 
     def _choose_server(self, kind: str, now: float, typical_s: float) -> Server | None:
         """Return the server for the next attempt, if one has room for it."""
-        untried = self._pool.servers_except(self._tried_server_ids)
+        untried = self._pool.servers_except(self._tried_servers.keys())
         allowed = self.outbound.allowed_regions
         if allowed is not None:
             may_serve = self._server_table.regions.may_serve
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -165,6 +165,46 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("target", ["/x", "/q/x"])
+def test_request_whose_server_can_be_reached_is_not_sent_to_another_host(
+    open_gateway, monkeypatch, target
+):
+    """Guards against more servers than the route allows after a mistaken check.
+
+    A host that was suspended during a check sees no connection in time.
+    """
+
+    async def scenario():
+        async with _open_pair(open_gateway) as pair:
+            cut_off, helper = pair.cut_off, pair.helper
+            servers = {info.address for info in helper.server_infos}
+
+            async def is_reachable(address: str) -> bool:
+                return address in servers or cut_off.gateway.is_isolated
+
+            monkeypatch.setattr(
+                "kingcuplug_gateway._isolation_monitor.accepts_connections",
+                is_reachable,
+            )
+            routes = [make_route(), make_route(**QUERY)]
+            pair.set_routes(
+                *(dataclasses.replace(route, max_attempts=1) for route in routes),
+                version=2,
+            )
+            cut_off.server_infos.clear()
+            for service in ("stock", *SHARDS):
+                for _ in range(2):
+                    await cut_off.add_server(service, _hang)
+            # Two servers that are late lead to a check.
+            first, second = await asyncio.gather(
+                cut_off.send(target), cut_off.send(target)
+            )
+            assert {first.status, second.status} == {502}
+            assert pair.received() == 0
+
+    asyncio.run(scenario())
+
+
 def test_interrupted_request_is_not_said_to_have_not_run(open_gateway, cut):
     """Guards against a 503 for a request that a server behind the cut may have run."""
 
