Keep headers that servers need from options of Connection

Cause: the header is added to the caller's, and `end_to_end_headers` then drops all that the caller's Connection lists.

Change: the header of the team, Host and the id of the attempt are kept in any case.

--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -884,7 +884,7 @@
     ) -> OutboundRequest:
         header_names = self._header_names
         return OutboundRequest(
-            head=encode_head(request, self._reserved_headers),
+            head=encode_head(request, self._reserved_headers, header_names.required),
             body=request.body,
             attempt_id=request.header(header_names.attempt_id.lower()) or b"",
             deadline_at=self._times.deadline_at(request, route.timeout_ms),
--- a/packages/gateway/src/kingcuplug_gateway/_header_names.py
+++ b/packages/gateway/src/kingcuplug_gateway/_header_names.py
@@ -49,3 +49,8 @@
     team: bytes = b"Team"
     key_scheme: bytes = b"Token"
     cold_ms: bytes = b"Cold-Ms"
+
+    @property
+    def required(self) -> frozenset[bytes]:
+        """Names, in lower case, of headers of callers that servers must get."""
+        return frozenset((b"host", self.attempt_id.lower(), self.team.lower()))
--- a/packages/gateway/src/kingcuplug_gateway/_request_head.py
+++ b/packages/gateway/src/kingcuplug_gateway/_request_head.py
@@ -22,16 +22,22 @@
     return int(value)
 
 
-def encode_head(request: Request, excluded: frozenset[bytes]) -> bytes:
+def encode_head(
+    request: Request,
+    excluded: frozenset[bytes],
+    kept: frozenset[bytes] = frozenset(),
+) -> bytes:
     """Return the request line and headers for servers, each ended by a line break.
 
     Parameters
     ----------
     excluded : frozenset of bytes
         Names, in lower case, of headers that are left out.
+    kept : frozenset of bytes
+        Names, in lower case, of headers that the caller can't have left out.
     """
     lines = [b"%s %s HTTP/1.1\r\n" % (request.method, request.target)]
-    for name, value in end_to_end_headers(request.headers, excluded):
+    for name, value in end_to_end_headers(request.headers, excluded, kept):
         lines.append(b"%s: %s\r\n" % (name, value))
     if (
         request.body
--- a/packages/http/src/kingcuplug_http/_messages.py
+++ b/packages/http/src/kingcuplug_http/_messages.py
@@ -96,11 +96,14 @@
 
 
 def end_to_end_headers(
-    headers: Headers, excluded: frozenset[bytes] = frozenset()
+    headers: Headers,
+    excluded: frozenset[bytes] = frozenset(),
+    kept: frozenset[bytes] = frozenset(),
 ) -> Headers:
     """Return the headers to forward to the next hop, without those in `excluded`.
 
-    Headers listed in ``Connection`` are hop-by-hop headers and are removed, too.
+    Headers listed in ``Connection`` are hop-by-hop headers and are removed, too, except
+    those in `kept`: the peer can't remove what this hop sets or the next one needs.
     """
     connection_options: set[bytes] = set()
     for name, value in headers:
@@ -108,6 +111,7 @@
             connection_options.update(
                 option.strip().lower() for option in value.split(b",")
             )
+    connection_options -= kept
     return [
         (name, value)
         for name, value in headers
--- a/tests/gateway/test_teams.py
+++ b/tests/gateway/test_teams.py
@@ -210,3 +210,27 @@
                 await harness.gateway.handle_relay(message)
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "options", ["keep-alive, Team", "TEAM", "team,Host,Try-Id", "close, team , x"]
+)
+def test_caller_cannot_have_headers_dropped_that_servers_must_get(
+    open_gateway, options
+):
+    """Guards against a request whose team a server does not get to know."""
+
+    async def scenario() -> None:
+        async with open_gateway() as harness:
+            harness.set_routes(make_route(), teams=TEAMS)
+            await harness.add_server("stock", _respond)
+            headers = {"Connection": options, "X": "dropped"}
+            response = await _send(harness, f"Token {KEY}", **headers)
+            assert response.status == 200
+            (request,) = [r for rs in harness.received.values() for r in rs]
+            assert request.header(b"team") == b"red"
+            assert request.header(b"host") == b"shop.example"
+            assert request.header(b"try-id") == b"t1"
+            assert (request.header(b"x") is None) is ("x" in options)
+
+    asyncio.run(scenario())
