Have no host with older routes serve a relayed request

Cause: the version of the routes was sent along only where routes have teams or homes.

Change: it is sent with each request to hosts whose reply to a probe says that they take it; one with older routes refuses, and another host is asked. Hosts of earlier builds get the message that they know.

--- a/packages/gateway/src/kingcuplug_gateway/_gateway.py
+++ b/packages/gateway/src/kingcuplug_gateway/_gateway.py
@@ -508,10 +508,10 @@
             return None
         told = partial(self._signals_to_pass_on, route.all_services)
         identity = None
-        has_homes = route.allowed_regions is not None
-        if self.table is not None and (self.table.teams is not None or has_homes):
+        if self.table is not None:
             name = team.name if team is not None else ""
-            identity = RelayedIdentity(name, self.table.version)
+            checked = self.table.teams is not None or route.allowed_regions is not None
+            identity = RelayedIdentity(name, self.table.version, checked)
         may_hold_body = partial(
             self._settings.regions.may_hold_body, allowed=route.allowed_regions
         )
--- a/packages/gateway/src/kingcuplug_gateway/_relay.py
+++ b/packages/gateway/src/kingcuplug_gateway/_relay.py
@@ -39,12 +39,13 @@
 ]
 
 _MS_PER_S = 1_000
-# Asks whether a host serves requests for others. The reply is an array, which names
-# signals if the host takes them with a request; that of older builds is empty, and they
-# reject requests and responses with signals.
+# Asks whether a host serves requests for others. The reply is an array that names what
+# the host takes with a request: signals, the version of the routes. Builds whose reply
+# lacks one of them may reject messages with it.
 PROBE = ["probe"]
 _SIGNALS = "signals"
-PROBE_REPLY = [_SIGNALS]
+_ROUTES_VERSION = "routes_version"
+PROBE_REPLY = [_SIGNALS, _ROUTES_VERSION]
 _SERVE = "serve"
 _SERVE_WITH_SIGNALS = "serve_with_signals"
 # Older builds, which know no teams, reject it without running the request.
@@ -104,10 +105,13 @@
         Name of the caller's team; empty without one.
     routes_version : int
         Version of the route table by which the request was admitted.
+    required : bool
+        Whether a host that does not take it must not serve the request.
     """
 
     team: str
     routes_version: int
+    required: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,8 +128,7 @@
         What servers have told the host that sends it, which takes signals in the
         response, too; ``None`` if one of the hosts takes none.
     identity : RelayedIdentity or None
-        ``None`` if neither the routes have teams nor the request homes, or an older
-        build relays it.
+        ``None`` if an older build relays it or serves it.
     """
 
     method: bytes
@@ -288,6 +291,7 @@
     host: HostAddress
     in_progress: int = 0
     takes_signals: bool = False
+    takes_routes_version: bool = False
 
 
 class RelayClient:
@@ -358,7 +362,8 @@
         signals_to_pass_on : callable
             Returns what servers have told this host.
         identity : RelayedIdentity or None
-            Whose request it is, where the routes have teams.
+            Whose request it is, and by which routes. A host with older routes does not
+            serve it.
         may_hold_body : callable
             Returns whether a host in a zone may get the request.
         """
@@ -398,6 +403,9 @@
         identity: RelayedIdentity | None,
     ) -> tuple[Response, tuple[PassedSignal, ...]]:
         elapsed_s = self._loop.time() - request.received_at
+        takes_identity = helper.takes_routes_version
+        if identity is not None and not identity.required and not takes_identity:
+            identity = None
         message = RelayedRequest(
             request.method,
             request.target,
@@ -455,6 +463,7 @@
             if reply is not None:
                 helper = previous.get(host.address, _Helper(host))
                 helper.takes_signals = _SIGNALS in reply
+                helper.takes_routes_version = _ROUTES_VERSION in reply
                 self._helpers[host.address] = helper
 
     async def _probe(self, host: HostAddress) -> list[Any] | None:
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -305,6 +305,38 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("target", ["/x", "/q/x", "/o/x"])
+def test_host_with_older_routes_serves_no_request_of_another_one(open_pair, target):
+    """Guards against a request that is handled by routes older than those in force."""
+
+    async def scenario():
+        async with open_pair() as pair:
+            routes = [make_route(), make_route(**QUERY), make_route(**ORDER)]
+            pair.cut_off.set_routes(*routes, version=2)
+            response = await pair.cut_off.send(target)
+            assert response.status in (502, 503)
+            assert pair.received() == 0
+            pair.helper.set_routes(*routes, version=3)
+            await asyncio.sleep(1.2)  # Longer than until helpers are looked for again.
+            assert (await pair.cut_off.send(target)).status == 200
+
+    asyncio.run(scenario())
+
+
+def test_host_of_an_earlier_build_gets_requests_that_it_understands(
+    open_pair, monkeypatch
+):
+    """Guards against messages that a host rejects during an upgrade."""
+    monkeypatch.setattr("kingcuplug_gateway._gateway.PROBE_REPLY", ["signals"])
+
+    async def scenario():
+        async with open_pair() as pair:
+            assert (await pair.cut_off.send("/x")).status == 200
+            assert pair.messages[0][0] == "serve_with_signals"
+
+    asyncio.run(scenario())
+
+
 async def _fail(request):
     return signed_response(status=500)
 
