--- a/tests/fleet/test_founding.py
+++ b/tests/fleet/test_founding.py
@@ -106,6 +106,20 @@
     return {r.cluster for r in replicas if r is not None and r.cluster is not None}
 
 
+async def _check_one_group(group, network: _FaultyNetwork, disturb) -> None:
+    """Check that one group exists after some faults, and none ever beside it."""
+    disturbance = asyncio.ensure_future(disturb)
+    seen: set[str] = set()
+    while not disturbance.done():
+        seen |= _clusters(group)
+        await asyncio.sleep(0.05)
+    await disturbance
+    network.loss_ratio = 0.0
+    await group.submit(7, timeout_s=_FORMATION_TIMEOUT_S)
+    seen |= _clusters(group)
+    assert len(seen) == 1
+
+
 @pytest.mark.parametrize("seed", range(40))
 @pytest.mark.parametrize(("names", "losses"), [("abcd", 1), ("abcdefg", 2)])
 def test_seeds_found_one_group_whatever_ends_meanwhile(
@@ -121,16 +135,7 @@
         group.begin(*names)
         # The disks hold a record of the first start from here on.
         await asyncio.sleep(0.05)
-        disturbance = asyncio.ensure_future(_disturb(group, names, losses, random))
-        seen: set[str] = set()
-        while not disturbance.done():
-            seen |= _clusters(group)
-            await asyncio.sleep(0.05)
-        await disturbance
-        network.loss_ratio = 0.0
-        await group.submit(7, timeout_s=_FORMATION_TIMEOUT_S)
-        seen |= _clusters(group)
-        assert len(seen) == 1
+        await _check_one_group(group, network, _disturb(group, names, losses, random))
         await group.stop()
 
     run_virtual(main())
@@ -226,18 +231,8 @@
         group._client.call = network.call
         group.begin_without_seed_disks("stu", names)
         await asyncio.sleep(0.05)
-        disturbance = asyncio.ensure_future(
-            _disturb_without_seed_disks(group, "stu", names, random)
-        )
-        seen: set[str] = set()
-        while not disturbance.done():
-            seen |= _clusters(group)
-            await asyncio.sleep(0.05)
-        await disturbance
-        network.loss_ratio = 0.0
-        await group.submit(7, timeout_s=_FORMATION_TIMEOUT_S)
-        seen |= _clusters(group)
-        assert len(seen) == 1
+        disturb = _disturb_without_seed_disks(group, "stu", names, random)
+        await _check_one_group(group, network, disturb)
         await group.stop()
 
     run_virtual(main())
