Send the version of the routes behind the fields of a relayed request

It also had a host with teams take a request of a host that had none yet for one without a team, and refuse its key.

Cause: one form was used for two purposes. Change: a request that depends on neither teams nor homes keeps its form and gets the version as a last field, which only hosts get whose reply to a probe says that they take it; keys are checked as before.

--- a/packages/gateway/src/kingcuplug_gateway/_relay.py
+++ b/packages/gateway/src/kingcuplug_gateway/_relay.py
@@ -106,7 +106,8 @@
     routes_version : int
         Version of the route table by which the request was admitted.
     required : bool
-        Whether a host that does not take it must not serve the request.
+        Whether the routes have teams or the request homes, so that only a host that
+        takes the identity may serve it. Otherwise only the version is sent.
     """
 
     team: str
@@ -159,9 +160,12 @@
         kind: list[Any] = [_SERVE]
         if self.signals is not None:
             kind = [_SERVE_WITH_SIGNALS, encode_signals(self.signals)]
-        if self.identity is not None:
+        version = []
+        if self.identity is not None and self.identity.required:
             identity = [self.identity.team, self.identity.routes_version]
             kind = [_SERVE_FOR_TEAM, identity, encode_signals(self.signals or ())]
+        elif self.identity is not None:
+            version = [self.identity.routes_version]
         return [
             *kind,
             self.method.decode("latin-1"),
@@ -171,6 +175,7 @@
             int(self.first_on_connection),
             round(self.elapsed_ms, 1),
             self.max_attempts,
+            *version,
         ]
 
     @classmethod
@@ -195,7 +200,10 @@
         elif kind != _SERVE:
             raise ValueError(f"unknown kind of relay message {kind!r}")
         method, target, headers, body, *counts = fields
-        first_on_connection, elapsed_ms, max_attempts = counts
+        first_on_connection, elapsed_ms, max_attempts, *version = counts
+        if version:
+            (routes_version,) = version
+            identity = RelayedIdentity("", require_integer(routes_version), False)
         return cls(
             require_string(method).encode("latin-1"),
             require_string(target).encode("latin-1"),
@@ -489,9 +497,10 @@
     KeyUnknown
         If a known key is required and the request has none.
     """
-    if relayed is None or relayed.identity is None:
+    identity = relayed.identity if relayed is not None else None
+    if identity is None or not identity.required:
         return authenticate(request, teams, key_scheme, required)
-    team = teams.by_name(relayed.identity.team)
+    team = teams.by_name(identity.team)
     if team is None and required:
         # Removed since the other host admitted the request.
         raise KeyUnknown
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -297,8 +297,8 @@
             response = await pair.cut_off.send("/x", left_ms="800")
             assert response.status == 500
             assert pair.received() == 1
-            *_, elapsed_ms, max_attempts = pair.messages[0]
-            assert max_attempts == 1
+            *_, elapsed_ms, max_attempts, routes_version = pair.messages[0]
+            assert (max_attempts, routes_version) == (1, 2)
             (request,) = [r for rs in pair.helper.received.values() for r in rs]
             assert int(request.header(b"left-ms")) <= 800 - elapsed_ms + 1
 
@@ -332,7 +332,9 @@
     async def scenario():
         async with open_pair() as pair:
             assert (await pair.cut_off.send("/x")).status == 200
-            assert pair.messages[0][0] == "serve_with_signals"
+            kind, *_, max_attempts = pair.messages[0]
+            assert (kind, len(pair.messages[0])) == ("serve_with_signals", 9)
+            assert max_attempts == 2
 
     asyncio.run(scenario())
 
--- a/tests/gateway/test_teams.py
+++ b/tests/gateway/test_teams.py
@@ -234,3 +234,19 @@
             assert (request.header(b"x") is None) is ("x" in options)
 
     asyncio.run(scenario())
+
+
+def test_key_is_checked_where_another_host_had_no_teams_yet(open_gateway):
+    """Guards against callers refused by hosts that have newer routes than others."""
+    headers = [["Host", "shop.example"], ["Authorization", f"Token {KEY}"]]
+    message = ["serve", "GET", "/x", headers, "", 1, 0.0, 1, 1]
+
+    async def scenario() -> None:
+        async with open_gateway() as harness:
+            harness.set_routes(make_route(), version=2, teams=TEAMS)
+            await harness.add_server("stock", _respond)
+            assert (await harness.gateway.handle_relay(message))[0] == 200
+            headers.pop()
+            assert (await harness.gateway.handle_relay(message))[0] == 401
+
+    asyncio.run(scenario())
