Let half of the voters decide beside a lost disk

Cause: a majority of an even number of voters bears no more losses than one of the odd number below it. Of four voters one was gone and one had lost its identity; the two that were left, which held everything acknowledged, could neither elect a leader nor remove the others. How soon the leader notices the end only moves the window.

Change: half of an even number of voters suffices once another voter's disk is known to be replaced. The proof is the reply of that voter's own host, after the request, under the id of another disk; another host at its address proves nothing. A voter is added or removed in two entries, decided by the voters with it and those without it, because a half of one set need not share a voter with a majority of the other. Each voter's entry says whether its host knows the rule, and so does the first entry of each term: it is in force only while all voters and the leader's build keep it.

tests/log/test_votes.py compared the whole reply to a request for a former identity; the reply now also names the present one, and the test compares all of it.

--- a/models/run.py
+++ b/models/run.py
@@ -102,6 +102,10 @@
 TWO_ENTRIES = ("MAX_TERM=3", "MAX_LOG=2")
 FOUR_VOTERS = ("INITIAL_VOTERS=15", "MAX_LOSSES=0")
 THREE_ENTRIES = ("MAX_TERM=2", "MAX_LOG=3")
+HALVES = ("HALF_QUORUMS", "INITIAL_VOTERS=15", "MAX_TERM=2")
+HALVES_3_TERMS = ("HALF_QUORUMS", "INITIAL_VOTERS=15", *TWO_ENTRIES)
+HALVES_3_ENTRIES = ("HALF_QUORUMS", "INITIAL_VOTERS=15", *THREE_ENTRIES)
+HALVES_JOINING = ("HALF_QUORUMS", *THREE_ENTRIES)
 CLOCKS = ("ELECTION_TIMEOUT=12",)
 ONE_CHANGE = ("MAX_REVISION=1",)
 EXTRA_MUTANTS = ("EQUAL_REVISIONS_ACCEPTED", "OLDER_BARRIER")
@@ -150,6 +154,30 @@
     expect_reachable("voters", "REACH_LEARNER_VOTES", "learner-became-voter"),
     expect_reachable("voters", "REACH_LEARNER_LEADS", "new-identity-leads"),
     expect_reachable("voters", "REACH_REPAIR", "voter-replaced", *THREE_ENTRIES),
+    expect_holds("voters", "half quorums, 4 voters", *HALVES),
+    expect_holds("voters", "half quorums, fourth joins", *HALVES_JOINING),
+    expect_holds("voters", "half quorums, 0 removed", *HALVES, "GONE=0"),
+    expect_holds("voters", "half quorums, 1 removed", *HALVES, "GONE=1"),
+    expect_holds("voters", "half quorums, earlier build", *HALVES, "EARLIER_BUILD=1"),
+    expect_violation("voters", "HALF_WITHOUT_LOSS", "one-leader-per-term", *HALVES),
+    expect_violation("voters", "COUNT_LOST", "one-leader-per-term", *HALVES),
+    expect_rejected_design("voters", "ONE_STEP_CHANGE", "accepted-entry-kept", *HALVES),
+    expect_violation(
+        "voters", "ELECT_BY_ALL", "accepted-entry-kept", *HALVES, "MAX_LOG=3"
+    ),
+    expect_violation("voters", "COMMIT_BY_REST", "accepted-entry-kept", *HALVES),
+    expect_violation(
+        "voters",
+        "TRUST_EARLIER_BUILD",
+        "accepted-entry-kept",
+        *HALVES,
+        "EARLIER_BUILD=1",
+    ),
+    expect_violation("voters", "MAJORITIES_ONLY", "quorum-left", *HALVES, "GONE=1"),
+    expect_reachable("voters", "REACH_HALF", "decided-by-half", *HALVES),
+    expect_reachable(
+        "voters", "REACH_LOST_REMOVED", "lost-voter-removed", *HALVES, "MAX_LOG=3"
+    ),
     expect_holds("formation", "three seeds, one lost disk"),
     expect_holds("formation", "most of the seeds", "FORMATION_TIMES_OUT"),
     expect_holds("formation", "one seed without a disk", "WITHOUT_DISK=2"),
@@ -322,6 +350,22 @@
         *TWO_ENTRIES,
         large=True,
     ),
+    expect_holds("voters", "half quorums, 3 terms", *HALVES_3_TERMS, large=True),
+    expect_holds("voters", "half quorums, 3 entries", *HALVES_3_ENTRIES, large=True),
+    expect_holds(
+        "voters",
+        "half quorums, 0 removed, 3 entries",
+        *HALVES_3_ENTRIES,
+        "GONE=0",
+        large=True,
+    ),
+    expect_holds(
+        "voters",
+        "half quorums, 3 entries, earlier build",
+        *HALVES_3_ENTRIES,
+        "EARLIER_BUILD=1",
+        large=True,
+    ),
     expect_holds("sessions", "1 relay, 2 changes", "MAX_REVISION=2", large=True),
     expect_holds("sessions", "2 relays, 1 change", "RELAYS=2", *ONE_CHANGE, large=True),
     expect_holds(
--- a/models/voters.pml
+++ b/models/voters.pml
@@ -10,12 +10,26 @@
  * acts again. Writes are synced in the step that makes them (replication.pml
  * separates the two), and messages are represented as in replication.pml.
  *
- * An entry is term * 16 + the bit set of voters in force from this entry on; a
- * plain command repeats the voters. A voter set is in force once it is in the
- * log, before it commits.
+ * An entry is its term and the configuration in force from this entry on, which a
+ * plain command repeats. A configuration is in force once it is in the log, before it
+ * commits.
+ *
+ * With HALF_QUORUMS half of an even number of voters suffices beside a voter whose disk
+ * is lost, and a voter is added or removed in two entries: the first names the voter in
+ * transition, and decides by quorums of the voters with and without it. Identities in
+ * EARLIER_BUILD (a bit set) know none of this: as leaders they count majorities of the
+ * listed voters, and their entries put half quorums out of force.
+ *
+ * With GONE an identity may be removed without notice at any moment, and only this one
+ * and lost ones are taken from the voters. Whatever other disk is lost, the rest can
+ * elect a leader.
  *
  * Mutants: EMPTY_DISK_VOTES, TWO_CHANGES_AT_ONCE, REPLACE_IN_ONE_STEP,
- * CHANGE_BEFORE_OWN_COMMIT, COUNT_LEARNERS.
+ * CHANGE_BEFORE_OWN_COMMIT, COUNT_LEARNERS. With HALF_QUORUMS: HALF_WITHOUT_LOSS (half of
+ * the voters always suffices), COUNT_LOST (a lost voter counts in a half),
+ * ONE_STEP_CHANGE (a change is one entry), ELECT_BY_ALL (elections ignore the voters
+ * without the one in transition), COMMIT_BY_REST (commits ignore the voters with it),
+ * TRUST_EARLIER_BUILD (half quorums stay in force), MAJORITIES_ONLY.
  */
 
 #ifndef MAX_TERM
@@ -34,13 +48,17 @@
 #define IDENTITIES 4
 #define NONE 0
 
+#ifndef EARLIER_BUILD
+#define EARLIER_BUILD 0
+#endif
+
 #define FOLLOWER 0
 #define CANDIDATE 1
 #define LEADER 2
 
 typedef Log {
   byte length;
-  byte entry[MAX_LOG]
+  short entry[MAX_LOG]
 }
 
 typedef Indexes {
@@ -61,7 +79,7 @@
 /* The network, and the history that the properties refer to. */
 byte leader_of[MAX_TERM + 1]; /* identity + 1 */
 Log sent[MAX_TERM + 1];
-byte accepted[MAX_LOG];
+short accepted[MAX_LOG];
 byte accepted_in[MAX_LOG]; /* term of the leader that first committed each */
 byte lost;                 /* bit set of identities whose disk is lost */
 byte losses;
@@ -69,22 +87,74 @@
 /* Scratch variables, 0 outside one indivisible step. */
 byte k;
 byte n;
+short next;
 bool ok;
 
 #define BIT(h) (1 << (h))
 #define HAS(set, h) (((set) >> (h)) & 1)
 #define BITS(set) (HAS(set, 0) + HAS(set, 1) + HAS(set, 2) + HAS(set, 3))
-#define TERM_OF(entry_value) ((entry_value) >> 4)
-#define VOTERS_OF(entry_value) ((entry_value) & 15)
+
+/* An entry: term, configuration. A configuration: plain, leaving, transition, voters. */
+#define TERM_SHIFT 9
+#define PLAIN 256   /* half quorums are out of force */
+#define LEAVING 128 /* the voter in transition leaves */
+#define TRANSITION(h) (((h) + 1) << 4)
+#define TERM_OF(entry_value) ((entry_value) >> TERM_SHIFT)
+#define CONFIG_OF(entry_value) ((entry_value) & 511)
+#define VOTERS_OF(config) ((config) & 15)
+#define MOVING_OF(config) (((config) >> 4) & 7) /* identity + 1 */
+#define SETTLED_OF(config) \
+  (VOTERS_OF(config) & ~(MOVING_OF(config) == 0 -> 0 : BIT(MOVING_OF(config) - 1)))
+
+#ifdef HALF_QUORUMS
+#define INITIAL_CONFIG INITIAL_VOTERS
+#else
+#define INITIAL_CONFIG (INITIAL_VOTERS | PLAIN)
+#endif
+
 #define LAST_TERM(h) (log[h].length == 0 -> 0 : TERM_OF(log[h].entry[log[h].length - 1]))
-#define VOTERS(h) \
-  (log[h].length == 0 -> INITIAL_VOTERS : VOTERS_OF(log[h].entry[log[h].length - 1]))
+#define CONFIG(h) \
+  (log[h].length == 0 -> INITIAL_CONFIG : CONFIG_OF(log[h].entry[log[h].length - 1]))
+#define VOTERS(h) VOTERS_OF(CONFIG(h))
 #define LIVE(h) (!HAS(lost, h))
+#define IS_EARLIER(h) HAS(EARLIER_BUILD, h)
 
 #ifdef COUNT_LEARNERS
-#define IS_QUORUM(set, voters) (BITS(set) * 2 > BITS(voters))
+#define IS_MAJORITY(set, voters) (BITS(set) * 2 > BITS(voters))
 #else
-#define IS_QUORUM(set, voters) (BITS((set) & (voters)) * 2 > BITS(voters))
+#define IS_MAJORITY(set, voters) (BITS((set) & (voters)) * 2 > BITS(voters))
+#endif
+
+#if defined(HALF_WITHOUT_LOSS)
+#define IS_HALF(set, voters, gone) (BITS((set) & (voters)) * 2 >= BITS(voters))
+#elif defined(COUNT_LOST)
+#define IS_HALF(set, voters, gone) \
+  (((voters) & (gone)) && BITS((set) & (voters)) * 2 >= BITS(voters))
+#elif defined(MAJORITIES_ONLY)
+#define IS_HALF(set, voters, gone) false
+#else
+#define IS_HALF(set, voters, gone) \
+  (((voters) & (gone)) && BITS((set) & (voters) & ~(gone)) * 2 >= BITS(voters))
+#endif
+
+#define DECIDES(set, voters, config, gone) \
+  (IS_MAJORITY(set, voters) || (!((config) & PLAIN) && IS_HALF(set, voters, gone)))
+#define DECIDE_BOTH(set, config, gone) \
+  (DECIDES(set, VOTERS_OF(config), config, gone) && \
+   DECIDES(set, SETTLED_OF(config), config, gone))
+
+/* Whether a set of identities is a quorum to identity h. */
+#ifdef ELECT_BY_ALL
+#define ELECTS(h, set) DECIDES(set, VOTERS(h), CONFIG(h), lost)
+#else
+#define ELECTS(h, set) \
+  (IS_EARLIER(h) -> IS_MAJORITY(set, VOTERS(h)) : DECIDE_BOTH(set, CONFIG(h), lost))
+#endif
+#ifdef COMMIT_BY_REST
+#define COMMITS(h, set) DECIDES(set, SETTLED_OF(CONFIG(h)), CONFIG(h), lost)
+#else
+#define COMMITS(h, set) \
+  (IS_EARLIER(h) -> IS_MAJORITY(set, VOTERS(h)) : DECIDE_BOTH(set, CONFIG(h), lost))
 #endif
 
 /* Identities that have acknowledged the entry at an index (from 0) to leader h. */
@@ -185,7 +255,7 @@
 
 inline win(h) {
   d_step {
-    LIVE(h) && role[h] == CANDIDATE && IS_QUORUM(votes[h], VOTERS(h)) ->
+    LIVE(h) && role[h] == CANDIDATE && ELECTS(h, votes[h]) ->
     printf("%d becomes leader of term %d\n", h, term[h]);
     /* Property one-leader-per-term. */
     assert(leader_of[term[h]] == NONE);
@@ -208,18 +278,27 @@
   }
 }
 
-inline append_entry(h, voters) {
-  log[h].entry[log[h].length] = term[h] * 16 + (voters);
+/* Appends an entry with the configuration `next`. */
+inline append_entry(h) {
+  log[h].entry[log[h].length] = (term[h] << TERM_SHIFT) + next;
+  next = 0;
   log[h].length++;
   match[h].from[h] = log[h].length;
   copy_log(sent[term[h]], log[h])
 }
 
+#ifdef TRUST_EARLIER_BUILD
+#define REPEATED_CONFIG(h) CONFIG(h)
+#else
+#define REPEATED_CONFIG(h) (CONFIG(h) | (IS_EARLIER(h) -> PLAIN : 0))
+#endif
+
 inline append_command(h) {
   d_step {
     LIVE(h) && role[h] == LEADER && log[h].length < MAX_LOG ->
     printf("leader %d appends command %d of term %d\n", h, log[h].length + 1, term[h]);
-    append_entry(h, VOTERS(h))
+    next = REPEATED_CONFIG(h);
+    append_entry(h)
   }
 }
 
@@ -227,7 +306,7 @@
 #define NO_OPEN_CHANGE(h) \
   (log[h].length == committed[h] || \
    (committed[h] > 0 && \
-    VOTERS_OF(log[h].entry[committed[h] - 1]) == VOTERS(h)))
+    CONFIG_OF(log[h].entry[committed[h] - 1]) == CONFIG(h)))
 #define OWN_ENTRY_COMMITTED(h) \
   (committed[h] > 0 && TERM_OF(log[h].entry[committed[h] - 1]) == term[h])
 
@@ -241,26 +320,79 @@
 #endif
 #endif
 
+/* Whether leader h changes the voters in one entry. */
+#ifdef ONE_STEP_CHANGE
+#define CHANGES_AT_ONCE(h) true
+#else
+#define CHANGES_AT_ONCE(h) (IS_EARLIER(h) || (CONFIG(h) & PLAIN))
+#endif
+#ifdef TRUST_EARLIER_BUILD
+#define CHANGED_PLAIN(h) (CONFIG(h) & PLAIN)
+#else
+#define CHANGED_PLAIN(h) (IS_EARLIER(h) -> PLAIN : (CONFIG(h) & PLAIN))
+#endif
+#define MAY_BEGIN(h) (MAY_CHANGE(h) && (IS_EARLIER(h) || MOVING_OF(CONFIG(h)) == 0))
+
 /* A learner becomes a voter when it has caught up with the leader's log. */
 inline add_voter(h, new_voter) {
   d_step {
-    LIVE(h) && role[h] == LEADER && log[h].length < MAX_LOG && MAY_CHANGE(h) &&
+    LIVE(h) && role[h] == LEADER && log[h].length < MAX_LOG && MAY_BEGIN(h) &&
     !HAS(VOTERS(h), new_voter) && match[h].from[new_voter] == log[h].length ->
     printf("leader %d adds voter %d in term %d\n", h, new_voter, term[h]);
 #ifdef REPLACE_IN_ONE_STEP
-    append_entry(h, (VOTERS(h) | BIT(new_voter)) & ~BIT(2))
+    next = ((VOTERS(h) | BIT(new_voter)) & ~BIT(2)) | CHANGED_PLAIN(h);
+    append_entry(h)
 #else
-    append_entry(h, VOTERS(h) | BIT(new_voter))
+    if
+    :: CHANGES_AT_ONCE(h) ->
+       next = VOTERS(h) | BIT(new_voter) | CHANGED_PLAIN(h);
+       append_entry(h)
+    :: else -> next = VOTERS(h) | BIT(new_voter) | TRANSITION(new_voter); append_entry(h)
+    fi
 #endif
   }
 }
 
+#ifdef GONE
+#define MAY_REMOVE(h) ((h) == GONE || !LIVE(h))
+#else
+#define MAY_REMOVE(h) true
+#endif
+
 inline remove_voter(h, old_voter) {
   d_step {
-    LIVE(h) && role[h] == LEADER && log[h].length < MAX_LOG && MAY_CHANGE(h) &&
-    HAS(VOTERS(h), old_voter) && BITS(VOTERS(h)) > 1 ->
+    LIVE(h) && role[h] == LEADER && log[h].length < MAX_LOG && MAY_BEGIN(h) &&
+    HAS(VOTERS(h), old_voter) && BITS(VOTERS(h)) > 1 && MAY_REMOVE(old_voter) ->
     printf("leader %d removes voter %d in term %d\n", h, old_voter, term[h]);
-    append_entry(h, VOTERS(h) & ~BIT(old_voter))
+    if
+    :: CHANGES_AT_ONCE(h) ->
+       next = (VOTERS(h) & ~BIT(old_voter)) | CHANGED_PLAIN(h);
+       append_entry(h)
+    :: else -> next = VOTERS(h) | TRANSITION(old_voter) | LEAVING; append_entry(h)
+    fi
+  }
+}
+
+/* The second entry of a change, also where another leader began it. */
+inline complete_change(h) {
+  d_step {
+    LIVE(h) && role[h] == LEADER && log[h].length < MAX_LOG && !IS_EARLIER(h) &&
+    MOVING_OF(CONFIG(h)) != 0 && MAY_CHANGE(h) ->
+    printf("leader %d completes a change in term %d\n", h, term[h]);
+    next = ((CONFIG(h) & LEAVING) -> SETTLED_OF(CONFIG(h)) : VOTERS(h)) |
+                    (CONFIG(h) & PLAIN);
+    append_entry(h)
+  }
+}
+
+/* All voters state that they know of half quorums. */
+inline put_in_force(h) {
+  d_step {
+    LIVE(h) && role[h] == LEADER && log[h].length < MAX_LOG && !IS_EARLIER(h) &&
+    (CONFIG(h) & PLAIN) && (VOTERS(h) & EARLIER_BUILD) == 0 && MAY_BEGIN(h) ->
+    printf("leader %d puts half quorums in force in term %d\n", h, term[h]);
+    next = VOTERS(h);
+    append_entry(h)
   }
 }
 
@@ -317,7 +449,7 @@
   d_step {
     LIVE(h) && role[h] == LEADER && index < log[h].length && committed[h] <= index &&
     TERM_OF(log[h].entry[index]) == term[h] &&
-    IS_QUORUM(ACKNOWLEDGED(h, index), VOTERS(h)) ->
+    COMMITS(h, ACKNOWLEDGED(h, index)) ->
     printf("leader %d commits up to entry %d in term %d\n", h, index + 1, term[h]);
     committed[h] = index + 1;
     for (k : 0 .. index) {
@@ -346,6 +478,16 @@
     /* Reachable voter-replaced: the lost identity is removed, the new one added. */
     assert(lost == 0 || !HAS(VOTERS_OF(accepted[index]), 3) ||
            (VOTERS_OF(accepted[index]) & lost))
+#endif
+#ifdef REACH_HALF
+    ;
+    /* Reachable decided-by-half. */
+    assert(IS_MAJORITY(ACKNOWLEDGED(h, index), VOTERS(h)))
+#endif
+#ifdef REACH_LOST_REMOVED
+    ;
+    /* Reachable lost-voter-removed: by half of the voters. */
+    assert(VOTERS_OF(accepted[index]) & lost || BITS(ACKNOWLEDGED(h, index)) > 2)
 #endif
   }
 }
@@ -394,6 +536,10 @@
   :: remove_voter(h, 1)
   :: remove_voter(h, 2)
   :: remove_voter(h, 3)
+#ifdef HALF_QUORUMS
+  :: complete_change(h)
+  :: put_in_force(h)
+#endif
   :: receive(h, 1, 0)
   :: receive(h, 2, 0)
 #if MAX_TERM > 2
@@ -415,8 +561,42 @@
   :: receive(h, 3, 2)
 #endif
   :: commit(h, 2)
+#endif
+#if MAX_LOG > 3
+  :: receive(h, 1, 3)
+  :: receive(h, 2, 3)
+#if MAX_TERM > 2
+  :: receive(h, 3, 3)
+#endif
+  :: commit(h, 3)
 #endif
   :: crash(h)
   :: lose_disk(h)
   od
 }
+
+#ifdef GONE
+/* Whether identities a and b elect a leader once the disk of another one is lost. */
+#define FIRST_IS_NEWER(a, b) \
+  (LAST_TERM(a) > LAST_TERM(b) || \
+   (LAST_TERM(a) == LAST_TERM(b) && log[a].length >= log[b].length))
+#define ELECT_WITHOUT(x, a, b) \
+  DECIDE_BOTH(BIT(a) | BIT(b), (FIRST_IS_NEWER(a, b) -> CONFIG(a) : CONFIG(b)), BIT(x))
+#define BEARS_LOSS_OF(x, a, b) ((lost & ~BIT(x)) || ELECT_WITHOUT(x, a, b))
+#if GONE == 0
+#define BEARS_ANY_LOSS \
+  (BEARS_LOSS_OF(1, 2, 3) && BEARS_LOSS_OF(2, 1, 3) && BEARS_LOSS_OF(3, 1, 2))
+#else
+#define BEARS_ANY_LOSS \
+  (BEARS_LOSS_OF(0, 2, 3) && BEARS_LOSS_OF(2, 0, 3) && BEARS_LOSS_OF(3, 0, 2))
+#endif
+
+active proctype monitor() {
+end:
+  d_step {
+    !BEARS_ANY_LOSS ->
+    /* Property quorum-left: without the removed identity and any lost disk. */
+    assert(false)
+  }
+}
+#endif
--- a/packages/cli/src/kingcuplug_cli/_soak.py
+++ b/packages/cli/src/kingcuplug_cli/_soak.py
@@ -34,12 +34,14 @@
         losses: int = 1,
         zones: int = 0,
         diskless_seeds: bool = False,
+        removal: bool = False,
         results: str = str(_RESULTS_FILE),
         parallel: int = _PARALLEL_RUNS,
     ) -> None:
         """Run consecutive seeds, some at a time; some lose disks, or those of zones.
 
-        With `diskless_seeds`, the seeds of all hosts are hosts without a disk.
+        With `diskless_seeds`, the seeds of all hosts are hosts without a disk. With
+        `removal`, a replaced host is removed without SIGTERM beside lost disks.
         """
         from kingcuplug_soak import SoakSettings
 
@@ -52,6 +54,7 @@
                 tolerated_losses=losses,
                 tolerated_zones=zones,
                 diskless_seeds=diskless_seeds,
+                has_removal=removal,
             )
             for seed in range(first, first + seeds)
         ]
@@ -68,6 +71,7 @@
         losses: int = 1,
         zones: int = 0,
         diskless_seeds: bool = False,
+        removal: bool = False,
     ) -> None:
         """Run one seed again and keep logs and disks in a folder."""
         from kingcuplug_soak import SoakSettings, soak
@@ -82,6 +86,7 @@
             tolerated_losses=losses,
             tolerated_zones=zones,
             diskless_seeds=diskless_seeds,
+            has_removal=removal,
         )
         outcome = asyncio.run(soak(settings))
         _print_run(dataclasses.asdict(outcome))
--- a/packages/fleet/src/kingcuplug_fleet/_control_replica.py
+++ b/packages/fleet/src/kingcuplug_fleet/_control_replica.py
@@ -483,6 +483,7 @@
             settings.address,
             MemberRole.VOTER,
             settings.availability_zone if settings.tolerated_zones else "",
+            half_quorums=True,
         )
         replica = Replica(
             member,
@@ -644,6 +645,7 @@
                 own is not None
                 and own.role is MemberRole.VOTER
                 and member.zone in ("", own.zone)
+                and own.half_quorums
             )
             is_observer = own is not None and own.role is MemberRole.OBSERVER
             leader = self.leader()
@@ -745,8 +747,8 @@
         self, replica: Replica, status: LogStatus, member: Member
     ) -> None:
         requests = self._join_requests.recent()
-        if member.zone:
-            # The log may list this leader without its zone.
+        if member.id in {listed.id for listed in status.members}:
+            # The log may list this leader without its zone or its version.
             requests[member.id] = JoinRequest(member, False, False)
         change = next_membership_change(status, requests, self._settings.tolerance)
         if change is None:
--- a/packages/fleet/src/kingcuplug_fleet/_group_health.py
+++ b/packages/fleet/src/kingcuplug_fleet/_group_health.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from kingcuplug_log import LogStatus, MemberRole, quorum_size
+from kingcuplug_log import LogStatus, MemberRole, QuorumRule
 
 __all__ = ["GroupHealth", "group_health"]
 
@@ -19,7 +19,8 @@
     silent : tuple of str
         Ids of the voters that do not answer the leader.
     losses_borne : int
-        Number of further voters that may be lost without losing the quorum; negative
+        Number of further voters that may lose their disks at the same time. Of an even
+        number of voters it counts on hosts that come back, with an empty disk. Negative
         if the quorum is lost already.
     """
 
@@ -37,5 +38,6 @@
         if peer.member.role is MemberRole.VOTER
         and (peer.answered_ms_ago is None or peer.answered_ms_ago > _SILENT_AFTER_MS)
     )
-    losses_borne = voters - len(silent) - quorum_size(voters)
-    return GroupHealth(voters, silent, losses_borne)
+    rule = QuorumRule.from_members(status.members)
+    live = {member.id for member in status.members}.difference(silent)
+    return GroupHealth(voters, silent, rule.losses_borne(live))
--- a/packages/fleet/src/kingcuplug_fleet/_membership.py
+++ b/packages/fleet/src/kingcuplug_fleet/_membership.py
@@ -131,7 +131,25 @@
     for identifier, request in requests.items():
         if identifier not in members:
             return request.member
-    return _unresponsive_member(status, tolerance)
+    return _outdated_member(status, requests) or _unresponsive_member(status, tolerance)
+
+
+def _outdated_member(
+    status: LogStatus, requests: Mapping[str, JoinRequest]
+) -> Member | None:
+    """Return a member as its host describes it now, if the group lists it otherwise."""
+    for member in status.members:
+        request = requests.get(member.id)
+        if request is None:
+            continue
+        updated = replace(
+            member,
+            zone=request.member.zone or member.zone,
+            half_quorums=request.member.half_quorums,
+        )
+        if updated != member:
+            return updated
+    return None
 
 
 def _change_for_zones(
@@ -142,11 +160,10 @@
     One host at a time becomes a voter, so that learners that are promoted in another
     order than they were added make no group that bears less.
     """
+    outdated = _outdated_member(status, requests)
+    if outdated is not None:
+        return outdated
     members = {member.id: member for member in status.members}
-    for identifier, request in requests.items():
-        listed = members.get(identifier)
-        if listed is not None and request.member.zone not in ("", listed.zone):
-            return replace(listed, zone=request.member.zone)
     if any(m.role is MemberRole.LEARNER for m in members.values()):
         return None
     candidates = [
--- a/packages/log/src/kingcuplug_log/__init__.py
+++ b/packages/log/src/kingcuplug_log/__init__.py
@@ -10,7 +10,7 @@
     WrongIdentity,
 )
 from kingcuplug_log._file_system import DiskFileSystem, FileSystem
-from kingcuplug_log._group_membership import quorum_size
+from kingcuplug_log._quorum_rule import QuorumRule, quorum_size
 from kingcuplug_log._replica import Replica
 from kingcuplug_log._storage import Storage
 from kingcuplug_log._types import (
@@ -40,6 +40,7 @@
     "MemberRole",
     "NotLeader",
     "PeerStatus",
+    "QuorumRule",
     "Replica",
     "ReplicaRole",
     "StateMachine",
--- a/packages/log/src/kingcuplug_log/_elections.py
+++ b/packages/log/src/kingcuplug_log/_elections.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 
-from kingcuplug_log._group_membership import quorum_size
 from kingcuplug_log._messages import (
     Header,
     PreVoteRequest,
@@ -106,22 +105,26 @@
 
     async def _collect_quorum(self, make_request: Callable[[str], Request]) -> bool:
         state = self._state
-        voters = state.group.voters
-        votes_needed = quorum_size(len(voters)) - 1
-        other_ids = [voter.id for voter in voters if voter.id != state.member.id]
+        granted = {state.member.id}
+
+        async def ask(voter: str) -> None:
+            reply = await state.call(make_request(voter))
+            if isinstance(reply, VoteReply) and reply.granted:
+                granted.add(voter)
+
         pending = {
-            asyncio.ensure_future(state.call(make_request(to))) for to in other_ids
+            asyncio.ensure_future(ask(voter.id))
+            for voter in state.group.voters
+            if voter.id != state.member.id
         }
         try:
-            while pending and votes_needed > 0:
+            while pending and not state.is_quorum(granted):
                 done, pending = await asyncio.wait(
                     pending, return_when=asyncio.FIRST_COMPLETED
                 )
-                replies = [call.result() for call in done]
-                votes_needed -= sum(
-                    isinstance(r, VoteReply) and r.granted for r in replies
-                )
+                for call in done:
+                    call.result()
         finally:
             for call in pending:
                 call.cancel()
-        return votes_needed <= 0
+        return state.is_quorum(granted)
--- a/packages/log/src/kingcuplug_log/_group_membership.py
+++ b/packages/log/src/kingcuplug_log/_group_membership.py
@@ -1,18 +1,27 @@
 """Membership of the group, as set by the entries of the log."""
 
-from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, replace
 from typing import Any
 
+from kingcuplug_log._quorum_rule import QuorumRule
 from kingcuplug_log._snapshot import Snapshot
 from kingcuplug_log._types import Entry, EntryKind, Member, MemberRole
 
-__all__ = ["GroupMembership", "members_entry_data", "quorum_size"]
+__all__ = [
+    "NOOP_DATA",
+    "GroupMembership",
+    "members_entry_data",
+    "without_half_quorums",
+]
 
+# Data of the first entry of a term whose leader knows of half quorums.
+NOOP_DATA = {"half_quorums": True}
 
-def quorum_size(voter_count: int) -> int:
-    """Return the size of a majority of `voter_count` voters."""
-    return voter_count // 2 + 1
+
+def without_half_quorums(members: Iterable[Member]) -> tuple[Member, ...]:
+    """Return members that are not known to run a version with half quorums."""
+    return tuple(replace(member, half_quorums=False) for member in members)
 
 
 def members_entry_data(
@@ -33,6 +42,14 @@
     index: int
     members: tuple[Member, ...]
     intended_size: int
+    rule: QuorumRule
+
+    @classmethod
+    def create(
+        cls, index: int, members: Iterable[Member], intended_size: int
+    ) -> "_Version":
+        listed = tuple(members)
+        return cls(index, listed, intended_size, QuorumRule.from_members(listed))
 
 
 class GroupMembership:
@@ -41,6 +58,10 @@
     A members entry takes effect when it is appended, not when it is committed, so
     replacing a suffix of the log also reverts its changes.
 
+    A leader of an earlier version changes the voters by majorities of the new ones. The
+    first entry of its term shows its version, and half quorums are then out of force
+    until members state again that they know of them.
+
     Attributes
     ----------
     cluster : str or None
@@ -66,11 +87,21 @@
         """Index of the entry that set the current members."""
         return self._versions[-1].index if self._versions else 0
 
+    @property
+    def quorum_rule(self) -> QuorumRule:
+        """Which members decide together."""
+        return self._versions[-1].rule if self._versions else _NO_MEMBERS
+
     @property
     def voters(self) -> tuple[Member, ...]:
         """Current members that vote."""
         return tuple(m for m in self.members if m.role is MemberRole.VOTER)
 
+    @property
+    def in_transition(self) -> bool:
+        """Whether a voter joins or leaves."""
+        return len(self.quorum_rule.voter_sets) > 1
+
     def at(self, index: int) -> tuple[tuple[Member, ...], int]:
         """Return the members and the intended size as of entry `index`."""
         latest: tuple[tuple[Member, ...], int] = ((), 0)
@@ -93,7 +124,9 @@
         if snapshot is not None:
             self.cluster = snapshot.cluster
             self._versions = [
-                _Version(snapshot.index, snapshot.members, snapshot.intended_size)
+                _Version.create(
+                    snapshot.index, snapshot.members, snapshot.intended_size
+                )
             ]
         if entries:
             self.append_entries(
@@ -109,9 +142,23 @@
         for entry in entries:
             if entry.kind is EntryKind.MEMBERS:
                 self._append_version(entry)
+            elif entry.kind is EntryKind.NOOP and not _has_half_quorums(entry):
+                self._disable_half_quorums(entry.index)
 
     def _append_version(self, entry: Entry) -> None:
         self.cluster = entry.data["cluster"]
         members = tuple(map(Member.from_json, entry.data["members"]))
         intended_size = entry.data.get("intended_size", 0)
-        self._versions.append(_Version(entry.index, members, intended_size))
+        self._versions.append(_Version.create(entry.index, members, intended_size))
+
+    def _disable_half_quorums(self, index: int) -> None:
+        members = without_half_quorums(self.members)
+        if members != self.members:
+            self._versions.append(_Version.create(index, members, self.intended_size))
+
+
+def _has_half_quorums(noop: Entry) -> bool:
+    return isinstance(noop.data, Mapping) and noop.data.get("half_quorums") is True
+
+
+_NO_MEMBERS = QuorumRule.from_members(())
--- a/packages/log/src/kingcuplug_log/_leadership.py
+++ b/packages/log/src/kingcuplug_log/_leadership.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from kingcuplug_log._errors import NotLeader
-from kingcuplug_log._group_membership import quorum_size
+from kingcuplug_log._group_membership import NOOP_DATA
 from kingcuplug_log._membership_changes import MembershipChanges
 from kingcuplug_log._progress import Progress
 from kingcuplug_log._replica_state import ReplicaState
@@ -69,7 +69,7 @@
 
     async def run(self) -> None:
         """Lead until another term begins or the quorum is unreachable."""
-        self.append(EntryKind.NOOP, None)
+        self.append(EntryKind.NOOP, NOOP_DATA)
         async with asyncio.TaskGroup() as tasks:
             writer = tasks.create_task(self._run_log_writer())
             while self.active:
@@ -110,11 +110,10 @@
 
     def quorum_contact_at(self) -> float:
         """Return the latest time since which a quorum has answered a request."""
-        voters = self._state.group.voters
-        times = sorted(
-            (self._last_contact_at(voter.id) for voter in voters), reverse=True
+        state = self._state
+        return state.group.quorum_rule.latest(
+            self._last_contact_at, state.replaced_members
         )
-        return times[quorum_size(len(times)) - 1]
 
     def lease_valid(self) -> bool:
         """Return whether the lease rules out that another replica has been elected."""
@@ -134,11 +133,11 @@
         return self._state.clock() - since < self._settings.election_timeout
 
     def safe_to_lose_one(self) -> bool:
-        """Return whether any one voter can be lost permanently."""
-        voter_count = len(self._state.group.voters)
-        healthy = sum(p.healthy for p in self._progress.values() if p.is_voter)
-        healthy += self._state.group.is_voter(self._state.member.id)
-        return self.active and healthy - 1 >= quorum_size(voter_count)
+        """Return whether the disk of any one voter can be lost."""
+        group = self._state.group
+        healthy = {p.member.id for p in self._progress.values() if p.healthy}
+        healthy.add(self._state.member.id)
+        return self.active and group.quorum_rule.losses_borne(healthy) > 0
 
     def promotable_learners(self) -> list[Progress]:
         """Return the progress of the learners that can be promoted."""
@@ -216,7 +215,7 @@
         if self.membership_changes.is_removed() or not self.has_quorum_contact():
             self._state.step_down(None)
         else:
-            self.membership_changes.promote_ready_learner()
+            self.membership_changes.advance()
 
     def _last_contact_at(self, identifier: str) -> float:
         if identifier == self._state.member.id:
@@ -224,10 +223,14 @@
         progress = self._progress.get(identifier)
         return progress.last_contact_at if progress else -math.inf
 
-    def is_responsive(self, identifier: str) -> bool:
-        """Return whether a member replied within the election timeout."""
-        age = self._state.clock() - self._last_contact_at(identifier)
-        return age < self._settings.election_timeout
+    def responsive_members(self) -> set[str]:
+        """Return the ids of the members that replied within the election timeout."""
+        since = self._state.clock() - self._settings.election_timeout
+        return {
+            member.id
+            for member in self._state.group.members
+            if self._last_contact_at(member.id) > since
+        }
 
     def _advance_commit_index(self) -> None:
         """Commit the entries that a quorum has synced.
@@ -235,13 +238,12 @@
         Only an entry of this term is committed by counting replicas; a later leader
         could still replace an entry of an older term.
         """
-        voters = self._state.group.voters
-        if not self.active or not voters:
+        state = self._state
+        if not self.active or not state.group.voters:
             return
-        matches = sorted(
-            (self._match_index(voter.id) for voter in voters), reverse=True
+        index = int(
+            state.group.quorum_rule.latest(self._match_index, state.replaced_members)
         )
-        index = matches[quorum_size(len(matches)) - 1]
         if self._storage.term_at(index) == self.term:
             self._state.advance_commit_index(index)
 
--- a/packages/log/src/kingcuplug_log/_messages.py
+++ b/packages/log/src/kingcuplug_log/_messages.py
@@ -131,9 +131,17 @@
 
 @dataclass(frozen=True)
 class Rejected:
-    """Answers a request that this replica must not process."""
+    """Answers a request that this replica must not process.
+
+    Attributes
+    ----------
+    member : str
+        Id of this replica, if the request is for another one; empty in the replies of
+        earlier versions.
+    """
 
     reason: str
+    member: str = ""
 
 
 Request = PreVoteRequest | VoteRequest | AppendRequest | InstallRequest
@@ -166,6 +174,8 @@
         fields["header"] = vars(fields["header"])
     if "entries" in fields:
         fields["entries"] = [entry.to_json() for entry in fields["entries"]]
+    if isinstance(message, Rejected) and not message.member:
+        del fields["member"]
     return {"kind": _KIND_BY_TYPE[type(message)]} | fields
 
 
--- a/packages/log/src/kingcuplug_log/_replica.py
+++ b/packages/log/src/kingcuplug_log/_replica.py
@@ -20,7 +20,7 @@
     WrongIdentity,
 )
 from kingcuplug_log._follower import Follower
-from kingcuplug_log._group_membership import members_entry_data
+from kingcuplug_log._group_membership import members_entry_data, without_half_quorums
 from kingcuplug_log._leadership import Leadership
 from kingcuplug_log._messages import (
     AppendRequest,
@@ -194,7 +194,9 @@
                 f"the data folder belongs to cluster {self._state.group.cluster}",
                 "use an empty data folder, or add this host to that cluster",
             )
-        first_members = members or [self._state.member]
+        # Hosts of earlier versions write the first entry without the versions of the
+        # members, and it must be the same at all of them.
+        first_members = without_half_quorums(members or [self._state.member])
         data = members_entry_data(cluster_id, first_members, len(first_members))
         entry = Entry(1, 1, EntryKind.MEMBERS, data)
         self._state.advance_term(1)
@@ -276,8 +278,11 @@
         if (add is None) == (remove is None):
             raise ValueError("specify exactly one of add and remove")
         leadership = self._current_leadership()
-        index = leadership.membership_changes.start(add, remove, enlarge)
+        changes = leadership.membership_changes
+        index = changes.start(add, remove, enlarge)
         await self._applier.wait_result(index, leadership.term)
+        if remove is not None:
+            await changes.wait_completed(index)
 
     async def handle(self, message: dict[str, Any]) -> dict[str, Any]:
         """Handle a message from a peer and return the reply."""
@@ -285,9 +290,9 @@
             request = decode_request(message)
         except ValueError:
             return to_json(Rejected("malformed"))
-        reason = self._rejection_reason(request.header)
-        if reason is not None:
-            return to_json(Rejected(reason))
+        rejected = self._rejection(request.header)
+        if rejected is not None:
+            return to_json(rejected)
         try:
             return to_json(await self._dispatch_request(request))
         except StorageClosed:
@@ -362,15 +367,15 @@
     def _known_leader(self) -> Member | None:
         return self._state.group.find_member(self._state.leader)
 
-    def _rejection_reason(self, header: Header) -> str | None:
+    def _rejection(self, header: Header) -> Rejected | None:
         if not self._tasks:
-            return "not_running"
+            return Rejected("not_running")
         if self._storage.failure is not None:
-            return "storage_failed"
+            return Rejected("storage_failed")
         if header.to != self._state.member.id:
-            return "wrong_identity"
+            return Rejected("wrong_identity", self._state.member.id)
         if self._state.group.cluster not in (None, header.cluster):
-            return "wrong_cluster"
+            return Rejected("wrong_cluster")
         return None
 
     async def _dispatch_request(self, request: Request) -> Reply:
--- a/packages/log/src/kingcuplug_log/_replica_state.py
+++ b/packages/log/src/kingcuplug_log/_replica_state.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 import random as random_module
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Set
 from typing import TYPE_CHECKING, Any
 
 from kingcuplug_common import Condition, Metrics, log_state_change
@@ -18,7 +18,14 @@
     to_json,
 )
 from kingcuplug_log._storage import Storage
-from kingcuplug_log._types import Clock, LogSettings, Member, ReplicaRole, Transport
+from kingcuplug_log._types import (
+    Clock,
+    LogSettings,
+    Member,
+    ReplicaRole,
+    Transport,
+    host_name,
+)
 
 if TYPE_CHECKING:
     from kingcuplug_log._leadership import Leadership
@@ -39,6 +46,8 @@
     current_at : float
         Latest time on the replica's clock at which the applied state is known to have
         included every entry that the leader had committed.
+    replaced_members : set of str
+        Ids of members at whose hosts another disk has answered since.
     log_appended, changed : Condition
         Notified when there may be something to replicate, and when any other state
         changes.
@@ -68,6 +77,7 @@
         self.votes_refused_until = 0.0
         self.election_due_at = 0.0
         self.current_at = -math.inf
+        self.replaced_members: set[str] = set()
         self._unapplied_commit: tuple[int, float] | None = None
         self.log_appended = Condition()
         self.changed = Condition()
@@ -177,10 +187,30 @@
             return None
         if isinstance(reply, Rejected):
             self.metrics.count(f"log.rejected.{reply.reason}")
+            self._record_replaced_disk(request.header.to, reply.member)
             return None
+        self.replaced_members.discard(request.header.to)
         self.advance_term(reply.term)
         return reply
 
+    def is_quorum(self, ids: Set[str]) -> bool:
+        """Return whether members are a quorum."""
+        return self.group.quorum_rule.is_met(ids, self.replaced_members)
+
+    def _record_replaced_disk(self, requested: str, answering: str) -> None:
+        """Record that a member's host has answered with the id of another disk.
+
+        Another host at its address proves nothing, because the member's disk may still
+        exist. The reply is younger than the request, so it is the requested disk that
+        was replaced and not the answering one.
+        """
+        same_host = host_name(requested) == host_name(answering)
+        if answering == requested or not same_host:
+            return
+        if requested not in self.replaced_members:
+            self.replaced_members.add(requested)
+            log_state_change("disk", "replaced", id=requested, by=answering)
+
     def _set_role(self, role: ReplicaRole, leader: str | None) -> None:
         role_changed = role is not self.role or leader != self.leader
         self.role, self.leader = role, leader
--- a/packages/log/src/kingcuplug_log/_types.py
+++ b/packages/log/src/kingcuplug_log/_types.py
@@ -7,6 +7,7 @@
 
 import orjson
 from kingcuplug_common import (
+    require_boolean,
     require_count,
     require_integer,
     require_mapping,
@@ -25,6 +26,8 @@
     "ReplicaRole",
     "StateMachine",
     "Transport",
+    "VoterTransition",
+    "host_name",
     "member_id",
     "members_from_json",
 ]
@@ -64,6 +67,13 @@
     OBSERVER = "observer"
 
 
+class VoterTransition(StrEnum):
+    """A change that makes a member a voter, or removes a voter."""
+
+    JOINING = "joining"
+    LEAVING = "leaving"
+
+
 class ReplicaRole(StrEnum):
     """Current role of a replica in elections and replication."""
 
@@ -85,6 +95,11 @@
     zone : str
         Its availability zone; empty where the loss of zones need not be tolerated, and
         where a host of an earlier version has listed the member.
+    half_quorums : bool
+        Whether the member runs a version that knows of half quorums.
+    transition : VoterTransition or None
+        The change of this voter that has yet to be completed. Earlier versions list
+        the member as a voter meanwhile.
     """
 
     id: str
@@ -92,16 +107,24 @@
     address: str
     role: MemberRole = MemberRole.VOTER
     zone: str = ""
+    half_quorums: bool = False
+    transition: VoterTransition | None = None
 
     def to_json(self) -> dict[str, Any]:
         """Return the fields as a JSON object."""
-        fields = {
+        fields: dict[str, Any] = {
             "id": self.id,
             "name": self.name,
             "address": self.address,
             "role": str(self.role),
         }
-        return fields | {"zone": self.zone} if self.zone else fields
+        if self.zone:
+            fields["zone"] = self.zone
+        if self.half_quorums:
+            fields["half_quorums"] = True
+        if self.transition is not None:
+            fields["transition"] = str(self.transition)
+        return fields
 
     @classmethod
     def from_json(cls, value: dict[str, Any]) -> "Member":
@@ -112,12 +135,16 @@
         LookupError, TypeError, ValueError
             If the object does not describe a member.
         """
+        fields = require_mapping(value)
+        transition = fields.get("transition")
         return cls(
-            require_string(value["id"]),
-            require_string(value["name"]),
-            require_string(value["address"]),
-            MemberRole(require_string(value["role"])),
-            require_string(value.get("zone", "")),
+            require_string(fields["id"]),
+            require_string(fields["name"]),
+            require_string(fields["address"]),
+            MemberRole(require_string(fields["role"])),
+            require_string(fields.get("zone", "")),
+            require_boolean(fields.get("half_quorums", False)),
+            None if transition is None else VoterTransition(transition),
         )
 
 
@@ -139,6 +166,11 @@
     return f"{host}/{disk_id}"
 
 
+def host_name(member_id: str) -> str:
+    """Return the host name in the identifier of a member."""
+    return member_id.rpartition("/")[0]
+
+
 class EntryKind(StrEnum):
     """Kind of a log entry's content."""
 
--- a/packages/soak/src/kingcuplug_soak/_fault_injection.py
+++ b/packages/soak/src/kingcuplug_soak/_fault_injection.py
@@ -22,6 +22,7 @@
 __all__ = ["FaultInjector"]
 
 _GATHER_PATH = "/peer/v2/gather"
+_MOST_BETWEEN_LOSSES_S = 2.5
 _MALFORMED_MESSAGES = (
     b"",
     b"null",
@@ -89,20 +90,23 @@
             self._change_configuration,
             self._change_configuration,
         ]
+        if self._cluster.successor is not None:
+            self._start_task(
+                self._remove_host_beside_lost_disks(duration_s), started_at
+            )
         while loop.time() < started_at + duration_s:
             await asyncio.sleep(self._random.uniform(0.1, 1.0))
-            task = asyncio.ensure_future(
-                self._inject_fault(self._random.choice(faults), started_at)
-            )
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._start_task(self._random.choice(faults)(), started_at)
         await asyncio.gather(*self._tasks)
 
-    async def _inject_fault(
-        self, fault: Callable[[], Awaitable[str]], started_at: float
-    ) -> None:
+    def _start_task(self, fault: Awaitable[str], started_at: float) -> None:
+        task = asyncio.ensure_future(self._await_fault(fault, started_at))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _await_fault(self, fault: Awaitable[str], started_at: float) -> None:
         at_s = asyncio.get_running_loop().time() - started_at
-        self.fault_log.append(f"{at_s:.2f} s {await fault()}")
+        self.fault_log.append(f"{at_s:.2f} s {await fault}")
 
     def _pick_host(self) -> HostProcess:
         return self._random.choice(self._cluster.hosts)
@@ -198,6 +202,32 @@
         host.start_if_stopped()
         return f"erased the disk of {host.name}"
 
+    async def _remove_host_beside_lost_disks(self, duration_s: float) -> str:
+        """Remove a host that was replaced, and erase disks shortly before or after.
+
+        The processes that lose their disks and the one that is removed are killed.
+        """
+        cluster, random = self._cluster, self._random
+        cluster.disks_lost = True
+        await asyncio.sleep(random.uniform(0.0, duration_s * 0.7))
+        with_disk = [host for host in cluster.hosts if host.has_disk]
+        removed, *lost = random.sample(with_disk, 1 + self._tolerated_losses)
+
+        async def remove() -> None:
+            await asyncio.sleep(random.uniform(0.0, _MOST_BETWEEN_LOSSES_S))
+            await cluster.remove(removed)
+
+        async def lose(host: HostProcess) -> None:
+            await asyncio.sleep(random.uniform(0.0, _MOST_BETWEEN_LOSSES_S))
+            await host.kill()
+            host.erase_disk()
+            await asyncio.sleep(random.uniform(0.1, 1.0))
+            host.start_if_stopped()
+
+        await asyncio.gather(remove(), *(lose(host) for host in lost))
+        names = [host.name for host in lost]
+        return f"removed {removed.name} for good beside the lost disks of {names}"
+
     async def _crash_server(self) -> str:
         server = self._pick_server()
         await self._backends.crash_and_replace(server, self._random.uniform(0.2, 2.0))
--- a/packages/soak/src/kingcuplug_soak/_hosts.py
+++ b/packages/soak/src/kingcuplug_soak/_hosts.py
@@ -86,6 +86,8 @@
         Processes whose end was not seen yet, the newest last.
     early_end_count : int
         Processes that a signal ended before the program's first line.
+    is_removed : bool
+        Whether the host is gone for good.
     """
 
     name: str
@@ -96,6 +98,7 @@
     runs: list[HostRun] = field(default_factory=list)
     start_count: int = 0
     early_end_count: int = 0
+    is_removed: bool = False
     longest_busy_s: float = 0.0
     _broken_settings: int = 0
 
@@ -183,8 +186,8 @@
         return self.runs[-1]
 
     def start_if_stopped(self) -> None:
-        """Start a process unless the newest one runs."""
-        if not self.is_running:
+        """Start a process unless the newest one runs, or the host is gone."""
+        if not self.is_running and not self.is_removed:
             self.start()
 
     def write_settings(self, data: bytes | None = None) -> None:
@@ -301,9 +304,13 @@
         are in one zone, which thus holds most of the disks.
     diskless_seeds : bool
         Whether the seeds are the last hosts, in place of the first ones.
+    has_successor : bool
+        Whether one more host with a disk is kept back at first.
 
     Attributes
     ----------
+    successor : HostProcess or None
+        The host that is kept back.
     disks_lost : bool
         Whether as many disks were lost already as may be lost.
     occupied_ports : list of socket
@@ -320,7 +327,9 @@
         tolerated_losses: int = 1,
         tolerated_zones: int = 0,
         diskless_seeds: bool = False,
+        has_successor: bool = False,
     ) -> None:
+        count, disks = count + has_successor, disks + has_successor
         self.tolerated_zones = tolerated_zones
         self.hosts: list[HostProcess] = []
         self.disks_lost = False
@@ -357,6 +366,23 @@
             )
             proxy = Proxy(f"{address}:{_CONTROL_BIND_PORT}")
             self.hosts.append(HostProcess(name, settings, folder, proxy, violations))
+        self.successor = self.hosts.pop(disks - 1) if has_successor else None
+
+    async def start_successor(self) -> None:
+        """Start the host that was kept back, as a machine that is added later."""
+        if self.successor is not None:
+            self.successor.start_count = 1
+            self.hosts.append(self.successor)
+            await self.successor.proxy.start(self.successor.control_address)
+            self.successor.start()
+
+    async def remove(self, host: HostProcess) -> None:
+        """Kill a host that never returns."""
+        host.is_removed = True
+        await host.kill()
+        host.check_ends()
+        host.proxy.stop()
+        self.hosts.remove(host)
 
     async def start(self) -> None:
         """Start the proxies and processes of all hosts."""
--- a/packages/soak/src/kingcuplug_soak/_run.py
+++ b/packages/soak/src/kingcuplug_soak/_run.py
@@ -34,6 +34,8 @@
 # The users' recovery bound: callers must be served again so long after the last fault.
 _RECOVERY_TIMEOUT_S = 12.0
 _PROBE_DURATION_S = 2.0
+# Time after which a new host counts as one that bears losses.
+_CATCH_UP_S = 6.0
 _FORMING_S = 0.3  # The group grows for about so long after it has accepted a change.
 _NETWORK_STRIDE = 37
 _SERVERS_NUMBER = 100
@@ -54,6 +56,9 @@
         Number of zones whose disks may all be lost at once.
     diskless_seeds : bool
         Whether the seeds are hosts without a disk.
+    has_removal : bool
+        Whether a control host is removed without SIGTERM after its successor has
+        joined, beside lost disks.
     max_attempts : dict or None
         ``max_attempts`` of the routes, by the kind of request; drawn from the seed if
         not given.
@@ -70,6 +75,7 @@
     max_attempts: dict[str, int] | None = None
     tolerated_zones: int = 0
     diskless_seeds: bool = False
+    has_removal: bool = False
 
 
 @dataclass
@@ -131,6 +137,9 @@
         try:
             async with cluster.watched():
                 await _form_group(env, settings.tolerated_losses)
+                if cluster.successor is not None:
+                    await cluster.start_successor()
+                    await asyncio.sleep(_CATCH_UP_S)
                 yield env
         finally:
             await cluster.stop()
@@ -147,7 +156,8 @@
             "the first configuration was not acknowledged in time"
         )
     loses_disks = tolerated_losses > 1 or env.cluster.tolerated_zones > 0
-    if loses_disks and random.random() < 0.5:
+    has_removal = env.cluster.successor is not None
+    if loses_disks and not has_removal and random.random() < 0.5:
         await asyncio.sleep(random.uniform(0.0, _FORMING_S))
         await env.cluster.lose_disks(tolerated_losses, random)
     await asyncio.sleep(_PROBE_DURATION_S)
@@ -166,6 +176,7 @@
         settings.tolerated_losses,
         settings.tolerated_zones,
         settings.diskless_seeds,
+        settings.has_removal,
     )
     backends = FakeServerPool(
         [host.control_address for host in cluster.hosts],
@@ -208,9 +219,11 @@
         )
         evacuation = EvacuationCheck(settings.seed, env.operator, cluster.hosts)
         async with caller_traffic(env):
+            # A fault at a start could start the host that was removed.
+            start_faults_s = 0.0 if settings.has_removal else settings.duration_s
             _, start_faults, orders = await asyncio.gather(
                 injector.run(settings.duration_s),
-                inject_start_faults(cluster, settings.seed, settings.duration_s),
+                inject_start_faults(cluster, settings.seed, start_faults_s),
                 evacuation.run(settings.duration_s),
             )
             recovered_at_s = await _check_recovery(env.operator, checker, cluster)
--- a/tests/log/test_votes.py
+++ b/tests/log/test_votes.py
@@ -86,7 +86,11 @@
             await host.start()
             await asyncio.sleep(_VOTE_REFUSAL_S)
             reply = await _send(host, _vote_request(host, "x/1", 50, to=former_id))
-            assert reply == {"kind": "rejected", "reason": "wrong_identity"}
+            assert reply == {
+                "kind": "rejected",
+                "reason": "wrong_identity",
+                "member": host.member.id,
+            }
             assert not (await _send(host, _vote_request(host, "x/1", 50)))["granted"]
 
     run_virtual(main())
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -17,6 +17,7 @@
 _FORMING_SEED = 2
 _ZONE_SEED = 1
 _DISKLESS_SEED = 1
+_REMOVAL_SEED = 1
 _RECOVERY_S = 12.0
 _DRAWS_PER_FAULT = 3
 
@@ -51,6 +52,15 @@
     assert asyncio.run(soak(settings)).violations == []
 
 
+@pytest.mark.system
+def test_group_goes_on_after_a_removal_without_notice_beside_a_lost_disk():
+    """Guards against a removed host that counts among an even number of voters."""
+    settings = SoakSettings(_REMOVAL_SEED, 3.0, has_removal=True)
+    result = asyncio.run(soak(settings))
+    assert result.violations == []
+    assert any("for good" in trouble for trouble in result.troubles)
+
+
 @pytest.mark.system
 def test_hosts_are_served_where_no_seed_has_a_disk():
     """Guards against hosts with a disk that wait for seeds without one."""
