--- a/models/disk_losses.pml
+++ b/models/disk_losses.pml
@@ -10,6 +10,10 @@
  * or all disks of one zone are lost. A host joins only if the group then bears no less
  * (docs/design/zone-loss.md), one at a time.
  *
+ * With REPLACED the sixth host is the successor of another one, which is then removed
+ * without notice at any moment, beside the two lost disks; half of an even number of
+ * voters decides beside a lost disk (docs/incidents/half-quorums.md).
+ *
  * Elections, replication and the change of voters one at a time are the subject of
  * replication.pml and voters.pml: here a group acts only while a majority of its voters
  * runs with its disk. A host whose disk was lost does not return, which leaves fewer
@@ -22,7 +26,8 @@
  * COUNT_DISKS (a group is formed by the number of its voters), JOIN_ANY (every host
  * becomes a voter at once), REMOVE_ANY (silent voters are removed by their number),
  * MANY_LEARNERS (several hosts join at once, and are promoted in any order),
- * IGNORE_LEARNER (a removal does not count the learner that becomes a voter next).
+ * IGNORE_LEARNER (a removal does not count the learner that becomes a voter next). With
+ * REPLACED: MAJORITIES_ONLY, HALF_WITHOUT_LOSS (half of the voters always decides).
  */
 
 #ifdef ZONES
@@ -42,6 +47,9 @@
 byte holders;            /* disks that hold the acknowledged document */
 byte lost;
 bool acked;
+#ifdef REPLACED
+byte gone;               /* the host that was removed for good */
+#endif
 #ifdef ZONES
 byte need;               /* working storage of one step */
 byte other;
@@ -53,7 +61,25 @@
 #define COUNT(set) (ONE(set, 0) + ONE(set, 1) + ONE(set, 2) + ONE(set, 3) + \
                     ONE(set, 4) + ONE(set, 5) + ONE(set, 6))
 #define RUNNING (voters & up & intact)
-#define ACTS (COUNT(RUNNING) > COUNT(voters) / 2)
+#define IS_MAJORITY(set) (COUNT(set) > COUNT(voters) / 2)
+#if !defined(REPLACED) || defined(MAJORITIES_ONLY)
+#define DECIDE(set) IS_MAJORITY(set)
+#elif defined(HALF_WITHOUT_LOSS)
+#define DECIDE(set) (COUNT(set) * 2 >= COUNT(voters))
+#else
+#define DECIDE(set) \
+  (IS_MAJORITY(set) || \
+   ((voters & ~intact) && COUNT((set) & intact) * 2 >= COUNT(voters)))
+#endif
+#define ACTS DECIDE(RUNNING)
+
+#ifdef REPLACED
+#define IS_GONE(h) HAS(gone, h)
+#define MAY_GIVE_UP(h) HAS(gone, h)
+#else
+#define IS_GONE(h) false
+#define MAY_GIVE_UP(h) true
+#endif
 
 #ifdef ZONES
 #define ZONE_X 7
@@ -104,10 +130,17 @@
 #endif
 
 inline check_document() {
+#ifdef REPLACED
+  /* Property quorum-left: the disks that are left can elect a leader. */
+  assert(!acked || DECIDE(voters & intact & ~gone));
+  /* Property document-kept: no leader is elected without the document. */
+  assert(!acked || !DECIDE(ELECTORS & intact & ~holders))
+#else
   /* Property quorum-left: the disks that are left can elect a leader. */
   assert(!acked || COUNT(voters & intact) > COUNT(voters) / 2);
   /* Property document-kept: no leader is elected without the document. */
   assert(!acked || COUNT(ELECTORS & intact & ~holders) <= COUNT(voters) / 2)
+#endif
 }
 
 inline join(h) {
@@ -134,11 +167,18 @@
   }
 }
 
+#ifdef REPLACED
+#define IS_SMALLEST_QUORUM(set) \
+  (DECIDE(set) && COUNT(set) <= COUNT(voters) / 2 + 1)
+#else
+#define IS_SMALLEST_QUORUM(set) (COUNT(set) == COUNT(voters) / 2 + 1)
+#endif
+
 /* A majority syncs the document: all running voters without at most two of them. */
 inline acknowledge(left_out) {
   d_step {
     !acked && FORMED && (RUNNING & left_out) == left_out &&
-    COUNT(RUNNING & ~left_out) == COUNT(voters) / 2 + 1 ->
+    IS_SMALLEST_QUORUM(RUNNING & ~left_out) ->
     printf("voters %d acknowledge\n", RUNNING & ~left_out);
     acked = true;
     holders = RUNNING & ~left_out;
@@ -155,13 +195,27 @@
 }
 
 inline start(h) {
-  d_step { !HAS(up, h) -> printf("host %d starts\n", h); up = up | BIT(h) }
+  d_step {
+    !HAS(up, h) && !IS_GONE(h) -> printf("host %d starts\n", h); up = up | BIT(h)
+  }
 }
 
+#ifdef REPLACED
+inline remove_for_good(h) {
+  d_step {
+    !gone && COUNT(voters) == REQUIRED + 1 && HAS(intact, h) ->
+    printf("host %d is removed\n", h);
+    gone = BIT(h);
+    up = up & ~BIT(h);
+    check_document()
+  }
+}
+#endif
+
 inline remove_silent(h) {
   d_step {
     ACTS && HAS(voters & intact, h) && !HAS(up, h) && MAY_SHRINK(h) &&
-    COUNT(RUNNING) > (COUNT(voters) - 1) / 2 ->
+    MAY_GIVE_UP(h) && COUNT(RUNNING) > (COUNT(voters) - 1) / 2 ->
     printf("silent voter %d is removed\n", h);
     voters = voters & ~BIT(h);
     removed = removed | BIT(h);
@@ -194,7 +248,7 @@
 
 inline lose_disk(h) {
   d_step {
-    lost < LOSSES && HAS(intact, h) ->
+    lost < LOSSES && HAS(intact, h) && !IS_GONE(h) ->
     printf("host %d loses its disk\n", h);
     lost++;
     intact = intact & ~BIT(h);
@@ -233,6 +287,10 @@
   :: remove_silent(3) :: remove_silent(4) :: remove_silent(5)
   :: lose_disk(0) :: lose_disk(1) :: lose_disk(2)
   :: lose_disk(3) :: lose_disk(4) :: lose_disk(5)
+#ifdef REPLACED
+  :: remove_for_good(0) :: remove_for_good(1) :: remove_for_good(2)
+  :: remove_for_good(3) :: remove_for_good(4) :: remove_for_good(5)
+#endif
 #ifdef ZONES
   :: join(6) :: promote(6) :: stop(6) :: start(6) :: remove_silent(6) :: lose_disk(6)
   :: lose_zone(ZONE_X) :: lose_zone(ZONE_Y) :: lose_zone(ZONE_Z)
--- a/packages/log/src/kingcuplug_log/_elections.py
+++ b/packages/log/src/kingcuplug_log/_elections.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+from kingcuplug_common import log_state_change
+
 from kingcuplug_log._messages import (
     Header,
     PreVoteRequest,
@@ -28,6 +30,7 @@
     def __init__(self, state: ReplicaState) -> None:
         self._state = state
         self._storage = state.storage
+        self._last_minority: frozenset[str] = frozenset()
 
     async def run_until_elected(self) -> None:
         """Hold elections until this replica has been elected."""
@@ -127,4 +130,23 @@
         finally:
             for call in pending:
                 call.cancel()
-        return state.is_quorum(granted)
+        elected = state.is_quorum(granted)
+        self._log_minority(frozenset() if elected else frozenset(granted))
+        return elected
+
+    def _log_minority(self, granted: frozenset[str]) -> None:
+        """Log who would vote for this replica where these are too few, if it changes.
+
+        A replica without enough pre-votes stays a follower, which shows nothing.
+        """
+        if granted and granted != self._last_minority:
+            group, replaced = self._state.group, self._state.replaced_members
+            log_state_change(
+                "election",
+                "without quorum",
+                granted=sorted(granted),
+                voters=[voter.id for voter in group.voters],
+                replaced=sorted(replaced.intersection(v.id for v in group.voters)),
+                half_quorums=group.quorum_rule.half_quorums,
+            )
+        self._last_minority = granted
