Send requests that wait for a removed server elsewhere

Cause: ServerTable._replace_pool closed the connections of a removed server, or of its former address, but left the requests that waited for one; they were sent as soon as a running request ended.

Change: such requests fail as not sent, after the whole update, and choose again among its servers. Without another server they are refused at once.

--- a/packages/gateway/src/kingcuplug_gateway/_servers.py
+++ b/packages/gateway/src/kingcuplug_gateway/_servers.py
@@ -428,8 +428,8 @@
     def replace_servers(self, servers: Iterable[ServerInfo]) -> None:
         """Replace the servers of all services; requests in progress continue.
 
-        Requests that wait for a connection to a server in an evacuated zone are sent
-        elsewhere.
+        Requests that wait for a connection to a server that is removed, or to its former
+        address, are sent elsewhere.
         """
         now = asyncio.get_running_loop().time()
         by_service: dict[str, dict[str, ServerInfo]] = {}
@@ -585,18 +585,17 @@
     def _replace_pool(
         self, pool: ServicePool, wanted: dict[str, ServerInfo], now: float
     ) -> None:
+        former: list[ConnectionPool] = []
         for identifier in pool.servers.keys() - wanted.keys():
             removed = pool.servers.pop(identifier)
             self._signalling_servers.pop(identifier, None)
-            removed.connections.close()
-            if self.is_evacuated(removed):
-                removed.connections.refuse_unsent()
+            former.append(removed.connections)
             self._keep_signals(removed)
         for identifier, info in wanted.items():
             server = pool.servers.get(identifier)
             if server is None or server.info.address != info.address:
                 if server is not None:
-                    server.connections.close()
+                    former.append(server.connections)
                     self._keep_signals(server)
                 in_other_zone = info.availability_zone != self._own_zone
                 server = Server(
@@ -619,6 +618,10 @@
                 self.set_cold(server, info.cold_until)
             server.state.heartbeat_lost = info.heartbeats_missing
             server.state.shared_latency_ratio = info.latency_factor
+        # Requests that are refused choose among the servers of this update.
+        for connections in former:
+            connections.close()
+            connections.refuse_unsent()
 
     def _keep_signals(self, server: Server) -> None:
         """Keep what a removed server has said, in case it is announced again."""
