--- a/packages/gateway/src/kingcuplug_gateway/_servers.py
+++ b/packages/gateway/src/kingcuplug_gateway/_servers.py
@@ -428,8 +428,8 @@
     def replace_servers(self, servers: Iterable[ServerInfo]) -> None:
         """Replace the servers of all services; requests in progress continue.
 
-        Requests that wait for a connection to a server that is removed, or to its former
-        address, are sent elsewhere.
+        Requests that wait for a connection to a server that is removed, or to a former
+        address of one, are sent elsewhere.
         """
         now = asyncio.get_running_loop().time()
         by_service: dict[str, dict[str, ServerInfo]] = {}
