--- a/models/run.py
+++ b/models/run.py
@@ -159,6 +159,7 @@
     expect_holds("voters", "half quorums, 0 removed", *HALVES, "GONE=0"),
     expect_holds("voters", "half quorums, 1 removed", *HALVES, "GONE=1"),
     expect_holds("voters", "half quorums, earlier build", *HALVES, "EARLIER_BUILD=1"),
+    expect_holds("voters", "half quorums, put in force", *HALVES, "PLAIN_AT_FIRST"),
     expect_violation("voters", "HALF_WITHOUT_LOSS", "one-leader-per-term", *HALVES),
     expect_violation("voters", "COUNT_LOST", "one-leader-per-term", *HALVES),
     expect_rejected_design("voters", "ONE_STEP_CHANGE", "accepted-entry-kept", *HALVES),
@@ -362,6 +363,13 @@
         "GONE=0",
         large=True,
     ),
+    expect_holds(
+        "voters",
+        "half quorums, 3 entries, put in force",
+        *HALVES_3_ENTRIES,
+        "PLAIN_AT_FIRST",
+        large=True,
+    ),
     expect_holds(
         "voters",
         "half quorums, 3 entries, earlier build",
--- a/models/voters.pml
+++ b/models/voters.pml
@@ -18,7 +18,8 @@
  * is lost, and a voter is added or removed in two entries: the first names the voter in
  * transition, and decides by quorums of the voters with and without it. Identities in
  * EARLIER_BUILD (a bit set) know none of this: as leaders they count majorities of the
- * listed voters, and their entries put half quorums out of force.
+ * listed voters, and their entries put half quorums out of force. With PLAIN_AT_FIRST
+ * these are out of force until a leader puts them in force.
  *
  * With GONE an identity may be removed without notice at any moment, and only this one
  * and lost ones are taken from the voters. Whatever other disk is lost, the rest can
@@ -106,7 +107,7 @@
 #define SETTLED_OF(config) \
   (VOTERS_OF(config) & ~(MOVING_OF(config) == 0 -> 0 : BIT(MOVING_OF(config) - 1)))
 
-#ifdef HALF_QUORUMS
+#if defined(HALF_QUORUMS) && !defined(PLAIN_AT_FIRST)
 #define INITIAL_CONFIG INITIAL_VOTERS
 #else
 #define INITIAL_CONFIG (INITIAL_VOTERS | PLAIN)
--- a/tests/fleet/test_group_health.py
+++ b/tests/fleet/test_group_health.py
@@ -1,5 +1,7 @@
 """Tests of the figures that show what the log's group can still lose."""
 
+from dataclasses import replace
+
 import pytest
 from kingcuplug_fleet._group_health import group_health
 from kingcuplug_log import LogStatus, Member, MemberRole, PeerStatus
@@ -33,6 +35,15 @@
     assert (health.silent, health.losses_borne) == (silent, losses_borne)
 
 
+def test_health_counts_disks_that_half_of_the_voters_can_lose():
+    """Guards against figures that show a loss as borne, or not, against the rule."""
+    status = _status([None, 10.0, 10.0])
+    fields = vars(status) | {
+        "members": tuple(replace(m, half_quorums=True) for m in status.members)
+    }
+    assert group_health(LogStatus(**fields)).losses_borne == 1
+
+
 def test_observer_is_no_voter():
     """Guards against counting members that do not vote."""
     status = _status([10.0, None])
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -51,6 +51,20 @@
     )
 
 
+def test_member_is_listed_anew_when_its_host_runs_another_version():
+    """Guards against half quorums that stay out of force, or in force beside others."""
+    status = _status({"b": 1, "c": 1})
+    newer = replace(_member("b"), half_quorums=True)
+    change = next_membership_change(status, _join_requests(newer), DiskTolerance())
+    assert change == newer
+    listed = tuple(newer if m.id == newer.id else m for m in status.members)
+    fields = LogStatus(**(vars(status) | {"members": listed}))
+    requests = _join_requests(newer)
+    assert next_membership_change(fields, requests, DiskTolerance()) is None
+    requests = _join_requests(_member("b"))
+    assert next_membership_change(fields, requests, DiskTolerance()) == _member("b")
+
+
 def test_unresponsive_voter_is_kept_without_a_replacement():
     """Guards against shrinking the group whenever a host is partitioned."""
     status = _status({"b": 1, "c": 1, "d": 9_000}, intended_size=4)
