--- a/packages/log/src/kingcuplug_log/_progress.py
+++ b/packages/log/src/kingcuplug_log/_progress.py
@@ -44,11 +44,6 @@
         self.last_contact_at = -math.inf
         self.caught_up = False
 
-    @property
-    def is_voter(self) -> bool:
-        """Whether the member is currently a voter."""
-        return self._state.group.is_voter(self.member.id)
-
     @property
     def promotable(self) -> bool:
         """Whether the member is a learner that can be made a voter."""
